--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,24 @@
+//! The resource API of lynxwheel.
+//!
+//! ```no_run
+//! use lynxwheel_api::Api;
+//! use lynxwheel_coordination::{Node, NodeIdentity, NodeSettings};
+//! use lynxwheel_transport::{Server, Shutdown};
+//!
+//! # async fn run() -> std::io::Result<()> {
+//! let identity = NodeIdentity::new("node-1", "zone-1");
+//! let settings = NodeSettings::new(identity, "127.0.0.1:7000".parse().unwrap());
+//! let shutdown = Shutdown::new();
+//! let (node, _duties) = Node::start(settings, &shutdown);
+//! let api = Api::new(node);
+//! let server = Server::bind("127.0.0.1:8081".parse().unwrap()).await?;
+//! server.serve(shutdown, move |request| api.clone().handle(request)).await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod handler;
+mod status;
+
+pub use handler::Api;
+pub use status::view;
--- /dev/null
+++ b/crates/coordination/src/actions.rs
@@ -0,0 +1,239 @@
+//! Carrying out the claims that this node holds.
+
+use {
+    crate::{clock::now_ms, node::Node},
+    log::{info, warn},
+    lynxwheel_protocol::{ActionRequest, ClaimPurpose, RecordBody, VmAction, VmName, VmPhase},
+    lynxwheel_state::{Claim, ClaimStage, VmState},
+    lynxwheel_transport::Client,
+    serde::Deserialize,
+    std::{net::SocketAddr, time::Duration},
+    tokio::task::JoinSet,
+};
+
+/// Time that a call to the platform may take, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// Time between the recheck and the latest start of the action, in milliseconds.
+const ACTION_WINDOW_MS: u64 = 10_000;
+
+/// Connections to the platform for actions.
+const CONNECTIONS: usize = 8;
+
+/// Carries claims out for as long as it is polled.
+pub(crate) async fn act(node: Node) {
+    let platform = Client::new(node.settings().platform, CONNECTIONS);
+    let tick = Duration::from_millis(node.settings().tick_ms);
+    let mut offsets = node.published().offsets();
+    loop {
+        let state = node.state();
+        let mut steps = JoinSet::new();
+        for vm in state.vms().iter() {
+            let Some(claim) = &vm.claim else {
+                continue;
+            };
+            if claim.holder == node.settings().identity.node {
+                let step = ClaimStep::new(&node, &platform, vm, claim);
+                steps.spawn(step.take());
+            }
+        }
+        steps.join_all().await;
+        drop(tokio::time::timeout(tick, offsets.changed()).await);
+    }
+}
+
+/// Endpoint's own word on its load.
+#[derive(Clone, Debug, Deserialize)]
+struct Load {
+    in_progress: u32,
+}
+
+/// Next step of one claim.
+struct ClaimStep {
+    node: Node,
+    platform: Client,
+    vm: VmState,
+    claim: Claim,
+}
+
+impl ClaimStep {
+    fn new(node: &Node, platform: &Client, vm: &VmState, claim: &Claim) -> Self {
+        Self {
+            node: node.clone(),
+            platform: platform.clone(),
+            vm: vm.clone(),
+            claim: claim.clone(),
+        }
+    }
+
+    async fn take(self) {
+        match (&self.claim.purpose, self.claim.stage) {
+            (ClaimPurpose::Move(target), ClaimStage::Draining)
+                if self.vm.wanted_pool != *target =>
+            {
+                self.release("move_not_wanted").await;
+            }
+            (ClaimPurpose::Move(_), _) => {
+                if self.drain().await && self.is_idle().await {
+                    self.hand_over().await;
+                }
+            }
+            (ClaimPurpose::Maintain(_), ClaimStage::Draining) => {
+                if self.drain().await && self.is_idle().await {
+                    self.begin().await;
+                }
+            }
+            (ClaimPurpose::Maintain(_), ClaimStage::Acting) => self.finish().await,
+        }
+    }
+
+    async fn drain(&self) -> bool {
+        self.call(VmAction::Drain, now_ms() + ACTION_WINDOW_MS)
+            .await
+    }
+
+    /// Tells whether nothing runs on the VM any more.
+    async fn is_idle(&self) -> bool {
+        if self.vm.phase == VmPhase::Failed {
+            return true;
+        }
+        let state = self.node.state();
+        let has_attempt = state.jobs().iter().any(|job| {
+            job.attempt
+                .as_ref()
+                .is_some_and(|run| run.vm == self.vm.name)
+        });
+        if has_attempt {
+            return false;
+        }
+        let Ok(address) = self.vm.address.parse::<SocketAddr>() else {
+            return true;
+        };
+        let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+        match self
+            .node
+            .clients()
+            .get(address)
+            .get("/healthz", limit)
+            .await
+        {
+            Ok(answer) => {
+                serde_json::from_slice::<Load>(&answer.body).is_ok_and(|load| load.in_progress == 0)
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Rechecks the budget in the log, then acts at once.
+    async fn begin(&self) {
+        let not_after_ms = now_ms() + ACTION_WINDOW_MS;
+        let body = RecordBody::Begin {
+            vm: self.vm.name.clone(),
+            fence: self.claim.fence,
+            not_after_ms,
+        };
+        let accepted = match self.node.proposer().propose(body).await {
+            Ok(decision) => decision.verdict.is_accepted(),
+            Err(_) => return,
+        };
+        if accepted {
+            self.call(VmAction::Reboot, not_after_ms).await;
+        } else {
+            self.release("budget_lost").await;
+        }
+    }
+
+    /// Waits for the VM's next life, or gives up on it.
+    async fn finish(&self) {
+        let now_ms = now_ms();
+        let is_new_life = self
+            .node
+            .state()
+            .vms()
+            .get(self.vm.name.as_str())
+            .is_some_and(|vm| vm.phase == VmPhase::Live && vm.evidence_ms > self.claim.since_ms)
+            && self.reboots_over().await;
+        let is_overdue = now_ms > self.claim.since_ms + self.node.settings().action_timeout_ms;
+        if !is_new_life && !is_overdue {
+            return;
+        }
+        self.log_step(if is_new_life {
+            "done"
+        } else {
+            "action_overdue"
+        });
+        let body = RecordBody::Done {
+            vm: self.vm.name.clone(),
+            fence: self.claim.fence,
+            succeeded: is_new_life,
+        };
+        self.node.proposer().is_accepted(body).await;
+    }
+
+    /// Tells whether the VM has a life that began after the action.
+    async fn reboots_over(&self) -> bool {
+        let state = self.node.state();
+        let vm = state.vms().get(self.vm.name.as_str());
+        let is_back = vm.is_some_and(|vm| vm.incarnation > self.claim.incarnation);
+        if !is_back && now_ms() <= self.claim.not_after_ms {
+            // The answer to the action may have been lost; asked again it is carried out once.
+            self.call(VmAction::Reboot, self.claim.not_after_ms).await;
+        }
+        is_back
+    }
+
+    async fn hand_over(&self) {
+        let body = RecordBody::HandOver {
+            vm: self.vm.name.clone(),
+            fence: self.claim.fence,
+        };
+        if self.node.proposer().is_accepted(body).await {
+            self.log_step("handed_over");
+            self.call(VmAction::Undrain, now_ms() + ACTION_WINDOW_MS)
+                .await;
+        }
+    }
+
+    async fn release(&self, reason: &str) {
+        let body = RecordBody::Release {
+            vm: self.vm.name.clone(),
+            fence: self.claim.fence,
+        };
+        if self.node.proposer().is_accepted(body).await {
+            self.log_step(reason);
+            self.call(VmAction::Undrain, now_ms() + ACTION_WINDOW_MS)
+                .await;
+        }
+    }
+
+    async fn call(&self, action: VmAction, not_after_ms: u64) -> bool {
+        let request = ActionRequest {
+            action,
+            fence: self.claim.fence,
+            not_after_ms,
+        };
+        let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+        let path = action_path(&self.vm.name);
+        match self
+            .platform
+            .exchange::<_, bool>(&path, &request, limit)
+            .await
+        {
+            Ok(_) => true,
+            Err(error) => {
+                warn!(event = "action_failed", vm = self.vm.name.as_str(),
+                    fence = self.claim.fence; "{error}");
+                false
+            }
+        }
+    }
+
+    fn log_step(&self, reason: &str) {
+        info!(event = "placement", decision = "claim_step", vm = self.vm.name.as_str(),
+            fence = self.claim.fence, reason = reason, offset = self.node.state().offset(); "");
+    }
+}
+
+fn action_path(vm: &VmName) -> String {
+    format!("/vms/{vm}/actions")
+}
--- /dev/null
+++ b/crates/coordination/src/fold.rs
@@ -0,0 +1,144 @@
+//! Folding the log's entries into the published state.
+
+use {
+    crate::{proposer::Decision, published::Published, waiters::Waiters},
+    kameo::{
+        Actor,
+        message::{Context, Message},
+    },
+    log::{info, warn},
+    lynxwheel_protocol::{LogEntry, Record, RecordBody, decode_record},
+    lynxwheel_state::{FleetState, Verdict},
+    std::sync::Arc,
+};
+
+/// Entries read from the log, in order.
+#[derive(Debug)]
+pub(crate) struct FoldEntries {
+    /// Entries.
+    pub(crate) entries: Vec<LogEntry>,
+}
+
+/// Actor that owns the state.
+#[derive(Actor, Debug)]
+pub(crate) struct Fold {
+    state: FleetState,
+    published: Arc<Published>,
+    waiters: Arc<Waiters>,
+    incarnation: u64,
+}
+
+impl Fold {
+    pub(crate) fn new(
+        state: FleetState,
+        published: Arc<Published>,
+        waiters: Arc<Waiters>,
+        incarnation: u64,
+    ) -> Self {
+        Self {
+            state,
+            published,
+            waiters,
+            incarnation,
+        }
+    }
+
+    /// Applies one entry; an entry that does not follow the last one is left out.
+    fn fold(&mut self, entry: &LogEntry) -> Option<Decision> {
+        if entry.offset != self.state.offset() + 1 {
+            return None;
+        }
+        let record = match decode_record(&entry.bytes) {
+            Ok(record) => record,
+            Err(error) => {
+                warn!(event = "record_skipped", offset = entry.offset; "{error}");
+                self.state.skip(entry.offset);
+                return None;
+            }
+        };
+        let verdict = self.state.apply(entry.offset, &record);
+        log_verdict(entry.offset, &record, &verdict);
+        (record.id.incarnation == self.incarnation).then_some(Decision {
+            id: record.id,
+            offset: entry.offset,
+            verdict,
+        })
+    }
+}
+
+impl Message<FoldEntries> for Fold {
+    type Reply = ();
+
+    async fn handle(&mut self, message: FoldEntries, _context: &mut Context<Self, Self::Reply>) {
+        let decisions: Vec<Decision> = message
+            .entries
+            .iter()
+            .filter_map(|entry| self.fold(entry))
+            .collect();
+        self.published.store(self.state.clone());
+        // Published first, so that a proposer finds its own record in the state it then reads.
+        for decision in decisions {
+            if decision.verdict != Verdict::Duplicate {
+                self.waiters.resolve(decision.id.sequence, decision);
+            }
+        }
+        metrics::gauge!("lynxwheel_fold_offset").set(offset_metric(self.state.offset()));
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "gauges are floats; offsets stay far below 2^52"
+)]
+fn offset_metric(offset: u64) -> f64 {
+    offset as f64
+}
+
+fn log_verdict(offset: u64, record: &Record, verdict: &Verdict) {
+    let proposal = format!("{}-{}", record.id.incarnation, record.id.sequence);
+    let kind = kind_of(&record.body);
+    metrics::counter!("lynxwheel_records_total", "kind" => kind, "verdict" => verdict_name(verdict))
+        .increment(1);
+    match verdict {
+        Verdict::Rejected(rejection) => {
+            info!(event = "record", offset = offset, proposal = proposal.as_str(), kind = kind,
+                verdict = "rejected"; "{rejection}");
+        }
+        other => {
+            info!(event = "record", offset = offset, proposal = proposal.as_str(), kind = kind,
+                verdict = verdict_name(other); "");
+        }
+    }
+}
+
+fn verdict_name(verdict: &Verdict) -> &'static str {
+    match verdict {
+        Verdict::Accepted => "accepted",
+        Verdict::Duplicate => "duplicate",
+        Verdict::Rejected(_) => "rejected",
+    }
+}
+
+fn kind_of(body: &RecordBody) -> &'static str {
+    match body {
+        RecordBody::Join { .. } => "join",
+        RecordBody::RaiseVersion { .. } => "raise_version",
+        RecordBody::Put { .. } => "put",
+        RecordBody::Delete { .. } => "delete",
+        RecordBody::Report { .. } => "report",
+        RecordBody::Claim { .. } => "claim",
+        RecordBody::Begin { .. } => "begin",
+        RecordBody::TakeOver { .. } => "take_over",
+        RecordBody::Release { .. } => "release",
+        RecordBody::Done { .. } => "done",
+        RecordBody::HandOver { .. } => "hand_over",
+        RecordBody::Start { .. } => "start",
+        RecordBody::Stop { .. } => "stop",
+        RecordBody::End { .. } => "end",
+        RecordBody::Usage { .. } => "usage",
+        RecordBody::GiveUp { .. } => "give_up",
+        RecordBody::Quarantine { .. } => "quarantine",
+        RecordBody::Intent { .. } => "intent",
+        RecordBody::Outcome { .. } => "outcome",
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,37 @@
+//! Log reading and appending, membership, planning and actions of a lynxwheel node.
+//!
+//! ```no_run
+//! use lynxwheel_coordination::{Node, NodeIdentity, NodeSettings};
+//! use lynxwheel_transport::Shutdown;
+//!
+//! # async fn run() {
+//! let identity = NodeIdentity::new("node-1", "zone-1");
+//! let settings = NodeSettings::new(identity, "127.0.0.1:7000".parse().unwrap());
+//! let (node, _duties) = Node::start(settings, &Shutdown::new());
+//! println!("folded up to {}", node.state().offset());
+//! # }
+//! ```
+
+mod actions;
+mod appender;
+mod clock;
+mod duty;
+mod fold;
+mod log_client;
+mod node;
+mod observer;
+mod planner;
+mod proposer;
+mod published;
+mod reader;
+mod settings;
+mod tasks;
+mod waiters;
+
+pub use clock::now_ms;
+pub use duty::spawn_duty;
+pub use log_client::{LogClient, LogError};
+pub use node::{Duties, Node};
+pub use proposer::{Decision, ProposeError, Proposer};
+pub use published::Published;
+pub use settings::{NodeIdentity, NodeSettings, PeerAddress};
--- /dev/null
+++ b/crates/coordination/src/node.rs
@@ -0,0 +1,195 @@
+//! One node: its duties and what they share.
+
+use {
+    crate::{
+        actions,
+        appender::Appender,
+        clock::{new_incarnation, now_ms},
+        duty::spawn_duty,
+        fold::Fold,
+        log_client::LogClient,
+        observer, planner,
+        proposer::Proposer,
+        published::Published,
+        reader,
+        settings::NodeSettings,
+        tasks,
+        waiters::Waiters,
+    },
+    kameo::{actor::Spawn, mailbox},
+    log::{error, info},
+    lynxwheel_protocol::{FOLD_VERSION, NodeName, RecordBody},
+    lynxwheel_state::FleetState,
+    lynxwheel_transport::{Clients, Shutdown},
+    std::{future::Future, sync::Arc, thread, time::Duration},
+};
+
+/// Batches that wait for the fold at most.
+const FOLD_RING: usize = 8;
+
+/// Proposals that wait for the appender at most.
+const APPEND_RING: usize = 1_024;
+
+/// Connections to one endpoint for probes.
+const PROBE_CONNECTIONS: usize = 2;
+
+/// Age of the last successful read after which a node no longer takes itself for current, in
+/// milliseconds.
+const CURRENT_MS: u64 = 10_000;
+
+/// A running node; copies share it.
+#[derive(Clone, Debug)]
+pub struct Node {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: NodeSettings,
+    incarnation: u64,
+    published: Arc<Published>,
+    proposer: Proposer,
+    clients: Arc<Clients>,
+}
+
+impl Node {
+    /// Starts a node and its duties, which end with the signal.
+    #[must_use]
+    pub fn start(settings: NodeSettings, shutdown: &Shutdown) -> (Self, Duties) {
+        let incarnation = new_incarnation(settings.identity.node.as_str());
+        let published = Arc::new(Published::new(FleetState::new()));
+        let waiters = Arc::new(Waiters::default());
+        let log = LogClient::new(settings.platform, &settings.stream);
+        let appender = Appender::new(
+            log.clone(),
+            Arc::clone(&published),
+            Arc::clone(&waiters),
+            incarnation,
+        );
+        let appender =
+            Appender::spawn_in_thread_with_mailbox(appender, mailbox::bounded(APPEND_RING));
+        let fold = Fold::new(
+            FleetState::new(),
+            Arc::clone(&published),
+            waiters,
+            incarnation,
+        );
+        let fold = Fold::spawn_in_thread_with_mailbox(fold, mailbox::bounded(FOLD_RING));
+        let limit = Duration::from_millis(settings.propose_timeout_ms);
+        let node = Self {
+            inner: Arc::new(Inner {
+                settings,
+                incarnation,
+                published: Arc::clone(&published),
+                proposer: Proposer::new(appender, limit),
+                clients: Arc::new(Clients::new(PROBE_CONNECTIONS)),
+            }),
+        };
+        let mut duties = Duties::new(shutdown.clone());
+        duties.run("reader", reader::read_log(log, published, fold));
+        duties.run("observer", observer::observe(node.clone()));
+        duties.run("planner", planner::plan(node.clone()));
+        duties.run("actions", actions::act(node.clone()));
+        duties.run("tasks", tasks::run(node.clone()));
+        duties.run("join", join(node.clone()));
+        (node, duties)
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub fn settings(&self) -> &NodeSettings {
+        &self.inner.settings
+    }
+
+    /// Returns the number of this run.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.inner.incarnation
+    }
+
+    /// Returns the latest state.
+    #[must_use]
+    pub fn state(&self) -> Arc<FleetState> {
+        self.inner.published.load()
+    }
+
+    /// Returns where the state is published.
+    #[must_use]
+    pub fn published(&self) -> &Published {
+        &self.inner.published
+    }
+
+    /// Returns the handle for proposals.
+    #[must_use]
+    pub fn proposer(&self) -> &Proposer {
+        &self.inner.proposer
+    }
+
+    /// Returns the clients for probes.
+    #[must_use]
+    pub fn clients(&self) -> &Arc<Clients> {
+        &self.inner.clients
+    }
+
+    /// Returns the nodes that are taken to be live, this one included, sorted.
+    #[must_use]
+    pub fn live_nodes(&self) -> Vec<NodeName> {
+        self.inner.settings.node_names()
+    }
+
+    /// Tells whether the node has read the log lately and to its end.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        let read_ms = self.inner.published.read_ms();
+        read_ms + CURRENT_MS > now_ms() && self.inner.published.is_caught_up()
+    }
+}
+
+/// Threads of a node's duties.
+#[derive(Debug)]
+pub struct Duties {
+    shutdown: Shutdown,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Duties {
+    fn new(shutdown: Shutdown) -> Self {
+        Self {
+            shutdown,
+            threads: Vec::new(),
+        }
+    }
+
+    fn run<F: Future<Output = ()> + Send + 'static>(&mut self, name: &str, duty: F) {
+        match spawn_duty(name, &self.shutdown, duty) {
+            Ok(thread) => self.threads.push(thread),
+            Err(problem) => error!(event = "duty_not_started", duty = name; "{problem}"),
+        }
+    }
+
+    /// Waits until every duty has ended, which they do after the signal.
+    pub fn join(self) {
+        for thread in self.threads {
+            if thread.join().is_err() {
+                error!(event = "duty_panicked"; "");
+            }
+        }
+    }
+}
+
+/// Announces the run in the log, again and again until it is there.
+async fn join(node: Node) {
+    loop {
+        let body = RecordBody::Join {
+            node: node.settings().identity.node.clone(),
+            fold_version: FOLD_VERSION,
+        };
+        let joined = node.proposer().propose(body).await;
+        let is_known = node.state().writers().get(node.incarnation()).is_some();
+        if joined.is_ok_and(|decision| decision.verdict.is_accepted()) || is_known {
+            info!(event = "joined", incarnation = node.incarnation(); "");
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(node.settings().rank_delay_ms)).await;
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/tasks.rs
@@ -0,0 +1,145 @@
+//! Starting and watching the attempts that this node holds.
+
+use {
+    crate::node::Node,
+    log::{info, warn},
+    lynxwheel_protocol::{JobOutcome, RecordBody, TaskReport, TaskStart, TaskState, VmPhase},
+    lynxwheel_state::{Attempt, JobState, TASK_LEASE_MS},
+    lynxwheel_transport::{Client, TransportError},
+    std::time::Duration,
+    tokio::task::JoinSet,
+};
+
+/// Time that a call to a worker may take, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// Connections to the platform for tasks.
+const CONNECTIONS: usize = 16;
+
+/// Status by which a worker says that it did not start an attempt.
+const NOT_STARTED: &str = "status 409";
+
+/// Runs attempts for as long as it is polled.
+pub(crate) async fn run(node: Node) {
+    let platform = Client::new(node.settings().platform, CONNECTIONS);
+    let tick = Duration::from_millis(node.settings().tick_ms);
+    let mut offsets = node.published().offsets();
+    loop {
+        let state = node.state();
+        let mut steps = JoinSet::new();
+        for job in state.jobs().iter() {
+            let Some(attempt) = &job.attempt else {
+                continue;
+            };
+            if attempt.holder == node.settings().identity.node {
+                let step = TaskStep {
+                    node: node.clone(),
+                    platform: platform.clone(),
+                    job: job.clone(),
+                    attempt: attempt.clone(),
+                };
+                steps.spawn(step.take());
+            }
+        }
+        steps.join_all().await;
+        drop(tokio::time::timeout(tick, offsets.changed()).await);
+    }
+}
+
+/// Next step of one attempt.
+struct TaskStep {
+    node: Node,
+    platform: Client,
+    job: JobState,
+    attempt: Attempt,
+}
+
+impl TaskStep {
+    async fn take(self) {
+        let state = self.node.state();
+        let vm = state.vms().get(self.attempt.vm.as_str());
+        let is_gone = vm.is_none_or(|vm| {
+            vm.incarnation > self.attempt.vm_incarnation || vm.phase == VmPhase::Failed
+        });
+        if is_gone {
+            self.end(JobOutcome::Lost).await;
+            return;
+        }
+        match self.start().await {
+            Err(error) if error.reason.starts_with(NOT_STARTED) => {
+                self.end(JobOutcome::NotStarted).await;
+                return;
+            }
+            Err(error) => {
+                warn!(event = "task_call_failed", job = self.job.spec.name.as_str(),
+                    vm = self.attempt.vm.as_str(); "{error}");
+                return;
+            }
+            Ok(_) => {}
+        }
+        let is_drained = vm.is_some_and(|vm| vm.claim.is_some());
+        if self.attempt.stopping || is_drained && self.job.spec.checkpoint {
+            self.stop().await;
+        }
+        if let Some(report) = self.report().await {
+            self.note(&report).await;
+        }
+    }
+
+    /// Starts the attempt; a worker that knows it already renews its lease instead.
+    async fn start(&self) -> Result<bool, TransportError> {
+        let start = TaskStart {
+            job: self.job.spec.name.clone(),
+            attempt: self.job.attempts,
+            reserved: self.attempt.reserved,
+            run_time_ms: self.job.spec.run_time_ms,
+            lease_ms: TASK_LEASE_MS,
+        };
+        let path = format!("/vms/{}/tasks", self.attempt.vm);
+        self.platform
+            .exchange(&path, &start, Duration::from_millis(CALL_TIMEOUT_MS))
+            .await
+    }
+
+    async fn stop(&self) {
+        let path = format!(
+            "/vms/{}/tasks/{}/stop?attempt={}",
+            self.attempt.vm, self.job.spec.name, self.job.attempts
+        );
+        let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+        if let Err(error) = self.platform.exchange::<_, bool>(&path, &(), limit).await {
+            warn!(event = "task_stop_failed", job = self.job.spec.name.as_str(); "{error}");
+        }
+    }
+
+    async fn report(&self) -> Option<TaskReport> {
+        let path = format!("/vms/{}/tasks", self.attempt.vm);
+        let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+        let reports: Vec<TaskReport> = self.platform.fetch(&path, limit).await.ok()?;
+        reports
+            .into_iter()
+            .find(|report| report.job == self.job.spec.name && report.attempt == self.job.attempts)
+    }
+
+    async fn note(&self, report: &TaskReport) {
+        match report.state {
+            TaskState::Running => {}
+            TaskState::Succeeded => self.end(JobOutcome::Succeeded).await,
+            TaskState::Failed => self.end(JobOutcome::Failed).await,
+            TaskState::Checkpointed => self.end(JobOutcome::Checkpointed).await,
+        }
+    }
+
+    async fn end(&self, outcome: JobOutcome) {
+        let body = RecordBody::End {
+            job: self.job.spec.name.clone(),
+            attempt: self.job.attempts,
+            outcome,
+        };
+        if self.node.proposer().is_accepted(body).await {
+            info!(event = "placement", decision = "end", job = self.job.spec.name.as_str(),
+                vm = self.attempt.vm.as_str(), outcome = format!("{outcome:?}").as_str();
+                "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! The request path of a lynxwheel node: admission, routing, retries and at-most-once execution.
+//!
+//! ```no_run
+//! use lynxwheel_coordination::{Node, NodeIdentity, NodeSettings};
+//! use lynxwheel_gateway::Gateway;
+//! use lynxwheel_transport::{Server, Shutdown};
+//!
+//! # async fn run() -> std::io::Result<()> {
+//! let identity = NodeIdentity::new("node-1", "zone-1");
+//! let settings = NodeSettings::new(identity, "127.0.0.1:7000".parse().unwrap());
+//! let shutdown = Shutdown::new();
+//! let (node, _duties) = Node::start(settings, &shutdown);
+//! let gateway = Gateway::new(node);
+//! let server = Server::bind("127.0.0.1:8080".parse().unwrap()).await?;
+//! server.serve(shutdown, move |request| gateway.clone().handle(request)).await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod caller_request;
+mod dispatch;
+mod endpoints;
+mod gateway;
+mod refusal;
+
+pub use caller_request::{
+    CLASS_HEADER, CallerRequest, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER,
+    TEAM_HEADER,
+};
+pub use gateway::Gateway;
+pub use refusal::{DID_NOT_RUN_HEADER, Refusal, RefusalReason};
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,117 @@
+//! Answers that the system gives by itself.
+
+use {
+    http::{HeaderValue, Response, StatusCode, header},
+    lynxwheel_transport::{Body, json_answer},
+    serde::Serialize,
+};
+
+/// Answer header that is set only when the request is proven not to have run.
+pub const DID_NOT_RUN_HEADER: &str = "lynxwheel-did-not-run";
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The request is malformed.
+    BadRequest,
+    /// The path names no service.
+    UnknownService,
+    /// The service has no available endpoint.
+    NoEndpoint,
+    /// Every slot is taken.
+    NoFreeSlot,
+    /// The log takes no records, which the request needs.
+    LogUnavailable,
+    /// The key was used for another request.
+    KeyReused,
+    /// The key's request is still running.
+    KeyPending,
+    /// The key's request ran; its answer is not kept here.
+    KeyEnded,
+    /// No more keys can be kept now.
+    KeysFull,
+    /// The request may have run; it is not run again.
+    OutcomeUnknown,
+    /// The endpoint did not answer in time.
+    Timeout,
+}
+
+impl RefusalReason {
+    /// Returns the status that goes with it.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::UnknownService => StatusCode::NOT_FOUND,
+            Self::NoEndpoint | Self::NoFreeSlot | Self::LogUnavailable | Self::KeysFull => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyPending | Self::KeyEnded => StatusCode::CONFLICT,
+            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// A refusal as the caller gets it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: RefusalReason,
+    /// Whether the request is proven not to have run.
+    pub did_not_run: bool,
+    /// When to come back, in milliseconds; 0 means that it is of no use.
+    pub retry_after_ms: u64,
+    /// What people should know.
+    pub detail: String,
+}
+
+impl Refusal {
+    /// Refuses a request that has not run.
+    #[must_use]
+    pub fn not_run(reason: RefusalReason, detail: impl Into<String>) -> Self {
+        Self {
+            reason,
+            did_not_run: true,
+            retry_after_ms: 0,
+            detail: detail.into(),
+        }
+    }
+
+    /// Gives up on a request that may have run.
+    #[must_use]
+    pub fn may_have_run(reason: RefusalReason, detail: impl Into<String>) -> Self {
+        Self {
+            reason,
+            did_not_run: false,
+            retry_after_ms: 0,
+            detail: detail.into(),
+        }
+    }
+
+    /// Tells when to come back.
+    #[must_use]
+    pub fn with_retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = retry_after_ms;
+        self
+    }
+
+    /// Builds the answer.
+    #[must_use]
+    pub fn answer(&self) -> Response<Body> {
+        let mut response = json_answer(self.reason.status(), self);
+        let headers = response.headers_mut();
+        if self.did_not_run {
+            headers.insert(DID_NOT_RUN_HEADER, HeaderValue::from_static("true"));
+        }
+        if self.retry_after_ms > 0 {
+            headers.insert(
+                header::RETRY_AFTER,
+                HeaderValue::from(self.retry_after_ms.div_ceil(1_000)),
+            );
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/lynxctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Binary.
+fn main() {}
--- /dev/null
+++ b/crates/lynxwheel/src/cli.rs
@@ -0,0 +1,168 @@
+//! Command line of the daemon.
+
+use {
+    crate::{config::Config, daemon, dev, logging},
+    clap::{Args, Parser, Subcommand},
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
+    tokio::runtime::{Builder, Runtime},
+};
+
+/// Exit code when what was asked for did not hold.
+pub const EXIT_FAILED: u8 = 1;
+
+/// Exit code for bad settings.
+pub const EXIT_SETTINGS: u8 = 3;
+
+/// Threads for sockets and timers.
+const IO_THREADS: usize = 2;
+
+/// Fleet capacity and maintenance manager.
+#[derive(Debug, Parser)]
+#[command(
+    name = "lynxwheel",
+    version,
+    after_help = "Exit codes: 0 done, 1 failed or a promise did not hold, 2 bad command line, \
+                  3 bad settings"
+)]
+pub struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Run a node until SIGTERM or SIGINT, then stop gracefully.
+    Run(SettingsArgs),
+    /// Check settings and say every mistake.
+    Check(SettingsArgs),
+    /// Run an embedded platform with endpoints, for development.
+    Dev(DevArgs),
+}
+
+/// Where the settings are.
+#[derive(Args, Debug)]
+pub struct SettingsArgs {
+    /// INI file with the settings.
+    #[arg(long, value_name = "FILE")]
+    pub settings: PathBuf,
+}
+
+/// How to run the embedded platform.
+#[derive(Args, Debug)]
+pub struct DevArgs {
+    /// Run the main job once and print what happened.
+    #[arg(long)]
+    pub once: bool,
+    /// Print one JSON object instead of a table.
+    #[arg(long)]
+    pub json: bool,
+    /// What to run apart from everything in one process.
+    #[command(subcommand)]
+    pub part: Option<DevPart>,
+}
+
+/// Parts of a development fleet that run as processes of their own.
+#[derive(Debug, Subcommand)]
+pub enum DevPart {
+    /// Run only the platform with its endpoints.
+    Platform {
+        /// Address to listen on.
+        #[arg(long, default_value_t = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7000))]
+        listen: SocketAddr,
+        /// Number of VMs.
+        #[arg(long, default_value_t = 12)]
+        vms: u32,
+        /// Time that a reboot takes, in milliseconds.
+        #[arg(long, default_value_t = 500)]
+        reboot_ms: u64,
+    },
+}
+
+/// Carries a command out.
+#[must_use]
+pub fn execute(cli: &Cli) -> ExitCode {
+    match &cli.command {
+        Command::Run(args) => with_settings(&args.settings, run),
+        Command::Check(args) => with_settings(&args.settings, |_| ExitCode::SUCCESS),
+        Command::Dev(args) => develop(args),
+    }
+}
+
+fn with_settings(path: &Path, go_on: impl FnOnce(Config) -> ExitCode) -> ExitCode {
+    match Config::load(path) {
+        Ok(config) => go_on(config),
+        Err(errors) => {
+            for error in &errors {
+                eprintln!("{error}");
+            }
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn run(config: Config) -> ExitCode {
+    if let Err(error) = logging::start_logging(&config) {
+        eprintln!("{error}");
+        return ExitCode::from(EXIT_SETTINGS);
+    }
+    let outcome = runtime().map(|runtime| runtime.block_on(daemon::run(config)));
+    match outcome {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(error)) => failed(&error.to_string()),
+        Err(error) => failed(&error.to_string()),
+    }
+}
+
+fn develop(args: &DevArgs) -> ExitCode {
+    logging::start_quiet_logging();
+    let runtime = match runtime() {
+        Ok(runtime) => runtime,
+        Err(error) => return failed(&error.to_string()),
+    };
+    let outcome = match &args.part {
+        Some(DevPart::Platform {
+            listen,
+            vms,
+            reboot_ms,
+        }) => runtime.block_on(dev::dev_platform(*listen, *vms, *reboot_ms)),
+        None if args.once => match runtime.block_on(dev::dev_once()) {
+            Ok(report) => {
+                println!(
+                    "{}",
+                    if args.json {
+                        report.json()
+                    } else {
+                        report.table()
+                    }
+                );
+                report.verdict()
+            }
+            Err(reason) => Err(reason),
+        },
+        None => runtime.block_on(dev::dev_stay()),
+    };
+    // Threads of duties end with the process.
+    runtime.shutdown_background();
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => failed(&reason),
+    }
+}
+
+fn runtime() -> std::io::Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(IO_THREADS)
+        .enable_all()
+        .build()
+}
+
+fn failed(reason: &str) -> ExitCode {
+    eprintln!("lynxwheel: {reason}");
+    ExitCode::from(EXIT_FAILED)
+}
--- /dev/null
+++ b/crates/lynxwheel/src/config.rs
@@ -0,0 +1,308 @@
+//! Settings of a node.
+
+use {
+    ini::{Ini, ParseOption},
+    lynxwheel_coordination::{NodeIdentity, NodeSettings, PeerAddress},
+    std::{
+        error, fmt, fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        str::FromStr,
+    },
+};
+
+/// Sections and the keys that each may hold; `peers` holds any node's name.
+const KNOWN_KEYS: [(&str, &[&str]); 6] = [
+    ("node", &["name", "zone"]),
+    ("listen", &["callers", "operators", "peers"]),
+    ("platform", &["address", "stream"]),
+    ("peers", &[]),
+    (
+        "timing",
+        &[
+            "propose_timeout_ms",
+            "tick_ms",
+            "rank_delay_ms",
+            "action_timeout_ms",
+            "drain_ms",
+        ],
+    ),
+    ("log", &["level", "file"]),
+];
+
+/// Levels of the log.
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+/// One mistake in the settings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    Unreadable {
+        /// File.
+        file: PathBuf,
+        /// Reason.
+        reason: String,
+    },
+    /// A key is missing, unknown or has a bad value.
+    BadKey {
+        /// File.
+        file: PathBuf,
+        /// Section.
+        section: String,
+        /// Key; empty when the section itself is wrong.
+        key: String,
+        /// Reason.
+        reason: String,
+    },
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable { file, reason } => write!(formatter, "{}: {reason}", file.display()),
+            Self::BadKey {
+                file,
+                section,
+                key,
+                reason,
+            } => {
+                write!(
+                    formatter,
+                    "{}: section {section}, key {key}: {reason}",
+                    file.display()
+                )
+            }
+        }
+    }
+}
+
+impl error::Error for ConfigError {}
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// `[node] name`: name, unique among the nodes.
+    pub node: String,
+    /// `[node] zone`: availability zone.
+    pub zone: String,
+    /// `[listen] callers`: address for callers, `/livez` and `/readyz`.
+    pub callers: SocketAddr,
+    /// `[listen] operators`: address for the resource API and `/metrics`.
+    pub operators: SocketAddr,
+    /// `[listen] peers`: address for the other nodes.
+    pub peers_listen: SocketAddr,
+    /// `[platform] address`: address of the platform's services.
+    pub platform: SocketAddr,
+    /// `[platform] stream`: name of the fleet's stream; `fleet` by default.
+    pub stream: String,
+    /// `[peers]`: the other nodes, `name = ip:port` of their peer listeners.
+    pub peers: Vec<PeerAddress>,
+    /// `[timing] propose_timeout_ms`: time until a proposal's outcome is called unknown; 3000.
+    pub propose_timeout_ms: u64,
+    /// `[timing] tick_ms`: pause between looks at VMs and jobs; 200.
+    pub tick_ms: u64,
+    /// `[timing] rank_delay_ms`: pause by which each rank waits for the one before; 300.
+    pub rank_delay_ms: u64,
+    /// `[timing] action_timeout_ms`: time that a VM may take for an action; 600000.
+    pub action_timeout_ms: u64,
+    /// `[timing] drain_ms`: time between readiness off and the end of accepting; 1000.
+    pub drain_ms: u64,
+    /// `[log] level`: lowest level written; `info`.
+    pub log_level: String,
+    /// `[log] file`: file of the log; standard output by default.
+    pub log_file: Option<PathBuf>,
+}
+
+impl Config {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake found.
+    pub fn load(path: &Path) -> Result<Self, Vec<ConfigError>> {
+        let text = fs::read_to_string(path).map_err(|error| {
+            vec![ConfigError::Unreadable {
+                file: path.into(),
+                reason: error.to_string(),
+            }]
+        })?;
+        Self::parse(path, &text)
+    }
+
+    /// Reads settings from a text; `file` is named in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake found.
+    pub fn parse(file: impl AsRef<Path>, text: &str) -> Result<Self, Vec<ConfigError>> {
+        let file = file.as_ref();
+        // Backslashes are kept, as in paths.
+        let option = ParseOption {
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let ini = Ini::load_from_str_opt(text, option).map_err(|error| {
+            vec![ConfigError::Unreadable {
+                file: file.into(),
+                reason: error.to_string(),
+            }]
+        })?;
+        let mut reader = Reader {
+            file,
+            ini: &ini,
+            errors: Vec::new(),
+        };
+        reader.check_known();
+        let config = Self {
+            node: reader.required("node", "name"),
+            zone: reader.required("node", "zone"),
+            callers: reader.address("listen", "callers"),
+            operators: reader.address("listen", "operators"),
+            peers_listen: reader.address("listen", "peers"),
+            platform: reader.address("platform", "address"),
+            stream: reader
+                .text("platform", "stream")
+                .unwrap_or("fleet")
+                .to_owned(),
+            peers: reader.peers(),
+            propose_timeout_ms: reader.milliseconds("propose_timeout_ms", 3_000),
+            tick_ms: reader.milliseconds("tick_ms", 200),
+            rank_delay_ms: reader.milliseconds("rank_delay_ms", 300),
+            action_timeout_ms: reader.milliseconds("action_timeout_ms", 600_000),
+            drain_ms: reader.milliseconds("drain_ms", 1_000),
+            log_level: reader.level(),
+            log_file: reader.text("log", "file").map(PathBuf::from),
+        };
+        if reader.errors.is_empty() {
+            Ok(config)
+        } else {
+            Err(reader.errors)
+        }
+    }
+
+    /// Returns the settings of the node's coordination.
+    #[must_use]
+    pub fn node_settings(&self) -> NodeSettings {
+        let identity = NodeIdentity::new(&self.node, &self.zone);
+        let mut settings =
+            NodeSettings::new(identity, self.platform).with_peers(self.peers.clone());
+        settings.stream.clone_from(&self.stream);
+        settings.propose_timeout_ms = self.propose_timeout_ms;
+        settings.tick_ms = self.tick_ms;
+        settings.rank_delay_ms = self.rank_delay_ms;
+        settings.action_timeout_ms = self.action_timeout_ms;
+        settings
+    }
+}
+
+/// Reads values and gathers mistakes.
+struct Reader<'a> {
+    file: &'a Path,
+    ini: &'a Ini,
+    errors: Vec<ConfigError>,
+}
+
+impl<'a> Reader<'a> {
+    fn bad(&mut self, section: &str, key: &str, reason: impl Into<String>) {
+        self.errors.push(ConfigError::BadKey {
+            file: self.file.into(),
+            section: section.into(),
+            key: key.into(),
+            reason: reason.into(),
+        });
+    }
+
+    fn check_known(&mut self) {
+        for (section, properties) in self.ini {
+            let name = section.unwrap_or("");
+            let known = KNOWN_KEYS.iter().find(|(known, _)| *known == name);
+            if known.is_none() && (section.is_some() || !properties.is_empty()) {
+                self.bad(name, "", "no such section");
+                continue;
+            }
+            let Some((_, keys)) = known else {
+                continue;
+            };
+            let mut seen: Vec<&str> = Vec::new();
+            for (key, _) in properties {
+                if name != "peers" && !keys.contains(&key) {
+                    self.bad(name, key, "no such key");
+                }
+                if seen.contains(&key) {
+                    self.bad(name, key, "is given twice");
+                }
+                seen.push(key);
+            }
+        }
+    }
+
+    fn text(&self, section: &str, key: &str) -> Option<&'a str> {
+        self.ini.section(Some(section))?.get(key)
+    }
+
+    fn required(&mut self, section: &str, key: &str) -> String {
+        match self.text(section, key) {
+            Some(text) if !text.is_empty() => text.to_owned(),
+            _ => {
+                self.bad(section, key, "is required");
+                String::new()
+            }
+        }
+    }
+
+    fn address(&mut self, section: &str, key: &str) -> SocketAddr {
+        let text = self.required(section, key);
+        let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
+        if text.is_empty() {
+            return unspecified;
+        }
+        SocketAddr::from_str(&text).unwrap_or_else(|_| {
+            self.bad(section, key, format!("must be ip:port, not {text}"));
+            unspecified
+        })
+    }
+
+    fn milliseconds(&mut self, key: &str, default: u64) -> u64 {
+        let Some(text) = self.text("timing", key) else {
+            return default;
+        };
+        match text.parse() {
+            Ok(number) if number > 0 => number,
+            _ => {
+                let reason = format!("must be a whole number of milliseconds above 0, not {text}");
+                self.bad("timing", key, reason);
+                default
+            }
+        }
+    }
+
+    fn peers(&mut self) -> Vec<PeerAddress> {
+        let Some(section) = self.ini.section(Some("peers")) else {
+            return Vec::new();
+        };
+        let mut peers = Vec::new();
+        for (name, text) in section {
+            match text.parse() {
+                Ok(address) => peers.push(PeerAddress {
+                    node: name.into(),
+                    address,
+                }),
+                Err(_) => self.bad("peers", name, format!("must be ip:port, not {text}")),
+            }
+        }
+        peers.sort();
+        peers
+    }
+
+    fn level(&mut self) -> String {
+        let level = self.text("log", "level").unwrap_or("info").to_owned();
+        if !LEVELS.contains(&level.as_str()) {
+            self.bad(
+                "log",
+                "level",
+                format!("must be one of {}", LEVELS.join(", ")),
+            );
+        }
+        level
+    }
+}
--- /dev/null
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -0,0 +1,213 @@
+//! Processes of a small fleet for tests: a platform and nodes on loopback.
+
+use {
+    http::{Method, StatusCode},
+    lynxwheel_protocol::Resource,
+    lynxwheel_transport::{Answer, Client, ClientRequest, TransportError},
+    serde_json::Value,
+    std::{
+        env, fs,
+        io::{BufRead, BufReader},
+        net::{SocketAddr, TcpListener},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::mpsc,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time within which anything waited for must happen; far above what it takes.
+pub const LIMIT: Duration = Duration::from_mins(1);
+
+/// Time that one call may take.
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+
+/// A process that is ended with its handle.
+pub struct TestProcess {
+    child: Child,
+}
+
+impl TestProcess {
+    /// Starts `lynxwheel` and returns it with the lines of its standard output.
+    fn start(arguments: &[&str]) -> (Self, mpsc::Receiver<String>) {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_lynxwheel"))
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("start lynxwheel");
+        let stdout = child.stdout.take().expect("piped standard output");
+        let (sender, lines) = mpsc::channel();
+        thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                // The output is read to its end, so that the process never blocks on it.
+                drop(sender.send(line));
+            }
+        });
+        (Self { child }, lines)
+    }
+
+    /// Sends a signal by name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status()
+            .expect("run kill");
+        assert!(status.success(), "kill -{name}");
+    }
+
+    /// Waits for the process's own end and tells whether it was a success.
+    pub fn wait(mut self) -> bool {
+        let until = Instant::now() + LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("wait for lynxwheel") {
+                return status.success();
+            }
+            assert!(Instant::now() < until, "lynxwheel did not end");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        // It may have ended already.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// A node's process and addresses.
+pub struct TestNode {
+    pub process: TestProcess,
+    pub callers: Client,
+    pub operators: Client,
+}
+
+/// A platform's process and address.
+pub struct TestPlatform {
+    _process: TestProcess,
+    pub client: Client,
+}
+
+impl TestPlatform {
+    pub fn start(vms: u32) -> Self {
+        let vms = vms.to_string();
+        let (process, lines) =
+            TestProcess::start(&["dev", "platform", "--listen", "127.0.0.1:0", "--vms", &vms]);
+        let line = lines.recv_timeout(LIMIT).expect("platform's address");
+        let address = line
+            .trim_start_matches("platform http://")
+            .parse()
+            .expect("address");
+        Self {
+            _process: process,
+            client: Client::new(address, 16),
+        }
+    }
+}
+
+/// Returns `count` ports that were free a moment ago.
+pub fn free_ports(count: usize) -> Vec<u16> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("bind"))
+        .collect();
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("address").port())
+        .collect()
+}
+
+/// Starts `count` nodes that know each other.
+pub fn start_nodes(platform: SocketAddr, count: usize, directory: &str) -> Vec<TestNode> {
+    let ports = free_ports(count * 3);
+    (0..count)
+        .map(|number| start_node(platform, &ports, number, directory))
+        .collect()
+}
+
+/// Starts node `number` of those that share `ports`, three for each.
+pub fn start_node(platform: SocketAddr, ports: &[u16], number: usize, directory: &str) -> TestNode {
+    let own = &ports[number * 3..number * 3 + 3];
+    let zone = number % 3 + 1;
+    let mut settings = format!(
+        "[node]\nname = node-{number}\nzone = zone-{zone}\n[listen]\ncallers = 127.0.0.1:{}\n\
+         operators = 127.0.0.1:{}\npeers = 127.0.0.1:{}\n[platform]\naddress = {platform}\n\
+         [timing]\ntick_ms = 50\nrank_delay_ms = 100\ndrain_ms = 300\n[peers]\n",
+        own[0], own[1], own[2]
+    );
+    let peers: Vec<String> = (0..ports.len() / 3)
+        .filter(|other| *other != number)
+        .map(|other| format!("node-{other} = 127.0.0.1:{}", ports[other * 3 + 2]))
+        .collect();
+    settings += &peers.join("\n");
+    let path = scratch(directory).join(format!("node-{number}.ini"));
+    fs::write(&path, settings).expect("write settings");
+    let (process, lines) =
+        TestProcess::start(&["run", "--settings", path.to_str().expect("path in UTF-8")]);
+    let until = Instant::now() + LIMIT;
+    while !lines
+        .recv_timeout(until - Instant::now())
+        .expect("start")
+        .contains("\"started\"")
+    {}
+    let client = |port| Client::new(SocketAddr::from(([127, 0, 0, 1], port)), 64);
+    TestNode {
+        process,
+        callers: client(own[0]),
+        operators: client(own[1]),
+    }
+}
+
+/// Returns a directory for a test's files.
+pub fn scratch(name: &str) -> PathBuf {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(&directory).expect("make a directory");
+    directory
+}
+
+impl TestNode {
+    /// Declares a resource.
+    pub async fn declare(&self, resource: &Resource) {
+        let path = format!("/v1/{}/{}", resource.kind(), resource.name());
+        let body = serde_json::to_vec(resource).expect("encode");
+        let request = ClientRequest::new(Method::PUT, path).with_body(body);
+        let answer = self
+            .operators
+            .call(&request, CALL_LIMIT)
+            .await
+            .expect("answer");
+        let text = String::from_utf8_lossy(&answer.body);
+        assert_eq!(
+            answer.status,
+            StatusCode::OK,
+            "{}: {text}",
+            resource.reference()
+        );
+    }
+
+    /// Returns a resource with its status.
+    pub async fn get(&self, reference: &str) -> Value {
+        let path = format!("/v1/{reference}");
+        let answer = self.operators.get(&path, CALL_LIMIT).await.expect("answer");
+        serde_json::from_slice(&answer.body).expect("JSON")
+    }
+
+    /// Sends a caller's request.
+    pub async fn call(&self, request: &ClientRequest) -> Result<Answer, TransportError> {
+        self.callers.call(request, CALL_LIMIT).await
+    }
+
+    /// Waits until the first condition of a resource holds.
+    pub async fn wait_ready(&self, reference: &str) {
+        let until = Instant::now() + LIMIT;
+        loop {
+            let view = self.get(reference).await;
+            if view["conditions"][0]["holds"] == Value::Bool(true) {
+                return;
+            }
+            assert!(Instant::now() < until, "{reference} is not ready: {view}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lynxwheel/tests/thin_path.rs
@@ -0,0 +1,130 @@
+//! The whole path as separate processes.
+
+mod common;
+
+use {
+    common::{TestNode, TestPlatform, start_nodes},
+    http::{Method, StatusCode},
+    lynxwheel_protocol::{
+        Amount, Budget, PoolSpec, Resource, ServiceSpec, VmSpec, WaveAction, WaveGoal, WaveSpec,
+    },
+    lynxwheel_transport::ClientRequest,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+const VMS: u32 = 6;
+const FLOOR: u32 = 4;
+
+async fn declare_maps(node: &TestNode) {
+    node.declare(&Resource::Pool(PoolSpec {
+        name: "maps".into(),
+        size: VMS,
+        budget: Budget {
+            min_available: Amount::Count(FLOOR),
+            zones_at_once: 1,
+        },
+    }))
+    .await;
+    node.declare(&Resource::Service(ServiceSpec {
+        name: "maps".into(),
+        pool: "maps".into(),
+        slots_per_endpoint: 8,
+        connections_per_endpoint: 64,
+        deadline_ms: 10_000,
+        team_rate_per_s: 0,
+    }))
+    .await;
+    for vm in 0..VMS {
+        let spec = VmSpec {
+            name: format!("vm-{vm}").into(),
+            pool: "maps".into(),
+        };
+        node.declare(&Resource::Vm(spec)).await;
+    }
+}
+
+async fn ask(node: &TestNode, id: &str) {
+    let request =
+        ClientRequest::new(Method::GET, "/maps/work?ms=3").with_header("x-request-id", id);
+    let answer = node.call(&request).await.expect("an answer");
+    let text = String::from_utf8_lossy(&answer.body);
+    assert_eq!(answer.status, StatusCode::OK, "{text}");
+    assert!(
+        text.starts_with(&format!("request={id} ")),
+        "another request's answer: {text}"
+    );
+}
+
+/// An operator declares a pool at one node and starts a wave at another while callers ask both.
+/// Every VM reboots once, and no caller sees a refusal or a cut answer, because a claimed VM gets
+/// no new request on any node and is restarted only when its last one is answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_under_load_fails_no_request() {
+    let platform = TestPlatform::start(VMS);
+    let nodes = Arc::new(start_nodes(platform.client.peer(), 2, "wave_under_load"));
+    declare_maps(&nodes[0]).await;
+    for vm in 0..VMS {
+        nodes[1].wait_ready(&format!("vm/vm-{vm}")).await;
+    }
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    for caller in 0..4 {
+        let (nodes, is_over) = (Arc::clone(&nodes), Arc::clone(&is_over));
+        callers.push(tokio::spawn(async move {
+            let mut number = 0;
+            while !is_over.load(Ordering::Relaxed) {
+                ask(&nodes[caller % 2], &format!("caller-{caller}-{number}")).await;
+                number += 1;
+            }
+            number
+        }));
+    }
+    nodes[1]
+        .declare(&Resource::Wave(WaveSpec {
+            name: "kernel".into(),
+            pools: vec!["maps".into()],
+            action: WaveAction::Reboot,
+            goal: WaveGoal::Run,
+            due_before_ms: lynxwheel_coordination::now_ms(),
+            deadline_ms: 0,
+        }))
+        .await;
+    nodes[0].wait_ready("wave/kernel").await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    is_over.store(true, Ordering::Relaxed);
+    for caller in callers {
+        assert!(caller.await.expect("no failed request") > 0);
+    }
+    let status = &nodes[0].get("wave/kernel").await["status"];
+    assert_eq!(status["done"], VMS);
+}
+
+/// A node is told to stop while a caller waits for a long answer. The caller gets its whole
+/// answer, and the process ends by itself with success.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_cuts_off_no_answer() {
+    let platform = TestPlatform::start(VMS);
+    let mut nodes = start_nodes(platform.client.peer(), 2, "planned_stop");
+    declare_maps(&nodes[0]).await;
+    nodes[1].wait_ready("vm/vm-0").await;
+    let node = nodes.remove(1);
+    let callers = node.callers.clone();
+    let call = tokio::spawn(async move {
+        let request = ClientRequest::new(Method::GET, "/maps/work?ms=1500&size=100000")
+            .with_header("x-request-id", "long");
+        callers.call(&request, common::LIMIT).await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    node.process.signal("TERM");
+    let ended = tokio::task::spawn_blocking(move || node.process.wait());
+    let answer = call.await.expect("no panic").expect("the whole answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.body.len() > 100_000);
+    assert!(ended.await.expect("no panic"), "the node failed to stop");
+}
--- /dev/null
+++ b/crates/protocol/src/codec.rs
@@ -0,0 +1,120 @@
+//! Binary codec of records and messages, with bounds on their size.
+
+use {
+    crate::record::Record,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{error, fmt},
+};
+
+/// Largest encoded record in bytes.
+pub const MAX_RECORD_BYTES: usize = 64 * 1024;
+
+/// Largest encoded message between processes in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Failure to encode or decode.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CodecError {
+    /// The value is larger than its bound.
+    TooLarge {
+        /// Size in bytes.
+        size_bytes: usize,
+        /// Bound in bytes.
+        limit_bytes: usize,
+    },
+    /// The value could not be written.
+    Encode {
+        /// What the codec said.
+        reason: String,
+    },
+    /// The bytes are no value of the type.
+    Decode {
+        /// What the codec said.
+        reason: String,
+    },
+}
+
+impl fmt::Display for CodecError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge {
+                size_bytes,
+                limit_bytes,
+            } => {
+                write!(
+                    formatter,
+                    "{size_bytes} bytes exceed the bound of {limit_bytes}"
+                )
+            }
+            Self::Encode { reason } => write!(formatter, "cannot encode: {reason}"),
+            Self::Decode { reason } => write!(formatter, "cannot decode: {reason}"),
+        }
+    }
+}
+
+impl error::Error for CodecError {}
+
+/// Encodes a record.
+///
+/// # Errors
+///
+/// Fails when the record exceeds [`MAX_RECORD_BYTES`].
+pub fn encode_record(record: &Record) -> Result<Vec<u8>, CodecError> {
+    encode_bounded(record, MAX_RECORD_BYTES)
+}
+
+/// Decodes a record.
+///
+/// # Errors
+///
+/// Fails when the bytes are too many or are no record.
+pub fn decode_record(bytes: &[u8]) -> Result<Record, CodecError> {
+    decode_bounded(bytes, MAX_RECORD_BYTES)
+}
+
+/// Encodes a message with its field names, so that versions can add fields.
+///
+/// # Errors
+///
+/// Fails when the message exceeds [`MAX_MESSAGE_BYTES`].
+pub fn encode_message<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
+    let bytes = rmp_serde::to_vec_named(message).map_err(|error| CodecError::Encode {
+        reason: error.to_string(),
+    })?;
+    check_size(bytes.len(), MAX_MESSAGE_BYTES)?;
+    Ok(bytes)
+}
+
+/// Decodes a message.
+///
+/// # Errors
+///
+/// Fails when the bytes are too many or are no message of the type.
+pub fn decode_message<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+    decode_bounded(bytes, MAX_MESSAGE_BYTES)
+}
+
+fn encode_bounded<T: Serialize>(value: &T, limit_bytes: usize) -> Result<Vec<u8>, CodecError> {
+    let bytes = rmp_serde::to_vec(value).map_err(|error| CodecError::Encode {
+        reason: error.to_string(),
+    })?;
+    check_size(bytes.len(), limit_bytes)?;
+    Ok(bytes)
+}
+
+fn decode_bounded<T: DeserializeOwned>(bytes: &[u8], limit_bytes: usize) -> Result<T, CodecError> {
+    check_size(bytes.len(), limit_bytes)?;
+    rmp_serde::from_slice(bytes).map_err(|error| CodecError::Decode {
+        reason: error.to_string(),
+    })
+}
+
+fn check_size(size_bytes: usize, limit_bytes: usize) -> Result<(), CodecError> {
+    if size_bytes > limit_bytes {
+        return Err(CodecError::TooLarge {
+            size_bytes,
+            limit_bytes,
+        });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,47 @@
+//! Typed resources, log records and messages of lynxwheel, with their codecs.
+//!
+//! ```
+//! use lynxwheel_protocol::{Record, RecordBody, WriterId, decode_record, encode_record};
+//!
+//! let record = Record {
+//!     id: WriterId { incarnation: 7, sequence: 1 },
+//!     time_ms: 1_000,
+//!     body: RecordBody::Join { node: "node-1".into(), fold_version: 1 },
+//! };
+//! let bytes = encode_record(&record).expect("small record");
+//! assert_eq!(decode_record(&bytes).expect("own bytes"), record);
+//! ```
+
+mod api;
+mod codec;
+mod names;
+mod peer;
+mod platform;
+mod record;
+mod resource;
+
+pub use api::{Condition, FieldError, ResourceView, WatchEvent, WriteAnswer};
+pub use codec::{
+    CodecError, MAX_MESSAGE_BYTES, MAX_RECORD_BYTES, decode_message, decode_record, encode_message,
+    encode_record,
+};
+pub use names::{
+    JobName, NodeName, PolicyName, PoolName, RackName, ServiceName, TeamName, VmName, WaveName,
+    ZoneName,
+};
+pub use peer::{EndpointLoad, PeerEntries, PeerHello, PeerSnapshot};
+pub use platform::{
+    ActionRequest, AppendAnswer, AppendRequest, LogEntry, ReadAnswer, TaskReport, TaskStart,
+    TaskState, VmAction, VmEntry, VmList, VmListState,
+};
+pub use record::{
+    ClaimPurpose, JobOutcome, KeyOutcome, Record, RecordBody, RequestKey, VmPhase, VmReport,
+    WriterId,
+};
+pub use resource::{
+    Amount, Budget, Class, JobSpec, Kind, PolicySpec, PoolSpec, Resource, ResourceRef, Resources,
+    ServiceSpec, TeamSpec, VmSpec, WaveAction, WaveGoal, WaveSpec, Weights,
+};
+
+/// Version of the fold that this build knows.
+pub const FOLD_VERSION: u32 = 1;
--- /dev/null
+++ b/crates/protocol/src/peer.rs
@@ -0,0 +1,63 @@
+//! Messages between the system's own nodes.
+
+use {
+    crate::{
+        names::{NodeName, VmName, ZoneName},
+        platform::LogEntry,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// Requests that a node has in progress on an endpoint.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct EndpointLoad {
+    /// VM of the endpoint.
+    pub vm: VmName,
+    /// Incarnation of the VM.
+    pub incarnation: u64,
+    /// Requests in progress.
+    pub in_progress: u32,
+}
+
+/// Periodic message of a node to its peers, and the answer to it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerHello {
+    /// Sender.
+    pub node: NodeName,
+    /// Sender's run.
+    pub incarnation: u64,
+    /// Sender's zone.
+    pub zone: ZoneName,
+    /// Whether the sender is stopping and takes no new work.
+    pub stopping: bool,
+    /// Highest fold version that the sender knows.
+    pub fold_version: u32,
+    /// Offset up to which the sender has folded.
+    pub offset: u64,
+    /// Offset at which `digest` was taken.
+    pub digest_offset: u64,
+    /// Digest of the folded state at `digest_offset`.
+    pub digest: u64,
+    /// Load that the sender puts on endpoints; sorted.
+    pub loads: Vec<EndpointLoad>,
+    /// Endpoints that the sender saw leaving or failing, by VM and incarnation; sorted.
+    pub leaving: Vec<EndpointLoad>,
+}
+
+/// Records for a peer that is cut from the log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerEntries {
+    /// Entries in order, without gaps, from the offset asked for.
+    pub entries: Vec<LogEntry>,
+}
+
+/// Snapshot of the folded state for a starting peer.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerSnapshot {
+    /// Offset of the last record folded into it.
+    pub offset: u64,
+    /// Digest of the state.
+    pub digest: u64,
+    /// Encoded state.
+    pub bytes: Vec<u8>,
+}
--- /dev/null
+++ b/crates/protocol/src/resource.rs
@@ -0,0 +1,392 @@
+//! Resources that operators declare.
+
+use {
+    crate::names::{JobName, PolicyName, PoolName, ServiceName, TeamName, VmName, WaveName},
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// Kind of a resource, in the order in which declarations depend on each other.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Customer-wide weights and limits.
+    Policy,
+    /// A team with a quota.
+    Team,
+    /// A pool of VMs.
+    Pool,
+    /// A VM's assignment to a pool.
+    Vm,
+    /// A service served by a pool's endpoints.
+    Service,
+    /// A job that runs on a pool's VMs.
+    Job,
+    /// A maintenance wave.
+    Wave,
+}
+
+impl Kind {
+    /// Every kind, in dependency order.
+    pub const ALL: [Self; 7] = [
+        Self::Policy,
+        Self::Team,
+        Self::Pool,
+        Self::Vm,
+        Self::Service,
+        Self::Job,
+        Self::Wave,
+    ];
+
+    /// Returns the singular name used in paths, declarations and errors.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Policy => "policy",
+            Self::Team => "team",
+            Self::Pool => "pool",
+            Self::Vm => "vm",
+            Self::Service => "service",
+            Self::Job => "job",
+            Self::Wave => "wave",
+        }
+    }
+
+    /// Returns the kind of a singular name, if there is one.
+    #[must_use]
+    pub fn from_text(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == text)
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+/// Processor, memory and accelerators, demanded or offered.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(default, deny_unknown_fields)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    pub cores_milli: u32,
+    /// Memory in mebibytes.
+    pub memory_mib: u32,
+    /// Number of accelerators.
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// Tells whether `self` fits into `free` in every dimension.
+    #[must_use]
+    pub fn fits(&self, free: &Self) -> bool {
+        self.cores_milli <= free.cores_milli
+            && self.memory_mib <= free.memory_mib
+            && self.accelerators <= free.accelerators
+    }
+
+    /// Adds `other`, saturating.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.saturating_add(other.cores_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Subtracts `other`, stopping at zero.
+    #[must_use]
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.saturating_sub(other.cores_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+/// Number of VMs, absolute or in proportion to a pool's promised size.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Amount {
+    /// A number of VMs.
+    Count(u32),
+    /// A percentage of the pool's promised size, from 0 to 100.
+    Percent(u8),
+}
+
+impl Amount {
+    /// Returns the number of VMs of a pool of `size`, rounded up so that a promise is kept.
+    #[must_use]
+    pub fn rounded_up(self, size: u32) -> u32 {
+        match self {
+            Self::Count(count) => count,
+            Self::Percent(percent) => {
+                let vms = (u64::from(size) * u64::from(percent)).div_ceil(100);
+                u32::try_from(vms).unwrap_or(u32::MAX)
+            }
+        }
+    }
+}
+
+/// Availability budget of a pool.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    /// VMs that must stay available; planned work never goes below it.
+    pub min_available: Amount,
+    /// Zones in which VMs of the pool may be claimed at the same time, at least 1.
+    pub zones_at_once: u32,
+}
+
+/// Declared pool of VMs.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolSpec {
+    /// Unique name.
+    pub name: PoolName,
+    /// Promised number of VMs, the base of percentages.
+    pub size: u32,
+    /// Availability budget.
+    pub budget: Budget,
+}
+
+/// Declared assignment of a VM to a pool.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmSpec {
+    /// Name under which the platform lists the VM.
+    pub name: VmName,
+    /// Pool that the VM shall belong to; a change is carried out as a move.
+    pub pool: PoolName,
+}
+
+/// Declared team.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamSpec {
+    /// Unique name.
+    pub name: TeamName,
+    /// What the team's running jobs may use together.
+    pub quota: Resources,
+}
+
+/// Importance of a request or job; the first is served first.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Outage notices and other work that people wait for.
+    Urgent,
+    /// Ordinary work.
+    #[default]
+    Normal,
+    /// Overnight work such as billing.
+    Batch,
+}
+
+impl Class {
+    /// Returns the class of a lower-case name, if there is one.
+    #[must_use]
+    pub fn from_text(text: &str) -> Option<Self> {
+        match text {
+            "urgent" => Some(Self::Urgent),
+            "normal" => Some(Self::Normal),
+            "batch" => Some(Self::Batch),
+            _ => None,
+        }
+    }
+}
+
+/// Declared service.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Unique name, the first segment of the callers' paths.
+    pub name: ServiceName,
+    /// Pool whose VMs serve it.
+    pub pool: PoolName,
+    /// Requests that one endpoint serves at once.
+    pub slots_per_endpoint: u32,
+    /// Connections that one endpoint accepts.
+    pub connections_per_endpoint: u32,
+    /// Deadline of a request that brings none, in milliseconds.
+    pub deadline_ms: u64,
+    /// Requests a second admitted for one team on one node; 0 means no limit.
+    pub team_rate_per_s: u32,
+}
+
+/// Declared job.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSpec {
+    /// Unique name.
+    pub name: JobName,
+    /// Pool on whose VMs it may run.
+    pub pool: PoolName,
+    /// Team whose quota it uses.
+    pub team: TeamName,
+    /// Importance.
+    pub class: Class,
+    /// Declared demand, which may be wrong.
+    pub demand: Resources,
+    /// Declared run time in milliseconds, which may be wrong.
+    pub run_time_ms: u64,
+    /// Whether it can be checkpointed and resumed elsewhere.
+    pub checkpoint: bool,
+    /// Starts after failures before the job is given up.
+    pub max_attempts: u32,
+    /// Whether the operator wants it cancelled.
+    pub cancelled: bool,
+}
+
+/// What a wave does with each VM.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WaveAction {
+    /// Restart the VM.
+    Reboot,
+}
+
+/// What the operator wants a wave to do now.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WaveGoal {
+    /// Go on.
+    Run,
+    /// Claim nothing new; finish what is being acted on.
+    Pause,
+    /// Give up: release what is not yet acted on.
+    Abort,
+}
+
+/// Declared maintenance wave.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WaveSpec {
+    /// Unique name.
+    pub name: WaveName,
+    /// Pools whose VMs it maintains; sorted.
+    pub pools: Vec<PoolName>,
+    /// What is done with each VM.
+    pub action: WaveAction,
+    /// What the wave does now.
+    pub goal: WaveGoal,
+    /// VMs maintained before this time are due, in milliseconds since the epoch.
+    pub due_before_ms: u64,
+    /// When it should be complete, in milliseconds since the epoch; 0 means no deadline.
+    pub deadline_ms: u64,
+}
+
+/// How much each measure weighs against the others.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Weights {
+    /// Weight of the time a wave takes.
+    pub roll_out: u32,
+    /// Weight of spare capacity held back.
+    pub buffer: u32,
+    /// Weight of relocated VMs and jobs.
+    pub moves: u32,
+}
+
+/// Declared weights and limits of a customer.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PolicySpec {
+    /// Unique name; the first by name is in force.
+    pub name: PolicyName,
+    /// Weights of the measures.
+    pub weights: Weights,
+    /// How long an idempotency key is kept, in milliseconds.
+    pub key_keep_ms: u64,
+    /// Idempotency keys kept at most; further ones are refused until old ones expire.
+    pub key_limit: u32,
+}
+
+/// One declared resource of any kind.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase", tag = "kind", content = "spec")]
+pub enum Resource {
+    /// Customer-wide weights and limits.
+    Policy(PolicySpec),
+    /// A team with a quota.
+    Team(TeamSpec),
+    /// A pool of VMs.
+    Pool(PoolSpec),
+    /// A VM's assignment to a pool.
+    Vm(VmSpec),
+    /// A service served by a pool's endpoints.
+    Service(ServiceSpec),
+    /// A job that runs on a pool's VMs.
+    Job(JobSpec),
+    /// A maintenance wave.
+    Wave(WaveSpec),
+}
+
+impl Resource {
+    /// Returns the kind.
+    #[must_use]
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Policy(_) => Kind::Policy,
+            Self::Team(_) => Kind::Team,
+            Self::Pool(_) => Kind::Pool,
+            Self::Vm(_) => Kind::Vm,
+            Self::Service(_) => Kind::Service,
+            Self::Job(_) => Kind::Job,
+            Self::Wave(_) => Kind::Wave,
+        }
+    }
+
+    /// Returns the name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Policy(spec) => spec.name.as_str(),
+            Self::Team(spec) => spec.name.as_str(),
+            Self::Pool(spec) => spec.name.as_str(),
+            Self::Vm(spec) => spec.name.as_str(),
+            Self::Service(spec) => spec.name.as_str(),
+            Self::Job(spec) => spec.name.as_str(),
+            Self::Wave(spec) => spec.name.as_str(),
+        }
+    }
+
+    /// Returns a reference to it by kind and name.
+    #[must_use]
+    pub fn reference(&self) -> ResourceRef {
+        ResourceRef::new(self.kind(), self.name())
+    }
+}
+
+/// Kind and name of a resource.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ResourceRef {
+    /// Kind.
+    pub kind: Kind,
+    /// Name, unique within the kind.
+    pub name: compact_str::CompactString,
+}
+
+impl ResourceRef {
+    /// Refers to the resource of `kind` called `name`.
+    #[must_use]
+    pub fn new(kind: Kind, name: &str) -> Self {
+        Self {
+            kind,
+            name: name.into(),
+        }
+    }
+}
+
+impl fmt::Display for ResourceRef {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}", self.kind, self.name)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/endpoint.rs
@@ -0,0 +1,237 @@
+//! Endpoint of one VM: serves requests within its slots and notes what ran.
+
+use {
+    crate::serve::{REQUEST_ID_HEADER, Shared},
+    bytes::Bytes,
+    http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    lynxwheel_protocol::VmName,
+    lynxwheel_transport::{
+        Body, BodyError, Server, ServerLimits, Shutdown, error_answer, full_body, json_answer,
+    },
+    serde::{Deserialize, Serialize},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Answer header by which an endpoint says that it did not start a request.
+const NOT_STARTED_HEADER: &str = "not-started";
+
+/// Request header that names the life of the VM that the request is meant for.
+const INCARNATION_HEADER: &str = "vm-incarnation";
+
+/// Bytes of an answer's padding that are sent at once.
+const CHUNK_BYTES: usize = 8 * 1024;
+
+/// One request that an endpoint ran, for checkers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RunEntry {
+    /// VM.
+    pub vm: VmName,
+    /// Caller's id of the request.
+    pub request_id: String,
+    /// Idempotency key, empty when there was none.
+    pub key: String,
+    /// Method.
+    pub method: String,
+    /// Requests in progress on the endpoint with this one.
+    pub in_progress: u32,
+    /// Whether it was answered in full.
+    pub is_complete: bool,
+}
+
+/// Serves an endpoint until the signal is given.
+pub(crate) async fn serve(
+    server: Server,
+    shared: Arc<Shared>,
+    vm: VmName,
+    slots: u32,
+    shutdown: Shutdown,
+) {
+    let limits = ServerLimits {
+        max_connections: 64,
+        ..ServerLimits::default()
+    };
+    let handler = move |request| handle(request, Arc::clone(&shared), vm.clone(), slots);
+    server.with_limits(limits).serve(shutdown, handler).await;
+}
+
+async fn handle(
+    request: Request<Incoming>,
+    shared: Arc<Shared>,
+    vm: VmName,
+    slots: u32,
+) -> Response<Body> {
+    if request.uri().path() == "/healthz" {
+        return health(&shared, &vm);
+    }
+    if let Err(reason) = enter(&shared, &vm, slots, request.headers()) {
+        return refusal(reason);
+    }
+    let guard = Leave {
+        shared: Arc::clone(&shared),
+        vm: vm.clone(),
+    };
+    let run = note_run(&shared, &vm, &request);
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let request_id = text_header(request.headers(), REQUEST_ID_HEADER);
+    let Ok(body) = request.into_body().collect().await else {
+        return error_answer(StatusCode::BAD_REQUEST, "the body broke off");
+    };
+    tokio::time::sleep(Duration::from_millis(number(&query, "ms"))).await;
+    if number(&query, "break") == 1 {
+        return broken_answer();
+    }
+    let response = answer(&vm, &request_id, &body.to_bytes(), number(&query, "size"));
+    shared.complete(run);
+    drop(guard);
+    response
+}
+
+fn health(shared: &Shared, vm: &VmName) -> Response<Body> {
+    let platform = shared.platform();
+    match platform.machine(vm.as_str()) {
+        Some(machine) if machine.is_up => json_answer(
+            StatusCode::OK,
+            &serde_json::json!({
+                "vm": vm.as_str(),
+                "incarnation": machine.incarnation,
+                "leaving": machine.is_leaving,
+                "draining": machine.is_draining,
+                "in_progress": machine.in_progress,
+            }),
+        ),
+        _ => error_answer(StatusCode::BAD_GATEWAY, "down"),
+    }
+}
+
+/// Takes a slot, or refuses before anything has started.
+fn enter(
+    shared: &Shared,
+    vm: &VmName,
+    slots: u32,
+    headers: &HeaderMap,
+) -> Result<(), &'static str> {
+    let mut platform = shared.platform();
+    let Some(machine) = platform.machine_mut(vm.as_str()) else {
+        return Err("unknown VM");
+    };
+    let meant = text_header(headers, INCARNATION_HEADER);
+    if !meant.is_empty() && meant != machine.incarnation.to_string() {
+        return Err("another incarnation");
+    }
+    if !machine.is_up {
+        return Err("down");
+    }
+    if machine.is_draining || machine.is_leaving {
+        return Err("leaving");
+    }
+    if machine.in_progress >= slots {
+        return Err("no free slot");
+    }
+    machine.in_progress += 1;
+    Ok(())
+}
+
+/// Gives the slot back, also when the request is cut off.
+struct Leave {
+    shared: Arc<Shared>,
+    vm: VmName,
+}
+
+impl Drop for Leave {
+    fn drop(&mut self) {
+        if let Some(machine) = self.shared.platform().machine_mut(self.vm.as_str()) {
+            machine.in_progress = machine.in_progress.saturating_sub(1);
+        }
+    }
+}
+
+fn note_run(shared: &Shared, vm: &VmName, request: &Request<Incoming>) -> usize {
+    let in_progress = shared
+        .platform()
+        .machine(vm.as_str())
+        .map_or(0, |machine| machine.in_progress);
+    shared.note(RunEntry {
+        vm: vm.clone(),
+        request_id: text_header(request.headers(), REQUEST_ID_HEADER),
+        key: text_header(request.headers(), "idempotency-key"),
+        method: request.method().to_string(),
+        in_progress,
+        is_complete: false,
+    })
+}
+
+fn refusal(reason: &str) -> Response<Body> {
+    let mut response = error_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
+    response
+        .headers_mut()
+        .insert(NOT_STARTED_HEADER, HeaderValue::from_static("1"));
+    response
+}
+
+fn answer(vm: &VmName, request_id: &str, body: &Bytes, size: u64) -> Response<Body> {
+    let mut text = format!("request={request_id} vm={vm} bytes={}\n", body.len()).into_bytes();
+    let padding = usize::try_from(size).unwrap_or(0);
+    text.resize(text.len() + padding, b'.');
+    let mut response = Response::new(if padding > CHUNK_BYTES {
+        chunked_body(text)
+    } else {
+        full_body(text)
+    });
+    if let Ok(value) = HeaderValue::from_str(request_id) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    response
+}
+
+fn chunked_body(text: Vec<u8>) -> Body {
+    let whole = Bytes::from(text);
+    let frames = (0..whole.len()).step_by(CHUNK_BYTES).map(move |start| {
+        let end = (start + CHUNK_BYTES).min(whole.len());
+        Ok(hyper::body::Frame::data(whole.slice(start..end)))
+    });
+    BodyExt::boxed_unsync(http_body_util::StreamBody::new(Frames { frames }))
+}
+
+fn broken_answer() -> Response<Body> {
+    let frames = [
+        Ok(hyper::body::Frame::data(Bytes::from_static(b"part"))),
+        Err(BodyError::Broken {
+            reason: "cut".into(),
+        }),
+    ];
+    Response::new(BodyExt::boxed_unsync(http_body_util::StreamBody::new(
+        Frames {
+            frames: frames.into_iter(),
+        },
+    )))
+}
+
+/// Stream over frames that are at hand.
+struct Frames<I> {
+    frames: I,
+}
+
+impl<I: Iterator + Unpin> futures_core::Stream for Frames<I> {
+    type Item = I::Item;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        _context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<I::Item>> {
+        std::task::Poll::Ready(self.frames.next())
+    }
+}
+
+fn text_header(headers: &HeaderMap, name: &str) -> String {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+fn number(query: &str, name: &str) -> u64 {
+    crate::serve::query_number(query, name).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,23 @@
+//! Small stand-ins for the platform and the endpoints, for tests and development.
+//!
+//! ```
+//! use lynxwheel_standin::LogService;
+//!
+//! let mut log = LogService::new();
+//! assert_eq!(log.append("fleet", vec![b"one".to_vec()]), 1);
+//! assert_eq!(log.read("fleet", 1, 10).entries.len(), 1);
+//! ```
+
+mod endpoint;
+mod faults;
+mod log_service;
+mod machine;
+mod platform;
+mod serve;
+
+pub use endpoint::RunEntry;
+pub use faults::Faults;
+pub use log_service::LogService;
+pub use machine::{Machine, Task};
+pub use platform::{Platform, VmTemplate};
+pub use serve::{PlatformServer, REQUEST_ID_HEADER};
--- /dev/null
+++ b/crates/standin/src/serve.rs
@@ -0,0 +1,402 @@
+//! HTTP face of the platform.
+
+use {
+    crate::{
+        endpoint::{self, RunEntry},
+        faults::Faults,
+        platform::{Platform, VmTemplate},
+    },
+    http::{Method, Request, Response, StatusCode},
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    lynxwheel_protocol::{ActionRequest, AppendAnswer, AppendRequest, TaskStart, decode_message},
+    lynxwheel_transport::{
+        Body, Server, Shutdown, collect_body, error_answer, json_answer, message_answer,
+    },
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::sync::Notify,
+};
+
+/// Header by which callers name their request.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Pause between two looks at the machines' time.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Bytes of a request to the platform at most.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Entries of one read at most.
+const MAX_READ: usize = 4_096;
+
+/// What the platform's tasks share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    platform: Mutex<Platform>,
+    runs: Mutex<Vec<RunEntry>>,
+    appended: Notify,
+    rate: Mutex<Rate>,
+}
+
+/// Appends counted in the second under way.
+#[derive(Debug, Default)]
+struct Rate {
+    second: u64,
+    appends: u32,
+}
+
+impl Shared {
+    pub(crate) fn platform(&self) -> MutexGuard<'_, Platform> {
+        self.platform.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn note(&self, run: RunEntry) -> usize {
+        let mut runs = self.runs();
+        runs.push(run);
+        runs.len() - 1
+    }
+
+    pub(crate) fn complete(&self, row: usize) {
+        if let Some(run) = self.runs().get_mut(row) {
+            run.is_complete = true;
+        }
+    }
+
+    fn runs(&self) -> MutexGuard<'_, Vec<RunEntry>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts an append, and tells whether it is within the limit.
+    fn is_within_rate(&self, limit: u32) -> bool {
+        let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
+        let second = now_ms() / 1_000;
+        if rate.second != second {
+            *rate = Rate { second, appends: 0 };
+        }
+        rate.appends += 1;
+        limit == 0 || rate.appends <= limit
+    }
+}
+
+/// A running platform with its endpoints.
+#[derive(Debug)]
+pub struct PlatformServer {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    shutdown: Shutdown,
+}
+
+impl PlatformServer {
+    /// Starts a platform on `address` and an endpoint on a free port for each VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub async fn start(
+        address: SocketAddr,
+        templates: &[VmTemplate],
+        reboot_ms: u64,
+    ) -> io::Result<Self> {
+        let server = Server::bind(address).await?;
+        let address = server.local_addr()?;
+        let shared = Arc::new(Shared {
+            platform: Mutex::new(Platform::new(reboot_ms)),
+            runs: Mutex::new(Vec::new()),
+            appended: Notify::new(),
+            rate: Mutex::new(Rate::default()),
+        });
+        let shutdown = Shutdown::new();
+        for template in templates {
+            start_endpoint(&shared, template, address, &shutdown).await?;
+        }
+        let handler = {
+            let shared = Arc::clone(&shared);
+            move |request| handle(request, Arc::clone(&shared))
+        };
+        tokio::spawn(server.serve(shutdown.clone(), handler));
+        tokio::spawn(tick(Arc::clone(&shared), shutdown.clone()));
+        Ok(Self {
+            shared,
+            address,
+            shutdown,
+        })
+    }
+
+    /// Returns the platform's address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Gives access to the platform's state.
+    pub fn with_platform<T>(&self, look: impl FnOnce(&mut Platform) -> T) -> T {
+        look(&mut self.shared.platform())
+    }
+
+    /// Returns what the endpoints ran.
+    #[must_use]
+    pub fn runs(&self) -> Vec<RunEntry> {
+        self.shared.runs().clone()
+    }
+
+    /// Stops the platform and its endpoints.
+    pub fn stop(&self) {
+        self.shutdown.begin();
+    }
+}
+
+async fn start_endpoint(
+    shared: &Arc<Shared>,
+    template: &VmTemplate,
+    platform: SocketAddr,
+    shutdown: &Shutdown,
+) -> io::Result<()> {
+    let server = Server::bind(SocketAddr::new(platform.ip(), 0)).await?;
+    let address = server.local_addr()?.to_string();
+    shared.platform().add(template, address);
+    let vm = template.name.clone();
+    let slots = template.slots;
+    tokio::spawn(endpoint::serve(
+        server,
+        Arc::clone(shared),
+        vm,
+        slots,
+        shutdown.clone(),
+    ));
+    Ok(())
+}
+
+async fn tick(shared: Arc<Shared>, shutdown: Shutdown) {
+    while !shutdown.has_begun() {
+        tokio::time::sleep(TICK).await;
+        shared.platform().tick(now_ms());
+    }
+}
+
+async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method(), segments.as_slice()) {
+        (&Method::GET, ["streams", name]) => read(&shared, name, &query).await,
+        (&Method::POST, ["streams", name]) => append(&shared, name, request).await,
+        (&Method::POST, ["streams", name, "trim"]) => {
+            let before = query_number(&query, "before").unwrap_or(0);
+            shared.platform().log.trim(name, before);
+            json_answer(StatusCode::OK, &before)
+        }
+        (&Method::GET, ["vms"]) => message_answer(&shared.platform().vm_list(now_ms())),
+        (&Method::POST, ["vms", name, "actions"]) => act(&shared, name, request).await,
+        (&Method::POST, ["vms", name, "tasks"]) => start_task(&shared, name, request).await,
+        (&Method::POST, ["vms", name, "tasks", job, "stop"]) => {
+            let attempt = query_number(&query, "attempt").unwrap_or(0);
+            stop_task(&shared, name, job, u32::try_from(attempt).unwrap_or(0))
+        }
+        (&Method::GET, ["vms", name, "tasks"]) => list_tasks(&shared, name),
+        (&Method::POST, ["vms", name, "leave"]) => leave(&shared, name),
+        (&Method::POST, ["vms", name, "fail"]) => fail(&shared, name, &query),
+        (&Method::GET, ["runs"]) => json_answer(StatusCode::OK, &*shared.runs()),
+        (&Method::PUT, ["faults"]) => set_faults(&shared, request).await,
+        _ => error_answer(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+async fn read(shared: &Shared, name: &str, query: &str) -> Response<Body> {
+    let from = query_number(query, "from").unwrap_or(1);
+    let max = query_number(query, "max").map_or(MAX_READ, |max| {
+        usize::try_from(max).unwrap_or(MAX_READ).min(MAX_READ)
+    });
+    let wait = Duration::from_millis(query_number(query, "wait_ms").unwrap_or(0).min(30_000));
+    let until = tokio::time::Instant::now() + wait;
+    loop {
+        let appended = shared.appended.notified();
+        tokio::pin!(appended);
+        appended.as_mut().enable();
+        if let Some(trouble) = trouble(shared).await {
+            return trouble;
+        }
+        let answer = shared.platform().log.read(name, from, max);
+        let has_news = !answer.entries.is_empty() || from < answer.earliest_offset;
+        if has_news || tokio::time::timeout_at(until, appended).await.is_err() {
+            return message_answer(&answer);
+        }
+    }
+}
+
+async fn trouble(shared: &Shared) -> Option<Response<Body>> {
+    let (is_down, slow_ms) = {
+        let platform = shared.platform();
+        (platform.faults.log_down, platform.faults.log_slow_ms)
+    };
+    if slow_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+    }
+    is_down.then(|| error_answer(StatusCode::SERVICE_UNAVAILABLE, "the log service is down"))
+}
+
+async fn append(shared: &Arc<Shared>, name: &str, request: Request<Incoming>) -> Response<Body> {
+    if let Some(trouble) = trouble(shared).await {
+        return trouble;
+    }
+    let bytes = match collect_body(request.into_body(), MAX_BODY_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(answer) => return answer,
+    };
+    let Ok(message) = decode_message::<AppendRequest>(&bytes) else {
+        return error_answer(StatusCode::BAD_REQUEST, "no append request");
+    };
+    let limit = shared.platform().faults.appends_per_s;
+    if !shared.is_within_rate(limit) {
+        return error_answer(StatusCode::TOO_MANY_REQUESTS, "too many appends");
+    }
+    let late_ms = {
+        let faults = &mut shared.platform().faults;
+        let is_late = faults.late_appends > 0;
+        faults.late_appends = faults.late_appends.saturating_sub(1);
+        is_late.then_some(faults.late_ms)
+    };
+    if let Some(late_ms) = late_ms {
+        tokio::spawn(append_late(
+            Arc::clone(shared),
+            name.to_owned(),
+            message,
+            late_ms,
+        ));
+        return error_answer(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
+    }
+    let first_offset = shared.platform().log.append(name, message.entries);
+    shared.appended.notify_waiters();
+    let is_lost = {
+        let faults = &mut shared.platform().faults;
+        let is_lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        is_lost
+    };
+    if is_lost {
+        return error_answer(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
+    }
+    message_answer(&AppendAnswer { first_offset })
+}
+
+async fn append_late(shared: Arc<Shared>, name: String, message: AppendRequest, late_ms: u64) {
+    tokio::time::sleep(Duration::from_millis(late_ms)).await;
+    shared.platform().log.append(&name, message.entries);
+    shared.appended.notify_waiters();
+}
+
+async fn act(shared: &Shared, name: &str, request: Request<Incoming>) -> Response<Body> {
+    let action: ActionRequest = match body_message(request).await {
+        Ok(action) => action,
+        Err(answer) => return answer,
+    };
+    let mut platform = shared.platform();
+    let reboot_ms = platform.reboot_ms;
+    match platform.machine_mut(name) {
+        None => error_answer(StatusCode::NOT_FOUND, "no such VM"),
+        Some(machine) => match machine.act(&action, now_ms(), reboot_ms) {
+            Ok(()) => message_answer(&true),
+            Err(reason) => error_answer(StatusCode::CONFLICT, &reason),
+        },
+    }
+}
+
+async fn start_task(shared: &Shared, name: &str, request: Request<Incoming>) -> Response<Body> {
+    let start: TaskStart = match body_message(request).await {
+        Ok(start) => start,
+        Err(answer) => return answer,
+    };
+    let mut platform = shared.platform();
+    let fails = platform.fails_tasks(name);
+    match platform.machine_mut(name) {
+        None => error_answer(StatusCode::NOT_FOUND, "no such VM"),
+        Some(machine) => match machine.start(&start, now_ms(), fails) {
+            Ok(()) => message_answer(&true),
+            Err(reason) => error_answer(StatusCode::CONFLICT, &reason),
+        },
+    }
+}
+
+fn stop_task(shared: &Shared, name: &str, job: &str, attempt: u32) -> Response<Body> {
+    match shared.platform().machine_mut(name) {
+        None => error_answer(StatusCode::NOT_FOUND, "no such VM"),
+        Some(machine) => {
+            machine.stop(job, attempt);
+            message_answer(&true)
+        }
+    }
+}
+
+fn list_tasks(shared: &Shared, name: &str) -> Response<Body> {
+    match shared.platform().machine(name) {
+        Some(machine) if machine.is_up => message_answer(&machine.reports()),
+        _ => error_answer(StatusCode::BAD_GATEWAY, "down"),
+    }
+}
+
+fn leave(shared: &Shared, name: &str) -> Response<Body> {
+    match shared.platform().machine_mut(name) {
+        None => error_answer(StatusCode::NOT_FOUND, "no such VM"),
+        Some(machine) => {
+            machine.is_leaving = true;
+            json_answer(StatusCode::OK, &true)
+        }
+    }
+}
+
+fn fail(shared: &Shared, name: &str, query: &str) -> Response<Body> {
+    let down_ms = query_number(query, "down_ms").unwrap_or(u64::MAX / 4);
+    match shared.platform().machine_mut(name) {
+        None => error_answer(StatusCode::NOT_FOUND, "no such VM"),
+        Some(machine) => {
+            machine.go_down(now_ms() + down_ms);
+            json_answer(StatusCode::OK, &true)
+        }
+    }
+}
+
+async fn set_faults(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let bytes = match collect_body(request.into_body(), MAX_BODY_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(answer) => return answer,
+    };
+    match serde_json::from_slice::<Faults>(&bytes) {
+        Ok(faults) => {
+            shared.platform().faults = faults;
+            json_answer(StatusCode::OK, &true)
+        }
+        Err(error) => error_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+async fn body_message<T: serde::de::DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, Response<Body>> {
+    let bytes = match request.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => return Err(error_answer(StatusCode::BAD_REQUEST, "the body broke off")),
+    };
+    decode_message(&bytes)
+        .map_err(|error| error_answer(StatusCode::BAD_REQUEST, &error.to_string()))
+}
+
+/// Returns the number of a query parameter.
+pub(crate) fn query_number(query: &str, name: &str) -> Option<u64> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
+
+/// Returns the time in milliseconds since the epoch.
+fn now_ms() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/state/src/claims.rs
@@ -0,0 +1,280 @@
+//! Claims on VMs for maintenance and moves.
+
+use {
+    crate::{
+        fleet::FleetState,
+        verdict::{Rejection, Verdict},
+        vms::{Claim, ClaimStage, VmState},
+    },
+    lynxwheel_protocol::{ClaimPurpose, NodeName, VmName, VmPhase, WaveGoal, WaveName},
+};
+
+impl FleetState {
+    /// Charges a VM to its pool's budget.
+    ///
+    /// The charge holds from this offset until the claim is done, released or handed over; it
+    /// does not lapse by time, since a paused holder may still act.
+    pub(crate) fn claim(
+        &mut self,
+        offset: u64,
+        name: &VmName,
+        purpose: &ClaimPurpose,
+        holder: &NodeName,
+    ) -> Verdict {
+        if let Err(rejection) = self.check_claim(name, purpose) {
+            return Verdict::Rejected(rejection);
+        }
+        let incarnation = self.vms.get(name.as_str()).map_or(0, |vm| vm.incarnation);
+        let claim = Claim {
+            purpose: purpose.clone(),
+            incarnation,
+            holder: holder.clone(),
+            fence: offset,
+            stage: ClaimStage::Draining,
+            since_ms: self.time_ms,
+            not_after_ms: 0,
+        };
+        self.change_vm(name.as_str(), |vm| vm.claim = Some(claim));
+        if let ClaimPurpose::Maintain(wave) = purpose
+            && let Some(wave) = self.waves.get_mut(wave.as_str())
+        {
+            wave.claimed += 1;
+        }
+        Verdict::Accepted
+    }
+
+    /// Tells whether a claim would be accepted now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection that the claim would meet.
+    pub fn check_claim(&self, name: &VmName, purpose: &ClaimPurpose) -> Result<(), Rejection> {
+        let vm = self
+            .vms
+            .get(name.as_str())
+            .ok_or_else(|| Rejection::UnknownVm { vm: name.clone() })?;
+        if vm.claim.is_some() {
+            return Err(Rejection::AlreadyClaimed { vm: name.clone() });
+        }
+        self.check_purpose(vm, purpose)?;
+        let Some(pool) = self.pools.get(vm.pool.as_str()) else {
+            return Ok(());
+        };
+        let taken = u32::from(vm.is_available());
+        if taken > pool.availability().spare() {
+            return Err(Rejection::BudgetExhausted {
+                pool: vm.pool.clone(),
+                available: pool.available,
+                floor: pool.floor(),
+            });
+        }
+        if !pool.allows_zone(&vm.zone) {
+            return Err(Rejection::TooManyZones {
+                pool: vm.pool.clone(),
+            });
+        }
+        Ok(())
+    }
+
+    fn check_purpose(&self, vm: &VmState, purpose: &ClaimPurpose) -> Result<(), Rejection> {
+        match purpose {
+            ClaimPurpose::Maintain(name) => {
+                let wave = self.waves.get(name.as_str());
+                let runs = wave.is_some_and(|wave| {
+                    wave.spec.goal == WaveGoal::Run
+                        && wave.spec.pools.binary_search(&vm.pool).is_ok()
+                });
+                if runs {
+                    Ok(())
+                } else {
+                    Err(Rejection::WaveNotRunning { wave: name.clone() })
+                }
+            }
+            ClaimPurpose::Move(pool) => {
+                let is_wanted = vm.wanted_pool == *pool && vm.pool != *pool;
+                if is_wanted {
+                    Ok(())
+                } else {
+                    Err(Rejection::MoveNotWanted {
+                        vm: vm.name.clone(),
+                    })
+                }
+            }
+        }
+    }
+
+    /// Returns the claim on a VM when `fence` is in force.
+    ///
+    /// A holder that was paused and woke up still believes in its claim; another node has taken
+    /// it over meanwhile, which raised the number, so its steps are rejected here.
+    fn fenced(&self, name: &VmName, fence: u64) -> Result<&Claim, Rejection> {
+        let claim = self.vms.get(name.as_str()).and_then(|vm| vm.claim.as_ref());
+        match claim {
+            Some(claim) if claim.fence == fence => Ok(claim),
+            other => Err(Rejection::StaleFence {
+                vm: name.clone(),
+                fence: other.map_or(0, |claim| claim.fence),
+            }),
+        }
+    }
+
+    /// Rechecks the budget right before the action.
+    ///
+    /// VMs may have failed between the claim and the action; without this check a drained VM
+    /// would be restarted although the pool is below its floor by then.
+    pub(crate) fn begin(&mut self, name: &VmName, fence: u64, not_after_ms: u64) -> Verdict {
+        let claim = match self.fenced(name, fence) {
+            Ok(claim) => claim,
+            Err(rejection) => return Verdict::Rejected(rejection),
+        };
+        if claim.stage != ClaimStage::Draining {
+            return Verdict::Rejected(Rejection::WrongStage { vm: name.clone() });
+        }
+        if let Err(rejection) = self.check_floor(name) {
+            return Verdict::Rejected(rejection);
+        }
+        let time_ms = self.time_ms;
+        self.change_claim(name, |claim| {
+            claim.stage = ClaimStage::Acting;
+            claim.since_ms = time_ms;
+            claim.not_after_ms = not_after_ms;
+        });
+        Verdict::Accepted
+    }
+
+    fn check_floor(&self, name: &VmName) -> Result<(), Rejection> {
+        let pool = self
+            .vms
+            .get(name.as_str())
+            .and_then(|vm| self.pools.get(vm.pool.as_str()));
+        match pool {
+            Some(pool) if pool.available < pool.floor() => Err(Rejection::BudgetExhausted {
+                pool: pool.spec.name.clone(),
+                available: pool.available,
+                floor: pool.floor(),
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Gives a claim to another node; stage and charge stay, the fencing number rises.
+    pub(crate) fn take_over(
+        &mut self,
+        offset: u64,
+        name: &VmName,
+        fence: u64,
+        holder: &NodeName,
+    ) -> Verdict {
+        if let Err(rejection) = self.fenced(name, fence) {
+            return Verdict::Rejected(rejection);
+        }
+        let time_ms = self.time_ms;
+        self.change_claim(name, |claim| {
+            claim.holder = holder.clone();
+            claim.fence = offset;
+            claim.since_ms = time_ms;
+        });
+        Verdict::Accepted
+    }
+
+    /// Gives a claim back; only before the action, which could still happen later otherwise.
+    pub(crate) fn release(&mut self, name: &VmName, fence: u64) -> Verdict {
+        let claim = match self.fenced(name, fence) {
+            Ok(claim) => claim.clone(),
+            Err(rejection) => return Verdict::Rejected(rejection),
+        };
+        if claim.stage != ClaimStage::Draining {
+            return Verdict::Rejected(Rejection::WrongStage { vm: name.clone() });
+        }
+        self.end_claim(name, &claim);
+        Verdict::Accepted
+    }
+
+    /// Completes maintenance; the VM counts again only after evidence newer than this.
+    pub(crate) fn done(&mut self, name: &VmName, fence: u64, succeeded: bool) -> Verdict {
+        let claim = match self.fenced(name, fence) {
+            Ok(claim) => claim.clone(),
+            Err(rejection) => return Verdict::Rejected(rejection),
+        };
+        let ClaimPurpose::Maintain(wave) = &claim.purpose else {
+            return Verdict::Rejected(Rejection::WrongStage { vm: name.clone() });
+        };
+        if claim.stage != ClaimStage::Acting {
+            return Verdict::Rejected(Rejection::WrongStage { vm: name.clone() });
+        }
+        self.end_claim(name, &claim);
+        let time_ms = self.time_ms;
+        self.change_vm(name.as_str(), |vm| {
+            vm.evidence_ms = time_ms + 1;
+            vm.phase = if succeeded {
+                VmPhase::Unknown
+            } else {
+                VmPhase::Failed
+            };
+            vm.failed_in = if succeeded { None } else { Some(wave.clone()) };
+            if succeeded {
+                vm.maintained_ms = time_ms;
+            }
+        });
+        self.count_done(wave, succeeded);
+        Verdict::Accepted
+    }
+
+    fn count_done(&mut self, wave: &WaveName, succeeded: bool) {
+        let time_ms = self.time_ms;
+        if let Some(wave) = self.waves.get_mut(wave.as_str()) {
+            wave.done += u32::from(succeeded);
+            wave.failed += u32::from(!succeeded);
+            wave.last_done_ms = time_ms;
+        }
+    }
+
+    /// Completes a move: source until this offset, target from it on.
+    ///
+    /// Both pools keep their counts of available VMs, since the VM is unavailable in either
+    /// until fresh evidence arrives; the source must still be at its floor without it.
+    pub(crate) fn hand_over(&mut self, name: &VmName, fence: u64) -> Verdict {
+        let claim = match self.fenced(name, fence) {
+            Ok(claim) => claim.clone(),
+            Err(rejection) => return Verdict::Rejected(rejection),
+        };
+        let ClaimPurpose::Move(target) = &claim.purpose else {
+            return Verdict::Rejected(Rejection::WrongStage { vm: name.clone() });
+        };
+        let is_wanted = self
+            .vms
+            .get(name.as_str())
+            .is_some_and(|vm| vm.wanted_pool == *target);
+        if !is_wanted || self.pools.get(target.as_str()).is_none() {
+            return Verdict::Rejected(Rejection::MoveNotWanted { vm: name.clone() });
+        }
+        if let Err(rejection) = self.check_floor(name) {
+            return Verdict::Rejected(rejection);
+        }
+        self.end_claim(name, &claim);
+        let time_ms = self.time_ms;
+        self.change_vm(name.as_str(), |vm| {
+            vm.pool = target.clone();
+            vm.phase = VmPhase::Unknown;
+            vm.evidence_ms = time_ms + 1;
+        });
+        Verdict::Accepted
+    }
+
+    fn change_claim(&mut self, name: &VmName, change: impl FnOnce(&mut Claim)) {
+        self.change_vm(name.as_str(), |vm| {
+            if let Some(claim) = &mut vm.claim {
+                change(claim);
+            }
+        });
+    }
+
+    fn end_claim(&mut self, name: &VmName, claim: &Claim) {
+        self.change_vm(name.as_str(), |vm| vm.claim = None);
+        if let ClaimPurpose::Maintain(wave) = &claim.purpose
+            && let Some(wave) = self.waves.get_mut(wave.as_str())
+        {
+            wave.claimed = wave.claimed.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/declarations.rs
@@ -0,0 +1,549 @@
+//! Declarations of operators: put and delete with their checks.
+
+use {
+    crate::{
+        fleet::{FleetState, Revised},
+        jobs::{Estimate, JobPhase, JobState, TeamState},
+        verdict::{Rejection, Verdict},
+        vms::{PoolState, VmState, WaveState},
+    },
+    lynxwheel_protocol::{
+        Amount, JobSpec, Kind, PoolSpec, Resource, ResourceRef, Resources, VmPhase, VmSpec,
+        WaveSpec,
+    },
+};
+
+/// Pools that one wave may name.
+const MAX_WAVE_POOLS: usize = 4_096;
+
+/// A resource with the revision of its declaration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Declared {
+    /// Declaration.
+    pub resource: Resource,
+    /// Offset of the declaration.
+    pub revision: u64,
+}
+
+impl FleetState {
+    /// Returns the declaration of `reference`.
+    #[must_use]
+    pub fn declared(&self, reference: &ResourceRef) -> Option<Declared> {
+        let name = reference.name.as_str();
+        let (resource, revision) = match reference.kind {
+            Kind::Policy => self
+                .policies
+                .get(name)
+                .map(|row| (Resource::Policy(row.spec.clone()), row.revision)),
+            Kind::Team => self
+                .teams
+                .get(name)
+                .map(|row| (Resource::Team(row.spec.clone()), row.revision)),
+            Kind::Pool => self
+                .pools
+                .get(name)
+                .map(|row| (Resource::Pool(row.spec.clone()), row.revision)),
+            Kind::Vm => self
+                .vms
+                .get(name)
+                .map(|row| (Resource::Vm(vm_spec(row)), row.revision)),
+            Kind::Service => self
+                .services
+                .get(name)
+                .map(|row| (Resource::Service(row.spec.clone()), row.revision)),
+            Kind::Job => self
+                .jobs
+                .get(name)
+                .map(|row| (Resource::Job(row.spec.clone()), row.revision)),
+            Kind::Wave => self
+                .waves
+                .get(name)
+                .map(|row| (Resource::Wave(row.spec.clone()), row.revision)),
+        }?;
+        Some(Declared { resource, revision })
+    }
+
+    /// Returns the names of all declared resources of a kind, in order.
+    #[must_use]
+    pub fn names(&self, kind: Kind) -> Vec<&str> {
+        match kind {
+            Kind::Policy => self
+                .policies
+                .iter()
+                .map(|row| row.spec.name.as_str())
+                .collect(),
+            Kind::Team => self
+                .teams
+                .iter()
+                .map(|row| row.spec.name.as_str())
+                .collect(),
+            Kind::Pool => self
+                .pools
+                .iter()
+                .map(|row| row.spec.name.as_str())
+                .collect(),
+            Kind::Vm => self.vms.iter().map(|row| row.name.as_str()).collect(),
+            Kind::Service => self
+                .services
+                .iter()
+                .map(|row| row.spec.name.as_str())
+                .collect(),
+            Kind::Job => self.jobs.iter().map(|row| row.spec.name.as_str()).collect(),
+            Kind::Wave => self
+                .waves
+                .iter()
+                .map(|row| row.spec.name.as_str())
+                .collect(),
+        }
+    }
+
+    pub(crate) fn put(
+        &mut self,
+        offset: u64,
+        resource: &Resource,
+        if_revision: Option<u64>,
+    ) -> Verdict {
+        if let Err(rejection) = self.check_put(resource, if_revision) {
+            return Verdict::Rejected(rejection);
+        }
+        self.store(offset, resource);
+        self.config_revision = offset;
+        Verdict::Accepted
+    }
+
+    /// Tells whether a declaration would be accepted now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection that the declaration would meet.
+    pub fn check_put(
+        &self,
+        resource: &Resource,
+        if_revision: Option<u64>,
+    ) -> Result<(), Rejection> {
+        let reference = resource.reference();
+        self.check_revision(&reference, if_revision)?;
+        if let Some((field, reason)) = bad_field(resource) {
+            return Err(Rejection::BadField {
+                reference,
+                field: field.into(),
+                reason: reason.into(),
+            });
+        }
+        self.check_needs(resource)?;
+        match resource {
+            Resource::Job(spec) => self.check_job_change(spec),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_revision(
+        &self,
+        reference: &ResourceRef,
+        if_revision: Option<u64>,
+    ) -> Result<(), Rejection> {
+        let revision = self
+            .declared(reference)
+            .map_or(0, |declared| declared.revision);
+        match if_revision {
+            Some(expected) if expected != revision => Err(Rejection::RevisionConflict {
+                reference: reference.clone(),
+                revision,
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_needs(&self, resource: &Resource) -> Result<(), Rejection> {
+        let need = |kind, name: &str| {
+            let reference = ResourceRef::new(kind, name);
+            if self.names_contain(kind, name) {
+                Ok(())
+            } else {
+                Err(Rejection::Missing { reference })
+            }
+        };
+        match resource {
+            Resource::Vm(spec) => need(Kind::Pool, spec.pool.as_str()),
+            Resource::Service(spec) => need(Kind::Pool, spec.pool.as_str()),
+            Resource::Job(spec) => {
+                need(Kind::Pool, spec.pool.as_str())?;
+                need(Kind::Team, spec.team.as_str())
+            }
+            Resource::Wave(spec) => spec
+                .pools
+                .iter()
+                .try_for_each(|pool| need(Kind::Pool, pool.as_str())),
+            Resource::Policy(_) | Resource::Team(_) | Resource::Pool(_) => Ok(()),
+        }
+    }
+
+    fn names_contain(&self, kind: Kind, name: &str) -> bool {
+        match kind {
+            Kind::Pool => self.pools.get(name).is_some(),
+            Kind::Team => self.teams.get(name).is_some(),
+            _ => self.declared(&ResourceRef::new(kind, name)).is_some(),
+        }
+    }
+
+    /// A job that started keeps what its attempts rely on; a final one keeps its answer.
+    fn check_job_change(&self, spec: &JobSpec) -> Result<(), Rejection> {
+        let Some(job) = self.jobs.get(spec.name.as_str()) else {
+            return Ok(());
+        };
+        let bad = |field: &str, reason: &str| {
+            Err(Rejection::BadField {
+                reference: ResourceRef::new(Kind::Job, spec.name.as_str()),
+                field: field.into(),
+                reason: reason.into(),
+            })
+        };
+        if job.is_final() && job.spec != *spec {
+            return bad("name", "the job has its final answer; delete it first");
+        }
+        if job.phase == JobPhase::Running && job.spec.team != spec.team {
+            return bad("team", "cannot change while an attempt runs");
+        }
+        if job.phase == JobPhase::Running && job.spec.pool != spec.pool {
+            return bad("pool", "cannot change while an attempt runs");
+        }
+        if job.phase == JobPhase::Running && job.spec.cancelled && !spec.cancelled {
+            return bad("cancelled", "the attempt is being stopped already");
+        }
+        Ok(())
+    }
+
+    fn store(&mut self, offset: u64, resource: &Resource) {
+        match resource {
+            Resource::Policy(spec) => {
+                self.policies.insert(Revised {
+                    spec: spec.clone(),
+                    revision: offset,
+                });
+            }
+            Resource::Service(spec) => {
+                self.services.insert(Revised {
+                    spec: spec.clone(),
+                    revision: offset,
+                });
+            }
+            Resource::Team(spec) => {
+                let used = self
+                    .teams
+                    .get(spec.name.as_str())
+                    .map_or_else(Resources::default, |team| team.used);
+                self.teams.insert(TeamState {
+                    spec: spec.clone(),
+                    revision: offset,
+                    used,
+                });
+            }
+            Resource::Pool(spec) => self.store_pool(offset, spec),
+            Resource::Vm(spec) => self.store_vm(offset, spec),
+            Resource::Job(spec) => self.store_job(offset, spec),
+            Resource::Wave(spec) => self.store_wave(offset, spec),
+        }
+    }
+
+    fn store_pool(&mut self, offset: u64, spec: &PoolSpec) {
+        if let Some(pool) = self.pools.get_mut(spec.name.as_str()) {
+            pool.spec = spec.clone();
+            pool.revision = offset;
+            return;
+        }
+        self.pools.insert(PoolState {
+            spec: spec.clone(),
+            revision: offset,
+            members: 0,
+            available: 0,
+            claimed_zones: Vec::new(),
+        });
+    }
+
+    fn store_vm(&mut self, offset: u64, spec: &VmSpec) {
+        if let Some(vm) = self.vms.get_mut(spec.name.as_str()) {
+            vm.wanted_pool = spec.pool.clone();
+            vm.revision = offset;
+            return;
+        }
+        let vm = VmState {
+            name: spec.name.clone(),
+            pool: spec.pool.clone(),
+            wanted_pool: spec.pool.clone(),
+            revision: offset,
+            incarnation: 0,
+            zone: "".into(),
+            rack: "".into(),
+            address: "".into(),
+            capacity: Resources::default(),
+            reserved: Resources::default(),
+            phase: VmPhase::Unknown,
+            evidence_ms: 0,
+            claim: None,
+            maintained_ms: 0,
+            failed_in: None,
+            quarantined_until_ms: 0,
+            failures: 0,
+        };
+        if let Some(pool) = self.pools.get_mut(spec.pool.as_str()) {
+            pool.count_in(&vm);
+        }
+        self.vms.insert(vm);
+    }
+
+    fn store_job(&mut self, offset: u64, spec: &JobSpec) {
+        let time_ms = self.time_ms;
+        if let Some(job) = self.jobs.get_mut(spec.name.as_str()) {
+            job.spec = spec.clone();
+            job.revision = offset;
+            cancel_if_asked(job);
+            return;
+        }
+        let mut job = JobState {
+            spec: spec.clone(),
+            revision: offset,
+            phase: JobPhase::Pending,
+            attempts: 0,
+            failures: 0,
+            failed_on: Vec::new(),
+            attempt: None,
+            estimate: Estimate::default(),
+            pending_since_ms: time_ms,
+            reason: "".into(),
+        };
+        cancel_if_asked(&mut job);
+        self.jobs.insert(job);
+    }
+
+    fn store_wave(&mut self, offset: u64, spec: &WaveSpec) {
+        let time_ms = self.time_ms;
+        if let Some(wave) = self.waves.get_mut(spec.name.as_str()) {
+            wave.spec = spec.clone();
+            wave.revision = offset;
+            return;
+        }
+        self.waves.insert(WaveState {
+            spec: spec.clone(),
+            revision: offset,
+            started_ms: time_ms,
+            done: 0,
+            failed: 0,
+            claimed: 0,
+            last_done_ms: 0,
+        });
+    }
+
+    pub(crate) fn delete(
+        &mut self,
+        offset: u64,
+        reference: &ResourceRef,
+        if_revision: Option<u64>,
+    ) -> Verdict {
+        if let Err(rejection) = self.check_delete(reference, if_revision) {
+            return Verdict::Rejected(rejection);
+        }
+        let name = reference.name.as_str();
+        match reference.kind {
+            Kind::Policy => drop(self.policies.remove(name)),
+            Kind::Team => drop(self.teams.remove(name)),
+            Kind::Pool => drop(self.pools.remove(name)),
+            Kind::Service => drop(self.services.remove(name)),
+            Kind::Job => drop(self.jobs.remove(name)),
+            Kind::Wave => drop(self.waves.remove(name)),
+            Kind::Vm => {
+                if let Some(vm) = self.vms.remove(name)
+                    && let Some(pool) = self.pools.get_mut(vm.pool.as_str())
+                {
+                    pool.count_out(&vm);
+                }
+            }
+        }
+        self.config_revision = offset;
+        Verdict::Accepted
+    }
+
+    /// Tells whether a withdrawal would be accepted now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection that the withdrawal would meet.
+    pub fn check_delete(
+        &self,
+        reference: &ResourceRef,
+        if_revision: Option<u64>,
+    ) -> Result<(), Rejection> {
+        if self.declared(reference).is_none() {
+            return Err(Rejection::Missing {
+                reference: reference.clone(),
+            });
+        }
+        self.check_revision(reference, if_revision)?;
+        if let Some(by) = self.needed_by(reference) {
+            return Err(Rejection::StillNeeded {
+                reference: reference.clone(),
+                by,
+            });
+        }
+        if reference.kind == Kind::Vm {
+            return self.check_vm_delete(reference.name.as_str());
+        }
+        Ok(())
+    }
+
+    fn check_vm_delete(&self, name: &str) -> Result<(), Rejection> {
+        let Some(vm) = self.vms.get(name) else {
+            return Ok(());
+        };
+        if vm.claim.is_some() {
+            return Err(Rejection::AlreadyClaimed {
+                vm: vm.name.clone(),
+            });
+        }
+        match self.pools.get(vm.pool.as_str()) {
+            Some(pool) if vm.is_available() && pool.availability().spare() == 0 => {
+                Err(Rejection::BudgetExhausted {
+                    pool: vm.pool.clone(),
+                    available: pool.available,
+                    floor: pool.floor(),
+                })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns a resource that still needs `reference`.
+    fn needed_by(&self, reference: &ResourceRef) -> Option<ResourceRef> {
+        let name = reference.name.as_str();
+        match reference.kind {
+            Kind::Pool => self.pool_needed_by(name),
+            Kind::Team => self
+                .jobs
+                .iter()
+                .find(|job| job.spec.team.as_str() == name)
+                .map(|job| ResourceRef::new(Kind::Job, job.spec.name.as_str())),
+            Kind::Vm => self
+                .jobs
+                .iter()
+                .find(|job| {
+                    job.attempt
+                        .as_ref()
+                        .is_some_and(|run| run.vm.as_str() == name)
+                })
+                .map(|job| ResourceRef::new(Kind::Job, job.spec.name.as_str())),
+            Kind::Job => self
+                .jobs
+                .get(name)
+                .and_then(|job| job.attempt.as_ref())
+                .map(|attempt| ResourceRef::new(Kind::Vm, attempt.vm.as_str())),
+            Kind::Wave => self
+                .vms
+                .iter()
+                .find(|vm| claims_for_wave(vm, name))
+                .map(|vm| ResourceRef::new(Kind::Vm, vm.name.as_str())),
+            Kind::Policy | Kind::Service => None,
+        }
+    }
+
+    fn pool_needed_by(&self, name: &str) -> Option<ResourceRef> {
+        let vm = self
+            .vms
+            .iter()
+            .find(|vm| vm.pool.as_str() == name || vm.wanted_pool.as_str() == name)
+            .map(|vm| ResourceRef::new(Kind::Vm, vm.name.as_str()));
+        let service = || {
+            self.services()
+                .find(|spec| spec.pool.as_str() == name)
+                .map(|spec| ResourceRef::new(Kind::Service, spec.name.as_str()))
+        };
+        let job = || {
+            self.jobs
+                .iter()
+                .find(|job| job.spec.pool.as_str() == name)
+                .map(|job| ResourceRef::new(Kind::Job, job.spec.name.as_str()))
+        };
+        let wave = || {
+            self.waves
+                .iter()
+                .find(|wave| wave.spec.pools.iter().any(|pool| pool.as_str() == name))
+                .map(|wave| ResourceRef::new(Kind::Wave, wave.spec.name.as_str()))
+        };
+        vm.or_else(service).or_else(job).or_else(wave)
+    }
+}
+
+fn claims_for_wave(vm: &VmState, wave: &str) -> bool {
+    use lynxwheel_protocol::ClaimPurpose::Maintain;
+    let purpose = vm.claim.as_ref().map(|claim| &claim.purpose);
+    matches!(purpose, Some(Maintain(name)) if name.as_str() == wave)
+}
+
+fn vm_spec(vm: &VmState) -> VmSpec {
+    VmSpec {
+        name: vm.name.clone(),
+        pool: vm.wanted_pool.clone(),
+    }
+}
+
+fn cancel_if_asked(job: &mut JobState) {
+    if !job.spec.cancelled {
+        return;
+    }
+    match job.phase {
+        JobPhase::Pending => {
+            job.phase = JobPhase::Cancelled;
+            job.reason = "cancelled by the operator".into();
+        }
+        JobPhase::Running => {
+            if let Some(attempt) = &mut job.attempt {
+                attempt.stopping = true;
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Returns the first field that is out of range, and why.
+fn bad_field(resource: &Resource) -> Option<(&'static str, &'static str)> {
+    match resource {
+        Resource::Pool(spec) => bad_pool_field(spec),
+        Resource::Service(spec) if spec.slots_per_endpoint == 0 => {
+            Some(("slots_per_endpoint", "must be at least 1"))
+        }
+        Resource::Service(spec) if spec.connections_per_endpoint < spec.slots_per_endpoint => {
+            Some((
+                "connections_per_endpoint",
+                "must be at least slots_per_endpoint",
+            ))
+        }
+        Resource::Service(spec) if spec.deadline_ms == 0 => {
+            Some(("deadline_ms", "must be at least 1"))
+        }
+        Resource::Job(spec) if spec.max_attempts == 0 => {
+            Some(("max_attempts", "must be at least 1"))
+        }
+        Resource::Wave(spec) if spec.pools.is_empty() => {
+            Some(("pools", "must name at least one pool"))
+        }
+        Resource::Wave(spec) if spec.pools.len() > MAX_WAVE_POOLS => {
+            Some(("pools", "names too many pools"))
+        }
+        Resource::Wave(spec) if !spec.pools.is_sorted_by(|left, right| left < right) => {
+            Some(("pools", "must be sorted and name each pool once"))
+        }
+        Resource::Policy(spec) if spec.key_limit == 0 => Some(("key_limit", "must be at least 1")),
+        _ => None,
+    }
+}
+
+fn bad_pool_field(spec: &PoolSpec) -> Option<(&'static str, &'static str)> {
+    match spec.budget.min_available {
+        Amount::Percent(percent) if percent > 100 => {
+            Some(("budget.min_available", "must be at most 100 percent"))
+        }
+        Amount::Count(count) if count > spec.size => {
+            Some(("budget.min_available", "must be at most the pool's size"))
+        }
+        _ if spec.budget.zones_at_once == 0 => Some(("budget.zones_at_once", "must be at least 1")),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/state/src/fleet.rs
@@ -0,0 +1,398 @@
+//! State of the fleet and the fold's entry point.
+
+use {
+    crate::{
+        jobs::{JobState, TeamState},
+        keys::{KeyEntry, Keys},
+        table::{Keyed, SortedTable},
+        verdict::{Rejection, Verdict},
+        vms::{PoolState, VmState, WaveState},
+        writers::{Writer, Writers},
+    },
+    lynxwheel_protocol::{
+        PolicySpec, Record, RecordBody, RequestKey, ServiceSpec, VmReport, Weights,
+    },
+    serde::{Deserialize, Serialize},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// Time for which keys are kept when no policy is declared, in milliseconds.
+const DEFAULT_KEY_KEEP_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Keys kept at most when no policy is declared.
+const DEFAULT_KEY_LIMIT: usize = 65_536;
+
+/// Weights when no policy is declared.
+const DEFAULT_WEIGHTS: Weights = Weights {
+    roll_out: 1,
+    buffer: 1,
+    moves: 1,
+};
+
+/// A declaration with its revision, for kinds without folded status.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Revised<T> {
+    pub(crate) spec: T,
+    pub(crate) revision: u64,
+}
+
+impl Keyed for Revised<ServiceSpec> {
+    type Key = str;
+
+    fn key(&self) -> &str {
+        self.spec.name.as_str()
+    }
+}
+
+impl Keyed for Revised<PolicySpec> {
+    type Key = str;
+
+    fn key(&self) -> &str {
+        self.spec.name.as_str()
+    }
+}
+
+/// Everything that the log says, up to one offset.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct FleetState {
+    pub(crate) offset: u64,
+    pub(crate) time_ms: u64,
+    pub(crate) chain: u64,
+    pub(crate) fold_version: u32,
+    pub(crate) config_revision: u64,
+    pub(crate) writers: Writers,
+    pub(crate) policies: SortedTable<Revised<PolicySpec>>,
+    pub(crate) teams: SortedTable<TeamState>,
+    pub(crate) pools: SortedTable<PoolState>,
+    pub(crate) vms: SortedTable<VmState>,
+    pub(crate) services: SortedTable<Revised<ServiceSpec>>,
+    pub(crate) jobs: SortedTable<JobState>,
+    pub(crate) waves: SortedTable<WaveState>,
+    pub(crate) keys: Keys,
+}
+
+impl FleetState {
+    /// Creates the state before the first record.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            fold_version: 1,
+            ..Self::default()
+        }
+    }
+
+    /// Applies the record at `offset` and tells what became of it.
+    pub fn apply(&mut self, offset: u64, record: &Record) -> Verdict {
+        let verdict = self.judge(offset, record);
+        self.offset = offset;
+        self.time_ms = self.time_ms.max(record.time_ms);
+        self.chain = chain_next(self.chain, offset, record, &verdict);
+        verdict
+    }
+
+    /// Skips a record that this build cannot decode, the same way on every node.
+    pub fn skip(&mut self, offset: u64) {
+        self.offset = offset;
+        self.chain = xxh3_64_with_seed(&offset.to_le_bytes(), self.chain);
+    }
+
+    /// Returns the offset of the last applied record.
+    #[must_use]
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Returns the highest time of any record, in milliseconds since the epoch.
+    #[must_use]
+    pub fn time_ms(&self) -> u64 {
+        self.time_ms
+    }
+
+    /// Returns a digest of all records and their verdicts up to the offset.
+    ///
+    /// Nodes that folded the same records to different verdicts have different digests.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.chain
+    }
+
+    /// Returns the fold version in force.
+    #[must_use]
+    pub fn fold_version(&self) -> u32 {
+        self.fold_version
+    }
+
+    /// Returns the offset of the last accepted declaration of any kind.
+    #[must_use]
+    pub fn config_revision(&self) -> u64 {
+        self.config_revision
+    }
+
+    /// Returns the known runs of nodes.
+    #[must_use]
+    pub fn writers(&self) -> &Writers {
+        &self.writers
+    }
+
+    /// Returns the pools.
+    #[must_use]
+    pub fn pools(&self) -> &SortedTable<PoolState> {
+        &self.pools
+    }
+
+    /// Returns the VMs.
+    #[must_use]
+    pub fn vms(&self) -> &SortedTable<VmState> {
+        &self.vms
+    }
+
+    /// Returns the jobs.
+    #[must_use]
+    pub fn jobs(&self) -> &SortedTable<JobState> {
+        &self.jobs
+    }
+
+    /// Returns the teams.
+    #[must_use]
+    pub fn teams(&self) -> &SortedTable<TeamState> {
+        &self.teams
+    }
+
+    /// Returns the waves.
+    #[must_use]
+    pub fn waves(&self) -> &SortedTable<WaveState> {
+        &self.waves
+    }
+
+    /// Returns the service called `name`.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        self.services.get(name).map(|row| &row.spec)
+    }
+
+    /// Iterates over the services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.iter().map(|row| &row.spec)
+    }
+
+    /// Returns the policy in force, the first by name.
+    #[must_use]
+    pub fn policy(&self) -> Option<&PolicySpec> {
+        self.policies.first().map(|row| &row.spec)
+    }
+
+    /// Returns the weights in force.
+    #[must_use]
+    pub fn weights(&self) -> Weights {
+        self.policy()
+            .map_or(DEFAULT_WEIGHTS, |policy| policy.weights)
+    }
+
+    /// Returns the entry of an idempotency key.
+    #[must_use]
+    pub fn key(&self, key: RequestKey) -> Option<&KeyEntry> {
+        self.keys.get(key)
+    }
+
+    /// Iterates over the idempotency keys.
+    pub fn keys(&self) -> impl Iterator<Item = &KeyEntry> {
+        self.keys.iter()
+    }
+
+    /// Returns the number of idempotency keys.
+    #[must_use]
+    pub fn key_count(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns how long an idempotency key is kept, in milliseconds.
+    #[must_use]
+    pub fn key_keep_ms(&self) -> u64 {
+        self.policy()
+            .map_or(DEFAULT_KEY_KEEP_MS, |policy| policy.key_keep_ms)
+    }
+
+    fn judge(&mut self, offset: u64, record: &Record) -> Verdict {
+        if let RecordBody::Join { node, fold_version } = &record.body {
+            return self.writers.join(Writer {
+                incarnation: record.id.incarnation,
+                node: node.clone(),
+                fold_version: *fold_version,
+                sequence: record.id.sequence,
+                time_ms: record.time_ms,
+            });
+        }
+        if let Some(verdict) = self.writers.note(record.id, record.time_ms) {
+            return verdict;
+        }
+        self.judge_body(offset, record)
+    }
+
+    fn judge_body(&mut self, offset: u64, record: &Record) -> Verdict {
+        match &record.body {
+            RecordBody::Join { .. } => Verdict::Duplicate,
+            RecordBody::RaiseVersion { fold_version } => self.raise_version(*fold_version),
+            RecordBody::Put {
+                resource,
+                if_revision,
+            } => self.put(offset, resource, *if_revision),
+            RecordBody::Delete {
+                reference,
+                if_revision,
+            } => self.delete(offset, reference, *if_revision),
+            RecordBody::Report { reports } => self.report(reports),
+            RecordBody::Claim {
+                vm,
+                purpose,
+                holder,
+            } => self.claim(offset, vm, purpose, holder),
+            RecordBody::Begin {
+                vm,
+                fence,
+                not_after_ms,
+            } => self.begin(vm, *fence, *not_after_ms),
+            RecordBody::TakeOver { vm, fence, holder } => {
+                self.take_over(offset, vm, *fence, holder)
+            }
+            RecordBody::Release { vm, fence } => self.release(vm, *fence),
+            RecordBody::Done {
+                vm,
+                fence,
+                succeeded,
+            } => self.done(vm, *fence, *succeeded),
+            RecordBody::HandOver { vm, fence } => self.hand_over(vm, *fence),
+            RecordBody::Start {
+                job,
+                attempt,
+                vm,
+                reserved,
+                holder,
+            } => self.start(offset, job, *attempt, vm, reserved, holder),
+            RecordBody::Stop { job, attempt } => self.stop(job, *attempt),
+            RecordBody::End {
+                job,
+                attempt,
+                outcome,
+            } => self.end(job, *attempt, *outcome),
+            RecordBody::Usage { job, attempt, used } => self.usage(job, *attempt, used),
+            RecordBody::GiveUp { job, reason } => self.give_up(job, reason),
+            RecordBody::Quarantine { vm, until_ms } => self.quarantine(vm, *until_ms),
+            RecordBody::Intent {
+                key,
+                request_digest,
+                holder,
+            } => {
+                let entry = KeyEntry {
+                    key: *key,
+                    request_digest: *request_digest,
+                    holder: holder.clone(),
+                    incarnation: record.id.incarnation,
+                    state: crate::keys::KeyState::Pending,
+                    since_ms: self.time_ms.max(record.time_ms),
+                    offset,
+                };
+                self.intend(entry)
+            }
+            RecordBody::Outcome { key, outcome } => self.keys.end(*key, *outcome),
+        }
+    }
+
+    fn intend(&mut self, entry: KeyEntry) -> Verdict {
+        let keep_ms = self.key_keep_ms();
+        let limit = self
+            .policy()
+            .map_or(DEFAULT_KEY_LIMIT, |policy| policy.key_limit as usize);
+        self.keys.expire(self.time_ms.saturating_sub(keep_ms));
+        self.keys.intend(entry, limit)
+    }
+
+    /// Raises the fold version once the latest run of every known node knows the next one.
+    ///
+    /// Two versions fold the same log while VMs are replaced; an old one that met a record of
+    /// the new meaning would come to another state and show up as a different digest.
+    fn raise_version(&mut self, fold_version: u32) -> Verdict {
+        let is_next = fold_version == self.fold_version + 1;
+        let is_known = self.writers.iter().all(|writer| {
+            let is_latest = self
+                .writers
+                .latest(writer.node.as_str())
+                .is_some_and(|latest| latest.incarnation == writer.incarnation);
+            !is_latest || writer.fold_version >= fold_version
+        });
+        if !is_next || !is_known {
+            return Verdict::Rejected(Rejection::VersionNotKnown { fold_version });
+        }
+        self.fold_version = fold_version;
+        Verdict::Accepted
+    }
+
+    /// Changes a VM and keeps its pool's counts in step.
+    pub(crate) fn change_vm(&mut self, name: &str, change: impl FnOnce(&mut VmState)) {
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(vm.pool.as_str()) {
+            pool.count_out(vm);
+        }
+        change(vm);
+        if let Some(pool) = self.pools.get_mut(vm.pool.as_str()) {
+            pool.count_in(vm);
+        }
+    }
+
+    fn report(&mut self, reports: &[VmReport]) -> Verdict {
+        let mut is_news = false;
+        for report in reports {
+            is_news |= self.report_one(report);
+        }
+        match reports.first() {
+            Some(first) if !is_news => Verdict::Rejected(Rejection::OldEvidence {
+                vm: first.vm.clone(),
+            }),
+            _ => Verdict::Accepted,
+        }
+    }
+
+    /// Takes one finding in when it is newer than what is known.
+    ///
+    /// The VM list lags and reports race, so a finding counts only when its evidence is not
+    /// older than the VM's last transition; otherwise a VM under reboot would count as live.
+    fn report_one(&mut self, report: &VmReport) -> bool {
+        let Some(vm) = self.vms.get(report.vm.as_str()) else {
+            return false;
+        };
+        let is_same_life = report.incarnation == vm.incarnation;
+        let is_newer = report.incarnation > vm.incarnation || is_same_life;
+        if !is_newer || report.evidence_ms < vm.evidence_ms {
+            return false;
+        }
+        self.change_vm(report.vm.as_str(), |vm| {
+            if !is_same_life {
+                vm.failures = 0;
+                vm.quarantined_until_ms = 0;
+            }
+            vm.incarnation = report.incarnation;
+            vm.zone = report.zone.clone();
+            vm.rack = report.rack.clone();
+            vm.address.clone_from(&report.address);
+            vm.capacity = report.capacity;
+            vm.phase = report.phase;
+            vm.evidence_ms = report.evidence_ms;
+        });
+        true
+    }
+}
+
+fn chain_next(chain: u64, offset: u64, record: &Record, verdict: &Verdict) -> u64 {
+    let outcome = match verdict {
+        Verdict::Accepted => 1_u64,
+        Verdict::Duplicate => 2,
+        Verdict::Rejected(_) => 3,
+    };
+    let mut bytes = [0_u8; 32];
+    bytes[..8].copy_from_slice(&offset.to_le_bytes());
+    bytes[8..16].copy_from_slice(&record.id.incarnation.to_le_bytes());
+    bytes[16..24].copy_from_slice(&record.id.sequence.to_le_bytes());
+    bytes[24..].copy_from_slice(&outcome.to_le_bytes());
+    xxh3_64_with_seed(&bytes, chain)
+}
--- /dev/null
+++ b/crates/state/src/table.rs
@@ -0,0 +1,171 @@
+//! Sorted table with cheap copies.
+
+use {
+    serde::{Deserialize, Deserializer, Serialize, Serializer, de::DeserializeOwned},
+    std::{cmp::Ordering, sync::Arc},
+};
+
+/// Rows a chunk holds at most; a copy of the table shares the chunks that stay unchanged.
+const CHUNK_ROWS: usize = 64;
+
+/// A row that is found by its key.
+pub trait Keyed {
+    /// Type of the key.
+    type Key: Ord + ?Sized;
+
+    /// Returns the key.
+    fn key(&self) -> &Self::Key;
+}
+
+/// Rows sorted by key in copy-on-write chunks.
+///
+/// The fold changes a few rows while readers keep earlier states, so a copy must not cost the
+/// whole table.
+#[derive(Clone, Debug)]
+pub struct SortedTable<T> {
+    chunks: Vec<Arc<Vec<T>>>,
+    len: usize,
+}
+
+impl<T> Default for SortedTable<T> {
+    fn default() -> Self {
+        Self {
+            chunks: Vec::new(),
+            len: 0,
+        }
+    }
+}
+
+impl<T: Clone + Keyed> SortedTable<T> {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of rows.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Tells whether there is no row.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns the row with `key`.
+    #[must_use]
+    pub fn get(&self, key: &T::Key) -> Option<&T> {
+        let chunk = self.chunks.get(self.chunk_of(key))?;
+        let row = chunk.binary_search_by(|row| row.key().cmp(key)).ok()?;
+        chunk.get(row)
+    }
+
+    /// Returns the row with `key` for a change; the key itself must stay.
+    pub fn get_mut(&mut self, key: &T::Key) -> Option<&mut T> {
+        let index = self.chunk_of(key);
+        let chunk = self.chunks.get_mut(index)?;
+        let row = chunk.binary_search_by(|row| row.key().cmp(key)).ok()?;
+        Arc::make_mut(chunk).get_mut(row)
+    }
+
+    /// Puts a row in, in place of the one with the same key, which is returned.
+    pub fn insert(&mut self, value: T) -> Option<T> {
+        if self.chunks.is_empty() {
+            self.chunks.push(Arc::new(vec![value]));
+            self.len = 1;
+            return None;
+        }
+        let index = self.chunk_of(value.key()).min(self.chunks.len() - 1);
+        let chunk = Arc::make_mut(&mut self.chunks[index]);
+        match chunk.binary_search_by(|row| row.key().cmp(value.key())) {
+            Ok(row) => Some(std::mem::replace(&mut chunk[row], value)),
+            Err(row) => {
+                chunk.insert(row, value);
+                self.len += 1;
+                self.split_if_full(index);
+                None
+            }
+        }
+    }
+
+    /// Takes the row with `key` out.
+    pub fn remove(&mut self, key: &T::Key) -> Option<T> {
+        let index = self.chunk_of(key);
+        let chunk = self.chunks.get_mut(index)?;
+        let row = chunk.binary_search_by(|row| row.key().cmp(key)).ok()?;
+        let removed = Arc::make_mut(chunk).remove(row);
+        if chunk.is_empty() {
+            self.chunks.remove(index);
+        }
+        self.len -= 1;
+        Some(removed)
+    }
+
+    /// Returns the first row.
+    #[must_use]
+    pub fn first(&self) -> Option<&T> {
+        self.chunks.first()?.first()
+    }
+
+    /// Iterates over the rows in order.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.chunks.iter().flat_map(|chunk| chunk.iter())
+    }
+
+    /// Iterates in order over the rows whose key is at or after `key`.
+    pub fn iter_from<'a>(&'a self, key: &'a T::Key) -> impl Iterator<Item = &'a T> {
+        self.chunks[self.chunk_of(key).min(self.chunks.len())..]
+            .iter()
+            .flat_map(|chunk| chunk.iter())
+            .skip_while(move |row| row.key() < key)
+    }
+
+    /// Finds the first chunk whose last key is not below `key`.
+    fn chunk_of(&self, key: &T::Key) -> usize {
+        self.chunks.partition_point(|chunk| {
+            chunk
+                .last()
+                .is_some_and(|row| row.key().cmp(key) == Ordering::Less)
+        })
+    }
+
+    fn split_if_full(&mut self, index: usize) {
+        if self.chunks[index].len() <= CHUNK_ROWS {
+            return;
+        }
+        let chunk = Arc::make_mut(&mut self.chunks[index]);
+        let upper = chunk.split_off(chunk.len() / 2);
+        self.chunks.insert(index + 1, Arc::new(upper));
+    }
+}
+
+impl<T: Clone + Keyed> FromIterator<T> for SortedTable<T> {
+    fn from_iter<I: IntoIterator<Item = T>>(rows: I) -> Self {
+        let mut table = Self::new();
+        for row in rows {
+            table.insert(row);
+        }
+        table
+    }
+}
+
+impl<T: Clone + Keyed + PartialEq> PartialEq for SortedTable<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.len == other.len && self.iter().eq(other.iter())
+    }
+}
+
+impl<T: Clone + Keyed + Serialize> Serialize for SortedTable<T> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.iter().collect::<Vec<_>>())
+    }
+}
+
+impl<'de, T: Clone + DeserializeOwned + Keyed> Deserialize<'de> for SortedTable<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Vec::<T>::deserialize(deserializer)?.into_iter().collect())
+    }
+}
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,26 @@
+//! HTTP servers, clients and connection pools of lynxwheel.
+//!
+//! ```
+//! use lynxwheel_transport::{Client, Step};
+//! use std::time::Duration;
+//!
+//! let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+//! let error = runtime.block_on(async {
+//!     let client = Client::new("127.0.0.1:1".parse().unwrap(), 1);
+//!     client.get("/livez", Duration::from_secs(1)).await.unwrap_err()
+//! });
+//! assert_eq!(error.step, Step::Connect);
+//! assert!(!error.may_have_run);
+//! ```
+
+mod body;
+mod client;
+mod error;
+mod server;
+
+pub use body::{Body, BodyError, empty_body, full_body};
+pub use client::{Answer, Client, ClientRequest, Clients};
+pub use error::{Step, TransportError};
+pub use server::{
+    Server, ServerLimits, Shutdown, collect_body, error_answer, json_answer, message_answer,
+};
