Put proposals off until the log knows the run

Cause: a proposal that reached the appender before the join duty had submitted the join entered the log first, and the fold rejected it for good with 'the writer is not known'. Ruled out: the duplicate removal (no record had come twice) and two nodes with one incarnation (mended before).

The appender now answers 'not appended, come back' until the fold knows the run, and readiness waits for that too. With the guard taken out the new test fails with 'nothing was put off, so the test shows nothing'; with it, it passes.

--- a/crates/coordination/src/appender.rs
+++ b/crates/coordination/src/appender.rs
@@ -112,6 +112,18 @@
         });
     }
 
+    /// Tells whether the fold knows this run.
+    ///
+    /// A record that enters the log before its run's join is rejected for good; an operator who
+    /// declares something right after a start would see a valid declaration refused.
+    fn has_joined(&self) -> bool {
+        self.published
+            .load()
+            .writers()
+            .get(self.incarnation)
+            .is_some()
+    }
+
     fn refuse_queued(&mut self) {
         let sequences: Vec<u64> = self
             .queue
@@ -131,7 +143,8 @@
         context: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         let now_ms = now_ms();
-        if self.queue.len() >= MAX_QUEUED || now_ms < self.refused_until_ms {
+        let is_early = !matches!(message.body, RecordBody::Join { .. }) && !self.has_joined();
+        if is_early || self.queue.len() >= MAX_QUEUED || now_ms < self.refused_until_ms {
             return Err(ProposeError::NotAppended {
                 retry_after_ms: self.refused_until_ms.saturating_sub(now_ms).max(REFUSAL_MS),
             });
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -137,11 +137,16 @@
         self.inner.settings.node_names()
     }
 
-    /// Tells whether the node has read the log lately and to its end.
+    /// Tells whether the node has joined, and has read the log lately and to its end.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        let read_ms = self.inner.published.read_ms();
-        read_ms + CURRENT_MS > now_ms() && self.inner.published.is_caught_up()
+        let published = &self.inner.published;
+        let has_joined = published
+            .load()
+            .writers()
+            .get(self.inner.incarnation)
+            .is_some();
+        has_joined && published.read_ms() + CURRENT_MS > now_ms() && published.is_caught_up()
     }
 }
 
--- /dev/null
+++ b/crates/coordination/tests/joining.rs
@@ -0,0 +1,49 @@
+//! What a node does before the log knows its run.
+
+use {
+    lynxwheel_coordination::{Node, NodeIdentity, NodeSettings, ProposeError},
+    lynxwheel_protocol::RecordBody,
+    lynxwheel_standin::PlatformServer,
+    lynxwheel_state::Verdict,
+    lynxwheel_transport::Shutdown,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// An operator declares something right after a node's start and sees a valid declaration
+/// refused for good. It had entered the log before the node's join, so the fold did not know the
+/// writer. A proposal must be put off until the join is folded, and then be accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn proposal_right_after_the_start() {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = PlatformServer::start(any_port, &[], 100)
+        .await
+        .expect("start the platform");
+    platform.with_platform(|platform| platform.faults.log_slow_ms = 100);
+    let settings = NodeSettings::new(NodeIdentity::new("node-1", "zone-1"), platform.address());
+    let shutdown = Shutdown::new();
+    let (node, duties) = Node::start(settings, &shutdown);
+    let mut is_put_off = false;
+    let verdict = loop {
+        match node
+            .proposer()
+            .propose(RecordBody::Report {
+                reports: Vec::new(),
+            })
+            .await
+        {
+            Ok(decision) => break decision.verdict,
+            Err(ProposeError::NotAppended { retry_after_ms }) => {
+                assert!(retry_after_ms > 0);
+                is_put_off = true;
+            }
+            Err(ProposeError::Unknown { id }) => panic!("unknown outcome of {id:?}"),
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert!(is_put_off, "nothing was put off, so the test shows nothing");
+    assert_eq!(verdict, Verdict::Accepted);
+    shutdown.begin();
+    tokio::task::spawn_blocking(move || duties.join())
+        .await
+        .expect("no panic");
+}
--- a/crates/lynxwheel/src/dev.rs
+++ b/crates/lynxwheel/src/dev.rs
@@ -38,6 +38,9 @@
 /// Time within which everything must be done.
 const LIMIT: Duration = Duration::from_mins(2);
 
+/// Pause between two looks at what is waited for.
+const POLL: Duration = Duration::from_millis(20);
+
 /// Time that one call may take.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 
@@ -66,7 +69,20 @@
                     .map_err(|error| error.to_string())?,
             );
         }
-        Ok(Self { platform, daemons })
+        let fleet = Self { platform, daemons };
+        fleet.wait_until_current().await?;
+        Ok(fleet)
+    }
+
+    async fn wait_until_current(&self) -> Result<(), String> {
+        let until = Instant::now() + LIMIT;
+        while !self.daemons.iter().all(|daemon| daemon.node().is_current()) {
+            if Instant::now() > until {
+                return Err("waited too long until the nodes are current".into());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
     }
 
     fn state(&self) -> std::sync::Arc<FleetState> {
@@ -101,7 +117,7 @@
             if Instant::now() > until {
                 return Err(format!("waited too long until {what}"));
             }
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(POLL).await;
         }
         Ok(())
     }
--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -167,6 +167,19 @@
 }
 
 impl TestNode {
+    /// Waits until the node says that it is ready.
+    pub async fn wait_until_ready(&self) {
+        let until = Instant::now() + LIMIT;
+        loop {
+            let answer = self.callers.get("/readyz", CALL_LIMIT).await;
+            if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+                return;
+            }
+            assert!(Instant::now() < until, "the node is not ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Declares a resource.
     pub async fn declare(&self, resource: &Resource) {
         let path = format!("/v1/{}/{}", resource.kind(), resource.name());
--- a/crates/lynxwheel/tests/thin_path.rs
+++ b/crates/lynxwheel/tests/thin_path.rs
@@ -22,6 +22,7 @@
 const FLOOR: u32 = 4;
 
 async fn declare_maps(node: &TestNode) {
+    node.wait_until_ready().await;
     node.declare(&Resource::Pool(PoolSpec {
         name: "maps".into(),
         size: VMS,
