--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Processes of a small fleet for tests: a platform and nodes on loopback.
 
+#![allow(dead_code, reason = "each test binary uses a part")]
+
 use {
     http::{Method, StatusCode},
     lynxwheel_protocol::Resource,
@@ -47,6 +49,11 @@
         (Self { child }, lines)
     }
 
+    /// Returns the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by name, such as `TERM`.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         body::{Body, BodyError, full_body},
+        counted::CountedStream,
         error::{Step, TransportError},
     },
     bytes::Bytes,
@@ -272,9 +273,10 @@
         stream
             .set_nodelay(true)
             .map_err(|error| unsent(error.to_string()))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| unsent(error.to_string()))?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(CountedStream::new(stream, "client")))
+                .await
+                .map_err(|error| unsent(error.to_string()))?;
         tokio::spawn(async move {
             // The sender's side learns of a broken connection through its own calls.
             drop(connection.await);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod body;
 mod client;
+mod counted;
 mod error;
 mod server;
 
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,7 +1,10 @@
 //! HTTP server with limits and graceful shutdown.
 
 use {
-    crate::body::{Body, full_body},
+    crate::{
+        body::{Body, full_body},
+        counted::CountedStream,
+    },
     bytes::Bytes,
     http::{Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Limited},
@@ -179,7 +182,7 @@
         .header_read_timeout(Duration::from_millis(limits.header_read_ms))
         .max_buf_size(limits.max_header_bytes)
         .half_close(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CountedStream::new(stream, "server")), service);
     tokio::pin!(connection);
     // A broken connection concerns only its own caller, who sees it too.
     tokio::select! {
