Clock carried by the node, peer listener and membership by heartbeat

Cause: time came from a free function, so no test could move it, and live nodes were all configured ones, so a killed node kept its first rank for its subjects for good.

Now NodeSettings carries a Clock (system or manual). Of two nodes the one with the lower name speaks once a second with jitter, so each pair costs one exchange a period; the other speaks after 2 s of silence or with urgent news (stop, leaving endpoint). A peer is live until 5 s of silence, or until it says that it stops. Nothing of it decides safety; a wrong view costs a rejected record.

Weighed: both nodes of a pair speaking each period (twice the bytes, no better view); a heartbeat through the log (appends are the scarce resource).

--- a/crates/coordination/src/actions.rs
+++ b/crates/coordination/src/actions.rs
@@ -1,7 +1,7 @@
 //! Carrying out the claims that this node holds.
 
 use {
-    crate::{clock::now_ms, node::Node},
+    crate::node::Node,
     log::{info, warn},
     lynxwheel_protocol::{ActionRequest, ClaimPurpose, RecordBody, VmAction, VmName, VmPhase},
     lynxwheel_state::{Claim, ClaimStage, VmState},
@@ -88,8 +88,11 @@
     }
 
     async fn drain(&self) -> bool {
-        self.call(VmAction::Drain, now_ms() + ACTION_WINDOW_MS)
-            .await
+        self.call(
+            VmAction::Drain,
+            self.node.clock().now_ms() + ACTION_WINDOW_MS,
+        )
+        .await
     }
 
     /// Tells whether nothing runs on the VM any more.
@@ -126,7 +129,7 @@
 
     /// Rechecks the budget in the log, then acts at once.
     async fn begin(&self) {
-        let not_after_ms = now_ms() + ACTION_WINDOW_MS;
+        let not_after_ms = self.node.clock().now_ms() + ACTION_WINDOW_MS;
         let body = RecordBody::Begin {
             vm: self.vm.name.clone(),
             fence: self.claim.fence,
@@ -145,7 +148,7 @@
 
     /// Waits for the VM's next life, or gives up on it.
     async fn finish(&self) {
-        let now_ms = now_ms();
+        let now_ms = self.node.clock().now_ms();
         let is_new_life = self
             .node
             .state()
@@ -175,7 +178,7 @@
         let state = self.node.state();
         let vm = state.vms().get(self.vm.name.as_str());
         let is_back = vm.is_some_and(|vm| vm.incarnation > self.claim.incarnation);
-        if !is_back && now_ms() <= self.claim.not_after_ms {
+        if !is_back && self.node.clock().now_ms() <= self.claim.not_after_ms {
             // The answer to the action may have been lost; asked again it is carried out once.
             self.call(VmAction::Reboot, self.claim.not_after_ms).await;
         }
@@ -189,8 +192,11 @@
         };
         if self.node.proposer().is_accepted(body).await {
             self.log_step("handed_over");
-            self.call(VmAction::Undrain, now_ms() + ACTION_WINDOW_MS)
-                .await;
+            self.call(
+                VmAction::Undrain,
+                self.node.clock().now_ms() + ACTION_WINDOW_MS,
+            )
+            .await;
         }
     }
 
@@ -201,8 +207,11 @@
         };
         if self.node.proposer().is_accepted(body).await {
             self.log_step(reason);
-            self.call(VmAction::Undrain, now_ms() + ACTION_WINDOW_MS)
-                .await;
+            self.call(
+                VmAction::Undrain,
+                self.node.clock().now_ms() + ACTION_WINDOW_MS,
+            )
+            .await;
         }
     }
 
--- a/crates/coordination/src/appender.rs
+++ b/crates/coordination/src/appender.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock::now_ms,
+        clock::Clock,
         log_client::{LogClient, LogError},
         proposer::{Decision, ProposeError},
         published::Published,
@@ -63,6 +63,7 @@
 #[derive(Actor, Debug)]
 pub(crate) struct Appender {
     log: LogClient,
+    clock: Clock,
     published: Arc<Published>,
     waiters: Arc<Waiters>,
     incarnation: u64,
@@ -75,12 +76,14 @@
 impl Appender {
     pub(crate) fn new(
         log: LogClient,
+        clock: Clock,
         published: Arc<Published>,
         waiters: Arc<Waiters>,
         incarnation: u64,
     ) -> Self {
         Self {
             log,
+            clock,
             published,
             waiters,
             incarnation,
@@ -130,7 +133,7 @@
         message: Submit,
         context: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
-        let now_ms = now_ms();
+        let now_ms = self.clock.now_ms();
         if self.queue.len() >= MAX_QUEUED || now_ms < self.refused_until_ms {
             return Err(ProposeError::NotAppended {
                 retry_after_ms: self.refused_until_ms.saturating_sub(now_ms).max(REFUSAL_MS),
@@ -158,7 +161,7 @@
     async fn handle(&mut self, message: GroupEnded, context: &mut Context<Self, Self::Reply>) {
         self.is_busy = false;
         if message.is_refused {
-            self.refused_until_ms = now_ms() + REFUSAL_MS;
+            self.refused_until_ms = self.clock.now_ms() + REFUSAL_MS;
             self.refuse_queued();
         }
         self.flush(context);
--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -1,7 +1,7 @@
 //! Folding the log's entries into the published state.
 
 use {
-    crate::{proposer::Decision, published::Published, waiters::Waiters},
+    crate::{proposer::Decision, published::Published, recent::RecentEntries, waiters::Waiters},
     kameo::{
         Actor,
         message::{Context, Message},
@@ -25,6 +25,7 @@
     state: FleetState,
     published: Arc<Published>,
     waiters: Arc<Waiters>,
+    recent: Arc<RecentEntries>,
     incarnation: u64,
 }
 
@@ -33,12 +34,14 @@
         state: FleetState,
         published: Arc<Published>,
         waiters: Arc<Waiters>,
+        recent: Arc<RecentEntries>,
         incarnation: u64,
     ) -> Self {
         Self {
             state,
             published,
             waiters,
+            recent,
             incarnation,
         }
     }
@@ -75,6 +78,7 @@
             .iter()
             .filter_map(|entry| self.fold(entry))
             .collect();
+        self.recent.note(&message.entries);
         self.published.store(self.state.clone());
         // Published first, so that a proposer finds its own record in the state it then reads.
         for decision in decisions {
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -4,14 +4,18 @@
     crate::{
         actions,
         appender::Appender,
-        clock::{new_incarnation, now_ms},
+        clock::{Clock, new_incarnation},
         duty::spawn_duty,
         fold::Fold,
         log_client::LogClient,
-        observer, planner,
+        membership::{PEER_CONNECTIONS, exchange_hellos},
+        observer,
+        peers::Peers,
+        planner,
         proposer::Proposer,
         published::Published,
         reader,
+        recent::RecentEntries,
         settings::NodeSettings,
         tasks,
         waiters::Waiters,
@@ -50,18 +54,24 @@
     published: Arc<Published>,
     proposer: Proposer,
     clients: Arc<Clients>,
+    peers: Peers,
+    peer_clients: Clients,
+    recent: Arc<RecentEntries>,
 }
 
 impl Node {
     /// Starts a node and its duties, which end with the signal.
     #[must_use]
     pub fn start(settings: NodeSettings, shutdown: &Shutdown) -> (Self, Duties) {
-        let incarnation = new_incarnation(settings.identity.node.as_str());
+        let incarnation = new_incarnation(settings.identity.node.as_str(), &settings.clock);
         let published = Arc::new(Published::new(FleetState::new()));
+        let recent = Arc::new(RecentEntries::default());
+        let peers = Peers::new(&settings);
         let waiters = Arc::new(Waiters::default());
         let log = LogClient::new(settings.platform, &settings.stream);
         let appender = Appender::new(
             log.clone(),
+            settings.clock.clone(),
             Arc::clone(&published),
             Arc::clone(&waiters),
             incarnation,
@@ -72,10 +82,12 @@
             FleetState::new(),
             Arc::clone(&published),
             waiters,
+            Arc::clone(&recent),
             incarnation,
         );
         let fold = Fold::spawn_in_thread_with_mailbox(fold, mailbox::bounded(FOLD_RING));
         let limit = Duration::from_millis(settings.propose_timeout_ms);
+        let clock = settings.clock.clone();
         let node = Self {
             inner: Arc::new(Inner {
                 settings,
@@ -83,14 +95,18 @@
                 published: Arc::clone(&published),
                 proposer: Proposer::new(appender, limit),
                 clients: Arc::new(Clients::new(PROBE_CONNECTIONS)),
+                peers,
+                peer_clients: Clients::new(PEER_CONNECTIONS),
+                recent,
             }),
         };
         let mut duties = Duties::new(shutdown.clone());
-        duties.run("reader", reader::read_log(log, published, fold));
+        duties.run("reader", reader::read_log(log, clock, published, fold));
         duties.run("observer", observer::observe(node.clone()));
         duties.run("planner", planner::plan(node.clone()));
         duties.run("actions", actions::act(node.clone()));
         duties.run("tasks", tasks::run(node.clone()));
+        duties.run("membership", exchange_hellos(node.clone()));
         duties.run("join", join(node.clone()));
         (node, duties)
     }
@@ -101,6 +117,12 @@
         &self.inner.settings
     }
 
+    /// Returns the time source.
+    #[must_use]
+    pub fn clock(&self) -> &Clock {
+        &self.inner.settings.clock
+    }
+
     /// Returns the number of this run.
     #[must_use]
     pub fn incarnation(&self) -> u64 {
@@ -131,17 +153,31 @@
         &self.inner.clients
     }
 
+    /// Returns what is known of the other nodes.
+    #[must_use]
+    pub fn peers(&self) -> &Peers {
+        &self.inner.peers
+    }
+
+    pub(crate) fn peer_clients(&self) -> &Clients {
+        &self.inner.peer_clients
+    }
+
+    pub(crate) fn recent(&self) -> &RecentEntries {
+        &self.inner.recent
+    }
+
     /// Returns the nodes that are taken to be live, this one included, sorted.
     #[must_use]
     pub fn live_nodes(&self) -> Vec<NodeName> {
-        self.inner.settings.node_names()
+        self.inner.peers.live_nodes(self.clock().now_ms())
     }
 
     /// Tells whether the node has read the log lately and to its end.
     #[must_use]
     pub fn is_current(&self) -> bool {
         let read_ms = self.inner.published.read_ms();
-        read_ms + CURRENT_MS > now_ms() && self.inner.published.is_caught_up()
+        read_ms + CURRENT_MS > self.clock().now_ms() && self.inner.published.is_caught_up()
     }
 }
 
--- a/crates/coordination/src/observer.rs
+++ b/crates/coordination/src/observer.rs
@@ -1,7 +1,7 @@
 //! Finding out about VMs: the platform's list and probes of endpoints.
 
 use {
-    crate::{clock::now_ms, node::Node},
+    crate::node::Node,
     log::{debug, info},
     lynxwheel_decisions::rendezvous_rank,
     lynxwheel_protocol::{RecordBody, VmEntry, VmList, VmListState, VmPhase, VmReport},
@@ -55,8 +55,9 @@
             continue;
         }
         let clients = node.clients().clone();
+        let clock = node.clock().clone();
         probes.spawn(async move {
-            let probe_ms = now_ms();
+            let probe_ms = clock.now_ms();
             let health = match entry.address.parse::<SocketAddr>() {
                 Ok(address) => probe(&clients.get(address), &entry).await,
                 Err(_) => None,
--- /dev/null
+++ b/crates/coordination/src/peer_server.rs
@@ -0,0 +1,100 @@
+//! Answers to the other nodes.
+
+use {
+    crate::node::Node,
+    http::{Method, Request, Response, StatusCode},
+    hyper::body::Incoming,
+    log::warn,
+    lynxwheel_protocol::{FOLD_VERSION, PeerEntries, PeerHello, PeerSnapshot, decode_message},
+    lynxwheel_state::save,
+    lynxwheel_transport::{Body, collect_body, error_answer, message_answer},
+};
+
+/// Path of the periodic message.
+pub(crate) const HELLO_PATH: &str = "/peer/hello";
+
+/// Path of the entries.
+pub(crate) const ENTRIES_PATH: &str = "/peer/entries";
+
+/// Path of the snapshot.
+pub(crate) const SNAPSHOT_PATH: &str = "/peer/snapshot";
+
+/// Bytes of a periodic message at most.
+const MAX_HELLO_BYTES: usize = 16 * 1024;
+
+impl Node {
+    /// Answers a peer's request for its state, entries or snapshot.
+    pub async fn handle_peer(&self, request: Request<Incoming>) -> Response<Body> {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, HELLO_PATH) => self.answer_hello(request).await,
+            (&Method::GET, ENTRIES_PATH) => self.answer_entries(&request),
+            (&Method::GET, SNAPSHOT_PATH) => self.answer_snapshot(),
+            _ => error_answer(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    /// Returns the message that tells peers about this node.
+    #[must_use]
+    pub fn hello(&self) -> PeerHello {
+        let state = self.state();
+        PeerHello {
+            node: self.settings().identity.node.clone(),
+            incarnation: self.incarnation(),
+            zone: self.settings().identity.zone.clone(),
+            stopping: self.peers().is_stopping(),
+            fold_version: FOLD_VERSION,
+            offset: state.offset(),
+            digest_offset: state.offset(),
+            digest: state.digest(),
+            loads: self.peers().local_loads(),
+            leaving: self.peers().local_leaving(),
+        }
+    }
+
+    /// Takes in what a peer tells.
+    pub(crate) fn note_hello(&self, hello: PeerHello) {
+        self.peers().note(hello, self.clock().now_ms());
+    }
+
+    async fn answer_hello(&self, request: Request<Incoming>) -> Response<Body> {
+        let bytes = match collect_body(request.into_body(), MAX_HELLO_BYTES).await {
+            Ok(bytes) => bytes,
+            Err(answer) => return answer,
+        };
+        match decode_message::<PeerHello>(&bytes) {
+            Ok(hello) => {
+                self.note_hello(hello);
+                message_answer(&self.hello())
+            }
+            Err(error) => error_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    fn answer_entries(&self, request: &Request<Incoming>) -> Response<Body> {
+        let query = request.uri().query().unwrap_or_default();
+        let from = query
+            .strip_prefix("from=")
+            .and_then(|from| from.parse().ok());
+        match from {
+            Some(from) => message_answer(&PeerEntries {
+                entries: self.recent().from(from),
+            }),
+            None => error_answer(StatusCode::BAD_REQUEST, "from is missing"),
+        }
+    }
+
+    fn answer_snapshot(&self) -> Response<Body> {
+        let state = self.state();
+        match save(&state) {
+            Ok(bytes) => message_answer(&PeerSnapshot {
+                offset: state.offset(),
+                digest: state.digest(),
+                bytes,
+            }),
+            Err(error) => {
+                warn!(event = "snapshot_failed", offset = state.offset(); "{error}");
+                error_answer(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string())
+            }
+        }
+    }
+}
--- a/crates/coordination/src/reader.rs
+++ b/crates/coordination/src/reader.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock::now_ms,
+        clock::Clock,
         fold::{Fold, FoldEntries},
         log_client::LogClient,
         published::Published,
@@ -23,12 +23,17 @@
 const PAUSE_MS: u64 = 200;
 
 /// Reads for as long as it is polled.
-pub(crate) async fn read_log(log: LogClient, published: Arc<Published>, fold: ActorRef<Fold>) {
+pub(crate) async fn read_log(
+    log: LogClient,
+    clock: Clock,
+    published: Arc<Published>,
+    fold: ActorRef<Fold>,
+) {
     let mut next_offset = published.load().offset() + 1;
     loop {
         match log.read(next_offset, MAX_ENTRIES, WAIT_MS).await {
             Ok(answer) => {
-                if !hand_on(answer, &mut next_offset, &published, &fold).await {
+                if !hand_on(answer, &mut next_offset, &clock, &published, &fold).await {
                     return;
                 }
             }
@@ -44,6 +49,7 @@
 async fn hand_on(
     answer: ReadAnswer,
     next_offset: &mut u64,
+    clock: &Clock,
     published: &Published,
     fold: &ActorRef<Fold>,
 ) -> bool {
@@ -52,7 +58,7 @@
             "records were trimmed before they were read");
         return false;
     }
-    published.note_read(now_ms(), answer.next_offset - 1);
+    published.note_read(clock.now_ms(), answer.next_offset - 1);
     let Some(last) = answer.entries.last() else {
         return true;
     };
--- a/crates/coordination/src/settings.rs
+++ b/crates/coordination/src/settings.rs
@@ -1,6 +1,7 @@
 //! What a node needs to know to start.
 
 use {
+    crate::clock::Clock,
     lynxwheel_protocol::{NodeName, ZoneName},
     std::net::SocketAddr,
 };
@@ -53,6 +54,8 @@
     pub rank_delay_ms: u64,
     /// Time that a VM may take for an action, in milliseconds.
     pub action_timeout_ms: u64,
+    /// Time source.
+    pub clock: Clock,
 }
 
 impl NodeSettings {
@@ -68,9 +71,17 @@
             tick_ms: 200,
             rank_delay_ms: 300,
             action_timeout_ms: 600_000,
+            clock: Clock::system(),
         }
     }
 
+    /// Sets the time source.
+    #[must_use]
+    pub fn with_clock(mut self, clock: Clock) -> Self {
+        self.clock = clock;
+        self
+    }
+
     /// Sets the other nodes.
     #[must_use]
     pub fn with_peers(mut self, mut peers: Vec<PeerAddress>) -> Self {
--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -79,6 +79,7 @@
     pub async fn start(config: &Config) -> Result<Self, DaemonError> {
         let callers = bind("callers", config.callers).await?;
         let operators = bind("operators", config.operators).await?;
+        let peers = bind("peers", config.peers_listen).await?;
         let metrics = metrics_handle();
         let stopping = Shutdown::new();
         let closing = Shutdown::new();
@@ -93,7 +94,11 @@
             stopping: stopping.clone(),
         };
         let api = Api::new(node.clone());
+        let peer_node = node.clone();
         let servers = vec![
+            tokio::spawn(peers.serve(closing.clone(), move |request| {
+                serve_peer(peer_node.clone(), request)
+            })),
             tokio::spawn(callers.serve(closing.clone(), move |request| {
                 serve_caller(gateway.clone(), health.clone(), request)
             })),
@@ -135,6 +140,7 @@
     /// connections, and the end when every request in progress is answered.
     pub async fn stop(self) {
         self.stopping.begin();
+        self.node.peers().announce_stop();
         tokio::time::sleep(self.drain).await;
         self.closing.begin();
         for server in self.servers {
@@ -227,6 +233,10 @@
     }
 }
 
+async fn serve_peer(node: Node, request: Request<Incoming>) -> Response<Body> {
+    node.handle_peer(request).await
+}
+
 async fn serve_operator(
     api: Api,
     metrics: Option<PrometheusHandle>,
--- a/crates/lynxwheel/src/dev.rs
+++ b/crates/lynxwheel/src/dev.rs
@@ -8,7 +8,7 @@
         report::{DevReport, PoolReport, RequestReport},
     },
     http::{Method, StatusCode},
-    lynxwheel_coordination::{PeerAddress, now_ms},
+    lynxwheel_coordination::{Clock, PeerAddress},
     lynxwheel_protocol::{
         Amount, Budget, Class, JobSpec, LogEntry, PoolSpec, Resource, Resources, ServiceSpec,
         TeamSpec, VmSpec, WaveAction, WaveGoal, WaveSpec,
@@ -16,7 +16,11 @@
     lynxwheel_standin::{PlatformServer, REQUEST_ID_HEADER, VmTemplate},
     lynxwheel_state::{FleetState, JobPhase, JobState, VmState},
     lynxwheel_transport::{Client, ClientRequest},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        io,
+        net::{Ipv4Addr, SocketAddr, TcpListener},
+        time::Duration,
+    },
     tokio::{task::JoinSet, time::Instant},
 };
 
@@ -57,9 +61,10 @@
         let platform = PlatformServer::start(any_port, &templates, REBOOT_MS)
             .await
             .map_err(|error| error.to_string())?;
+        let nodes = peer_addresses().map_err(|error| error.to_string())?;
         let mut daemons = Vec::new();
         for number in 1..=NODES {
-            let config = config(number, platform.address());
+            let config = config(number, platform.address(), &nodes);
             daemons.push(
                 Daemon::start(&config)
                     .await
@@ -125,7 +130,7 @@
             state.vms().len() == VMS as usize && state.vms().iter().all(VmState::is_available)
         })
         .await?;
-    let wave_ms = now_ms();
+    let wave_ms = Clock::system().now_ms();
     fleet.declare(&[wave(wave_ms)]).await?;
     let requests = serve_requests(&fleet).await;
     fleet
@@ -184,21 +189,35 @@
         .map_err(|error| error.to_string())
 }
 
-fn config(number: u32, platform: SocketAddr) -> Config {
-    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    let peers = (1..=NODES)
-        .filter(|other| *other != number)
-        .map(|other| PeerAddress {
-            node: node_name(other).as_str().into(),
-            address: any_port,
+/// Finds a free address for each node's peer listener, which the others must know beforehand.
+fn peer_addresses() -> io::Result<Vec<PeerAddress>> {
+    let listeners: Vec<TcpListener> = (0..NODES)
+        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
+        .collect::<io::Result<_>>()?;
+    (1..)
+        .zip(&listeners)
+        .map(|(number, listener)| {
+            Ok(PeerAddress {
+                node: node_name(number).as_str().into(),
+                address: listener.local_addr()?,
+            })
         })
-        .collect();
+        .collect()
+}
+
+fn config(number: u32, platform: SocketAddr, nodes: &[PeerAddress]) -> Config {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let name = node_name(number);
+    let (own, peers): (Vec<PeerAddress>, Vec<PeerAddress>) = nodes
+        .iter()
+        .cloned()
+        .partition(|peer| peer.node.as_str() == name);
     Config {
         node: node_name(number),
         zone: format!("zone-{number}"),
         callers: any_port,
         operators: any_port,
-        peers_listen: any_port,
+        peers_listen: own.first().map_or(any_port, |own| own.address),
         platform,
         stream: "fleet".into(),
         peers,
--- a/crates/lynxwheel/tests/thin_path.rs
+++ b/crates/lynxwheel/tests/thin_path.rs
@@ -91,7 +91,7 @@
             pools: vec!["maps".into()],
             action: WaveAction::Reboot,
             goal: WaveGoal::Run,
-            due_before_ms: lynxwheel_coordination::now_ms(),
+            due_before_ms: lynxwheel_coordination::Clock::system().now_ms(),
             deadline_ms: 0,
         }))
         .await;
