--- a/crates/lynxwheel/src/audit.rs
+++ b/crates/lynxwheel/src/audit.rs
@@ -1,7 +1,7 @@
 //! Judging a run from the log alone.
 
 use {
-    lynxwheel_protocol::{LogEntry, PoolName, decode_record},
+    lynxwheel_protocol::{LogEntry, PoolName, Record, RecordBody, decode_record},
     lynxwheel_state::FleetState,
 };
 
@@ -14,9 +14,22 @@
     pub lowest_available: u32,
     /// Whether the pool ever reached its floor.
     pub was_ready: bool,
+    /// VMs moved into the pool.
+    pub moved_in: u32,
 }
 
-/// Folds the log again and notes each pool's lowest availability.
+impl PoolAudit {
+    fn new(pool: &PoolName) -> Self {
+        Self {
+            pool: pool.clone(),
+            lowest_available: u32::MAX,
+            was_ready: false,
+            moved_in: 0,
+        }
+    }
+}
+
+/// Folds the log again and notes each pool's lowest availability and moves.
 ///
 /// The state after every single record is looked at, so no moment is missed.
 #[must_use]
@@ -25,25 +38,12 @@
     let mut audits: Vec<PoolAudit> = Vec::new();
     for entry in entries {
         match decode_record(&entry.bytes) {
-            Ok(record) => drop(state.apply(entry.offset, &record)),
+            Ok(record) => apply(&mut state, entry.offset, &record, &mut audits),
             Err(_) => state.skip(entry.offset),
         }
         for pool in state.pools().iter() {
             let availability = pool.availability();
-            let row = audits.binary_search_by(|audit| audit.pool.cmp(&pool.spec.name));
-            let row = row.unwrap_or_else(|row| {
-                let pool = pool.spec.name.clone();
-                audits.insert(
-                    row,
-                    PoolAudit {
-                        pool,
-                        lowest_available: u32::MAX,
-                        was_ready: false,
-                    },
-                );
-                row
-            });
-            let audit = &mut audits[row];
+            let audit = audit_of(&mut audits, &pool.spec.name);
             audit.was_ready |= availability.available >= availability.floor;
             if audit.was_ready {
                 audit.lowest_available = audit.lowest_available.min(availability.available);
@@ -52,3 +52,23 @@
     }
     audits
 }
+
+fn apply(state: &mut FleetState, offset: u64, record: &Record, audits: &mut Vec<PoolAudit>) {
+    let is_accepted = state.apply(offset, record).is_accepted();
+    if let RecordBody::HandOver { vm, .. } = &record.body
+        && is_accepted
+        && let Some(vm) = state.vms().get(vm.as_str())
+    {
+        audit_of(audits, &vm.pool).moved_in += 1;
+    }
+}
+
+fn audit_of<'a>(audits: &'a mut Vec<PoolAudit>, pool: &PoolName) -> &'a mut PoolAudit {
+    let row = audits
+        .binary_search_by(|audit| audit.pool.cmp(pool))
+        .unwrap_or_else(|row| {
+            audits.insert(row, PoolAudit::new(pool));
+            row
+        });
+    &mut audits[row]
+}
--- a/crates/lynxwheel/src/dev.rs
+++ b/crates/lynxwheel/src/dev.rs
@@ -51,6 +51,12 @@
 /// Pools with their floors.
 const POOLS: [(&str, u32); 2] = [("notices", 4), ("billing", 3)];
 
+/// VM that is moved while the wave runs.
+const MOVED_VM: &str = "vm-0";
+
+/// Pool that it is moved to.
+const MOVE_TARGET: &str = "billing";
+
 /// A platform and nodes in this process.
 struct Fleet {
     platform: PlatformServer,
@@ -147,13 +153,21 @@
         })
         .await?;
     let wave_ms = Clock::system().now_ms();
-    fleet.declare(&[wave(wave_ms)]).await?;
+    fleet.declare(&[wave(wave_ms), moved_vm()]).await?;
     let requests = serve_requests(&fleet).await;
     fleet
         .wait_until("the wave is complete", |state| {
             is_wave_complete(state, wave_ms)
         })
         .await?;
+    fleet
+        .wait_until("the VM is moved", |state| {
+            state
+                .vms()
+                .get(MOVED_VM)
+                .is_some_and(|vm| vm.pool.as_str() == MOVE_TARGET)
+        })
+        .await?;
     fleet
         .wait_until("every job has its answer", |state| {
             state.jobs().iter().all(JobState::is_final)
@@ -317,6 +331,14 @@
     })
 }
 
+/// Declares a VM of the first pool into the second.
+fn moved_vm() -> Resource {
+    Resource::Vm(VmSpec {
+        name: MOVED_VM.into(),
+        pool: MOVE_TARGET.into(),
+    })
+}
+
 fn is_wave_complete(state: &FleetState, wave_ms: u64) -> bool {
     state
         .vms()
@@ -416,7 +438,7 @@
             promised: pool.floor(),
             lowest: audit.lowest_available,
             roll_out_ms: last_ms.saturating_sub(wave_ms),
-            vm_moves: 0,
+            vm_moves: audit.moved_in,
             job_moves: jobs.map(|job| job.attempts.saturating_sub(1)).sum(),
         });
     }
