Second attempts get the first one's answer, on any node

Cause: a second attempt of a key was told only that the key is taken, a caller that hung up left its key pending for good, and an intent that the log applied late burned its key although nothing had run.

A node withdraws an intent that it never dispatched once it has come back. Only the run that announced a request may end its key. Keys that tell their time (version 7 UUID or lynxwheel-issued-ms) are refused once they may be forgotten.

Ruled out: proposing an outcome again when its append is unknown, since the second copy could end a later intent of the same key; the appender sends it until it is back.

Each test seen failing with its guard out: - withdraw: 409 key_pending instead of 200, for good - later run of the holder: 409 instead of 502 - task of its own: key_pending instead of the answer - asking the holder: key_pending instead of the answer - broken body taken as whole: 200 instead of 502 - age check: request ran - outcome of another run in the fold: the key was freed

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -1,7 +1,10 @@
 //! What a caller's request says about itself.
 
 use {
-    crate::refusal::{Refusal, RefusalReason},
+    crate::{
+        key_age::uuid_v7_ms,
+        refusal::{Refusal, RefusalReason},
+    },
     http::{HeaderMap, Method, request::Parts},
     lynxwheel_protocol::{Class, RequestKey},
     xxhash_rust::xxh3::{xxh3_64, xxh3_128},
@@ -10,6 +13,9 @@
 /// Header that names a non-idempotent request, so that it runs at most once.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
+/// Header with the time at which the key was first used, in milliseconds since the epoch.
+pub const ISSUED_HEADER: &str = "lynxwheel-issued-ms";
+
 /// Header with the time that the caller waits, in milliseconds.
 pub const DEADLINE_HEADER: &str = "lynxwheel-deadline-ms";
 
@@ -46,6 +52,8 @@
     pub deadline_ms: Option<u64>,
     /// Idempotency key.
     pub key: Option<String>,
+    /// When the key was first used, in milliseconds since the epoch, if the caller tells.
+    pub issued_ms: Option<u64>,
 }
 
 impl CallerRequest {
@@ -68,14 +76,7 @@
                 Class::from_text(&name).ok_or_else(|| bad(CLASS_HEADER, "no such class"))?
             }
         };
-        let deadline_ms = match text(&parts.headers, DEADLINE_HEADER)? {
-            None => None,
-            Some(number) => Some(
-                number
-                    .parse()
-                    .map_err(|_| bad(DEADLINE_HEADER, "must be a whole number"))?,
-            ),
-        };
+        let deadline_ms = number(&parts.headers, DEADLINE_HEADER)?;
         let key = text(&parts.headers, IDEMPOTENCY_KEY_HEADER)?;
         if key
             .as_ref()
@@ -83,6 +84,10 @@
         {
             return Err(bad(IDEMPOTENCY_KEY_HEADER, "must have 1 to 255 characters"));
         }
+        let issued_ms = match number(&parts.headers, ISSUED_HEADER)? {
+            Some(issued_ms) => Some(issued_ms),
+            None => key.as_deref().and_then(uuid_v7_ms),
+        };
         Ok(Self {
             service: service.to_owned(),
             path: format!("/{rest}{query}"),
@@ -93,6 +98,7 @@
             class,
             deadline_ms,
             key,
+            issued_ms,
         })
     }
 
@@ -130,6 +136,16 @@
         .transpose()
 }
 
+fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, Refusal> {
+    text(headers, name)?
+        .map(|number| {
+            number
+                .parse()
+                .map_err(|_| bad(name, "must be a whole number"))
+        })
+        .transpose()
+}
+
 fn bad(header: &str, reason: &str) -> Refusal {
     Refusal::not_run(
         RefusalReason::BadRequest,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,15 +17,23 @@
 //! # }
 //! ```
 
+mod answers;
 mod caller_request;
 mod dispatch;
 mod endpoints;
 mod gateway;
+mod intents;
+mod key_age;
+mod keys;
+mod peers;
 mod refusal;
 
+pub use answers::{KeptAnswer, KeptHeader};
 pub use caller_request::{
-    CLASS_HEADER, CallerRequest, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER,
-    TEAM_HEADER,
+    CLASS_HEADER, CallerRequest, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, ISSUED_HEADER,
+    REQUEST_ID_HEADER, TEAM_HEADER,
 };
 pub use gateway::Gateway;
+pub use key_age::{KeyAge, key_age, uuid_v7_ms};
+pub use peers::{PEER_ANSWER_PATH, PeerAnswer, PeerAnswerRequest};
 pub use refusal::{DID_NOT_RUN_HEADER, Refusal, RefusalReason};
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,14 +3,14 @@
 use {
     http::{HeaderValue, Response, StatusCode, header},
     lynxwheel_transport::{Body, json_answer},
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
 };
 
 /// Answer header that is set only when the request is proven not to have run.
 pub const DID_NOT_RUN_HEADER: &str = "lynxwheel-did-not-run";
 
 /// Why a request is refused.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// The request is malformed.
@@ -29,6 +29,8 @@
     KeyPending,
     /// The key's request ran; its answer is not kept here.
     KeyEnded,
+    /// The key is older than keys are kept.
+    KeyTooOld,
     /// No more keys can be kept now.
     KeysFull,
     /// The request may have run; it is not run again.
@@ -48,7 +50,7 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::KeyPending | Self::KeyEnded => StatusCode::CONFLICT,
+            Self::KeyPending | Self::KeyEnded | Self::KeyTooOld => StatusCode::CONFLICT,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -56,7 +58,7 @@
 }
 
 /// A refusal as the caller gets it.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Refusal {
     /// Reason.
     pub reason: RefusalReason,
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,286 @@
+//! A small fleet in this process: a platform and nodes with their request paths.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use {
+    http::{Method, StatusCode},
+    lynxwheel_coordination::{Duties, Node, NodeIdentity, NodeSettings, PeerAddress},
+    lynxwheel_gateway::{Gateway, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER},
+    lynxwheel_protocol::{
+        Amount, Budget, PoolSpec, RecordBody, Resource, ServiceSpec, VmPhase, VmSpec,
+    },
+    lynxwheel_standin::{PlatformServer, RunEntry, VmTemplate},
+    lynxwheel_transport::{Answer, Client, ClientRequest, Server, Shutdown, TransportError},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::runtime::{Builder, Runtime},
+};
+
+/// Time within which anything waited for must happen; far above what it takes.
+pub const LIMIT: Duration = Duration::from_mins(1);
+
+/// Name of the one service and its pool.
+pub const SERVICE: &str = "renewals";
+
+/// What a test may change of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetOptions {
+    pub nodes: usize,
+    pub vms: u32,
+    pub propose_timeout_ms: u64,
+    pub deadline_ms: u64,
+    pub team_rate_per_s: u32,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            nodes: 2,
+            vms: 3,
+            propose_timeout_ms: 3_000,
+            deadline_ms: 10_000,
+            team_rate_per_s: 0,
+        }
+    }
+}
+
+/// A node on a runtime of its own, so that it can be killed.
+pub struct TestNode {
+    pub node: Node,
+    pub gateway: Gateway,
+    pub callers: Client,
+    shutdown: Shutdown,
+    runtime: Option<Runtime>,
+    _duties: Duties,
+}
+
+impl TestNode {
+    fn start(settings: NodeSettings, peer_address: SocketAddr) -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("runtime");
+        let shutdown = Shutdown::new();
+        let (node, duties) = {
+            let _entered = runtime.enter();
+            Node::start(settings, &shutdown)
+        };
+        let gateway = Gateway::new(node.clone());
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let callers = runtime.block_on(Server::bind(any_port)).expect("bind");
+        let peers = runtime.block_on(Server::bind(peer_address)).expect("bind");
+        let address = callers.local_addr().expect("address");
+        let serving = gateway.clone();
+        runtime.spawn(callers.serve(shutdown.clone(), move |request| {
+            serving.clone().handle(request)
+        }));
+        let serving = gateway.clone();
+        runtime.spawn(peers.serve(shutdown.clone(), move |request| {
+            serving.clone().peer_answer(request)
+        }));
+        Self {
+            node,
+            gateway,
+            callers: Client::new(address, 1_024),
+            shutdown,
+            runtime: Some(runtime),
+            _duties: duties,
+        }
+    }
+
+    /// Sends a request.
+    pub async fn call(&self, request: &ClientRequest) -> Result<Answer, TransportError> {
+        self.callers.call(request, LIMIT).await
+    }
+
+    /// Ends the node's tasks where they stand.
+    pub fn kill(&mut self) {
+        self.shutdown.begin();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A platform with nodes, and one declared service.
+pub struct Fleet {
+    pub platform: PlatformServer,
+    pub nodes: Vec<TestNode>,
+    settings: Vec<NodeSettings>,
+    peer_addresses: Vec<SocketAddr>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every VM is in service on every node.
+    pub async fn start(options: FleetOptions) -> Self {
+        let templates: Vec<VmTemplate> = (0..options.vms).map(VmTemplate::numbered).collect();
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = PlatformServer::start(any_port, &templates, 100)
+            .await
+            .expect("platform");
+        let peer_addresses = free_addresses(options.nodes);
+        let settings: Vec<NodeSettings> = (0..options.nodes)
+            .map(|own| node_settings(own, &peer_addresses, platform.address(), &options))
+            .collect();
+        let nodes = start_nodes(settings.clone(), peer_addresses.clone()).await;
+        let fleet = Self {
+            platform,
+            nodes,
+            settings,
+            peer_addresses,
+        };
+        fleet.declare(&options).await;
+        fleet
+    }
+
+    /// Starts a killed node again.
+    pub async fn restart(&mut self, row: usize) {
+        let settings = vec![self.settings[row].clone()];
+        let addresses = vec![self.peer_addresses[row]];
+        let node = start_nodes(settings, addresses).await.remove(0);
+        let incarnation = node.node.incarnation();
+        self.nodes[row] = node;
+        for other in &self.nodes {
+            wait_until("the new run is known", || {
+                other.node.state().writers().get(incarnation).is_some()
+            })
+            .await;
+        }
+    }
+
+    /// Returns what the endpoints ran with `key`.
+    pub fn runs(&self, key: &str) -> Vec<RunEntry> {
+        let runs = self.platform.runs();
+        runs.into_iter().filter(|run| run.key == key).collect()
+    }
+
+    async fn declare(&self, options: &FleetOptions) {
+        let node = &self.nodes[0].node;
+        let mut resources = vec![
+            Resource::Pool(PoolSpec {
+                name: SERVICE.into(),
+                size: options.vms,
+                budget: Budget {
+                    min_available: Amount::Count(0),
+                    zones_at_once: 3,
+                },
+            }),
+            Resource::Service(ServiceSpec {
+                name: SERVICE.into(),
+                pool: SERVICE.into(),
+                slots_per_endpoint: 8,
+                connections_per_endpoint: 64,
+                deadline_ms: options.deadline_ms,
+                team_rate_per_s: options.team_rate_per_s,
+            }),
+        ];
+        resources.extend((0..options.vms).map(|vm| {
+            Resource::Vm(VmSpec {
+                name: format!("vm-{vm}").into(),
+                pool: SERVICE.into(),
+            })
+        }));
+        for resource in resources {
+            let body = RecordBody::Put {
+                resource: Box::new(resource),
+                if_revision: None,
+            };
+            wait_accepted(node, body).await;
+        }
+        for node in &self.nodes {
+            wait_until("all VMs are live", || {
+                let state = node.node.state();
+                let live = state.vms().iter().filter(|vm| vm.phase == VmPhase::Live);
+                live.count() == options.vms as usize
+            })
+            .await;
+        }
+    }
+}
+
+async fn wait_accepted(node: &Node, body: RecordBody) {
+    let until = Instant::now() + LIMIT;
+    while !node.proposer().is_accepted(body.clone()).await {
+        assert!(Instant::now() < until, "no record is accepted");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn start_nodes(settings: Vec<NodeSettings>, addresses: Vec<SocketAddr>) -> Vec<TestNode> {
+    // A runtime must not be built or blocked on within another one.
+    tokio::task::spawn_blocking(move || {
+        settings
+            .into_iter()
+            .zip(addresses)
+            .map(|(settings, address)| TestNode::start(settings, address))
+            .collect()
+    })
+    .await
+    .expect("nodes")
+}
+
+fn node_settings(
+    own: usize,
+    peer_addresses: &[SocketAddr],
+    platform: SocketAddr,
+    options: &FleetOptions,
+) -> NodeSettings {
+    let name = |row: usize| format!("node-{row}");
+    let peers = peer_addresses
+        .iter()
+        .enumerate()
+        .filter(|(row, _)| *row != own)
+        .map(|(row, address)| PeerAddress {
+            node: name(row).as_str().into(),
+            address: *address,
+        })
+        .collect();
+    let zone = format!("zone-{}", own % 3 + 1);
+    let identity = NodeIdentity::new(&name(own), &zone);
+    let mut settings = NodeSettings::new(identity, platform).with_peers(peers);
+    settings.propose_timeout_ms = options.propose_timeout_ms;
+    settings.tick_ms = 50;
+    settings
+}
+
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<std::net::TcpListener> = (0..count)
+        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("bind"))
+        .collect();
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("address"))
+        .collect()
+}
+
+/// Waits until `holds`, and fails after [`LIMIT`].
+pub async fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < until, "not within {LIMIT:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Returns a non-idempotent request with a key.
+pub fn renewal(key: &str, query: &str) -> ClientRequest {
+    ClientRequest::new(Method::POST, format!("/{SERVICE}/renew?{query}"))
+        .with_header(IDEMPOTENCY_KEY_HEADER, key)
+        .with_header(REQUEST_ID_HEADER, key)
+}
+
+/// Checks that an answer is whole and that of the request with this id.
+pub fn assert_own(answer: &Answer, id: &str) {
+    let text = String::from_utf8_lossy(&answer.body);
+    assert_eq!(answer.status, StatusCode::OK, "{text}");
+    assert!(text.starts_with(&format!("request={id} ")), "{text}");
+}
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -80,7 +80,7 @@
     };
     tokio::time::sleep(Duration::from_millis(number(&query, "ms"))).await;
     if number(&query, "break") == 1 {
-        return broken_answer();
+        return broken_answer(number(&query, "size"));
     }
     let response = answer(&vm, &request_id, &body.to_bytes(), number(&query, "size"));
     shared.complete(run);
@@ -194,9 +194,11 @@
     BodyExt::boxed_unsync(http_body_util::StreamBody::new(Frames { frames }))
 }
 
-fn broken_answer() -> Response<Body> {
+/// Breaks off after `size` bytes; the head goes out with them when they are many.
+fn broken_answer(size: u64) -> Response<Body> {
+    let part = vec![b'.'; usize::try_from(size).unwrap_or(0)];
     let frames = [
-        Ok(hyper::body::Frame::data(Bytes::from_static(b"part"))),
+        Ok(hyper::body::Frame::data(Bytes::from(part))),
         Err(BodyError::Broken {
             reason: "cut".into(),
         }),
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -293,7 +293,9 @@
                 };
                 self.intend(entry)
             }
-            RecordBody::Outcome { key, outcome } => self.keys.end(*key, *outcome),
+            RecordBody::Outcome { key, outcome } => {
+                self.keys.end(*key, *outcome, record.id.incarnation)
+            }
         }
     }
 
--- a/crates/state/src/keys.rs
+++ b/crates/state/src/keys.rs
@@ -101,10 +101,13 @@
         Verdict::Accepted
     }
 
-    /// Ends a pending key.
-    pub fn end(&mut self, key: RequestKey, outcome: KeyOutcome) -> Verdict {
+    /// Ends a pending key that the run `incarnation` holds.
+    ///
+    /// Only the run that announced a request knows what became of it. A late outcome of another
+    /// run would free a key whose request is running, and a renewal would be charged twice.
+    pub fn end(&mut self, key: RequestKey, outcome: KeyOutcome, incarnation: u64) -> Verdict {
         match self.rows.get_mut(&key) {
-            Some(entry) if entry.state == KeyState::Pending => {
+            Some(entry) if entry.state == KeyState::Pending && entry.incarnation == incarnation => {
                 entry.state = KeyState::Ended(outcome);
                 Verdict::Accepted
             }
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -1,9 +1,15 @@
 //! Bodies of requests and answers.
 
 use {
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody},
-    std::{convert::Infallible, error, fmt},
+    hyper::body::{Body as HttpBody, Frame, SizeHint},
+    std::{
+        convert::Infallible,
+        error, fmt,
+        pin::Pin,
+        task::{Context, Poll},
+    },
 };
 
 /// Break of a body before its end.
@@ -55,3 +61,71 @@
 fn never(error: Infallible) -> BodyError {
     match error {}
 }
+
+/// A body as far as it was read.
+#[derive(Debug)]
+pub enum Gathered {
+    /// The whole body.
+    Whole(Bytes),
+    /// More than was to be read: what was read and the rest, as one body.
+    Longer(Body),
+}
+
+/// Reads a body into memory, but not more than about `limit_bytes` of it.
+///
+/// # Errors
+///
+/// Fails when the body breaks off before.
+pub async fn gather_body(mut body: Body, limit_bytes: usize) -> Result<Gathered, BodyError> {
+    let mut read = BytesMut::new();
+    while read.len() <= limit_bytes {
+        let Some(frame) = body.frame().await else {
+            return Ok(Gathered::Whole(read.freeze()));
+        };
+        if let Ok(data) = frame?.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+    let joined = Joined {
+        first: Some(read.freeze()),
+        rest: body,
+    };
+    Ok(Gathered::Longer(joined.boxed_unsync()))
+}
+
+/// Bytes that were read ahead, then the rest of their body.
+#[derive(Debug)]
+struct Joined {
+    first: Option<Bytes>,
+    rest: Body,
+}
+
+impl HttpBody for Joined {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match self.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+            None => Pin::new(&mut self.rest).poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let read = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + read);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + read);
+        }
+        hint
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -18,7 +18,7 @@
 mod error;
 mod server;
 
-pub use body::{Body, BodyError, empty_body, full_body};
+pub use body::{Body, BodyError, Gathered, empty_body, full_body, gather_body};
 pub use client::{Answer, Client, ClientRequest, Clients};
 pub use error::{Step, TransportError};
 pub use server::{
