Decisions: ramped waves, claims by readiness, tiers of VMs for placement

Cause: one claim a pool and round, claims on busy VMs that charged the budget while jobs ran out, first fit, no undo, no takeover, no final answers.

A VM loses its jobs at the same pace whether it is claimed or only kept free of new starts, but only the claim charges the budget. So the next VMs of a wave are kept free of new starts, and a VM is claimed when it is or will soon be empty. Jobs that can be checkpointed are moved when they outlast the patience that the weights give; they land on VMs that no wave takes any more.

A wave's room starts at a share of its VMs and grows by one for each VM done; it halts on failures that have a rack, a pool or the wave in common. Drains are undone when the pool falls below its floor, the wave stops or the move is no longer declared. Claims and attempts of holders that are gone are taken over.

The fold checks once more at Begin that the wave still runs and that no attempt is on the VM, refuses a hand-over of a VM with attempts, and takes a new life's evidence as proof of success. A start names the VM's life and a latest time, so that a worker refuses it after a reboot or from a holder that was paused.

Ruled out: a fixed batch by the budget, which waits for the slowest drain of each batch; claims that wait for long jobs, which hold the budget for nothing.

--- a/crates/coordination/src/actions.rs
+++ b/crates/coordination/src/actions.rs
@@ -3,6 +3,7 @@
 use {
     crate::{clock::now_ms, node::Node},
     log::{info, warn},
+    lynxwheel_decisions::{ClaimReview, ClaimStep as Step, ReleaseReason, review_claims},
     lynxwheel_protocol::{ActionRequest, ClaimPurpose, RecordBody, VmAction, VmName, VmPhase},
     lynxwheel_state::{Claim, ClaimStage, VmState},
     lynxwheel_transport::Client,
@@ -27,13 +28,15 @@
     let mut offsets = node.published().offsets();
     loop {
         let state = node.state();
+        let reviews = review_claims(&state, &node.live_nodes());
         let mut steps = JoinSet::new();
         for vm in state.vms().iter() {
             let Some(claim) = &vm.claim else {
                 continue;
             };
             if claim.holder == node.settings().identity.node {
-                let step = ClaimStep::new(&node, &platform, vm, claim);
+                let release = release_reason(&reviews, &vm.name);
+                let step = ClaimStep::new(&node, &platform, vm, claim).with_release(release);
                 steps.spawn(step.take());
             }
         }
@@ -42,6 +45,15 @@
     }
 }
 
+/// Returns why the claim on a VM is to be given back; reviews are few.
+fn release_reason(reviews: &[ClaimReview], vm: &VmName) -> Option<ReleaseReason> {
+    let review = reviews.iter().find(|review| review.vm == *vm)?;
+    match review.step {
+        Step::Release(reason) => Some(reason),
+        Step::TakeOver => None,
+    }
+}
+
 /// Endpoint's own word on its load.
 #[derive(Clone, Debug, Deserialize)]
 struct Load {
@@ -54,6 +66,7 @@
     platform: Client,
     vm: VmState,
     claim: Claim,
+    release: Option<ReleaseReason>,
 }
 
 impl ClaimStep {
@@ -63,16 +76,22 @@
             platform: platform.clone(),
             vm: vm.clone(),
             claim: claim.clone(),
+            release: None,
         }
     }
 
+    /// Gives the claim back for `release` in place of its next step.
+    fn with_release(mut self, release: Option<ReleaseReason>) -> Self {
+        self.release = release;
+        self
+    }
+
     async fn take(self) {
+        if let Some(reason) = self.release {
+            self.release(reason.as_str()).await;
+            return;
+        }
         match (&self.claim.purpose, self.claim.stage) {
-            (ClaimPurpose::Move(target), ClaimStage::Draining)
-                if self.vm.wanted_pool != *target =>
-            {
-                self.release("move_not_wanted").await;
-            }
             (ClaimPurpose::Move(_), _) => {
                 if self.drain().await && self.is_idle().await {
                     self.hand_over().await;
@@ -98,11 +117,8 @@
             return true;
         }
         let state = self.node.state();
-        let has_attempt = state.jobs().iter().any(|job| {
-            job.attempt
-                .as_ref()
-                .is_some_and(|run| run.vm == self.vm.name)
-        });
+        let vm = state.vms().get(self.vm.name.as_str());
+        let has_attempt = vm.is_some_and(|vm| !vm.attempts.is_empty());
         if has_attempt {
             return false;
         }
@@ -182,30 +198,43 @@
         is_back
     }
 
+    /// Gives the VM to its new pool.
+    ///
+    /// The drain is undone first: nothing is sent to a claimed VM, and a node that dies between
+    /// the two steps leaves a claim that another one takes over, not a VM that counts as
+    /// available and takes no work.
     async fn hand_over(&self) {
+        if !self.undrain().await {
+            return;
+        }
         let body = RecordBody::HandOver {
             vm: self.vm.name.clone(),
             fence: self.claim.fence,
         };
         if self.node.proposer().is_accepted(body).await {
             self.log_step("handed_over");
-            self.call(VmAction::Undrain, now_ms() + ACTION_WINDOW_MS)
-                .await;
         }
     }
 
+    /// Gives the claim back; the drain is undone first for the same reason as at a hand-over.
     async fn release(&self, reason: &str) {
+        if !self.undrain().await {
+            return;
+        }
         let body = RecordBody::Release {
             vm: self.vm.name.clone(),
             fence: self.claim.fence,
         };
         if self.node.proposer().is_accepted(body).await {
             self.log_step(reason);
-            self.call(VmAction::Undrain, now_ms() + ACTION_WINDOW_MS)
-                .await;
         }
     }
 
+    async fn undrain(&self) -> bool {
+        self.call(VmAction::Undrain, now_ms() + ACTION_WINDOW_MS)
+            .await
+    }
+
     async fn call(&self, action: VmAction, not_after_ms: u64) -> bool {
         let request = ActionRequest {
             action,
--- a/crates/coordination/src/planner.rs
+++ b/crates/coordination/src/planner.rs
@@ -1,79 +1,179 @@
-//! Planning: proposing claims and starts when it is this node's turn.
+//! Planning: proposing claims, starts and final answers when it is this node's turn.
 
 use {
-    crate::node::Node,
+    crate::{clock::now_ms, node::Node},
     log::info,
-    lynxwheel_decisions::{plan_claims, plan_placements, rendezvous_rank},
-    lynxwheel_protocol::RecordBody,
-    std::time::Duration,
-    tokio::task::JoinSet,
+    lynxwheel_decisions::{
+        ClaimStep, plan_claims, plan_give_ups, plan_placements, plan_quarantines, rendezvous_rank,
+        review_claims,
+    },
+    lynxwheel_protocol::{NodeName, RecordBody},
+    lynxwheel_state::FleetState,
+    std::{sync::Arc, time::Duration},
+    tokio::{task::JoinSet, time::Instant},
 };
 
 /// Starts proposed in one round at most.
 const MAX_STARTS: usize = 256;
 
+/// Time between rounds without news, in milliseconds: drains end and patience runs out by time.
+const QUIET_ROUND_MS: u64 = 1_000;
+
 /// Plans for as long as it is polled.
 pub(crate) async fn plan(node: Node) {
     let mut offsets = node.published().offsets();
     let tick = Duration::from_millis(node.settings().tick_ms);
+    let quiet = Duration::from_millis(QUIET_ROUND_MS);
+    let mut planned_offset = None;
+    let mut planned_at = Instant::now();
     loop {
-        if node.is_current() {
-            let mut proposals = JoinSet::new();
-            propose_claims(&node, &mut proposals);
-            propose_starts(&node, &mut proposals);
-            proposals.join_all().await;
+        let offset = Some(node.state().offset());
+        let is_due = offset != planned_offset || planned_at.elapsed() >= quiet;
+        if is_due && node.is_current() {
+            planned_offset = offset;
+            planned_at = Instant::now();
+            let mut round = Round::new(&node);
+            round.take_over();
+            round.propose_claims();
+            round.propose_placements();
+            round.propose_verdicts();
+            round.proposals.join_all().await;
         }
         // Either news or the tick starts the next round.
         drop(tokio::time::timeout(tick, offsets.changed()).await);
     }
 }
 
-fn is_first(node: &Node, subject: &str) -> bool {
-    rendezvous_rank(subject, &node.settings().identity.node, &node.live_nodes()) == 0
+/// One round of planning on one state.
+struct Round<'a> {
+    node: &'a Node,
+    nodes: Vec<NodeName>,
+    state: Arc<FleetState>,
+    now_ms: u64,
+    proposals: JoinSet<bool>,
 }
 
-fn propose_claims(node: &Node, proposals: &mut JoinSet<bool>) {
-    let state = node.state();
-    for plan in plan_claims(&state) {
-        let Some(vm) = state.vms().get(plan.vm.as_str()) else {
-            continue;
-        };
-        if !is_first(node, vm.pool.as_str()) {
-            continue;
+impl<'a> Round<'a> {
+    fn new(node: &'a Node) -> Self {
+        Self {
+            node,
+            nodes: node.live_nodes(),
+            state: node.state(),
+            now_ms: now_ms(),
+            proposals: JoinSet::new(),
         }
-        info!(event = "placement", decision = "claim", vm = plan.vm.as_str(),
-            reason = plan.reason.as_str(), offset = state.offset(); "");
-        let holder = node.settings().identity.node.clone();
-        let body = RecordBody::Claim {
-            vm: plan.vm,
-            purpose: plan.purpose,
-            holder,
-        };
-        let proposer = node.proposer().clone();
-        proposals.spawn(async move { proposer.is_accepted(body).await });
     }
-}
 
-fn propose_starts(node: &Node, proposals: &mut JoinSet<bool>) {
-    let state = node.state();
-    for placement in plan_placements(&state, MAX_STARTS) {
-        let Some(job) = state.jobs().get(placement.job.as_str()) else {
-            continue;
-        };
-        if !is_first(node, job.spec.pool.as_str()) {
-            continue;
+    /// Tells whether this node speaks first for `subject`.
+    fn is_first(&self, subject: &str) -> bool {
+        rendezvous_rank(subject, &self.node.settings().identity.node, &self.nodes) == 0
+    }
+
+    fn is_first_for_job(&self, name: &str) -> bool {
+        let job = self.state.jobs().get(name);
+        job.is_some_and(|job| self.is_first(job.spec.pool.as_str()))
+    }
+
+    fn is_first_for_vm(&self, name: &str) -> bool {
+        let vm = self.state.vms().get(name);
+        vm.is_some_and(|vm| self.is_first(vm.pool.as_str()))
+    }
+
+    fn holder(&self) -> NodeName {
+        self.node.settings().identity.node.clone()
+    }
+
+    fn propose(&mut self, body: RecordBody) {
+        let proposer = self.node.proposer().clone();
+        self.proposals
+            .spawn(async move { proposer.is_accepted(body).await });
+    }
+
+    /// Takes over the claims of holders that are gone, which would stay charged for ever.
+    fn take_over(&mut self) {
+        for review in review_claims(&self.state, &self.nodes) {
+            if review.step != ClaimStep::TakeOver || !self.is_first_for_vm(review.vm.as_str()) {
+                continue;
+            }
+            info!(event = "placement", decision = "take_over", vm = review.vm.as_str(),
+                reason = "holder_gone", fence = review.fence, offset = self.state.offset(); "");
+            self.propose(RecordBody::TakeOver {
+                vm: review.vm,
+                fence: review.fence,
+                holder: self.holder(),
+            });
+        }
+    }
+
+    fn propose_claims(&mut self) {
+        for plan in plan_claims(&self.state, self.now_ms) {
+            if !self.is_first_for_vm(plan.vm.as_str()) {
+                continue;
+            }
+            info!(event = "placement", decision = "claim", vm = plan.vm.as_str(),
+                reason = plan.reason.as_str(), wait_ms = plan.drain.wait_ms,
+                job_moves = plan.drain.moves, offset = self.state.offset(); "");
+            self.propose(RecordBody::Claim {
+                vm: plan.vm,
+                purpose: plan.purpose,
+                holder: self.holder(),
+            });
+        }
+    }
+
+    fn propose_placements(&mut self) {
+        let plan = plan_placements(&self.state, self.now_ms, MAX_STARTS);
+        for stop in plan.stops {
+            if !self.is_first_for_job(stop.job.as_str()) {
+                continue;
+            }
+            info!(event = "placement", decision = "stop", job = stop.job.as_str(),
+                reason = "room_for_urgent", offset = self.state.offset(); "");
+            self.propose(RecordBody::Stop {
+                job: stop.job,
+                attempt: stop.attempt,
+            });
+        }
+        for start in plan.starts {
+            if !self.is_first_for_job(start.job.as_str()) {
+                continue;
+            }
+            info!(event = "placement", decision = "start", job = start.job.as_str(),
+                vm = start.vm.as_str(), reason = start.reason.as_str(),
+                offset = self.state.offset(); "");
+            self.propose(RecordBody::Start {
+                job: start.job,
+                attempt: start.attempt,
+                vm: start.vm,
+                reserved: start.reserved,
+                holder: self.holder(),
+            });
+        }
+    }
+
+    fn propose_verdicts(&mut self) {
+        for plan in plan_give_ups(&self.state, self.now_ms) {
+            if !self.is_first_for_job(plan.job.as_str()) {
+                continue;
+            }
+            let reason = plan.reason.to_string();
+            info!(event = "placement", decision = "give_up", job = plan.job.as_str(),
+                reason = reason.as_str(), offset = self.state.offset(); "");
+            self.propose(RecordBody::GiveUp {
+                job: plan.job,
+                reason: reason.into(),
+            });
+        }
+        for plan in plan_quarantines(&self.state) {
+            if !self.is_first_for_vm(plan.vm.as_str()) {
+                continue;
+            }
+            info!(event = "placement", decision = "quarantine", vm = plan.vm.as_str(),
+                reason = "fails_what_runs_elsewhere", offset = self.state.offset(); "");
+            self.propose(RecordBody::Quarantine {
+                vm: plan.vm,
+                until_ms: plan.until_ms,
+            });
         }
-        info!(event = "placement", decision = "start", job = placement.job.as_str(),
-            vm = placement.vm.as_str(), reason = placement.reason.as_str(),
-            offset = state.offset(); "");
-        let body = RecordBody::Start {
-            job: placement.job,
-            attempt: placement.attempt,
-            vm: placement.vm,
-            reserved: placement.reserved,
-            holder: node.settings().identity.node.clone(),
-        };
-        let proposer = node.proposer().clone();
-        proposals.spawn(async move { proposer.is_accepted(body).await });
     }
 }
--- a/crates/coordination/src/tasks.rs
+++ b/crates/coordination/src/tasks.rs
@@ -3,7 +3,10 @@
 use {
     crate::node::Node,
     log::{info, warn},
-    lynxwheel_protocol::{JobOutcome, RecordBody, TaskReport, TaskStart, TaskState, VmPhase},
+    lynxwheel_decisions::rendezvous_rank,
+    lynxwheel_protocol::{
+        JobOutcome, NodeName, RecordBody, TaskReport, TaskStart, TaskState, VmPhase,
+    },
     lynxwheel_state::{Attempt, JobState, TASK_LEASE_MS},
     lynxwheel_transport::{Client, TransportError},
     std::time::Duration,
@@ -26,12 +29,13 @@
     let mut offsets = node.published().offsets();
     loop {
         let state = node.state();
+        let nodes = node.live_nodes();
         let mut steps = JoinSet::new();
         for job in state.jobs().iter() {
             let Some(attempt) = &job.attempt else {
                 continue;
             };
-            if attempt.holder == node.settings().identity.node {
+            if is_own(&node, &nodes, job, attempt) {
                 let step = TaskStep {
                     node: node.clone(),
                     platform: platform.clone(),
@@ -46,6 +50,18 @@
     }
 }
 
+/// Tells whether this node watches an attempt: as its holder, or in place of one that is gone.
+///
+/// Without a successor the lease of a running job would lapse and its run be lost.
+fn is_own(node: &Node, nodes: &[NodeName], job: &JobState, attempt: &Attempt) -> bool {
+    let own = &node.settings().identity.node;
+    if attempt.holder == *own {
+        return true;
+    }
+    let is_gone = nodes.binary_search(&attempt.holder).is_err();
+    is_gone && rendezvous_rank(job.spec.pool.as_str(), own, nodes) == 0
+}
+
 /// Next step of one attempt.
 struct TaskStep {
     node: Node,
@@ -87,6 +103,10 @@
     }
 
     /// Starts the attempt; a worker that knows it already renews its lease instead.
+    ///
+    /// The worker refuses a start for an earlier life of its VM, which ran the attempt once and
+    /// forgot it, and one that comes too late: a holder that was paused for longer than the
+    /// attempt took to count as lost would start it beside its successor.
     async fn start(&self) -> Result<bool, TransportError> {
         let start = TaskStart {
             job: self.job.spec.name.clone(),
@@ -94,6 +114,8 @@
             reserved: self.attempt.reserved,
             run_time_ms: self.job.spec.run_time_ms,
             lease_ms: TASK_LEASE_MS,
+            vm_incarnation: self.attempt.vm_incarnation,
+            not_after_ms: self.attempt.since_ms + TASK_LEASE_MS,
         };
         let path = format!("/vms/{}/tasks", self.attempt.vm);
         self.platform
@@ -123,13 +145,30 @@
 
     async fn note(&self, report: &TaskReport) {
         match report.state {
-            TaskState::Running => {}
+            TaskState::Running => self.note_usage(report).await,
             TaskState::Succeeded => self.end(JobOutcome::Succeeded).await,
             TaskState::Failed => self.end(JobOutcome::Failed).await,
             TaskState::Checkpointed => self.end(JobOutcome::Checkpointed).await,
         }
     }
 
+    /// Records the use when it is well above what is known; most jobs take one record or none.
+    async fn note_usage(&self, report: &TaskReport) {
+        let known = &self.job.estimate.used;
+        let is_news = report.used.cores_milli > known.cores_milli + known.cores_milli / 4
+            || report.used.memory_mib > known.memory_mib + known.memory_mib / 4
+            || report.used.accelerators > known.accelerators;
+        if !is_news || report.used == self.attempt.reserved {
+            return;
+        }
+        let body = RecordBody::Usage {
+            job: self.job.spec.name.clone(),
+            attempt: self.job.attempts,
+            used: report.used,
+        };
+        self.node.proposer().is_accepted(body).await;
+    }
+
     async fn end(&self, outcome: JobOutcome) {
         let body = RecordBody::End {
             job: self.job.spec.name.clone(),
--- /dev/null
+++ b/crates/decisions/src/fleet_view.rs
@@ -0,0 +1,54 @@
+//! VMs grouped by pool, built once for a round of planning.
+
+use lynxwheel_state::{FleetState, PoolState, VmState};
+
+/// A pool with its members.
+#[derive(Clone, Debug)]
+pub struct PoolView<'a> {
+    /// Pool.
+    pub pool: &'a PoolState,
+    /// Members in order of name.
+    pub vms: Vec<&'a VmState>,
+}
+
+/// Pools in order of name, each with its members.
+#[derive(Clone, Debug)]
+pub struct FleetView<'a> {
+    /// State that the view was built from.
+    pub state: &'a FleetState,
+    /// Pools.
+    pub pools: Vec<PoolView<'a>>,
+}
+
+impl<'a> FleetView<'a> {
+    /// Groups the VMs of `state` in one pass.
+    #[must_use]
+    pub fn new(state: &'a FleetState) -> Self {
+        let mut pools: Vec<PoolView<'a>> = state
+            .pools()
+            .iter()
+            .map(|pool| PoolView {
+                pool,
+                vms: Vec::new(),
+            })
+            .collect();
+        for vm in state.vms().iter() {
+            if let Some(index) = index_of(&pools, vm.pool.as_str()) {
+                pools[index].vms.push(vm);
+            }
+        }
+        Self { state, pools }
+    }
+
+    /// Returns the index of the pool called `name`.
+    #[must_use]
+    pub fn pool_index(&self, name: &str) -> Option<usize> {
+        index_of(&self.pools, name)
+    }
+}
+
+fn index_of(pools: &[PoolView<'_>], name: &str) -> Option<usize> {
+    pools
+        .binary_search_by(|view| view.pool.spec.name.as_str().cmp(name))
+        .ok()
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -11,12 +11,29 @@
 //! assert!(ranks.contains(&0) && ranks.contains(&1));
 //! ```
 
+mod claim_review;
+mod drain;
+mod fleet_view;
+mod forecast;
 mod placement;
+mod preemption;
 mod rendezvous;
+mod room;
 mod routing;
+mod tuning;
+mod verdicts;
+mod wave_health;
 mod waves;
 
-pub use placement::{Placement, PlacementReason, plan_placements};
+pub use claim_review::{ClaimReview, ClaimStep, ReleaseReason, review_claims};
+pub use drain::{Drain, remaining_ms};
+pub use fleet_view::{FleetView, PoolView};
+pub use forecast::{Forecast, Outlook, forecast};
+pub use placement::{Placement, PlacementPlan, PlacementReason, demand_of, plan_placements};
+pub use preemption::Preemption;
 pub use rendezvous::rendezvous_rank;
 pub use routing::{EndpointView, RouteChoice, RouteReason, RouteRequest, least_loaded};
-pub use waves::{ClaimPlan, ClaimReason, plan_claims};
+pub use tuning::Tuning;
+pub use verdicts::{GiveUpPlan, GiveUpReason, QuarantinePlan, plan_give_ups, plan_quarantines};
+pub use wave_health::{WaveHealth, ramp_limit};
+pub use waves::{ClaimPlan, ClaimReason, is_due, plan_claims};
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -1,15 +1,33 @@
 //! Placement of jobs on VMs.
 
 use {
-    lynxwheel_protocol::{JobName, Resources, VmName},
-    lynxwheel_state::{FleetState, JobPhase, JobState},
+    crate::{
+        fleet_view::FleetView,
+        preemption::{Preemption, make_room},
+        room::{PoolRoom, Tier},
+        tuning::Tuning,
+        waves::{RunningWave, running_waves},
+    },
+    lynxwheel_protocol::{Class, JobName, Resources, VmName},
+    lynxwheel_state::{FleetState, JobPhase, JobState, TeamState},
 };
 
+/// Room left above the observed use of earlier attempts, in percent of it.
+const ESTIMATE_HEADROOM_PERCENT: u64 = 20;
+
 /// Why a job is placed where it is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PlacementReason {
-    /// First VM with room.
-    FirstFit,
+    /// Tightest fit among the VMs that no planned work takes.
+    Packed,
+    /// Least loaded zone and rack among the VMs that no planned work takes.
+    Spread,
+    /// Only VMs that a wave takes later have room.
+    OnDueVm,
+    /// Urgent, and only VMs that are being emptied have room.
+    OnCordonedVm,
+    /// Only VMs on which it failed before have room.
+    RetriedOnSameVm,
 }
 
 impl PlacementReason {
@@ -17,7 +35,11 @@
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::FirstFit => "first_fit",
+            Self::Packed => "packed",
+            Self::Spread => "spread",
+            Self::OnDueVm => "on_due_vm",
+            Self::OnCordonedVm => "on_cordoned_vm",
+            Self::RetriedOnSameVm => "retried_on_same_vm",
         }
     }
 }
@@ -37,39 +59,141 @@
     pub reason: PlacementReason,
 }
 
-/// Plans starts of waiting jobs, urgent ones first, each of which the fold would accept alone.
+/// Outcome of one round of placement.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PlacementPlan {
+    /// Starts, each of which the fold would accept after those before it.
+    pub starts: Vec<Placement>,
+    /// Attempts to stop for urgent work.
+    pub stops: Vec<Preemption>,
+}
+
+/// Plans starts of waiting jobs, urgent ones first, and stops that make room for urgent ones.
 #[must_use]
-pub fn plan_placements(state: &FleetState, limit: usize) -> Vec<Placement> {
+pub fn plan_placements(state: &FleetState, now_ms: u64, limit: usize) -> PlacementPlan {
     let mut waiting: Vec<&JobState> = state
         .jobs()
         .iter()
         .filter(|job| job.phase == JobPhase::Pending)
         .collect();
+    if waiting.is_empty() {
+        return PlacementPlan::default();
+    }
     waiting.sort_by_key(|job| (job.spec.class, job.pending_since_ms));
-    waiting
-        .into_iter()
-        .filter_map(|job| place(state, job))
-        .take(limit)
-        .collect()
+    let mut round = Round::new(state, now_ms);
+    let mut plan = PlacementPlan::default();
+    for job in waiting {
+        if plan.starts.len() >= limit {
+            break;
+        }
+        round.place(job, &mut plan);
+    }
+    plan
 }
 
-fn place(state: &FleetState, job: &JobState) -> Option<Placement> {
-    let attempt = job.attempts + 1;
-    let reserved = job.spec.demand;
-    let vm = state
-        .vms()
-        .iter()
-        .filter(|vm| vm.pool == job.spec.pool)
-        .find(|vm| {
-            state
-                .check_start(&job.spec.name, attempt, &vm.name, &reserved)
-                .is_ok()
-        })?;
-    Some(Placement {
-        job: job.spec.name.clone(),
-        attempt,
-        vm: vm.name.clone(),
-        reserved,
-        reason: PlacementReason::FirstFit,
-    })
+/// Returns what to reserve for the next attempt of a job.
+///
+/// Declared sizes are often far off, so what earlier attempts used goes before the declaration:
+/// with some headroom up to what was declared, and as observed above it.
+#[must_use]
+pub fn demand_of(job: &JobState) -> Resources {
+    let used = &job.estimate.used;
+    let declared = &job.spec.demand;
+    if *used == Resources::default() {
+        return *declared;
+    }
+    Resources {
+        cores_milli: with_headroom(used.cores_milli, declared.cores_milli),
+        memory_mib: with_headroom(used.memory_mib, declared.memory_mib),
+        accelerators: declared.accelerators.max(used.accelerators),
+    }
+}
+
+fn with_headroom(used: u32, declared: u32) -> u32 {
+    let raised = u64::from(used) * (100 + ESTIMATE_HEADROOM_PERCENT) / 100;
+    let raised = u32::try_from(raised).unwrap_or(u32::MAX);
+    raised.min(declared).max(used)
+}
+
+/// What is left of VMs and quotas during one round.
+struct Round<'a> {
+    view: FleetView<'a>,
+    tuning: Tuning,
+    now_ms: u64,
+    waves: Vec<RunningWave<'a>>,
+    rooms: Vec<Option<PoolRoom<'a>>>,
+    teams: Vec<(&'a TeamState, Resources)>,
+}
+
+impl<'a> Round<'a> {
+    fn new(state: &'a FleetState, now_ms: u64) -> Self {
+        let view = FleetView::new(state);
+        let tuning = Tuning::new(state.weights());
+        let waves = running_waves(&view, &tuning);
+        let rooms = view.pools.iter().map(|_| None).collect();
+        let teams = state.teams().iter().map(|team| (team, team.used)).collect();
+        Self {
+            view,
+            tuning,
+            now_ms,
+            waves,
+            rooms,
+            teams,
+        }
+    }
+
+    fn place(&mut self, job: &JobState, plan: &mut PlacementPlan) {
+        let demand = demand_of(job);
+        let Some(team) = self.team_with_quota(job, &demand) else {
+            return;
+        };
+        let Some(pool) = self.view.pool_index(job.spec.pool.as_str()) else {
+            return;
+        };
+        let room = self.rooms[pool].get_or_insert_with(|| {
+            PoolRoom::new(
+                self.view.state,
+                &self.view.pools[pool],
+                &self.tuning,
+                self.now_ms,
+                &self.waves,
+            )
+        });
+        let Some(index) = room.choose(job, &demand) else {
+            if job.spec.class == Class::Urgent {
+                make_room(self.view.state, room, &demand, &mut plan.stops);
+            }
+            return;
+        };
+        room.take(index, &demand);
+        self.teams[team].1 = self.teams[team].1.plus(&demand);
+        plan.starts.push(Placement {
+            job: job.spec.name.clone(),
+            attempt: job.attempts + 1,
+            vm: room.vms[index].vm.name.clone(),
+            reserved: demand,
+            reason: reason_of(job, room.vms[index].tier, &room.vms[index].vm.name),
+        });
+    }
+
+    fn team_with_quota(&self, job: &JobState, demand: &Resources) -> Option<usize> {
+        let index = self
+            .teams
+            .binary_search_by(|row| row.0.spec.name.cmp(&job.spec.team))
+            .ok()?;
+        let (team, used) = &self.teams[index];
+        used.plus(demand).fits(&team.spec.quota).then_some(index)
+    }
+}
+
+fn reason_of(job: &JobState, tier: Tier, vm: &VmName) -> PlacementReason {
+    if job.failed_on.binary_search(vm).is_ok() {
+        return PlacementReason::RetriedOnSameVm;
+    }
+    match tier {
+        Tier::Cordoned => PlacementReason::OnCordonedVm,
+        Tier::Due => PlacementReason::OnDueVm,
+        Tier::Settled if job.spec.class == Class::Batch => PlacementReason::Packed,
+        Tier::Settled => PlacementReason::Spread,
+    }
 }
--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -117,6 +117,11 @@
     pub run_time_ms: u64,
     /// How long the worker may run it without a renewal, in milliseconds.
     pub lease_ms: u64,
+    /// Life of the VM that it was placed on; a worker in another life refuses it.
+    pub vm_incarnation: u64,
+    /// Time after which it must not start, in milliseconds since the epoch; renewals may come
+    /// later.
+    pub not_after_ms: u64,
 }
 
 /// State of an attempt on its worker.
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -147,6 +147,12 @@
             task.lease_until_ms = now_ms + start.lease_ms;
             return Ok(());
         }
+        if start.vm_incarnation != self.incarnation {
+            return Err("placed on another life".into());
+        }
+        if now_ms > start.not_after_ms {
+            return Err("too late".into());
+        }
         if self.is_draining || self.is_leaving {
             return Err("draining".into());
         }
--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -130,7 +130,8 @@
         if claim.stage != ClaimStage::Draining {
             return Verdict::Rejected(Rejection::WrongStage { vm: name.clone() });
         }
-        if let Err(rejection) = self.check_floor(name) {
+        let purpose = claim.purpose.clone();
+        if let Err(rejection) = self.check_action(name, &purpose) {
             return Verdict::Rejected(rejection);
         }
         let time_ms = self.time_ms;
@@ -142,6 +143,29 @@
         Verdict::Accepted
     }
 
+    /// Checks once more what the claim was accepted for.
+    ///
+    /// An operator may have paused the wave while the VM drained, and a job may still run on it;
+    /// the action would then restart a VM against the operator's word, or cut the job off.
+    fn check_action(&self, name: &VmName, purpose: &ClaimPurpose) -> Result<(), Rejection> {
+        let Some(vm) = self.vms.get(name.as_str()) else {
+            return Err(Rejection::UnknownVm { vm: name.clone() });
+        };
+        self.check_purpose(vm, purpose)?;
+        Self::check_empty(vm)?;
+        self.check_floor(name)
+    }
+
+    /// A VM with an attempt stays as it is, unless it failed and the attempt with it.
+    fn check_empty(vm: &VmState) -> Result<(), Rejection> {
+        if vm.attempts.is_empty() || vm.phase == VmPhase::Failed {
+            return Ok(());
+        }
+        Err(Rejection::WrongStage {
+            vm: vm.name.clone(),
+        })
+    }
+
     fn check_floor(&self, name: &VmName) -> Result<(), Rejection> {
         let pool = self
             .vms
@@ -190,7 +214,7 @@
         Verdict::Accepted
     }
 
-    /// Completes maintenance; the VM counts again only after evidence newer than this.
+    /// Completes maintenance; the VM counts again only with evidence of its new life.
     pub(crate) fn done(&mut self, name: &VmName, fence: u64, succeeded: bool) -> Verdict {
         let claim = match self.fenced(name, fence) {
             Ok(claim) => claim.clone(),
@@ -205,27 +229,35 @@
         self.end_claim(name, &claim);
         let time_ms = self.time_ms;
         self.change_vm(name.as_str(), |vm| {
-            vm.evidence_ms = time_ms + 1;
-            vm.phase = if succeeded {
-                VmPhase::Unknown
-            } else {
-                VmPhase::Failed
-            };
+            // Evidence of a later life than the one that was acted on is newer than the action.
+            let is_proven = vm.incarnation > claim.incarnation && vm.phase == VmPhase::Live;
+            if !succeeded {
+                vm.phase = VmPhase::Failed;
+            } else if !is_proven {
+                vm.phase = VmPhase::Unknown;
+            }
+            if !(succeeded && is_proven) {
+                vm.evidence_ms = time_ms + 1;
+            }
             vm.failed_in = if succeeded { None } else { Some(wave.clone()) };
             if succeeded {
                 vm.maintained_ms = time_ms;
             }
         });
-        self.count_done(wave, succeeded);
+        let acted_ms = time_ms.saturating_sub(claim.since_ms);
+        self.count_done(wave, succeeded, acted_ms);
         Verdict::Accepted
     }
 
-    fn count_done(&mut self, wave: &WaveName, succeeded: bool) {
+    fn count_done(&mut self, wave: &WaveName, succeeded: bool, acted_ms: u64) {
         let time_ms = self.time_ms;
         if let Some(wave) = self.waves.get_mut(wave.as_str()) {
             wave.done += u32::from(succeeded);
             wave.failed += u32::from(!succeeded);
             wave.last_done_ms = time_ms;
+            if succeeded {
+                wave.acting_ms += acted_ms;
+            }
         }
     }
 
@@ -248,6 +280,14 @@
         if !is_wanted || self.pools.get(target.as_str()).is_none() {
             return Verdict::Rejected(Rejection::MoveNotWanted { vm: name.clone() });
         }
+        // A job may run on VMs of its own pool only, so its attempt must be over before.
+        let has_attempts = self
+            .vms
+            .get(name.as_str())
+            .is_some_and(|vm| !vm.attempts.is_empty());
+        if has_attempts {
+            return Verdict::Rejected(Rejection::WrongStage { vm: name.clone() });
+        }
         if let Err(rejection) = self.check_floor(name) {
             return Verdict::Rejected(rejection);
         }
--- a/crates/state/src/declarations.rs
+++ b/crates/state/src/declarations.rs
@@ -284,6 +284,7 @@
             failed_in: None,
             quarantined_until_ms: 0,
             failures: 0,
+            attempts: Vec::new(),
         };
         if let Some(pool) = self.pools.get_mut(spec.pool.as_str()) {
             pool.count_in(&vm);
@@ -330,6 +331,7 @@
             failed: 0,
             claimed: 0,
             last_done_ms: 0,
+            acting_ms: 0,
         });
     }
 
--- a/crates/state/src/placements.rs
+++ b/crates/state/src/placements.rs
@@ -55,7 +55,12 @@
         if let Some(team) = self.teams.get_mut(team.as_str()) {
             team.used = team.used.plus(reserved);
         }
-        self.change_vm(vm.as_str(), |vm| vm.reserved = vm.reserved.plus(reserved));
+        self.change_vm(vm.as_str(), |vm| {
+            vm.reserved = vm.reserved.plus(reserved);
+            if let Err(row) = vm.attempts.binary_search(name) {
+                vm.attempts.insert(row, name.clone());
+            }
+        });
         Verdict::Accepted
     }
 
@@ -136,6 +141,9 @@
         }
         self.change_vm(ended.vm.as_str(), |vm| {
             vm.reserved = vm.reserved.minus(&ended.reserved);
+            if let Ok(row) = vm.attempts.binary_search(name) {
+                vm.attempts.remove(row);
+            }
             match outcome {
                 JobOutcome::Failed => vm.failures += 1,
                 JobOutcome::Succeeded => vm.failures = 0,
--- a/crates/state/src/vms.rs
+++ b/crates/state/src/vms.rs
@@ -4,8 +4,8 @@
     crate::table::Keyed,
     compact_str::CompactString,
     lynxwheel_protocol::{
-        ClaimPurpose, NodeName, PoolName, PoolSpec, RackName, Resources, VmName, VmPhase, WaveName,
-        WaveSpec, ZoneName,
+        ClaimPurpose, JobName, NodeName, PoolName, PoolSpec, RackName, Resources, VmName, VmPhase,
+        WaveName, WaveSpec, ZoneName,
     },
     serde::{Deserialize, Serialize},
 };
@@ -75,6 +75,8 @@
     pub quarantined_until_ms: u64,
     /// Attempts that failed on it since the last success.
     pub failures: u32,
+    /// Jobs whose attempt runs or may run on it, sorted.
+    pub attempts: Vec<JobName>,
 }
 
 impl VmState {
@@ -147,6 +149,8 @@
     pub claimed: u32,
     /// Fold's time of its last completed action, in milliseconds since the epoch.
     pub last_done_ms: u64,
+    /// Time that its successful actions took together, in milliseconds.
+    pub acting_ms: u64,
 }
 
 impl Keyed for WaveState {
