--- /dev/null
+++ b/crates/api/src/answers.rs
@@ -0,0 +1,147 @@
+//! Answers to operators.
+
+use {
+    crate::changes::TooOld,
+    http::{HeaderName, HeaderValue, Response, StatusCode, header},
+    lynxwheel_protocol::{FieldError, Problem, ProblemReason, Resource},
+    lynxwheel_state::{FleetState, Rejection},
+    lynxwheel_transport::{Body, json_answer},
+};
+
+/// Header that tells whether the node knows that it is current.
+pub const CURRENT_HEADER: &str = "x-lynxwheel-current";
+
+/// Header that names the offset up to which the node has folded.
+pub const REVISION_HEADER: &str = "x-lynxwheel-revision";
+
+/// Answers with a problem.
+pub(crate) fn problem_answer(problem: &Problem) -> Response<Body> {
+    let mut answer = json_answer(status_of(problem.reason), problem);
+    if problem.reason == ProblemReason::Unauthenticated {
+        let scheme = HeaderValue::from_static("Bearer");
+        answer
+            .headers_mut()
+            .insert(header::WWW_AUTHENTICATE, scheme);
+    }
+    if let Some(retry_after_ms) = problem.retry_after_ms {
+        let seconds = HeaderValue::from(retry_after_ms.div_ceil(1_000));
+        answer.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    answer
+}
+
+/// Adds what every answer says of the node.
+pub(crate) fn with_node(
+    mut answer: Response<Body>,
+    is_current: bool,
+    offset: u64,
+) -> Response<Body> {
+    let is_current = HeaderValue::from_static(if is_current { "true" } else { "false" });
+    let headers = answer.headers_mut();
+    headers.insert(HeaderName::from_static(CURRENT_HEADER), is_current);
+    headers.insert(
+        HeaderName::from_static(REVISION_HEADER),
+        HeaderValue::from(offset),
+    );
+    answer
+}
+
+fn status_of(reason: ProblemReason) -> StatusCode {
+    match reason {
+        ProblemReason::BadRequest => StatusCode::BAD_REQUEST,
+        ProblemReason::Unauthenticated => StatusCode::UNAUTHORIZED,
+        ProblemReason::Forbidden => StatusCode::FORBIDDEN,
+        ProblemReason::NotFound => StatusCode::NOT_FOUND,
+        ProblemReason::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
+        ProblemReason::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+        ProblemReason::Rejected | ProblemReason::StillNeeded => StatusCode::CONFLICT,
+        ProblemReason::TooOld => StatusCode::GONE,
+        ProblemReason::RevisionConflict => StatusCode::PRECONDITION_FAILED,
+        ProblemReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ProblemReason::Invalid => StatusCode::UNPROCESSABLE_ENTITY,
+        ProblemReason::Behind | ProblemReason::LogUnavailable | ProblemReason::TooManyWatches => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        ProblemReason::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+/// Says that a declaration has bad fields, every one of them.
+pub(crate) fn invalid(errors: Vec<FieldError>) -> Problem {
+    let mut problem = Problem::new(
+        ProblemReason::Invalid,
+        format!("{} bad fields", errors.len()),
+    );
+    problem.errors = errors;
+    problem
+}
+
+/// Says why a declaration was rejected; `state` completes what the rejection names first.
+pub(crate) fn put_problem(
+    rejection: &Rejection,
+    resource: &Resource,
+    state: &FleetState,
+) -> Problem {
+    match rejection {
+        Rejection::Missing { .. } => invalid(missing_fields(resource, state)),
+        Rejection::BadField { field, reason, .. } => invalid(vec![FieldError {
+            field: field.clone(),
+            reason: reason.clone(),
+        }]),
+        other => problem_of(other),
+    }
+}
+
+/// Says why a withdrawal was rejected, with all that still depends on the resource.
+pub(crate) fn delete_problem(rejection: &Rejection, state: &FleetState) -> Problem {
+    let mut problem = problem_of(rejection);
+    if let Rejection::StillNeeded { reference, by } = rejection {
+        problem.needed_by = state.dependants(reference);
+        if !problem.needed_by.contains(by) {
+            problem.needed_by.insert(0, by.clone());
+        }
+    }
+    problem
+}
+
+fn problem_of(rejection: &Rejection) -> Problem {
+    let reason = match rejection {
+        Rejection::RevisionConflict { .. } => ProblemReason::RevisionConflict,
+        Rejection::BadField { .. } => ProblemReason::Invalid,
+        Rejection::Missing { .. } => ProblemReason::NotFound,
+        Rejection::StillNeeded { .. } => ProblemReason::StillNeeded,
+        _ => ProblemReason::Rejected,
+    };
+    let mut problem = Problem::new(reason, rejection.to_string());
+    if let Rejection::RevisionConflict { revision, .. } = rejection {
+        problem.revision = Some(*revision);
+    }
+    problem
+}
+
+fn missing_fields(resource: &Resource, state: &FleetState) -> Vec<FieldError> {
+    let is_wave = matches!(resource, Resource::Wave(_));
+    state
+        .missing_needs(resource)
+        .into_iter()
+        .map(|need| FieldError {
+            field: if is_wave {
+                "pools".into()
+            } else {
+                need.kind.as_str().into()
+            },
+            reason: format!("{need} does not exist"),
+        })
+        .collect()
+}
+
+/// Says that changes from a revision are no longer kept.
+pub(crate) fn too_old(reach: TooOld) -> Problem {
+    let detail = format!(
+        "changes are kept from revision {} on; list again",
+        reach.earliest
+    );
+    let mut problem = Problem::new(ProblemReason::TooOld, detail);
+    problem.revision = Some(reach.earliest);
+    problem
+}
--- a/crates/api/src/handler.rs
+++ b/crates/api/src/handler.rs
@@ -1,163 +1,209 @@
-//! Operators' requests.
+//! Operators' requests: who may make them, and what answers them.
 
 use {
-    crate::status::view,
-    http::{HeaderMap, Method, Request, Response, StatusCode},
+    crate::{
+        access::{Access, Operator},
+        answers::{problem_answer, with_node},
+        changes::{ChangeLog, follow},
+        openapi::openapi,
+        query::{ListQuery, expect_none},
+        routes::{Action, Matched, Target, match_route, needed_role},
+        status::view,
+        write,
+    },
+    http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    lynxwheel_coordination::{Node, ProposeError},
-    lynxwheel_protocol::{Kind, RecordBody, Resource, ResourceRef, ResourceView, WriteAnswer},
-    lynxwheel_state::{Rejection, Verdict},
-    lynxwheel_transport::{Body, collect_body, error_answer, json_answer},
-    serde_json::json,
+    log::info,
+    lynxwheel_coordination::Node,
+    lynxwheel_protocol::{
+        MoveList, MoveView, OperationId, OperationList, OperationView, Problem, ProblemReason,
+        ResourceRef,
+    },
+    lynxwheel_state::FleetState,
+    lynxwheel_transport::{Body, Shutdown, json_answer},
+    std::sync::Arc,
+    tokio::sync::Semaphore,
 };
 
-/// Bytes of a declaration at most.
-const MAX_BODY_BYTES: usize = 48 * 1024;
+/// Watches open on one node at once.
+const MAX_WATCHES: usize = 256;
+
+/// Operations in a list.
+const LISTED_OPERATIONS: usize = 100;
 
 /// Serves operators; copies share the state.
 #[derive(Clone, Debug)]
 pub struct Api {
-    node: Node,
+    pub(crate) node: Node,
+    pub(crate) changes: Arc<ChangeLog>,
+    pub(crate) watches: Arc<Semaphore>,
+    pub(crate) stop: Shutdown,
+    access: Arc<Access>,
 }
 
 impl Api {
-    /// Creates the resource API of a node.
+    /// Starts the resource API of a node; `stop` ends its open watches.
+    ///
+    /// Must be called within a Tokio runtime.
     #[must_use]
-    pub fn new(node: Node) -> Self {
-        Self { node }
+    pub fn start(node: Node, access: Access, stop: Shutdown) -> Self {
+        let state = node.state();
+        let changes = Arc::new(ChangeLog::new(state.offset()));
+        tokio::spawn(follow(
+            node.clone(),
+            Arc::clone(&changes),
+            state,
+            stop.clone(),
+        ));
+        Self {
+            node,
+            changes,
+            watches: Arc::new(Semaphore::new(MAX_WATCHES)),
+            stop,
+            access: Arc::new(access),
+        }
     }
 
     /// Answers a request.
     pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
-        let path = request.uri().path().to_owned();
-        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
-        match segments.as_slice() {
-            ["v1", kind] => match Kind::from_text(kind) {
-                Some(kind) if request.method() == Method::GET => self.list(kind),
-                Some(_) => error_answer(StatusCode::METHOD_NOT_ALLOWED, "only GET"),
-                None => error_answer(StatusCode::NOT_FOUND, "no such kind"),
-            },
-            ["v1", kind, name] => match Kind::from_text(kind) {
-                Some(kind) => self.one(&ResourceRef::new(kind, name), request).await,
-                None => error_answer(StatusCode::NOT_FOUND, "no such kind"),
-            },
-            _ => error_answer(StatusCode::NOT_FOUND, "no such path"),
-        }
+        let answer = match self.admit(&request) {
+            Ok((action, target)) => self.answer(action, target, request).await,
+            Err(problem) => Err(problem),
+        };
+        let answer = answer.unwrap_or_else(|problem| problem_answer(&problem));
+        with_node(answer, self.node.is_current(), self.node.state().offset())
     }
 
-    fn list(&self, kind: Kind) -> Response<Body> {
-        let state = self.node.state();
-        let views: Vec<ResourceView> = state
-            .names(kind)
-            .into_iter()
-            .filter_map(|name| view(&state, &ResourceRef::new(kind, name)))
-            .collect();
-        json_answer(
-            StatusCode::OK,
-            &json!({ "revision": state.offset(), "items": views }),
-        )
+    fn admit(&self, request: &Request<Incoming>) -> Result<(Action, Target), Problem> {
+        let (method, path) = (request.method(), request.uri().path());
+        let (action, target) = match match_route(method, path) {
+            Matched::Found(action, target) => (action, target),
+            Matched::OtherMethod => {
+                return Err(Problem::new(
+                    ProblemReason::MethodNotAllowed,
+                    format!("{path} does not take {method}"),
+                ));
+            }
+            Matched::NoPath => {
+                return Err(Problem::new(
+                    ProblemReason::NotFound,
+                    format!("no such path: {path}"),
+                ));
+            }
+        };
+        let role = needed_role(action, &target);
+        let operator = self.access.check(request.headers(), role)?;
+        log_write(action, &target, &operator);
+        Ok((action, target))
     }
 
-    async fn one(&self, reference: &ResourceRef, request: Request<Incoming>) -> Response<Body> {
-        let if_revision = match if_match(request.headers()) {
-            Ok(if_revision) => if_revision,
-            Err(answer) => return *answer,
-        };
-        match *request.method() {
-            Method::GET => match view(&self.node.state(), reference) {
-                Some(view) => json_answer(StatusCode::OK, &view),
-                None => error_answer(StatusCode::NOT_FOUND, "not declared"),
-            },
-            Method::PUT => self.put(reference, if_revision, request).await,
-            Method::DELETE => {
-                let body = RecordBody::Delete {
-                    reference: reference.clone(),
-                    if_revision,
-                };
-                self.write(reference, body).await
+    async fn answer(
+        &self,
+        action: Action,
+        target: Target,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Problem> {
+        let query = request.uri().query();
+        match (action, target) {
+            (Action::List, Target::Kind(kind)) => {
+                let query = ListQuery::parse(query)?;
+                if query.watch {
+                    return self.watch(kind, query);
+                }
+                Ok(json_answer(StatusCode::OK, &self.list(kind, &query)?))
+            }
+            (Action::Get, Target::Resource(reference)) => {
+                expect_none(query)?;
+                self.get(&reference)
+            }
+            (Action::Put, Target::Resource(reference)) => {
+                write::put(&self.node, &reference, request).await
+            }
+            (Action::Delete, Target::Resource(reference)) => {
+                write::delete(&self.node, &reference, request).await
             }
-            _ => error_answer(StatusCode::METHOD_NOT_ALLOWED, "only GET, PUT and DELETE"),
+            (Action::GetOperation, Target::Operation(text)) => self.operation(&text),
+            (Action::ListOperations, _) => Ok(json_answer(StatusCode::OK, &self.operations())),
+            (Action::ListMoves, _) => Ok(json_answer(StatusCode::OK, &self.moves())),
+            (Action::OpenApi, _) => Ok(json_answer(StatusCode::OK, &openapi())),
+            // The routes pair no other action with these targets.
+            _ => Err(Problem::new(ProblemReason::NotFound, "no such path")),
         }
     }
 
-    async fn put(
-        &self,
-        reference: &ResourceRef,
-        if_revision: Option<u64>,
-        request: Request<Incoming>,
-    ) -> Response<Body> {
-        let bytes = match collect_body(request.into_body(), MAX_BODY_BYTES).await {
-            Ok(bytes) => bytes,
-            Err(answer) => return answer,
-        };
-        let resource: Resource = match serde_json::from_slice(&bytes) {
-            Ok(resource) => resource,
-            Err(error) => return error_answer(StatusCode::BAD_REQUEST, &error.to_string()),
-        };
-        if resource.reference() != *reference {
-            return error_answer(StatusCode::BAD_REQUEST, "the path names another resource");
+    fn get(&self, reference: &ResourceRef) -> Result<Response<Body>, Problem> {
+        match view(&self.node.state(), reference) {
+            Some(view) => Ok(json_answer(StatusCode::OK, &view)),
+            None => Err(Problem::new(
+                ProblemReason::NotFound,
+                format!("{reference} is not declared"),
+            )),
         }
-        let body = RecordBody::Put {
-            resource: Box::new(resource),
-            if_revision,
+    }
+
+    fn operation(&self, text: &str) -> Result<Response<Body>, Problem> {
+        let operation: OperationId = text
+            .parse()
+            .map_err(|reason| Problem::new(ProblemReason::BadRequest, reason))?;
+        // Asked first: what arrives in between is then at most seen too early, never missed
+        // by a node that calls itself current.
+        let current = self.node.is_current();
+        let view = OperationView {
+            operation,
+            reference: None,
+            outcome: self.node.operation(operation),
+            observed_revision: self.node.state().offset(),
+            current,
         };
-        self.write(reference, body).await
+        Ok(json_answer(StatusCode::OK, &view))
     }
 
-    async fn write(&self, reference: &ResourceRef, body: RecordBody) -> Response<Body> {
-        match self.node.proposer().propose(body).await {
-            Ok(decision) => match decision.verdict {
-                Verdict::Accepted => json_answer(
-                    StatusCode::OK,
-                    &WriteAnswer {
-                        reference: reference.clone(),
-                        revision: decision.offset,
-                        dry_run: false,
-                    },
-                ),
-                Verdict::Duplicate => error_answer(StatusCode::CONFLICT, "written before"),
-                Verdict::Rejected(rejection) => rejection_answer(&rejection),
-            },
-            Err(ProposeError::NotAppended { retry_after_ms }) => json_answer(
-                StatusCode::SERVICE_UNAVAILABLE,
-                &json!({ "reason": "log_unavailable", "applied": false,
-                    "retry_after_ms": retry_after_ms }),
-            ),
-            Err(ProposeError::Unknown { id }) => json_answer(
-                StatusCode::GATEWAY_TIMEOUT,
-                &json!({ "reason": "outcome_unknown",
-                    "operation": format!("{}-{}", id.incarnation, id.sequence) }),
-            ),
+    fn operations(&self) -> OperationList {
+        let current = self.node.is_current();
+        let observed_revision = self.node.state().offset();
+        let latest = self.node.latest_operations(LISTED_OPERATIONS);
+        let items = latest.into_iter().map(|operation| OperationView {
+            operation: operation.id,
+            reference: Some(operation.reference),
+            outcome: operation.outcome,
+            observed_revision,
+            current,
+        });
+        OperationList {
+            items: items.collect(),
         }
     }
-}
 
-fn rejection_answer(rejection: &Rejection) -> Response<Body> {
-    let status = match rejection {
-        Rejection::RevisionConflict { .. } => StatusCode::PRECONDITION_FAILED,
-        Rejection::BadField { .. } => StatusCode::UNPROCESSABLE_ENTITY,
-        Rejection::Missing { .. } => StatusCode::NOT_FOUND,
-        _ => StatusCode::CONFLICT,
-    };
-    json_answer(
-        status,
-        &json!({ "rejected": rejection, "detail": rejection.to_string() }),
-    )
+    fn moves(&self) -> MoveList {
+        let current = self.node.is_current();
+        let state = self.node.state();
+        MoveList {
+            revision: state.offset(),
+            current,
+            items: moves_of(&state),
+        }
+    }
 }
 
-fn if_match(headers: &HeaderMap) -> Result<Option<u64>, Box<Response<Body>>> {
-    let Some(value) = headers.get(http::header::IF_MATCH) else {
-        return Ok(None);
-    };
-    value
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim_matches('"').parse().ok())
-        .map(Some)
-        .ok_or_else(|| {
-            Box::new(error_answer(
-                StatusCode::BAD_REQUEST,
-                "If-Match must be a revision",
-            ))
+fn moves_of(state: &FleetState) -> Vec<MoveView> {
+    state
+        .vms()
+        .iter()
+        .filter(|vm| vm.pool != vm.wanted_pool)
+        .map(|vm| MoveView {
+            vm: vm.name.clone(),
+            from: vm.pool.clone(),
+            to: vm.wanted_pool.clone(),
+            claimed: vm.claim.is_some(),
         })
+        .collect()
+}
+
+fn log_write(action: Action, target: &Target, operator: &Operator) {
+    if let (Action::Delete | Action::Put, Target::Resource(reference)) = (action, target) {
+        let resource = reference.to_string();
+        let is_delete = action == Action::Delete;
+        info!(event = "write_asked", operator = operator.name.as_str(),
+            resource = resource.as_str(), is_delete = is_delete; "");
+    }
 }
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -1,7 +1,7 @@
 //! The resource API of lynxwheel.
 //!
 //! ```no_run
-//! use lynxwheel_api::Api;
+//! use lynxwheel_api::{Access, Api};
 //! use lynxwheel_coordination::{Node, NodeIdentity, NodeSettings};
 //! use lynxwheel_transport::{Server, Shutdown};
 //!
@@ -10,15 +10,28 @@
 //! let settings = NodeSettings::new(identity, "127.0.0.1:7000".parse().unwrap());
 //! let shutdown = Shutdown::new();
 //! let (node, _duties) = Node::start(settings, &shutdown);
-//! let api = Api::new(node);
+//! let api = Api::start(node, Access::default(), shutdown.clone());
 //! let server = Server::bind("127.0.0.1:8081".parse().unwrap()).await?;
 //! server.serve(shutdown, move |request| api.clone().handle(request)).await;
 //! # Ok(())
 //! # }
 //! ```
 
+mod access;
+mod answers;
+mod changes;
 mod handler;
+mod list;
+mod openapi;
+mod query;
+mod routes;
 mod status;
+mod watch;
+mod write;
 
+pub use access::{Access, AccessToken, Operator, Role};
+pub use answers::{CURRENT_HEADER, REVISION_HEADER};
 pub use handler::Api;
-pub use status::view;
+pub use openapi::openapi;
+pub use routes::{Action, Route, routes};
+pub use status::{FINAL, READY, view};
--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -1,100 +1,206 @@
 //! Status of resources beside their declarations.
 
 use {
-    lynxwheel_protocol::{Condition, Kind, ResourceRef, ResourceView},
-    lynxwheel_state::FleetState,
+    lynxwheel_protocol::{
+        ClaimPurpose, Condition, Kind, ResourceRef, ResourceView, VmPhase, WaveGoal,
+    },
+    lynxwheel_state::{FleetState, JobPhase, JobState, VmState, WaveState},
     serde_json::{Value, json},
 };
 
+/// Condition that holds when what was declared is so.
+pub const READY: &str = "Ready";
+
+/// Condition of a job that has its final answer, whether or not it is the one wanted.
+pub const FINAL: &str = "Final";
+
+/// Conditions with the figures behind them.
+struct Status {
+    conditions: Vec<Condition>,
+    figures: Value,
+}
+
 /// Returns a resource with its status at the state's offset.
 #[must_use]
 pub fn view(state: &FleetState, reference: &ResourceRef) -> Option<ResourceView> {
     let declared = state.declared(reference)?;
     let name = reference.name.as_str();
-    let (conditions, status) = match reference.kind {
+    let status = match reference.kind {
+        Kind::Policy => policy_status(state, name),
+        Kind::Team => team_status(state, name),
         Kind::Pool => pool_status(state, name),
-        Kind::Vm => vm_status(state, name),
-        Kind::Job => job_status(state, name),
-        Kind::Wave => wave_status(state, name),
-        Kind::Policy | Kind::Team | Kind::Service => (vec![ready(true, "declared")], Value::Null),
-    };
+        Kind::Vm => state.vms().get(name).map(vm_status),
+        Kind::Service => service_status(state, name),
+        Kind::Job => state.jobs().get(name).map(job_status),
+        Kind::Wave => state.waves().get(name).map(|wave| wave_status(state, wave)),
+    }?;
     Some(ResourceView {
         resource: declared.resource,
         revision: declared.revision,
         observed_revision: state.offset(),
-        conditions,
-        status,
+        conditions: status.conditions,
+        status: status.figures,
     })
 }
 
-fn ready(holds: bool, reason: &str) -> Condition {
+fn condition(name: &str, holds: bool, reason: impl Into<String>) -> Condition {
     Condition {
-        name: "Ready".into(),
+        name: name.into(),
         holds,
         reason: reason.into(),
     }
 }
 
-fn pool_status(state: &FleetState, name: &str) -> (Vec<Condition>, Value) {
-    let Some(pool) = state.pools().get(name) else {
-        return (Vec::new(), Value::Null);
-    };
-    let availability = pool.availability();
-    let is_ready = availability.available >= availability.floor;
-    let reason = if is_ready {
-        "the budget holds"
+fn policy_status(state: &FleetState, name: &str) -> Option<Status> {
+    let in_force = state.policy()?.name.as_str();
+    let holds = in_force == name;
+    let reason = if holds {
+        "in force".to_owned()
     } else {
-        "fewer VMs than promised"
+        format!("policy {in_force} is in force, the first by name")
     };
-    let status = json!({
-        "members": availability.members,
-        "available": availability.available,
-        "floor": availability.floor,
-    });
-    (vec![ready(is_ready, reason)], status)
+    Some(Status {
+        conditions: vec![condition(READY, holds, reason)],
+        figures: Value::Null,
+    })
 }
 
-fn vm_status(state: &FleetState, name: &str) -> (Vec<Condition>, Value) {
-    let Some(vm) = state.vms().get(name) else {
-        return (Vec::new(), Value::Null);
-    };
-    let is_ready = vm.is_available() && vm.pool == vm.wanted_pool;
-    let reason = if is_ready {
-        "available"
+fn team_status(state: &FleetState, name: &str) -> Option<Status> {
+    let team = state.teams().get(name)?;
+    let holds = team.used.fits(&team.spec.quota);
+    let reason = if holds {
+        "within its quota"
     } else {
-        "not available or to be moved"
+        "running jobs use more than the quota"
     };
-    (
-        vec![ready(is_ready, reason)],
-        json!({ "pool": vm.pool, "phase": vm.phase, "claim": vm.claim }),
-    )
+    Some(Status {
+        conditions: vec![condition(READY, holds, reason)],
+        figures: json!({ "used": team.used }),
+    })
 }
 
-fn job_status(state: &FleetState, name: &str) -> (Vec<Condition>, Value) {
-    let Some(job) = state.jobs().get(name) else {
-        return (Vec::new(), Value::Null);
+fn pool_status(state: &FleetState, name: &str) -> Option<Status> {
+    let pool = state.pools().get(name)?;
+    let availability = pool.availability();
+    let (available, floor) = (availability.available, availability.floor);
+    let (members, size) = (availability.members, pool.spec.size);
+    let ready = condition(
+        READY,
+        available >= floor,
+        format!("{available} VMs available, {floor} promised"),
+    );
+    let full = condition(
+        "FullSize",
+        members >= size,
+        format!("{members} VMs of the promised {size}"),
+    );
+    Some(Status {
+        conditions: vec![ready, full],
+        figures: json!({ "members": members, "available": available, "floor": floor }),
+    })
+}
+
+fn vm_status(vm: &VmState) -> Status {
+    let holds = vm.is_available() && vm.pool == vm.wanted_pool;
+    let figures = json!({
+        "pool": vm.pool,
+        "zone": vm.zone,
+        "rack": vm.rack,
+        "phase": vm.phase,
+        "incarnation": vm.incarnation,
+        "reserved": vm.reserved,
+        "maintained_ms": vm.maintained_ms,
+        "claim": vm.claim,
+    });
+    Status {
+        conditions: vec![condition(READY, holds, vm_reason(vm))],
+        figures,
+    }
+}
+
+fn vm_reason(vm: &VmState) -> String {
+    if let Some(claim) = &vm.claim {
+        return match &claim.purpose {
+            ClaimPurpose::Maintain(wave) => format!("being maintained by wave {wave}"),
+            ClaimPurpose::Move(pool) => format!("being moved to pool {pool}"),
+        };
+    }
+    if vm.pool != vm.wanted_pool {
+        return format!("waits to be moved to pool {}", vm.wanted_pool);
+    }
+    match vm.phase {
+        VmPhase::Live => "available".into(),
+        VmPhase::Leaving => "the platform takes it away".into(),
+        VmPhase::Failed => "failed".into(),
+        VmPhase::Unknown => "no fresh sign of life yet".into(),
+    }
+}
+
+fn service_status(state: &FleetState, name: &str) -> Option<Status> {
+    let spec = state.service(name)?;
+    let available = state.pools().get(spec.pool.as_str())?.available;
+    let reason = format!("pool {} has {available} VMs available", spec.pool);
+    Some(Status {
+        conditions: vec![condition(READY, available > 0, reason)],
+        figures: json!({ "endpoints": available }),
+    })
+}
+
+fn job_status(job: &JobState) -> Status {
+    let holds = match job.phase {
+        JobPhase::Succeeded => true,
+        JobPhase::Cancelled => job.spec.cancelled,
+        JobPhase::GivenUp | JobPhase::Pending | JobPhase::Running => false,
     };
-    let status = json!({
+    let reason = job_reason(job);
+    let figures = json!({
         "phase": job.phase,
         "attempts": job.attempts,
         "vm": job.attempt.as_ref().map(|attempt| &attempt.vm),
         "reason": job.reason,
     });
-    (vec![ready(job.is_final(), job.reason.as_str())], status)
+    Status {
+        conditions: vec![
+            condition(READY, holds, reason.clone()),
+            condition(FINAL, job.is_final(), reason),
+        ],
+        figures,
+    }
 }
 
-fn wave_status(state: &FleetState, name: &str) -> (Vec<Condition>, Value) {
-    let Some(wave) = state.waves().get(name) else {
-        return (Vec::new(), Value::Null);
-    };
+fn job_reason(job: &JobState) -> String {
+    if !job.reason.is_empty() {
+        return job.reason.to_string();
+    }
+    match (job.phase, &job.attempt) {
+        (JobPhase::Running, Some(attempt)) if attempt.stopping => {
+            format!("being stopped on VM {}", attempt.vm)
+        }
+        (JobPhase::Running, Some(attempt)) => format!("runs on VM {}", attempt.vm),
+        (JobPhase::Succeeded, _) => "succeeded".into(),
+        (JobPhase::GivenUp, _) => "given up".into(),
+        (JobPhase::Cancelled, _) => "cancelled".into(),
+        (JobPhase::Pending | JobPhase::Running, _) => "waits for a VM".into(),
+    }
+}
+
+fn wave_status(state: &FleetState, wave: &WaveState) -> Status {
     let due = state
         .vms()
         .iter()
         .filter(|vm| wave.spec.pools.binary_search(&vm.pool).is_ok())
         .filter(|vm| vm.maintained_ms < wave.spec.due_before_ms)
         .count();
-    let is_ready = due == 0 && wave.claimed == 0;
-    let status = json!({
+    let is_idle = wave.claimed == 0;
+    let (holds, reason) = match wave.spec.goal {
+        WaveGoal::Run if due == 0 && is_idle => (true, "complete".to_owned()),
+        WaveGoal::Run => (false, format!("{due} VMs are due")),
+        WaveGoal::Pause if is_idle => (true, format!("paused with {due} VMs due")),
+        WaveGoal::Abort if is_idle => (true, format!("aborted with {due} VMs due")),
+        WaveGoal::Pause => (false, format!("pausing, {} VMs are in work", wave.claimed)),
+        WaveGoal::Abort => (false, format!("aborting, {} VMs are in work", wave.claimed)),
+    };
+    let figures = json!({
         "due": due,
         "claimed": wave.claimed,
         "done": wave.done,
@@ -102,11 +208,8 @@
         "started_ms": wave.started_ms,
         "last_done_ms": wave.last_done_ms,
     });
-    (
-        vec![ready(
-            is_ready,
-            if is_ready { "complete" } else { "VMs are due" },
-        )],
-        status,
-    )
+    Status {
+        conditions: vec![condition(READY, holds, reason)],
+        figures,
+    }
 }
--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -1,7 +1,7 @@
 //! Folding the log's entries into the published state.
 
 use {
-    crate::{proposer::Decision, published::Published, waiters::Waiters},
+    crate::{operations::Operations, proposer::Decision, published::Published, waiters::Waiters},
     kameo::{
         Actor,
         message::{Context, Message},
@@ -25,6 +25,7 @@
     state: FleetState,
     published: Arc<Published>,
     waiters: Arc<Waiters>,
+    operations: Arc<Operations>,
     incarnation: u64,
 }
 
@@ -33,12 +34,14 @@
         state: FleetState,
         published: Arc<Published>,
         waiters: Arc<Waiters>,
+        operations: Arc<Operations>,
         incarnation: u64,
     ) -> Self {
         Self {
             state,
             published,
             waiters,
+            operations,
             incarnation,
         }
     }
@@ -58,6 +61,7 @@
         };
         let verdict = self.state.apply(entry.offset, &record);
         log_verdict(entry.offset, &record, &verdict);
+        self.operations.note(entry.offset, &record, &verdict);
         (record.id.incarnation == self.incarnation).then_some(Decision {
             id: record.id,
             offset: entry.offset,
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -8,7 +8,9 @@
         duty::spawn_duty,
         fold::Fold,
         log_client::LogClient,
-        observer, planner,
+        observer,
+        operations::{Operation, Operations},
+        planner,
         proposer::Proposer,
         published::Published,
         reader,
@@ -18,7 +20,7 @@
     },
     kameo::{actor::Spawn, mailbox},
     log::{error, info},
-    lynxwheel_protocol::{FOLD_VERSION, NodeName, RecordBody},
+    lynxwheel_protocol::{FOLD_VERSION, NodeName, OperationId, OperationOutcome, RecordBody},
     lynxwheel_state::FleetState,
     lynxwheel_transport::{Clients, Shutdown},
     std::{future::Future, sync::Arc, thread, time::Duration},
@@ -48,6 +50,7 @@
     settings: NodeSettings,
     incarnation: u64,
     published: Arc<Published>,
+    operations: Arc<Operations>,
     proposer: Proposer,
     clients: Arc<Clients>,
 }
@@ -59,6 +62,7 @@
         let incarnation = new_incarnation(settings.identity.node.as_str());
         let published = Arc::new(Published::new(FleetState::new()));
         let waiters = Arc::new(Waiters::default());
+        let operations = Arc::new(Operations::default());
         let log = LogClient::new(settings.platform, &settings.stream);
         let appender = Appender::new(
             log.clone(),
@@ -72,6 +76,7 @@
             FleetState::new(),
             Arc::clone(&published),
             waiters,
+            Arc::clone(&operations),
             incarnation,
         );
         let fold = Fold::spawn_in_thread_with_mailbox(fold, mailbox::bounded(FOLD_RING));
@@ -81,6 +86,7 @@
                 settings,
                 incarnation,
                 published: Arc::clone(&published),
+                operations,
                 proposer: Proposer::new(appender, limit),
                 clients: Arc::new(Clients::new(PROBE_CONNECTIONS)),
             }),
@@ -119,6 +125,18 @@
         &self.inner.published
     }
 
+    /// Returns what became of a declaration that any node wrote.
+    #[must_use]
+    pub fn operation(&self, id: OperationId) -> OperationOutcome {
+        self.inner.operations.look_up(id, &self.state())
+    }
+
+    /// Returns the latest declarations of all nodes, the last one first.
+    #[must_use]
+    pub fn latest_operations(&self, limit: usize) -> Vec<Operation> {
+        self.inner.operations.latest(limit)
+    }
+
     /// Returns the handle for proposals.
     #[must_use]
     pub fn proposer(&self) -> &Proposer {
--- a/crates/lynxwheel/src/config.rs
+++ b/crates/lynxwheel/src/config.rs
@@ -2,6 +2,7 @@
 
 use {
     ini::{Ini, ParseOption},
+    lynxwheel_api::{Access, AccessToken, Role},
     lynxwheel_coordination::{NodeIdentity, NodeSettings, PeerAddress},
     std::{
         error, fmt, fs,
@@ -11,12 +12,13 @@
     },
 };
 
-/// Sections and the keys that each may hold; `peers` holds any node's name.
-const KNOWN_KEYS: [(&str, &[&str]); 6] = [
+/// Sections and the keys that each may hold.
+const KNOWN_KEYS: [(&str, &[&str]); 7] = [
     ("node", &["name", "zone"]),
     ("listen", &["callers", "operators", "peers"]),
     ("platform", &["address", "stream"]),
     ("peers", &[]),
+    ("tokens", &[]),
     (
         "timing",
         &[
@@ -30,6 +32,12 @@
     ("log", &["level", "file"]),
 ];
 
+/// Sections whose keys are names of the operators' own choice.
+const NAMED_SECTIONS: [&str; 2] = ["peers", "tokens"];
+
+/// Characters of an access token at least; shorter ones can be guessed.
+const MIN_TOKEN_CHARS: usize = 16;
+
 /// Levels of the log.
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
@@ -91,6 +99,8 @@
     pub operators: SocketAddr,
     /// `[listen] peers`: address for the other nodes.
     pub peers_listen: SocketAddr,
+    /// `[tokens]`: operators' access, `name = role:token` or `name = role:@file`.
+    pub access: Access,
     /// `[platform] address`: address of the platform's services.
     pub platform: SocketAddr,
     /// `[platform] stream`: name of the fleet's stream; `fleet` by default.
@@ -159,6 +169,7 @@
             callers: reader.address("listen", "callers"),
             operators: reader.address("listen", "operators"),
             peers_listen: reader.address("listen", "peers"),
+            access: reader.access(),
             platform: reader.address("platform", "address"),
             stream: reader
                 .text("platform", "stream")
@@ -173,6 +184,9 @@
             log_level: reader.level(),
             log_file: reader.text("log", "file").map(PathBuf::from),
         };
+        if reader.errors.is_empty() {
+            reader.check_open_access(&config);
+        }
         if reader.errors.is_empty() {
             Ok(config)
         } else {
@@ -225,7 +239,7 @@
             };
             let mut seen: Vec<&str> = Vec::new();
             for (key, _) in properties {
-                if name != "peers" && !keys.contains(&key) {
+                if !NAMED_SECTIONS.contains(&name) && !keys.contains(&key) {
                     self.bad(name, key, "no such key");
                 }
                 if seen.contains(&key) {
@@ -294,6 +308,32 @@
         peers
     }
 
+    fn access(&mut self) -> Access {
+        let Some(section) = self.ini.section(Some("tokens")) else {
+            return Access::default();
+        };
+        let mut tokens = Vec::new();
+        for (name, text) in section {
+            match access_token(name, text) {
+                Ok(token) => tokens.push(token),
+                Err(reason) => self.bad("tokens", name, reason),
+            }
+        }
+        Access::new(tokens)
+    }
+
+    /// Refuses an operators' listener that strangers reach and that asks for no token.
+    fn check_open_access(&mut self, config: &Config) {
+        let is_open = self
+            .ini
+            .section(Some("tokens"))
+            .is_none_or(ini::Properties::is_empty);
+        if is_open && !config.operators.ip().is_loopback() {
+            let reason = "without [tokens], operators may listen on loopback addresses only";
+            self.bad("listen", "operators", reason);
+        }
+    }
+
     fn level(&mut self) -> String {
         let level = self.text("log", "level").unwrap_or("info").to_owned();
         if !LEVELS.contains(&level.as_str()) {
@@ -306,3 +346,21 @@
         level
     }
 }
+
+/// Reads `role:token` or `role:@file`; errors never show the token.
+fn access_token(name: &str, text: &str) -> Result<AccessToken, String> {
+    let (role, token) = text
+        .split_once(':')
+        .ok_or("must be role:token or role:@file")?;
+    let role =
+        Role::from_text(role.trim()).ok_or("the role must be one of read, operate, administer")?;
+    let token = match token.trim().strip_prefix('@') {
+        Some(file) => fs::read_to_string(file).map_err(|error| format!("{file}: {error}"))?,
+        None => token.into(),
+    };
+    let token = token.trim();
+    if token.chars().count() < MIN_TOKEN_CHARS {
+        return Err(format!("a token has at least {MIN_TOKEN_CHARS} characters"));
+    }
+    Ok(AccessToken::new(name, role, token))
+}
--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -92,7 +92,7 @@
             node: node.clone(),
             stopping: stopping.clone(),
         };
-        let api = Api::new(node.clone());
+        let api = Api::start(node.clone(), config.access.clone(), closing.clone());
         let servers = vec![
             tokio::spawn(callers.serve(closing.clone(), move |request| {
                 serve_caller(gateway.clone(), health.clone(), request)
--- a/crates/lynxwheel/src/dev.rs
+++ b/crates/lynxwheel/src/dev.rs
@@ -199,6 +199,7 @@
         callers: any_port,
         operators: any_port,
         peers_listen: any_port,
+        access: lynxwheel_api::Access::default(),
         platform,
         stream: "fleet".into(),
         peers,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -19,8 +19,14 @@
 mod platform;
 mod record;
 mod resource;
+mod schema;
+mod validate;
 
-pub use api::{Condition, FieldError, ResourceView, WatchEvent, WriteAnswer};
+pub use api::{
+    Condition, EndReason, FieldError, MoveList, MoveView, OperationId, OperationList,
+    OperationOutcome, OperationView, Problem, ProblemReason, ResourceList, ResourceView,
+    WatchEvent, WriteAnswer,
+};
 pub use codec::{
     CodecError, MAX_MESSAGE_BYTES, MAX_RECORD_BYTES, decode_message, decode_record, encode_message,
     encode_record,
@@ -42,6 +48,10 @@
     Amount, Budget, Class, JobSpec, Kind, PolicySpec, PoolSpec, Resource, ResourceRef, Resources,
     ServiceSpec, TeamSpec, VmSpec, WaveAction, WaveGoal, WaveSpec, Weights,
 };
+pub use schema::{Field, FieldDefault, FieldType, fields};
+pub use validate::{
+    MAX_NAME_CHARS, MAX_WAVE_POOLS, check_name, field_errors, parse_resource, parse_spec,
+};
 
 /// Version of the fold that this build knows.
 pub const FOLD_VERSION: u32 = 1;
--- a/crates/protocol/src/resource.rs
+++ b/crates/protocol/src/resource.rs
@@ -358,6 +358,22 @@
         }
     }
 
+    /// Returns the resources that it refers to.
+    #[must_use]
+    pub fn needs(&self) -> Vec<ResourceRef> {
+        let pool = |name: &PoolName| ResourceRef::new(Kind::Pool, name.as_str());
+        match self {
+            Self::Policy(_) | Self::Team(_) | Self::Pool(_) => Vec::new(),
+            Self::Vm(spec) => vec![pool(&spec.pool)],
+            Self::Service(spec) => vec![pool(&spec.pool)],
+            Self::Job(spec) => vec![
+                pool(&spec.pool),
+                ResourceRef::new(Kind::Team, spec.team.as_str()),
+            ],
+            Self::Wave(spec) => spec.pools.iter().map(pool).collect(),
+        }
+    }
+
     /// Returns a reference to it by kind and name.
     #[must_use]
     pub fn reference(&self) -> ResourceRef {
--- /dev/null
+++ b/crates/protocol/src/validate.rs
@@ -0,0 +1,291 @@
+//! Checks of declarations that need no state, and name every bad field at once.
+
+use {
+    crate::{
+        api::FieldError,
+        resource::{Amount, JobSpec, Kind, PolicySpec, PoolSpec, Resource, ServiceSpec, WaveSpec},
+        schema::{Field, FieldDefault, FieldType, fields},
+    },
+    serde_json::{Map, Value, json},
+};
+
+/// Characters of a name at most.
+pub const MAX_NAME_CHARS: usize = 128;
+
+/// Pools that one wave may name.
+pub const MAX_WAVE_POOLS: usize = 4_096;
+
+/// Largest number that every JSON reader takes exactly.
+const MAX_EXACT: u64 = 1 << 53;
+
+/// Reads the declaration of `kind/name` from its JSON document.
+///
+/// # Errors
+///
+/// Returns every field that is unknown, missing or bad.
+pub fn parse_resource(
+    kind: Kind,
+    name: &str,
+    document: &Value,
+) -> Result<Resource, Vec<FieldError>> {
+    let Some(members) = document.as_object() else {
+        return Err(vec![bad("", "must be an object with kind and spec")]);
+    };
+    let mut errors: Vec<FieldError> = members
+        .keys()
+        .filter(|key| !["kind", "spec"].contains(&key.as_str()))
+        .map(|key| bad(key, "no such field"))
+        .collect();
+    if members.get("kind") != Some(&json!(kind)) {
+        errors.push(bad("kind", format!("must be {kind} as in the path")));
+    }
+    let spec = members.get("spec").unwrap_or(&Value::Null);
+    match parse_spec(kind, name, spec) {
+        Ok(resource) if errors.is_empty() => Ok(resource),
+        Ok(_) => Err(errors),
+        Err(more) => {
+            errors.extend(more);
+            Err(errors)
+        }
+    }
+}
+
+/// Reads the spec of `kind/name`; fields left out get their defaults.
+///
+/// # Errors
+///
+/// Returns every field that is unknown, missing or bad.
+pub fn parse_spec(kind: Kind, name: &str, spec: &Value) -> Result<Resource, Vec<FieldError>> {
+    let Some(members) = spec.as_object() else {
+        return Err(vec![bad("spec", "must be an object")]);
+    };
+    let mut errors = Vec::new();
+    check_known(kind, members, &mut errors);
+    let mut whole = Map::new();
+    for field in fields(kind) {
+        let given = find(members, field.path);
+        let value = match given {
+            None if field.path == "name" => Ok(json!(name)),
+            None => default_of(field),
+            Some(value) => check_type(field.field_type, value).map(|()| value.clone()),
+        };
+        match value {
+            Ok(value) => put_in(&mut whole, field.path, value),
+            Err(reason) => errors.push(bad(field.path, reason)),
+        }
+    }
+    let own_name = whole.get("name").and_then(Value::as_str);
+    if own_name.is_some_and(|own| own != name) {
+        errors.push(bad("name", format!("must be {name} as in the path")));
+    }
+    if !errors.is_empty() {
+        return Err(errors);
+    }
+    let resource = serde_json::from_value(json!({ "kind": kind, "spec": whole }))
+        .map_err(|error| vec![bad("spec", error.to_string())])?;
+    let errors = field_errors(&resource);
+    if errors.is_empty() {
+        Ok(resource)
+    } else {
+        Err(errors)
+    }
+}
+
+/// Returns every field of a declaration that is out of its range.
+#[must_use]
+pub fn field_errors(resource: &Resource) -> Vec<FieldError> {
+    let mut errors = Vec::new();
+    if let Err(reason) = check_name(resource.name()) {
+        errors.push(bad("name", reason));
+    }
+    match resource {
+        Resource::Policy(spec) => check_policy(spec, &mut errors),
+        Resource::Pool(spec) => check_pool(spec, &mut errors),
+        Resource::Service(spec) => check_service(spec, &mut errors),
+        Resource::Job(spec) => check_job(spec, &mut errors),
+        Resource::Wave(spec) => check_wave(spec, &mut errors),
+        Resource::Team(_) | Resource::Vm(_) => {}
+    }
+    errors
+}
+
+fn bad(field: &str, reason: impl Into<String>) -> FieldError {
+    FieldError {
+        field: field.into(),
+        reason: reason.into(),
+    }
+}
+
+fn at_least_one(field: &str, value: u64, errors: &mut Vec<FieldError>) {
+    if value == 0 {
+        errors.push(bad(field, "must be at least 1"));
+    }
+}
+
+fn check_policy(spec: &PolicySpec, errors: &mut Vec<FieldError>) {
+    at_least_one("key_keep_ms", spec.key_keep_ms, errors);
+    at_least_one("key_limit", spec.key_limit.into(), errors);
+}
+
+fn check_pool(spec: &PoolSpec, errors: &mut Vec<FieldError>) {
+    let field = "budget.min_available";
+    match spec.budget.min_available {
+        Amount::Percent(percent) if percent > 100 => {
+            errors.push(bad(field, "must be at most 100 percent"));
+        }
+        Amount::Count(count) if count > spec.size => {
+            errors.push(bad(field, "must be at most the pool's size"));
+        }
+        Amount::Count(_) | Amount::Percent(_) => {}
+    }
+    let zones = spec.budget.zones_at_once;
+    at_least_one("budget.zones_at_once", zones.into(), errors);
+}
+
+fn check_service(spec: &ServiceSpec, errors: &mut Vec<FieldError>) {
+    at_least_one("slots_per_endpoint", spec.slots_per_endpoint.into(), errors);
+    if spec.connections_per_endpoint < spec.slots_per_endpoint {
+        let reason = "must be at least slots_per_endpoint";
+        errors.push(bad("connections_per_endpoint", reason));
+    }
+    at_least_one("deadline_ms", spec.deadline_ms, errors);
+}
+
+fn check_job(spec: &JobSpec, errors: &mut Vec<FieldError>) {
+    at_least_one("run_time_ms", spec.run_time_ms, errors);
+    at_least_one("max_attempts", spec.max_attempts.into(), errors);
+}
+
+fn check_wave(spec: &WaveSpec, errors: &mut Vec<FieldError>) {
+    if spec.pools.is_empty() {
+        errors.push(bad("pools", "must name at least one pool"));
+    }
+    if spec.pools.len() > MAX_WAVE_POOLS {
+        errors.push(bad("pools", "names too many pools"));
+    }
+    if !spec.pools.is_sorted_by(|left, right| left < right) {
+        errors.push(bad("pools", "must be sorted and name each pool once"));
+    }
+}
+
+/// Tells whether `name` can be a segment of a path, a section of a file and a label.
+///
+/// # Errors
+///
+/// Returns what is wrong with it.
+pub fn check_name(name: &str) -> Result<(), String> {
+    if name.is_empty() {
+        return Err("must not be empty".into());
+    }
+    if name.chars().count() > MAX_NAME_CHARS {
+        return Err(format!("must have at most {MAX_NAME_CHARS} characters"));
+    }
+    let is_plain = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+    if !name.chars().all(is_plain) || name.starts_with('.') {
+        return Err("must consist of letters, digits, '-', '_' and '.'".into());
+    }
+    Ok(())
+}
+
+/// Refuses fields that the kind does not have; a misspelt one would be lost in silence.
+fn check_known(kind: Kind, members: &Map<String, Value>, errors: &mut Vec<FieldError>) {
+    for (key, value) in members {
+        let prefix = format!("{key}.");
+        let is_group = fields(kind)
+            .iter()
+            .any(|field| field.path.starts_with(&prefix));
+        match value {
+            Value::Object(inner) if is_group => {
+                let paths = inner.keys().map(|inner| format!("{prefix}{inner}"));
+                errors.extend(
+                    paths
+                        .filter(|path| !is_field(kind, path))
+                        .map(|path| bad(&path, "no such field")),
+                );
+            }
+            _ if is_group => errors.push(bad(key, "must be an object")),
+            _ if !is_field(kind, key) || key.contains('.') => {
+                errors.push(bad(key, "no such field"));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn is_field(kind: Kind, path: &str) -> bool {
+    fields(kind).iter().any(|field| field.path == path)
+}
+
+fn find<'a>(members: &'a Map<String, Value>, path: &str) -> Option<&'a Value> {
+    match path.split_once('.') {
+        Some((group, key)) => members.get(group)?.get(key),
+        None => members.get(path),
+    }
+}
+
+fn put_in(members: &mut Map<String, Value>, path: &str, value: Value) {
+    let Some((group, key)) = path.split_once('.') else {
+        members.insert(path.into(), value);
+        return;
+    };
+    let group = members.entry(group).or_insert_with(|| json!({}));
+    if let Some(group) = group.as_object_mut() {
+        group.insert(key.into(), value);
+    }
+}
+
+fn default_of(field: &Field) -> Result<Value, String> {
+    match field.default {
+        FieldDefault::Required => Err("is required".into()),
+        FieldDefault::Number(number) => Ok(json!(number)),
+        FieldDefault::Flag(flag) => Ok(json!(flag)),
+        FieldDefault::Word(word) => Ok(json!(word)),
+    }
+}
+
+fn check_type(field_type: FieldType, value: &Value) -> Result<(), String> {
+    match field_type {
+        FieldType::Name => match value.as_str() {
+            Some(name) => check_name(name),
+            None => Err("must be a name".into()),
+        },
+        FieldType::Names => check_names(value),
+        FieldType::Count => check_number(value, u32::MAX.into()),
+        FieldType::Milliseconds => check_number(value, MAX_EXACT),
+        FieldType::Flag if value.is_boolean() => Ok(()),
+        FieldType::Flag => Err("must be true or false".into()),
+        FieldType::Choice(words) => match value.as_str() {
+            Some(word) if words.contains(&word) => Ok(()),
+            _ => Err(format!("must be one of {}", words.join(", "))),
+        },
+        FieldType::Amount => check_amount(value),
+    }
+}
+
+fn check_names(value: &Value) -> Result<(), String> {
+    let names = value.as_array().ok_or("must be a list of names")?;
+    for name in names {
+        check_name(name.as_str().ok_or("must be a list of names")?)?;
+    }
+    Ok(())
+}
+
+fn check_number(value: &Value, limit: u64) -> Result<(), String> {
+    match value.as_u64() {
+        Some(number) if number <= limit => Ok(()),
+        _ => Err(format!("must be a whole number from 0 to {limit}")),
+    }
+}
+
+fn check_amount(value: &Value) -> Result<(), String> {
+    let reason = "must be {\"count\": VMS} or {\"percent\": 0 to 100}";
+    let members = value.as_object().filter(|members| members.len() == 1);
+    let (key, number) = members
+        .and_then(|members| members.iter().next())
+        .ok_or(reason)?;
+    match key.as_str() {
+        "count" => check_number(number, u32::MAX.into()),
+        "percent" => check_number(number, 100),
+        _ => Err(reason.into()),
+    }
+}
--- a/crates/state/src/declarations.rs
+++ b/crates/state/src/declarations.rs
@@ -8,14 +8,11 @@
         vms::{PoolState, VmState, WaveState},
     },
     lynxwheel_protocol::{
-        Amount, JobSpec, Kind, PoolSpec, Resource, ResourceRef, Resources, VmPhase, VmSpec,
-        WaveSpec,
+        JobSpec, Kind, PoolSpec, Resource, ResourceRef, Resources, VmPhase, VmSpec, WaveSpec,
+        field_errors,
     },
 };
 
-/// Pools that one wave may name.
-const MAX_WAVE_POOLS: usize = 4_096;
-
 /// A resource with the revision of its declaration.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Declared {
@@ -123,11 +120,11 @@
     ) -> Result<(), Rejection> {
         let reference = resource.reference();
         self.check_revision(&reference, if_revision)?;
-        if let Some((field, reason)) = bad_field(resource) {
+        if let Some(error) = field_errors(resource).into_iter().next() {
             return Err(Rejection::BadField {
                 reference,
-                field: field.into(),
-                reason: reason.into(),
+                field: error.field,
+                reason: error.reason,
             });
         }
         self.check_needs(resource)?;
@@ -155,29 +152,20 @@
     }
 
     fn check_needs(&self, resource: &Resource) -> Result<(), Rejection> {
-        let need = |kind, name: &str| {
-            let reference = ResourceRef::new(kind, name);
-            if self.names_contain(kind, name) {
-                Ok(())
-            } else {
-                Err(Rejection::Missing { reference })
-            }
-        };
-        match resource {
-            Resource::Vm(spec) => need(Kind::Pool, spec.pool.as_str()),
-            Resource::Service(spec) => need(Kind::Pool, spec.pool.as_str()),
-            Resource::Job(spec) => {
-                need(Kind::Pool, spec.pool.as_str())?;
-                need(Kind::Team, spec.team.as_str())
-            }
-            Resource::Wave(spec) => spec
-                .pools
-                .iter()
-                .try_for_each(|pool| need(Kind::Pool, pool.as_str())),
-            Resource::Policy(_) | Resource::Team(_) | Resource::Pool(_) => Ok(()),
+        match self.missing_needs(resource).into_iter().next() {
+            Some(reference) => Err(Rejection::Missing { reference }),
+            None => Ok(()),
         }
     }
 
+    /// Returns every resource that a declaration refers to and that is not declared.
+    #[must_use]
+    pub fn missing_needs(&self, resource: &Resource) -> Vec<ResourceRef> {
+        let mut needs = resource.needs();
+        needs.retain(|need| !self.names_contain(need.kind, &need.name));
+        needs
+    }
+
     fn names_contain(&self, kind: Kind, name: &str) -> bool {
         match kind {
             Kind::Pool => self.pools.get(name).is_some(),
@@ -413,61 +401,64 @@
 
     /// Returns a resource that still needs `reference`.
     fn needed_by(&self, reference: &ResourceRef) -> Option<ResourceRef> {
+        self.dependants(reference).into_iter().next()
+    }
+
+    /// Returns every resource that still needs `reference`, so that it cannot be withdrawn.
+    #[must_use]
+    pub fn dependants(&self, reference: &ResourceRef) -> Vec<ResourceRef> {
         let name = reference.name.as_str();
         match reference.kind {
-            Kind::Pool => self.pool_needed_by(name),
-            Kind::Team => self
-                .jobs
-                .iter()
-                .find(|job| job.spec.team.as_str() == name)
-                .map(|job| ResourceRef::new(Kind::Job, job.spec.name.as_str())),
-            Kind::Vm => self
-                .jobs
-                .iter()
-                .find(|job| {
-                    job.attempt
-                        .as_ref()
-                        .is_some_and(|run| run.vm.as_str() == name)
-                })
-                .map(|job| ResourceRef::new(Kind::Job, job.spec.name.as_str())),
+            Kind::Pool => self.pool_dependants(name),
+            Kind::Team => self.jobs_where(|job| job.spec.team.as_str() == name),
+            Kind::Vm => self.jobs_where(|job| {
+                let attempt = job.attempt.as_ref();
+                attempt.is_some_and(|run| run.vm.as_str() == name)
+            }),
             Kind::Job => self
                 .jobs
                 .get(name)
                 .and_then(|job| job.attempt.as_ref())
-                .map(|attempt| ResourceRef::new(Kind::Vm, attempt.vm.as_str())),
-            Kind::Wave => self
-                .vms
-                .iter()
-                .find(|vm| claims_for_wave(vm, name))
-                .map(|vm| ResourceRef::new(Kind::Vm, vm.name.as_str())),
-            Kind::Policy | Kind::Service => None,
+                .map(|attempt| ResourceRef::new(Kind::Vm, attempt.vm.as_str()))
+                .into_iter()
+                .collect(),
+            Kind::Wave => self.vms_where(|vm| claims_for_wave(vm, name)),
+            Kind::Policy | Kind::Service => Vec::new(),
         }
     }
 
-    fn pool_needed_by(&self, name: &str) -> Option<ResourceRef> {
-        let vm = self
-            .vms
+    fn jobs_where(&self, is_meant: impl Fn(&JobState) -> bool) -> Vec<ResourceRef> {
+        self.jobs
             .iter()
-            .find(|vm| vm.pool.as_str() == name || vm.wanted_pool.as_str() == name)
-            .map(|vm| ResourceRef::new(Kind::Vm, vm.name.as_str()));
-        let service = || {
-            self.services()
-                .find(|spec| spec.pool.as_str() == name)
-                .map(|spec| ResourceRef::new(Kind::Service, spec.name.as_str()))
-        };
-        let job = || {
-            self.jobs
-                .iter()
-                .find(|job| job.spec.pool.as_str() == name)
-                .map(|job| ResourceRef::new(Kind::Job, job.spec.name.as_str()))
-        };
-        let wave = || {
-            self.waves
-                .iter()
-                .find(|wave| wave.spec.pools.iter().any(|pool| pool.as_str() == name))
-                .map(|wave| ResourceRef::new(Kind::Wave, wave.spec.name.as_str()))
-        };
-        vm.or_else(service).or_else(job).or_else(wave)
+            .filter(|job| is_meant(job))
+            .map(|job| ResourceRef::new(Kind::Job, job.spec.name.as_str()))
+            .collect()
+    }
+
+    fn vms_where(&self, is_meant: impl Fn(&VmState) -> bool) -> Vec<ResourceRef> {
+        self.vms
+            .iter()
+            .filter(|vm| is_meant(vm))
+            .map(|vm| ResourceRef::new(Kind::Vm, vm.name.as_str()))
+            .collect()
+    }
+
+    fn pool_dependants(&self, name: &str) -> Vec<ResourceRef> {
+        let mut dependants =
+            self.vms_where(|vm| vm.pool.as_str() == name || vm.wanted_pool.as_str() == name);
+        let services = self
+            .services()
+            .filter(|spec| spec.pool.as_str() == name)
+            .map(|spec| ResourceRef::new(Kind::Service, spec.name.as_str()));
+        dependants.extend(services);
+        dependants.extend(self.jobs_where(|job| job.spec.pool.as_str() == name));
+        let waves = self
+            .waves
+            .iter()
+            .filter(|wave| wave.spec.pools.iter().any(|pool| pool.as_str() == name))
+            .map(|wave| ResourceRef::new(Kind::Wave, wave.spec.name.as_str()));
+        dependants.extend(waves);
+        dependants
     }
 }
 
@@ -501,49 +492,3 @@
         _ => {}
     }
 }
-
-/// Returns the first field that is out of range, and why.
-fn bad_field(resource: &Resource) -> Option<(&'static str, &'static str)> {
-    match resource {
-        Resource::Pool(spec) => bad_pool_field(spec),
-        Resource::Service(spec) if spec.slots_per_endpoint == 0 => {
-            Some(("slots_per_endpoint", "must be at least 1"))
-        }
-        Resource::Service(spec) if spec.connections_per_endpoint < spec.slots_per_endpoint => {
-            Some((
-                "connections_per_endpoint",
-                "must be at least slots_per_endpoint",
-            ))
-        }
-        Resource::Service(spec) if spec.deadline_ms == 0 => {
-            Some(("deadline_ms", "must be at least 1"))
-        }
-        Resource::Job(spec) if spec.max_attempts == 0 => {
-            Some(("max_attempts", "must be at least 1"))
-        }
-        Resource::Wave(spec) if spec.pools.is_empty() => {
-            Some(("pools", "must name at least one pool"))
-        }
-        Resource::Wave(spec) if spec.pools.len() > MAX_WAVE_POOLS => {
-            Some(("pools", "names too many pools"))
-        }
-        Resource::Wave(spec) if !spec.pools.is_sorted_by(|left, right| left < right) => {
-            Some(("pools", "must be sorted and name each pool once"))
-        }
-        Resource::Policy(spec) if spec.key_limit == 0 => Some(("key_limit", "must be at least 1")),
-        _ => None,
-    }
-}
-
-fn bad_pool_field(spec: &PoolSpec) -> Option<(&'static str, &'static str)> {
-    match spec.budget.min_available {
-        Amount::Percent(percent) if percent > 100 => {
-            Some(("budget.min_available", "must be at most 100 percent"))
-        }
-        Amount::Count(count) if count > spec.size => {
-            Some(("budget.min_available", "must be at most the pool's size"))
-        }
-        _ if spec.budget.zones_at_once == 0 => Some(("budget.zones_at_once", "must be at least 1")),
-        _ => None,
-    }
-}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -19,6 +19,7 @@
 //! ```
 
 mod availability;
+mod changes;
 mod claims;
 mod declarations;
 mod fleet;
@@ -32,6 +33,7 @@
 mod writers;
 
 pub use availability::PoolAvailability;
+pub use changes::ChangedNames;
 pub use declarations::Declared;
 pub use fleet::FleetState;
 pub use jobs::{Attempt, Estimate, JobPhase, JobState, TeamState};
--- a/crates/state/src/table.rs
+++ b/crates/state/src/table.rs
@@ -123,6 +123,30 @@
             .skip_while(move |row| row.key() < key)
     }
 
+    /// Returns the rows of either table that lie in chunks the other does not share, in order.
+    ///
+    /// Rows that are equal in both tables may be among them, on both sides.
+    #[must_use]
+    pub fn unshared_rows<'a>(&'a self, other: &'a Self) -> (Vec<&'a T>, Vec<&'a T>) {
+        let own = self.chunk_pointers();
+        let others = other.chunk_pointers();
+        (self.rows_outside(&others), other.rows_outside(&own))
+    }
+
+    fn chunk_pointers(&self) -> Vec<*const Vec<T>> {
+        let mut pointers: Vec<_> = self.chunks.iter().map(Arc::as_ptr).collect();
+        pointers.sort_unstable();
+        pointers
+    }
+
+    fn rows_outside(&self, shared: &[*const Vec<T>]) -> Vec<&T> {
+        self.chunks
+            .iter()
+            .filter(|chunk| shared.binary_search(&Arc::as_ptr(chunk)).is_err())
+            .flat_map(|chunk| chunk.iter())
+            .collect()
+    }
+
     /// Finds the first chunk whose last key is not below `key`.
     fn chunk_of(&self, key: &T::Key) -> usize {
         self.chunks.partition_point(|chunk| {
