--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -1,7 +1,10 @@
 //! Folding the log's entries into the published state.
 
 use {
-    crate::{proposer::Decision, published::Published, recent::RecentEntries, waiters::Waiters},
+    crate::{
+        operations::Operations, proposer::Decision, published::Published, recent::RecentEntries,
+        waiters::Waiters,
+    },
     kameo::{
         Actor,
         message::{Context, Message},
@@ -26,6 +29,7 @@
     published: Arc<Published>,
     waiters: Arc<Waiters>,
     recent: Arc<RecentEntries>,
+    operations: Arc<Operations>,
     incarnation: u64,
 }
 
@@ -35,6 +39,7 @@
         published: Arc<Published>,
         waiters: Arc<Waiters>,
         recent: Arc<RecentEntries>,
+        operations: Arc<Operations>,
         incarnation: u64,
     ) -> Self {
         Self {
@@ -42,6 +47,7 @@
             published,
             waiters,
             recent,
+            operations,
             incarnation,
         }
     }
@@ -61,6 +67,7 @@
         };
         let verdict = self.state.apply(entry.offset, &record);
         log_verdict(entry.offset, &record, &verdict);
+        self.operations.note(entry.offset, &record, &verdict);
         (record.id.incarnation == self.incarnation).then_some(Decision {
             id: record.id,
             offset: entry.offset,
--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -93,8 +93,8 @@
             node: node.clone(),
             stopping: stopping.clone(),
         };
-        let api = Api::new(node.clone());
         let peer_node = node.clone();
+        let api = Api::start(node.clone(), config.access.clone(), closing.clone());
         let servers = vec![
             tokio::spawn(peers.serve(closing.clone(), move |request| {
                 serve_peer(peer_node.clone(), request)
--- a/crates/lynxwheel/src/dev.rs
+++ b/crates/lynxwheel/src/dev.rs
@@ -248,6 +248,7 @@
         callers: any_port,
         operators: any_port,
         peers_listen: own.first().map_or(any_port, |own| own.address),
+        access: lynxwheel_api::Access::default(),
         platform,
         stream: "fleet".into(),
         peers,
