Main job apart from the embedded fleet; peers ask for answers

The peer listener mounts the gateway's answers, so a second attempt at another node gets the first one's answer.

--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -7,7 +7,7 @@
     log::{error, info},
     lynxwheel_api::Api,
     lynxwheel_coordination::{Duties, Node},
-    lynxwheel_gateway::Gateway,
+    lynxwheel_gateway::{Gateway, PEER_ANSWER_PATH},
     lynxwheel_transport::{Body, Server, Shutdown, error_answer, json_answer},
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     serde_json::json,
@@ -94,10 +94,11 @@
             stopping: stopping.clone(),
         };
         let peer_node = node.clone();
+        let peer_gateway = gateway.clone();
         let api = Api::start(node.clone(), config.access.clone(), closing.clone());
         let servers = vec![
             tokio::spawn(peers.serve(closing.clone(), move |request| {
-                serve_peer(peer_node.clone(), request)
+                serve_peer(peer_node.clone(), peer_gateway.clone(), request)
             })),
             tokio::spawn(callers.serve(closing.clone(), move |request| {
                 serve_caller(gateway.clone(), health.clone(), request)
@@ -233,8 +234,11 @@
     }
 }
 
-async fn serve_peer(node: Node, request: Request<Incoming>) -> Response<Body> {
-    node.handle_peer(request).await
+async fn serve_peer(node: Node, gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        PEER_ANSWER_PATH => gateway.peer_answer(request).await,
+        _ => node.handle_peer(request).await,
+    }
 }
 
 async fn serve_operator(
--- /dev/null
+++ b/crates/lynxwheel/src/embedded.rs
@@ -0,0 +1,167 @@
+//! A platform with nodes in this process.
+
+use {
+    crate::{config::Config, daemon::Daemon},
+    http::{Method, StatusCode},
+    lynxwheel_coordination::PeerAddress,
+    lynxwheel_protocol::{LogEntry, Resource},
+    lynxwheel_standin::{PlatformServer, VmTemplate},
+    lynxwheel_state::FleetState,
+    lynxwheel_transport::{Client, ClientRequest},
+    std::{
+        io,
+        net::{Ipv4Addr, SocketAddr, TcpListener},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// Nodes of the embedded system.
+const NODES: u32 = 2;
+
+/// Time that a VM takes to reboot, in milliseconds.
+const REBOOT_MS: u64 = 300;
+
+/// Time within which everything waited for must happen.
+const LIMIT: Duration = Duration::from_mins(2);
+
+/// Pause between two looks at what is waited for.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Time that one call may take.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// A platform and nodes in this process.
+pub(crate) struct Fleet {
+    pub(crate) platform: PlatformServer,
+    pub(crate) daemons: Vec<Daemon>,
+}
+
+impl Fleet {
+    /// Starts a platform of `vms` VMs and waits until the nodes are current.
+    pub(crate) async fn start(vms: u32) -> Result<Self, String> {
+        let templates: Vec<VmTemplate> = (0..vms).map(VmTemplate::numbered).collect();
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = PlatformServer::start(any_port, &templates, REBOOT_MS)
+            .await
+            .map_err(|error| error.to_string())?;
+        let nodes = peer_addresses().map_err(|error| error.to_string())?;
+        let mut daemons = Vec::new();
+        for number in 1..=NODES {
+            let config = config(number, platform.address(), &nodes);
+            daemons.push(
+                Daemon::start(&config)
+                    .await
+                    .map_err(|error| error.to_string())?,
+            );
+        }
+        let fleet = Self { platform, daemons };
+        fleet.wait_until_current().await?;
+        Ok(fleet)
+    }
+
+    async fn wait_until_current(&self) -> Result<(), String> {
+        let until = Instant::now() + LIMIT;
+        while !self.daemons.iter().all(|daemon| daemon.node().is_current()) {
+            if Instant::now() > until {
+                return Err("waited too long until the nodes are current".into());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns the first node's state.
+    pub(crate) fn state(&self) -> Arc<FleetState> {
+        self.daemons[0].node().state()
+    }
+
+    /// Declares resources through the first node's API, in order.
+    pub(crate) async fn declare(&self, resources: &[Resource]) -> Result<(), String> {
+        let operators = Client::new(self.daemons[0].operators(), 4);
+        for resource in resources {
+            let body = serde_json::to_vec(resource).map_err(|error| error.to_string())?;
+            let path = format!("/v1/{}/{}", resource.kind(), resource.name());
+            let request = ClientRequest::new(Method::PUT, path).with_body(body);
+            let answer = operators
+                .call(&request, CALL_LIMIT)
+                .await
+                .map_err(|error| error.to_string())?;
+            if answer.status != StatusCode::OK {
+                let text = String::from_utf8_lossy(&answer.body);
+                return Err(format!("{}: {text}", resource.reference()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until something holds of the first node's state.
+    pub(crate) async fn wait_until(
+        &self,
+        what: &str,
+        holds: impl Fn(&FleetState) -> bool,
+    ) -> Result<(), String> {
+        let until = Instant::now() + LIMIT;
+        while !holds(&self.state()) {
+            if Instant::now() > until {
+                return Err(format!("waited too long until {what}"));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns everything that the fleet's stream holds.
+    pub(crate) fn entries(&self) -> Vec<LogEntry> {
+        self.platform
+            .with_platform(|platform| platform.log.read("fleet", 1, usize::MAX).entries)
+    }
+}
+
+/// Finds a free address for each node's peer listener, which the others must know beforehand.
+fn peer_addresses() -> io::Result<Vec<PeerAddress>> {
+    let listeners: Vec<TcpListener> = (0..NODES)
+        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
+        .collect::<io::Result<_>>()?;
+    (1..)
+        .zip(&listeners)
+        .map(|(number, listener)| {
+            Ok(PeerAddress {
+                node: node_name(number).as_str().into(),
+                address: listener.local_addr()?,
+            })
+        })
+        .collect()
+}
+
+fn config(number: u32, platform: SocketAddr, nodes: &[PeerAddress]) -> Config {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let name = node_name(number);
+    let (own, peers): (Vec<PeerAddress>, Vec<PeerAddress>) = nodes
+        .iter()
+        .cloned()
+        .partition(|peer| peer.node.as_str() == name);
+    Config {
+        node: node_name(number),
+        zone: format!("zone-{number}"),
+        callers: any_port,
+        operators: any_port,
+        peers_listen: own.first().map_or(any_port, |own| own.address),
+        access: lynxwheel_api::Access::default(),
+        platform,
+        stream: "fleet".into(),
+        peers,
+        propose_timeout_ms: 3_000,
+        tick_ms: 50,
+        rank_delay_ms: 100,
+        action_timeout_ms: 60_000,
+        drain_ms: 100,
+        log_level: "error".into(),
+        log_file: None,
+    }
+}
+
+fn node_name(number: u32) -> String {
+    format!("node-{number}")
+}
--- a/crates/lynxwheel/src/lib.rs
+++ b/crates/lynxwheel/src/lib.rs
@@ -18,7 +18,9 @@
 mod config;
 mod daemon;
 mod dev;
+mod embedded;
 mod logging;
+mod main_job;
 mod report;
 
 pub use audit::{PoolAudit, audit};
