Slots by shares, queues by class, streaming bodies and passive ejection

Cause: nodes counted only their own requests, so nine of them could put 72 at once on an endpoint of 8 slots; a full endpoint refused at once; bodies were read whole; a leaving endpoint was tried until the log said so.

Every slot of an endpoint belongs to one node, dealt in rendezvous order over the live nodes; a node gives slots up at once and takes slots over after 3 s. What finds no free slot waits by class within a bounded queue, or is refused at once when it cannot be served in time. Bodies up to 64 KiB are kept for a retry, larger ones pass through once. A refusal to start or a failed connect takes the endpoint out at once. Connections and counts belong to one life of a VM, and endpoints are looked up in a table made once per state, not by a scan of all VMs per request.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -11,12 +11,20 @@
 //! assert!(ranks.contains(&0) && ranks.contains(&1));
 //! ```
 
+mod admission;
 mod placement;
 mod rendezvous;
 mod routing;
 mod waves;
 
+pub use admission::{
+    Admission, AdmissionView, MAX_RETRY_BUDGET, TokenBucket, admit, budget_after_request,
+    budget_after_retry, expected_wait_ms,
+};
 pub use placement::{Placement, PlacementReason, plan_placements};
 pub use rendezvous::rendezvous_rank;
-pub use routing::{EndpointView, RouteChoice, RouteReason, RouteRequest, least_loaded};
+pub use routing::{
+    EndpointView, RouteChoice, RoutePolicy, RouteReason, RouteRequest, least_loaded, own_share,
+    slot_share,
+};
 pub use waves::{ClaimPlan, ClaimReason, plan_claims};
--- a/crates/decisions/src/routing.rs
+++ b/crates/decisions/src/routing.rs
@@ -1,6 +1,9 @@
-//! Choice of an endpoint for a request.
+//! Choice of an endpoint for a request, and shares of an endpoint's slots.
 
-use lynxwheel_protocol::{VmName, ZoneName};
+use {
+    crate::rendezvous::rendezvous_rank,
+    lynxwheel_protocol::{NodeName, VmName, ZoneName},
+};
 
 /// What a node knows of an endpoint when it chooses.
 #[derive(Clone, Copy, Debug)]
@@ -9,10 +12,14 @@
     pub vm: &'a VmName,
     /// Zone.
     pub zone: &'a ZoneName,
-    /// Requests known to be in progress on it.
+    /// Requests of this node in progress on it.
     pub in_progress: u32,
+    /// Requests of the other nodes in progress on it, as they last told.
+    pub peers_in_progress: u32,
     /// Requests that it serves at once.
     pub slots: u32,
+    /// Slots that are this node's own; over all nodes they add up to `slots`.
+    pub share: u32,
 }
 
 /// What matters of a request for the choice.
@@ -55,16 +62,62 @@
 pub struct RouteChoice {
     /// Index of the chosen endpoint.
     pub endpoint: Option<usize>,
+    /// Requests that the choosing node may have in progress on it, this one included.
+    pub limit: u32,
     /// Reason.
     pub reason: RouteReason,
 }
 
-/// Chooses the endpoint with the fewest requests in progress, in the own zone first.
+/// A way to choose an endpoint.
+pub type RoutePolicy = fn(&RouteRequest<'_>, &[EndpointView<'_>]) -> RouteChoice;
+
+/// Chooses the endpoint with the fewest requests of all nodes in progress, in the own zone first.
+///
+/// The peers' counts are as old as their last message, so nodes that choose at the same time may
+/// exceed an endpoint's slots together.
 #[must_use]
 pub fn least_loaded(request: &RouteRequest<'_>, endpoints: &[EndpointView<'_>]) -> RouteChoice {
+    choose(request, endpoints, |endpoint| {
+        endpoint.slots.saturating_sub(endpoint.peers_in_progress)
+    })
+}
+
+/// Chooses among the endpoints on which a slot of this node's own share is free, in the own zone
+/// first, then the one with the fewest requests of all nodes.
+///
+/// Shares of one set of nodes add up to the slots, so the nodes never exceed them together.
+#[must_use]
+pub fn own_share(request: &RouteRequest<'_>, endpoints: &[EndpointView<'_>]) -> RouteChoice {
+    choose(request, endpoints, |endpoint| endpoint.share)
+}
+
+/// Returns how many of an endpoint's slots belong to `node`.
+///
+/// Slots are dealt in turn over the nodes in the endpoint's rendezvous order. When a node is lost
+/// only its slots change hands, and each other node gains at most one while nodes are no fewer
+/// than slots.
+#[must_use]
+pub fn slot_share(vm: &VmName, node: &NodeName, nodes: &[NodeName], slots: u32) -> u32 {
+    let Ok(count) = u32::try_from(nodes.len()) else {
+        return 0;
+    };
+    if nodes.binary_search(node).is_err() {
+        return 0;
+    }
+    let rank = rendezvous_rank(vm.as_str(), node, nodes);
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    slots / count + u32::from(rank < slots % count)
+}
+
+fn choose(
+    request: &RouteRequest<'_>,
+    endpoints: &[EndpointView<'_>],
+    limit: impl Fn(&EndpointView<'_>) -> u32,
+) -> RouteChoice {
     if endpoints.is_empty() {
         return RouteChoice {
             endpoint: None,
+            limit: 0,
             reason: RouteReason::NoEndpoint,
         };
     }
@@ -72,10 +125,11 @@
     let start = usize::try_from(request.seed % count as u64).unwrap_or(0);
     let best = (0..count)
         .map(|step| (start + step) % count)
-        .filter(|index| endpoints[*index].in_progress < endpoints[*index].slots)
+        .filter(|index| endpoints[*index].in_progress < limit(&endpoints[*index]))
         .min_by_key(|index| {
             let endpoint = &endpoints[*index];
-            (endpoint.zone != request.zone, endpoint.in_progress)
+            let in_progress = endpoint.in_progress + endpoint.peers_in_progress;
+            (endpoint.zone != request.zone, in_progress)
         });
     let reason = match best {
         None => RouteReason::NoFreeSlot,
@@ -84,6 +138,7 @@
     };
     RouteChoice {
         endpoint: best,
+        limit: best.map_or(0, |index| limit(&endpoints[index])),
         reason,
     }
 }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -1,102 +1,114 @@
-//! Endpoints and the requests in progress on them.
+//! Endpoints, and the slots and connections that this node uses on them.
 
 use {
-    lynxwheel_protocol::{ServiceSpec, VmName},
-    lynxwheel_state::{FleetState, VmState},
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    crate::{ejection::Ejection, queue::ServiceQueue},
+    lynxwheel_protocol::{EndpointLoad, VmName, ZoneName},
+    lynxwheel_transport::Client,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Instant,
+    },
 };
 
-/// Counts of requests in progress, by VM and incarnation.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Loads {
-    rows: Arc<Mutex<Vec<Load>>>,
-}
-
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Load {
-    vm: VmName,
-    incarnation: u64,
-    in_progress: u32,
+/// One life of a VM's endpoint.
+///
+/// Connections and counts belong to the life, since the platform gives addresses and names anew:
+/// a late answer or a count of the former life never reaches the next one.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) vm: VmName,
+    pub(crate) incarnation: u64,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneName,
+    pub(crate) client: Client,
+    pub(crate) ejection: Ejection,
+    in_progress: AtomicU32,
+    peers_in_progress: AtomicU32,
 }
 
-impl Loads {
-    /// Returns the count of an endpoint.
-    pub(crate) fn get(&self, vm: &VmName, incarnation: u64) -> u32 {
-        let rows = self.rows();
-        match find(&rows, vm, incarnation) {
-            Ok(row) => rows[row].in_progress,
-            Err(_) => 0,
+impl Endpoint {
+    pub(crate) fn new(
+        vm: &VmName,
+        incarnation: u64,
+        zone: &ZoneName,
+        address: SocketAddr,
+        max_connections: usize,
+    ) -> Self {
+        Self {
+            vm: vm.clone(),
+            incarnation,
+            address,
+            zone: zone.clone(),
+            client: Client::new(address, max_connections),
+            ejection: Ejection::default(),
+            in_progress: AtomicU32::new(0),
+            peers_in_progress: AtomicU32::new(0),
         }
     }
 
-    /// Counts a request in when fewer than `slots` are in progress.
-    pub(crate) fn enter(&self, vm: &VmName, incarnation: u64, slots: u32) -> Option<Slot> {
-        let mut rows = self.rows();
-        let row = match find(&rows, vm, incarnation) {
-            Ok(row) => row,
-            Err(row) => {
-                rows.insert(
-                    row,
-                    Load {
-                        vm: vm.clone(),
-                        incarnation,
-                        in_progress: 0,
-                    },
-                );
-                row
-            }
-        };
-        if rows[row].in_progress >= slots {
-            return None;
-        }
-        rows[row].in_progress += 1;
-        Some(Slot {
-            loads: self.clone(),
-            vm: vm.clone(),
-            incarnation,
-        })
+    /// Returns the requests of this node in progress on it.
+    pub(crate) fn in_progress(&self) -> u32 {
+        self.in_progress.load(Ordering::Relaxed)
     }
 
-    fn leave(&self, vm: &VmName, incarnation: u64) {
-        let mut rows = self.rows();
-        if let Ok(row) = find(&rows, vm, incarnation) {
-            rows[row].in_progress -= 1;
-            if rows[row].in_progress == 0 {
-                rows.remove(row);
-            }
-        }
+    /// Returns the requests of the other nodes in progress on it, as they last told.
+    pub(crate) fn peers_in_progress(&self) -> u32 {
+        self.peers_in_progress.load(Ordering::Relaxed)
     }
 
-    fn rows(&self) -> MutexGuard<'_, Vec<Load>> {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn set_peers_in_progress(&self, count: u32) {
+        self.peers_in_progress.store(count, Ordering::Relaxed);
     }
-}
 
-fn find(rows: &[Load], vm: &VmName, incarnation: u64) -> Result<usize, usize> {
-    rows.binary_search_by(|row| (&row.vm, row.incarnation).cmp(&(vm, incarnation)))
+    /// Returns the load as peers are told.
+    pub(crate) fn load(&self) -> EndpointLoad {
+        EndpointLoad {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            in_progress: self.in_progress(),
+        }
+    }
+
+    /// Takes a slot when fewer than `limit` are taken.
+    pub(crate) fn enter(self: &Arc<Self>, limit: u32, queue: &Arc<ServiceQueue>) -> Option<Slot> {
+        let enter = |count: u32| (count < limit).then_some(count + 1);
+        self.in_progress
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, enter)
+            .ok()?;
+        Some(Slot {
+            endpoint: Arc::clone(self),
+            queue: Arc::clone(queue),
+            since: Instant::now(),
+        })
+    }
 }
 
-/// A request in progress on an endpoint; dropping it counts it out.
+/// A request in progress on an endpoint; dropping it frees the slot and wakes the next request.
 #[derive(Debug)]
 pub(crate) struct Slot {
-    loads: Loads,
-    vm: VmName,
-    incarnation: u64,
+    endpoint: Arc<Endpoint>,
+    queue: Arc<ServiceQueue>,
+    since: Instant,
 }
 
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.loads.leave(&self.vm, self.incarnation);
+impl Slot {
+    pub(crate) fn shared_endpoint(&self) -> &Arc<Endpoint> {
+        &self.endpoint
+    }
+
+    pub(crate) fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
     }
 }
 
-/// Returns the available VMs that serve a service.
-pub(crate) fn available<'a>(
-    state: &'a FleetState,
-    service: &'a ServiceSpec,
-) -> impl Iterator<Item = &'a VmState> {
-    state
-        .vms()
-        .iter()
-        .filter(|vm| vm.pool == service.pool && vm.is_available())
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.endpoint.in_progress.fetch_sub(1, Ordering::AcqRel);
+        self.queue.note_service(self.since.elapsed());
+        self.queue.wake();
+    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,28 +5,27 @@
         caller_request::CallerRequest,
         dispatch::Dispatcher,
         keys::Keys,
+        limits::TeamRates,
+        payload::{MAX_KEPT_BYTES, MAX_KEYED_BYTES, Payload},
         refusal::{Refusal, RefusalReason},
+        table::Tables,
     },
-    bytes::Bytes,
     http::{Request, Response},
     hyper::body::Incoming,
     log::info,
-    lynxwheel_coordination::Node,
-    lynxwheel_transport::{Body, collect_body},
+    lynxwheel_coordination::{Node, now_ms},
+    lynxwheel_decisions::{RoutePolicy, own_share},
+    lynxwheel_protocol::{EndpointLoad, PeerHello, ServiceSpec},
+    lynxwheel_transport::Body,
     std::time::Duration,
     tokio::time::Instant,
 };
 
-/// Bytes of a request's body at most.
-const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-
-/// Connections to one endpoint.
-const ENDPOINT_CONNECTIONS: usize = 16;
-
 /// Serves callers; copies share the state.
 #[derive(Clone, Debug)]
 pub struct Gateway {
-    node: Node,
+    tables: Tables,
+    rates: TeamRates,
     dispatcher: Dispatcher,
     keys: Keys,
 }
@@ -35,12 +34,19 @@
     /// Creates the request path of a node.
     #[must_use]
     pub fn new(node: Node) -> Self {
-        let dispatcher = Dispatcher::new(node.clone(), ENDPOINT_CONNECTIONS);
-        let keys = Keys::new(node.clone(), dispatcher.clone());
+        Self::with_policy(node, own_share)
+    }
+
+    /// Creates the request path of a node with another way to choose endpoints.
+    #[must_use]
+    pub fn with_policy(node: Node, policy: RoutePolicy) -> Self {
+        let tables = Tables::new(node.clone());
+        let dispatcher = Dispatcher::new(node.clone(), tables.clone(), policy);
         Self {
-            node,
+            tables,
+            rates: TeamRates::default(),
+            keys: Keys::new(node, dispatcher.clone()),
             dispatcher,
-            keys,
         }
     }
 
@@ -51,11 +57,7 @@
             Ok(request) => request,
             Err(refusal) => return refusal.answer(),
         };
-        let body = match collect_body(incoming, MAX_BODY_BYTES).await {
-            Ok(body) => body,
-            Err(answer) => return answer,
-        };
-        match self.run(&request, body).await {
+        match self.run(&request, incoming).await {
             Ok(response) => response,
             Err(refusal) => {
                 info!(event = "refused", request = request.request_id.as_str(),
@@ -67,27 +69,63 @@
         }
     }
 
-    async fn run(&self, request: &CallerRequest, body: Bytes) -> Result<Response<Body>, Refusal> {
-        let state = self.node.state();
-        let service = state.service(&request.service).ok_or_else(|| {
+    /// Answers a peer that asks for the answer of a key, to be mounted on the peer listener.
+    pub async fn peer_answer(self, request: Request<Incoming>) -> Response<Body> {
+        self.keys.answer_peer(request).await
+    }
+
+    /// Returns the load that this node puts on endpoints, for its peers.
+    #[must_use]
+    pub fn loads(&self) -> Vec<EndpointLoad> {
+        self.tables.loads()
+    }
+
+    /// Returns the endpoints that this node saw leaving or failing, for its peers.
+    #[must_use]
+    pub fn leaving(&self) -> Vec<EndpointLoad> {
+        self.tables.leaving(now_ms())
+    }
+
+    /// Takes in what a peer told.
+    pub fn note_peer(&self, hello: &PeerHello) {
+        self.tables.note_peer(hello, now_ms());
+    }
+
+    async fn run(
+        &self,
+        request: &CallerRequest,
+        incoming: Incoming,
+    ) -> Result<Response<Body>, Refusal> {
+        let arrived = Instant::now();
+        let table = self.tables.load(now_ms());
+        let service = table.service(&request.service).ok_or_else(|| {
             let detail = format!("there is no service {}", request.service);
             Refusal::not_run(RefusalReason::UnknownService, detail)
         })?;
-        let limit_ms = request
-            .deadline_ms
-            .unwrap_or(service.deadline_ms)
-            .min(service.deadline_ms);
-        let deadline = Instant::now() + Duration::from_millis(limit_ms);
+        let spec = &service.spec;
+        self.rates
+            .take(&spec.name, &request.team, spec.team_rate_per_s, now_ms())?;
+        let deadline = arrived + allowed(request, spec);
         match &request.key {
             Some(key) if !request.is_idempotent() => {
-                self.keys.run(request, key, service, body, deadline).await
+                match Payload::read(incoming, MAX_KEYED_BYTES, deadline).await? {
+                    Payload::Kept(body) => self.keys.run(request, key, body, deadline).await,
+                    Payload::Streamed(_) => Err(Refusal::not_run(
+                        RefusalReason::BodyTooLarge,
+                        "a body with an idempotency key may have 1 MiB",
+                    )),
+                }
+            }
+            _ => {
+                let mut payload = Payload::read(incoming, MAX_KEPT_BYTES, deadline).await?;
+                self.dispatcher.run(request, &mut payload, deadline).await
             }
-            _ => self.dispatcher.run(request, service, &body, deadline).await,
         }
     }
+}
 
-    /// Answers a peer that asks for the answer of a key, to be mounted on the peer listener.
-    pub async fn peer_answer(self, request: Request<Incoming>) -> Response<Body> {
-        self.keys.answer_peer(request).await
-    }
+/// Returns the time for which a request may take.
+fn allowed(request: &CallerRequest, service: &ServiceSpec) -> Duration {
+    let asked_ms = request.deadline_ms.unwrap_or(service.deadline_ms);
+    Duration::from_millis(asked_ms.min(service.deadline_ms))
 }
--- a/crates/gateway/src/keys.rs
+++ b/crates/gateway/src/keys.rs
@@ -11,6 +11,7 @@
         dispatch::Dispatcher,
         intents::{Intended, Intents},
         key_age::{KeyAge, key_age},
+        payload::Payload,
         peers::{PEER_ANSWER_PATH, PeerAnswer, PeerAnswerRequest, answer_peer},
         refusal::{Refusal, RefusalReason},
     },
@@ -18,7 +19,7 @@
     http::{Request, Response},
     hyper::body::Incoming,
     lynxwheel_coordination::{Node, now_ms},
-    lynxwheel_protocol::{KeyOutcome, RequestKey, ServiceSpec},
+    lynxwheel_protocol::{KeyOutcome, RequestKey},
     lynxwheel_state::{KeyEntry, KeyState},
     lynxwheel_transport::{Body, Clients, Gathered, gather_body},
     std::{sync::Arc, time::Duration},
@@ -43,7 +44,6 @@
     request: CallerRequest,
     key: RequestKey,
     request_digest: u64,
-    service: ServiceSpec,
     body: Bytes,
     deadline: Instant,
 }
@@ -79,7 +79,6 @@
         &self,
         request: &CallerRequest,
         key: &str,
-        service: &ServiceSpec,
         body: Bytes,
         deadline: Instant,
     ) -> Outcome {
@@ -109,7 +108,6 @@
                 request: request.clone(),
                 key,
                 request_digest,
-                service: service.clone(),
                 body,
                 deadline,
             };
@@ -185,8 +183,9 @@
     /// Runs a request whose intent was accepted and records its outcome.
     async fn dispatch(&self, run: &Run, reply: oneshot::Sender<Outcome>) {
         let result = if Instant::now() < run.deadline {
+            let mut payload = Payload::Kept(run.body.clone());
             self.dispatcher
-                .run(&run.request, &run.service, &run.body, run.deadline)
+                .run(&run.request, &mut payload, run.deadline)
                 .await
         } else {
             Err(late())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,13 +20,19 @@
 mod answers;
 mod caller_request;
 mod dispatch;
+mod ejection;
 mod endpoints;
+mod forward;
 mod gateway;
 mod intents;
 mod key_age;
 mod keys;
+mod limits;
+mod payload;
 mod peers;
+mod queue;
 mod refusal;
+mod table;
 
 pub use answers::{KeptAnswer, KeptHeader};
 pub use caller_request::{
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -15,6 +15,12 @@
 pub enum RefusalReason {
     /// The request is malformed.
     BadRequest,
+    /// The body did not come in time.
+    SlowBody,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The team sent more than its rate.
+    RateExceeded,
     /// The path names no service.
     UnknownService,
     /// The service has no available endpoint.
@@ -45,6 +51,9 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::NoEndpoint | Self::NoFreeSlot | Self::LogUnavailable | Self::KeysFull => {
                 StatusCode::SERVICE_UNAVAILABLE
@@ -57,6 +66,13 @@
     }
 }
 
+impl RefusalReason {
+    /// Tells whether what follows on the connection can no longer be trusted to be a request.
+    fn spoils_connection(self) -> bool {
+        matches!(self, Self::BadRequest | Self::SlowBody | Self::BodyTooLarge)
+    }
+}
+
 /// A refusal as the caller gets it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Refusal {
@@ -105,6 +121,9 @@
     pub fn answer(&self) -> Response<Body> {
         let mut response = json_answer(self.reason.status(), self);
         let headers = response.headers_mut();
+        if self.reason.spoils_connection() {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         if self.did_not_run {
             headers.insert(DID_NOT_RUN_HEADER, HeaderValue::from_static("true"));
         }
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -20,6 +20,9 @@
 /// Request header that names the life of the VM that the request is meant for.
 const INCARNATION_HEADER: &str = "vm-incarnation";
 
+/// Refusal of an endpoint whose slots are all taken.
+const NO_FREE_SLOT: &str = "no free slot";
+
 /// Bytes of an answer's padding that are sent at once.
 const CHUNK_BYTES: usize = 8 * 1024;
 
@@ -127,7 +130,7 @@
         return Err("leaving");
     }
     if machine.in_progress >= slots {
-        return Err("no free slot");
+        return Err(NO_FREE_SLOT);
     }
     machine.in_progress += 1;
     Ok(())
@@ -166,10 +169,19 @@
     let mut response = error_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
     response
         .headers_mut()
-        .insert(NOT_STARTED_HEADER, HeaderValue::from_static("1"));
+        .insert(NOT_STARTED_HEADER, not_started_value(reason));
     response
 }
 
+/// Tells a missing slot from an endpoint that must get nothing more.
+fn not_started_value(reason: &str) -> HeaderValue {
+    HeaderValue::from_static(if reason == NO_FREE_SLOT {
+        "busy"
+    } else {
+        "gone"
+    })
+}
+
 fn answer(vm: &VmName, request_id: &str, body: &Bytes, size: u64) -> Response<Body> {
     let mut text = format!("request={request_id} vm={vm} bytes={}\n", body.len()).into_bytes();
     let padding = usize::try_from(size).unwrap_or(0);
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -22,6 +22,8 @@
     },
     /// Nothing came for too long.
     Stalled,
+    /// More came than is allowed.
+    TooLarge,
 }
 
 impl fmt::Display for BodyError {
@@ -29,6 +31,7 @@
         match self {
             Self::Broken { reason } => write!(formatter, "the body broke off: {reason}"),
             Self::Stalled => write!(formatter, "the body stalled"),
+            Self::TooLarge => write!(formatter, "the body is too large"),
         }
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,6 +17,7 @@
 mod client;
 mod error;
 mod server;
+mod stream;
 
 pub use body::{Body, BodyError, Gathered, empty_body, full_body, gather_body};
 pub use client::{Answer, Client, ClientRequest, Clients};
@@ -24,3 +25,4 @@
 pub use server::{
     Server, ServerLimits, Shutdown, collect_body, error_answer, json_answer, message_answer,
 };
+pub use stream::{bounded_body, holding_body};
