Refuse malformed, oversized, slow and ambiguous requests with a closed connection

Cause: a late head closed the connection without an answer, a caller that took nothing of its answer held a slot for good, and a length beside a transfer coding was dropped by the HTTP library without a refusal.

A late head that has begun gets 408, a connection whose writes wait 10 s breaks, and a connection's first head with both framings gets 400 by a scan of its raw bytes, since the library removes the length before anyone can see it. Ruled out: a rule that ends connections of all requests with a coding; the library ends those that had both (the test passed with the rule out).

Each test seen failing with its guard out: scan out, the hidden request's carrier got 200 instead of 400; write limit out, 'not within 60s: the slot is free'; 408 out, an empty answer; host check out, no 400.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -5,7 +5,7 @@
         key_age::uuid_v7_ms,
         refusal::{Refusal, RefusalReason},
     },
-    http::{HeaderMap, Method, request::Parts},
+    http::{HeaderMap, Method, header, request::Parts},
     lynxwheel_protocol::{Class, RequestKey},
     xxhash_rust::xxh3::{xxh3_64, xxh3_128},
 };
@@ -63,6 +63,7 @@
     ///
     /// Returns the refusal of a malformed head.
     pub fn new(parts: Parts) -> Result<Self, Refusal> {
+        check_host(&parts)?;
         let path = parts.uri.path().trim_start_matches('/');
         let (service, rest) = path.split_once('/').unwrap_or((path, ""));
         let query = parts
@@ -124,6 +125,14 @@
     }
 }
 
+/// Refuses heads with several hosts, of which two readers could take a different one.
+fn check_host(parts: &Parts) -> Result<(), Refusal> {
+    if parts.headers.get_all(header::HOST).iter().count() > 1 {
+        return Err(bad("host", "must come once"));
+    }
+    Ok(())
+}
+
 fn text(headers: &HeaderMap, name: &str) -> Result<Option<String>, Refusal> {
     headers
         .get(name)
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -16,7 +16,9 @@
 mod body;
 mod client;
 mod error;
+mod head_scan;
 mod server;
+mod stall;
 mod stream;
 
 pub use body::{Body, BodyError, Gathered, empty_body, full_body, gather_body};
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,7 +1,10 @@
 //! HTTP server with limits and graceful shutdown.
 
 use {
-    crate::body::{Body, full_body},
+    crate::{
+        body::{Body, full_body},
+        stall::StallGuard,
+    },
     bytes::Bytes,
     http::{Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Limited},
@@ -9,8 +12,16 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     lynxwheel_protocol::encode_message,
     serde::Serialize,
-    std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        future::{Future, poll_fn},
+        io,
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
+        io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
         sync::{Semaphore, watch},
     },
@@ -19,6 +30,14 @@
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Answer to a head that does not come in time.
+const LATE_HEAD_ANSWER: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Answer to a head that can be framed in two ways.
+const AMBIGUOUS_HEAD_ANSWER: &[u8] =
+    b"HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Bounds of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -28,6 +47,8 @@
     pub header_read_ms: u64,
     /// Bytes of a request's head at most.
     pub max_header_bytes: usize,
+    /// Time for which a caller may take nothing of its answer, in milliseconds.
+    pub write_stall_ms: u64,
 }
 
 impl Default for ServerLimits {
@@ -36,6 +57,7 @@
             max_connections: 4_096,
             header_read_ms: 5_000,
             max_header_bytes: 16 * 1024,
+            write_stall_ms: 10_000,
         }
     }
 }
@@ -170,25 +192,51 @@
     H: Clone + Fn(Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
+    // Boxed, so that the connection can be polled without a pin and taken apart at its end.
+    let handler = Box::new(handler);
     let service = service_fn(move |request| {
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        Box::pin(async move { Ok::<_, Infallible>(answer.await) })
     });
-    let connection = http1::Builder::new()
+    let stream = StallGuard::new(stream, Duration::from_millis(limits.write_stall_ms));
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_read_ms))
         .max_buf_size(limits.max_header_bytes)
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     // A broken connection concerns only its own caller, who sees it too.
-    tokio::select! {
-        ended = connection.as_mut() => drop(ended),
+    let ended = tokio::select! {
+        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
         () = shutdown.wait() => {
-            connection.as_mut().graceful_shutdown();
-            drop(connection.await);
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
-    }
+    };
+    let is_late = ended.as_ref().is_err_and(hyper::Error::is_timeout);
+    let parts = connection.into_parts();
+    // Only a request that has begun is answered: on an idle connection the bytes would be taken
+    // for the answer to the caller's next request.
+    let is_late_head = is_late && !parts.read_buf.is_empty();
+    let stream = parts.io.into_inner();
+    let answer = if stream.is_ambiguous() {
+        Some(AMBIGUOUS_HEAD_ANSWER)
+    } else {
+        is_late_head.then_some(LATE_HEAD_ANSWER)
+    };
+    close(stream, answer).await;
+}
+
+/// Closes a connection, after a last answer if there is one.
+async fn close(mut stream: StallGuard<TcpStream>, answer: Option<&[u8]>) {
+    let closing = async {
+        if let Some(answer) = answer {
+            stream.write_all(answer).await?;
+        }
+        stream.shutdown().await
+    };
+    // The caller may be gone already.
+    drop(closing.await);
 }
 
 /// Reads a whole body of at most `limit_bytes`.
