--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -1,7 +1,13 @@
 //! Folding the log's entries into the published state.
 
 use {
-    crate::{proposer::Decision, published::Published, recent::RecentEntries, waiters::Waiters},
+    crate::{
+        divergence::{DigestAt, Divergence},
+        proposer::Decision,
+        published::Published,
+        recent::RecentEntries,
+        waiters::Waiters,
+    },
     kameo::{
         Actor,
         message::{Context, Message},
@@ -19,6 +25,20 @@
     pub(crate) entries: Vec<LogEntry>,
 }
 
+/// Replaces the state by a later one, when records between them cannot be read.
+#[derive(Debug)]
+pub(crate) struct Reload {
+    state: Box<FleetState>,
+}
+
+impl Reload {
+    pub(crate) fn new(state: FleetState) -> Self {
+        Self {
+            state: Box::new(state),
+        }
+    }
+}
+
 /// Actor that owns the state.
 #[derive(Actor, Debug)]
 pub(crate) struct Fold {
@@ -26,6 +46,7 @@
     published: Arc<Published>,
     waiters: Arc<Waiters>,
     recent: Arc<RecentEntries>,
+    divergence: Arc<Divergence>,
     incarnation: u64,
 }
 
@@ -35,6 +56,7 @@
         published: Arc<Published>,
         waiters: Arc<Waiters>,
         recent: Arc<RecentEntries>,
+        divergence: Arc<Divergence>,
         incarnation: u64,
     ) -> Self {
         Self {
@@ -42,6 +64,7 @@
             published,
             waiters,
             recent,
+            divergence,
             incarnation,
         }
     }
@@ -73,11 +96,18 @@
     type Reply = ();
 
     async fn handle(&mut self, message: FoldEntries, _context: &mut Context<Self, Self::Reply>) {
-        let decisions: Vec<Decision> = message
-            .entries
-            .iter()
-            .filter_map(|entry| self.fold(entry))
-            .collect();
+        let mut decisions = Vec::new();
+        let mut digests = Vec::with_capacity(message.entries.len());
+        for entry in &message.entries {
+            decisions.extend(self.fold(entry));
+            if self.state.offset() == entry.offset {
+                digests.push(DigestAt {
+                    offset: entry.offset,
+                    digest: self.state.digest(),
+                });
+            }
+        }
+        self.divergence.note(&digests);
         self.recent.note(&message.entries);
         self.published.store(self.state.clone());
         // Published first, so that a proposer finds its own record in the state it then reads.
@@ -90,6 +120,20 @@
     }
 }
 
+impl Message<Reload> for Fold {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Reload, _context: &mut Context<Self, Self::Reply>) {
+        if message.state.offset() <= self.state.offset() {
+            return;
+        }
+        info!(event = "reloaded", from = self.state.offset(), offset = message.state.offset(); "");
+        self.state = *message.state;
+        self.divergence.forget();
+        self.published.store(self.state.clone());
+    }
+}
+
 #[expect(
     clippy::cast_precision_loss,
     reason = "gauges are floats; offsets stay far below 2^52"
@@ -144,5 +188,7 @@
         RecordBody::Quarantine { .. } => "quarantine",
         RecordBody::Intent { .. } => "intent",
         RecordBody::Outcome { .. } => "outcome",
+        RecordBody::Snapshot { .. } => "snapshot",
+        RecordBody::Tick => "tick",
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,7 +14,9 @@
 
 mod actions;
 mod appender;
+mod catch_up;
 mod clock;
+mod divergence;
 mod duty;
 mod fold;
 mod log_client;
@@ -28,8 +30,12 @@
 mod published;
 mod reader;
 mod recent;
+mod recovery;
 mod settings;
+mod snapshot_chunks;
+mod snapshots;
 mod tasks;
+mod upkeep;
 mod waiters;
 
 pub use clock::Clock;
@@ -40,3 +46,4 @@
 pub use proposer::{Decision, ProposeError, Proposer};
 pub use published::Published;
 pub use settings::{NodeIdentity, NodeSettings, PeerAddress};
+pub use snapshot_chunks::{SnapshotAssembly, cut_snapshot};
--- a/crates/coordination/src/log_client.rs
+++ b/crates/coordination/src/log_client.rs
@@ -10,7 +10,7 @@
 const APPEND_TIMEOUT_MS: u64 = 2_000;
 
 /// Time by which a long poll may exceed its wait, in milliseconds.
-const READ_SLACK_MS: u64 = 2_000;
+const READ_SLACK_MS: u64 = 5_000;
 
 /// Statuses by which the service says that it did nothing.
 const NOT_DONE_STATUSES: [u16; 3] = [400, 429, 503];
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -4,7 +4,9 @@
     crate::{
         actions,
         appender::Appender,
+        catch_up::catch_up,
         clock::{Clock, new_incarnation},
+        divergence::Divergence,
         duty::spawn_duty,
         fold::Fold,
         log_client::LogClient,
@@ -17,7 +19,9 @@
         reader,
         recent::RecentEntries,
         settings::NodeSettings,
+        snapshots::write_snapshots,
         tasks,
+        upkeep::keep_up,
         waiters::Waiters,
     },
     kameo::{actor::Spawn, mailbox},
@@ -37,9 +41,12 @@
 /// Connections to one endpoint for probes.
 const PROBE_CONNECTIONS: usize = 2;
 
+/// What the name of the snapshot stream adds to the fleet's stream.
+const SNAPSHOT_SUFFIX: &str = "-snapshots";
+
 /// Age of the last successful read after which a node no longer takes itself for current, in
 /// milliseconds.
-const CURRENT_MS: u64 = 10_000;
+const CURRENT_MS: u64 = 5_000;
 
 /// A running node; copies share it.
 #[derive(Clone, Debug)]
@@ -57,6 +64,8 @@
     peers: Peers,
     peer_clients: Clients,
     recent: Arc<RecentEntries>,
+    divergence: Arc<Divergence>,
+    snapshot_log: LogClient,
 }
 
 impl Node {
@@ -65,6 +74,7 @@
     pub fn start(settings: NodeSettings, shutdown: &Shutdown) -> (Self, Duties) {
         let incarnation = new_incarnation(settings.identity.node.as_str(), &settings.clock);
         let published = Arc::new(Published::new(FleetState::new()));
+        let divergence = Arc::new(Divergence::default());
         let recent = Arc::new(RecentEntries::default());
         let peers = Peers::new(&settings);
         let waiters = Arc::new(Waiters::default());
@@ -83,30 +93,37 @@
             Arc::clone(&published),
             waiters,
             Arc::clone(&recent),
+            Arc::clone(&divergence),
             incarnation,
         );
         let fold = Fold::spawn_in_thread_with_mailbox(fold, mailbox::bounded(FOLD_RING));
         let limit = Duration::from_millis(settings.propose_timeout_ms);
-        let clock = settings.clock.clone();
+        let snapshots = format!("{}{SNAPSHOT_SUFFIX}", settings.stream);
+        let snapshot_log = LogClient::new(settings.platform, &snapshots);
         let node = Self {
             inner: Arc::new(Inner {
                 settings,
                 incarnation,
-                published: Arc::clone(&published),
-                proposer: Proposer::new(appender, limit),
+                published,
+                proposer: Proposer::new(appender, limit, Arc::clone(&divergence)),
                 clients: Arc::new(Clients::new(PROBE_CONNECTIONS)),
                 peers,
                 peer_clients: Clients::new(PEER_CONNECTIONS),
                 recent,
+                divergence,
+                snapshot_log,
             }),
         };
         let mut duties = Duties::new(shutdown.clone());
-        duties.run("reader", reader::read_log(log, clock, published, fold));
+        duties.run("reader", reader::read_log(node.clone(), log, fold.clone()));
         duties.run("observer", observer::observe(node.clone()));
         duties.run("planner", planner::plan(node.clone()));
         duties.run("actions", actions::act(node.clone()));
         duties.run("tasks", tasks::run(node.clone()));
         duties.run("membership", exchange_hellos(node.clone()));
+        duties.run("catch_up", catch_up(node.clone(), fold));
+        duties.run("snapshots", write_snapshots(node.clone()));
+        duties.run("upkeep", keep_up(node.clone()));
         duties.run("join", join(node.clone()));
         (node, duties)
     }
@@ -173,18 +190,42 @@
         self.inner.peers.live_nodes(self.clock().now_ms())
     }
 
-    /// Tells whether the node has joined, and has read the log lately and to its end.
+    /// Tells whether the state includes everything accepted up to a few seconds ago.
+    ///
+    /// Its run must have been accepted. Then either the node has read the log lately to its end,
+    /// or a live peer has and is not ahead.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        let published = &self.inner.published;
-        let has_joined = published
-            .load()
-            .writers()
-            .get(self.inner.incarnation)
-            .is_some();
-        has_joined
-            && published.read_ms() + CURRENT_MS > self.clock().now_ms()
-            && published.is_caught_up()
+        let state = self.state();
+        let has_joined = state.writers().get(self.inner.incarnation).is_some();
+        has_joined && (self.reads_log() || self.is_level_with_reader(state.offset()))
+    }
+
+    fn is_level_with_reader(&self, offset: u64) -> bool {
+        let views = self.peers().views(self.clock().now_ms());
+        views
+            .iter()
+            .any(|view| view.hello.reads_log && view.hello.offset <= offset)
+    }
+
+    /// Tells whether the state differs from the peers'; such a node proposes nothing.
+    #[must_use]
+    pub fn has_diverged(&self) -> bool {
+        self.inner.divergence.has_diverged()
+    }
+
+    /// Tells whether the node itself has read the log lately and to its end.
+    pub(crate) fn reads_log(&self) -> bool {
+        let read_ms = self.inner.published.read_ms();
+        read_ms + CURRENT_MS > self.clock().now_ms() && self.inner.published.is_caught_up()
+    }
+
+    pub(crate) fn divergence(&self) -> &Divergence {
+        &self.inner.divergence
+    }
+
+    pub(crate) fn snapshot_log(&self) -> &LogClient {
+        &self.inner.snapshot_log
     }
 }
 
--- a/crates/coordination/src/peer_server.rs
+++ b/crates/coordination/src/peer_server.rs
@@ -42,6 +42,8 @@
             incarnation: self.incarnation(),
             zone: self.settings().identity.zone.clone(),
             stopping: self.peers().is_stopping(),
+            reads_log: self.reads_log(),
+            diverged: self.has_diverged(),
             fold_version: FOLD_VERSION,
             offset: state.offset(),
             digest_offset: state.offset(),
@@ -53,6 +55,7 @@
 
     /// Takes in what a peer tells.
     pub(crate) fn note_hello(&self, hello: PeerHello) {
+        self.divergence().compare(&hello);
         self.peers().note(hello, self.clock().now_ms());
     }
 
@@ -84,6 +87,9 @@
     }
 
     fn answer_snapshot(&self) -> Response<Body> {
+        if self.has_diverged() {
+            return error_answer(StatusCode::SERVICE_UNAVAILABLE, "the state has diverged");
+        }
         let state = self.state();
         match save(&state) {
             Ok(bytes) => message_answer(&PeerSnapshot {
--- a/crates/coordination/src/proposer.rs
+++ b/crates/coordination/src/proposer.rs
@@ -1,11 +1,14 @@
 //! Proposing records and learning what became of them.
 
 use {
-    crate::appender::{Appender, Submit},
+    crate::{
+        appender::{Appender, Submit},
+        divergence::Divergence,
+    },
     kameo::{actor::ActorRef, error::SendError},
     lynxwheel_protocol::{RecordBody, WriterId},
     lynxwheel_state::Verdict,
-    std::{error, fmt, time::Duration},
+    std::{error, fmt, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -63,11 +66,20 @@
 pub struct Proposer {
     appender: ActorRef<Appender>,
     limit: Duration,
+    divergence: Arc<Divergence>,
 }
 
 impl Proposer {
-    pub(crate) fn new(appender: ActorRef<Appender>, limit: Duration) -> Self {
-        Self { appender, limit }
+    pub(crate) fn new(
+        appender: ActorRef<Appender>,
+        limit: Duration,
+        divergence: Arc<Divergence>,
+    ) -> Self {
+        Self {
+            appender,
+            limit,
+            divergence,
+        }
     }
 
     /// Proposes a record and waits until it has come back through the log.
@@ -79,6 +91,9 @@
         let not_appended = ProposeError::NotAppended {
             retry_after_ms: RETRY_AFTER_MS,
         };
+        if self.divergence.has_diverged() {
+            return Err(not_appended);
+        }
         let ticket = match self.appender.ask(Submit { body }).try_send().await {
             Ok(ticket) => ticket,
             Err(SendError::HandlerError(error)) => return Err(error),
--- a/crates/coordination/src/published.rs
+++ b/crates/coordination/src/published.rs
@@ -17,6 +17,7 @@
     offset: watch::Sender<u64>,
     read_ms: AtomicU64,
     end_offset: AtomicU64,
+    earliest_offset: AtomicU64,
 }
 
 impl Published {
@@ -29,6 +30,7 @@
             offset: watch::Sender::new(offset),
             read_ms: AtomicU64::new(0),
             end_offset: AtomicU64::new(u64::MAX),
+            earliest_offset: AtomicU64::new(0),
         }
     }
 
@@ -54,8 +56,10 @@
         self.offset.subscribe()
     }
 
-    /// Notes that the log was read successfully up to its end.
-    pub fn note_read(&self, now_ms: u64, end_offset: u64) {
+    /// Notes that the log was read successfully, and what it holds.
+    pub fn note_read(&self, now_ms: u64, earliest_offset: u64, end_offset: u64) {
+        self.earliest_offset
+            .store(earliest_offset, Ordering::Relaxed);
         self.read_ms.store(now_ms, Ordering::Relaxed);
         self.end_offset.store(end_offset, Ordering::Relaxed);
     }
@@ -66,6 +70,12 @@
         self.read_ms.load(Ordering::Relaxed)
     }
 
+    /// Returns the lowest offset that the log kept when it was last read; 0 means never.
+    #[must_use]
+    pub fn earliest_offset(&self) -> u64 {
+        self.earliest_offset.load(Ordering::Relaxed)
+    }
+
     /// Tells whether the state includes everything that the log held when it was last read.
     #[must_use]
     pub fn is_caught_up(&self) -> bool {
--- a/crates/coordination/src/settings.rs
+++ b/crates/coordination/src/settings.rs
@@ -54,6 +54,12 @@
     pub rank_delay_ms: u64,
     /// Time that a VM may take for an action, in milliseconds.
     pub action_timeout_ms: u64,
+    /// Records after which a snapshot is due; a small part of what the log keeps.
+    pub snapshot_records: u64,
+    /// Time after which a snapshot is due, in milliseconds; a small part of what the log keeps.
+    pub snapshot_period_ms: u64,
+    /// Appends in a second at most.
+    pub appends_per_s: u32,
     /// Time source.
     pub clock: Clock,
 }
@@ -71,6 +77,9 @@
             tick_ms: 200,
             rank_delay_ms: 300,
             action_timeout_ms: 600_000,
+            snapshot_records: 20_000,
+            snapshot_period_ms: 600_000,
+            appends_per_s: 40,
             clock: Clock::system(),
         }
     }
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -1,11 +1,19 @@
 //! A platform and nodes with their peer listeners in one process.
 
+// Each test file uses a part of this.
+#![allow(dead_code)]
+
 use {
     lynxwheel_coordination::{Clock, Duties, Node, NodeIdentity, NodeSettings, PeerAddress},
+    lynxwheel_protocol::PeerHello,
     lynxwheel_standin::PlatformServer,
-    lynxwheel_transport::{Server, Shutdown},
+    lynxwheel_transport::{Client, Server, Shutdown},
     std::{future::Future, net::SocketAddr, time::Duration},
-    tokio::time::Instant,
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        time::Instant,
+    },
 };
 
 /// Time within which anything awaited must come.
@@ -39,19 +47,9 @@
         let platform = PlatformServer::start(any_port(), &[], 0)
             .await
             .expect("a free port");
-        let listeners: Vec<std::net::TcpListener> = (0..count)
-            .map(|_| std::net::TcpListener::bind(any_port()).expect("a free port"))
-            .collect();
-        let addresses = (1..)
-            .zip(&listeners)
-            .map(|(number, listener)| PeerAddress {
-                node: format!("node-{number}").as_str().into(),
-                address: listener.local_addr().expect("a bound port"),
-            })
-            .collect();
         Self {
             platform,
-            addresses,
+            addresses: free_addresses(count),
             clock: Clock::system(),
         }
     }
@@ -76,6 +74,23 @@
         self.run_with(row, self.settings(row)).await
     }
 
+    /// Starts the node in `row` so that it can be cut from the platform.
+    pub async fn run_behind_relay(&self, row: usize) -> (RunningNode, Relay) {
+        let (relay, address) = Relay::start(self.platform.address()).await;
+        let mut settings = self.settings(row);
+        settings.platform = address;
+        (self.run_with(row, settings).await, relay)
+    }
+
+    /// Sends a message to the node in `row` as a peer would.
+    pub async fn tell(&self, row: usize, hello: &PeerHello) {
+        let client = Client::new(self.addresses[row].address, 1);
+        client
+            .exchange::<_, PeerHello>("/peer/hello", hello, LIMIT)
+            .await
+            .expect("the node answers");
+    }
+
     /// Starts the node in `row` with other settings.
     pub async fn run_with(&self, row: usize, settings: NodeSettings) -> RunningNode {
         let shutdown = Shutdown::new();
@@ -114,6 +129,62 @@
     }
 }
 
+/// Finds a free address for each node.
+pub fn free_addresses(count: u32) -> Vec<PeerAddress> {
+    let listeners: Vec<std::net::TcpListener> = (0..count)
+        .map(|_| std::net::TcpListener::bind(any_port()).expect("a free port"))
+        .collect();
+    (1..)
+        .zip(&listeners)
+        .map(|(number, listener)| PeerAddress {
+            node: format!("node-{number}").as_str().into(),
+            address: listener.local_addr().expect("a bound port"),
+        })
+        .collect()
+}
+
+/// Passes connections on to an address until it is cut.
+pub struct Relay {
+    is_cut: watch::Sender<bool>,
+}
+
+impl Relay {
+    /// Breaks all connections and refuses new ones.
+    pub fn cut(&self) {
+        self.is_cut.send_replace(true);
+    }
+
+    /// Passes connections on again.
+    pub fn mend(&self) {
+        self.is_cut.send_replace(false);
+    }
+
+    async fn start(target: SocketAddr) -> (Self, SocketAddr) {
+        let listener = TcpListener::bind(any_port()).await.expect("a free port");
+        let address = listener.local_addr().expect("a bound port");
+        let is_cut = watch::Sender::new(false);
+        let cut = is_cut.clone();
+        tokio::spawn(async move {
+            while let Ok((from, _)) = listener.accept().await {
+                if !*cut.borrow() {
+                    tokio::spawn(pass(from, target, cut.subscribe()));
+                }
+            }
+        });
+        (Self { is_cut }, address)
+    }
+}
+
+async fn pass(mut from: TcpStream, target: SocketAddr, mut cut: watch::Receiver<bool>) {
+    let Ok(mut to) = TcpStream::connect(target).await else {
+        return;
+    };
+    tokio::select! {
+        copied = tokio::io::copy_bidirectional(&mut from, &mut to) => drop(copied),
+        waited = cut.wait_for(|is_cut| *is_cut) => drop(waited),
+    }
+}
+
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -208,7 +208,8 @@
     fn ready(&self) -> Response<Body> {
         let is_current = self.node.is_current();
         let is_stopping = self.stopping.has_begun();
-        let status = if is_current && !is_stopping {
+        let has_diverged = self.node.has_diverged();
+        let status = if is_current && !is_stopping && !has_diverged {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -216,7 +217,12 @@
         let offset = self.node.state().offset();
         json_answer(
             status,
-            &json!({ "current": is_current, "stopping": is_stopping, "offset": offset }),
+            &json!({
+                "current": is_current,
+                "diverged": has_diverged,
+                "stopping": is_stopping,
+                "offset": offset,
+            }),
         )
     }
 }
--- a/crates/protocol/src/codec.rs
+++ b/crates/protocol/src/codec.rs
@@ -1,7 +1,7 @@
 //! Binary codec of records and messages, with bounds on their size.
 
 use {
-    crate::record::Record,
+    crate::{record::Record, snapshot::SnapshotChunk},
     serde::{Serialize, de::DeserializeOwned},
     std::{error, fmt},
 };
@@ -72,6 +72,24 @@
     decode_bounded(bytes, MAX_RECORD_BYTES)
 }
 
+/// Encodes a chunk of a snapshot.
+///
+/// # Errors
+///
+/// Fails when the chunk exceeds [`MAX_RECORD_BYTES`].
+pub fn encode_chunk(chunk: &SnapshotChunk) -> Result<Vec<u8>, CodecError> {
+    encode_bounded(chunk, MAX_RECORD_BYTES)
+}
+
+/// Decodes a chunk of a snapshot.
+///
+/// # Errors
+///
+/// Fails when the bytes are too many or are no chunk.
+pub fn decode_chunk(bytes: &[u8]) -> Result<SnapshotChunk, CodecError> {
+    decode_bounded(bytes, MAX_RECORD_BYTES)
+}
+
 /// Encodes a message with its field names, so that versions can add fields.
 ///
 /// # Errors
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,17 +13,19 @@
 //! ```
 
 mod api;
+mod binary;
 mod codec;
 mod names;
 mod peer;
 mod platform;
 mod record;
 mod resource;
+mod snapshot;
 
 pub use api::{Condition, FieldError, ResourceView, WatchEvent, WriteAnswer};
 pub use codec::{
-    CodecError, MAX_MESSAGE_BYTES, MAX_RECORD_BYTES, decode_message, decode_record, encode_message,
-    encode_record,
+    CodecError, MAX_MESSAGE_BYTES, MAX_RECORD_BYTES, decode_chunk, decode_message, decode_record,
+    encode_chunk, encode_message, encode_record,
 };
 pub use names::{
     JobName, NodeName, PolicyName, PoolName, RackName, ServiceName, TeamName, VmName, WaveName,
@@ -42,6 +44,7 @@
     Amount, Budget, Class, JobSpec, Kind, PolicySpec, PoolSpec, Resource, ResourceRef, Resources,
     ServiceSpec, TeamSpec, VmSpec, WaveAction, WaveGoal, WaveSpec, Weights,
 };
+pub use snapshot::{MAX_SNAPSHOT_CHUNKS, SNAPSHOT_CHUNK_BYTES, SnapshotChunk, SnapshotId};
 
 /// Version of the fold that this build knows.
 pub const FOLD_VERSION: u32 = 1;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -21,6 +21,7 @@
 
 /// Periodic message of a node to its peers, and the answer to it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
 pub struct PeerHello {
     /// Sender.
     pub node: NodeName,
@@ -30,6 +31,10 @@
     pub zone: ZoneName,
     /// Whether the sender is stopping and takes no new work.
     pub stopping: bool,
+    /// Whether the sender has read the log lately itself and folded it to its end.
+    pub reads_log: bool,
+    /// Whether the sender has found its state to differ from its peers' and decides nothing.
+    pub diverged: bool,
     /// Highest fold version that the sender knows.
     pub fold_version: u32,
     /// Offset up to which the sender has folded.
@@ -59,5 +64,6 @@
     /// Digest of the state.
     pub digest: u64,
     /// Encoded state.
+    #[serde(with = "crate::binary")]
     pub bytes: Vec<u8>,
 }
--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AppendRequest {
     /// Encoded records.
+    #[serde(with = "crate::binary::list")]
     pub entries: Vec<Vec<u8>>,
 }
 
@@ -29,6 +30,7 @@
     /// Offset, from 1 without gaps.
     pub offset: u64,
     /// Encoded record.
+    #[serde(with = "crate::binary")]
     pub bytes: Vec<u8>,
 }
 
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -6,6 +6,7 @@
     crate::{
         names::{JobName, NodeName, PoolName, RackName, VmName, WaveName, ZoneName},
         resource::{Resource, ResourceRef, Resources},
+        snapshot::SnapshotId,
     },
     serde::{Deserialize, Serialize},
 };
@@ -262,4 +263,11 @@
         /// Outcome.
         outcome: KeyOutcome,
     },
+    /// Tells that a snapshot stands whole in the snapshot stream.
+    Snapshot {
+        /// Snapshot.
+        id: SnapshotId,
+    },
+    /// Confirms the time when nothing else is to be written.
+    Tick,
 }
--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -204,8 +204,9 @@
         }
         self.end_claim(name, &claim);
         let time_ms = self.time_ms;
+        let transition_ms = self.transition_ms;
         self.change_vm(name.as_str(), |vm| {
-            vm.evidence_ms = time_ms + 1;
+            vm.evidence_ms = transition_ms + 1;
             vm.phase = if succeeded {
                 VmPhase::Unknown
             } else {
@@ -252,11 +253,11 @@
             return Verdict::Rejected(rejection);
         }
         self.end_claim(name, &claim);
-        let time_ms = self.time_ms;
+        let transition_ms = self.transition_ms;
         self.change_vm(name.as_str(), |vm| {
             vm.pool = target.clone();
             vm.phase = VmPhase::Unknown;
-            vm.evidence_ms = time_ms + 1;
+            vm.evidence_ms = transition_ms + 1;
         });
         Verdict::Accepted
     }
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -5,12 +5,13 @@
         jobs::{JobState, TeamState},
         keys::{KeyEntry, Keys},
         table::{Keyed, SortedTable},
+        time::FoldTime,
         verdict::{Rejection, Verdict},
         vms::{PoolState, VmState, WaveState},
         writers::{Writer, Writers},
     },
     lynxwheel_protocol::{
-        PolicySpec, Record, RecordBody, RequestKey, ServiceSpec, VmReport, Weights,
+        PolicySpec, Record, RecordBody, RequestKey, ServiceSpec, SnapshotId, VmReport, Weights,
     },
     serde::{Deserialize, Serialize},
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -22,6 +23,9 @@
 /// Keys kept at most when no policy is declared.
 const DEFAULT_KEY_LIMIT: usize = 65_536;
 
+/// Time by which clocks of the nodes may differ without harm, in milliseconds.
+const MAX_SKEW_MS: u64 = 30_000;
+
 /// Weights when no policy is declared.
 const DEFAULT_WEIGHTS: Weights = Weights {
     roll_out: 1,
@@ -57,6 +61,9 @@
 pub struct FleetState {
     pub(crate) offset: u64,
     pub(crate) time_ms: u64,
+    /// Time of the record that is being applied; evidence of before does not count.
+    pub(crate) transition_ms: u64,
+    pub(crate) fold_time: FoldTime,
     pub(crate) chain: u64,
     pub(crate) fold_version: u32,
     pub(crate) config_revision: u64,
@@ -69,6 +76,8 @@
     pub(crate) jobs: SortedTable<JobState>,
     pub(crate) waves: SortedTable<WaveState>,
     pub(crate) keys: Keys,
+    pub(crate) snapshot: Option<SnapshotId>,
+    pub(crate) snapshot_ms: u64,
 }
 
 impl FleetState {
@@ -85,7 +94,6 @@
     pub fn apply(&mut self, offset: u64, record: &Record) -> Verdict {
         let verdict = self.judge(offset, record);
         self.offset = offset;
-        self.time_ms = self.time_ms.max(record.time_ms);
         self.chain = chain_next(self.chain, offset, record, &verdict);
         verdict
     }
@@ -102,7 +110,9 @@
         self.offset
     }
 
-    /// Returns the highest time of any record, in milliseconds since the epoch.
+    /// Returns the time that two nodes have confirmed, in milliseconds since the epoch.
+    ///
+    /// As long as only one node is known, its own time counts.
     #[must_use]
     pub fn time_ms(&self) -> u64 {
         self.time_ms
@@ -214,17 +224,20 @@
 
     fn judge(&mut self, offset: u64, record: &Record) -> Verdict {
         if let RecordBody::Join { node, fold_version } = &record.body {
-            return self.writers.join(Writer {
+            let verdict = self.writers.join(Writer {
                 incarnation: record.id.incarnation,
                 node: node.clone(),
                 fold_version: *fold_version,
                 sequence: record.id.sequence,
                 time_ms: record.time_ms,
             });
+            self.note_time(record);
+            return verdict;
         }
         if let Some(verdict) = self.writers.note(record.id, record.time_ms) {
             return verdict;
         }
+        self.note_time(record);
         self.judge_body(offset, record)
     }
 
@@ -288,12 +301,46 @@
                     holder: holder.clone(),
                     incarnation: record.id.incarnation,
                     state: crate::keys::KeyState::Pending,
-                    since_ms: self.time_ms.max(record.time_ms),
+                    since_ms: self.time_ms,
                     offset,
                 };
                 self.intend(entry)
             }
             RecordBody::Outcome { key, outcome } => self.keys.end(*key, *outcome),
+            RecordBody::Snapshot { id } => self.note_snapshot(*id),
+            RecordBody::Tick => Verdict::Accepted,
+        }
+    }
+
+    /// Returns the last snapshot that stands whole in the snapshot stream.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<SnapshotId> {
+        self.snapshot
+    }
+
+    /// Returns when that snapshot was noted, in milliseconds since the epoch; 0 means never.
+    #[must_use]
+    pub fn snapshot_ms(&self) -> u64 {
+        self.snapshot_ms
+    }
+
+    fn note_snapshot(&mut self, id: SnapshotId) -> Verdict {
+        if self.snapshot.is_some_and(|known| id.offset <= known.offset) {
+            return Verdict::Rejected(Rejection::OldSnapshot);
+        }
+        self.snapshot = Some(id);
+        self.snapshot_ms = self.time_ms;
+        Verdict::Accepted
+    }
+
+    fn note_time(&mut self, record: &Record) {
+        if let Some(writer) = self.writers.get(record.id.incarnation) {
+            self.fold_time.note(&writer.node, record.time_ms);
+            self.time_ms = self.fold_time.now_ms();
+            // One below the bound of evidence, so that evidence can follow it even while only one
+            // node writes and the time stands still.
+            let latest_ms = self.time_ms + MAX_SKEW_MS - 1;
+            self.transition_ms = record.time_ms.clamp(self.time_ms, latest_ms);
         }
     }
 
@@ -353,6 +400,14 @@
         }
     }
 
+    /// Bounds the time of evidence.
+    ///
+    /// A finding of a node whose clock runs far ahead would otherwise make all findings of the
+    /// others look old, and the VM would keep that phase for good.
+    pub(crate) fn bounded_evidence(&self, evidence_ms: u64) -> u64 {
+        evidence_ms.min(self.time_ms + MAX_SKEW_MS)
+    }
+
     /// Takes one finding in when it is newer than what is known.
     ///
     /// The VM list lags and reports race, so a finding counts only when its evidence is not
@@ -361,9 +416,10 @@
         let Some(vm) = self.vms.get(report.vm.as_str()) else {
             return false;
         };
+        let evidence_ms = self.bounded_evidence(report.evidence_ms);
         let is_same_life = report.incarnation == vm.incarnation;
         let is_newer = report.incarnation > vm.incarnation || is_same_life;
-        if !is_newer || report.evidence_ms < vm.evidence_ms {
+        if !is_newer || evidence_ms < vm.evidence_ms {
             return false;
         }
         self.change_vm(report.vm.as_str(), |vm| {
@@ -377,7 +433,7 @@
             vm.address.clone_from(&report.address);
             vm.capacity = report.capacity;
             vm.phase = report.phase;
-            vm.evidence_ms = report.evidence_ms;
+            vm.evidence_ms = evidence_ms;
         });
         true
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -27,6 +27,7 @@
 mod placements;
 mod snapshot;
 mod table;
+mod time;
 mod verdict;
 mod vms;
 mod writers;
--- a/crates/state/src/placements.rs
+++ b/crates/state/src/placements.rs
@@ -21,6 +21,9 @@
 /// Share of a pool's VMs that may be quarantined at once, in percent; one is always allowed.
 const QUARANTINE_PERCENT: u32 = 10;
 
+/// Longest quarantine, in milliseconds; a node whose clock is ahead must not ban a VM for years.
+const MAX_QUARANTINE_MS: u64 = 24 * 60 * 60 * 1_000;
+
 impl FleetState {
     /// Places an attempt; at most one of a job runs, or may run, at any offset.
     pub(crate) fn start(
@@ -202,8 +205,9 @@
         if others >= limit {
             return Verdict::Rejected(Rejection::VmNotFit { vm: name.clone() });
         }
+        let latest_ms = self.time_ms + MAX_QUARANTINE_MS;
         self.change_vm(name.as_str(), |vm| {
-            vm.quarantined_until_ms = until_ms;
+            vm.quarantined_until_ms = until_ms.min(latest_ms);
             vm.failures = 0;
         });
         Verdict::Accepted
--- /dev/null
+++ b/crates/state/src/time.rs
@@ -0,0 +1,51 @@
+//! Time of the fold, taken from the writers' clocks.
+
+use {
+    lynxwheel_protocol::NodeName,
+    serde::{Deserialize, Serialize},
+};
+
+/// The highest time that two nodes have confirmed.
+///
+/// One node whose clock runs far ahead would otherwise move everybody's time: all idempotency
+/// keys would expire at once, so that a retried renewal is charged again, quarantines would end
+/// and silent attempts would count as lost and be started twice. A time therefore counts only
+/// once records of two nodes carry it or a later one. A node that is replaced under its name
+/// confirms nothing of its earlier run.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct FoldTime {
+    /// Node with the highest time.
+    highest: Option<NodeName>,
+    /// Its time, in milliseconds since the epoch.
+    highest_ms: u64,
+    /// Highest time of any other node, in milliseconds since the epoch.
+    confirmed_ms: Option<u64>,
+    /// Time of the fold, in milliseconds since the epoch.
+    now_ms: u64,
+}
+
+impl FoldTime {
+    /// Notes the time of a node's record.
+    pub(crate) fn note(&mut self, node: &NodeName, time_ms: u64) {
+        match &self.highest {
+            None => {
+                self.highest = Some(node.clone());
+                self.highest_ms = time_ms;
+            }
+            Some(highest) if highest == node => self.highest_ms = self.highest_ms.max(time_ms),
+            Some(_) if time_ms > self.highest_ms => {
+                self.confirmed_ms = Some(self.highest_ms);
+                self.highest = Some(node.clone());
+                self.highest_ms = time_ms;
+            }
+            Some(_) => self.confirmed_ms = self.confirmed_ms.max(Some(time_ms)),
+        }
+        let confirmed_ms = self.confirmed_ms.unwrap_or(self.highest_ms);
+        self.now_ms = self.now_ms.max(confirmed_ms);
+    }
+
+    /// Returns the time, in milliseconds since the epoch.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+}
--- a/crates/state/src/verdict.rs
+++ b/crates/state/src/verdict.rs
@@ -130,6 +130,8 @@
     KeysFull,
     /// The key is not in a state that allows the step.
     KeyNotPending,
+    /// A later snapshot is known.
+    OldSnapshot,
     /// Not all live nodes know the fold version, or it is not the next one.
     VersionNotKnown {
         /// Version.
@@ -189,6 +191,7 @@
             Self::KeyTaken => write!(formatter, "the key was used before"),
             Self::KeysFull => write!(formatter, "no more keys can be kept now"),
             Self::KeyNotPending => write!(formatter, "the key is not pending"),
+            Self::OldSnapshot => write!(formatter, "a later snapshot is known"),
             Self::VersionNotKnown { fold_version } => {
                 write!(formatter, "fold version {fold_version} cannot be raised to")
             }
