--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod api;
+mod binary;
 mod codec;
 mod names;
 mod peer;
@@ -20,6 +21,7 @@
 mod record;
 mod resource;
 mod schema;
+mod snapshot;
 mod validate;
 
 pub use api::{
@@ -28,8 +30,8 @@
     WatchEvent, WriteAnswer,
 };
 pub use codec::{
-    CodecError, MAX_MESSAGE_BYTES, MAX_RECORD_BYTES, decode_message, decode_record, encode_message,
-    encode_record,
+    CodecError, MAX_MESSAGE_BYTES, MAX_RECORD_BYTES, decode_chunk, decode_message, decode_record,
+    encode_chunk, encode_message, encode_record,
 };
 pub use names::{
     JobName, NodeName, PolicyName, PoolName, RackName, ServiceName, TeamName, VmName, WaveName,
@@ -49,6 +51,7 @@
     ServiceSpec, TeamSpec, VmSpec, WaveAction, WaveGoal, WaveSpec, Weights,
 };
 pub use schema::{Field, FieldDefault, FieldType, fields};
+pub use snapshot::{MAX_SNAPSHOT_CHUNKS, SNAPSHOT_CHUNK_BYTES, SnapshotChunk, SnapshotId};
 pub use validate::{
     MAX_NAME_CHARS, MAX_WAVE_POOLS, check_name, field_errors, parse_resource, parse_spec,
 };
