Experiments: step loop over the real fold, waves, placement and routing

Cause: nothing judged the decisions. The loop applies the inputs of a seed (outages of VMs and a rack, a rack that stays down after the action, wrong sizes and run times, jobs that never run, workers that fail everything, cancellation waves, late usage) to every policy alike and counts breaches, losses and doubled starts from the truth.

--- a/crates/coordination/src/planner.rs
+++ b/crates/coordination/src/planner.rs
@@ -4,8 +4,8 @@
     crate::{clock::now_ms, node::Node},
     log::info,
     lynxwheel_decisions::{
-        ClaimStep, plan_claims, plan_give_ups, plan_placements, plan_quarantines, rendezvous_rank,
-        review_claims,
+        ClaimStep, Tuning, plan_claims, plan_give_ups, plan_placements, plan_quarantines,
+        rendezvous_rank, review_claims,
     },
     lynxwheel_protocol::{NodeName, RecordBody},
     lynxwheel_state::FleetState,
@@ -79,6 +79,10 @@
         vm.is_some_and(|vm| self.is_first(vm.pool.as_str()))
     }
 
+    fn tuning(&self) -> Tuning {
+        Tuning::new(self.state.weights())
+    }
+
     fn holder(&self) -> NodeName {
         self.node.settings().identity.node.clone()
     }
@@ -106,7 +110,7 @@
     }
 
     fn propose_claims(&mut self) {
-        for plan in plan_claims(&self.state, self.now_ms) {
+        for plan in plan_claims(&self.state, &self.tuning(), self.now_ms) {
             if !self.is_first_for_vm(plan.vm.as_str()) {
                 continue;
             }
@@ -122,7 +126,7 @@
     }
 
     fn propose_placements(&mut self) {
-        let plan = plan_placements(&self.state, self.now_ms, MAX_STARTS);
+        let plan = plan_placements(&self.state, &self.tuning(), self.now_ms, MAX_STARTS);
         for stop in plan.stops {
             if !self.is_first_for_job(stop.job.as_str()) {
                 continue;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -36,4 +36,4 @@
 pub use tuning::Tuning;
 pub use verdicts::{GiveUpPlan, GiveUpReason, QuarantinePlan, plan_give_ups, plan_quarantines};
 pub use wave_health::{WaveHealth, ramp_limit};
-pub use waves::{ClaimPlan, ClaimReason, is_due, plan_claims};
+pub use waves::{ClaimPlan, ClaimReason, cordoned_vms, is_due, plan_claims};
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -70,7 +70,12 @@
 
 /// Plans starts of waiting jobs, urgent ones first, and stops that make room for urgent ones.
 #[must_use]
-pub fn plan_placements(state: &FleetState, now_ms: u64, limit: usize) -> PlacementPlan {
+pub fn plan_placements(
+    state: &FleetState,
+    tuning: &Tuning,
+    now_ms: u64,
+    limit: usize,
+) -> PlacementPlan {
     let mut waiting: Vec<&JobState> = state
         .jobs()
         .iter()
@@ -80,7 +85,7 @@
         return PlacementPlan::default();
     }
     waiting.sort_by_key(|job| (job.spec.class, job.pending_since_ms));
-    let mut round = Round::new(state, now_ms);
+    let mut round = Round::new(state, tuning, now_ms);
     let mut plan = PlacementPlan::default();
     for job in waiting {
         if plan.starts.len() >= limit {
@@ -126,15 +131,14 @@
 }
 
 impl<'a> Round<'a> {
-    fn new(state: &'a FleetState, now_ms: u64) -> Self {
+    fn new(state: &'a FleetState, tuning: &Tuning, now_ms: u64) -> Self {
         let view = FleetView::new(state);
-        let tuning = Tuning::new(state.weights());
-        let waves = running_waves(&view, &tuning);
+        let waves = running_waves(&view, tuning);
         let rooms = view.pools.iter().map(|_| None).collect();
         let teams = state.teams().iter().map(|team| (team, team.used)).collect();
         Self {
             view,
-            tuning,
+            tuning: *tuning,
             now_ms,
             waves,
             rooms,
--- a/crates/decisions/src/tuning.rs
+++ b/crates/decisions/src/tuning.rs
@@ -14,6 +14,12 @@
 /// First step of a wave otherwise, in percent of the VMs that it maintains.
 const CAREFUL_FIRST_STEP_PERCENT: u32 = 5;
 
+/// Room for new starts that a pool keeps when roll-out weighs most, in percent.
+const EAGER_ROOM_PERCENT: u32 = 15;
+
+/// Room for new starts that a pool keeps otherwise, in percent.
+const CAREFUL_ROOM_PERCENT: u32 = 30;
+
 /// The same decisions with other weights.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Tuning {
@@ -21,8 +27,10 @@
     pub first_step_percent: u32,
     /// A job that ends within this time is waited for; one that runs longer is moved.
     pub patience_ms: u64,
-    /// VMs kept free of new starts for each VM that the budget lets out of service.
-    pub cordoned_per_slot: u32,
+    /// Whether VMs that planned work takes next are kept free of new starts.
+    pub cordons: bool,
+    /// Room for new starts that a pool keeps while VMs are kept free, in percent of its capacity.
+    pub room_kept_percent: u32,
 }
 
 impl Tuning {
@@ -42,7 +50,12 @@
                 CAREFUL_FIRST_STEP_PERCENT
             },
             patience_ms: (BASE_PATIENCE_MS * others / (2 * roll_out)).min(MAX_PATIENCE_MS),
-            cordoned_per_slot: if is_eager { 2 } else { 1 },
+            cordons: true,
+            room_kept_percent: if is_eager {
+                EAGER_ROOM_PERCENT
+            } else {
+                CAREFUL_ROOM_PERCENT
+            },
         }
     }
 }
--- a/crates/decisions/src/waves.rs
+++ b/crates/decisions/src/waves.rs
@@ -7,8 +7,9 @@
         tuning::Tuning,
         wave_health::{WaveHealth, ramp_limit},
     },
-    lynxwheel_protocol::{ClaimPurpose, VmName, VmPhase, WaveGoal, ZoneName},
+    lynxwheel_protocol::{ClaimPurpose, Resources, VmName, VmPhase, WaveGoal, ZoneName},
     lynxwheel_state::{FleetState, VmState, WaveState},
+    std::cmp::Reverse,
 };
 
 /// Why a VM is to be claimed.
@@ -63,13 +64,12 @@
 /// Plans the next claims, as many as budgets and ramps allow, each of which the fold would
 /// accept after those before it.
 #[must_use]
-pub fn plan_claims(state: &FleetState, now_ms: u64) -> Vec<ClaimPlan> {
-    let tuning = Tuning::new(state.weights());
+pub fn plan_claims(state: &FleetState, tuning: &Tuning, now_ms: u64) -> Vec<ClaimPlan> {
     let view = FleetView::new(state);
-    let mut waves = running_waves(&view, &tuning);
+    let mut waves = running_waves(&view, tuning);
     let mut plans = Vec::new();
     for pool in &view.pools {
-        plan_pool(state, pool, &tuning, now_ms, &mut waves, &mut plans);
+        plan_pool(state, pool, tuning, now_ms, &mut waves, &mut plans);
     }
     plans
 }
@@ -100,17 +100,18 @@
     if slots == 0 {
         return;
     }
+    let mut ready = candidates(state, pool, tuning, now_ms, waves);
+    ready.retain(|candidate| candidate.drain.is_ready());
     let mut zones = claimed_zones(pool);
-    for candidate in candidates(state, pool, tuning, now_ms, waves) {
-        if slots == 0 {
-            return;
-        }
-        let has_zone = takes_zone(pool, &mut zones, &candidate.vm.zone);
+    let order = zones_by_ready(&ready);
+    for zone in order {
+        open_zone(pool, &mut zones, zone.zone);
+    }
+    for candidate in ready {
         let has_room = candidate.wave.is_none_or(|wave| waves[wave].room > 0);
-        if !candidate.drain.is_ready() || !has_zone || !has_room {
+        if slots == 0 || !has_room || zones.binary_search(&candidate.vm.zone).is_err() {
             continue;
         }
-        open_zone(&mut zones, &candidate.vm.zone);
         slots -= 1;
         if let Some(wave) = candidate.wave {
             waves[wave].room -= 1;
@@ -135,11 +136,8 @@
     }
 }
 
-/// Returns the VMs of a pool that planned work waits for, the next one first.
-///
-/// Zones under way come first and then those with the fewest VMs left, so that one zone is
-/// finished before the next is opened; within a zone the VM that is empty soonest.
-pub(crate) fn candidates<'a>(
+/// Returns the VMs of a pool that planned work waits for, the one that is empty soonest first.
+fn candidates<'a>(
     state: &FleetState,
     pool: &PoolView<'a>,
     tuning: &Tuning,
@@ -158,31 +156,55 @@
             });
         }
     }
-    let mut left: Vec<(&ZoneName, usize)> = Vec::new();
-    for candidate in &found {
-        match left.binary_search_by(|row| row.0.cmp(&candidate.vm.zone)) {
-            Ok(row) => left[row].1 += 1,
-            Err(row) => left.insert(row, (&candidate.vm.zone, 1)),
+    found.sort_by_key(|candidate| candidate.drain.cost_ms(tuning));
+    found
+}
+
+/// Returns the zones of ready candidates, the one with the most of them first.
+///
+/// A pool may have one zone open at a time, and a claim lasts little longer than the action; so
+/// the zone that keeps the budget's slots busy for longest goes first.
+fn zones_by_ready<'a>(candidates: &[Candidate<'a>]) -> Vec<ZoneCount<'a>> {
+    let mut zones: Vec<ZoneCount<'a>> = Vec::new();
+    for candidate in candidates {
+        let zone = &candidate.vm.zone;
+        match zones.binary_search_by(|row| row.zone.cmp(zone)) {
+            Ok(row) => zones[row].ready += 1,
+            Err(row) => zones.insert(row, ZoneCount { zone, ready: 1 }),
         }
     }
-    let zones = claimed_zones(pool);
-    found.sort_by_cached_key(|candidate| {
-        let zone = &candidate.vm.zone;
-        let remaining = left
-            .binary_search_by(|row| row.0.cmp(zone))
-            .map_or(0, |row| left[row].1);
-        (
-            zones.binary_search(zone).is_err(),
-            remaining,
-            zone.clone(),
-            candidate.drain.cost_ms(tuning),
-        )
-    });
-    found
+    zones.sort_by_key(|row| Reverse(row.ready));
+    zones
+}
+
+/// Ready candidates of a zone.
+#[derive(Clone, Copy, Debug)]
+struct ZoneCount<'a> {
+    zone: &'a ZoneName,
+    ready: usize,
+}
+
+/// Returns the VMs on which nothing new is started but urgent work, since planned work takes
+/// them next; sorted.
+#[must_use]
+pub fn cordoned_vms(state: &FleetState, tuning: &Tuning, now_ms: u64) -> Vec<VmName> {
+    let view = FleetView::new(state);
+    let waves = running_waves(&view, tuning);
+    let mut names: Vec<VmName> = view
+        .pools
+        .iter()
+        .flat_map(|pool| cordoned(state, pool, tuning, now_ms, &waves))
+        .cloned()
+        .collect();
+    names.sort_unstable();
+    names
 }
 
-/// Returns the VMs of a pool on which nothing new should start, since planned work takes them
-/// next; sorted.
+/// Returns the VMs of a pool on which nothing new should start; sorted.
+///
+/// As many VMs are kept free as leave the pool the room that the weights ask for, and at least
+/// one for each VM that the budget lets out of service, without which a full pool's wave would
+/// wait for ever.
 pub(crate) fn cordoned<'a>(
     state: &FleetState,
     pool: &PoolView<'a>,
@@ -190,21 +212,38 @@
     now_ms: u64,
     waves: &[RunningWave<'_>],
 ) -> Vec<&'a VmName> {
-    let claimed: u32 = pool.pool.claimed_zones.iter().map(|row| row.1).sum();
-    let slots = pool.pool.availability().spare() + claimed;
-    let count = (slots * tuning.cordoned_per_slot) as usize;
-    if count == 0 {
+    if !tuning.cordons {
         return Vec::new();
     }
-    let mut names: Vec<&VmName> = candidates(state, pool, tuning, now_ms, waves)
-        .into_iter()
-        .take(count)
-        .map(|candidate| &candidate.vm.name)
-        .collect();
+    let mut room = Resources::default();
+    let mut kept = Resources::default();
+    for vm in pool.vms.iter().filter(|vm| vm.is_available()) {
+        room = room.plus(&vm.free());
+        kept = kept.plus(&percent_of(&vm.capacity, tuning.room_kept_percent));
+    }
+    let least = pool.pool.availability().spare();
+    let mut names: Vec<&VmName> = Vec::new();
+    for candidate in candidates(state, pool, tuning, now_ms, waves) {
+        room = room.minus(&candidate.vm.free());
+        let is_needed = u32::try_from(names.len()).is_ok_and(|count| count < least);
+        if !is_needed && !kept.fits(&room) {
+            break;
+        }
+        names.push(&candidate.vm.name);
+    }
     names.sort_unstable();
     names
 }
 
+fn percent_of(whole: &Resources, percent: u32) -> Resources {
+    let part = |whole: u32| whole / 100 * percent;
+    Resources {
+        cores_milli: part(whole.cores_milli),
+        memory_mib: part(whole.memory_mib),
+        accelerators: 0,
+    }
+}
+
 fn purpose_for(vm: &VmState, waves: &[RunningWave<'_>]) -> Option<(ClaimPurpose, Option<usize>)> {
     if vm.phase != VmPhase::Live || vm.incarnation == 0 {
         return None;
@@ -228,13 +267,12 @@
     rows.map(|row| row.0.clone()).collect()
 }
 
-fn takes_zone(pool: &PoolView<'_>, zones: &mut [ZoneName], zone: &ZoneName) -> bool {
+/// Opens a zone if the budget allows one more.
+fn open_zone(pool: &PoolView<'_>, zones: &mut Vec<ZoneName>, zone: &ZoneName) {
     let limit = pool.pool.spec.budget.zones_at_once.max(1) as usize;
-    zones.binary_search(zone).is_ok() || zones.len() < limit
-}
-
-fn open_zone(zones: &mut Vec<ZoneName>, zone: &ZoneName) {
-    if let Err(row) = zones.binary_search(zone) {
+    if let Err(row) = zones.binary_search(zone)
+        && zones.len() < limit
+    {
         zones.insert(row, zone.clone());
     }
 }
--- /dev/null
+++ b/crates/experiment/src/args.rs
@@ -0,0 +1,164 @@
+//! Arguments of an experiment and its execution.
+
+use {
+    crate::{
+        inputs::{Inputs, Shape},
+        measures::Measures,
+        plot,
+        policies::{PlacePolicy, WavePolicy},
+        profile::{Profile, ProfileName},
+        routing,
+        run::{Run, RunPolicy},
+    },
+    clap::{Args, ValueEnum},
+    std::{
+        io::{self, Write},
+        path::PathBuf,
+        process::ExitCode,
+    },
+};
+
+/// Exit code when results could not be written.
+const EXIT_OUTPUT: u8 = 1;
+
+/// Milliseconds of an hour.
+const HOUR_MS: u64 = 3_600_000;
+
+/// What is tried out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum ExperimentName {
+    /// A maintenance wave over busy pools.
+    Waves,
+    /// Jobs with wrong sizes on workers of which some fail everything.
+    Placement,
+    /// Requests over endpoints with few slots.
+    Routing,
+}
+
+impl ExperimentName {
+    /// Returns the name used in results.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Waves => "waves",
+            Self::Placement => "placement",
+            Self::Routing => "routing",
+        }
+    }
+}
+
+/// Judges the decisions against baselines; prints one JSON object a line, one line a policy.
+#[derive(Args, Clone, Debug)]
+pub struct ExperimentArgs {
+    /// What is tried out
+    #[arg(value_enum)]
+    pub name: ExperimentName,
+    /// Fleet to try it on
+    #[arg(long, value_enum, default_value = "tamsui")]
+    pub profile: ProfileName,
+    /// First seed of the inputs
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Seeds to run, from the first one on
+    #[arg(long, default_value_t = 1)]
+    pub seeds: u64,
+    /// Only this policy; all of them without it
+    #[arg(long)]
+    pub policy: Option<String>,
+    /// Draws roll-out time or start delay of each policy by seed into an SVG file
+    #[arg(long, value_name = "FILE.svg")]
+    pub plot: Option<PathBuf>,
+}
+
+/// Runs an experiment and prints its results.
+#[must_use]
+pub fn execute(args: &ExperimentArgs) -> ExitCode {
+    let mut rows = Vec::new();
+    for seed in args.seed..args.seed.saturating_add(args.seeds) {
+        for row in run_seed(args, seed) {
+            if let Err(problem) = print(&row) {
+                eprintln!("cannot write the results: {problem}");
+                return ExitCode::from(EXIT_OUTPUT);
+            }
+            rows.push(row);
+        }
+    }
+    if rows.is_empty() {
+        eprintln!("no such policy in this experiment");
+        return ExitCode::from(EXIT_OUTPUT);
+    }
+    if let Some(path) = &args.plot
+        && let Err(problem) = plot::draw(path, &rows)
+    {
+        eprintln!("cannot draw {}: {problem}", path.display());
+        return ExitCode::from(EXIT_OUTPUT);
+    }
+    ExitCode::SUCCESS
+}
+
+fn print(row: &Measures) -> io::Result<()> {
+    let line = serde_json::to_string(row)?;
+    let mut out = io::stdout().lock();
+    writeln!(out, "{line}")
+}
+
+/// Runs the policies asked for on the inputs of one seed.
+#[must_use]
+pub fn run_seed(args: &ExperimentArgs, seed: u64) -> Vec<Measures> {
+    let profile = Profile::new(args.profile);
+    let is_wanted = |name: &str| args.policy.as_deref().is_none_or(|policy| policy == name);
+    let shape = shape(args.name, args.profile);
+    let mut rows = match args.name {
+        ExperimentName::Waves => {
+            let inputs = Inputs::new(&profile, &shape, seed);
+            let policies = WavePolicy::ALL.into_iter();
+            policies
+                .filter(|policy| is_wanted(policy.as_str()))
+                .map(|policy| Measures {
+                    policy: policy.as_str(),
+                    ..Run::new(&profile, &shape, &inputs, RunPolicy::Wave(policy)).run()
+                })
+                .collect::<Vec<_>>()
+        }
+        ExperimentName::Placement => {
+            let inputs = Inputs::new(&profile, &shape, seed);
+            let policies = PlacePolicy::ALL.into_iter();
+            policies
+                .filter(|policy| is_wanted(policy.as_str()))
+                .map(|policy| Measures {
+                    policy: policy.as_str(),
+                    ..Run::new(&profile, &shape, &inputs, RunPolicy::Place(policy)).run()
+                })
+                .collect()
+        }
+        ExperimentName::Routing => routing::run(&profile, seed)
+            .into_iter()
+            .filter(|row| is_wanted(row.policy))
+            .collect(),
+    };
+    for row in &mut rows {
+        row.experiment = args.name.as_str();
+        row.seed = seed;
+    }
+    rows
+}
+
+fn shape(name: ExperimentName, profile: ProfileName) -> Shape {
+    let is_large = profile == ProfileName::TwoYear;
+    match name {
+        ExperimentName::Waves => Shape {
+            warm_up_ms: HOUR_MS,
+            arrivals_ms: if is_large { 6 } else { 16 } * HOUR_MS,
+            load_percent: 45,
+            bad_worker_percent: 0,
+            urgent_burst: 1,
+        },
+        _ => Shape {
+            warm_up_ms: HOUR_MS,
+            arrivals_ms: if is_large { 1 } else { 5 } * HOUR_MS,
+            load_percent: 70,
+            bad_worker_percent: 4,
+            urgent_burst: 4,
+        },
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/executor.rs
@@ -0,0 +1,170 @@
+//! Carries claims and stops out, the same for every policy, and judges them by the truth.
+
+use {
+    crate::world::{NODE, World, index_of},
+    lynxwheel_decisions::{ClaimStep, remaining_ms, review_claims},
+    lynxwheel_protocol::{ClaimPurpose, RecordBody, VmName, VmPhase},
+    lynxwheel_state::{Claim, ClaimStage},
+};
+
+/// Time after which an action has failed, in milliseconds.
+const ACTION_TIMEOUT_MS: u64 = 600_000;
+
+/// Time within which a drain must be undone once its pool is below its floor, in milliseconds.
+const UNDO_MS: u64 = 10_000;
+
+/// A job that ends within this time is not moved for a drain, in milliseconds.
+const NEARLY_DONE_MS: u64 = 15_000;
+
+/// Budget breaches found by the truth.
+#[derive(Clone, Debug, Default)]
+pub struct Breaches {
+    /// Planned steps that left a pool below its floor, and drains not undone in time.
+    pub count: u64,
+    below_since: Vec<Option<u64>>,
+}
+
+impl Breaches {
+    /// Judges a planned step that was just accepted on a VM.
+    ///
+    /// The step is a breach when its pool is below its floor without the VM, whatever the fold
+    /// knew of it.
+    pub fn judge(&mut self, world: &World<'_>, vm: &VmName) {
+        let Some(vm) = world.state.vms().get(vm.as_str()) else {
+            return;
+        };
+        let Some(pool) = world.state.pools().get(vm.pool.as_str()) else {
+            return;
+        };
+        self.count += u64::from(world.truly_available(vm.pool.as_str()) < pool.floor());
+    }
+
+    /// Counts pools that stay below their floor while a drain of them is held.
+    pub fn judge_drains(&mut self, world: &World<'_>) {
+        self.below_since.resize(world.state.pools().len(), None);
+        for (row, pool) in world.state.pools().iter().enumerate() {
+            let name = pool.spec.name.as_str();
+            if pool.claimed_zones.is_empty()
+                || !holds_drain(world, name)
+                || world.truly_available(name) >= pool.floor()
+            {
+                self.below_since[row] = None;
+                continue;
+            }
+            let since_ms = *self.below_since[row].get_or_insert(world.now_ms);
+            if world.now_ms >= since_ms + UNDO_MS {
+                self.count += 1;
+                self.below_since[row] = Some(world.now_ms);
+            }
+        }
+    }
+}
+
+fn holds_drain(world: &World<'_>, pool: &str) -> bool {
+    world.state.vms().iter().any(|vm| {
+        let is_draining = |claim: &Claim| claim.stage == ClaimStage::Draining;
+        vm.pool.as_str() == pool
+            && vm.claim.as_ref().is_some_and(is_draining)
+            && world.truth.machines[index_of(vm.name.as_str())].is_up
+    })
+}
+
+/// Takes the next step of every claim and stops what was asked to stop.
+pub fn run_claims(world: &mut World<'_>, breaches: &mut Breaches) {
+    release(world);
+    let claims: Vec<(VmName, Claim)> = world
+        .state
+        .vms()
+        .iter()
+        .filter_map(|vm| Some((vm.name.clone(), vm.claim.clone()?)))
+        .collect();
+    for (vm, claim) in claims {
+        match claim.stage {
+            ClaimStage::Draining => drain(world, &vm, &claim, breaches),
+            ClaimStage::Acting => finish(world, &vm, &claim),
+        }
+    }
+    for job in std::mem::take(&mut world.stopping) {
+        stop(world, job);
+    }
+}
+
+fn release(world: &mut World<'_>) {
+    for review in review_claims(&world.state, &[NODE.into()]) {
+        if matches!(review.step, ClaimStep::Release(_)) {
+            world.submit(RecordBody::Release {
+                vm: review.vm,
+                fence: review.fence,
+            });
+        }
+    }
+}
+
+fn drain(world: &mut World<'_>, name: &VmName, claim: &Claim, breaches: &mut Breaches) {
+    let clock_ms = world.clock_ms();
+    let Some(vm) = world.state.vms().get(name.as_str()) else {
+        return;
+    };
+    let moved: Vec<usize> = vm
+        .attempts
+        .iter()
+        .filter_map(|job| world.state.jobs().get(job.as_str()))
+        .filter(|job| job.spec.checkpoint && remaining_ms(job, clock_ms) > NEARLY_DONE_MS)
+        .map(|job| index_of(job.spec.name.as_str()))
+        .collect();
+    if !vm.attempts.is_empty() {
+        for job in moved {
+            let now_ms = world.now_ms;
+            world.truth.checkpoint(index_of(name.as_str()), job, now_ms);
+        }
+        return;
+    }
+    act(world, name, claim, breaches);
+}
+
+fn act(world: &mut World<'_>, name: &VmName, claim: &Claim, breaches: &mut Breaches) {
+    let vm = name.clone();
+    let fence = claim.fence;
+    if let ClaimPurpose::Move(_) = claim.purpose {
+        let verdict = world.submit(RecordBody::HandOver { vm, fence });
+        world.vm_moves += u64::from(verdict.is_accepted());
+        return;
+    }
+    let not_after_ms = world.clock_ms() + ACTION_TIMEOUT_MS;
+    let verdict = world.submit(RecordBody::Begin {
+        vm,
+        fence,
+        not_after_ms,
+    });
+    if verdict.is_accepted() {
+        breaches.judge(world, name);
+        world.reboot(index_of(name.as_str()));
+    }
+}
+
+fn finish(world: &mut World<'_>, name: &VmName, claim: &Claim) {
+    let Some(vm) = world.state.vms().get(name.as_str()) else {
+        return;
+    };
+    let is_back = vm.phase == VmPhase::Live && vm.incarnation > claim.incarnation;
+    let is_overdue = world.clock_ms() > claim.since_ms + ACTION_TIMEOUT_MS;
+    if is_back || is_overdue {
+        world.submit(RecordBody::Done {
+            vm: name.clone(),
+            fence: claim.fence,
+            succeeded: is_back,
+        });
+    }
+}
+
+fn stop(world: &mut World<'_>, job: usize) {
+    let name = crate::world::job_name(job);
+    let attempt = world.state.jobs().get(name.as_str());
+    let vm = attempt
+        .and_then(|job| job.attempt.as_ref())
+        .map(|attempt| index_of(attempt.vm.as_str()));
+    if let Some(vm) = vm {
+        let now_ms = world.now_ms;
+        world.truth.checkpoint(vm, job, now_ms);
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/policies.rs
@@ -0,0 +1,223 @@
+//! The decisions in use and the baselines that they are judged against.
+
+use {
+    lynxwheel_decisions::{
+        FleetView, Placement, PlacementPlan, PlacementReason, PoolView, Tuning, is_due,
+        plan_claims, plan_placements,
+    },
+    lynxwheel_protocol::{ClaimPurpose, JobName, Resources, VmName, VmPhase, ZoneName},
+    lynxwheel_state::{FleetState, JobPhase, JobState, VmState, WaveState},
+};
+
+/// Starts planned in one round at most.
+const MAX_STARTS: usize = 256;
+
+/// Name of the decisions in use.
+pub const IN_USE: &str = "in-use";
+
+/// How VMs are claimed for a wave.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WavePolicy {
+    /// The decisions in use.
+    InUse,
+    /// As many VMs of a pool as its budget has room for, then a wait until all are done.
+    FixedBatch,
+    /// One VM of each pool after the other.
+    OneAtATime,
+    /// One zone of the fleet after the other, each VM replaced as soon as it is done.
+    ZoneByZone,
+}
+
+impl WavePolicy {
+    /// Every policy.
+    pub const ALL: [Self; 4] = [
+        Self::InUse,
+        Self::FixedBatch,
+        Self::OneAtATime,
+        Self::ZoneByZone,
+    ];
+
+    /// Returns the name used in results.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::InUse => IN_USE,
+            Self::FixedBatch => "fixed-batch",
+            Self::OneAtATime => "one-at-a-time",
+            Self::ZoneByZone => "zone-by-zone",
+        }
+    }
+
+    /// Returns the tuning of the placement beside it.
+    ///
+    /// Baselines place as the decisions in use do, also on maintained VMs first, but do not know
+    /// which VMs to keep free.
+    #[must_use]
+    pub fn tuning(self, state: &FleetState) -> Tuning {
+        let tuning = Tuning::new(state.weights());
+        if self == Self::InUse {
+            return tuning;
+        }
+        Tuning {
+            cordons: false,
+            ..tuning
+        }
+    }
+
+    /// Returns the VMs to claim and for what.
+    #[must_use]
+    pub fn claims(self, state: &FleetState, now_ms: u64) -> Vec<(VmName, ClaimPurpose)> {
+        if self == Self::InUse {
+            let plans = plan_claims(state, &self.tuning(state), now_ms);
+            return plans
+                .into_iter()
+                .map(|plan| (plan.vm, plan.purpose))
+                .collect();
+        }
+        let Some(wave) = state.waves().first() else {
+            return Vec::new();
+        };
+        let view = FleetView::new(state);
+        let fleet_zone = first_zone(&view, wave);
+        let claims = view.pools.iter().flat_map(|pool| match self {
+            Self::ZoneByZone => batch(pool, wave, fleet_zone, u32::MAX),
+            Self::OneAtATime if pool.pool.claimed_zones.is_empty() => batch(pool, wave, None, 1),
+            Self::FixedBatch if pool.pool.claimed_zones.is_empty() => {
+                batch(pool, wave, None, u32::MAX)
+            }
+            _ => Vec::new(),
+        });
+        claims.collect()
+    }
+}
+
+fn is_candidate(vm: &VmState, wave: &WaveState) -> bool {
+    vm.phase == VmPhase::Live && vm.claim.is_none() && is_due(wave, vm)
+}
+
+/// Returns the first zone in which a VM is due or claimed.
+fn first_zone<'a>(view: &FleetView<'a>, wave: &WaveState) -> Option<&'a ZoneName> {
+    view.state
+        .vms()
+        .iter()
+        .filter(|vm| vm.claim.is_some() || is_candidate(vm, wave))
+        .map(|vm| &vm.zone)
+        .min()
+}
+
+/// Claims up to `limit` VMs of one zone, as many as the budget has room for.
+fn batch(
+    pool: &PoolView<'_>,
+    wave: &WaveState,
+    zone: Option<&ZoneName>,
+    limit: u32,
+) -> Vec<(VmName, ClaimPurpose)> {
+    let due: Vec<&&VmState> = pool
+        .vms
+        .iter()
+        .filter(|vm| is_candidate(vm, wave))
+        .collect();
+    let Some(zone) = zone.or_else(|| due.first().map(|vm| &vm.zone)) else {
+        return Vec::new();
+    };
+    let count = pool.pool.availability().spare().min(limit) as usize;
+    due.into_iter()
+        .filter(|vm| vm.zone == *zone)
+        .take(count)
+        .map(|vm| {
+            let purpose = ClaimPurpose::Maintain(wave.spec.name.clone());
+            (vm.name.clone(), purpose)
+        })
+        .collect()
+}
+
+/// How jobs are placed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlacePolicy {
+    /// The decisions in use.
+    InUse,
+    /// The first VM with room.
+    FirstFit,
+    /// The VM with the fewest attempts.
+    SpreadOnly,
+}
+
+impl PlacePolicy {
+    /// Every policy.
+    pub const ALL: [Self; 3] = [Self::InUse, Self::FirstFit, Self::SpreadOnly];
+
+    /// Returns the name used in results.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::InUse => IN_USE,
+            Self::FirstFit => "first-fit",
+            Self::SpreadOnly => "spread-only",
+        }
+    }
+
+    /// Returns the starts and stops of one round.
+    #[must_use]
+    pub fn plan(self, state: &FleetState, now_ms: u64) -> PlacementPlan {
+        if self == Self::InUse {
+            return plan_placements(state, &Tuning::new(state.weights()), now_ms, MAX_STARTS);
+        }
+        let mut waiting: Vec<&JobState> = state
+            .jobs()
+            .iter()
+            .filter(|job| job.phase == JobPhase::Pending)
+            .collect();
+        waiting.sort_by_key(|job| (job.spec.class, job.pending_since_ms));
+        let view = FleetView::new(state);
+        let mut free: Vec<Vec<Room<'_>>> = view.pools.iter().map(rooms).collect();
+        let mut plan = PlacementPlan::default();
+        for job in waiting {
+            let Some(pool) = view.pool_index(job.spec.pool.as_str()) else {
+                continue;
+            };
+            plan.starts.extend(self.start(job, &mut free[pool]));
+            if plan.starts.len() >= MAX_STARTS {
+                break;
+            }
+        }
+        plan
+    }
+
+    fn start(self, job: &JobState, rooms: &mut [Room<'_>]) -> Option<Placement> {
+        let reserved = job.spec.demand;
+        let fitting = rooms.iter_mut().filter(|room| reserved.fits(&room.free));
+        let room = match self {
+            Self::SpreadOnly => fitting.min_by_key(|room| room.attempts),
+            Self::InUse | Self::FirstFit => fitting.into_iter().next(),
+        }?;
+        room.free = room.free.minus(&reserved);
+        room.attempts += 1;
+        Some(Placement {
+            job: JobName::clone(&job.spec.name),
+            attempt: job.attempts + 1,
+            vm: room.vm.clone(),
+            reserved,
+            reason: PlacementReason::Packed,
+        })
+    }
+}
+
+/// Room on a VM during one round of a baseline.
+struct Room<'a> {
+    vm: &'a VmName,
+    free: Resources,
+    attempts: usize,
+}
+
+fn rooms<'a>(pool: &PoolView<'a>) -> Vec<Room<'a>> {
+    pool.vms
+        .iter()
+        .copied()
+        .filter(|vm| vm.is_available())
+        .map(|vm| Room {
+            vm: &vm.name,
+            free: vm.free(),
+            attempts: vm.attempts.len(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/experiment/src/profile.rs
@@ -0,0 +1,109 @@
+//! Sizes of the fleets that experiments run on.
+
+use {
+    clap::ValueEnum,
+    lynxwheel_protocol::{Resources, Weights},
+};
+
+/// A fleet to experiment on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+pub enum ProfileName {
+    /// Tamsui River Water and Power Office: roll-out time weighs most.
+    Tamsui,
+    /// Recarga Bella Operaciones: buffer weighs most.
+    Recarga,
+    /// The size expected within two years, with Tamsui's weights.
+    TwoYear,
+}
+
+impl ProfileName {
+    /// Returns the name used in results.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Tamsui => "tamsui",
+            Self::Recarga => "recarga",
+            Self::TwoYear => "two-year",
+        }
+    }
+}
+
+/// Size of a fleet and how its customer weighs the measures.
+#[derive(Clone, Copy, Debug)]
+pub struct Profile {
+    /// Name.
+    pub name: ProfileName,
+    /// Weights.
+    pub weights: Weights,
+    /// Pools.
+    pub pools: usize,
+    /// Smallest pool.
+    pub min_pool_vms: usize,
+    /// Largest pool.
+    pub max_pool_vms: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Teams.
+    pub teams: usize,
+    /// What a VM offers.
+    pub capacity: Resources,
+    /// One VM in so many has accelerators; 0 for none.
+    pub accelerated_every: usize,
+    /// Length of a step, in milliseconds.
+    pub step_ms: u64,
+}
+
+impl Profile {
+    /// Returns the fleet called `name`.
+    #[must_use]
+    pub fn new(name: ProfileName) -> Self {
+        match name {
+            ProfileName::Tamsui => Self {
+                name,
+                weights: weights(10, 2, 1),
+                pools: 5,
+                min_pool_vms: 8,
+                max_pool_vms: 12,
+                zones: 3,
+                teams: 5,
+                capacity: capacity(16, 64),
+                accelerated_every: 0,
+                step_ms: 1_000,
+            },
+            ProfileName::Recarga => Self {
+                name,
+                weights: weights(2, 10, 2),
+                capacity: capacity(32, 128),
+                ..Self::new(ProfileName::Tamsui)
+            },
+            ProfileName::TwoYear => Self {
+                name,
+                pools: 290,
+                min_pool_vms: 3,
+                max_pool_vms: 7,
+                zones: 12,
+                teams: 270,
+                capacity: capacity(32, 128),
+                accelerated_every: 2,
+                step_ms: 5_000,
+                ..Self::new(ProfileName::Tamsui)
+            },
+        }
+    }
+}
+
+fn weights(roll_out: u32, buffer: u32, moves: u32) -> Weights {
+    Weights {
+        roll_out,
+        buffer,
+        moves,
+    }
+}
+
+fn capacity(cores: u32, memory_gib: u32) -> Resources {
+    Resources {
+        cores_milli: cores * 1_000,
+        memory_mib: memory_gib * 1_024,
+        accelerators: 0,
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/run.rs
@@ -0,0 +1,274 @@
+//! One run of one pair of policies over the inputs of one seed.
+
+use {
+    crate::{
+        bound::{drain_bound_ms, roll_out_bound_ms},
+        executor::{Breaches, run_claims},
+        inputs::{Inputs, Shape},
+        measures::{Measures, percentile},
+        policies::{PlacePolicy, WavePolicy},
+        profile::Profile,
+        world::{World, budget, index_of},
+    },
+    lynxwheel_decisions::{
+        PlacementPlan, Tuning, cordoned_vms, plan_give_ups, plan_placements, plan_quarantines,
+    },
+    lynxwheel_protocol::{Class, RecordBody},
+    lynxwheel_state::{FleetState, JobPhase, JobState},
+    std::time::{Duration, Instant},
+};
+
+/// Milliseconds of an hour.
+const HOUR_MS: f64 = 3_600_000.0;
+
+/// Starts planned in one round at most.
+const MAX_STARTS: usize = 256;
+
+/// What a run decides by.
+#[derive(Clone, Copy, Debug)]
+pub enum RunPolicy {
+    /// A wave runs under this policy.
+    Wave(WavePolicy),
+    /// Jobs are placed by this policy, without a wave.
+    Place(PlacePolicy),
+}
+
+/// A run under way.
+#[derive(Debug)]
+pub struct Run<'a> {
+    world: World<'a>,
+    profile: &'a Profile,
+    shape: &'a Shape,
+    policy: RunPolicy,
+    breaches: Breaches,
+    buffer_vm_ms: f64,
+    decision_time: Duration,
+    done_ms: Option<u64>,
+    drain_bound_ms: u64,
+}
+
+impl<'a> Run<'a> {
+    /// Prepares a run.
+    #[must_use]
+    pub fn new(
+        profile: &'a Profile,
+        shape: &'a Shape,
+        inputs: &'a Inputs,
+        policy: RunPolicy,
+    ) -> Self {
+        Self {
+            world: World::new(profile, inputs, budget()),
+            profile,
+            shape,
+            policy,
+            breaches: Breaches::default(),
+            buffer_vm_ms: 0.0,
+            decision_time: Duration::ZERO,
+            done_ms: None,
+            drain_bound_ms: 0,
+        }
+    }
+
+    /// Runs to the end of the wave, or of the arrivals without one.
+    #[must_use]
+    pub fn run(mut self) -> Measures {
+        let end_ms = self.shape.warm_up_ms + self.shape.arrivals_ms;
+        let mut has_started = false;
+        while self.world.now_ms < end_ms && self.done_ms.is_none() {
+            self.world.now_ms += self.profile.step_ms;
+            self.world.advance();
+            if let RunPolicy::Wave(policy) = self.policy
+                && self.world.now_ms >= self.shape.warm_up_ms
+            {
+                if !has_started {
+                    self.drain_bound_ms = drain_bound_ms(&self.world);
+                    self.world.start_wave(self.profile);
+                    has_started = true;
+                }
+                self.claim(policy);
+                self.measure_wave(policy);
+            }
+            run_claims(&mut self.world, &mut self.breaches);
+            self.place();
+        }
+        self.measures()
+    }
+
+    fn claim(&mut self, policy: WavePolicy) {
+        let clock_ms = self.world.clock_ms();
+        let began = Instant::now();
+        let claims = policy.claims(&self.world.state, clock_ms);
+        self.decision_time += began.elapsed();
+        for (vm, purpose) in claims {
+            let verdict = self.world.submit(RecordBody::Claim {
+                vm: vm.clone(),
+                purpose,
+                holder: crate::world::NODE.into(),
+            });
+            if verdict.is_accepted() {
+                self.breaches.judge(&self.world, &vm);
+            }
+        }
+    }
+
+    fn place(&mut self) {
+        let clock_ms = self.world.clock_ms();
+        let began = Instant::now();
+        let plan = match self.policy {
+            RunPolicy::Place(policy) => policy.plan(&self.world.state, clock_ms),
+            RunPolicy::Wave(policy) => {
+                let tuning = policy.tuning(&self.world.state);
+                plan_placements(&self.world.state, &tuning, clock_ms, MAX_STARTS)
+            }
+        };
+        let give_ups = plan_give_ups(&self.world.state, clock_ms);
+        let quarantines = match self.policy {
+            RunPolicy::Place(PlacePolicy::FirstFit | PlacePolicy::SpreadOnly) => Vec::new(),
+            _ => plan_quarantines(&self.world.state),
+        };
+        self.decision_time += began.elapsed();
+        self.carry_out(plan);
+        for plan in give_ups {
+            self.world.submit(RecordBody::GiveUp {
+                job: plan.job,
+                reason: plan.reason.to_string().into(),
+            });
+        }
+        for plan in quarantines {
+            self.world.submit(RecordBody::Quarantine {
+                vm: plan.vm,
+                until_ms: plan.until_ms,
+            });
+        }
+    }
+
+    fn carry_out(&mut self, plan: PlacementPlan) {
+        for stop in plan.stops {
+            let job = index_of(stop.job.as_str());
+            let verdict = self.world.submit(RecordBody::Stop {
+                job: stop.job,
+                attempt: stop.attempt,
+            });
+            if verdict.is_accepted() {
+                self.world.stopping.push(job);
+            }
+        }
+        for start in plan.starts {
+            let job = index_of(start.job.as_str());
+            let vm = index_of(start.vm.as_str());
+            let verdict = self.world.submit(RecordBody::Start {
+                job: start.job,
+                attempt: start.attempt,
+                vm: start.vm,
+                reserved: start.reserved,
+                holder: crate::world::NODE.into(),
+            });
+            if verdict.is_accepted() && self.world.truth.machines[vm].is_up {
+                let now_ms = self.world.now_ms;
+                let inputs = self.world.inputs;
+                self.world
+                    .truth
+                    .start(inputs, vm, job, start.attempt, now_ms);
+            }
+        }
+    }
+
+    fn measure_wave(&mut self, policy: WavePolicy) {
+        self.breaches.judge_drains(&self.world);
+        let state = &self.world.state;
+        let claimed = state.vms().iter().filter(|vm| vm.claim.is_some()).count();
+        let tuning = policy.tuning(state);
+        let held_back = held_back(state, &tuning, self.world.clock_ms());
+        #[expect(clippy::cast_precision_loss, reason = "counts and steps are small")]
+        let step_vm_ms = (claimed as f64 + held_back) * self.profile.step_ms as f64;
+        self.buffer_vm_ms += step_vm_ms;
+        let is_done = state.waves().first().is_some_and(|wave| {
+            let mut vms = state.vms().iter();
+            vms.all(|vm| vm.maintained_ms >= wave.spec.due_before_ms && vm.claim.is_none())
+        });
+        if is_done {
+            self.done_ms = Some(self.world.now_ms);
+        }
+    }
+
+    fn measures(self) -> Measures {
+        let jobs = self.world.state.jobs();
+        let lost = jobs.iter().filter(|job| self.is_lost(job)).count();
+        let completed = jobs
+            .iter()
+            .filter(|job| job.phase == JobPhase::Succeeded)
+            .count();
+        let mut urgent = self.start_delays(|class| class == Class::Urgent);
+        let all = self.start_delays(|class| class != Class::Urgent);
+        let mut measures = Measures {
+            profile: self.profile.name.as_str(),
+            job_moves: Some(self.world.job_moves),
+            lost_jobs: Some(lost as u64),
+            doubled_starts: Some(self.world.truth.doubled_starts),
+            completed_jobs: Some(completed as u64),
+            urgent_start_p99_s: Some(seconds(percentile(&mut urgent, 99))),
+            start_mean_s: Some(seconds(all.iter().sum::<u64>() / all.len().max(1) as u64)),
+            decision_cpu_ms: self.decision_time.as_secs_f64() * 1_000.0,
+            ..Measures::default()
+        };
+        if let RunPolicy::Wave(_) = self.policy {
+            let end_ms = self.done_ms.unwrap_or(self.world.now_ms);
+            measures.roll_out_s = Some((end_ms - self.shape.warm_up_ms) / 1_000);
+            let bound_ms = roll_out_bound_ms(self.profile, self.world.inputs);
+            measures.roll_out_bound_s = Some(bound_ms.max(self.drain_bound_ms) / 1_000);
+            measures.is_complete = Some(self.done_ms.is_some());
+            measures.budget_breaches = Some(self.breaches.count);
+            measures.buffer_vm_hours = Some(self.buffer_vm_ms / HOUR_MS);
+            measures.vm_moves = Some(self.world.vm_moves);
+        }
+        measures
+    }
+
+    fn is_lost(&self, job: &JobState) -> bool {
+        let input = &self.world.inputs.jobs[index_of(job.spec.name.as_str())];
+        job.phase == JobPhase::GivenUp && !input.is_bad && !input.is_never_runnable
+    }
+
+    /// Returns how long jobs waited for their first start, up to now for those that still do.
+    fn start_delays(&self, of: impl Fn(Class) -> bool) -> Vec<u64> {
+        let jobs = self.world.inputs.jobs.iter().zip(&self.world.truth.jobs);
+        jobs.filter(|(input, _)| of(input.class) && input.at_ms < self.world.now_ms)
+            .filter(|(input, _)| !input.is_never_runnable && input.cancel_ms.is_none())
+            .map(|(input, truth)| {
+                let start_ms = truth.first_start_ms.unwrap_or(self.world.now_ms);
+                start_ms.saturating_sub(input.at_ms)
+            })
+            .collect()
+    }
+}
+
+/// Returns the capacity that is kept free of work that waits for it, in VMs.
+///
+/// A VM kept free of new starts costs its free share for as long as a waiting job of its pool
+/// would fit on it.
+fn held_back(state: &FleetState, tuning: &Tuning, now_ms: u64) -> f64 {
+    let cordoned = cordoned_vms(state, tuning, now_ms);
+    if cordoned.is_empty() {
+        return 0.0;
+    }
+    let waiting: Vec<&JobState> = state
+        .jobs()
+        .iter()
+        .filter(|job| job.phase == JobPhase::Pending)
+        .collect();
+    cordoned
+        .iter()
+        .filter_map(|name| state.vms().get(name.as_str()))
+        .filter(|vm| {
+            let free = vm.free();
+            waiting.iter().any(|job| {
+                job.spec.pool == vm.pool && lynxwheel_decisions::demand_of(job).fits(&free)
+            })
+        })
+        .map(|vm| f64::from(vm.free().cores_milli) / f64::from(vm.capacity.cores_milli))
+        .sum()
+}
+
+fn seconds(ms: u64) -> f64 {
+    Duration::from_millis(ms).as_secs_f64()
+}
--- a/crates/protocol/src/resource.rs
+++ b/crates/protocol/src/resource.rs
@@ -98,6 +98,16 @@
         }
     }
 
+    /// Returns the higher of both in every dimension.
+    #[must_use]
+    pub fn highest(&self, other: &Self) -> Self {
+        Self {
+            cores_milli: self.cores_milli.max(other.cores_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Subtracts `other`, stopping at zero.
     #[must_use]
     pub fn minus(&self, other: &Self) -> Self {
--- a/crates/state/src/placements.rs
+++ b/crates/state/src/placements.rs
@@ -165,15 +165,27 @@
         })
     }
 
-    /// Raises the estimate of a job's real size.
+    /// Raises the estimate of a job's real size, and what its attempt reserves with it.
+    ///
+    /// An attempt that takes more than was declared takes it from its neighbours; jobs placed
+    /// beside it by the declared size would fail for want of memory, one after the other.
     pub(crate) fn usage(&mut self, name: &JobName, attempt: u32, used: &Resources) -> Verdict {
         let Some(job) = self.running(name, attempt) else {
             return Verdict::Rejected(Rejection::WrongAttempt { job: name.clone() });
         };
-        let seen = &mut job.estimate.used;
-        seen.cores_milli = seen.cores_milli.max(used.cores_milli);
-        seen.memory_mib = seen.memory_mib.max(used.memory_mib);
-        seen.accelerators = seen.accelerators.max(used.accelerators);
+        job.estimate.used = job.estimate.used.highest(used);
+        let team = job.spec.team.clone();
+        let Some(run) = &mut job.attempt else {
+            return Verdict::Accepted;
+        };
+        let reserved = run.reserved.highest(used);
+        let more = reserved.minus(&run.reserved);
+        run.reserved = reserved;
+        let vm = run.vm.clone();
+        if let Some(team) = self.teams.get_mut(team.as_str()) {
+            team.used = team.used.plus(&more);
+        }
+        self.change_vm(vm.as_str(), |vm| vm.reserved = vm.reserved.plus(&more));
         Verdict::Accepted
     }
 
