Scripted scenarios of failures on goldenscript

A script tells in order what the platform, the operators and several nodes do, each node with its own cursor into the log. Steps drive the real fold and the real decision functions under a manual clock; an audit folds the log beside the nodes and fails a story that breaks a promise (floors under planned work, one pool per VM, counts and reservations, equal digests at equal offsets, no attempt started twice). 25 stories, expected output in the scripts.

The stand-in worker took an attempt for completed when its run time ended after its lease in one step of the clock; the lease decides now. The endpoint's admission moved to Machine::enter so that stories can use it.

--- /dev/null
+++ b/crates/scenario/src/steps.rs
@@ -0,0 +1,431 @@
+//! Steps of a node.
+
+use {
+    crate::{
+        command::{Command, JobEnd},
+        declare::declaration,
+        node::{Belief, SimNode},
+        records::{ACTION_WINDOW_MS, record_of},
+        show,
+        world::{Chosen, Kept, StepResult, World},
+    },
+    lynxwheel_decisions::{EndpointView, RouteRequest, least_loaded, plan_claims, plan_placements},
+    lynxwheel_protocol::{
+        ActionRequest, FOLD_VERSION, JobOutcome, RecordBody, TaskStart, TaskState, VmAction,
+        VmEntry, VmListState, VmPhase, VmReport,
+    },
+    lynxwheel_state::{FleetState, TASK_LEASE_MS, VmState, restore, save},
+    std::error::Error,
+};
+
+/// Starts planned in one round at most.
+const MAX_STARTS: usize = 16;
+
+/// Requests that an endpoint serves at once.
+const SLOTS: u32 = 8;
+
+impl World {
+    pub(crate) fn run_node(&mut self, name: &str, command: &Command) -> StepResult {
+        match command {
+            Command::Start {
+                from,
+                ahead_ms,
+                fold_version,
+            } => self.start_node(name, from.as_deref(), *ahead_ms, *fold_version),
+            Command::Kill => self.kill(name),
+            Command::Freeze => self.change(name, |node| node.is_frozen = true),
+            Command::Thaw => self.change(name, |node| node.is_frozen = false),
+            Command::CutLog => self.change(name, |node| node.is_cut = true),
+            Command::MendLog => self.change(name, |node| node.is_cut = false),
+            Command::Read => self.read(name),
+            Command::ReadFrom { peer } => self.read_from(name, peer),
+            Command::Snapshot { name: snapshot } => self.keep_snapshot(name, snapshot),
+            Command::Restore { name: snapshot } => self.restore_snapshot(name, snapshot),
+            Command::HalveSnapshot { name: snapshot } => self.halve_snapshot(snapshot),
+            Command::Retry => self.retry(name),
+            Command::Fleet {
+                pool,
+                vms,
+                floor,
+                zones,
+            } => self.declare_fleet(name, pool, *vms, *floor, *zones),
+            Command::Observe => self.observe(name),
+            Command::ProposeClaims => self.propose_claims(name),
+            Command::ProposeStarts => self.propose_starts(name),
+            Command::Act { vm, action } => self.act(name, vm, action.0),
+            Command::StartTask { job } => self.start_task(name, job),
+            Command::EndJob { job, outcome } => self.end_job(name, job, outcome.0),
+            Command::Route { pool, seed } => self.route(name, pool, *seed),
+            Command::Dispatch => self.dispatch(),
+            Command::ShowPool { name: pool } => show::pool(self.node(name)?, pool),
+            Command::ShowVm { name: vm } => show::vm(self.node(name)?, vm),
+            Command::ShowJob { name: job } => show::job(self.node(name)?, job),
+            Command::ShowKey { key } => Ok(show::key(self.node(name)?, *key)),
+            _ => self.propose_step(name, command),
+        }
+    }
+
+    fn propose_step(&mut self, name: &str, command: &Command) -> StepResult {
+        let now_ms = self.now_ms;
+        let body = match declaration(command, now_ms) {
+            Some(body) => body,
+            None => record_of(self.node(name)?, command, now_ms)?,
+        };
+        let outcome = self.propose(name, body)?;
+        if let Command::Claim { vm, .. } | Command::TakeOver { vm } | Command::Begin { vm } =
+            command
+        {
+            self.note_belief(name, vm)?;
+        }
+        Ok(outcome)
+    }
+
+    fn declare_fleet(
+        &mut self,
+        name: &str,
+        pool: &str,
+        vms: u32,
+        floor: u32,
+        zones: Option<u32>,
+    ) -> StepResult {
+        let mut steps = vec![Command::Pool {
+            name: pool.into(),
+            size: vms,
+            floor,
+            zones,
+            if_revision: None,
+        }];
+        steps.extend((0..vms).map(|vm| Command::Vm {
+            name: format!("vm-{vm}"),
+            pool: pool.into(),
+            if_revision: None,
+        }));
+        steps.push(Command::Observe);
+        for step in &steps {
+            self.run_node(name, step)?;
+        }
+        show::pool(self.node(name)?, pool)
+    }
+
+    /// A holder goes by the claim as it knows it when it made or changed it.
+    fn note_belief(&mut self, name: &str, vm: &str) -> Result<(), Box<dyn Error>> {
+        let node = self.node_mut(name)?;
+        let claim = node.state().vms().get(vm).and_then(|vm| vm.claim.as_ref());
+        let belief = claim
+            .filter(|claim| claim.holder == node.name)
+            .map(|claim| Belief {
+                vm: vm.into(),
+                fence: claim.fence,
+                not_after_ms: claim.not_after_ms,
+            });
+        if let Some(belief) = belief {
+            node.believe(belief);
+        }
+        Ok(())
+    }
+
+    fn change(&mut self, name: &str, change: impl FnOnce(&mut SimNode)) -> StepResult {
+        change(self.node_mut(name)?);
+        Ok(String::new())
+    }
+
+    fn start_node(
+        &mut self,
+        name: &str,
+        from: Option<&str>,
+        ahead_ms: u64,
+        fold_version: Option<u32>,
+    ) -> StepResult {
+        if self.row(name).is_ok() {
+            return Err("the node runs already".into());
+        }
+        let state = match from {
+            Some(snapshot) => restore(&self.kept(snapshot)?.bytes)?,
+            None => FleetState::new(),
+        };
+        self.runs += 1;
+        let mut node = SimNode::new(name, self.runs, state);
+        node.ahead_ms = ahead_ms;
+        self.nodes.push(node);
+        self.nodes.sort_by(|left, right| left.name.cmp(&right.name));
+        self.propose(
+            name,
+            RecordBody::Join {
+                node: name.into(),
+                fold_version: fold_version.unwrap_or(FOLD_VERSION),
+            },
+        )
+    }
+
+    fn kill(&mut self, name: &str) -> StepResult {
+        let row = self.row(name)?;
+        self.nodes.remove(row);
+        Ok(String::new())
+    }
+
+    fn read_from(&mut self, name: &str, peer: &str) -> StepResult {
+        let offset = self.node(peer)?.state().offset();
+        let own = self.node(name)?.state().offset();
+        let count = usize::try_from(offset.saturating_sub(own)).unwrap_or(usize::MAX);
+        let answer = self.platform.log.read(crate::world::STREAM, own + 1, count);
+        let node = self.node_mut(name)?;
+        match node.fold(&answer) {
+            Ok(_) => Ok(format!("at {}", node.state().offset())),
+            Err(trimmed) => Ok(trimmed.to_string()),
+        }
+    }
+
+    fn kept(&self, name: &str) -> Result<&Kept, Box<dyn Error>> {
+        self.kept
+            .iter()
+            .find(|kept| kept.name == name)
+            .ok_or_else(|| format!("no snapshot {name}").into())
+    }
+
+    fn keep_snapshot(&mut self, node: &str, name: &str) -> StepResult {
+        let state = self.node(node)?.state();
+        let kept = Kept {
+            name: name.into(),
+            bytes: save(state)?,
+        };
+        let offset = state.offset();
+        self.kept.push(kept);
+        Ok(format!("at {offset}"))
+    }
+
+    fn restore_snapshot(&mut self, node: &str, name: &str) -> StepResult {
+        let state = match restore(&self.kept(name)?.bytes) {
+            Ok(state) => state,
+            Err(error) => return Ok(format!("refused: {error}")),
+        };
+        let node = self.node_mut(node)?;
+        let is_taken = node.restore(state);
+        let outcome = if is_taken { "restored" } else { "kept its own" };
+        Ok(format!("{outcome}, at {}", node.state().offset()))
+    }
+
+    fn halve_snapshot(&mut self, name: &str) -> StepResult {
+        let row = self.kept.iter().position(|kept| kept.name == name);
+        let kept = &mut self.kept[row.ok_or("no such snapshot")?];
+        kept.bytes.truncate(kept.bytes.len() / 2);
+        Ok(String::new())
+    }
+
+    fn retry(&mut self, name: &str) -> StepResult {
+        let record = self.node_mut(name)?.unanswered.clone();
+        self.append(name, record.ok_or("nothing to send again")?)
+    }
+
+    fn observe(&mut self, name: &str) -> StepResult {
+        let now_ms = self.now_ms;
+        let list = self.platform.vm_list(now_ms);
+        let node = self.node(name)?;
+        let reports: Vec<VmReport> = list
+            .vms
+            .iter()
+            .filter_map(|entry| self.report(node, entry))
+            .collect();
+        if reports.is_empty() {
+            return Ok("nothing new".into());
+        }
+        let names: Vec<String> = reports
+            .iter()
+            .map(|report| format!("{} {:?}", report.vm, report.phase))
+            .collect();
+        let outcome = self.propose(name, RecordBody::Report { reports })?;
+        Ok(format!("{}: {outcome}", names.join(", ")))
+    }
+
+    /// Returns what a probe shows of a VM, if it is news to the node.
+    fn report(&self, node: &SimNode, entry: &VmEntry) -> Option<VmReport> {
+        let known = node.state().vms().get(entry.name.as_str())?;
+        let machine = self.reach(entry.name.as_str());
+        let phase = match machine {
+            None => VmPhase::Failed,
+            Some(machine) if machine.is_leaving || entry.state == VmListState::Leaving => {
+                VmPhase::Leaving
+            }
+            Some(_) => VmPhase::Live,
+        };
+        let report = VmReport {
+            vm: entry.name.clone(),
+            incarnation: machine.map_or(entry.incarnation, |machine| machine.incarnation),
+            phase,
+            evidence_ms: self.now_ms + node.ahead_ms,
+            zone: entry.zone.clone(),
+            rack: entry.rack.clone(),
+            address: entry.address.clone(),
+            capacity: entry.capacity,
+        };
+        let is_news = known.incarnation != report.incarnation || known.phase != phase;
+        is_news.then_some(report)
+    }
+
+    fn propose_claims(&mut self, name: &str) -> StepResult {
+        let plans = plan_claims(self.node(name)?.state());
+        let mut lines = Vec::new();
+        for plan in plans {
+            let body = RecordBody::Claim {
+                vm: plan.vm.clone(),
+                purpose: plan.purpose,
+                holder: name.into(),
+            };
+            let outcome = self.propose(name, body)?;
+            self.note_belief(name, plan.vm.as_str())?;
+            lines.push(format!("{} ({}): {outcome}", plan.vm, plan.reason.as_str()));
+        }
+        Ok(lines_or(&lines, "nothing to claim"))
+    }
+
+    fn propose_starts(&mut self, name: &str) -> StepResult {
+        let plans = plan_placements(self.node(name)?.state(), MAX_STARTS);
+        let mut lines = Vec::new();
+        for plan in plans {
+            let body = RecordBody::Start {
+                job: plan.job.clone(),
+                attempt: plan.attempt,
+                vm: plan.vm.clone(),
+                reserved: plan.reserved,
+                holder: name.into(),
+            };
+            let outcome = self.propose(name, body)?;
+            lines.push(format!("{} on {}: {outcome}", plan.job, plan.vm));
+        }
+        Ok(lines_or(&lines, "nothing to start"))
+    }
+
+    fn act(&mut self, name: &str, vm: &str, action: VmAction) -> StepResult {
+        let now_ms = self.now_ms;
+        let node = self.node(name)?;
+        if node.is_frozen {
+            return Err("a frozen node does nothing".into());
+        }
+        let belief = node.belief(vm).ok_or("the node never held a claim on it")?;
+        let request = ActionRequest {
+            action,
+            fence: belief.fence,
+            not_after_ms: match action {
+                VmAction::Reboot => belief.not_after_ms,
+                _ => now_ms + ACTION_WINDOW_MS,
+            },
+        };
+        if self.reach(vm).is_none() {
+            return Ok("the VM does not answer".into());
+        }
+        let reboot_ms = self.platform.reboot_ms;
+        match self.machine_mut(vm)?.act(&request, now_ms, reboot_ms) {
+            Ok(()) => Ok("carried out".into()),
+            Err(reason) => Ok(format!("refused: {reason}")),
+        }
+    }
+
+    fn start_task(&mut self, name: &str, job: &str) -> StepResult {
+        let now_ms = self.now_ms;
+        let job = self
+            .node(name)?
+            .state()
+            .jobs()
+            .get(job)
+            .ok_or("no such job")?;
+        let attempt = job.attempt.as_ref().ok_or("no attempt runs")?;
+        let vm = attempt.vm.clone();
+        let start = TaskStart {
+            job: job.spec.name.clone(),
+            attempt: job.attempts,
+            reserved: attempt.reserved,
+            run_time_ms: job.spec.run_time_ms,
+            lease_ms: TASK_LEASE_MS,
+        };
+        if self.reach(vm.as_str()).is_none() {
+            return Ok("the worker does not answer".into());
+        }
+        let fails = self.platform.fails_tasks(vm.as_str());
+        match self.machine_mut(vm.as_str())?.start(&start, now_ms, fails) {
+            Ok(()) => Ok(format!("runs on {vm}")),
+            Err(reason) => Ok(format!("refused: {reason}")),
+        }
+    }
+
+    fn end_job(&mut self, name: &str, job: &str, end: JobEnd) -> StepResult {
+        let state = self.node(name)?.state();
+        let job = state.jobs().get(job).ok_or("no such job")?;
+        let attempt = job.attempt.as_ref().ok_or("no attempt runs")?;
+        let outcome = match end {
+            JobEnd::Lost => Some(JobOutcome::Lost),
+            JobEnd::AsReported => self.reach(attempt.vm.as_str()).and_then(|machine| {
+                let reports = machine.reports();
+                let report = reports
+                    .iter()
+                    .find(|report| report.job == job.spec.name && report.attempt == job.attempts)?;
+                outcome_of(report.state)
+            }),
+        };
+        let Some(outcome) = outcome else {
+            return Ok("the worker reports no end".into());
+        };
+        let body = RecordBody::End {
+            job: job.spec.name.clone(),
+            attempt: job.attempts,
+            outcome,
+        };
+        self.propose(name, body)
+    }
+
+    fn route(&mut self, name: &str, pool: &str, seed: u64) -> StepResult {
+        let node = self.node(name)?;
+        let candidates: Vec<&VmState> = node
+            .state()
+            .vms()
+            .iter()
+            .filter(|vm| vm.pool.as_str() == pool && vm.is_available())
+            .collect();
+        let views: Vec<EndpointView<'_>> = candidates
+            .iter()
+            .map(|vm| EndpointView {
+                vm: &vm.name,
+                zone: &vm.zone,
+                in_progress: 0,
+                slots: SLOTS,
+            })
+            .collect();
+        let request = RouteRequest {
+            zone: &node.zone,
+            seed,
+        };
+        let choice = least_loaded(&request, &views);
+        let chosen = choice.endpoint.map(|index| Chosen {
+            vm: candidates[index].name.clone(),
+            incarnation: candidates[index].incarnation,
+        });
+        let vm = chosen.as_ref().map_or("none", |chosen| chosen.vm.as_str());
+        let outcome = format!("{vm} ({})", choice.reason.as_str());
+        self.chosen = chosen;
+        Ok(outcome)
+    }
+
+    fn dispatch(&mut self) -> StepResult {
+        let chosen = self.chosen.take().ok_or("no endpoint was chosen")?;
+        let machine = self.machine_mut(chosen.vm.as_str())?;
+        match machine.enter(Some(chosen.incarnation), SLOTS) {
+            Ok(()) => Ok(format!("runs on {}", chosen.vm)),
+            Err(reason) => Ok(format!("did not start on {}: {reason}", chosen.vm)),
+        }
+    }
+}
+
+fn lines_or(lines: &[String], nothing: &str) -> String {
+    if lines.is_empty() {
+        nothing.into()
+    } else {
+        lines.join("\n")
+    }
+}
+
+fn outcome_of(state: TaskState) -> Option<JobOutcome> {
+    match state {
+        TaskState::Running => None,
+        TaskState::Succeeded => Some(JobOutcome::Succeeded),
+        TaskState::Failed => Some(JobOutcome::Failed),
+        TaskState::Checkpointed => Some(JobOutcome::Checkpointed),
+    }
+}
--- /dev/null
+++ b/crates/scenario/tests/stories.rs
@@ -0,0 +1,53 @@
+//! Every story in `scripts`, played against its expected output.
+
+use lynxwheel_scenario::World;
+
+macro_rules! stories {
+    ($($name:ident)*) => {
+        $(#[test] fn $name() {
+            let path = concat!("tests/scripts/", stringify!($name));
+            goldenscript::run(&mut World::new(), path).expect("the story's end");
+        })*
+
+        /// A script that nobody plays proves nothing.
+        #[test]
+        fn every_script_is_played() {
+            let mut played = vec![$(stringify!($name).to_owned()),*];
+            played.sort();
+            let mut scripts: Vec<String> = std::fs::read_dir("tests/scripts")
+                .expect("scripts")
+                .map(|entry| entry.expect("entry").file_name().into_string().expect("UTF-8"))
+                .collect();
+            scripts.sort();
+            assert_eq!(played, scripts);
+        }
+    };
+}
+
+stories! {
+    append_answer_lost
+    append_applied_late
+    budget_tightened
+    cancellation_wave
+    clock_ahead
+    endpoint_leaves_before_dispatch
+    job_fits_nowhere
+    log_down_long
+    log_trimmed_under_reader
+    move_hands_over_once
+    node_from_old_snapshot
+    node_frozen_before_action
+    node_killed_before_answer
+    rack_fails_in_wave
+    snapshot_half_written
+    task_lease_lapses
+    two_operators
+    two_planners
+    two_versions
+    vm_back_with_new_life
+    vm_fails_while_neighbours_drain
+    vm_list_behind
+    worker_fails_everything
+    zone_cut_from_log
+    zone_cut_from_peers
+}
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -117,20 +117,11 @@
         return Err("unknown VM");
     };
     let meant = text_header(headers, INCARNATION_HEADER);
-    if !meant.is_empty() && meant != machine.incarnation.to_string() {
-        return Err("another incarnation");
+    if meant.is_empty() {
+        return machine.enter(None, slots);
     }
-    if !machine.is_up {
-        return Err("down");
-    }
-    if machine.is_draining || machine.is_leaving {
-        return Err("leaving");
-    }
-    if machine.in_progress >= slots {
-        return Err("no free slot");
-    }
-    machine.in_progress += 1;
-    Ok(())
+    let meant = meant.parse().map_err(|_| "another incarnation")?;
+    machine.enter(Some(meant), slots)
 }
 
 /// Gives the slot back, also when the request is cut off.
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -105,6 +105,28 @@
         Ok(())
     }
 
+    /// Takes a request in, unless it is meant for another life or cannot be served now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason of the refusal, after which the request did not start.
+    pub fn enter(&mut self, meant: Option<u64>, slots: u32) -> Result<(), &'static str> {
+        if meant.is_some_and(|incarnation| incarnation != self.incarnation) {
+            return Err("another incarnation");
+        }
+        if !self.is_up {
+            return Err("down");
+        }
+        if self.is_draining || self.is_leaving {
+            return Err("leaving");
+        }
+        if self.in_progress >= slots {
+            return Err("no free slot");
+        }
+        self.in_progress += 1;
+        Ok(())
+    }
+
     /// Stops the machine with everything on it until `up_again_ms`.
     pub fn go_down(&mut self, up_again_ms: u64) {
         self.is_up = false;
@@ -181,7 +203,8 @@
             if task.state != TaskState::Running {
                 continue;
             }
-            if now_ms >= task.started_ms + task.start.run_time_ms {
+            let end_ms = task.started_ms + task.start.run_time_ms;
+            if now_ms >= end_ms && end_ms <= task.lease_until_ms {
                 task.state = TaskState::Succeeded;
             } else if now_ms >= task.lease_until_ms {
                 task.state = TaskState::Failed;
