Judge a record at its own time; each story seen failing without its guard

Cause, found by the story vm_list_behind passing without its guard: the fold judged a record before it took the record's time in, so a completed restart noted the time of the record before it as the VM's last transition, and a probe from before the restart could count after it. The time is taken in first now. Ruled out: the stand-in's list and the probe's own time, which were right. Before, with the guard out: passed.

--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -83,9 +83,11 @@
 
     /// Applies the record at `offset` and tells what became of it.
     pub fn apply(&mut self, offset: u64, record: &Record) -> Verdict {
+        // Judged at the record's own time: what a step notes as "now" must not be older than the
+        // step, or evidence from before a restart would count after it.
+        self.time_ms = self.time_ms.max(record.time_ms);
         let verdict = self.judge(offset, record);
         self.offset = offset;
-        self.time_ms = self.time_ms.max(record.time_ms);
         self.chain = chain_next(self.chain, offset, record, &verdict);
         verdict
     }
