--- a/crates/lynxwheel/src/dev.rs
+++ b/crates/lynxwheel/src/dev.rs
@@ -8,7 +8,7 @@
         report::{DevReport, PoolReport, RequestReport},
     },
     http::{Method, StatusCode},
-    lynxwheel_coordination::{PeerAddress, now_ms},
+    lynxwheel_coordination::{Clock, PeerAddress},
     lynxwheel_protocol::{
         Amount, Budget, Class, JobSpec, LogEntry, PoolSpec, Resource, Resources, ServiceSpec,
         TeamSpec, VmSpec, WaveAction, WaveGoal, WaveSpec,
@@ -16,7 +16,11 @@
     lynxwheel_standin::{PlatformServer, REQUEST_ID_HEADER, VmTemplate},
     lynxwheel_state::{FleetState, JobPhase, JobState, VmState},
     lynxwheel_transport::{Client, ClientRequest},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        io,
+        net::{Ipv4Addr, SocketAddr, TcpListener},
+        time::Duration,
+    },
     tokio::{task::JoinSet, time::Instant},
 };
 
@@ -38,12 +42,21 @@
 /// Time within which everything must be done.
 const LIMIT: Duration = Duration::from_mins(2);
 
+/// Pause between two looks at what is waited for.
+const POLL: Duration = Duration::from_millis(20);
+
 /// Time that one call may take.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 
 /// Pools with their floors.
 const POOLS: [(&str, u32); 2] = [("notices", 4), ("billing", 3)];
 
+/// VM that is moved while the wave runs.
+const MOVED_VM: &str = "vm-0";
+
+/// Pool that it is moved to.
+const MOVE_TARGET: &str = "billing";
+
 /// A platform and nodes in this process.
 struct Fleet {
     platform: PlatformServer,
@@ -57,16 +70,30 @@
         let platform = PlatformServer::start(any_port, &templates, REBOOT_MS)
             .await
             .map_err(|error| error.to_string())?;
+        let nodes = peer_addresses().map_err(|error| error.to_string())?;
         let mut daemons = Vec::new();
         for number in 1..=NODES {
-            let config = config(number, platform.address());
+            let config = config(number, platform.address(), &nodes);
             daemons.push(
                 Daemon::start(&config)
                     .await
                     .map_err(|error| error.to_string())?,
             );
         }
-        Ok(Self { platform, daemons })
+        let fleet = Self { platform, daemons };
+        fleet.wait_until_current().await?;
+        Ok(fleet)
+    }
+
+    async fn wait_until_current(&self) -> Result<(), String> {
+        let until = Instant::now() + LIMIT;
+        while !self.daemons.iter().all(|daemon| daemon.node().is_current()) {
+            if Instant::now() > until {
+                return Err("waited too long until the nodes are current".into());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
     }
 
     fn state(&self) -> std::sync::Arc<FleetState> {
@@ -101,7 +128,7 @@
             if Instant::now() > until {
                 return Err(format!("waited too long until {what}"));
             }
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(POLL).await;
         }
         Ok(())
     }
@@ -125,14 +152,22 @@
             state.vms().len() == VMS as usize && state.vms().iter().all(VmState::is_available)
         })
         .await?;
-    let wave_ms = now_ms();
-    fleet.declare(&[wave(wave_ms)]).await?;
+    let wave_ms = Clock::system().now_ms();
+    fleet.declare(&[wave(wave_ms), moved_vm()]).await?;
     let requests = serve_requests(&fleet).await;
     fleet
         .wait_until("the wave is complete", |state| {
             is_wave_complete(state, wave_ms)
         })
         .await?;
+    fleet
+        .wait_until("the VM is moved", |state| {
+            state
+                .vms()
+                .get(MOVED_VM)
+                .is_some_and(|vm| vm.pool.as_str() == MOVE_TARGET)
+        })
+        .await?;
     fleet
         .wait_until("every job has its answer", |state| {
             state.jobs().iter().all(JobState::is_final)
@@ -184,21 +219,35 @@
         .map_err(|error| error.to_string())
 }
 
-fn config(number: u32, platform: SocketAddr) -> Config {
-    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    let peers = (1..=NODES)
-        .filter(|other| *other != number)
-        .map(|other| PeerAddress {
-            node: node_name(other).as_str().into(),
-            address: any_port,
+/// Finds a free address for each node's peer listener, which the others must know beforehand.
+fn peer_addresses() -> io::Result<Vec<PeerAddress>> {
+    let listeners: Vec<TcpListener> = (0..NODES)
+        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
+        .collect::<io::Result<_>>()?;
+    (1..)
+        .zip(&listeners)
+        .map(|(number, listener)| {
+            Ok(PeerAddress {
+                node: node_name(number).as_str().into(),
+                address: listener.local_addr()?,
+            })
         })
-        .collect();
+        .collect()
+}
+
+fn config(number: u32, platform: SocketAddr, nodes: &[PeerAddress]) -> Config {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let name = node_name(number);
+    let (own, peers): (Vec<PeerAddress>, Vec<PeerAddress>) = nodes
+        .iter()
+        .cloned()
+        .partition(|peer| peer.node.as_str() == name);
     Config {
         node: node_name(number),
         zone: format!("zone-{number}"),
         callers: any_port,
         operators: any_port,
-        peers_listen: any_port,
+        peers_listen: own.first().map_or(any_port, |own| own.address),
         platform,
         stream: "fleet".into(),
         peers,
@@ -282,6 +331,14 @@
     })
 }
 
+/// Declares a VM of the first pool into the second.
+fn moved_vm() -> Resource {
+    Resource::Vm(VmSpec {
+        name: MOVED_VM.into(),
+        pool: MOVE_TARGET.into(),
+    })
+}
+
 fn is_wave_complete(state: &FleetState, wave_ms: u64) -> bool {
     state
         .vms()
@@ -381,7 +438,7 @@
             promised: pool.floor(),
             lowest: audit.lowest_available,
             roll_out_ms: last_ms.saturating_sub(wave_ms),
-            vm_moves: 0,
+            vm_moves: audit.moved_in,
             job_moves: jobs.map(|job| job.attempts.saturating_sub(1)).sum(),
         });
     }
