Process tests with a checker: kills, freezes, cuts, outage, replacement

Callers ask for as long as a test lasts and note what they were told; the checker compares it with what the endpoints ran. A relay that can be cut stands between each node and the platform. Test nodes get ports below the range of outgoing connections: the ports chosen before were taken by other tests' connections now and then ('start: Disconnected' in 1 of 2 runs).

--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -4,16 +4,20 @@
 
 use {
     http::{Method, StatusCode},
-    lynxwheel_protocol::Resource,
+    lynxwheel_protocol::{Amount, Budget, PoolSpec, Resource, ServiceSpec, VmSpec},
     lynxwheel_transport::{Answer, Client, ClientRequest, TransportError},
     serde_json::Value,
     std::{
         env, fs,
         io::{BufRead, BufReader},
         net::{SocketAddr, TcpListener},
+        ops::Range,
         path::PathBuf,
-        process::{Child, Command, Stdio},
-        sync::mpsc,
+        process::{self, Child, Command, Stdio},
+        sync::{
+            atomic::{AtomicU32, Ordering},
+            mpsc,
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -63,6 +67,19 @@
         assert!(status.success(), "kill -{name}");
     }
 
+    /// Tells whether the process has ended by itself, and with success.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it failed.
+    pub fn has_ended(&mut self) -> bool {
+        let status = self.child.try_wait().expect("wait for lynxwheel");
+        status.is_some_and(|status| {
+            assert!(status.success(), "lynxwheel failed: {status}");
+            true
+        })
+    }
+
     /// Waits for the process's own end and tells whether it was a success.
     pub fn wait(mut self) -> bool {
         let until = Instant::now() + LIMIT;
@@ -114,15 +131,27 @@
     }
 }
 
-/// Returns `count` ports that were free a moment ago.
+/// Ports by which the choices of two test processes are apart.
+const PORTS_PER_PROCESS: u32 = 211;
+
+/// Ports for listeners: below those that the system gives to outgoing connections, which would
+/// otherwise take a port between its choice and the node's start.
+const PORTS: Range<u16> = 10_000..30_000;
+
+/// Returns `count` free ports that no other test of this process gets.
 pub fn free_ports(count: usize) -> Vec<u16> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("bind"))
-        .collect();
-    listeners
-        .iter()
-        .map(|listener| listener.local_addr().expect("address").port())
-        .collect()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let spread = process::id().wrapping_mul(PORTS_PER_PROCESS);
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let index = spread.wrapping_add(step) % u32::from(PORTS.end - PORTS.start);
+        let port = PORTS.start + u16::try_from(index).expect("within the range");
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            ports.push(port);
+        }
+    }
+    ports
 }
 
 /// Starts `count` nodes that know each other.
@@ -231,3 +260,33 @@
         }
     }
 }
+
+/// Declares pool and service `maps` with the VMs from vm-0 on.
+pub async fn declare_maps(node: &TestNode, vms: u32, floor: u32) {
+    node.wait_until_ready().await;
+    node.declare(&Resource::Pool(PoolSpec {
+        name: "maps".into(),
+        size: vms,
+        budget: Budget {
+            min_available: Amount::Count(floor),
+            zones_at_once: 1,
+        },
+    }))
+    .await;
+    node.declare(&Resource::Service(ServiceSpec {
+        name: "maps".into(),
+        pool: "maps".into(),
+        slots_per_endpoint: 8,
+        connections_per_endpoint: 64,
+        deadline_ms: 10_000,
+        team_rate_per_s: 0,
+    }))
+    .await;
+    for vm in 0..vms {
+        let spec = VmSpec {
+            name: format!("vm-{vm}").into(),
+            pool: "maps".into(),
+        };
+        node.declare(&Resource::Vm(spec)).await;
+    }
+}
--- /dev/null
+++ b/crates/lynxwheel/tests/proof/fleet.rs
@@ -0,0 +1,171 @@
+//! A fleet of processes whose nodes reach the platform through relays.
+
+use {
+    crate::{
+        checker::{Told, check},
+        common::{LIMIT, TestNode, TestPlatform, declare_maps, free_ports, start_node},
+    },
+    http::{Method, StatusCode},
+    lynxwheel::audit,
+    lynxwheel_coordination::Clock,
+    lynxwheel_protocol::{LogEntry, ReadAnswer, Resource, VmList, WaveAction, WaveGoal, WaveSpec},
+    lynxwheel_standin::{Faults, Relay, RunEntry},
+    lynxwheel_transport::{Client, ClientRequest},
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// VMs of the pool.
+pub const VMS: u32 = 6;
+
+/// VMs that must stay available.
+const FLOOR: u32 = 4;
+
+/// Entries of one read.
+const MAX_READ: usize = 4_096;
+
+/// A platform, relays and nodes.
+pub struct Fleet {
+    platform: TestPlatform,
+    pub relays: Vec<Relay>,
+    pub nodes: Vec<TestNode>,
+    ports: Vec<u16>,
+    directory: &'static str,
+}
+
+impl Fleet {
+    /// Starts `count` nodes and declares pool and service `maps`.
+    pub async fn start(count: usize, directory: &'static str) -> Self {
+        let platform = TestPlatform::start(VMS);
+        let ports = free_ports(count * 3);
+        let mut relays = Vec::new();
+        let mut nodes = Vec::new();
+        for number in 0..count {
+            let relay = Relay::start(platform.client.peer()).await.expect("relay");
+            nodes.push(start_node(relay.address(), &ports, number, directory));
+            relays.push(relay);
+        }
+        declare_maps(&nodes[0], VMS, FLOOR).await;
+        for node in &nodes {
+            for vm in 0..VMS {
+                node.wait_ready(&format!("vm/vm-{vm}")).await;
+            }
+        }
+        Self {
+            platform,
+            relays,
+            nodes,
+            ports,
+            directory,
+        }
+    }
+
+    /// Returns the callers' way to each node.
+    pub fn callers(&self) -> Vec<Client> {
+        self.nodes.iter().map(|node| node.callers.clone()).collect()
+    }
+
+    /// Kills a node as a machine that loses power would.
+    pub fn kill(&mut self, number: usize) {
+        self.nodes[number].process.signal("KILL");
+    }
+
+    /// Stops a node as planned and waits for its end.
+    pub async fn stop(&mut self, number: usize) {
+        self.nodes[number].process.signal("TERM");
+        let until = Instant::now() + LIMIT;
+        while !self.nodes[number].process.has_ended() {
+            assert!(Instant::now() < until, "the node did not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Starts a node anew in the place of one that ended, and waits until it is ready.
+    pub async fn restart(&mut self, number: usize) {
+        let platform = self.relays[number].address();
+        let node = start_node(platform, &self.ports, number, self.directory);
+        node.wait_until_ready().await;
+        self.nodes[number] = node;
+    }
+
+    /// Sets the platform's faults.
+    pub async fn set_faults(&self, faults: &Faults) {
+        let body = serde_json::to_vec(faults).expect("encode");
+        let request = ClientRequest::new(Method::PUT, "/faults").with_body(body);
+        let answer = self.platform.client.call(&request, LIMIT).await;
+        assert_eq!(answer.expect("answer").status, StatusCode::OK);
+    }
+
+    /// Starts a wave over the pool.
+    pub async fn start_wave(&self, name: &str) {
+        let wave = WaveSpec {
+            name: name.into(),
+            pools: vec!["maps".into()],
+            action: WaveAction::Reboot,
+            goal: WaveGoal::Run,
+            due_before_ms: Clock::system().now_ms(),
+            deadline_ms: 0,
+        };
+        self.nodes[0].declare(&Resource::Wave(wave)).await;
+    }
+
+    /// Waits until a wave has maintained at least `count` VMs, asking the last node.
+    pub async fn wait_done(&self, wave: &str, count: u64) {
+        let until = Instant::now() + LIMIT;
+        let node = self.nodes.last().expect("nodes");
+        loop {
+            let view = node.get(&format!("wave/{wave}")).await;
+            if view["status"]["done"].as_u64() >= Some(count) {
+                return;
+            }
+            assert!(Instant::now() < until, "the wave does not go on: {view}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Asserts that callers were told the truth and that the log shows no broken budget.
+    pub async fn assert_proper(&self, told: &[Told]) {
+        let answer = self.platform.client.get("/runs", LIMIT).await;
+        let runs: Vec<RunEntry> =
+            serde_json::from_slice(&answer.expect("runs").body).expect("JSON");
+        let broken = check(&runs, told);
+        assert!(broken.is_empty(), "{broken:#?}");
+        assert!(!told.is_empty());
+        for pool in audit(&self.log().await) {
+            let lowest = pool.lowest_available;
+            assert!(lowest >= FLOOR, "pool {} had {lowest}", pool.pool);
+        }
+    }
+
+    /// Asserts that the platform restarted each VM exactly once.
+    pub async fn assert_restarted_once(&self) {
+        let list: VmList = self
+            .platform
+            .client
+            .fetch("/vms", LIMIT)
+            .await
+            .expect("the VM list");
+        for vm in list.vms {
+            assert_eq!(vm.incarnation, 2, "lives of {}", vm.name);
+        }
+    }
+
+    /// Returns the whole log.
+    async fn log(&self) -> Vec<LogEntry> {
+        let mut entries: Vec<LogEntry> = Vec::new();
+        loop {
+            let from = entries.last().map_or(1, |entry| entry.offset + 1);
+            let path = format!("/streams/fleet?from={from}&max={MAX_READ}");
+            let answer: ReadAnswer = self
+                .platform
+                .client
+                .fetch(&path, LIMIT)
+                .await
+                .expect("the log");
+            if answer.entries.is_empty() {
+                return entries;
+            }
+            entries.extend(answer.entries);
+        }
+    }
+}
--- a/crates/lynxwheel/tests/thin_path.rs
+++ b/crates/lynxwheel/tests/thin_path.rs
@@ -3,11 +3,9 @@
 mod common;
 
 use {
-    common::{TestNode, TestPlatform, start_nodes},
+    common::{TestNode, TestPlatform, declare_maps, start_nodes},
     http::{Method, StatusCode},
-    lynxwheel_protocol::{
-        Amount, Budget, PoolSpec, Resource, ServiceSpec, VmSpec, WaveAction, WaveGoal, WaveSpec,
-    },
+    lynxwheel_protocol::{Resource, WaveAction, WaveGoal, WaveSpec},
     lynxwheel_transport::ClientRequest,
     std::{
         sync::{
@@ -21,35 +19,6 @@
 const VMS: u32 = 6;
 const FLOOR: u32 = 4;
 
-async fn declare_maps(node: &TestNode) {
-    node.wait_until_ready().await;
-    node.declare(&Resource::Pool(PoolSpec {
-        name: "maps".into(),
-        size: VMS,
-        budget: Budget {
-            min_available: Amount::Count(FLOOR),
-            zones_at_once: 1,
-        },
-    }))
-    .await;
-    node.declare(&Resource::Service(ServiceSpec {
-        name: "maps".into(),
-        pool: "maps".into(),
-        slots_per_endpoint: 8,
-        connections_per_endpoint: 64,
-        deadline_ms: 10_000,
-        team_rate_per_s: 0,
-    }))
-    .await;
-    for vm in 0..VMS {
-        let spec = VmSpec {
-            name: format!("vm-{vm}").into(),
-            pool: "maps".into(),
-        };
-        node.declare(&Resource::Vm(spec)).await;
-    }
-}
-
 async fn ask(node: &TestNode, id: &str) {
     let request =
         ClientRequest::new(Method::GET, "/maps/work?ms=3").with_header("x-request-id", id);
@@ -69,7 +38,7 @@
 async fn wave_under_load_fails_no_request() {
     let platform = TestPlatform::start(VMS);
     let nodes = Arc::new(start_nodes(platform.client.peer(), 2, "wave_under_load"));
-    declare_maps(&nodes[0]).await;
+    declare_maps(&nodes[0], VMS, FLOOR).await;
     for vm in 0..VMS {
         nodes[1].wait_ready(&format!("vm/vm-{vm}")).await;
     }
@@ -112,7 +81,7 @@
 async fn planned_stop_cuts_off_no_answer() {
     let platform = TestPlatform::start(VMS);
     let mut nodes = start_nodes(platform.client.peer(), 2, "planned_stop");
-    declare_maps(&nodes[0]).await;
+    declare_maps(&nodes[0], VMS, FLOOR).await;
     nodes[1].wait_ready("vm/vm-0").await;
     let node = nodes.remove(1);
     let callers = node.callers.clone();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod log_service;
 mod machine;
 mod platform;
+mod relay;
 mod serve;
 
 pub use endpoint::RunEntry;
@@ -20,4 +21,5 @@
 pub use log_service::LogService;
 pub use machine::{Machine, Task};
 pub use platform::{Platform, VmTemplate};
+pub use relay::Relay;
 pub use serve::{PlatformServer, REQUEST_ID_HEADER};
