--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -10,6 +10,7 @@
         log_client::LogClient,
         membership::{PEER_CONNECTIONS, exchange_hellos},
         observer,
+        operations::{Operation, Operations},
         peers::Peers,
         planner,
         proposer::Proposer,
@@ -22,7 +23,7 @@
     },
     kameo::{actor::Spawn, mailbox},
     log::{error, info},
-    lynxwheel_protocol::{FOLD_VERSION, NodeName, RecordBody},
+    lynxwheel_protocol::{FOLD_VERSION, NodeName, OperationId, OperationOutcome, RecordBody},
     lynxwheel_state::FleetState,
     lynxwheel_transport::{Clients, Shutdown},
     std::{future::Future, sync::Arc, thread, time::Duration},
@@ -52,6 +53,7 @@
     settings: NodeSettings,
     incarnation: u64,
     published: Arc<Published>,
+    operations: Arc<Operations>,
     proposer: Proposer,
     clients: Arc<Clients>,
     peers: Peers,
@@ -68,6 +70,7 @@
         let recent = Arc::new(RecentEntries::default());
         let peers = Peers::new(&settings);
         let waiters = Arc::new(Waiters::default());
+        let operations = Arc::new(Operations::default());
         let log = LogClient::new(settings.platform, &settings.stream);
         let appender = Appender::new(
             log.clone(),
@@ -83,6 +86,7 @@
             Arc::clone(&published),
             waiters,
             Arc::clone(&recent),
+            Arc::clone(&operations),
             incarnation,
         );
         let fold = Fold::spawn_in_thread_with_mailbox(fold, mailbox::bounded(FOLD_RING));
@@ -93,6 +97,7 @@
                 settings,
                 incarnation,
                 published: Arc::clone(&published),
+                operations,
                 proposer: Proposer::new(appender, limit),
                 clients: Arc::new(Clients::new(PROBE_CONNECTIONS)),
                 peers,
@@ -141,6 +146,18 @@
         &self.inner.published
     }
 
+    /// Returns what became of a declaration that any node wrote.
+    #[must_use]
+    pub fn operation(&self, id: OperationId) -> OperationOutcome {
+        self.inner.operations.look_up(id, &self.state())
+    }
+
+    /// Returns the latest declarations of all nodes, the last one first.
+    #[must_use]
+    pub fn latest_operations(&self, limit: usize) -> Vec<Operation> {
+        self.inner.operations.latest(limit)
+    }
+
     /// Returns the handle for proposals.
     #[must_use]
     pub fn proposer(&self) -> &Proposer {
--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -208,6 +208,13 @@
     ProposeClaims,
     /// Asks the real planner for starts and proposes them.
     ProposeStarts,
+    /// Asks for jobs to give up and VMs to quarantine, and proposes them.
+    ProposeVerdicts,
+    /// Reviews the claims under way, with the nodes that it takes to be alive, and proposes.
+    Review {
+        /// Nodes.
+        live: Vec<String>,
+    },
     /// Claims a VM for a wave or for a move to a pool.
     Claim {
         /// VM.
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod audit;
 mod command;
+mod decide;
 mod declare;
 mod node;
 mod platform_steps;
--- a/crates/scenario/tests/stories.rs
+++ b/crates/scenario/tests/stories.rs
@@ -31,6 +31,7 @@
     cancellation_wave
     clock_ahead
     endpoint_leaves_before_dispatch
+    job_fails_everywhere
     job_fits_nowhere
     log_down_long
     log_trimmed_under_reader
@@ -47,6 +48,8 @@
     vm_back_with_new_life
     vm_fails_while_neighbours_drain
     vm_list_behind
+    wave_aborted
+    wave_halts_on_failures
     worker_fails_everything
     zone_cut_from_log
     zone_cut_from_peers
