--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{
-        operations::Operations, proposer::Decision, published::Published, recent::RecentEntries,
+        divergence::{DigestAt, Divergence},
+        operations::Operations,
+        proposer::Decision,
+        published::Published,
+        recent::RecentEntries,
         waiters::Waiters,
     },
     kameo::{
@@ -22,6 +26,20 @@
     pub(crate) entries: Vec<LogEntry>,
 }
 
+/// Replaces the state by a later one, when records between them cannot be read.
+#[derive(Debug)]
+pub(crate) struct Reload {
+    state: Box<FleetState>,
+}
+
+impl Reload {
+    pub(crate) fn new(state: FleetState) -> Self {
+        Self {
+            state: Box::new(state),
+        }
+    }
+}
+
 /// Actor that owns the state.
 #[derive(Actor, Debug)]
 pub(crate) struct Fold {
@@ -30,6 +48,7 @@
     waiters: Arc<Waiters>,
     recent: Arc<RecentEntries>,
     operations: Arc<Operations>,
+    divergence: Arc<Divergence>,
     incarnation: u64,
 }
 
@@ -40,6 +59,7 @@
         waiters: Arc<Waiters>,
         recent: Arc<RecentEntries>,
         operations: Arc<Operations>,
+        divergence: Arc<Divergence>,
         incarnation: u64,
     ) -> Self {
         Self {
@@ -48,6 +68,7 @@
             waiters,
             recent,
             operations,
+            divergence,
             incarnation,
         }
     }
@@ -80,11 +101,18 @@
     type Reply = ();
 
     async fn handle(&mut self, message: FoldEntries, _context: &mut Context<Self, Self::Reply>) {
-        let decisions: Vec<Decision> = message
-            .entries
-            .iter()
-            .filter_map(|entry| self.fold(entry))
-            .collect();
+        let mut decisions = Vec::new();
+        let mut digests = Vec::with_capacity(message.entries.len());
+        for entry in &message.entries {
+            decisions.extend(self.fold(entry));
+            if self.state.offset() == entry.offset {
+                digests.push(DigestAt {
+                    offset: entry.offset,
+                    digest: self.state.digest(),
+                });
+            }
+        }
+        self.divergence.note(&digests);
         self.recent.note(&message.entries);
         self.published.store(self.state.clone());
         // Published first, so that a proposer finds its own record in the state it then reads.
@@ -97,6 +125,20 @@
     }
 }
 
+impl Message<Reload> for Fold {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Reload, _context: &mut Context<Self, Self::Reply>) {
+        if message.state.offset() <= self.state.offset() {
+            return;
+        }
+        info!(event = "reloaded", from = self.state.offset(), offset = message.state.offset(); "");
+        self.state = *message.state;
+        self.divergence.forget();
+        self.published.store(self.state.clone());
+    }
+}
+
 #[expect(
     clippy::cast_precision_loss,
     reason = "gauges are floats; offsets stay far below 2^52"
@@ -151,5 +193,7 @@
         RecordBody::Quarantine { .. } => "quarantine",
         RecordBody::Intent { .. } => "intent",
         RecordBody::Outcome { .. } => "outcome",
+        RecordBody::Snapshot { .. } => "snapshot",
+        RecordBody::Tick => "tick",
     }
 }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(ranks.contains(&0) && ranks.contains(&1));
 //! ```
 
+mod admission;
 mod claim_review;
 mod drain;
 mod fleet_view;
@@ -25,6 +26,10 @@
 mod wave_health;
 mod waves;
 
+pub use admission::{
+    Admission, AdmissionView, MAX_RETRY_BUDGET, TokenBucket, admit, budget_after_request,
+    budget_after_retry, expected_wait_ms,
+};
 pub use claim_review::{ClaimReview, ClaimStep, ReleaseReason, review_claims};
 pub use drain::{Drain, remaining_ms};
 pub use fleet_view::{FleetView, PoolView};
@@ -32,7 +37,10 @@
 pub use placement::{Placement, PlacementPlan, PlacementReason, demand_of, plan_placements};
 pub use preemption::Preemption;
 pub use rendezvous::rendezvous_rank;
-pub use routing::{EndpointView, RouteChoice, RouteReason, RouteRequest, least_loaded};
+pub use routing::{
+    EndpointView, RouteChoice, RoutePolicy, RouteReason, RouteRequest, least_loaded, own_share,
+    slot_share,
+};
 pub use tuning::Tuning;
 pub use verdicts::{GiveUpPlan, GiveUpReason, QuarantinePlan, plan_give_ups, plan_quarantines};
 pub use wave_health::{WaveHealth, ramp_limit};
--- a/crates/scenario/src/decide.rs
+++ b/crates/scenario/src/decide.rs
@@ -122,7 +122,9 @@
                 vm: &vm.name,
                 zone: &vm.zone,
                 in_progress: 0,
+                peers_in_progress: 0,
                 slots: SLOTS,
+                share: SLOTS,
             })
             .collect();
         let request = RouteRequest {
--- a/crates/scenario/src/node.rs
+++ b/crates/scenario/src/node.rs
@@ -1,7 +1,7 @@
 //! A simulated node: a cursor into the log, the folded state and what it believes.
 
 use {
-    lynxwheel_coordination::Published,
+    lynxwheel_coordination::{Published, SnapshotAssembly},
     lynxwheel_protocol::{NodeName, ReadAnswer, Record, VmName, WriterId, ZoneName, decode_record},
     lynxwheel_state::{FleetState, Verdict},
     std::{error, fmt},
@@ -53,6 +53,7 @@
     pub(crate) is_cut: bool,
     pub(crate) unanswered: Option<Record>,
     pub(crate) beliefs: Vec<Belief>,
+    pub(crate) snapshots: SnapshotAssembly,
     state: FleetState,
     published: Published,
 }
@@ -74,6 +75,7 @@
             is_cut: false,
             unanswered: None,
             beliefs: Vec::new(),
+            snapshots: SnapshotAssembly::default(),
             published: Published::new(state.clone()),
             state,
         }
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -5,6 +5,9 @@
     VmListState, VmName, ZoneName,
 };
 
+/// Refusal of an endpoint whose slots are all taken.
+pub(crate) const NO_FREE_SLOT: &str = "no free slot";
+
 /// An attempt on a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Task {
@@ -121,7 +124,7 @@
             return Err("leaving");
         }
         if self.in_progress >= slots {
-            return Err("no free slot");
+            return Err(NO_FREE_SLOT);
         }
         self.in_progress += 1;
         Ok(())
