--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -22,6 +22,7 @@
 mod platform_steps;
 mod records;
 mod show;
+mod snapshot_steps;
 mod steps;
 mod world;
 
--- a/crates/scenario/tests/stories.rs
+++ b/crates/scenario/tests/stories.rs
@@ -41,6 +41,7 @@
     node_killed_before_answer
     rack_fails_in_wave
     snapshot_half_written
+    snapshots_interleaved
     task_lease_lapses
     two_operators
     two_planners
