Waves: halt by incident, claim only what is empty, keep VMs free through a halt

Failures of one rack are one incident now and keep the wave off that rack only, once the action has proved harmless elsewhere. A VM is claimed when no job on it is waited for. Urgent work that has just begun to wait keeps its pool unclaimed, so that room made for it is not taken.

--- a/crates/decisions/src/drain.rs
+++ b/crates/decisions/src/drain.rs
@@ -8,9 +8,6 @@
 /// Time that a checkpoint takes, in milliseconds.
 const CHECKPOINT_MS: u64 = 5_000;
 
-/// A VM that is empty within this time is ready to be claimed, in milliseconds.
-const READY_MS: u64 = 15_000;
-
 /// Expected drain of a VM.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Drain {
@@ -18,6 +15,8 @@
     pub wait_ms: u64,
     /// Jobs that have to be moved for it.
     pub moves: u32,
+    /// Jobs that have to end by themselves before.
+    pub awaited: u32,
 }
 
 impl Drain {
@@ -36,10 +35,11 @@
     /// Tells whether claiming the VM now charges the budget for little more than the action.
     ///
     /// A VM loses its jobs at the same pace whether it is claimed or only kept free of new
-    /// starts, but only the claim charges the budget; so a busy VM is not claimed.
+    /// starts, but only the claim charges the budget. So a VM is not claimed while a job on it is
+    /// waited for, however soon that job is expected to end: the expectation is often wrong.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.wait_ms <= READY_MS
+        self.awaited == 0
     }
 
     /// Returns the cost by which VMs are put in order, in milliseconds.
@@ -56,6 +56,7 @@
             .wait_ms
             .max(if is_moved { CHECKPOINT_MS } else { left_ms });
         self.moves += u32::from(is_moved);
+        self.awaited += u32::from(!is_moved);
     }
 }
 
--- a/crates/decisions/src/forecast.rs
+++ b/crates/decisions/src/forecast.rs
@@ -116,7 +116,7 @@
     if wave.spec.goal != WaveGoal::Run {
         return Outlook::Stopped;
     }
-    if !health.is_healthy() {
+    if !health.goes_on() {
         return Outlook::Halted(health);
     }
     if load.stuck_pools > 0 {
--- a/crates/decisions/src/room.rs
+++ b/crates/decisions/src/room.rs
@@ -4,9 +4,9 @@
     crate::{
         fleet_view::PoolView,
         tuning::Tuning,
-        waves::{RunningWave, cordoned, is_due},
+        waves::{RunningWave, Upcoming, upcoming},
     },
-    lynxwheel_protocol::{Class, Resources, VmName},
+    lynxwheel_protocol::{Class, Resources},
     lynxwheel_state::{FleetState, JobState, VmState},
 };
 
@@ -27,6 +27,7 @@
     pub(crate) vm: &'a VmState,
     pub(crate) free: Resources,
     pub(crate) tier: Tier,
+    wait_ms: u64,
     zone: usize,
     rack: usize,
 }
@@ -48,7 +49,7 @@
         now_ms: u64,
         waves: &[RunningWave<'_>],
     ) -> Self {
-        let kept_free = cordoned(state, pool, tuning, now_ms, waves);
+        let upcoming = upcoming(state, pool, tuning, now_ms, waves);
         let zones = distinct(pool, zone_key);
         let racks = distinct(pool, rack_key);
         let mut zone_attempts = vec![0; zones.len()];
@@ -60,10 +61,14 @@
             zone_attempts[zone] += vm.attempts.len() as u64;
             rack_attempts[rack] += vm.attempts.len() as u64;
             if vm.is_available() && vm.quarantined_until_ms <= state.time_ms() {
+                let next = upcoming
+                    .binary_search_by(|next| next.vm.cmp(&vm.name))
+                    .map(|row| upcoming[row]);
                 vms.push(VmRoom {
                     vm,
                     free: vm.free(),
-                    tier: tier(vm, &kept_free, waves),
+                    tier: next.map_or(Tier::Settled, |next| tier(&next)),
+                    wait_ms: next.map_or(u64::MAX, |next| next.wait_ms),
                     zone,
                     rack,
                 });
@@ -118,7 +123,10 @@
     /// A VM on which the job failed comes last, one that a wave takes later before it. Batch work
     /// is packed tightly, which leaves other VMs empty for maintenance and large jobs; work that
     /// people wait for is spread over zones and racks, so that one failure takes little of it.
-    fn cost(&self, index: usize, job: &JobState, demand: &Resources) -> (bool, Tier, u64, u64) {
+    ///
+    /// Among the VMs that a wave takes later, a job goes where it puts the wave off least: long
+    /// jobs gather on the VM that is busy for longest anyway, and the others are empty sooner.
+    fn cost(&self, index: usize, job: &JobState, demand: &Resources) -> Cost {
         let room = &self.vms[index];
         let has_failed = job.failed_on.binary_search(&room.vm.name).is_ok();
         let spread = if job.spec.class == Class::Batch {
@@ -127,7 +135,14 @@
             self.domain_load(room)
         };
         let left = share(&room.free.minus(demand), &room.vm.capacity);
-        (has_failed, room.tier, spread, left)
+        let runs_ms = job.spec.run_time_ms.max(job.estimate.ran_ms);
+        Cost {
+            has_failed,
+            tier: room.tier,
+            put_off_ms: runs_ms.saturating_sub(room.wait_ms),
+            spread,
+            left,
+        }
     }
 
     /// Returns the attempts in the VM's zone and, weighing less, in its rack.
@@ -136,6 +151,16 @@
     }
 }
 
+/// What an attempt costs on a VM, the weightiest first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Cost {
+    has_failed: bool,
+    tier: Tier,
+    put_off_ms: u64,
+    spread: u64,
+    left: u64,
+}
+
 fn zone_key(vm: &VmState) -> &str {
     vm.zone.as_str()
 }
@@ -161,13 +186,11 @@
     keys
 }
 
-fn tier(vm: &VmState, kept_free: &[&VmName], waves: &[RunningWave<'_>]) -> Tier {
-    if kept_free.binary_search(&&vm.name).is_ok() {
+fn tier(next: &Upcoming<'_>) -> Tier {
+    if next.is_cordoned {
         Tier::Cordoned
-    } else if vm.wanted_pool != vm.pool || waves.iter().any(|running| is_due(running.wave, vm)) {
-        Tier::Due
     } else {
-        Tier::Settled
+        Tier::Due
     }
 }
 
--- a/crates/decisions/src/wave_health.rs
+++ b/crates/decisions/src/wave_health.rs
@@ -6,65 +6,102 @@
     lynxwheel_state::{VmState, WaveState},
 };
 
-/// VMs of one rack or pool that failed after the action and halt a wave.
-const DOMAIN_FAILURES: usize = 2;
+/// VMs of one rack that failed after the action and keep the wave off that rack.
+const RACK_FAILURES: usize = 2;
 
-/// VMs anywhere that failed after the action and halt a wave, besides a share of those done.
-const WAVE_FAILURES: usize = 3;
+/// Racks with VMs that failed after the action and halt a wave, besides a share of those done.
+const WAVE_INCIDENTS: usize = 2;
 
-/// One failure more is borne for so many VMs done.
-const DONE_PER_FAILURE: u32 = 20;
+/// One incident more is borne for so many VMs done.
+const DONE_PER_INCIDENT: u32 = 20;
+
+/// VMs done before failures of one rack alone no longer halt a wave.
+const PROVEN_DONE: u32 = 4;
+
+/// Time after the action within which a failure is put down to it, in milliseconds.
+const AFTER_ACTION_MS: u64 = 15 * 60 * 1_000;
 
 /// Whether a wave goes on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WaveHealth {
     /// No sign that the action harms.
     Healthy,
-    /// Several VMs of one rack failed after the action.
-    RackFailing,
-    /// Several VMs of one pool failed after the action.
-    PoolFailing,
-    /// Too many VMs of the wave failed after the action.
-    WaveFailing,
+    /// VMs of some racks failed after the action; the wave goes on elsewhere.
+    RacksHeld,
+    /// VMs failed after the action before it proved harmless elsewhere.
+    FailingEarly,
+    /// VMs of too many racks failed after the action.
+    FailingWidely,
+}
+
+/// A rack; its name is unique within a zone only.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Rack<'a> {
+    pub(crate) zone: &'a str,
+    pub(crate) name: &'a str,
+}
+
+impl<'a> Rack<'a> {
+    pub(crate) fn of(vm: &'a VmState) -> Self {
+        Self {
+            zone: vm.zone.as_str(),
+            name: vm.rack.as_str(),
+        }
+    }
+}
+
+/// Judgement of a wave with the racks that it keeps off.
+#[derive(Clone, Debug)]
+pub(crate) struct Diagnosis<'a> {
+    pub(crate) health: WaveHealth,
+    pub(crate) held_racks: Vec<Rack<'a>>,
+}
+
+/// Judges a wave by the VMs that failed after its action and are not back.
+///
+/// A bad action takes down whatever it touches, one domain after the other; a bad rack takes down
+/// its own VMs only. So failures of one rack count as one incident: the rack is left alone, and
+/// the wave halts when incidents add up, or before the action proved harmless anywhere. The halt
+/// ends when the VMs are repaired.
+pub(crate) fn diagnose<'a>(view: &FleetView<'a>, wave: &WaveState) -> Diagnosis<'a> {
+    let mut racks: Vec<Rack<'a>> = member_pools(view, wave)
+        .into_iter()
+        .flat_map(|pool| view.pools[pool].vms.iter())
+        .filter(|vm| is_victim(vm, wave))
+        .map(|vm| Rack::of(vm))
+        .collect();
+    racks.sort_unstable();
+    let victims = racks.len();
+    let held_racks: Vec<Rack<'a>> = racks
+        .chunk_by(|left, right| left == right)
+        .filter(|rack| rack.len() >= RACK_FAILURES)
+        .map(|rack| rack[0])
+        .collect();
+    racks.dedup();
+    let borne = WAVE_INCIDENTS + (wave.done / DONE_PER_INCIDENT) as usize;
+    let health = if racks.len() >= borne {
+        WaveHealth::FailingWidely
+    } else if victims >= RACK_FAILURES && wave.done < PROVEN_DONE {
+        WaveHealth::FailingEarly
+    } else if held_racks.is_empty() {
+        WaveHealth::Healthy
+    } else {
+        WaveHealth::RacksHeld
+    };
+    Diagnosis { health, held_racks }
 }
 
 impl WaveHealth {
     /// Judges a wave by the VMs that failed after its action and are not back.
-    ///
-    /// A bad action takes down whatever it touches, one domain after the other; it shows as
-    /// failures that have the wave in common. The halt ends when the VMs are repaired.
     #[must_use]
     pub fn new(view: &FleetView<'_>, wave: &WaveState) -> Self {
-        let mut racks = Vec::new();
-        let mut failed = 0;
-        for pool in member_pools(view, wave) {
-            let before = failed;
-            for vm in view.pools[pool].vms.iter().filter(|vm| is_victim(vm, wave)) {
-                failed += 1;
-                racks.push((vm.zone.as_str(), vm.rack.as_str()));
-            }
-            if failed - before >= DOMAIN_FAILURES {
-                return Self::PoolFailing;
-            }
-        }
-        racks.sort_unstable();
-        if racks
-            .chunk_by(|left, right| left == right)
-            .any(|rack| rack.len() >= DOMAIN_FAILURES)
-        {
-            return Self::RackFailing;
-        }
-        let borne = WAVE_FAILURES + (wave.done / DONE_PER_FAILURE) as usize;
-        if failed >= borne {
-            return Self::WaveFailing;
-        }
-        Self::Healthy
+        diagnose(view, wave).health
     }
 
-    /// Tells whether the wave goes on.
+    /// Tells whether the wave goes on, at least in part.
     #[must_use]
-    pub fn is_healthy(self) -> bool {
-        self == Self::Healthy
+    pub fn goes_on(self) -> bool {
+        matches!(self, Self::Healthy | Self::RacksHeld)
     }
 
     /// Returns the name used in logs and answers.
@@ -72,9 +109,9 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Healthy => "healthy",
-            Self::RackFailing => "rack_failing_after_action",
-            Self::PoolFailing => "pool_failing_after_action",
-            Self::WaveFailing => "wave_failing_after_action",
+            Self::RacksHeld => "racks_held_after_failures",
+            Self::FailingEarly => "failing_early_after_action",
+            Self::FailingWidely => "failing_widely_after_action",
         }
     }
 }
@@ -103,8 +140,10 @@
 }
 
 fn is_victim(vm: &VmState, wave: &WaveState) -> bool {
-    let is_failed = vm.phase == VmPhase::Failed;
-    let was_acted_on = vm.maintained_ms > wave.started_ms;
-    let is_claimed = vm.claim.is_some();
-    is_failed && !is_claimed && (was_acted_on || vm.failed_in.as_ref() == Some(&wave.spec.name))
+    if vm.phase != VmPhase::Failed || vm.claim.is_some() {
+        return false;
+    }
+    let after_ms = vm.evidence_ms.saturating_sub(vm.maintained_ms);
+    let was_done = vm.maintained_ms > wave.started_ms && after_ms <= AFTER_ACTION_MS;
+    was_done || vm.failed_in.as_ref() == Some(&wave.spec.name)
 }
--- a/crates/decisions/src/waves.rs
+++ b/crates/decisions/src/waves.rs
@@ -5,13 +5,18 @@
         drain::Drain,
         fleet_view::{FleetView, PoolView},
         tuning::Tuning,
-        wave_health::{WaveHealth, ramp_limit},
+        wave_health::{Rack, diagnose, ramp_limit},
     },
-    lynxwheel_protocol::{ClaimPurpose, Resources, VmName, VmPhase, WaveGoal, ZoneName},
-    lynxwheel_state::{FleetState, VmState, WaveState},
+    lynxwheel_protocol::{
+        ClaimPurpose, Class, PoolName, Resources, VmName, VmPhase, WaveGoal, ZoneName,
+    },
+    lynxwheel_state::{FleetState, JobPhase, VmState, WaveState},
     std::cmp::Reverse,
 };
 
+/// Time for which waiting urgent work keeps its pool from being claimed, in milliseconds.
+const URGENT_HOLD_MS: u64 = 10_000;
+
 /// Why a VM is to be claimed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ClaimReason {
@@ -57,8 +62,9 @@
 /// A running wave and how many more VMs it may claim.
 #[derive(Clone, Debug)]
 pub(crate) struct RunningWave<'a> {
-    pub(crate) wave: &'a WaveState,
+    wave: &'a WaveState,
     room: u32,
+    held_racks: Vec<Rack<'a>>,
 }
 
 /// Plans the next claims, as many as budgets and ramps allow, each of which the fold would
@@ -68,22 +74,52 @@
     let view = FleetView::new(state);
     let mut waves = running_waves(&view, tuning);
     let mut plans = Vec::new();
+    let wanted = pools_wanted_by_urgent(state, now_ms);
     for pool in &view.pools {
+        if wanted.binary_search(&&pool.pool.spec.name).is_ok() {
+            continue;
+        }
         plan_pool(state, pool, tuning, now_ms, &mut waves, &mut plans);
     }
     plans
 }
 
-/// Returns the waves that may claim VMs.
+/// Returns the pools in which urgent work has just begun to wait; sorted.
+///
+/// Room that is being made for it must not be claimed in the moment in which it is free. Urgent
+/// work that waits for longer fits nowhere for now and must not hold the wave up.
+fn pools_wanted_by_urgent(state: &FleetState, now_ms: u64) -> Vec<&PoolName> {
+    let mut pools: Vec<&PoolName> = state
+        .jobs()
+        .iter()
+        .filter(|job| job.phase == JobPhase::Pending && job.spec.class == Class::Urgent)
+        .filter(|job| job.pending_since_ms + URGENT_HOLD_MS > now_ms)
+        .map(|job| &job.spec.pool)
+        .collect();
+    pools.sort_unstable();
+    pools.dedup();
+    pools
+}
+
+/// Returns the waves that are under way; one that halted has no room, but the VMs that it takes
+/// next are kept free, since they would fill up again with long jobs meanwhile.
 pub(crate) fn running_waves<'a>(view: &FleetView<'a>, tuning: &Tuning) -> Vec<RunningWave<'a>> {
     view.state
         .waves()
         .iter()
         .filter(|wave| wave.spec.goal == WaveGoal::Run)
-        .filter(|wave| WaveHealth::new(view, wave).is_healthy())
-        .map(|wave| RunningWave {
-            wave,
-            room: ramp_limit(view, wave, tuning).saturating_sub(wave.claimed),
+        .map(|wave| {
+            let diagnosis = diagnose(view, wave);
+            let limit = if diagnosis.health.goes_on() {
+                ramp_limit(view, wave, tuning)
+            } else {
+                0
+            };
+            RunningWave {
+                wave,
+                room: limit.saturating_sub(wave.claimed),
+                held_racks: diagnosis.held_racks,
+            }
         })
         .collect()
 }
@@ -101,7 +137,7 @@
         return;
     }
     let mut ready = candidates(state, pool, tuning, now_ms, waves);
-    ready.retain(|candidate| candidate.drain.is_ready());
+    ready.retain(|candidate| candidate.drain.is_ready() && !candidate.is_held(waves));
     let mut zones = claimed_zones(pool);
     let order = zones_by_ready(&ready);
     for zone in order {
@@ -121,6 +157,14 @@
 }
 
 impl Candidate<'_> {
+    /// Tells whether its wave keeps off its rack.
+    fn is_held(&self, waves: &[RunningWave<'_>]) -> bool {
+        self.wave.is_some_and(|wave| {
+            let held = &waves[wave].held_racks;
+            held.binary_search(&Rack::of(self.vm)).is_ok()
+        })
+    }
+
     fn into_plan(self) -> ClaimPlan {
         let reason = if self.wave.is_some() {
             ClaimReason::DueInWave
@@ -190,49 +234,66 @@
 pub fn cordoned_vms(state: &FleetState, tuning: &Tuning, now_ms: u64) -> Vec<VmName> {
     let view = FleetView::new(state);
     let waves = running_waves(&view, tuning);
-    let mut names: Vec<VmName> = view
+    let upcoming = view
         .pools
         .iter()
-        .flat_map(|pool| cordoned(state, pool, tuning, now_ms, &waves))
-        .cloned()
+        .flat_map(|pool| upcoming(state, pool, tuning, now_ms, &waves));
+    let mut names: Vec<VmName> = upcoming
+        .filter(|next| next.is_cordoned)
+        .map(|next| next.vm.clone())
         .collect();
     names.sort_unstable();
     names
 }
 
-/// Returns the VMs of a pool on which nothing new should start; sorted.
+/// A VM that planned work will take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Upcoming<'a> {
+    pub(crate) vm: &'a VmName,
+    /// Expected time until it is empty, in milliseconds.
+    pub(crate) wait_ms: u64,
+    /// Whether nothing new should start on it.
+    pub(crate) is_cordoned: bool,
+}
+
+/// Returns the VMs of a pool that planned work will take, sorted by name.
 ///
 /// As many VMs are kept free as leave the pool the room that the weights ask for, and at least
 /// one for each VM that the budget lets out of service, without which a full pool's wave would
 /// wait for ever.
-pub(crate) fn cordoned<'a>(
+pub(crate) fn upcoming<'a>(
     state: &FleetState,
     pool: &PoolView<'a>,
     tuning: &Tuning,
     now_ms: u64,
     waves: &[RunningWave<'_>],
-) -> Vec<&'a VmName> {
-    if !tuning.cordons {
-        return Vec::new();
-    }
+) -> Vec<Upcoming<'a>> {
     let mut room = Resources::default();
     let mut kept = Resources::default();
     for vm in pool.vms.iter().filter(|vm| vm.is_available()) {
         room = room.plus(&vm.free());
         kept = kept.plus(&percent_of(&vm.capacity, tuning.room_kept_percent));
     }
-    let least = pool.pool.availability().spare();
-    let mut names: Vec<&VmName> = Vec::new();
+    let claimed: u32 = pool.pool.claimed_zones.iter().map(|row| row.1).sum();
+    let least = (pool.pool.availability().spare() + claimed) as usize;
+    let mut is_cordoned = tuning.cordons;
+    let mut found: Vec<Upcoming<'a>> = Vec::new();
     for candidate in candidates(state, pool, tuning, now_ms, waves) {
         room = room.minus(&candidate.vm.free());
-        let is_needed = u32::try_from(names.len()).is_ok_and(|count| count < least);
-        if !is_needed && !kept.fits(&room) {
-            break;
-        }
-        names.push(&candidate.vm.name);
+        let is_needed = found.len() < least;
+        is_cordoned &= is_needed || kept.fits(&room);
+        found.push(Upcoming {
+            vm: &candidate.vm.name,
+            wait_ms: if tuning.cordons {
+                candidate.drain.wait_ms
+            } else {
+                u64::MAX
+            },
+            is_cordoned,
+        });
     }
-    names.sort_unstable();
-    names
+    found.sort_unstable_by_key(|next| next.vm);
+    found
 }
 
 fn percent_of(whole: &Resources, percent: u32) -> Resources {
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -88,7 +88,8 @@
                 self.claim(policy);
                 self.measure_wave(policy);
             }
-            run_claims(&mut self.world, &mut self.breaches);
+            let heeds_halts = matches!(self.policy, RunPolicy::Wave(WavePolicy::InUse));
+            run_claims(&mut self.world, &mut self.breaches, heeds_halts);
             self.place();
         }
         self.measures()
