--- a/crates/decisions/src/claim_review.rs
+++ b/crates/decisions/src/claim_review.rs
@@ -100,7 +100,7 @@
             claim.stage == ClaimStage::Draining && vm.phase == lynxwheel_protocol::VmPhase::Live;
         if deficit > 0 && helps {
             deficit -= 1;
-            step = step.or(Some(ClaimStep::Release(ReleaseReason::PoolBelowFloor)));
+            step = Some(ClaimStep::Release(ReleaseReason::PoolBelowFloor));
         }
         if live_nodes.binary_search(&claim.holder).is_err() {
             step = Some(ClaimStep::TakeOver);
--- a/crates/decisions/src/preemption.rs
+++ b/crates/decisions/src/preemption.rs
@@ -41,7 +41,7 @@
     };
     for job in best.new_stops {
         let reserved = job.attempt.as_ref().map(|run| run.reserved);
-        room.vms[best.vm].free = room.vms[best.vm].free.plus(&reserved.unwrap_or_default());
+        room.vms[best.vm].soon = room.vms[best.vm].soon.plus(&reserved.unwrap_or_default());
         stops.push(Preemption {
             job: job.spec.name.clone(),
             attempt: job.attempts,
@@ -57,15 +57,14 @@
     demand: &Resources,
     stops: &[Preemption],
 ) -> Option<Offer<'a>> {
-    let mut free = room.vms[vm].free;
+    let mut free = room.vms[vm].soon;
     let mut lower: Vec<&JobState> = Vec::new();
     for name in &room.vms[vm].vm.attempts {
         let job = state.jobs().get(name.as_str())?;
         let attempt = job.attempt.as_ref()?;
         let is_planned = stops.iter().any(|stop| stop.job == job.spec.name);
-        if attempt.stopping {
-            free = free.plus(&attempt.reserved);
-        } else if job.spec.checkpoint && job.spec.class != Class::Urgent && !is_planned {
+        let is_lower = job.spec.checkpoint && job.spec.class != Class::Urgent;
+        if is_lower && !is_planned && !attempt.stopping {
             lower.push(job);
         }
     }
--- a/crates/decisions/src/room.rs
+++ b/crates/decisions/src/room.rs
@@ -25,7 +25,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct VmRoom<'a> {
     pub(crate) vm: &'a VmState,
+    /// Room for starts now.
     pub(crate) free: Resources,
+    /// Room once the attempts that were asked to stop are over, less what is pledged.
+    pub(crate) soon: Resources,
     pub(crate) tier: Tier,
     wait_ms: u64,
     zone: usize,
@@ -67,6 +70,7 @@
                 vms.push(VmRoom {
                     vm,
                     free: vm.free(),
+                    soon: vm.free().plus(&stopping(state, vm)),
                     tier: next.map_or(Tier::Settled, |next| tier(&next)),
                     wait_ms: next.map_or(u64::MAX, |next| next.wait_ms),
                     zone,
@@ -96,9 +100,9 @@
             return None;
         }
         let best = (0..self.vms.len())
-            .filter(|index| self.admits(*index, class, demand))
+            .filter(|index| self.admits(*index, job, demand))
             .min_by_key(|index| self.cost(*index, job, demand));
-        if best.is_none() {
+        if best.is_none() && job.failed_on.is_empty() {
             self.unplaceable.push((class, *demand));
         }
         best
@@ -108,20 +112,27 @@
     pub(crate) fn take(&mut self, index: usize, demand: &Resources) {
         let room = &mut self.vms[index];
         room.free = room.free.minus(demand);
+        room.soon = room.soon.minus(demand);
         self.zone_attempts[room.zone] += 1;
         self.rack_attempts[room.rack] += 1;
     }
 
-    fn admits(&self, index: usize, class: Class, demand: &Resources) -> bool {
+    /// Tells whether a VM can take a job.
+    ///
+    /// A job does not go back to a VM on which it failed while there are others, even if they are
+    /// full for now: a VM that fails everything always has room, and would use up the attempts of
+    /// every job that is in a hurry.
+    fn admits(&self, index: usize, job: &JobState, demand: &Resources) -> bool {
         let room = &self.vms[index];
-        let is_open = room.tier != Tier::Cordoned || class == Class::Urgent;
-        is_open && demand.fits(&room.free)
+        let is_open = room.tier != Tier::Cordoned || job.spec.class == Class::Urgent;
+        let has_failed = job.failed_on.binary_search(&room.vm.name).is_ok();
+        let is_new = !has_failed || job.failed_on.len() >= self.vms.len();
+        is_open && is_new && demand.fits(&room.free) && demand.fits(&room.soon)
     }
 
     /// Returns what an attempt costs on a VM; the lowest is chosen.
     ///
-    /// A VM on which the job failed comes last, one that a wave takes later before it. Batch work
-    /// is packed tightly, which leaves other VMs empty for maintenance and large jobs; work that
+    /// A VM that a wave takes later comes after the others. Batch work is packed tightly, which leaves other VMs empty for maintenance and large jobs; work that
     /// people wait for is spread over zones and racks, so that one failure takes little of it.
     ///
     /// Among the VMs that a wave takes later, a job goes where it puts the wave off least: long
@@ -161,6 +172,16 @@
     left: u64,
 }
 
+/// Returns what the attempts on a VM that were asked to stop have reserved.
+fn stopping(state: &FleetState, vm: &VmState) -> Resources {
+    let jobs = vm.attempts.iter();
+    jobs.filter_map(|name| state.jobs().get(name.as_str())?.attempt.as_ref())
+        .filter(|attempt| attempt.stopping)
+        .fold(Resources::default(), |sum, attempt| {
+            sum.plus(&attempt.reserved)
+        })
+}
+
 fn zone_key(vm: &VmState) -> &str {
     vm.zone.as_str()
 }
