--- a/crates/decisions/src/claim_review.rs
+++ b/crates/decisions/src/claim_review.rs
@@ -73,7 +73,7 @@
 fn halted_waves(view: &FleetView<'_>) -> Vec<WaveName> {
     let waves = view.state.waves().iter();
     waves
-        .filter(|wave| wave.claimed > 0 && !WaveHealth::new(view, wave).is_healthy())
+        .filter(|wave| wave.claimed > 0 && !WaveHealth::new(view, wave).goes_on())
         .map(|wave| wave.spec.name.clone())
         .collect()
 }
@@ -100,7 +100,7 @@
             claim.stage == ClaimStage::Draining && vm.phase == lynxwheel_protocol::VmPhase::Live;
         if deficit > 0 && helps {
             deficit -= 1;
-            step = step.or(Some(ClaimStep::Release(ReleaseReason::PoolBelowFloor)));
+            step = Some(ClaimStep::Release(ReleaseReason::PoolBelowFloor));
         }
         if live_nodes.binary_search(&claim.holder).is_err() {
             step = Some(ClaimStep::TakeOver);
