Tell a VM whose holder died between the recheck and the call

Cause: a node killed right after its begin record left a VM that was never told to restart. Its successor looked for fresh evidence of a new life before it would repeat the call, and reports come only with news, so it waited for the action to be overdue (600 s) and the wave with it. Ruled out: takeover (the claim had the new holder) and the budget (two VMs were spare).

The next step of an acting claim is now a pure decision with its own cases, an action whose window has passed may begin again after a new recheck, and the stand-in restarts a VM at most once for a fencing number, as actions promise.

--- a/crates/coordination/src/actions.rs
+++ b/crates/coordination/src/actions.rs
@@ -3,7 +3,9 @@
 use {
     crate::node::Node,
     log::{info, warn},
-    lynxwheel_decisions::{ClaimReview, ClaimStep as Step, ReleaseReason, review_claims},
+    lynxwheel_decisions::{
+        ActionStep, ClaimReview, ClaimStep as Step, ReleaseReason, action_step, review_claims,
+    },
     lynxwheel_protocol::{ActionRequest, ClaimPurpose, RecordBody, VmAction, VmName, VmPhase},
     lynxwheel_state::{Claim, ClaimStage, VmState},
     lynxwheel_transport::Client,
@@ -143,64 +145,61 @@
         }
     }
 
-    /// Rechecks the budget in the log, then acts at once.
+    /// Rechecks the budget in the log, then acts at once; without room the claim is given back.
     async fn begin(&self) {
+        if self.try_begin().await == Some(false) {
+            self.release("budget_lost").await;
+        }
+    }
+
+    /// Opens a new window for an action that was not started in the last one.
+    async fn begin_again(&self) {
+        if self.try_begin().await == Some(true) {
+            self.log_step("begun_again");
+        }
+    }
+
+    /// Returns whether the recheck was accepted, if that is known.
+    async fn try_begin(&self) -> Option<bool> {
         let not_after_ms = self.node.clock().now_ms() + ACTION_WINDOW_MS;
         let body = RecordBody::Begin {
             vm: self.vm.name.clone(),
             fence: self.claim.fence,
             not_after_ms,
         };
-        let accepted = match self.node.proposer().propose(body).await {
-            Ok(decision) => decision.verdict.is_accepted(),
-            Err(_) => return,
-        };
-        if accepted {
+        let decision = self.node.proposer().propose(body).await.ok()?;
+        let is_accepted = decision.verdict.is_accepted();
+        if is_accepted {
             self.call(VmAction::Reboot, not_after_ms).await;
-        } else {
-            self.release("budget_lost").await;
         }
+        Some(is_accepted)
     }
 
-    /// Waits for the VM's next life, or gives up on it.
+    /// Sees an action that has begun through to its end.
     async fn finish(&self) {
         let now_ms = self.node.clock().now_ms();
-        let is_new_life = self
-            .node
-            .state()
-            .vms()
-            .get(self.vm.name.as_str())
-            .is_some_and(|vm| vm.phase == VmPhase::Live && vm.evidence_ms > self.claim.since_ms)
-            && self.reboots_over().await;
-        let is_overdue = now_ms > self.claim.since_ms + self.node.settings().action_timeout_ms;
-        if !is_new_life && !is_overdue {
-            return;
+        let timeout_ms = self.node.settings().action_timeout_ms;
+        match action_step(&self.vm, &self.claim, now_ms, timeout_ms) {
+            ActionStep::Complete => self.done(true).await,
+            ActionStep::Tell => {
+                self.call(VmAction::Reboot, self.claim.not_after_ms).await;
+            }
+            ActionStep::BeginAgain => self.begin_again().await,
+            ActionStep::Wait => {}
+            ActionStep::GiveUp => self.done(false).await,
         }
-        self.log_step(if is_new_life {
-            "done"
-        } else {
-            "action_overdue"
-        });
+    }
+
+    async fn done(&self, succeeded: bool) {
+        self.log_step(if succeeded { "done" } else { "action_overdue" });
         let body = RecordBody::Done {
             vm: self.vm.name.clone(),
             fence: self.claim.fence,
-            succeeded: is_new_life,
+            succeeded,
         };
         self.node.proposer().is_accepted(body).await;
     }
 
-    /// Tells whether the VM has a life that began after the action.
-    async fn reboots_over(&self) -> bool {
-        let state = self.node.state();
-        let vm = state.vms().get(self.vm.name.as_str());
-        let is_back = vm.is_some_and(|vm| vm.incarnation > self.claim.incarnation);
-        if !is_back && self.node.clock().now_ms() <= self.claim.not_after_ms {
-            // The answer to the action may have been lost; asked again it is carried out once.
-            self.call(VmAction::Reboot, self.claim.not_after_ms).await;
-        }
-        is_back
-    }
-
     /// Gives the VM to its new pool.
     ///
     /// The drain is undone first: nothing is sent to a claimed VM, and a node that dies between
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(ranks.contains(&0) && ranks.contains(&1));
 //! ```
 
+mod action_step;
 mod admission;
 mod claim_review;
 mod drain;
@@ -26,6 +27,7 @@
 mod wave_health;
 mod waves;
 
+pub use action_step::{ActionStep, action_step};
 pub use admission::{
     Admission, AdmissionView, MAX_RETRY_BUDGET, TokenBucket, admit, budget_after_request,
     budget_after_retry, expected_wait_ms,
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -46,6 +46,8 @@
     pub in_progress: u32,
     /// Highest fencing number seen.
     pub fence: u64,
+    /// Fencing number of the last reboot; each reboots at most once.
+    pub rebooted_fence: u64,
     /// When its reboot ends, in milliseconds since the epoch.
     pub up_again_ms: Option<u64>,
     /// Attempts of this life.
@@ -95,15 +97,16 @@
         if now_ms > request.not_after_ms {
             return Err("too late".into());
         }
-        let is_repeated = request.action == VmAction::Reboot
-            && request.fence == self.fence
-            && self.up_again_ms.is_some();
+        let is_repeated = request.fence == self.rebooted_fence;
         self.fence = request.fence;
         match request.action {
             VmAction::Drain => self.is_draining = true,
             VmAction::Undrain => self.is_draining = false,
             VmAction::Reboot if is_repeated => {}
-            VmAction::Reboot => self.go_down(now_ms + reboot_ms),
+            VmAction::Reboot => {
+                self.rebooted_fence = request.fence;
+                self.go_down(now_ms + reboot_ms);
+            }
         }
         Ok(())
     }
--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -122,12 +122,16 @@
     ///
     /// VMs may have failed between the claim and the action; without this check a drained VM
     /// would be restarted although the pool is below its floor by then.
+    ///
+    /// An action that was not started within its window may begin again: the platform refuses it
+    /// under the old window, and the VM is still in the life that it was claimed in.
     pub(crate) fn begin(&mut self, name: &VmName, fence: u64, not_after_ms: u64) -> Verdict {
         let claim = match self.fenced(name, fence) {
             Ok(claim) => claim,
             Err(rejection) => return Verdict::Rejected(rejection),
         };
-        if claim.stage != ClaimStage::Draining {
+        let is_again = claim.stage == ClaimStage::Acting;
+        if is_again && !self.has_lapsed(name, claim) {
             return Verdict::Rejected(Rejection::WrongStage { vm: name.clone() });
         }
         let purpose = claim.purpose.clone();
@@ -137,12 +141,23 @@
         let time_ms = self.time_ms;
         self.change_claim(name, |claim| {
             claim.stage = ClaimStage::Acting;
-            claim.since_ms = time_ms;
             claim.not_after_ms = not_after_ms;
+            if !is_again {
+                claim.since_ms = time_ms;
+            }
         });
         Verdict::Accepted
     }
 
+    /// Tells whether the action was not started within its window and cannot be any more.
+    fn has_lapsed(&self, name: &VmName, claim: &Claim) -> bool {
+        let is_same_life = self
+            .vms
+            .get(name.as_str())
+            .is_some_and(|vm| vm.incarnation == claim.incarnation);
+        is_same_life && self.time_ms > claim.not_after_ms
+    }
+
     /// Checks once more what the claim was accepted for.
     ///
     /// An operator may have paused the wave while the VM drained, and a job may still run on it;
