Holder asks for a restart again until the VM's old life ends

Ruled out: the takeover (the same node came back), the planner, the fold's verdicts (done was never proposed). The holder now asks again while the VM is live in its old life; the request names that life, so that a VM that is back already is not restarted twice. A VM whose life ended before a takeover no longer waits for newer evidence either.

--- a/crates/coordination/src/actions.rs
+++ b/crates/coordination/src/actions.rs
@@ -165,13 +165,18 @@
     /// Waits for the VM's next life, or gives up on it.
     async fn finish(&self) {
         let now_ms = self.node.clock().now_ms();
-        let is_new_life = self
-            .node
-            .state()
-            .vms()
-            .get(self.vm.name.as_str())
-            .is_some_and(|vm| vm.phase == VmPhase::Live && vm.evidence_ms > self.claim.since_ms)
-            && self.reboots_over().await;
+        let state = self.node.state();
+        let vm = state.vms().get(self.vm.name.as_str());
+        let is_live = vm.is_some_and(|vm| vm.phase == VmPhase::Live);
+        let is_back = vm.is_some_and(|vm| vm.incarnation > self.claim.incarnation);
+        if is_live && !is_back && now_ms <= self.claim.not_after_ms {
+            // The holder may have died between the recheck and the action, or the call may have
+            // been lost. Such a VM goes on in its old life, about which nothing new is ever
+            // reported, so the action is asked for again; the VM carries it out once a life.
+            self.call(VmAction::Reboot, self.claim.not_after_ms).await;
+            return;
+        }
+        let is_new_life = is_live && is_back;
         let is_overdue = now_ms > self.claim.since_ms + self.node.settings().action_timeout_ms;
         if !is_new_life && !is_overdue {
             return;
@@ -189,18 +194,6 @@
         self.node.proposer().is_accepted(body).await;
     }
 
-    /// Tells whether the VM has a life that began after the action.
-    async fn reboots_over(&self) -> bool {
-        let state = self.node.state();
-        let vm = state.vms().get(self.vm.name.as_str());
-        let is_back = vm.is_some_and(|vm| vm.incarnation > self.claim.incarnation);
-        if !is_back && self.node.clock().now_ms() <= self.claim.not_after_ms {
-            // The answer to the action may have been lost; asked again it is carried out once.
-            self.call(VmAction::Reboot, self.claim.not_after_ms).await;
-        }
-        is_back
-    }
-
     /// Gives the VM to its new pool.
     ///
     /// The drain is undone first: nothing is sent to a claimed VM, and a node that dies between
@@ -246,6 +239,7 @@
             action,
             fence: self.claim.fence,
             not_after_ms,
+            vm_incarnation: self.claim.incarnation,
         };
         let limit = Duration::from_millis(CALL_TIMEOUT_MS);
         let path = action_path(&self.vm.name);
--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -9,7 +9,7 @@
     serde_json::Value,
     std::{
         env, fs,
-        io::{BufRead, BufReader},
+        io::{BufRead, BufReader, Write},
         net::{SocketAddr, TcpListener},
         ops::Range,
         path::PathBuf,
@@ -44,8 +44,13 @@
             .expect("start lynxwheel");
         let stdout = child.stdout.take().expect("piped standard output");
         let (sender, lines) = mpsc::channel();
+        let path = scratch("logs").join(format!("{}.log", child.id()));
+        // Shown with a test that fails.
+        println!("{} writes to {}", arguments.join(" "), path.display());
+        let mut log = fs::File::create(path).expect("make a log file");
         thread::spawn(move || {
             for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                writeln!(log, "{line}").expect("write the log");
                 // The output is read to its end, so that the process never blocks on it.
                 drop(sender.send(line));
             }
@@ -177,7 +182,9 @@
         .map(|other| format!("node-{other} = 127.0.0.1:{}", ports[other * 3 + 2]))
         .collect();
     settings += &peers.join("\n");
-    let path = scratch(directory).join(format!("node-{number}.ini"));
+    // Two runs of the tests at the same time must not write each other's settings.
+    let directory = format!("{directory}-{}", process::id());
+    let path = scratch(&directory).join(format!("node-{number}.ini"));
     fs::write(&path, settings).expect("write settings");
     let (process, lines) =
         TestProcess::start(&["run", "--settings", path.to_str().expect("path in UTF-8")]);
--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -104,6 +104,8 @@
     pub fence: u64,
     /// Time after which the action must not start, in milliseconds since the epoch.
     pub not_after_ms: u64,
+    /// Life of the VM that a restart is meant to end; in a later one it is done already.
+    pub vm_incarnation: u64,
 }
 
 /// Starts an attempt of a job on a worker.
--- a/crates/scenario/src/node.rs
+++ b/crates/scenario/src/node.rs
@@ -13,6 +13,7 @@
     pub(crate) vm: VmName,
     pub(crate) fence: u64,
     pub(crate) not_after_ms: u64,
+    pub(crate) vm_incarnation: u64,
 }
 
 /// Verdict on one record, as the node's fold gave it.
--- a/crates/scenario/src/steps.rs
+++ b/crates/scenario/src/steps.rs
@@ -119,6 +119,7 @@
                 vm: vm.into(),
                 fence: claim.fence,
                 not_after_ms: claim.not_after_ms,
+                vm_incarnation: claim.incarnation,
             });
         if let Some(belief) = belief {
             node.believe(belief);
@@ -241,6 +242,7 @@
                 VmAction::Reboot => belief.not_after_ms,
                 _ => now_ms + ACTION_WINDOW_MS,
             },
+            vm_incarnation: belief.vm_incarnation,
         };
         if self.reach(vm).is_none() {
             return Ok("the VM does not answer".into());
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -95,14 +95,13 @@
         if now_ms > request.not_after_ms {
             return Err("too late".into());
         }
-        let is_repeated = request.action == VmAction::Reboot
-            && request.fence == self.fence
-            && self.up_again_ms.is_some();
+        let is_done = request.vm_incarnation != self.incarnation;
+        let is_repeated = request.fence == self.fence && self.up_again_ms.is_some();
         self.fence = request.fence;
         match request.action {
             VmAction::Drain => self.is_draining = true,
             VmAction::Undrain => self.is_draining = false,
-            VmAction::Reboot if is_repeated => {}
+            VmAction::Reboot if is_repeated || is_done => {}
             VmAction::Reboot => self.go_down(now_ms + reboot_ms),
         }
         Ok(())
