--- a/crates/coordination/src/observer.rs
+++ b/crates/coordination/src/observer.rs
@@ -59,11 +59,16 @@
         let clients = node.clients().clone();
         let clock = node.clock().clone();
         probes.spawn(async move {
-            let probe_ms = clock.now_ms();
-            let health = match entry.address.parse::<SocketAddr>() {
-                Ok(address) => probe(&clients.get(address), &entry).await,
-                Err(_) => None,
-            };
+            let client = entry.address.parse::<SocketAddr>();
+            let client = client.map(|address| clients.get(address)).ok();
+            let mut probe_ms = clock.now_ms();
+            let mut health = probe(client.as_ref(), &entry).await;
+            if health.is_none() {
+                // A node that was paused finds its probes timed out when it wakes, though the
+                // endpoints answered. Without a second look it would report sound VMs as failed.
+                probe_ms = clock.now_ms();
+                health = probe(client.as_ref(), &entry).await;
+            }
             (entry, probe_ms, health)
         });
     }
@@ -86,9 +91,9 @@
     }
 }
 
-async fn probe(client: &Client, entry: &VmEntry) -> Option<Health> {
+async fn probe(client: Option<&Client>, entry: &VmEntry) -> Option<Health> {
     let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
-    let answer = client.get("/healthz", limit).await.ok()?;
+    let answer = client?.get("/healthz", limit).await.ok()?;
     let health: Health = serde_json::from_slice(&answer.body).ok()?;
     (health.vm == entry.name.as_str()).then_some(health)
 }
--- a/crates/lynxwheel/src/config.rs
+++ b/crates/lynxwheel/src/config.rs
@@ -13,7 +13,7 @@
 };
 
 /// Sections and the keys that each may hold.
-const KNOWN_KEYS: [(&str, &[&str]); 7] = [
+pub const KNOWN_KEYS: [(&str, &[&str]); 7] = [
     ("node", &["name", "zone"]),
     ("listen", &["callers", "operators", "peers"]),
     ("platform", &["address", "stream"]),
@@ -33,7 +33,7 @@
 ];
 
 /// Sections whose keys are names of the operators' own choice.
-const NAMED_SECTIONS: [&str; 2] = ["peers", "tokens"];
+pub const NAMED_SECTIONS: [&str; 2] = ["peers", "tokens"];
 
 /// Characters of an access token at least; shorter ones can be guessed.
 const MIN_TOKEN_CHARS: usize = 16;
--- a/crates/lynxwheel/src/lib.rs
+++ b/crates/lynxwheel/src/lib.rs
@@ -24,7 +24,7 @@
 mod report;
 
 pub use audit::{PoolAudit, audit};
-pub use config::{Config, ConfigError};
+pub use config::{Config, ConfigError, KNOWN_KEYS, NAMED_SECTIONS};
 pub use daemon::{Daemon, DaemonError, run};
 pub use dev::{dev_once, dev_platform, dev_stay};
 pub use logging::{start_logging, start_quiet_logging};
