--- a/crates/coordination/src/actions.rs
+++ b/crates/coordination/src/actions.rs
@@ -245,6 +245,7 @@
             action,
             fence: self.claim.fence,
             not_after_ms,
+            vm_incarnation: self.claim.incarnation,
         };
         let limit = Duration::from_millis(CALL_TIMEOUT_MS);
         let path = action_path(&self.vm.name);
