Start watches at compared states only; tests of the resource API

Cause: a test of a watch from a list's revision hung. Changes are found by comparing states every 50 ms; a VM declared before the list and withdrawn after it, both between two comparisons, showed in neither, so the watcher kept it for good. Lists now compare first, and a watch from any other revision is told to list again (410). Ruled out: noting names for each record in the fold, which costs every record for the sake of few watches.

Range checks now run although other fields have bad types; before, a service with a bad deadline hid its bad slots.

A peer that takes no byte of its answer for 20 s loses its connection (transport/stall). A graceful stop waits for every answer in progress, so a watcher that stopped reading held it up without end.

--- /dev/null
+++ b/crates/api/examples/openapi.rs
@@ -0,0 +1,5 @@
+//! Prints the `OpenAPI` page.
+
+fn main() {
+    println!("{:#}", lynxwheel_api::openapi());
+}
--- a/crates/api/src/answers.rs
+++ b/crates/api/src/answers.rs
@@ -135,13 +135,12 @@
         .collect()
 }
 
-/// Says that changes from a revision are no longer kept.
+/// Says that changes from a revision cannot be told.
 pub(crate) fn too_old(reach: TooOld) -> Problem {
     let detail = format!(
-        "changes are kept from revision {} on; list again",
-        reach.earliest
+        "this node cannot tell every change since revision {}, which is too old or another \
+         node's; list again",
+        reach.offset
     );
-    let mut problem = Problem::new(ProblemReason::TooOld, detail);
-    problem.revision = Some(reach.earliest);
-    problem
+    Problem::new(ProblemReason::TooOld, detail)
 }
--- a/crates/api/src/changes.rs
+++ b/crates/api/src/changes.rs
@@ -2,6 +2,10 @@
 //!
 //! The log keeps names, not states: a watch is told how a resource is now, so that changes in
 //! quick succession are told as one, and neither an open watch nor the past keeps a state alive.
+//!
+//! Changes are found by comparing states at certain offsets, the boundaries. Between two of them
+//! a resource may have come and gone, or changed back, and no comparison shows it. So a watch
+//! starts only at a boundary: lists and bookmarks of this node are made there.
 
 use {
     lynxwheel_coordination::Node,
@@ -19,6 +23,9 @@
 /// Changes kept; 16 Ki names take about a megabyte.
 const MAX_CHANGES: usize = 16 * 1024;
 
+/// Boundaries kept; at the pace below they reach back 13 minutes.
+const MAX_BOUNDARIES: usize = 16 * 1024;
+
 /// Pause between two comparisons of states, in milliseconds.
 const PACE_MS: u64 = 50;
 
@@ -42,11 +49,11 @@
     pub(crate) known_to: u64,
 }
 
-/// The changes asked for are no longer kept.
+/// This node cannot tell all changes since the offset asked for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct TooOld {
-    /// Lowest offset from which changes can be told.
-    pub(crate) earliest: u64,
+    /// Offset asked for.
+    pub(crate) offset: u64,
 }
 
 /// Bounded log of changes.
@@ -61,39 +68,42 @@
     changes: VecDeque<(Kind, Change)>,
     /// Every change after this offset is kept.
     complete_from: u64,
+    /// Offsets of compared states, rising.
+    boundaries: VecDeque<u64>,
+    /// State at the last boundary.
+    latest: Arc<FleetState>,
 }
 
 impl ChangeLog {
-    /// Creates a log that knows of no change up to `offset`.
-    pub(crate) fn new(offset: u64) -> Self {
+    /// Creates a log that begins at a state.
+    pub(crate) fn new(state: Arc<FleetState>) -> Self {
+        let offset = state.offset();
         Self {
             rows: Mutex::new(Rows {
                 changes: VecDeque::new(),
                 complete_from: offset,
+                boundaries: VecDeque::from([offset]),
+                latest: state,
             }),
             known_to: watch::Sender::new(offset),
         }
     }
 
-    /// Notes what differs between two states.
-    pub(crate) fn note(&self, earlier: &FleetState, now: &FleetState) {
+    /// Notes what differs in a later state, and returns the state of the last boundary.
+    pub(crate) fn catch_up(&self, now: Arc<FleetState>) -> Arc<FleetState> {
         let mut rows = self.rows();
-        for kind in Kind::ALL {
-            rows.push_all(kind, now.changed_since(earlier, kind), now.offset());
+        if now.offset() > rows.latest.offset() {
+            rows.compare(now);
+            self.known_to.send_replace(rows.latest.offset());
         }
-        drop(rows);
-        self.known_to.send_replace(now.offset());
+        Arc::clone(&rows.latest)
     }
 
     /// Returns the changes of a kind after `offset`.
     pub(crate) fn since(&self, kind: Kind, offset: u64) -> Result<ChangeBatch, TooOld> {
-        let known_to = self.known_to();
         let rows = self.rows();
-        if offset < rows.complete_from {
-            return Err(TooOld {
-                earliest: rows.complete_from,
-            });
-        }
+        rows.check(offset)?;
+        let known_to = rows.latest.offset();
         let mut changes: Vec<Change> = rows
             .changes
             .iter()
@@ -101,6 +111,7 @@
             .map(|(_, change)| change.clone())
             .collect();
         drop(rows);
+        // The last change of each name is the one that stays.
         changes.sort();
         changes.reverse();
         changes.dedup_by(|earlier, later| earlier.name == later.name);
@@ -108,21 +119,12 @@
         Ok(ChangeBatch { changes, known_to })
     }
 
-    /// Tells whether every change after `offset` is still kept.
-    pub(crate) fn covers(&self, offset: u64) -> Result<(), TooOld> {
-        let earliest = self.rows().complete_from;
-        if offset < earliest {
-            return Err(TooOld { earliest });
-        }
-        Ok(())
-    }
-
-    /// Returns the offset up to which changes are noted.
-    pub(crate) fn known_to(&self) -> u64 {
-        *self.known_to.borrow()
+    /// Tells whether every change after `offset` can be told.
+    pub(crate) fn check(&self, offset: u64) -> Result<(), TooOld> {
+        self.rows().check(offset)
     }
 
-    /// Returns a receiver of that offset.
+    /// Returns a receiver of the offset up to which changes are noted.
     pub(crate) fn progress(&self) -> watch::Receiver<u64> {
         self.known_to.subscribe()
     }
@@ -133,6 +135,26 @@
 }
 
 impl Rows {
+    fn compare(&mut self, now: Arc<FleetState>) {
+        let offset = now.offset();
+        for kind in Kind::ALL {
+            self.push_all(kind, now.changed_since(&self.latest, kind), offset);
+        }
+        if self.boundaries.len() == MAX_BOUNDARIES {
+            self.boundaries.pop_front();
+        }
+        self.boundaries.push_back(offset);
+        self.latest = now;
+    }
+
+    fn check(&self, offset: u64) -> Result<(), TooOld> {
+        let is_boundary = self.boundaries.binary_search(&offset).is_ok();
+        if is_boundary && offset >= self.complete_from {
+            return Ok(());
+        }
+        Err(TooOld { offset })
+    }
+
     fn push_all(&mut self, kind: Kind, names: ChangedNames, offset: u64) {
         for name in names.changed {
             self.push(kind, name, offset, false);
@@ -158,14 +180,10 @@
 }
 
 /// Compares published states until the signal.
-pub(crate) async fn follow(
-    node: Node,
-    log: Arc<ChangeLog>,
-    mut earlier: Arc<FleetState>,
-    stop: Shutdown,
-) {
+pub(crate) async fn follow(node: Node, log: Arc<ChangeLog>, stop: Shutdown) {
     let mut offsets = node.published().offsets();
     loop {
+        log.catch_up(node.state());
         let changed = tokio::select! {
             changed = offsets.changed() => changed,
             () = stop.wait() => return,
@@ -173,9 +191,6 @@
         if changed.is_err() {
             return;
         }
-        let now = node.state();
-        log.note(&earlier, &now);
-        earlier = now;
         tokio::time::sleep(Duration::from_millis(PACE_MS)).await;
     }
 }
--- a/crates/api/src/handler.rs
+++ b/crates/api/src/handler.rs
@@ -47,14 +47,8 @@
     /// Must be called within a Tokio runtime.
     #[must_use]
     pub fn start(node: Node, access: Access, stop: Shutdown) -> Self {
-        let state = node.state();
-        let changes = Arc::new(ChangeLog::new(state.offset()));
-        tokio::spawn(follow(
-            node.clone(),
-            Arc::clone(&changes),
-            state,
-            stop.clone(),
-        ));
+        let changes = Arc::new(ChangeLog::new(node.state()));
+        tokio::spawn(follow(node.clone(), Arc::clone(&changes), stop.clone()));
         Self {
             node,
             changes,
--- a/crates/api/src/list.rs
+++ b/crates/api/src/list.rs
@@ -22,7 +22,7 @@
     /// what it cannot be told.
     pub(crate) fn list(&self, kind: Kind, query: &ListQuery) -> Result<ResourceList, Problem> {
         let current = self.node.is_current();
-        let state = self.node.state();
+        let state = self.changes.catch_up(self.node.state());
         let revision = match &query.continue_at {
             Some(place) => {
                 self.check_reach(place.revision)?;
@@ -56,7 +56,6 @@
 
     /// Tells whether this node can tell all changes from `revision` on.
     pub(crate) fn check_reach(&self, revision: u64) -> Result<(), Problem> {
-        self.changes.covers(revision).map_err(too_old)?;
         let offset = self.node.state().offset();
         if revision > offset {
             let detail = format!("this node has folded up to {offset} only");
@@ -64,6 +63,6 @@
             problem.retry_after_ms = Some(BEHIND_RETRY_MS);
             return Err(problem);
         }
-        Ok(())
+        self.changes.check(revision).map_err(too_old)
     }
 }
--- a/crates/api/src/watch.rs
+++ b/crates/api/src/watch.rs
@@ -131,12 +131,11 @@
 
     /// Tells every resource as it is now.
     async fn tell_all(&mut self) -> Result<(), WatcherGone> {
-        let told_to = self.log.known_to();
-        let names: Vec<String> = {
-            let state = self.node.state();
-            let names = state.names(self.kind);
-            names.into_iter().map(Into::into).collect()
-        };
+        let state = self.log.catch_up(self.node.state());
+        let told_to = state.offset();
+        let names = state.names(self.kind);
+        let names: Vec<String> = names.into_iter().map(Into::into).collect();
+        drop(state);
         for name in names {
             self.tell_change(&Change {
                 name,
--- /dev/null
+++ b/crates/api/tests/api/access.rs
@@ -0,0 +1,83 @@
+//! Who may do what.
+
+use {
+    crate::common::{json, platform, pool, put, start_node, vm},
+    http::Method,
+    lynxwheel_api::{Access, AccessToken, Role},
+    lynxwheel_transport::ClientRequest,
+    serde_json::json as document,
+};
+
+const READER: &str = "Bearer reader-0123456789";
+const OPERATOR: &str = "Bearer operator-0123456789";
+const ADMINISTRATOR: &str = "bearer administrator-0123456789";
+
+fn access() -> Access {
+    Access::new(vec![
+        AccessToken::new("dashboard", Role::Read, "reader-0123456789"),
+        AccessToken::new("desk", Role::Operate, "operator-0123456789"),
+        AccessToken::new("owner", Role::Administer, "administrator-0123456789"),
+    ])
+}
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident: $request:expr, $header:expr => $status:expr;)*) => {
+        $($(#[$doc])* #[tokio::test(flavor = "multi_thread", worker_threads = 2)] async fn $name() {
+            let platform = platform(0).await;
+            let node = start_node(&platform, "node-1", access()).await;
+            let mut request: ClientRequest = $request;
+            let header: Option<&str> = $header;
+            if let Some(header) = header {
+                request = request.with_header("authorization", header);
+            }
+            let answer = node.call(&request).await;
+            assert_eq!(answer.status.as_u16(), $status, "{}", json(&answer));
+        })*
+    };
+}
+
+fn list() -> ClientRequest {
+    ClientRequest::new(Method::GET, "/v1/pool")
+}
+
+fn declare_pool() -> ClientRequest {
+    put("/v1/pool/notices", &pool(3, 2))
+}
+
+fn declare_vm() -> ClientRequest {
+    put("/v1/vm/vm-0", &vm("notices"))
+}
+
+cases! {
+    no_token: list(), None => 401;
+    unknown_token: list(), Some("Bearer reader-0123456780") => 401;
+    /// The right token under another scheme is not taken, since proxies may log it.
+    other_scheme: list(), Some("Basic reader-0123456789") => 401;
+    /// A prefix of a token must not open anything.
+    prefix_of_a_token: list(), Some("Bearer reader-012345678") => 401;
+    empty_token: list(), Some("Bearer ") => 401;
+    reader_reads: list(), Some(READER) => 200;
+    reader_watches_no_write: declare_vm(), Some(READER) => 403;
+    reader_tries_nothing: put("/v1/vm/vm-0?dry_run=true", &vm("notices")), Some(READER) => 403;
+    /// The budget is what a customer was promised; the desk that runs waves must not change it.
+    operator_changes_no_budget: declare_pool(), Some(OPERATOR) => 403;
+    operator_withdraws_no_budget:
+        ClientRequest::new(Method::DELETE, "/v1/pool/notices"), Some(OPERATOR) => 403;
+    /// Allowed, and then refused for its missing pool.
+    operator_declares_vms: declare_vm(), Some(OPERATOR) => 422;
+    administrator_declares_pools: declare_pool(), Some(ADMINISTRATOR) => 200;
+}
+
+/// A token of a lower role comes first among equals by name only; the role that counts is that
+/// of the token sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_names_holder_and_needed_role() {
+    let platform = platform(0).await;
+    let node = start_node(&platform, "node-1", access()).await;
+    let request = declare_pool().with_header("authorization", OPERATOR);
+    let detail = json(&node.call(&request).await)["detail"].clone();
+    assert_eq!(
+        detail,
+        document!("the token of desk has role operate, and this needs administer")
+    );
+}
--- /dev/null
+++ b/crates/api/tests/api/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the resource API.
+
+mod access;
+mod common;
+mod openapi;
+mod operations;
+mod resources;
+mod watch;
--- /dev/null
+++ b/crates/api/tests/api/openapi.rs
@@ -0,0 +1,49 @@
+//! The committed `OpenAPI` page.
+
+use {
+    lynxwheel_api::{openapi, routes},
+    lynxwheel_protocol::{Kind, fields},
+    serde_json::Value,
+    std::{fs, path::Path},
+};
+
+fn committed() -> Value {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/openapi.json");
+    let text = fs::read_to_string(path).expect("docs/openapi.json");
+    serde_json::from_str(&text).expect("JSON")
+}
+
+#[test]
+fn committed_page_is_the_one_served() {
+    let hint = "run: cargo run -p lynxwheel-api --example openapi > docs/openapi.json";
+    assert!(
+        committed() == openapi(),
+        "docs/openapi.json is out of date; {hint}"
+    );
+}
+
+#[test]
+fn every_route_is_in_it() {
+    for route in routes() {
+        let method = route.method.as_str().to_lowercase();
+        assert!(
+            committed()["paths"][route.path][&method].is_object(),
+            "{method} {}",
+            route.path
+        );
+    }
+}
+
+#[test]
+fn every_field_of_every_kind_is_in_it() {
+    for kind in Kind::ALL {
+        for field in fields(kind) {
+            let schemas = &committed()["components"]["schemas"];
+            let mut place = schemas[kind.as_str()]["properties"]["spec"].clone();
+            for key in field.path.split('.') {
+                place = place["properties"][key].clone();
+            }
+            assert!(place["description"].is_string(), "{kind} {}", field.path);
+        }
+    }
+}
--- a/crates/protocol/src/api.rs
+++ b/crates/protocol/src/api.rs
@@ -197,7 +197,7 @@
     StillNeeded,
     /// The fleet's state forbids it now.
     Rejected,
-    /// The revision asked for is no longer kept; list again.
+    /// Not every change since the revision can be told; list again.
     TooOld,
     /// This node has not folded as far as the revision asked for; come back or ask another.
     Behind,
@@ -298,7 +298,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndReason {
-    /// The node stops; go on at another node from the revision told.
+    /// The node stops; list again at another node.
     Stopping,
     /// Changes that were not told yet are no longer kept; list again.
     TooOld,
--- a/crates/protocol/src/validate.rs
+++ b/crates/protocol/src/validate.rs
@@ -63,27 +63,19 @@
     check_known(kind, members, &mut errors);
     let mut whole = Map::new();
     for field in fields(kind) {
-        let given = find(members, field.path);
-        let value = match given {
-            None if field.path == "name" => Ok(json!(name)),
-            None => default_of(field),
-            Some(value) => check_type(field.field_type, value).map(|()| value.clone()),
-        };
-        match value {
-            Ok(value) => put_in(&mut whole, field.path, value),
-            Err(reason) => errors.push(bad(field.path, reason)),
-        }
-    }
-    let own_name = whole.get("name").and_then(Value::as_str);
-    if own_name.is_some_and(|own| own != name) {
-        errors.push(bad("name", format!("must be {name} as in the path")));
+        let value = field_value(field, name, members).unwrap_or_else(|reason| {
+            errors.push(bad(field.path, reason));
+            stand_in(field)
+        });
+        put_in(&mut whole, field.path, value);
     }
-    if !errors.is_empty() {
-        return Err(errors);
-    }
-    let resource = serde_json::from_value(json!({ "kind": kind, "spec": whole }))
+    let resource: Resource = serde_json::from_value(json!({ "kind": kind, "spec": whole }))
         .map_err(|error| vec![bad("spec", error.to_string())])?;
-    let errors = field_errors(&resource);
+    let of_range = field_errors(&resource).into_iter();
+    let of_range: Vec<FieldError> = of_range
+        .filter(|error| errors.iter().all(|known| known.field != error.field))
+        .collect();
+    errors.extend(of_range);
     if errors.is_empty() {
         Ok(resource)
     } else {
@@ -91,6 +83,34 @@
     }
 }
 
+fn field_value(field: &Field, name: &str, members: &Map<String, Value>) -> Result<Value, String> {
+    let given = find(members, field.path);
+    if field.path == "name" {
+        return match given {
+            Some(given) if given != name => Err(format!("must be {name} as in the path")),
+            _ => Ok(json!(name)),
+        };
+    }
+    match given {
+        Some(value) => check_type(field.field_type, value).map(|()| value.clone()),
+        None => default_of(field),
+    }
+}
+
+/// Value in place of a bad one that makes no other field look bad, so that the ranges of the
+/// others can be checked in the same round.
+fn stand_in(field: &Field) -> Value {
+    match field.field_type {
+        FieldType::Name => json!("name"),
+        FieldType::Names => json!(["name"]),
+        FieldType::Count if field.default == FieldDefault::Required => json!(u32::MAX),
+        FieldType::Count | FieldType::Milliseconds => json!(0),
+        FieldType::Flag => json!(false),
+        FieldType::Choice(words) => json!(words.first()),
+        FieldType::Amount => json!({ "percent": 0 }),
+    }
+}
+
 /// Returns every field of a declaration that is out of its range.
 #[must_use]
 pub fn field_errors(resource: &Resource) -> Vec<FieldError> {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,6 +17,7 @@
 mod client;
 mod error;
 mod server;
+mod stall;
 
 pub use body::{Body, BodyError, empty_body, full_body};
 pub use client::{Answer, Client, ClientRequest, Clients};
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -1,7 +1,10 @@
 //! HTTP server with limits and graceful shutdown.
 
 use {
-    crate::body::{Body, full_body},
+    crate::{
+        body::{Body, full_body},
+        stall::StallGuard,
+    },
     bytes::Bytes,
     http::{Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Limited},
@@ -28,6 +31,8 @@
     pub header_read_ms: u64,
     /// Bytes of a request's head at most.
     pub max_header_bytes: usize,
+    /// Time for which a peer may take no byte of its answer, in milliseconds.
+    pub write_stall_ms: u64,
 }
 
 impl Default for ServerLimits {
@@ -36,6 +41,7 @@
             max_connections: 4_096,
             header_read_ms: 5_000,
             max_header_bytes: 16 * 1024,
+            write_stall_ms: 20_000,
         }
     }
 }
@@ -174,6 +180,7 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let stream = StallGuard::new(stream, Duration::from_millis(limits.write_stall_ms));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_read_ms))
