lynxctl: apply, diff, get, describe, watch, wave, move, drain, delete

Declarations are INI files: a declaration is a flat list of a dozen fields, the settings are INI, and the field table of the API gives keys, types and defaults. Everything is read, validated and tried against the fleet before the first write; writes go in dependency order, each with the revision seen, and a stop in the middle names what was applied and what not. A write goes to another server only when it is proven unsent.

--- /dev/null
+++ b/crates/lynxctl/src/commands.rs
@@ -0,0 +1,173 @@
+//! What each command does.
+
+use {
+    crate::{
+        apply::{carry_out, plan},
+        cli::{Cli, Command, Connection, Output, WaveCommand},
+        client::ApiClient,
+        declarations::load,
+        error::CtlError,
+        output, steer, wait,
+    },
+    clap::CommandFactory,
+    lynxwheel_protocol::{Kind, ResourceRef, ResourceView, WaveGoal},
+    serde::Serialize,
+    std::{env, fs, time::Duration},
+};
+
+/// Variable with the access token.
+pub const TOKEN_VARIABLE: &str = "LYNXCTL_TOKEN";
+
+/// Carries a command out and returns what it prints; `progress` is told what happens meanwhile.
+///
+/// # Errors
+///
+/// Fails when the command could not be carried out, or what it asked for does not hold.
+pub async fn run(cli: &Cli, progress: &(dyn Fn(&str) + Sync)) -> Result<String, CtlError> {
+    if let Command::Completions { shell } = &cli.command {
+        return Ok(completions(*shell));
+    }
+    let client = connect(&cli.connection)?;
+    match &cli.command {
+        Command::Apply(args) => {
+            let declarations = load(&args.path).map_err(CtlError::Declarations)?;
+            let plan = plan(&client, &declarations).await?;
+            carry_out(&client, &plan, progress).await?;
+            Ok(format!(
+                "{} applied, {} unchanged",
+                plan.steps.len(),
+                plan.unchanged
+            ))
+        }
+        Command::Diff(args) => {
+            let declarations = load(&args.path).map_err(CtlError::Declarations)?;
+            let plan = plan(&client, &declarations).await?;
+            let text = plan.text();
+            if plan.steps.is_empty() {
+                Ok(text)
+            } else {
+                Err(CtlError::Differs { text })
+            }
+        }
+        Command::Get { kind, name: None } => {
+            let list = client.list(*kind).await?;
+            if !list.current {
+                progress("this node is not current; what it shows may be old");
+            }
+            Ok(shown(cli, &list, || output::list(&list.items)))
+        }
+        Command::Get {
+            kind,
+            name: Some(name),
+        } => {
+            let view = declared(&client, &ResourceRef::new(*kind, name)).await?;
+            Ok(shown(cli, &view, || {
+                output::list(std::slice::from_ref(&view))
+            }))
+        }
+        Command::Describe(args) => {
+            let view = declared(&client, &args.reference()).await?;
+            Ok(shown(cli, &view, || output::describe(&view)))
+        }
+        Command::Explain(args) => {
+            let view = declared(&client, &args.reference()).await?;
+            Ok(shown(cli, &view, || output::conditions(&view)))
+        }
+        Command::Watch {
+            resource,
+            until_ready,
+            timeout_s,
+        } => {
+            let limit = Duration::from_secs(*timeout_s);
+            wait::follow(
+                &client,
+                &resource.reference(),
+                *until_ready,
+                limit,
+                progress,
+            )
+            .await
+        }
+        Command::Delete(args) => {
+            let answer = client.delete(&args.reference()).await?;
+            Ok(format!(
+                "{} withdrawn at revision {}",
+                answer.reference, answer.revision
+            ))
+        }
+        Command::Wave(command) => wave(&client, command).await,
+        Command::Move { vm, pool, wait_s } => {
+            steer::move_vm(&client, vm, pool, *wait_s, progress).await
+        }
+        Command::Drain { vm, into, wait_s } => {
+            steer::check_unused(&client, into).await?;
+            steer::move_vm(&client, vm, into, *wait_s, progress).await
+        }
+        Command::Operation { id } => {
+            let view = client.operation(*id).await?;
+            Ok(shown(cli, &view, || output::operation(&view)))
+        }
+        Command::Completions { shell } => Ok(completions(*shell)),
+    }
+}
+
+async fn wave(client: &ApiClient, command: &WaveCommand) -> Result<String, CtlError> {
+    match command {
+        WaveCommand::Start {
+            wave,
+            pools,
+            due_before_ms,
+        } => steer::start_wave(client, wave, pools, *due_before_ms).await,
+        WaveCommand::Pause { wave } => steer::set_goal(client, wave, WaveGoal::Pause).await,
+        WaveCommand::Resume { wave } => steer::set_goal(client, wave, WaveGoal::Run).await,
+        WaveCommand::Abort { wave } => steer::set_goal(client, wave, WaveGoal::Abort).await,
+    }
+}
+
+fn connect(connection: &Connection) -> Result<ApiClient, CtlError> {
+    let token = match &connection.token_file {
+        Some(file) => {
+            let text = fs::read_to_string(file).map_err(|error| CtlError::Setup {
+                reason: format!("{}: {error}", file.display()),
+            })?;
+            Some(text.trim().to_owned())
+        }
+        None => env::var(TOKEN_VARIABLE).ok(),
+    };
+    Ok(ApiClient::new(&connection.servers).with_token(token))
+}
+
+/// Returns a resource, or the failure that it is not declared.
+pub(crate) async fn declared(
+    client: &ApiClient,
+    reference: &ResourceRef,
+) -> Result<ResourceView, CtlError> {
+    client
+        .get(reference)
+        .await?
+        .ok_or_else(|| CtlError::Refused {
+            what: "get".into(),
+            problem: Box::new(lynxwheel_protocol::Problem::new(
+                lynxwheel_protocol::ProblemReason::NotFound,
+                format!("{reference} is not declared"),
+            )),
+        })
+}
+
+fn shown<T: Serialize>(cli: &Cli, value: &T, table: impl FnOnce() -> String) -> String {
+    match cli.output {
+        Output::Table => table(),
+        Output::Json => {
+            serde_json::to_string_pretty(value).unwrap_or_else(|error| error.to_string())
+        }
+    }
+}
+
+fn completions(shell: clap_complete::Shell) -> String {
+    let mut bytes = Vec::new();
+    clap_complete::generate(shell, &mut Cli::command(), "lynxctl", &mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Kinds whose resources use a pool's VMs.
+pub(crate) const POOL_USERS: [Kind; 2] = [Kind::Service, Kind::Job];
--- /dev/null
+++ b/crates/lynxctl/src/error.rs
@@ -0,0 +1,163 @@
+//! Why a command failed, and its exit code.
+
+use {
+    crate::declarations::DeclarationError,
+    lynxwheel_protocol::{OperationId, Problem, ProblemReason, ResourceRef},
+    lynxwheel_transport::TransportError,
+    std::{error, fmt, net::SocketAddr},
+};
+
+/// Exit codes, the same for every command.
+pub const EXIT_CODES: &str = "Exit codes: 0 done; 1 refused; 2 bad command line; 3 bad declarations or \
+     token; 4 no server answered or the log takes no records; 5 outcome of a write unknown; 6 \
+     another operator was faster; 7 not ready in time, or never will be; 8 diff found differences";
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum CtlError {
+    /// The declarations have mistakes; nothing was applied.
+    Declarations(Vec<DeclarationError>),
+    /// The token or a server's address cannot be used.
+    Setup {
+        /// What is wrong.
+        reason: String,
+    },
+    /// No server answered; a write was not sent.
+    Unreachable {
+        /// Last failure.
+        source: TransportError,
+    },
+    /// A write was sent and no answer came.
+    NoAnswer {
+        /// Failure.
+        source: TransportError,
+    },
+    /// The server refused.
+    Refused {
+        /// What was asked for.
+        what: String,
+        /// Why.
+        problem: Box<Problem>,
+    },
+    /// The answer is not what the API promises.
+    BadAnswer {
+        /// Server.
+        peer: SocketAddr,
+        /// What is wrong.
+        reason: String,
+    },
+    /// Applying stopped in the middle.
+    Stopped {
+        /// Resources that were applied.
+        applied: Vec<ResourceRef>,
+        /// Resource at which it stopped.
+        at: ResourceRef,
+        /// Resources that were not applied.
+        left: Vec<ResourceRef>,
+        /// Why.
+        cause: Box<Self>,
+    },
+    /// What was declared does not hold.
+    NotReady {
+        /// Resource.
+        reference: ResourceRef,
+        /// Why.
+        reason: String,
+    },
+    /// The files and the fleet differ.
+    Differs {
+        /// The differences.
+        text: String,
+    },
+}
+
+impl CtlError {
+    /// Returns the exit code.
+    #[must_use]
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Refused { problem, .. } => match problem.reason {
+                ProblemReason::RevisionConflict => 6,
+                ProblemReason::Behind
+                | ProblemReason::LogUnavailable
+                | ProblemReason::TooManyWatches => 4,
+                ProblemReason::OutcomeUnknown => 5,
+                _ => 1,
+            },
+            Self::BadAnswer { .. } => 1,
+            Self::Declarations(_) | Self::Setup { .. } => 3,
+            Self::Unreachable { .. } => 4,
+            Self::NoAnswer { .. } => 5,
+            Self::Stopped { cause, .. } => cause.exit_code(),
+            Self::NotReady { .. } => 7,
+            Self::Differs { .. } => 8,
+        }
+    }
+
+    /// Returns the operation to look up when the outcome of a write is unknown.
+    #[must_use]
+    pub fn operation(&self) -> Option<OperationId> {
+        match self {
+            Self::Refused { problem, .. } => problem.operation,
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for CtlError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Declarations(errors) => {
+                for error in errors {
+                    writeln!(formatter, "{error}")?;
+                }
+                write!(formatter, "{} mistakes, nothing was applied", errors.len())
+            }
+            Self::Setup { reason } => write!(formatter, "{reason}"),
+            Self::Unreachable { source } => write!(formatter, "no server answered: {source}"),
+            Self::NoAnswer { source } => write!(
+                formatter,
+                "sent, but no answer came, so it may or may not take effect: {source}"
+            ),
+            Self::Refused { what, problem } => write_refusal(formatter, what, problem),
+            Self::BadAnswer { peer, reason } => {
+                write!(formatter, "the answer of {peer} cannot be read: {reason}")
+            }
+            Self::Stopped {
+                applied,
+                at,
+                left,
+                cause,
+            } => {
+                for reference in applied {
+                    writeln!(formatter, "applied      {reference}")?;
+                }
+                writeln!(formatter, "stopped at   {at}: {cause}")?;
+                for reference in left {
+                    writeln!(formatter, "not applied  {reference}")?;
+                }
+                write!(formatter, "run it again to go on")
+            }
+            Self::NotReady { reference, reason } => {
+                write!(formatter, "{reference} is not ready: {reason}")
+            }
+            Self::Differs { text } => write!(formatter, "{text}"),
+        }
+    }
+}
+
+fn write_refusal(formatter: &mut fmt::Formatter<'_>, what: &str, problem: &Problem) -> fmt::Result {
+    write!(formatter, "{what}: {}", problem.detail)?;
+    for error in &problem.errors {
+        write!(formatter, "\n  {}: {}", error.field, error.reason)?;
+    }
+    for reference in &problem.needed_by {
+        write!(formatter, "\n  needed by {reference}")?;
+    }
+    if let Some(retry_after_ms) = problem.retry_after_ms {
+        write!(formatter, "\n  come back in {retry_after_ms} ms")?;
+    }
+    Ok(())
+}
+
+impl error::Error for CtlError {}
--- a/crates/lynxctl/src/lib.rs
+++ b/crates/lynxctl/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! The operators' command as a library.
+//!
+//! ```
+//! let text = "[pool notices]\nsize = 10\nbudget.min_available = 70%\n";
+//! let declarations = lynxctl::parse("fleet.ini", text).unwrap();
+//! assert_eq!(declarations[0].resource.reference().to_string(), "pool/notices");
+//!
+//! let errors = lynxctl::parse("fleet.ini", "[pool notices]\nsize = ten\n").unwrap_err();
+//! assert_eq!(errors.len(), 2);
+//! ```
+
+pub mod cli;
+
+mod apply;
+mod client;
+mod commands;
+mod declarations;
+mod error;
+mod output;
+mod steer;
+mod wait;
+
+pub use apply::{FieldChange, Plan, Step, carry_out, compare, plan};
+pub use client::{ApiClient, WatchStream};
+pub use commands::{TOKEN_VARIABLE, run};
+pub use declarations::{
+    Declaration, DeclarationError, MAX_FILE_BYTES, MAX_FILES, load, parse, text_of, texts,
+};
+pub use error::{CtlError, EXIT_CODES};
+pub use output::{conditions, describe, list, operation, table};
--- a/crates/lynxctl/src/main.rs
+++ b/crates/lynxctl/src/main.rs
@@ -1,2 +1,11 @@
-//! Binary.
-fn main() {}
+//! The operators' command.
+
+use {
+    clap::Parser,
+    lynxctl::cli::{self, Cli},
+    std::process::ExitCode,
+};
+
+fn main() -> ExitCode {
+    cli::execute(&Cli::parse())
+}
--- /dev/null
+++ b/crates/lynxctl/src/output.rs
@@ -0,0 +1,124 @@
+//! Tables for people.
+
+use {
+    crate::declarations::texts,
+    lynxwheel_protocol::{Condition, OperationOutcome, OperationView, ResourceView},
+    std::fmt::Write,
+};
+
+/// Spaces between two columns.
+const GAP: usize = 2;
+
+/// Lays rows out in columns; the last column is not padded.
+#[must_use]
+pub fn table(header: &[&str], rows: &[Vec<String>]) -> String {
+    let mut widths: Vec<usize> = header.iter().map(|cell| cell.chars().count()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let header: Vec<String> = header.iter().map(|cell| (*cell).into()).collect();
+    let lines = std::iter::once(&header).chain(rows);
+    let lines: Vec<String> = lines.map(|row| line(row, &widths)).collect();
+    lines.join("\n")
+}
+
+fn line(row: &[String], widths: &[usize]) -> String {
+    let mut line = String::new();
+    for (cell, width) in row.iter().zip(widths) {
+        // Writing to a string cannot fail.
+        let _ = write!(line, "{cell:<width$}", width = width + GAP);
+    }
+    line.trim_end().into()
+}
+
+/// Returns the first condition, which tells whether what was declared holds.
+#[must_use]
+pub fn ready(view: &ResourceView) -> Option<&Condition> {
+    view.conditions.first()
+}
+
+/// Lists resources.
+#[must_use]
+pub fn list(views: &[ResourceView]) -> String {
+    let rows: Vec<Vec<String>> = views
+        .iter()
+        .map(|view| {
+            let (holds, reason) = ready(view).map_or(("-", ""), |condition| {
+                (yes_no(condition.holds), condition.reason.as_str())
+            });
+            vec![
+                view.resource.name().into(),
+                view.revision.to_string(),
+                holds.into(),
+                reason.into(),
+            ]
+        })
+        .collect();
+    table(&["NAME", "REVISION", "READY", "REASON"], &rows)
+}
+
+/// Shows a resource in full, its declaration as a file would give it.
+#[must_use]
+pub fn describe(view: &ResourceView) -> String {
+    let reference = view.resource.reference();
+    let mut text = format!("[{} {}]\n", reference.kind, reference.name);
+    // Writing to a string cannot fail.
+    for (field, value) in texts(&view.resource) {
+        let _ = writeln!(text, "{field} = {value}");
+    }
+    let _ = writeln!(
+        text,
+        "\nrevision {}, observed at {}\n",
+        view.revision, view.observed_revision
+    );
+    text += &conditions(view);
+    if !view.status.is_null() {
+        let _ = write!(text, "\n\nstatus {:#}", view.status);
+    }
+    text
+}
+
+/// Shows what holds of a resource, and why.
+#[must_use]
+pub fn conditions(view: &ResourceView) -> String {
+    let rows: Vec<Vec<String>> = view
+        .conditions
+        .iter()
+        .map(|condition| {
+            vec![
+                condition.name.clone(),
+                yes_no(condition.holds).into(),
+                condition.reason.clone(),
+            ]
+        })
+        .collect();
+    table(&["CONDITION", "HOLDS", "REASON"], &rows)
+}
+
+/// Shows an operation.
+#[must_use]
+pub fn operation(view: &OperationView) -> String {
+    let mut text = match &view.outcome {
+        OperationOutcome::Accepted { offset } => format!("accepted at revision {offset}"),
+        OperationOutcome::Rejected { offset, reason } => {
+            format!("rejected at offset {offset}: {reason}")
+        }
+        OperationOutcome::NotSeen => {
+            format!(
+                "not seen up to offset {}; it may still arrive",
+                view.observed_revision
+            )
+        }
+        OperationOutcome::TooOld => "too old to know; look at the resource itself".into(),
+    };
+    if !view.current {
+        text += "\nthis node is not current: ask another one too";
+    }
+    text
+}
+
+fn yes_no(holds: bool) -> &'static str {
+    if holds { "yes" } else { "no" }
+}
--- /dev/null
+++ b/crates/lynxctl/src/steer.rs
@@ -0,0 +1,126 @@
+//! Changes of one declaration: waves and moves.
+
+use {
+    crate::{
+        client::ApiClient,
+        commands::{POOL_USERS, declared},
+        error::CtlError,
+        wait,
+    },
+    lynxwheel_protocol::{
+        Kind, PoolName, Problem, ProblemReason, Resource, ResourceRef, VmName, VmSpec, WaveAction,
+        WaveGoal, WaveName, WaveSpec,
+    },
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// Declares a new wave.
+pub(crate) async fn start_wave(
+    client: &ApiClient,
+    wave: &WaveName,
+    pools: &[PoolName],
+    due_before_ms: Option<u64>,
+) -> Result<String, CtlError> {
+    let mut pools = pools.to_vec();
+    pools.sort();
+    pools.dedup();
+    let resource = Resource::Wave(WaveSpec {
+        name: wave.clone(),
+        pools,
+        action: WaveAction::Reboot,
+        goal: WaveGoal::Run,
+        due_before_ms: due_before_ms.unwrap_or_else(now_ms),
+        deadline_ms: 0,
+    });
+    let answer = client.put(&resource, 0, false).await?;
+    Ok(format!(
+        "wave {wave} started at revision {}",
+        answer.revision
+    ))
+}
+
+/// Changes what a wave does now.
+pub(crate) async fn set_goal(
+    client: &ApiClient,
+    wave: &WaveName,
+    goal: WaveGoal,
+) -> Result<String, CtlError> {
+    let reference = ResourceRef::new(Kind::Wave, wave.as_str());
+    let mut view = declared(client, &reference).await?;
+    if let Resource::Wave(spec) = &mut view.resource {
+        if spec.goal == goal {
+            return Ok(format!("wave {wave} was told so before"));
+        }
+        spec.goal = goal;
+    }
+    let answer = client.put(&view.resource, view.revision, false).await?;
+    let told = match goal {
+        WaveGoal::Run => "goes on",
+        WaveGoal::Pause => "claims nothing new",
+        WaveGoal::Abort => "is given up",
+    };
+    Ok(format!(
+        "wave {wave} {told} from revision {}",
+        answer.revision
+    ))
+}
+
+/// Declares another pool for a VM, and waits for the move if asked to.
+pub(crate) async fn move_vm(
+    client: &ApiClient,
+    vm: &VmName,
+    pool: &PoolName,
+    wait_s: Option<u64>,
+    progress: &(dyn Fn(&str) + Sync),
+) -> Result<String, CtlError> {
+    let reference = ResourceRef::new(Kind::Vm, vm.as_str());
+    let view = declared(client, &reference).await?;
+    let resource = Resource::Vm(VmSpec {
+        name: vm.clone(),
+        pool: pool.clone(),
+    });
+    let mut told = format!("VM {vm} is to be in pool {pool} already");
+    if view.resource != resource {
+        let answer = client.put(&resource, view.revision, false).await?;
+        told = format!(
+            "VM {vm} is to move to pool {pool} from revision {}",
+            answer.revision
+        );
+    }
+    let Some(wait_s) = wait_s else {
+        return Ok(told);
+    };
+    progress(&told);
+    let limit = Duration::from_secs(wait_s);
+    wait::follow(client, &reference, true, limit, progress).await
+}
+
+/// Refuses a pool that serves anything as the target of a drain.
+///
+/// A drained VM there would get work at once, which is the opposite of what was asked for.
+pub(crate) async fn check_unused(client: &ApiClient, pool: &PoolName) -> Result<(), CtlError> {
+    declared(client, &ResourceRef::new(Kind::Pool, pool.as_str())).await?;
+    for kind in POOL_USERS {
+        for view in client.list(kind).await?.items {
+            let uses = view.resource.needs();
+            let is_user = uses
+                .iter()
+                .any(|need| need.kind == Kind::Pool && need.name == pool.as_str());
+            if is_user {
+                let detail = format!("pool {pool} is used by {}", view.resource.reference());
+                return Err(CtlError::Refused {
+                    what: "drain".into(),
+                    problem: Box::new(Problem::new(ProblemReason::Rejected, detail)),
+                });
+            }
+        }
+    }
+    Ok(())
+}
+
+fn now_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    })
+}
