Sample declarations of both customers, and tests of lynxctl

The samples are applied, applied again without a change, and waited for by the tests (lynxctl library against an in-process daemon with 50 VMs), so that they cannot rot.

--- /dev/null
+++ b/crates/lynxctl/tests/ctl/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the operators' command.
+
+mod commands;
+mod common;
+mod declarations;
+mod examples;
+mod servers;
