--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,18 +3,24 @@
 use {
     http::{HeaderValue, Response, StatusCode, header},
     lynxwheel_transport::{Body, json_answer},
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
 };
 
 /// Answer header that is set only when the request is proven not to have run.
 pub const DID_NOT_RUN_HEADER: &str = "lynxwheel-did-not-run";
 
 /// Why a request is refused.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// The request is malformed.
     BadRequest,
+    /// The body did not come in time.
+    SlowBody,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The team sent more than its rate.
+    RateExceeded,
     /// The path names no service.
     UnknownService,
     /// The service has no available endpoint.
@@ -29,6 +35,8 @@
     KeyPending,
     /// The key's request ran; its answer is not kept here.
     KeyEnded,
+    /// The key is older than keys are kept.
+    KeyTooOld,
     /// No more keys can be kept now.
     KeysFull,
     /// The request may have run; it is not run again.
@@ -43,20 +51,30 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::NoEndpoint | Self::NoFreeSlot | Self::LogUnavailable | Self::KeysFull => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::KeyPending | Self::KeyEnded => StatusCode::CONFLICT,
+            Self::KeyPending | Self::KeyEnded | Self::KeyTooOld => StatusCode::CONFLICT,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 }
 
+impl RefusalReason {
+    /// Tells whether what follows on the connection can no longer be trusted to be a request.
+    fn spoils_connection(self) -> bool {
+        matches!(self, Self::BadRequest | Self::SlowBody | Self::BodyTooLarge)
+    }
+}
+
 /// A refusal as the caller gets it.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Refusal {
     /// Reason.
     pub reason: RefusalReason,
@@ -103,6 +121,9 @@
     pub fn answer(&self) -> Response<Body> {
         let mut response = json_answer(self.reason.status(), self);
         let headers = response.headers_mut();
+        if self.reason.spoils_connection() {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         if self.did_not_run {
             headers.insert(DID_NOT_RUN_HEADER, HeaderValue::from_static("true"));
         }
--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -7,7 +7,7 @@
     log::{error, info},
     lynxwheel_api::Api,
     lynxwheel_coordination::{Duties, Node},
-    lynxwheel_gateway::Gateway,
+    lynxwheel_gateway::{Gateway, PEER_ANSWER_PATH},
     lynxwheel_transport::{Body, Server, Shutdown, error_answer, json_answer},
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     serde_json::json,
@@ -79,6 +79,7 @@
     pub async fn start(config: &Config) -> Result<Self, DaemonError> {
         let callers = bind("callers", config.callers).await?;
         let operators = bind("operators", config.operators).await?;
+        let peers = bind("peers", config.peers_listen).await?;
         let metrics = metrics_handle();
         let stopping = Shutdown::new();
         let closing = Shutdown::new();
@@ -92,8 +93,13 @@
             node: node.clone(),
             stopping: stopping.clone(),
         };
+        let peer_node = node.clone();
+        let peer_gateway = gateway.clone();
         let api = Api::start(node.clone(), config.access.clone(), closing.clone());
         let servers = vec![
+            tokio::spawn(peers.serve(closing.clone(), move |request| {
+                serve_peer(peer_node.clone(), peer_gateway.clone(), request)
+            })),
             tokio::spawn(callers.serve(closing.clone(), move |request| {
                 serve_caller(gateway.clone(), health.clone(), request)
             })),
@@ -135,6 +141,7 @@
     /// connections, and the end when every request in progress is answered.
     pub async fn stop(self) {
         self.stopping.begin();
+        self.node.peers().announce_stop();
         tokio::time::sleep(self.drain).await;
         self.closing.begin();
         for server in self.servers {
@@ -202,7 +209,8 @@
     fn ready(&self) -> Response<Body> {
         let is_current = self.node.is_current();
         let is_stopping = self.stopping.has_begun();
-        let status = if is_current && !is_stopping {
+        let has_diverged = self.node.has_diverged();
+        let status = if is_current && !is_stopping && !has_diverged {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -210,7 +218,12 @@
         let offset = self.node.state().offset();
         json_answer(
             status,
-            &json!({ "current": is_current, "stopping": is_stopping, "offset": offset }),
+            &json!({
+                "current": is_current,
+                "diverged": has_diverged,
+                "stopping": is_stopping,
+                "offset": offset,
+            }),
         )
     }
 }
@@ -227,6 +240,13 @@
     }
 }
 
+async fn serve_peer(node: Node, gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        PEER_ANSWER_PATH => gateway.peer_answer(request).await,
+        _ => node.handle_peer(request).await,
+    }
+}
+
 async fn serve_operator(
     api: Api,
     metrics: Option<PrometheusHandle>,
--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Processes of a small fleet for tests: a platform and nodes on loopback.
 
+#![allow(dead_code, reason = "each test binary uses a part")]
+
 use {
     http::{Method, StatusCode},
     lynxwheel_protocol::Resource,
@@ -47,6 +49,11 @@
         (Self { child }, lines)
     }
 
+    /// Returns the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by name, such as `TERM`.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
@@ -167,6 +174,19 @@
 }
 
 impl TestNode {
+    /// Waits until the node says that it is ready.
+    pub async fn wait_until_ready(&self) {
+        let until = Instant::now() + LIMIT;
+        loop {
+            let answer = self.callers.get("/readyz", CALL_LIMIT).await;
+            if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+                return;
+            }
+            assert!(Instant::now() < until, "the node is not ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Declares a resource.
     pub async fn declare(&self, resource: &Resource) {
         let path = format!("/v1/{}/{}", resource.kind(), resource.name());
--- a/crates/lynxwheel/tests/thin_path.rs
+++ b/crates/lynxwheel/tests/thin_path.rs
@@ -22,6 +22,7 @@
 const FLOOR: u32 = 4;
 
 async fn declare_maps(node: &TestNode) {
+    node.wait_until_ready().await;
     node.declare(&Resource::Pool(PoolSpec {
         name: "maps".into(),
         size: VMS,
@@ -91,7 +92,7 @@
             pools: vec!["maps".into()],
             action: WaveAction::Reboot,
             goal: WaveGoal::Run,
-            due_before_ms: lynxwheel_coordination::now_ms(),
+            due_before_ms: lynxwheel_coordination::Clock::system().now_ms(),
             deadline_ms: 0,
         }))
         .await;
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -20,6 +20,9 @@
 /// Request header that names the life of the VM that the request is meant for.
 const INCARNATION_HEADER: &str = "vm-incarnation";
 
+/// Refusal of an endpoint whose slots are all taken.
+const NO_FREE_SLOT: &str = "no free slot";
+
 /// Bytes of an answer's padding that are sent at once.
 const CHUNK_BYTES: usize = 8 * 1024;
 
@@ -80,7 +83,7 @@
     };
     tokio::time::sleep(Duration::from_millis(number(&query, "ms"))).await;
     if number(&query, "break") == 1 {
-        return broken_answer();
+        return broken_answer(number(&query, "size"));
     }
     let response = answer(&vm, &request_id, &body.to_bytes(), number(&query, "size"));
     shared.complete(run);
@@ -127,7 +130,7 @@
         return Err("leaving");
     }
     if machine.in_progress >= slots {
-        return Err("no free slot");
+        return Err(NO_FREE_SLOT);
     }
     machine.in_progress += 1;
     Ok(())
@@ -166,10 +169,19 @@
     let mut response = error_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
     response
         .headers_mut()
-        .insert(NOT_STARTED_HEADER, HeaderValue::from_static("1"));
+        .insert(NOT_STARTED_HEADER, not_started_value(reason));
     response
 }
 
+/// Tells a missing slot from an endpoint that must get nothing more.
+fn not_started_value(reason: &str) -> HeaderValue {
+    HeaderValue::from_static(if reason == NO_FREE_SLOT {
+        "busy"
+    } else {
+        "gone"
+    })
+}
+
 fn answer(vm: &VmName, request_id: &str, body: &Bytes, size: u64) -> Response<Body> {
     let mut text = format!("request={request_id} vm={vm} bytes={}\n", body.len()).into_bytes();
     let padding = usize::try_from(size).unwrap_or(0);
@@ -194,9 +206,11 @@
     BodyExt::boxed_unsync(http_body_util::StreamBody::new(Frames { frames }))
 }
 
-fn broken_answer() -> Response<Body> {
+/// Breaks off after `size` bytes; the head goes out with them when they are many.
+fn broken_answer(size: u64) -> Response<Body> {
+    let part = vec![b'.'; usize::try_from(size).unwrap_or(0)];
     let frames = [
-        Ok(hyper::body::Frame::data(Bytes::from_static(b"part"))),
+        Ok(hyper::body::Frame::data(Bytes::from(part))),
         Err(BodyError::Broken {
             reason: "cut".into(),
         }),
--- a/crates/state/src/placements.rs
+++ b/crates/state/src/placements.rs
@@ -21,6 +21,9 @@
 /// Share of a pool's VMs that may be quarantined at once, in percent; one is always allowed.
 const QUARANTINE_PERCENT: u32 = 10;
 
+/// Longest quarantine, in milliseconds; a node whose clock is ahead must not ban a VM for years.
+const MAX_QUARANTINE_MS: u64 = 24 * 60 * 60 * 1_000;
+
 impl FleetState {
     /// Places an attempt; at most one of a job runs, or may run, at any offset.
     pub(crate) fn start(
@@ -55,7 +58,12 @@
         if let Some(team) = self.teams.get_mut(team.as_str()) {
             team.used = team.used.plus(reserved);
         }
-        self.change_vm(vm.as_str(), |vm| vm.reserved = vm.reserved.plus(reserved));
+        self.change_vm(vm.as_str(), |vm| {
+            vm.reserved = vm.reserved.plus(reserved);
+            if let Err(row) = vm.attempts.binary_search(name) {
+                vm.attempts.insert(row, name.clone());
+            }
+        });
         Verdict::Accepted
     }
 
@@ -136,6 +144,9 @@
         }
         self.change_vm(ended.vm.as_str(), |vm| {
             vm.reserved = vm.reserved.minus(&ended.reserved);
+            if let Ok(row) = vm.attempts.binary_search(name) {
+                vm.attempts.remove(row);
+            }
             match outcome {
                 JobOutcome::Failed => vm.failures += 1,
                 JobOutcome::Succeeded => vm.failures = 0,
@@ -157,15 +168,27 @@
         })
     }
 
-    /// Raises the estimate of a job's real size.
+    /// Raises the estimate of a job's real size, and what its attempt reserves with it.
+    ///
+    /// An attempt that takes more than was declared takes it from its neighbours; jobs placed
+    /// beside it by the declared size would fail for want of memory, one after the other.
     pub(crate) fn usage(&mut self, name: &JobName, attempt: u32, used: &Resources) -> Verdict {
         let Some(job) = self.running(name, attempt) else {
             return Verdict::Rejected(Rejection::WrongAttempt { job: name.clone() });
         };
-        let seen = &mut job.estimate.used;
-        seen.cores_milli = seen.cores_milli.max(used.cores_milli);
-        seen.memory_mib = seen.memory_mib.max(used.memory_mib);
-        seen.accelerators = seen.accelerators.max(used.accelerators);
+        job.estimate.used = job.estimate.used.highest(used);
+        let team = job.spec.team.clone();
+        let Some(run) = &mut job.attempt else {
+            return Verdict::Accepted;
+        };
+        let reserved = run.reserved.highest(used);
+        let more = reserved.minus(&run.reserved);
+        run.reserved = reserved;
+        let vm = run.vm.clone();
+        if let Some(team) = self.teams.get_mut(team.as_str()) {
+            team.used = team.used.plus(&more);
+        }
+        self.change_vm(vm.as_str(), |vm| vm.reserved = vm.reserved.plus(&more));
         Verdict::Accepted
     }
 
@@ -202,8 +225,9 @@
         if others >= limit {
             return Verdict::Rejected(Rejection::VmNotFit { vm: name.clone() });
         }
+        let latest_ms = self.time_ms + MAX_QUARANTINE_MS;
         self.change_vm(name.as_str(), |vm| {
-            vm.quarantined_until_ms = until_ms;
+            vm.quarantined_until_ms = until_ms.min(latest_ms);
             vm.failures = 0;
         });
         Verdict::Accepted
