--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::config::Config,
-    http::{Method, Request, Response, StatusCode},
+    http::{HeaderValue, Method, Request, Response, StatusCode, header},
     hyper::body::Incoming,
-    log::{error, info},
+    log::{error, info, warn},
     lynxwheel_api::Api,
     lynxwheel_coordination::{Duties, Node},
     lynxwheel_gateway::{Gateway, PEER_ANSWER_PATH},
@@ -15,9 +15,13 @@
     tokio::{
         signal::unix::{SignalKind, signal},
         task::JoinHandle,
+        time::timeout,
     },
 };
 
+/// Time that a stopping node waits for the outcomes of keys to enter the log.
+const SETTLE_LIMIT: Duration = Duration::from_secs(30);
+
 /// Why the daemon cannot run.
 #[derive(Debug)]
 pub enum DaemonError {
@@ -63,10 +67,13 @@
     node: Node,
     callers: SocketAddr,
     operators: SocketAddr,
+    gateway: Gateway,
     stopping: Shutdown,
     closing: Shutdown,
+    ending: Shutdown,
     drain: Duration,
     servers: Vec<JoinHandle<()>>,
+    peer_server: JoinHandle<()>,
     duties: Duties,
 }
 
@@ -83,7 +90,8 @@
         let metrics = metrics_handle();
         let stopping = Shutdown::new();
         let closing = Shutdown::new();
-        let (node, duties) = Node::start(config.node_settings(), &closing);
+        let ending = Shutdown::new();
+        let (node, duties) = Node::start(config.node_settings(), &ending);
         let addresses = (
             local(&callers, config.callers),
             local(&operators, config.operators),
@@ -96,12 +104,13 @@
         let peer_node = node.clone();
         let peer_gateway = gateway.clone();
         let api = Api::start(node.clone(), config.access.clone(), closing.clone());
+        let peer_server = tokio::spawn(peers.serve(ending.clone(), move |request| {
+            serve_peer(peer_node.clone(), peer_gateway.clone(), request)
+        }));
+        let caller_gateway = gateway.clone();
         let servers = vec![
-            tokio::spawn(peers.serve(closing.clone(), move |request| {
-                serve_peer(peer_node.clone(), peer_gateway.clone(), request)
-            })),
             tokio::spawn(callers.serve(closing.clone(), move |request| {
-                serve_caller(gateway.clone(), health.clone(), request)
+                serve_caller(caller_gateway.clone(), health.clone(), request)
             })),
             tokio::spawn(operators.serve(closing.clone(), move |request| {
                 serve_operator(api.clone(), metrics.clone(), request)
@@ -111,10 +120,13 @@
             node,
             callers: addresses.0,
             operators: addresses.1,
+            gateway,
             stopping,
             closing,
+            ending,
             drain: Duration::from_millis(config.drain_ms),
             servers,
+            peer_server,
             duties,
         })
     }
@@ -138,25 +150,36 @@
     }
 
     /// Stops gracefully: readiness off, a while for the balancer to notice, then no new
-    /// connections, and the end when every request in progress is answered.
+    /// connections, and the end when every request in progress is answered and settled.
+    ///
+    /// The duties and the peer listener end last. A request in progress may need the log and its
+    /// peers; without them its intent would stay pending, and its caller's next attempt would be
+    /// told "outcome unknown" although nothing ran.
     pub async fn stop(self) {
         self.stopping.begin();
         self.node.peers().announce_stop();
         tokio::time::sleep(self.drain).await;
         self.closing.begin();
         for server in self.servers {
-            if let Err(problem) = server.await {
-                error!(event = "server_failed"; "{problem}");
-            }
+            await_end("server", server).await;
         }
-        let duties = self.duties;
-        if let Err(problem) = tokio::task::spawn_blocking(move || duties.join()).await {
-            error!(event = "duties_failed"; "{problem}");
+        if timeout(SETTLE_LIMIT, self.gateway.settled()).await.is_err() {
+            warn!(event = "not_settled"; "outcomes of keys are not in the log at the stop");
         }
+        self.ending.begin();
+        await_end("peer_server", self.peer_server).await;
+        let duties = self.duties;
+        await_end("duties", tokio::task::spawn_blocking(move || duties.join())).await;
         info!(event = "stopped"; "");
     }
 }
 
+async fn await_end(part: &str, task: JoinHandle<()>) {
+    if let Err(problem) = task.await {
+        error!(event = "part_failed", part = part; "{problem}");
+    }
+}
+
 /// Runs a daemon until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -233,11 +256,18 @@
     health: Health,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    match (request.method(), request.uri().path()) {
+    let mut response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/livez") => json_answer(StatusCode::OK, &true),
         (&Method::GET, "/readyz") => health.ready(),
         _ => gateway.handle(request).await,
+    };
+    if health.stopping.has_begun() {
+        // A request sent on a kept connection just as a stopping node closes it shows up as cut
+        // off. Callers that are told to close beforehand have no such connection by then.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
     }
+    response
 }
 
 async fn serve_peer(node: Node, gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -1,7 +1,10 @@
 //! Endpoint of one VM: serves requests within its slots and notes what ran.
 
 use {
-    crate::serve::{REQUEST_ID_HEADER, Shared},
+    crate::{
+        machine::NO_FREE_SLOT,
+        serve::{REQUEST_ID_HEADER, Shared},
+    },
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
     http_body_util::BodyExt,
@@ -20,9 +23,6 @@
 /// Request header that names the life of the VM that the request is meant for.
 const INCARNATION_HEADER: &str = "vm-incarnation";
 
-/// Refusal of an endpoint whose slots are all taken.
-const NO_FREE_SLOT: &str = "no free slot";
-
 /// Bytes of an answer's padding that are sent at once.
 const CHUNK_BYTES: usize = 8 * 1024;
 
@@ -120,20 +120,11 @@
         return Err("unknown VM");
     };
     let meant = text_header(headers, INCARNATION_HEADER);
-    if !meant.is_empty() && meant != machine.incarnation.to_string() {
-        return Err("another incarnation");
-    }
-    if !machine.is_up {
-        return Err("down");
-    }
-    if machine.is_draining || machine.is_leaving {
-        return Err("leaving");
-    }
-    if machine.in_progress >= slots {
-        return Err(NO_FREE_SLOT);
+    if meant.is_empty() {
+        return machine.enter(None, slots);
     }
-    machine.in_progress += 1;
-    Ok(())
+    let meant = meant.parse().map_err(|_| "another incarnation")?;
+    machine.enter(Some(meant), slots)
 }
 
 /// Gives the slot back, also when the request is cut off.
