Cheaper watches, latest writes, and answers marked when a node is behind

A watch told a bookmark for every move of the log's offset and read the whole log of changes each time. A bookmark now follows changes, or 5 s of silence, and reading begins at the watcher's place. lynxctl lists the latest writes, for one that got no answer at all, and says when a node does not know that it is current.

--- a/crates/api/src/answers.rs
+++ b/crates/api/src/answers.rs
@@ -3,17 +3,13 @@
 use {
     crate::changes::TooOld,
     http::{HeaderName, HeaderValue, Response, StatusCode, header},
-    lynxwheel_protocol::{FieldError, Problem, ProblemReason, Resource},
+    lynxwheel_protocol::{
+        CURRENT_HEADER, FieldError, Problem, ProblemReason, REVISION_HEADER, Resource,
+    },
     lynxwheel_state::{FleetState, Rejection},
     lynxwheel_transport::{Body, json_answer},
 };
 
-/// Header that tells whether the node knows that it is current.
-pub const CURRENT_HEADER: &str = "x-lynxwheel-current";
-
-/// Header that names the offset up to which the node has folded.
-pub const REVISION_HEADER: &str = "x-lynxwheel-revision";
-
 /// Answers with a problem.
 pub(crate) fn problem_answer(problem: &Problem) -> Response<Body> {
     let mut answer = json_answer(status_of(problem.reason), problem);
--- a/crates/api/src/changes.rs
+++ b/crates/api/src/changes.rs
@@ -104,10 +104,13 @@
         let rows = self.rows();
         rows.check(offset)?;
         let known_to = rows.latest.offset();
+        let first = rows
+            .changes
+            .partition_point(|(_, change)| change.offset <= offset);
         let mut changes: Vec<Change> = rows
             .changes
-            .iter()
-            .filter(|(of, change)| *of == kind && change.offset > offset)
+            .range(first..)
+            .filter(|(of, _)| *of == kind)
             .map(|(_, change)| change.clone())
             .collect();
         drop(rows);
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -30,7 +30,6 @@
 mod write;
 
 pub use access::{Access, AccessToken, Operator, Role};
-pub use answers::{CURRENT_HEADER, REVISION_HEADER};
 pub use handler::Api;
 pub use openapi::openapi;
 pub use routes::{Action, Route, routes};
--- a/crates/api/src/watch.rs
+++ b/crates/api/src/watch.rs
@@ -22,7 +22,7 @@
     },
     tokio::{
         sync::{OwnedSemaphorePermit, mpsc},
-        time::timeout,
+        time::{Instant, timeout},
     },
 };
 
@@ -32,7 +32,7 @@
 /// Time that a watcher may take for one line.
 const LINE_LIMIT: Duration = Duration::from_secs(10);
 
-/// Pause after which a bookmark is sent although nothing changed.
+/// Longest time without a bookmark, and shortest between two without a change.
 const BOOKMARK_PAUSE: Duration = Duration::from_secs(5);
 
 /// Time after which to come back when too many watches are open, in milliseconds.
@@ -111,24 +111,35 @@
             Some(from) => self.told_to = from,
             None => self.tell_all().await?,
         }
+        let mut marked = None;
         loop {
             let Ok(batch) = self.log.since(self.kind, self.told_to) else {
                 return Ok(EndReason::TooOld);
             };
+            let mut has_told = false;
             for change in &batch.changes {
-                self.tell_change(change).await?;
+                has_told |= self.tell_change(change).await?;
             }
             self.told_to = self.told_to.max(batch.known_to);
-            self.send(&WatchEvent::Bookmark {
-                revision: self.told_to,
-                current: self.node.is_current(),
-            })
-            .await?;
+            // The fleet's offset moves many times a second; a mark for each would cost every
+            // watcher more than the changes it asked for.
+            if has_told || marked.is_none_or(|at: Instant| at.elapsed() >= BOOKMARK_PAUSE) {
+                self.mark().await?;
+                marked = Some(Instant::now());
+            }
             // Nothing new for a while: the bookmark then shows that the stream still lives.
             drop(timeout(BOOKMARK_PAUSE, progress.changed()).await);
         }
     }
 
+    async fn mark(&self) -> Result<(), WatcherGone> {
+        self.send(&WatchEvent::Bookmark {
+            revision: self.told_to,
+            current: self.node.is_current(),
+        })
+        .await
+    }
+
     /// Tells every resource as it is now.
     async fn tell_all(&mut self) -> Result<(), WatcherGone> {
         let state = self.log.catch_up(self.node.state());
@@ -148,28 +159,25 @@
         Ok(())
     }
 
-    /// Tells how a resource is now, which may be later than the change.
-    async fn tell_change(&self, change: &Change) -> Result<(), WatcherGone> {
+    /// Tells how a resource is now, which may be later than the change; says whether it did.
+    async fn tell_change(&self, change: &Change) -> Result<bool, WatcherGone> {
         if self.name.as_ref().is_some_and(|name| *name != change.name) {
-            return Ok(());
+            return Ok(false);
         }
         let reference = ResourceRef::new(self.kind, &change.name);
         let view = view(&self.node.state(), &reference);
-        match view {
-            Some(view) => {
-                let view = Box::new(view);
-                self.send(&WatchEvent::Changed { view }).await
-            }
-            None if change.is_removed => {
-                self.send(&WatchEvent::Deleted {
-                    reference,
-                    revision: change.offset,
-                })
-                .await
-            }
+        let event = match view {
+            Some(view) => WatchEvent::Changed {
+                view: Box::new(view),
+            },
+            None if change.is_removed => WatchEvent::Deleted {
+                reference,
+                revision: change.offset,
+            },
             // It is being withdrawn; that change follows.
-            None => Ok(()),
-        }
+            None => return Ok(false),
+        };
+        self.send(&event).await.map(|()| true)
     }
 
     async fn send(&self, event: &WatchEvent) -> Result<(), WatcherGone> {
--- a/crates/api/tests/api/resources.rs
+++ b/crates/api/tests/api/resources.rs
@@ -6,8 +6,8 @@
     },
     http::Method,
     insta::assert_snapshot,
-    lynxwheel_api::{Access, CURRENT_HEADER},
-    lynxwheel_protocol::Kind,
+    lynxwheel_api::Access,
+    lynxwheel_protocol::{CURRENT_HEADER, Kind},
     lynxwheel_transport::ClientRequest,
     serde_json::{Value, json as document},
 };
--- a/crates/lynxctl/src/cli.rs
+++ b/crates/lynxctl/src/cli.rs
@@ -106,10 +106,10 @@
         #[arg(long)]
         wait_s: Option<u64>,
     },
-    /// Show what became of a write.
+    /// Show what became of a write, or of the latest ones.
     Operation {
-        /// Operation, as a write that got no answer names it.
-        id: OperationId,
+        /// Operation, as the answer to a write names it.
+        id: Option<OperationId>,
     },
     /// Print completions for a shell.
     Completions {
--- a/crates/lynxctl/src/client.rs
+++ b/crates/lynxctl/src/client.rs
@@ -5,14 +5,14 @@
     http::{Method, Request, StatusCode},
     http_body_util::BodyExt,
     lynxwheel_protocol::{
-        Kind, OperationId, OperationOutcome, OperationView, Problem, Resource, ResourceList,
-        ResourceRef, ResourceView, WatchEvent, WriteAnswer,
+        CURRENT_HEADER, Kind, OperationId, OperationList, OperationOutcome, OperationView, Problem,
+        Resource, ResourceList, ResourceRef, ResourceView, WatchEvent, WriteAnswer,
     },
     lynxwheel_transport::{Answer, Body, Client, ClientRequest, TransportError, empty_body},
     serde::de::DeserializeOwned,
     std::{
         net::SocketAddr,
-        sync::atomic::{AtomicUsize, Ordering},
+        sync::atomic::{AtomicBool, AtomicUsize, Ordering},
         time::Duration,
     },
     tokio::time::{Instant, sleep, timeout},
@@ -43,6 +43,7 @@
     /// The server that answered last; pages and watches go on there.
     preferred: AtomicUsize,
     token: Option<String>,
+    was_behind: AtomicBool,
 }
 
 impl ApiClient {
@@ -56,6 +57,7 @@
                 .collect(),
             preferred: AtomicUsize::new(0),
             token: None,
+            was_behind: AtomicBool::new(false),
         }
     }
 
@@ -66,6 +68,12 @@
         self
     }
 
+    /// Tells whether a node that answered did not know that it is current.
+    #[must_use]
+    pub fn was_behind(&self) -> bool {
+        self.was_behind.load(Ordering::Relaxed)
+    }
+
     /// Returns a resource, or nothing when it is not declared.
     ///
     /// # Errors
@@ -163,6 +171,17 @@
         decode(&format!("look up {id}"), peer, &answer)
     }
 
+    /// Returns the latest writes of all nodes, the last one first.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`ApiClient::get`] does.
+    pub async fn operations(&self) -> Result<OperationList, CtlError> {
+        let request = self.request(Method::GET, "/v1/operations".into());
+        let (peer, answer) = self.call(&request).await?;
+        decode("list operations", peer, &answer)
+    }
+
     /// Opens a watch of one resource.
     ///
     /// # Errors
@@ -261,6 +280,9 @@
             match server.call(request, CALL_LIMIT).await {
                 Ok(answer) => {
                     self.preferred.store(row, Ordering::Relaxed);
+                    if answer.header(CURRENT_HEADER) == Some("false") {
+                        self.was_behind.store(true, Ordering::Relaxed);
+                    }
                     return Ok((server.peer(), answer));
                 }
                 Err(source) if source.may_have_run && request.method != Method::GET => {
--- a/crates/lynxctl/src/commands.rs
+++ b/crates/lynxctl/src/commands.rs
@@ -28,11 +28,23 @@
         return Ok(completions(*shell));
     }
     let client = connect(&cli.connection)?;
+    let told = run_with(&client, cli, progress).await;
+    if client.was_behind() {
+        progress("a node that answered does not know that it is current; it may show the past");
+    }
+    told
+}
+
+async fn run_with(
+    client: &ApiClient,
+    cli: &Cli,
+    progress: &(dyn Fn(&str) + Sync),
+) -> Result<String, CtlError> {
     match &cli.command {
         Command::Apply(args) => {
             let declarations = load(&args.path).map_err(CtlError::Declarations)?;
-            let plan = plan(&client, &declarations).await?;
-            carry_out(&client, &plan, progress).await?;
+            let plan = plan(client, &declarations).await?;
+            carry_out(client, &plan, progress).await?;
             Ok(format!(
                 "{} applied, {} unchanged",
                 plan.steps.len(),
@@ -41,7 +53,7 @@
         }
         Command::Diff(args) => {
             let declarations = load(&args.path).map_err(CtlError::Declarations)?;
-            let plan = plan(&client, &declarations).await?;
+            let plan = plan(client, &declarations).await?;
             let text = plan.text();
             if plan.steps.is_empty() {
                 Ok(text)
@@ -51,26 +63,23 @@
         }
         Command::Get { kind, name: None } => {
             let list = client.list(*kind).await?;
-            if !list.current {
-                progress("this node is not current; what it shows may be old");
-            }
             Ok(shown(cli, &list, || output::list(&list.items)))
         }
         Command::Get {
             kind,
             name: Some(name),
         } => {
-            let view = declared(&client, &ResourceRef::new(*kind, name)).await?;
+            let view = declared(client, &ResourceRef::new(*kind, name)).await?;
             Ok(shown(cli, &view, || {
                 output::list(std::slice::from_ref(&view))
             }))
         }
         Command::Describe(args) => {
-            let view = declared(&client, &args.reference()).await?;
+            let view = declared(client, &args.reference()).await?;
             Ok(shown(cli, &view, || output::describe(&view)))
         }
         Command::Explain(args) => {
-            let view = declared(&client, &args.reference()).await?;
+            let view = declared(client, &args.reference()).await?;
             Ok(shown(cli, &view, || output::conditions(&view)))
         }
         Command::Watch {
@@ -79,14 +88,7 @@
             timeout_s,
         } => {
             let limit = Duration::from_secs(*timeout_s);
-            wait::follow(
-                &client,
-                &resource.reference(),
-                *until_ready,
-                limit,
-                progress,
-            )
-            .await
+            wait::follow(client, &resource.reference(), *until_ready, limit, progress).await
         }
         Command::Delete(args) => {
             let answer = client.delete(&args.reference()).await?;
@@ -95,15 +97,19 @@
                 answer.reference, answer.revision
             ))
         }
-        Command::Wave(command) => wave(&client, command).await,
+        Command::Wave(command) => wave(client, command).await,
         Command::Move { vm, pool, wait_s } => {
-            steer::move_vm(&client, vm, pool, *wait_s, progress).await
+            steer::move_vm(client, vm, pool, *wait_s, progress).await
         }
         Command::Drain { vm, into, wait_s } => {
-            steer::check_unused(&client, into).await?;
-            steer::move_vm(&client, vm, into, *wait_s, progress).await
+            steer::check_unused(client, into).await?;
+            steer::move_vm(client, vm, into, *wait_s, progress).await
+        }
+        Command::Operation { id: None } => {
+            let list = client.operations().await?;
+            Ok(shown(cli, &list, || output::operations(&list.items)))
         }
-        Command::Operation { id } => {
+        Command::Operation { id: Some(id) } => {
             let view = client.operation(*id).await?;
             Ok(shown(cli, &view, || output::operation(&view)))
         }
--- a/crates/lynxctl/src/error.rs
+++ b/crates/lynxctl/src/error.rs
@@ -117,7 +117,8 @@
             Self::Unreachable { source } => write!(formatter, "no server answered: {source}"),
             Self::NoAnswer { source } => write!(
                 formatter,
-                "sent, but no answer came, so it may or may not take effect: {source}"
+                "sent, but no answer came, so it may or may not take effect: {source}\n\
+                 lynxctl operation lists the latest writes"
             ),
             Self::Refused { what, problem } => write_refusal(formatter, what, problem),
             Self::BadAnswer { peer, reason } => {
--- a/crates/lynxctl/src/lib.rs
+++ b/crates/lynxctl/src/lib.rs
@@ -27,4 +27,4 @@
     Declaration, DeclarationError, MAX_FILE_BYTES, MAX_FILES, load, parse, text_of, texts,
 };
 pub use error::{CtlError, EXIT_CODES};
-pub use output::{conditions, describe, list, operation, table};
+pub use output::{conditions, describe, list, operation, operations, table};
--- a/crates/lynxctl/src/output.rs
+++ b/crates/lynxctl/src/output.rs
@@ -100,23 +100,39 @@
 /// Shows an operation.
 #[must_use]
 pub fn operation(view: &OperationView) -> String {
-    let mut text = match &view.outcome {
+    let mut text = outcome(view);
+    if !view.current {
+        text += "\nthis node is not current: ask another one too";
+    }
+    text
+}
+
+/// Lists operations.
+#[must_use]
+pub fn operations(views: &[OperationView]) -> String {
+    let rows: Vec<Vec<String>> = views
+        .iter()
+        .map(|view| {
+            let reference = view.reference.as_ref();
+            let reference = reference.map_or_else(|| "-".into(), ToString::to_string);
+            vec![view.operation.to_string(), reference, outcome(view)]
+        })
+        .collect();
+    table(&["OPERATION", "RESOURCE", "OUTCOME"], &rows)
+}
+
+fn outcome(view: &OperationView) -> String {
+    match &view.outcome {
         OperationOutcome::Accepted { offset } => format!("accepted at revision {offset}"),
         OperationOutcome::Rejected { offset, reason } => {
             format!("rejected at offset {offset}: {reason}")
         }
-        OperationOutcome::NotSeen => {
-            format!(
-                "not seen up to offset {}; it may still arrive",
-                view.observed_revision
-            )
-        }
+        OperationOutcome::NotSeen => format!(
+            "not seen up to offset {}; it may still arrive",
+            view.observed_revision
+        ),
         OperationOutcome::TooOld => "too old to know; look at the resource itself".into(),
-    };
-    if !view.current {
-        text += "\nthis node is not current: ask another one too";
     }
-    text
 }
 
 fn yes_no(holds: bool) -> &'static str {
--- a/crates/lynxctl/tests/ctl/commands.rs
+++ b/crates/lynxctl/tests/ctl/commands.rs
@@ -231,6 +231,44 @@
     assert!(!outcome.progress.is_empty());
 }
 
+/// A write got no answer, so the operator has no operation to ask for; the list of the latest
+/// writes shows it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn latest_writes_are_listed() {
+    let (fleet, _) = applied("operations").await;
+    let list = fleet.done("operation").await;
+    let resources: Vec<&str> = list
+        .lines()
+        .filter_map(|line| line.split_whitespace().nth(1))
+        .collect();
+    assert_eq!(resources[..2], ["RESOURCE", "service/map"]);
+    let id = list
+        .lines()
+        .nth(1)
+        .and_then(|line| line.split_whitespace().next())
+        .expect("an operation");
+    let told = fleet.done(&format!("operation {id}")).await;
+    assert!(told.starts_with("accepted at revision "), "{told}");
+}
+
+/// A node that is cut from the log shows the past. An operator who is not told acts on it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_of_a_node_that_is_behind_is_marked() {
+    let (fleet, _) = applied("behind").await;
+    assert_eq!(fleet.ctl("get pool notices").await.progress, [""; 0]);
+    let faults = Faults {
+        log_down: true,
+        ..Faults::default()
+    };
+    fleet
+        .platform
+        .with_platform(|platform| platform.faults = faults);
+    let node = fleet.daemon.node();
+    wait_until("the node knows that it is behind", || !node.is_current()).await;
+    let outcome = fleet.ctl("get pool notices").await;
+    assert_eq!((outcome.code, outcome.progress.len()), (0, 1));
+}
+
 #[tokio::test]
 async fn completions_are_printed() {
     let outcome = crate::common::run("completions bash").await;
--- a/crates/protocol/src/api.rs
+++ b/crates/protocol/src/api.rs
@@ -9,6 +9,12 @@
     std::{fmt, str::FromStr},
 };
 
+/// Header that tells whether the node knows that it is current.
+pub const CURRENT_HEADER: &str = "x-lynxwheel-current";
+
+/// Header that names the offset up to which the node has folded.
+pub const REVISION_HEADER: &str = "x-lynxwheel-revision";
+
 /// One thing that holds or does not hold of a resource.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Condition {
