--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         divergence::{DigestAt, Divergence},
+        operations::Operations,
         proposer::Decision,
         published::Published,
         recent::RecentEntries,
@@ -47,6 +48,7 @@
     waiters: Arc<Waiters>,
     recent: Arc<RecentEntries>,
     divergence: Arc<Divergence>,
+    operations: Arc<Operations>,
     incarnation: u64,
 }
 
@@ -57,6 +59,7 @@
         waiters: Arc<Waiters>,
         recent: Arc<RecentEntries>,
         divergence: Arc<Divergence>,
+        operations: Arc<Operations>,
         incarnation: u64,
     ) -> Self {
         Self {
@@ -65,6 +68,7 @@
             waiters,
             recent,
             divergence,
+            operations,
             incarnation,
         }
     }
@@ -84,6 +88,7 @@
         };
         let verdict = self.state.apply(entry.offset, &record);
         log_verdict(entry.offset, &record, &verdict);
+        self.operations.note(entry.offset, &record, &verdict);
         (record.id.incarnation == self.incarnation).then_some(Decision {
             id: record.id,
             offset: entry.offset,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -20,9 +20,15 @@
 mod platform;
 mod record;
 mod resource;
+mod schema;
 mod snapshot;
+mod validate;
 
-pub use api::{Condition, FieldError, ResourceView, WatchEvent, WriteAnswer};
+pub use api::{
+    Condition, EndReason, FieldError, MoveList, MoveView, OperationId, OperationList,
+    OperationOutcome, OperationView, Problem, ProblemReason, ResourceList, ResourceView,
+    WatchEvent, WriteAnswer,
+};
 pub use codec::{
     CodecError, MAX_MESSAGE_BYTES, MAX_RECORD_BYTES, decode_chunk, decode_message, decode_record,
     encode_chunk, encode_message, encode_record,
@@ -44,7 +50,11 @@
     Amount, Budget, Class, JobSpec, Kind, PolicySpec, PoolSpec, Resource, ResourceRef, Resources,
     ServiceSpec, TeamSpec, VmSpec, WaveAction, WaveGoal, WaveSpec, Weights,
 };
+pub use schema::{Field, FieldDefault, FieldType, fields};
 pub use snapshot::{MAX_SNAPSHOT_CHUNKS, SNAPSHOT_CHUNK_BYTES, SnapshotChunk, SnapshotId};
+pub use validate::{
+    MAX_NAME_CHARS, MAX_WAVE_POOLS, check_name, field_errors, parse_resource, parse_spec,
+};
 
 /// Version of the fold that this build knows.
 pub const FOLD_VERSION: u32 = 1;
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -306,7 +306,9 @@
                 };
                 self.intend(entry)
             }
-            RecordBody::Outcome { key, outcome } => self.keys.end(*key, *outcome),
+            RecordBody::Outcome { key, outcome } => {
+                self.keys.end(*key, *outcome, record.id.incarnation)
+            }
             RecordBody::Snapshot { id } => self.note_snapshot(*id),
             RecordBody::Tick => Verdict::Accepted,
         }
