Refuse at once behind a stuck append, and space appends after an outage

Cause: while one group's append had an unknown outcome, further proposals waited in the queue and were called unknown after 3 s although they were never sent; and after an outage nothing bounded the nodes' appends together.

Now a group whose append broke off twice, or once after 500 ms, refuses what is queued behind it and everything new, as not run, until its outcome is known. Refusals last 0.15 to 2 s, longer after each, with jitter by run.

Ruled out: refusing after the first lost answer; a single lost one is read back within 200 ms, and refusing meanwhile turned it into failed writes.

Seen failing with the guard out: Err(Unknown { id: ... }) where NotAppended is due, writes_behind_a_stuck_append_are_refused FAILED.

--- a/crates/coordination/src/appender.rs
+++ b/crates/coordination/src/appender.rs
@@ -4,18 +4,21 @@
     crate::{
         clock::Clock,
         log_client::{LogClient, LogError},
+        pace::Pace,
         proposer::{Decision, ProposeError},
         published::Published,
         waiters::Waiters,
     },
     kameo::{
         Actor,
+        actor::ActorRef,
         message::{Context, Message},
     },
     log::warn,
     lynxwheel_protocol::{Record, RecordBody, WriterId, encode_record},
     std::{sync::Arc, time::Duration},
-    tokio::sync::oneshot,
+    tokio::{sync::oneshot, time::Instant},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Records that wait for the next group at most.
@@ -33,6 +36,12 @@
 /// Time for which the log is taken to be down after a refusal, in milliseconds.
 const REFUSAL_MS: u64 = 300;
 
+/// The same after refusals in a row, in milliseconds.
+const MAX_REFUSAL_MS: u64 = 2_000;
+
+/// Time after which a failed append is no single lost answer any more, in milliseconds.
+const SLOW_MS: u64 = 500;
+
 /// A proposal to append.
 #[derive(Debug)]
 pub(crate) struct Submit {
@@ -49,6 +58,10 @@
     pub(crate) decision: oneshot::Receiver<Decision>,
 }
 
+/// A group's append has failed, and nobody knows yet whether it took effect.
+#[derive(Clone, Copy, Debug)]
+struct GroupStuck;
+
 /// End of a group's append.
 #[derive(Clone, Copy, Debug)]
 struct GroupEnded {
@@ -64,12 +77,16 @@
 pub(crate) struct Appender {
     log: LogClient,
     clock: Clock,
+    pace: Pace,
+    started: Instant,
     published: Arc<Published>,
     waiters: Arc<Waiters>,
     incarnation: u64,
     sequence: u64,
     queue: Vec<Record>,
     is_busy: bool,
+    is_stuck: bool,
+    refusals: u32,
     refused_until_ms: u64,
 }
 
@@ -77,6 +94,7 @@
     pub(crate) fn new(
         log: LogClient,
         clock: Clock,
+        pace: Pace,
         published: Arc<Published>,
         waiters: Arc<Waiters>,
         incarnation: u64,
@@ -84,12 +102,16 @@
         Self {
             log,
             clock,
+            pace,
+            started: Instant::now(),
             published,
             waiters,
             incarnation,
             sequence: 0,
             queue: Vec::new(),
             is_busy: false,
+            is_stuck: false,
+            refusals: 0,
             refused_until_ms: 0,
         }
     }
@@ -100,14 +122,18 @@
         }
         self.is_busy = true;
         let count = self.queue.len().min(MAX_GROUP);
+        let now_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let wait = Duration::from_micros(self.pace.take(now_us));
         let group = Group {
             records: self.queue.drain(..count).collect(),
+            appender: context.actor_ref().clone(),
             log: self.log.clone(),
             published: Arc::clone(&self.published),
             waiters: Arc::clone(&self.waiters),
         };
         let appender = context.actor_ref().clone();
         tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
             let ended = group.append().await;
             if appender.tell(ended).send().await.is_err() {
                 warn!(event = "appender_stopped"; "");
@@ -127,6 +153,18 @@
             .is_some()
     }
 
+    /// Returns how long to refuse, longer after each refusal and another time on each node.
+    ///
+    /// Nodes that all came back in the same moment would exceed the service's rate together.
+    fn refusal_ms(&self) -> u64 {
+        let base_ms = (REFUSAL_MS << self.refusals.min(3)).min(MAX_REFUSAL_MS);
+        base_ms / 2 + jitter_ms(self.incarnation ^ self.sequence, base_ms)
+    }
+
+    /// Refuses what waits behind a group that is refused or stuck.
+    ///
+    /// It was never sent, so it did not run; left in the queue, its proposers would be told after
+    /// their whole timeout that the outcome is unknown.
     fn refuse_queued(&mut self) {
         let sequences: Vec<u64> = self
             .queue
@@ -147,7 +185,8 @@
     ) -> Self::Reply {
         let now_ms = self.clock.now_ms();
         let is_early = !matches!(message.body, RecordBody::Join { .. }) && !self.has_joined();
-        if is_early || self.queue.len() >= MAX_QUEUED || now_ms < self.refused_until_ms {
+        let is_down = self.is_stuck || now_ms < self.refused_until_ms;
+        if is_early || is_down || self.queue.len() >= MAX_QUEUED {
             return Err(ProposeError::NotAppended {
                 retry_after_ms: self.refused_until_ms.saturating_sub(now_ms).max(REFUSAL_MS),
             });
@@ -173,17 +212,31 @@
 
     async fn handle(&mut self, message: GroupEnded, context: &mut Context<Self, Self::Reply>) {
         self.is_busy = false;
+        self.is_stuck = false;
         if message.is_refused {
-            self.refused_until_ms = self.clock.now_ms() + REFUSAL_MS;
+            self.refused_until_ms = self.clock.now_ms() + self.refusal_ms();
+            self.refusals += 1;
             self.refuse_queued();
+        } else {
+            self.refusals = 0;
         }
         self.flush(context);
     }
 }
 
+impl Message<GroupStuck> for Appender {
+    type Reply = ();
+
+    async fn handle(&mut self, _message: GroupStuck, _context: &mut Context<Self, Self::Reply>) {
+        self.is_stuck = true;
+        self.refuse_queued();
+    }
+}
+
 /// Records that are appended together.
 struct Group {
     records: Vec<Record>,
+    appender: ActorRef<Appender>,
     log: LogClient,
     published: Arc<Published>,
     waiters: Arc<Waiters>,
@@ -207,10 +260,13 @@
         }
         let mut may_be_applied = false;
         let mut pause_ms = RETRY_PAUSE_MS;
+        let mut failures = 0;
         loop {
+            let sent = Instant::now();
             match self.log.append(entries.clone()).await {
                 Ok(_) => return GroupEnded { is_refused: false },
                 Err(error) => {
+                    failures += 1;
                     may_be_applied |= error.may_have_run();
                     self.warn(&error, may_be_applied);
                 }
@@ -219,7 +275,16 @@
                 self.waiters.forget(&sequences);
                 return GroupEnded { is_refused: true };
             }
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            let is_slow = sent.elapsed() > Duration::from_millis(SLOW_MS);
+            if (is_slow || failures > 1) && self.appender.tell(GroupStuck).send().await.is_err() {
+                warn!(event = "appender_stopped"; "");
+            }
+            let seed = self
+                .records
+                .last()
+                .map_or(0, |record| record.id.incarnation);
+            let wait_ms = pause_ms + jitter_ms(seed ^ pause_ms, pause_ms);
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
             if self.has_come_back() {
                 return GroupEnded { is_refused: false };
             }
@@ -242,3 +307,8 @@
         warn!(event = "append_failed", sequence = first, may_be_applied = may_be_applied; "{error}");
     }
 }
+
+/// Returns a time below `bound_ms` that differs from node to node.
+fn jitter_ms(seed: u64, bound_ms: u64) -> u64 {
+    xxh3_64(&seed.to_le_bytes()) % bound_ms.max(1)
+}
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -13,6 +13,7 @@
         membership::{PEER_CONNECTIONS, exchange_hellos},
         observer,
         operations::{Operation, Operations},
+        pace::Pace,
         peers::Peers,
         planner,
         proposer::Proposer,
@@ -85,6 +86,7 @@
         let appender = Appender::new(
             log.clone(),
             settings.clock.clone(),
+            Pace::new(settings.appends_per_s),
             Arc::clone(&published),
             Arc::clone(&waiters),
             incarnation,
--- /dev/null
+++ b/crates/coordination/src/pace.rs
@@ -0,0 +1,32 @@
+//! Bound on how often a node appends.
+
+/// Appends that may follow one another at once.
+const BURST: u64 = 8;
+
+/// Spaces appends so that all nodes together stay within what the log service takes.
+///
+/// After an outage every node has something to append; without a bound they would all be refused
+/// for exceeding the service's rate, again and again.
+#[derive(Debug)]
+pub struct Pace {
+    interval_us: u64,
+    next_us: u64,
+}
+
+impl Pace {
+    /// Allows `appends_per_s` in the long run, at least one.
+    #[must_use]
+    pub fn new(appends_per_s: u32) -> Self {
+        Self {
+            interval_us: 1_000_000 / u64::from(appends_per_s.max(1)),
+            next_us: 0,
+        }
+    }
+
+    /// Counts an append and returns how long it must wait, both in microseconds.
+    pub fn take(&mut self, now_us: u64) -> u64 {
+        self.next_us = self.next_us.max(now_us) + self.interval_us;
+        let allowance_us = self.interval_us * BURST;
+        self.next_us.saturating_sub(now_us + allowance_us)
+    }
+}
--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Fleet, RunningNode, wait_for, wait_until},
-    lynxwheel_coordination::{Clock, SnapshotAssembly, cut_snapshot},
+    lynxwheel_coordination::{Clock, ProposeError, SnapshotAssembly, cut_snapshot},
     lynxwheel_protocol::{
         Kind, Record, RecordBody, Resource, ResourceRef, Resources, TeamSpec, WriterId,
     },
@@ -172,6 +172,33 @@
     wait_until("it is current again", || only.node.is_current()).await;
 }
 
+/// An operator's write hangs for seconds and its outcome is called unknown although it was never
+/// sent. It waited in the queue behind a group whose append had broken off. Such a write must be
+/// refused at once, as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_behind_a_stuck_append_are_refused() {
+    let fleet = Fleet::start(2).await;
+    let first = fleet.run(0).await;
+    let (cut, relay) = fleet.run_behind_relay(1).await;
+    declare(&first, "night-shift").await;
+    declare(&cut, "day-shift").await;
+    relay.cut();
+    let stuck = cut.node.proposer().propose(team("late-shift")).await;
+    assert!(
+        matches!(stuck, Err(ProposeError::Unknown { .. })),
+        "{stuck:?}"
+    );
+    let refused = cut.node.proposer().propose(team("early-shift")).await;
+    assert!(
+        matches!(refused, Err(ProposeError::NotAppended { .. })),
+        "{refused:?}"
+    );
+    relay.mend();
+    wait_until("the unknown one comes back", || knows(&first, "late-shift")).await;
+    assert!(!knows(&first, "early-shift"));
+    declare(&cut, "early-shift").await;
+}
+
 /// Nodes that hold different states both place work. One of them folded a record differently; a
 /// peer's digest at the same offset shows it. Both must stop, as neither knows who is right.
 #[tokio::test(flavor = "multi_thread")]
