--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -47,8 +47,8 @@
     published: Arc<Published>,
     waiters: Arc<Waiters>,
     recent: Arc<RecentEntries>,
-    divergence: Arc<Divergence>,
     operations: Arc<Operations>,
+    divergence: Arc<Divergence>,
     incarnation: u64,
 }
 
@@ -58,8 +58,8 @@
         published: Arc<Published>,
         waiters: Arc<Waiters>,
         recent: Arc<RecentEntries>,
-        divergence: Arc<Divergence>,
         operations: Arc<Operations>,
+        divergence: Arc<Divergence>,
         incarnation: u64,
     ) -> Self {
         Self {
@@ -67,8 +67,8 @@
             published,
             waiters,
             recent,
-            divergence,
             operations,
+            divergence,
             incarnation,
         }
     }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -98,8 +98,8 @@
             Arc::clone(&published),
             waiters,
             Arc::clone(&recent),
-            Arc::clone(&divergence),
             Arc::clone(&operations),
+            Arc::clone(&divergence),
             incarnation,
         );
         let fold = Fold::spawn_in_thread_with_mailbox(fold, mailbox::bounded(FOLD_RING));
@@ -110,8 +110,8 @@
             inner: Arc::new(Inner {
                 settings,
                 incarnation,
-                published,
                 operations,
+                published,
                 proposer: Proposer::new(appender, limit, Arc::clone(&divergence)),
                 clients: Arc::new(Clients::new(PROBE_CONNECTIONS)),
                 peers,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,7 +17,10 @@
 mod client;
 mod counted;
 mod error;
+mod head_scan;
 mod server;
+mod stall;
+mod stream;
 
 pub use body::{Body, BodyError, Gathered, empty_body, full_body, gather_body};
 pub use client::{Answer, Client, ClientRequest, Clients};
@@ -25,3 +28,4 @@
 pub use server::{
     Server, ServerLimits, Shutdown, collect_body, error_answer, json_answer, message_answer,
 };
+pub use stream::{bounded_body, holding_body};
