Let a node use the part of the append rate that others leave

Now a node may use the whole rate less twice what the log shows the others to write, and never less than its fair part; for 10 s after a failure just that.

--- a/crates/coordination/src/appender.rs
+++ b/crates/coordination/src/appender.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Clock,
         log_client::{LogClient, LogError},
-        pace::Pace,
+        pace::{Pace, RateShare},
         proposer::{Decision, ProposeError},
         published::Published,
         waiters::Waiters,
@@ -42,10 +42,7 @@
 /// Time after which a failed append is no single lost answer any more, in milliseconds.
 const SLOW_MS: u64 = 500;
 
-/// Time after its last record for which a node counts as writing, in milliseconds.
-const WRITING_MS: u64 = 5_000;
-
-/// Time after a failure for which all nodes are taken to be writing, in milliseconds.
+/// Time after a failure for which each node keeps to its fair part, in milliseconds.
 const CAUTIOUS_MS: u64 = 10_000;
 
 /// A proposal to append.
@@ -84,6 +81,7 @@
     log: LogClient,
     clock: Clock,
     pace: Pace,
+    share: RateShare,
     started: Instant,
     published: Arc<Published>,
     waiters: Arc<Waiters>,
@@ -95,15 +93,13 @@
     refusals: u32,
     refused_until_ms: u64,
     cautious_until_ms: u64,
-    nodes: u32,
 }
 
 impl Appender {
     pub(crate) fn new(
         log: LogClient,
         clock: Clock,
-        pace: Pace,
-        nodes: u32,
+        share: RateShare,
         published: Arc<Published>,
         waiters: Arc<Waiters>,
         incarnation: u64,
@@ -111,7 +107,8 @@
         Self {
             log,
             clock,
-            pace,
+            pace: Pace::default(),
+            share,
             started: Instant::now(),
             published,
             waiters,
@@ -123,7 +120,6 @@
             refusals: 0,
             refused_until_ms: 0,
             cautious_until_ms: 0,
-            nodes,
         }
     }
 
@@ -134,7 +130,8 @@
         self.is_busy = true;
         let count = self.queue.len().min(MAX_GROUP);
         let now_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
-        let wait = Duration::from_micros(self.pace.take(now_us, self.sharers()));
+        let per_s = self.own_per_s();
+        let wait = Duration::from_micros(self.pace.take(now_us, per_s));
         let group = Group {
             records: self.queue.drain(..count).collect(),
             appender: context.actor_ref().clone(),
@@ -164,19 +161,23 @@
             .is_some()
     }
 
-    /// Returns how many nodes share the log service's rate.
+    /// Returns how many appends this node may make now, in a second.
     ///
-    /// Usually those that the log shows to be writing. After a failure all of them have something
-    /// to append although the log shows none of it yet.
-    fn sharers(&self) -> u32 {
-        if self.clock.now_ms() < self.cautious_until_ms {
-            return self.nodes;
+    /// After a failure all nodes have something to append although the log shows none of it yet,
+    /// so each keeps to its fair part for a while.
+    fn own_per_s(&mut self) -> u64 {
+        let now_ms = self.clock.now_ms();
+        if now_ms < self.cautious_until_ms {
+            return self.share.fair_per_s();
         }
         let state = self.published.load();
-        let since_ms = state.time_ms().saturating_sub(WRITING_MS);
-        let writing = state.writers().iter();
-        let count = writing.filter(|writer| writer.time_ms > since_ms).count();
-        u32::try_from(count).unwrap_or(self.nodes).min(self.nodes)
+        let others = state
+            .writers()
+            .iter()
+            .filter(|writer| writer.incarnation != self.incarnation)
+            .map(|writer| writer.sequence)
+            .sum();
+        self.share.own_per_s(now_ms, others)
     }
 
     fn be_cautious(&mut self) {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -45,7 +45,7 @@
 pub use log_client::{LogClient, LogError};
 pub use node::{Duties, Node};
 pub use operations::Operation;
-pub use pace::Pace;
+pub use pace::{Pace, RateShare};
 pub use peers::{LocalView, PeerView, Peers};
 pub use proposer::{Decision, ProposeError, Proposer};
 pub use published::Published;
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -13,7 +13,7 @@
         membership::{PEER_CONNECTIONS, exchange_hellos},
         observer,
         operations::{Operation, Operations},
-        pace::Pace,
+        pace::RateShare,
         peers::Peers,
         planner,
         proposer::Proposer,
@@ -86,8 +86,7 @@
         let appender = Appender::new(
             log.clone(),
             settings.clock.clone(),
-            Pace::new(settings.appends_per_s),
-            u32::try_from(settings.peers.len() + 1).unwrap_or(u32::MAX),
+            RateShare::new(settings.appends_per_s, settings.peers.len() + 1),
             Arc::clone(&published),
             Arc::clone(&waiters),
             incarnation,
