Compact loads between peers, and measure membership

Cause: a load of one endpoint took 36 bytes in the periodic message, so 50 of them to and from 8 peers a second were 29 KB/s, above the control budget.

--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -135,12 +135,23 @@
 
 /// Starts node `number` of those that share `ports`, three for each.
 pub fn start_node(platform: SocketAddr, ports: &[u16], number: usize, directory: &str) -> TestNode {
+    start_node_with_tick(platform, ports, number, directory, 50)
+}
+
+/// Starts node `number` with a pause of `tick_ms` between looks at VMs and jobs.
+pub fn start_node_with_tick(
+    platform: SocketAddr,
+    ports: &[u16],
+    number: usize,
+    directory: &str,
+    tick_ms: u64,
+) -> TestNode {
     let own = &ports[number * 3..number * 3 + 3];
     let zone = number % 3 + 1;
     let mut settings = format!(
         "[node]\nname = node-{number}\nzone = zone-{zone}\n[listen]\ncallers = 127.0.0.1:{}\n\
          operators = 127.0.0.1:{}\npeers = 127.0.0.1:{}\n[platform]\naddress = {platform}\n\
-         [timing]\ntick_ms = 50\nrank_delay_ms = 100\ndrain_ms = 300\n[peers]\n",
+         [timing]\ntick_ms = {tick_ms}\nrank_delay_ms = 100\ndrain_ms = 300\n[peers]\n",
         own[0], own[1], own[2]
     );
     let peers: Vec<String> = (0..ports.len() / 3)
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -9,7 +9,10 @@
 };
 
 /// Requests that a node has in progress on an endpoint.
+///
+/// Written without its field names, since a message holds many of them.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(from = "CompactLoad", into = "CompactLoad")]
 pub struct EndpointLoad {
     /// VM of the endpoint.
     pub vm: VmName,
@@ -19,6 +22,26 @@
     pub in_progress: u32,
 }
 
+/// An [`EndpointLoad`] as it is written.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct CompactLoad(VmName, u64, u32);
+
+impl From<EndpointLoad> for CompactLoad {
+    fn from(load: EndpointLoad) -> Self {
+        Self(load.vm, load.incarnation, load.in_progress)
+    }
+}
+
+impl From<CompactLoad> for EndpointLoad {
+    fn from(CompactLoad(vm, incarnation, in_progress): CompactLoad) -> Self {
+        Self {
+            vm,
+            incarnation,
+            in_progress,
+        }
+    }
+}
+
 /// Periodic message of a node to its peers, and the answer to it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
