Test the raising of the fold's version, and measure the end of an outage

Seen failing with the check out: [.., Accepted, ..] where Rejected(VersionNotKnown { fold_version: 2 }) is due; 2 failed.

--- a/crates/lynxwheel/benches/distribution.rs
+++ b/crates/lynxwheel/benches/distribution.rs
@@ -37,6 +37,12 @@
 /// Pause between two changes.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// How long the log service is down.
+const OUTAGE: Duration = Duration::from_secs(5);
+
+/// Appends that the service takes in a second after its outage.
+const APPENDS_PER_S: u32 = 300;
+
 /// Time that one question may take.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
@@ -92,6 +98,7 @@
         fleet.run(&condition, args.changes, PAUSE).await;
     }
     fleet.set_faults(&json!({})).await;
+    fleet.run_outage(args.changes).await;
     fleet.run_frozen(args.changes).await;
     fleet.run_restarting(args.changes).await;
 }
@@ -111,6 +118,43 @@
         report(condition, changes, operators.len(), times);
     }
 
+    /// Measures how long it takes after an outage until everything that was asked for meanwhile is
+    /// in force, while the service takes few appends.
+    async fn run_outage(&mut self, changes: u32) {
+        self.set_faults(&json!({ "log_down": true })).await;
+        let operators = self.operators();
+        let mut asked = JoinSet::new();
+        for change in 0..changes {
+            let name = format!("team-{}", self.next);
+            self.next += 1;
+            let declared = operators[change as usize % operators.len()].clone();
+            asked.spawn(async move {
+                declare(&declared, &name).await;
+                name
+            });
+        }
+        sleep(OUTAGE).await;
+        self.set_faults(&json!({ "appends_per_s": APPENDS_PER_S }))
+            .await;
+        let mended = Instant::now();
+        let mut times = Vec::new();
+        while let Some(name) = asked.join_next().await {
+            let name = name.expect("declared");
+            let mut asking = JoinSet::new();
+            for node in &operators {
+                asking.spawn(wait_for(node.clone(), name.clone(), mended));
+            }
+            times.extend(asking.join_all().await);
+        }
+        self.set_faults(&json!({})).await;
+        report(
+            "after an outage, from its end",
+            changes,
+            operators.len(),
+            times,
+        );
+    }
+
     /// Measures changes while the last node is frozen, and how long it takes once it goes on.
     async fn run_frozen(&mut self, changes: u32) {
         let all = self.operators();
--- a/crates/state/tests/writers.rs
+++ b/crates/state/tests/writers.rs
@@ -30,6 +30,21 @@
     }
 }
 
+fn join_knowing(node: &str, incarnation: u64, known: u32) -> Record {
+    let mut record = join(node, incarnation);
+    record.body = RecordBody::Join {
+        node: node.into(),
+        fold_version: known,
+    };
+    record
+}
+
+fn raise(incarnation: u64, sequence: u64, fold_version: u32) -> Record {
+    let mut record = report(incarnation, sequence);
+    record.body = RecordBody::RaiseVersion { fold_version };
+    record
+}
+
 fn report(incarnation: u64, sequence: u64) -> Record {
     Record {
         id: WriterId {
@@ -43,6 +58,8 @@
     }
 }
 
+const NOT_KNOWN: Verdict = Verdict::Rejected(Rejection::VersionNotKnown { fold_version: 2 });
+
 const UNKNOWN: Verdict = Verdict::Rejected(Rejection::UnknownWriter);
 
 cases! {
@@ -57,4 +74,12 @@
     /// A record of a run that never joined must not be applied.
     run_that_never_joined: [report(5, 1)] => [UNKNOWN];
     join_appended_twice: [join("a", 5), join("a", 5)] => [Verdict::Accepted, Verdict::Duplicate];
+    /// Nodes come to different states during an upgrade. One of them raised the version of the
+    /// fold while another one still ran the build before. It must wait for that one's new run.
+    version_raised_too_early: [join_knowing("a", 5, 2), join("b", 6), raise(5, 2, 2),
+        join_knowing("b", 7, 2), raise(5, 3, 2)]
+        => [Verdict::Accepted, Verdict::Accepted, NOT_KNOWN, Verdict::Accepted, Verdict::Accepted];
+    /// A build that is two versions ahead must not skip one.
+    version_skipped: [join_knowing("a", 5, 3), raise(5, 2, 3)]
+        => [Verdict::Accepted, Verdict::Rejected(Rejection::VersionNotKnown { fold_version: 3 })];
 }
