--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -94,9 +94,7 @@
     /// Starts the node in `row` with other settings.
     pub async fn run_with(&self, row: usize, settings: NodeSettings) -> RunningNode {
         let shutdown = Shutdown::new();
-        let server = Server::bind(self.addresses[row].address)
-            .await
-            .expect("the reserved port");
+        let server = bind(self.addresses[row].address).await;
         let (node, duties) = Node::start(settings, &shutdown);
         let peer = node.clone();
         tokio::spawn(server.serve(shutdown.clone(), move |request| {
@@ -111,6 +109,18 @@
     }
 }
 
+/// Binds an address, which the node before may not have left yet.
+async fn bind(address: SocketAddr) -> Server {
+    let until = Instant::now() + LIMIT;
+    loop {
+        match Server::bind(address).await {
+            Ok(server) => return server,
+            Err(error) => assert!(Instant::now() < until, "{address}: {error}"),
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Waits until `holds`, and fails the test when it takes too long.
 pub async fn wait_until(what: &str, holds: impl Fn() -> bool) {
     wait_for(what, || {
--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -93,6 +93,30 @@
         .with_platform(|platform| platform.log.trim(STREAM, last + 1));
 }
 
+/// A declaration that was accepted is gone after an upgrade. The nodes were replaced one after
+/// another while the log was trimmed each time, also past the last snapshot. Each new node must
+/// take the state of one that is still there.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_replaced_one_after_another() {
+    let fleet = Fleet::start(3).await;
+    let mut nodes = vec![fleet.run(0).await, fleet.run(1).await, fleet.run(2).await];
+    for row in 0..3 {
+        let name = format!("shift-{row}");
+        declare(&nodes[row], &name).await;
+        wait_until("all know the declaration", || {
+            nodes.iter().all(|run| knows(run, &name))
+        })
+        .await;
+        nodes[row].shutdown.begin();
+        trim_all(&fleet);
+        nodes[row] = fleet.run(row).await;
+        wait_until("the new node is current", || nodes[row].node.is_current()).await;
+    }
+    for run in &nodes {
+        assert!((0..3).all(|row| knows(run, &format!("shift-{row}"))));
+    }
+}
+
 /// A declaration that was accepted is gone at one node only, until it is declared again. The node
 /// was replaced after the log had been trimmed, and no snapshot reached the log's beginning. It
 /// must start from a peer's state.
