--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -69,6 +69,14 @@
         }
     }
 
+    /// Waits until the outcome of every keyed request that was begun is in the log.
+    ///
+    /// A node that stopped before would leave keys pending that only it knows the outcome of, and
+    /// their callers would be told "outcome unknown" from then on.
+    pub async fn settled(&self) {
+        self.keys.settled().await;
+    }
+
     /// Answers a peer that asks for the answer of a key, to be mounted on the peer listener.
     pub async fn peer_answer(self, request: Request<Incoming>) -> Response<Body> {
         self.keys.answer_peer(request).await
