--- a/crates/coordination/src/actions.rs
+++ b/crates/coordination/src/actions.rs
@@ -27,6 +27,11 @@
     let tick = Duration::from_millis(node.settings().tick_ms);
     let mut offsets = node.published().offsets();
     loop {
+        if node.has_diverged() {
+            // A drain by a state that nobody else has would take a VM out of service uncharged.
+            tokio::time::sleep(tick).await;
+            continue;
+        }
         let state = node.state();
         let reviews = review_claims(&state, &node.live_nodes());
         let mut steps = JoinSet::new();
--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -177,6 +177,22 @@
     .await;
 }
 
+/// Everything accepted would be lost if all nodes were replaced now. The log service keeps less
+/// than the settings take it to keep, so its records after the last snapshot are gone. The nodes
+/// must write a new snapshot at once instead of at its time.
+#[tokio::test(flavor = "multi_thread")]
+async fn snapshot_overtaken_by_the_trim_is_renewed() {
+    let fleet = Fleet::start(1).await;
+    let only = fleet.run(0).await;
+    declare(&only, "night-shift").await;
+    let snapshot = || only.node.state().snapshot().map_or(0, |id| id.offset);
+    wait_until("the first snapshot", || snapshot() > 0).await;
+    declare(&only, "day-shift").await;
+    let declared = only.node.state().offset();
+    trim_all(&fleet);
+    wait_until("a snapshot beyond the trim", || snapshot() >= declared).await;
+}
+
 /// Operators wait for seconds on writes during an outage, or are told that they failed when they
 /// did not. A proposal during an outage must be refused at once, and one after it accepted.
 #[tokio::test(flavor = "multi_thread")]
