Keep table chunks full when rows come in order

Cause: a chunk was split after its 65th row, by which its buffer had grown to 128 rows, and in the middle, so that tables filled in order (restored ones, offsets, numbered names) kept half-empty chunks in buffers of four times their rows.

Now a full chunk is split before the row goes in, and the table's last one stays full when the row comes after it.

--- a/crates/state/benches/letter/mod.rs
+++ b/crates/state/benches/letter/mod.rs
@@ -2,8 +2,9 @@
 
 use {
     lynxwheel_protocol::{
-        Amount, Budget, ClaimPurpose, Class, JobSpec, PoolSpec, Record, RecordBody, Resource,
-        Resources, TeamSpec, VmPhase, VmReport, VmSpec, WaveAction, WaveGoal, WaveSpec, WriterId,
+        Amount, Budget, ClaimPurpose, Class, JobSpec, PoolSpec, Record, RecordBody, RequestKey,
+        Resource, Resources, TeamSpec, VmPhase, VmReport, VmSpec, WaveAction, WaveGoal, WaveSpec,
+        WriterId,
     },
     lynxwheel_state::FleetState,
 };
@@ -62,6 +63,25 @@
     state
 }
 
+/// Uses `count` idempotency keys.
+#[allow(
+    dead_code,
+    reason = "one of the programs that share this measures keys"
+)]
+pub fn use_keys(state: &mut FleetState, count: u64) {
+    for key in 0..count {
+        let offset = state.offset() + 1;
+        // Keys are digests, so they come in no order.
+        let digest = u128::from(key).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835);
+        let intent = RecordBody::Intent {
+            key: RequestKey(digest),
+            request_digest: key,
+            holder: "node-1".into(),
+        };
+        assert!(state.apply(offset, &record(offset, intent)).is_accepted());
+    }
+}
+
 /// Builds the records of the maintenance of VMs one after another, following on `state`.
 pub fn maintenance(state: &FleetState, count: u64) -> Vec<Record> {
     let vms = state.vms().len() as u64;
--- a/crates/state/examples/state_size.rs
+++ b/crates/state/examples/state_size.rs
@@ -1,4 +1,4 @@
-//! Prints what a state takes in memory and as a snapshot: `state_size QUARTERS`.
+//! Prints what a state takes in memory and as a snapshot: `state_size QUARTERS [KEYS]`.
 //!
 //! One size a process, since freed memory of an earlier one would be counted as free.
 
@@ -14,17 +14,19 @@
 const PAGE_BYTES: u64 = 4_096;
 
 fn main() {
-    let quarters = env::args()
-        .nth(1)
-        .and_then(|argument| argument.parse().ok())
-        .unwrap_or(4);
-    let bytes = {
-        let built = letter::fleet(quarters);
-        let started = Instant::now();
-        let bytes = save(&built).expect("a state");
-        println!("save_ms {:.1}", started.elapsed().as_secs_f64() * 1_000.0);
-        bytes
-    };
+    let quarters = argument(1).unwrap_or(4);
+    let keys = argument(2).unwrap_or(0);
+    let empty_bytes = resident_bytes();
+    let mut built = letter::fleet(quarters);
+    letter::use_keys(&mut built, keys);
+    println!(
+        "built_bytes {}",
+        resident_bytes().saturating_sub(empty_bytes)
+    );
+    let started = Instant::now();
+    let bytes = save(&built).expect("a state");
+    println!("save_ms {:.1}", started.elapsed().as_secs_f64() * 1_000.0);
+    drop(built);
     let before_bytes = resident_bytes();
     let started = Instant::now();
     let state = restore(&bytes).expect("own bytes");
@@ -32,10 +34,10 @@
         "restore_ms {:.1}",
         started.elapsed().as_secs_f64() * 1_000.0
     );
-    // What the first state left free is reused, so the whole process is told beside the growth.
+    // What the first state left free is reused, so the growth is that of two states at most.
     let records = letter::maintenance(&state, 1).len();
     println!(
-        "quarters {quarters} records {records} snapshot_bytes {}",
+        "quarters {quarters} keys {keys} records {records} snapshot_bytes {}",
         bytes.len()
     );
     println!(
@@ -45,6 +47,10 @@
     println!("resident_bytes {}", resident_bytes());
 }
 
+fn argument(position: usize) -> Option<u64> {
+    env::args().nth(position)?.parse().ok()
+}
+
 /// Returns the process's resident memory in bytes.
 fn resident_bytes() -> u64 {
     let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
--- a/crates/state/src/table.rs
+++ b/crates/state/src/table.rs
@@ -78,14 +78,16 @@
             self.len = 1;
             return None;
         }
-        let index = self.chunk_of(value.key()).min(self.chunks.len() - 1);
+        let last = self.chunks.len() - 1;
+        let index = self.chunk_of(value.key()).min(last);
         let chunk = Arc::make_mut(&mut self.chunks[index]);
         match chunk.binary_search_by(|row| row.key().cmp(value.key())) {
             Ok(row) => Some(std::mem::replace(&mut chunk[row], value)),
             Err(row) => {
-                chunk.insert(row, value);
                 self.len += 1;
-                self.split_if_full(index);
+                if let Some(upper) = insert_into(chunk, row, value, index == last) {
+                    self.chunks.insert(index + 1, Arc::new(upper));
+                }
                 None
             }
         }
@@ -155,15 +157,26 @@
                 .is_some_and(|row| row.key().cmp(key) == Ordering::Less)
         })
     }
+}
 
-    fn split_if_full(&mut self, index: usize) {
-        if self.chunks[index].len() <= CHUNK_ROWS {
-            return;
-        }
-        let chunk = Arc::make_mut(&mut self.chunks[index]);
-        let upper = chunk.split_off(chunk.len() / 2);
-        self.chunks.insert(index + 1, Arc::new(upper));
-    }
+/// Puts a row into a chunk, and returns its upper part as a further chunk when it was full.
+///
+/// A full chunk at the table's end stays full when rows come in order, as offsets and restored
+/// rows do; split in the middle, all chunks would stay half empty.
+fn insert_into<T>(chunk: &mut Vec<T>, row: usize, value: T, is_last: bool) -> Option<Vec<T>> {
+    if chunk.len() < CHUNK_ROWS {
+        chunk.insert(row, value);
+        return None;
+    }
+    let comes_after = is_last && row == chunk.len();
+    let at = if comes_after { row } else { chunk.len() / 2 };
+    let mut upper = chunk.split_off(at);
+    if row < at {
+        chunk.insert(row, value);
+    } else {
+        upper.insert(row - at, value);
+    }
+    Some(upper)
 }
 
 impl<T: Clone + Keyed> FromIterator<T> for SortedTable<T> {
