--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -54,6 +54,8 @@
     pub key: Option<String>,
     /// When the key was first used, in milliseconds since the epoch, if the caller tells.
     pub issued_ms: Option<u64>,
+    /// Whether another node passed it on, which has done all but the dispatch.
+    pub is_forwarded: bool,
 }
 
 impl CallerRequest {
@@ -100,6 +102,7 @@
             deadline_ms,
             key,
             issued_ms,
+            is_forwarded: false,
         })
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,11 +4,11 @@
     crate::{
         caller_request::CallerRequest,
         endpoints::{Endpoint, Slot},
-        forward::{NotStarted, not_started, outgoing, remove_hop_headers},
+        forward::{NotStarted, not_started, outgoing, outgoing_to_peer, remove_hop_headers},
         limits::RetryBudget,
         payload::{Payload, STALL},
         queue::Place,
-        refusal::{Refusal, RefusalReason},
+        refusal::{DID_NOT_RUN_HEADER, Refusal, RefusalReason},
         table::{Row, ServiceRow, Tables},
     },
     http::Response,
@@ -16,10 +16,11 @@
     lynxwheel_coordination::{Node, now_ms},
     lynxwheel_decisions::{
         Admission, AdmissionView, EndpointView, RoutePolicy, RouteReason, RouteRequest, admit,
+        rendezvous_rank,
     },
     lynxwheel_protocol::VmName,
-    lynxwheel_transport::{Body, TransportError, bounded_body, holding_body},
-    std::sync::Arc,
+    lynxwheel_transport::{Body, Clients, TransportError, bounded_body, holding_body},
+    std::{net::SocketAddr, sync::Arc},
     tokio::time::Instant,
 };
 
@@ -29,6 +30,9 @@
 /// Requests of one service that wait for a slot at most.
 const MAX_WAITING: usize = 256;
 
+/// Connections to one peer for passing requests on.
+const PEER_CONNECTIONS: usize = 64;
+
 /// Time after which to come back when no endpoint can take a request, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -39,6 +43,7 @@
     tables: Tables,
     budget: RetryBudget,
     policy: RoutePolicy,
+    peers: Arc<Clients>,
 }
 
 /// Outcome of one look for a slot.
@@ -58,6 +63,7 @@
             tables,
             budget: RetryBudget::new(),
             policy,
+            peers: Arc::new(Clients::new(PEER_CONNECTIONS)),
         }
     }
 
@@ -71,6 +77,9 @@
         deadline: Instant,
     ) -> Result<Response<Body>, Refusal> {
         self.budget.note_request();
+        if let Some(peer) = self.peer_with_slots(request) {
+            return self.send_to_peer(request, peer, payload, deadline).await;
+        }
         let mut tried: Vec<VmName> = Vec::new();
         loop {
             let slot = self.acquire(request, &tried, deadline).await?;
@@ -91,6 +100,50 @@
         }
     }
 
+    /// Returns the peer that runs a request of a service on whose endpoints this node has no slot.
+    ///
+    /// A pool with fewer slots than there are nodes leaves some nodes without any, and the balancer
+    /// sends them callers all the same.
+    fn peer_with_slots(&self, request: &CallerRequest) -> Option<SocketAddr> {
+        let table = self.tables.load(now_ms());
+        let service = table.service(&request.service)?;
+        if request.is_forwarded || service.slots() > 0 {
+            return None;
+        }
+        let row = service.rows.first()?;
+        let nodes = self.node.live_nodes();
+        let owner = nodes
+            .iter()
+            .find(|node| rendezvous_rank(row.endpoint.vm.as_str(), node, &nodes) == 0)?;
+        let peers = &self.node.settings().peers;
+        let found = peers.binary_search_by(|peer| peer.node.cmp(owner)).ok()?;
+        info!(event = "routing", request = request.request_id.as_str(),
+            service = request.service.as_str(), node = owner.as_str(), reason = "no_own_slot",
+            offset = table.offset; "");
+        Some(peers[found].address)
+    }
+
+    async fn send_to_peer(
+        &self,
+        request: &CallerRequest,
+        peer: SocketAddr,
+        payload: &mut Payload,
+        deadline: Instant,
+    ) -> Result<Response<Body>, Refusal> {
+        let Some(body) = payload.take() else {
+            return Err(no_endpoint());
+        };
+        let outgoing =
+            outgoing_to_peer(request, peer, body, deadline).map_err(|error| refusal_of(&error))?;
+        let sent = self.peers.get(peer).send(outgoing, deadline).await;
+        let mut response = sent.map_err(|error| refusal_of(&error))?;
+        remove_hop_headers(response.headers_mut());
+        if response.headers().contains_key(DID_NOT_RUN_HEADER) {
+            return Err(no_endpoint());
+        }
+        Ok(response)
+    }
+
     /// Takes a slot, after a wait in the service's queue where admission allows it.
     async fn acquire(
         &self,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,13 +6,18 @@
         endpoints::Endpoint,
     },
     http::{
-        HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
+        HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri,
         header::{self, Entry},
     },
     lynxwheel_transport::{Body, Step, TransportError},
+    std::net::SocketAddr,
     tokio::time::Instant,
 };
 
+/// Start of the paths of the peer listener under which [`crate::Gateway::peer_run`] is mounted; the
+/// caller's path follows.
+pub const PEER_RUN_PATH: &str = "/peer/run/";
+
 /// Answer header by which an endpoint says that it did not start a request.
 const NOT_STARTED_HEADER: HeaderName = HeaderName::from_static("not-started");
 
@@ -54,15 +59,42 @@
     endpoint: &Endpoint,
     body: Body,
     deadline: Instant,
+) -> Result<Request<Body>, TransportError> {
+    let path = request.path.clone();
+    let mut outgoing = passed_on(request, endpoint.address, path, body, deadline)?;
+    let incarnation = HeaderValue::from(endpoint.incarnation);
+    outgoing
+        .headers_mut()
+        .insert(INCARNATION_HEADER, incarnation);
+    Ok(outgoing)
+}
+
+/// Builds the request by which another node runs a caller's request.
+///
+/// # Errors
+///
+/// Fails when the caller's path is none.
+pub(crate) fn outgoing_to_peer(
+    request: &CallerRequest,
+    peer: SocketAddr,
+    body: Body,
+    deadline: Instant,
+) -> Result<Request<Body>, TransportError> {
+    let path = format!("{PEER_RUN_PATH}{}{}", request.service, request.path);
+    passed_on(request, peer, path, body, deadline)
+}
+
+fn passed_on(
+    request: &CallerRequest,
+    address: SocketAddr,
+    path: String,
+    body: Body,
+    deadline: Instant,
 ) -> Result<Request<Body>, TransportError> {
     let mut outgoing = Request::new(body);
     *outgoing.method_mut() = request.method.clone();
-    *outgoing.uri_mut() = request
-        .path
-        .parse()
-        .map_err(|error: http::uri::InvalidUri| {
-            TransportError::unsent(Step::Decode, endpoint.address, error.to_string())
-        })?;
+    *outgoing.uri_mut() = Uri::try_from(path)
+        .map_err(|error| TransportError::unsent(Step::Decode, address, error.to_string()))?;
     let mut headers = request.headers.clone();
     remove_hop_headers(&mut headers);
     // The body's own length is set anew, so that no two lengths can be read out of one request.
@@ -70,8 +102,7 @@
     let left = deadline.saturating_duration_since(Instant::now());
     let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
     headers.insert(DEADLINE_HEADER, HeaderValue::from(left_ms));
-    headers.insert(INCARNATION_HEADER, HeaderValue::from(endpoint.incarnation));
-    if let Ok(host) = HeaderValue::from_str(&endpoint.address.to_string()) {
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         headers.insert(header::HOST, host);
     }
     *outgoing.headers_mut() = headers;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,13 +4,14 @@
     crate::{
         caller_request::CallerRequest,
         dispatch::Dispatcher,
+        forward::PEER_RUN_PATH,
         keys::Keys,
         limits::TeamRates,
         payload::{MAX_KEPT_BYTES, MAX_KEYED_BYTES, Payload},
         refusal::{Refusal, RefusalReason},
         table::Tables,
     },
-    http::{Request, Response},
+    http::{Request, Response, Uri, uri::PathAndQuery},
     hyper::body::Incoming,
     log::info,
     lynxwheel_coordination::{Node, now_ms},
@@ -53,11 +54,32 @@
     /// Answers a request.
     pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let (parts, incoming) = request.into_parts();
-        let request = match CallerRequest::new(parts) {
-            Ok(request) => request,
-            Err(refusal) => return refusal.answer(),
+        match CallerRequest::new(parts) {
+            Ok(request) => self.answer(&request, incoming).await,
+            Err(refusal) => refusal.answer(),
+        }
+    }
+
+    /// Runs a request that a peer without own slots passes on, to be mounted on the peer listener.
+    pub async fn peer_run(self, request: Request<Incoming>) -> Response<Body> {
+        let (mut parts, incoming) = request.into_parts();
+        let path = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+        let path = format!("/{}", path.strip_prefix(PEER_RUN_PATH).unwrap_or_default());
+        let Ok(uri) = Uri::try_from(path) else {
+            return Refusal::not_run(RefusalReason::BadRequest, "no such path").answer();
         };
-        match self.run(&request, incoming).await {
+        parts.uri = uri;
+        match CallerRequest::new(parts) {
+            Ok(mut request) => {
+                request.is_forwarded = true;
+                self.answer(&request, incoming).await
+            }
+            Err(refusal) => refusal.answer(),
+        }
+    }
+
+    async fn answer(&self, request: &CallerRequest, incoming: Incoming) -> Response<Body> {
+        match self.run(request, incoming).await {
             Ok(response) => response,
             Err(refusal) => {
                 info!(event = "refused", request = request.request_id.as_str(),
@@ -103,9 +125,13 @@
             Refusal::not_run(RefusalReason::UnknownService, detail)
         })?;
         let spec = &service.spec;
+        let deadline = arrived + allowed(request, spec);
+        if request.is_forwarded {
+            let mut payload = Payload::read(incoming, MAX_KEPT_BYTES, deadline).await?;
+            return self.dispatcher.run(request, &mut payload, deadline).await;
+        }
         self.rates
             .take(&spec.name, &request.team, spec.team_rate_per_s, now_ms())?;
-        let deadline = arrived + allowed(request, spec);
         match &request.key {
             Some(key) if !request.is_idempotent() => {
                 match Payload::read(incoming, MAX_KEYED_BYTES, deadline).await? {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
     CLASS_HEADER, CallerRequest, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, ISSUED_HEADER,
     REQUEST_ID_HEADER, TEAM_HEADER,
 };
+pub use forward::PEER_RUN_PATH;
 pub use gateway::Gateway;
 pub use key_age::{KeyAge, key_age, uuid_v7_ms};
 pub use peers::{PEER_ANSWER_PATH, PeerAnswer, PeerAnswerRequest};
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -3,14 +3,16 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use {
-    http::{Method, StatusCode},
+    http::{Method, Request, Response, StatusCode},
+    hyper::body::Incoming,
     lynxwheel_coordination::{Duties, Node, NodeIdentity, NodeSettings, PeerAddress},
-    lynxwheel_gateway::{Gateway, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER},
+    lynxwheel_decisions::{RoutePolicy, own_share},
+    lynxwheel_gateway::{Gateway, IDEMPOTENCY_KEY_HEADER, PEER_ANSWER_PATH, REQUEST_ID_HEADER},
     lynxwheel_protocol::{
         Amount, Budget, PoolSpec, RecordBody, Resource, ServiceSpec, VmPhase, VmSpec,
     },
     lynxwheel_standin::{PlatformServer, RunEntry, VmTemplate},
-    lynxwheel_transport::{Answer, Client, ClientRequest, Server, Shutdown, TransportError},
+    lynxwheel_transport::{Answer, Body, Client, ClientRequest, Server, Shutdown, TransportError},
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -32,6 +34,8 @@
     pub propose_timeout_ms: u64,
     pub deadline_ms: u64,
     pub team_rate_per_s: u32,
+    pub slots: u32,
+    pub policy: RoutePolicy,
 }
 
 impl Default for FleetOptions {
@@ -42,6 +46,8 @@
             propose_timeout_ms: 3_000,
             deadline_ms: 10_000,
             team_rate_per_s: 0,
+            slots: 8,
+            policy: own_share,
         }
     }
 }
@@ -57,7 +63,7 @@
 }
 
 impl TestNode {
-    fn start(settings: NodeSettings, peer_address: SocketAddr) -> Self {
+    fn start(settings: NodeSettings, peer_address: SocketAddr, policy: RoutePolicy) -> Self {
         let runtime = Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -68,7 +74,7 @@
             let _entered = runtime.enter();
             Node::start(settings, &shutdown)
         };
-        let gateway = Gateway::new(node.clone());
+        let gateway = Gateway::with_policy(node.clone(), policy);
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let callers = runtime.block_on(Server::bind(any_port)).expect("bind");
         let peers = runtime.block_on(Server::bind(peer_address)).expect("bind");
@@ -79,7 +85,7 @@
         }));
         let serving = gateway.clone();
         runtime.spawn(peers.serve(shutdown.clone(), move |request| {
-            serving.clone().peer_answer(request)
+            serve_peer(serving.clone(), request)
         }));
         Self {
             node,
@@ -105,6 +111,14 @@
     }
 }
 
+async fn serve_peer(gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
+    if request.uri().path() == PEER_ANSWER_PATH {
+        gateway.peer_answer(request).await
+    } else {
+        gateway.peer_run(request).await
+    }
+}
+
 impl Drop for TestNode {
     fn drop(&mut self) {
         self.kill();
@@ -117,6 +131,7 @@
     pub nodes: Vec<TestNode>,
     settings: Vec<NodeSettings>,
     peer_addresses: Vec<SocketAddr>,
+    policy: RoutePolicy,
 }
 
 impl Fleet {
@@ -131,12 +146,13 @@
         let settings: Vec<NodeSettings> = (0..options.nodes)
             .map(|own| node_settings(own, &peer_addresses, platform.address(), &options))
             .collect();
-        let nodes = start_nodes(settings.clone(), peer_addresses.clone()).await;
+        let nodes = start_nodes(settings.clone(), peer_addresses.clone(), options.policy).await;
         let fleet = Self {
             platform,
             nodes,
             settings,
             peer_addresses,
+            policy: options.policy,
         };
         fleet.declare(&options).await;
         fleet
@@ -146,7 +162,9 @@
     pub async fn restart(&mut self, row: usize) {
         let settings = vec![self.settings[row].clone()];
         let addresses = vec![self.peer_addresses[row]];
-        let node = start_nodes(settings, addresses).await.remove(0);
+        let node = start_nodes(settings, addresses, self.policy)
+            .await
+            .remove(0);
         let incarnation = node.node.incarnation();
         self.nodes[row] = node;
         for other in &self.nodes {
@@ -177,7 +195,7 @@
             Resource::Service(ServiceSpec {
                 name: SERVICE.into(),
                 pool: SERVICE.into(),
-                slots_per_endpoint: 8,
+                slots_per_endpoint: options.slots,
                 connections_per_endpoint: 64,
                 deadline_ms: options.deadline_ms,
                 team_rate_per_s: options.team_rate_per_s,
@@ -215,13 +233,17 @@
     }
 }
 
-async fn start_nodes(settings: Vec<NodeSettings>, addresses: Vec<SocketAddr>) -> Vec<TestNode> {
+async fn start_nodes(
+    settings: Vec<NodeSettings>,
+    addresses: Vec<SocketAddr>,
+    policy: RoutePolicy,
+) -> Vec<TestNode> {
     // A runtime must not be built or blocked on within another one.
     tokio::task::spawn_blocking(move || {
         settings
             .into_iter()
             .zip(addresses)
-            .map(|(settings, address)| TestNode::start(settings, address))
+            .map(|(settings, address)| TestNode::start(settings, address, policy))
             .collect()
     })
     .await
--- /dev/null
+++ b/crates/gateway/tests/slots.rs
@@ -0,0 +1,266 @@
+//! Slots, queues, limits and endpoints that leave.
+
+mod common;
+
+use {
+    common::{Fleet, FleetOptions, SERVICE, TestNode, assert_own, renewal, wait_until},
+    http::{Method, StatusCode},
+    lynxwheel_decisions::slot_share,
+    lynxwheel_gateway::{CLASS_HEADER, DEADLINE_HEADER, DID_NOT_RUN_HEADER, TEAM_HEADER},
+    lynxwheel_protocol::{NodeName, PeerHello, VmName},
+    lynxwheel_transport::{Answer, ClientRequest},
+    std::{sync::Arc, time::Duration},
+    tokio::task::JoinSet,
+};
+
+fn refresh(id: &str, query: &str) -> ClientRequest {
+    ClientRequest::new(Method::GET, format!("/{SERVICE}/map?{query}"))
+        .with_header("x-request-id", id)
+}
+
+async fn ask(node: &TestNode, id: &str, query: &str) -> Answer {
+    node.call(&refresh(id, query)).await.expect("an answer")
+}
+
+fn not_started(answer: &Answer) -> bool {
+    answer.header(DID_NOT_RUN_HEADER) == Some("true")
+}
+
+/// Four nodes are asked for far more at once than the endpoints have slots for. An endpoint never
+/// gets more than its slots, because every slot belongs to one node, and every request is answered
+/// after a wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_together_stay_within_the_slots() {
+    let fleet = Fleet::start(FleetOptions {
+        nodes: 4,
+        ..FleetOptions::default()
+    })
+    .await;
+    let fleet = Arc::new(fleet);
+    let mut callers = JoinSet::new();
+    for caller in 0..120 {
+        let fleet = Arc::clone(&fleet);
+        callers.spawn(async move {
+            let id = format!("map-{caller}");
+            assert_own(&ask(&fleet.nodes[caller % 4], &id, "ms=30").await, &id);
+        });
+    }
+    while let Some(ended) = callers.join_next().await {
+        ended.expect("no refusal");
+    }
+    let most = fleet
+        .platform
+        .runs()
+        .iter()
+        .map(|run| run.in_progress)
+        .max();
+    assert!(most <= Some(8), "{most:?} requests at once");
+    assert_eq!(fleet.platform.runs().len(), 120);
+}
+
+/// A pool has fewer slots than there are nodes, and the balancer sends a caller to a node without
+/// any. The node passes the request on, the key included, and the caller gets its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_without_a_slot_passes_the_request_on() {
+    let fleet = Fleet::start(FleetOptions {
+        nodes: 3,
+        vms: 1,
+        slots: 1,
+        ..FleetOptions::default()
+    })
+    .await;
+    for (row, node) in fleet.nodes.iter().enumerate() {
+        let id = format!("map-{row}");
+        assert_own(&ask(node, &id, "size=20000").await, &id);
+        let key = format!("lotion-{row}");
+        let answer = node.call(&renewal(&key, "")).await.expect("an answer");
+        assert_own(&answer, &key);
+        assert_eq!(fleet.runs(&key).len(), 1);
+    }
+}
+
+/// Batch work fills every slot and waits in the queue when an outage notice comes. The notice is
+/// served next, before batch work that came earlier.
+#[tokio::test(flavor = "multi_thread")]
+async fn urgent_work_is_served_before_batch_work() {
+    let fleet = Fleet::start(FleetOptions {
+        nodes: 1,
+        vms: 1,
+        slots: 1,
+        ..FleetOptions::default()
+    })
+    .await;
+    let fleet = Arc::new(fleet);
+    let mut callers = JoinSet::new();
+    for caller in 0..6 {
+        let fleet = Arc::clone(&fleet);
+        let id = format!("billing-{caller}");
+        let request = refresh(&id, "ms=100").with_header(CLASS_HEADER, "batch");
+        callers.spawn(async move { fleet.nodes[0].call(&request).await.expect("an answer") });
+    }
+    wait_until("batch work runs", || !fleet.platform.runs().is_empty()).await;
+    let notice = refresh("notice", "").with_header(CLASS_HEADER, "urgent");
+    assert_own(
+        &fleet.nodes[0].call(&notice).await.expect("an answer"),
+        "notice",
+    );
+    while callers.join_next().await.is_some() {}
+    let runs = fleet.platform.runs();
+    let place = runs.iter().position(|run| run.request_id == "notice");
+    assert!(place < Some(4), "the notice ran at place {place:?}");
+}
+
+/// A request's deadline is shorter than the queue in front of it. It is refused at once with the
+/// time after which to come back, and it did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_cannot_be_served_in_time_is_refused_at_once() {
+    let fleet = Fleet::start(FleetOptions {
+        nodes: 1,
+        vms: 1,
+        slots: 1,
+        ..FleetOptions::default()
+    })
+    .await;
+    let fleet = Arc::new(fleet);
+    assert_own(&ask(&fleet.nodes[0], "first", "ms=500").await, "first");
+    let mut callers = JoinSet::new();
+    for caller in 0..4 {
+        let fleet = Arc::clone(&fleet);
+        callers
+            .spawn(async move { ask(&fleet.nodes[0], &format!("map-{caller}"), "ms=500").await });
+    }
+    wait_until("a second request runs", || fleet.platform.runs().len() == 2).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let request = refresh("late", "").with_header(DEADLINE_HEADER, "300");
+    let answer = fleet.nodes[0].call(&request).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(not_started(&answer) && answer.header("retry-after").is_some());
+    assert!(
+        fleet
+            .platform
+            .runs()
+            .iter()
+            .all(|run| run.request_id != "late")
+    );
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    assert!(text.contains("before the deadline"), "{text}");
+    while callers.join_next().await.is_some() {}
+}
+
+/// One team sends far above its rate. It alone is refused, at once and without a run.
+#[tokio::test(flavor = "multi_thread")]
+async fn team_above_its_rate_is_refused() {
+    let fleet = Fleet::start(FleetOptions {
+        nodes: 1,
+        team_rate_per_s: 5,
+        ..FleetOptions::default()
+    })
+    .await;
+    let mut refused = 0;
+    for number in 0..30 {
+        let request = refresh(&format!("flood-{number}"), "").with_header(TEAM_HEADER, "flood");
+        let answer = fleet.nodes[0].call(&request).await.expect("an answer");
+        if answer.status == StatusCode::TOO_MANY_REQUESTS {
+            assert!(not_started(&answer) && answer.header("retry-after").is_some());
+            refused += 1;
+        }
+    }
+    assert!(refused > 0, "the team was never refused");
+    assert_eq!(fleet.platform.runs().len(), 30 - refused);
+    let request = refresh("dispatch", "").with_header(TEAM_HEADER, "crews");
+    assert_own(
+        &fleet.nodes[0].call(&request).await.expect("an answer"),
+        "dispatch",
+    );
+}
+
+/// An endpoint announces that it leaves while the VM list is minutes behind. Its first refusal
+/// takes it out of this node's choice, and a peer that is told takes it out too, so neither sends
+/// anything more to it for seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_endpoint_gets_nothing_more_on_any_node() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    fleet.platform.with_platform(|platform| {
+        platform.faults.vm_list_frozen = true;
+        let leaving = platform.machine_mut("vm-0").expect("vm-0");
+        leaving.is_leaving = true;
+    });
+    let first = &fleet.nodes[0];
+    for number in 0..200 {
+        let id = format!("map-{number}");
+        assert_own(&ask(first, &id, "").await, &id);
+        if !first.gateway.leaving().is_empty() {
+            break;
+        }
+    }
+    let leaving = first.gateway.leaving();
+    assert_eq!(leaving.len(), 1);
+    assert_eq!(leaving[0].vm.as_str(), "vm-0");
+    let hello = PeerHello {
+        node: "node-0".into(),
+        leaving,
+        ..PeerHello::default()
+    };
+    fleet.nodes[1].gateway.note_peer(&hello);
+    for number in 0..50 {
+        let id = format!("more-{number}");
+        assert_own(&ask(&fleet.nodes[1], &id, "").await, &id);
+    }
+    let evidence = fleet.nodes[1].gateway.leaving();
+    assert!(evidence.is_empty(), "the peer asked it: {evidence:?}");
+}
+
+/// A caller sends a body that is too large to keep. It passes through whole, with its length seen
+/// by the endpoint, and the slot is free again afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_pass_through_both_ways() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let body = vec![b'x'; 3_000_000];
+    let request = ClientRequest::new(Method::PUT, format!("/{SERVICE}/file?size=2000000"))
+        .with_header("x-request-id", "file")
+        .with_body(body);
+    let answer = fleet.nodes[0].call(&request).await.expect("an answer");
+    assert_own(&answer, "file");
+    let text = String::from_utf8_lossy(&answer.body);
+    assert!(text.contains("bytes=3000000"), "{}", &text[..60]);
+    assert!(answer.body.len() > 2_000_000);
+    let gateway = &fleet.nodes[0].gateway;
+    wait_until("the slot is free", || gateway.loads().is_empty()).await;
+}
+
+/// An endpoint breaks off a large answer. The caller must see a broken connection, never a part
+/// that looks whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_answer_breaks_the_callers_connection() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let request = refresh("map", "break=1&size=100000");
+    let answer = fleet.nodes[0].call(&request).await;
+    assert!(answer.is_err(), "a part passed for the whole: {answer:?}");
+}
+
+macro_rules! shares {
+    ($($name:ident: $nodes:expr, $slots:expr;)*) => {
+        $(#[test] fn $name() {
+            let nodes: Vec<NodeName> =
+                (0..$nodes).map(|node| format!("node-{node:02}").into()).collect();
+            for vm in 0..50 {
+                let vm: VmName = format!("vm-{vm}").into();
+                let share = |node| slot_share(&vm, node, &nodes, $slots);
+                let sum: u32 = nodes.iter().map(share).sum();
+                assert_eq!(sum, $slots);
+                let survivors = &nodes[1..];
+                for node in survivors {
+                    let after = slot_share(&vm, node, survivors, $slots);
+                    assert!(after >= share(node), "a survivor lost a slot");
+                }
+            }
+        })*
+    };
+}
+
+shares! {
+    nine_nodes_share_eight_slots: 9, 8;
+    four_nodes_share_eight_slots: 4, 8;
+    two_nodes_share_one_slot: 2, 1;
+    three_nodes_share_sixty_four_slots: 3, 64;
+}
