--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -1,7 +1,10 @@
 //! Folding the log's entries into the published state.
 
 use {
-    crate::{proposer::Decision, published::Published, waiters::Waiters},
+    crate::{
+        operations::Operations, proposer::Decision, published::Published, recent::RecentEntries,
+        waiters::Waiters,
+    },
     kameo::{
         Actor,
         message::{Context, Message},
@@ -25,6 +28,8 @@
     state: FleetState,
     published: Arc<Published>,
     waiters: Arc<Waiters>,
+    recent: Arc<RecentEntries>,
+    operations: Arc<Operations>,
     incarnation: u64,
 }
 
@@ -33,12 +38,16 @@
         state: FleetState,
         published: Arc<Published>,
         waiters: Arc<Waiters>,
+        recent: Arc<RecentEntries>,
+        operations: Arc<Operations>,
         incarnation: u64,
     ) -> Self {
         Self {
             state,
             published,
             waiters,
+            recent,
+            operations,
             incarnation,
         }
     }
@@ -58,6 +67,7 @@
         };
         let verdict = self.state.apply(entry.offset, &record);
         log_verdict(entry.offset, &record, &verdict);
+        self.operations.note(entry.offset, &record, &verdict);
         (record.id.incarnation == self.incarnation).then_some(Decision {
             id: record.id,
             offset: entry.offset,
@@ -75,6 +85,7 @@
             .iter()
             .filter_map(|entry| self.fold(entry))
             .collect();
+        self.recent.note(&message.entries);
         self.published.store(self.state.clone());
         // Published first, so that a proposer finds its own record in the state it then reads.
         for decision in decisions {
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -4,21 +4,26 @@
     crate::{
         actions,
         appender::Appender,
-        clock::{new_incarnation, now_ms},
+        clock::{Clock, new_incarnation},
         duty::spawn_duty,
         fold::Fold,
         log_client::LogClient,
-        observer, planner,
+        membership::{PEER_CONNECTIONS, exchange_hellos},
+        observer,
+        operations::{Operation, Operations},
+        peers::Peers,
+        planner,
         proposer::Proposer,
         published::Published,
         reader,
+        recent::RecentEntries,
         settings::NodeSettings,
         tasks,
         waiters::Waiters,
     },
     kameo::{actor::Spawn, mailbox},
     log::{error, info},
-    lynxwheel_protocol::{FOLD_VERSION, NodeName, RecordBody},
+    lynxwheel_protocol::{FOLD_VERSION, NodeName, OperationId, OperationOutcome, RecordBody},
     lynxwheel_state::FleetState,
     lynxwheel_transport::{Clients, Shutdown},
     std::{future::Future, sync::Arc, thread, time::Duration},
@@ -48,20 +53,28 @@
     settings: NodeSettings,
     incarnation: u64,
     published: Arc<Published>,
+    operations: Arc<Operations>,
     proposer: Proposer,
     clients: Arc<Clients>,
+    peers: Peers,
+    peer_clients: Clients,
+    recent: Arc<RecentEntries>,
 }
 
 impl Node {
     /// Starts a node and its duties, which end with the signal.
     #[must_use]
     pub fn start(settings: NodeSettings, shutdown: &Shutdown) -> (Self, Duties) {
-        let incarnation = new_incarnation(settings.identity.node.as_str());
+        let incarnation = new_incarnation(settings.identity.node.as_str(), &settings.clock);
         let published = Arc::new(Published::new(FleetState::new()));
+        let recent = Arc::new(RecentEntries::default());
+        let peers = Peers::new(&settings);
         let waiters = Arc::new(Waiters::default());
+        let operations = Arc::new(Operations::default());
         let log = LogClient::new(settings.platform, &settings.stream);
         let appender = Appender::new(
             log.clone(),
+            settings.clock.clone(),
             Arc::clone(&published),
             Arc::clone(&waiters),
             incarnation,
@@ -72,25 +85,33 @@
             FleetState::new(),
             Arc::clone(&published),
             waiters,
+            Arc::clone(&recent),
+            Arc::clone(&operations),
             incarnation,
         );
         let fold = Fold::spawn_in_thread_with_mailbox(fold, mailbox::bounded(FOLD_RING));
         let limit = Duration::from_millis(settings.propose_timeout_ms);
+        let clock = settings.clock.clone();
         let node = Self {
             inner: Arc::new(Inner {
                 settings,
                 incarnation,
                 published: Arc::clone(&published),
+                operations,
                 proposer: Proposer::new(appender, limit),
                 clients: Arc::new(Clients::new(PROBE_CONNECTIONS)),
+                peers,
+                peer_clients: Clients::new(PEER_CONNECTIONS),
+                recent,
             }),
         };
         let mut duties = Duties::new(shutdown.clone());
-        duties.run("reader", reader::read_log(log, published, fold));
+        duties.run("reader", reader::read_log(log, clock, published, fold));
         duties.run("observer", observer::observe(node.clone()));
         duties.run("planner", planner::plan(node.clone()));
         duties.run("actions", actions::act(node.clone()));
         duties.run("tasks", tasks::run(node.clone()));
+        duties.run("membership", exchange_hellos(node.clone()));
         duties.run("join", join(node.clone()));
         (node, duties)
     }
@@ -101,6 +122,12 @@
         &self.inner.settings
     }
 
+    /// Returns the time source.
+    #[must_use]
+    pub fn clock(&self) -> &Clock {
+        &self.inner.settings.clock
+    }
+
     /// Returns the number of this run.
     #[must_use]
     pub fn incarnation(&self) -> u64 {
@@ -119,6 +146,18 @@
         &self.inner.published
     }
 
+    /// Returns what became of a declaration that any node wrote.
+    #[must_use]
+    pub fn operation(&self, id: OperationId) -> OperationOutcome {
+        self.inner.operations.look_up(id, &self.state())
+    }
+
+    /// Returns the latest declarations of all nodes, the last one first.
+    #[must_use]
+    pub fn latest_operations(&self, limit: usize) -> Vec<Operation> {
+        self.inner.operations.latest(limit)
+    }
+
     /// Returns the handle for proposals.
     #[must_use]
     pub fn proposer(&self) -> &Proposer {
@@ -131,17 +170,38 @@
         &self.inner.clients
     }
 
+    /// Returns what is known of the other nodes.
+    #[must_use]
+    pub fn peers(&self) -> &Peers {
+        &self.inner.peers
+    }
+
+    pub(crate) fn peer_clients(&self) -> &Clients {
+        &self.inner.peer_clients
+    }
+
+    pub(crate) fn recent(&self) -> &RecentEntries {
+        &self.inner.recent
+    }
+
     /// Returns the nodes that are taken to be live, this one included, sorted.
     #[must_use]
     pub fn live_nodes(&self) -> Vec<NodeName> {
-        self.inner.settings.node_names()
+        self.inner.peers.live_nodes(self.clock().now_ms())
     }
 
-    /// Tells whether the node has read the log lately and to its end.
+    /// Tells whether the node has joined, and has read the log lately and to its end.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        let read_ms = self.inner.published.read_ms();
-        read_ms + CURRENT_MS > now_ms() && self.inner.published.is_caught_up()
+        let published = &self.inner.published;
+        let has_joined = published
+            .load()
+            .writers()
+            .get(self.inner.incarnation)
+            .is_some();
+        has_joined
+            && published.read_ms() + CURRENT_MS > self.clock().now_ms()
+            && published.is_caught_up()
     }
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,7 +13,7 @@
     },
     http::Response,
     log::info,
-    lynxwheel_coordination::{Node, now_ms},
+    lynxwheel_coordination::Node,
     lynxwheel_decisions::{
         Admission, AdmissionView, EndpointView, RoutePolicy, RouteReason, RouteRequest, admit,
         rendezvous_rank,
@@ -105,7 +105,7 @@
     /// A pool with fewer slots than there are nodes leaves some nodes without any, and the balancer
     /// sends them callers all the same.
     fn peer_with_slots(&self, request: &CallerRequest) -> Option<SocketAddr> {
-        let table = self.tables.load(now_ms());
+        let table = self.tables.load();
         let service = table.service(&request.service)?;
         if request.is_forwarded || service.slots() > 0 {
             return None;
@@ -153,7 +153,7 @@
     ) -> Result<Slot, Refusal> {
         let mut place: Option<Place> = None;
         loop {
-            let table = self.tables.load(now_ms());
+            let table = self.tables.load();
             let service = table.service(&request.service).ok_or_else(|| {
                 Refusal::not_run(RefusalReason::UnknownService, "the service was withdrawn")
             })?;
@@ -187,7 +187,7 @@
         offset: u64,
         tried: &[VmName],
     ) -> Choice {
-        let now_ms = now_ms();
+        let now_ms = self.node.clock().now_ms();
         let rows: Vec<&Row> = service
             .rows
             .iter()
@@ -233,12 +233,17 @@
         let response = match endpoint.client.send(outgoing, deadline).await {
             Ok(response) => response,
             Err(error) => {
-                note_failure(&endpoint, &error);
+                note_failure(&endpoint, &error, self.node.clock().now_ms());
                 return Err(refusal_of(&error));
             }
         };
         if let Some(reason) = not_started(&response) {
-            return Err(note_not_started(&endpoint, reason));
+            let now_ms = self.node.clock().now_ms();
+            let refusal = note_not_started(&endpoint, reason, now_ms);
+            if reason == NotStarted::Gone {
+                self.node.peers().announce();
+            }
+            return Err(refusal);
         }
         endpoint.ejection.note_success();
         Ok(incoming(response, slot))
@@ -296,18 +301,18 @@
     Response::from_parts(parts, body)
 }
 
-fn note_failure(endpoint: &Endpoint, error: &TransportError) {
+fn note_failure(endpoint: &Endpoint, error: &TransportError, now_ms: u64) {
     if !error.may_have_run {
-        endpoint.ejection.note_failure(now_ms());
+        endpoint.ejection.note_failure(now_ms);
         info!(event = "endpoint_out", vm = endpoint.vm.as_str(), reason = error.step.as_str(); "");
     }
 }
 
-fn note_not_started(endpoint: &Endpoint, reason: NotStarted) -> Refusal {
+fn note_not_started(endpoint: &Endpoint, reason: NotStarted, now_ms: u64) -> Refusal {
     let (refused, detail) = match reason {
         NotStarted::Busy => (RefusalReason::NoFreeSlot, "the endpoint has no free slot"),
         NotStarted::Gone => {
-            endpoint.ejection.note_failure(now_ms());
+            endpoint.ejection.note_failure(now_ms);
             info!(event = "endpoint_out", vm = endpoint.vm.as_str(), reason = "not_started"; "");
             (RefusalReason::NoEndpoint, "the endpoint is leaving")
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,9 +14,9 @@
     http::{Request, Response, Uri, uri::PathAndQuery},
     hyper::body::Incoming,
     log::info,
-    lynxwheel_coordination::{Node, now_ms},
+    lynxwheel_coordination::Node,
     lynxwheel_decisions::{RoutePolicy, own_share},
-    lynxwheel_protocol::{EndpointLoad, PeerHello, ServiceSpec},
+    lynxwheel_protocol::{EndpointLoad, ServiceSpec},
     lynxwheel_transport::Body,
     std::time::Duration,
     tokio::time::Instant,
@@ -42,6 +42,7 @@
     #[must_use]
     pub fn with_policy(node: Node, policy: RoutePolicy) -> Self {
         let tables = Tables::new(node.clone());
+        node.peers().set_local(tables.local_view());
         let dispatcher = Dispatcher::new(node.clone(), tables.clone(), policy);
         Self {
             tables,
@@ -105,12 +106,7 @@
     /// Returns the endpoints that this node saw leaving or failing, for its peers.
     #[must_use]
     pub fn leaving(&self) -> Vec<EndpointLoad> {
-        self.tables.leaving(now_ms())
-    }
-
-    /// Takes in what a peer told.
-    pub fn note_peer(&self, hello: &PeerHello) {
-        self.tables.note_peer(hello, now_ms());
+        self.tables.leaving()
     }
 
     async fn run(
@@ -119,7 +115,7 @@
         incoming: Incoming,
     ) -> Result<Response<Body>, Refusal> {
         let arrived = Instant::now();
-        let table = self.tables.load(now_ms());
+        let table = self.tables.load();
         let service = table.service(&request.service).ok_or_else(|| {
             let detail = format!("there is no service {}", request.service);
             Refusal::not_run(RefusalReason::UnknownService, detail)
@@ -130,8 +126,9 @@
             let mut payload = Payload::read(incoming, MAX_KEPT_BYTES, deadline).await?;
             return self.dispatcher.run(request, &mut payload, deadline).await;
         }
+        let now_ms = self.tables.now_ms();
         self.rates
-            .take(&spec.name, &request.team, spec.team_rate_per_s, now_ms())?;
+            .take(&spec.name, &request.team, spec.team_rate_per_s, now_ms)?;
         match &request.key {
             Some(key) if !request.is_idempotent() => {
                 match Payload::read(incoming, MAX_KEYED_BYTES, deadline).await? {
--- a/crates/gateway/src/keys.rs
+++ b/crates/gateway/src/keys.rs
@@ -18,7 +18,7 @@
     bytes::Bytes,
     http::{Request, Response},
     hyper::body::Incoming,
-    lynxwheel_coordination::{Node, now_ms},
+    lynxwheel_coordination::Node,
     lynxwheel_protocol::{KeyOutcome, RequestKey},
     lynxwheel_state::{KeyEntry, KeyState},
     lynxwheel_transport::{Body, Clients, Gathered, gather_body},
@@ -118,7 +118,7 @@
     /// Refuses keys whose earlier attempts may have been forgotten.
     fn check_age(&self, request: &CallerRequest) -> Result<(), Refusal> {
         let keep_ms = self.node.state().key_keep_ms();
-        match key_age(request.issued_ms, now_ms(), keep_ms) {
+        match key_age(request.issued_ms, self.node.clock().now_ms(), keep_ms) {
             KeyAge::Kept => Ok(()),
             KeyAge::TooOld => Err(Refusal::may_have_run(
                 RefusalReason::KeyTooOld,
@@ -244,41 +244,38 @@
             return Err(unknown());
         }
         let is_pending = entry.state == KeyState::Pending;
-        if self.is_gone(entry) {
-            return Err(match entry.state {
-                KeyState::Ended(KeyOutcome::Answered(status)) => not_kept(status),
-                _ => unknown(),
-            });
-        }
-        let wait = if is_pending {
-            deadline.saturating_duration_since(Instant::now())
+        let answer = if self.has_later_run(entry) {
+            PeerAnswer::OtherRun
         } else {
-            Duration::ZERO
+            let left = deadline.saturating_duration_since(Instant::now());
+            let wait = if is_pending { left } else { Duration::ZERO };
+            self.ask_holder(entry, wait).await
         };
-        match self.ask_holder(entry, wait).await {
+        match answer {
             PeerAnswer::Answered(kept) => Ok(kept.response()),
             PeerAnswer::TooLarge(status) => Err(not_kept(status)),
             PeerAnswer::Refused(refusal) => Err(refusal),
-            PeerAnswer::OtherRun if is_pending => Err(unknown()),
             PeerAnswer::Running | PeerAnswer::NotKept | PeerAnswer::OtherRun => {
                 Err(match entry.state {
                     KeyState::Ended(KeyOutcome::Answered(status)) => not_kept(status),
+                    _ if answer == PeerAnswer::OtherRun => unknown(),
                     _ => pending(),
                 })
             }
         }
     }
 
-    /// Tells whether the run that holds a key is over, so that nothing more can come of it.
-    fn is_gone(&self, entry: &KeyEntry) -> bool {
+    /// Tells whether the holder was started again, so that nothing more can come of the entry's run.
+    fn has_later_run(&self, entry: &KeyEntry) -> bool {
         let state = self.node.state();
-        let has_later_run = state
+        state
             .writers()
             .latest(entry.holder.as_str())
-            .is_some_and(|writer| writer.incarnation != entry.incarnation);
-        has_later_run || self.node.live_nodes().binary_search(&entry.holder).is_err()
+            .is_some_and(|writer| writer.incarnation != entry.incarnation)
     }
 
+    /// Asks the holder for the answer; a holder that is silent and does not answer is taken for
+    /// gone, which is final for the caller.
     async fn ask_holder(&self, entry: &KeyEntry, wait: Duration) -> PeerAnswer {
         let peers = &self.node.settings().peers;
         let Ok(row) = peers.binary_search_by(|peer| peer.node.cmp(&entry.holder)) else {
@@ -289,11 +286,19 @@
             incarnation: entry.incarnation,
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
+        let is_silent = self.node.live_nodes().binary_search(&entry.holder).is_err();
+        let limit = if is_silent {
+            PEER_MARGIN
+        } else {
+            wait + PEER_MARGIN
+        };
         let client = self.peers.get(peers[row].address);
-        client
-            .exchange(PEER_ANSWER_PATH, &question, wait + PEER_MARGIN)
-            .await
-            .unwrap_or(PeerAnswer::NotKept)
+        let answered = client.exchange(PEER_ANSWER_PATH, &question, limit).await;
+        match answered {
+            Ok(answer) => answer,
+            Err(_) if is_silent => PeerAnswer::OtherRun,
+            Err(_) => PeerAnswer::NotKept,
+        }
     }
 }
 
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -3,9 +3,9 @@
 use {
     crate::{endpoints::Endpoint, queue::ServiceQueue},
     arc_swap::ArcSwap,
-    lynxwheel_coordination::Node,
+    lynxwheel_coordination::{LocalView, Node, PeerView},
     lynxwheel_decisions::slot_share,
-    lynxwheel_protocol::{EndpointLoad, NodeName, PeerHello, ServiceSpec},
+    lynxwheel_protocol::{EndpointLoad, NodeName, ServiceSpec},
     lynxwheel_state::{FleetState, VmState},
     std::{
         net::SocketAddr,
@@ -19,9 +19,6 @@
 /// Time for which a node goes on with the smaller of its old and new shares, in milliseconds.
 const SHARE_LAG_MS: u64 = 3_000;
 
-/// Age at which a peer's loads are no longer counted, in milliseconds.
-const PEER_LOADS_MS: u64 = 3_000;
-
 /// Connections to one endpoint that the node's probes may take.
 const PROBE_CONNECTIONS: u32 = 2;
 
@@ -73,21 +70,12 @@
     since_ms: u64,
 }
 
-/// What a peer last told.
-#[derive(Clone, Debug)]
-struct PeerLoads {
-    node: NodeName,
-    at_ms: u64,
-    loads: Vec<EndpointLoad>,
-}
-
 /// What tables are made from besides the state.
 #[derive(Debug, Default)]
 struct Maker {
     endpoints: Vec<Arc<Endpoint>>,
     view: NodeView,
     former_view: Option<NodeView>,
-    peers: Vec<PeerLoads>,
 }
 
 /// The latest table; copies share it.
@@ -107,61 +95,46 @@
         }
     }
 
+    /// Returns the node's time, in milliseconds since the epoch.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.node.clock().now_ms()
+    }
+
     /// Returns a table of the latest state.
-    pub(crate) fn load(&self, now_ms: u64) -> Arc<Table> {
+    pub(crate) fn load(&self) -> Arc<Table> {
+        let now_ms = self.now_ms();
         let latest = self.latest.load_full();
         let offset = self.node.state().offset();
         let is_fresh = latest.offset >= offset && now_ms < latest.made_ms + MAX_AGE_MS;
         if is_fresh { latest } else { self.make(now_ms) }
     }
 
+    /// Returns what peers are told of the endpoints.
+    pub(crate) fn local_view(&self) -> LocalView {
+        let (busy, out) = (Arc::clone(&self.maker), Arc::clone(&self.maker));
+        let clock = self.node.clock().clone();
+        LocalView::new(
+            move || lock(&busy).loads(),
+            move || lock(&out).leaving(clock.now_ms()),
+        )
+    }
+
     /// Returns the load that this node puts on endpoints.
     pub(crate) fn loads(&self) -> Vec<EndpointLoad> {
-        let maker = self.maker();
-        let busy = maker.endpoints.iter().map(|endpoint| endpoint.load());
-        busy.filter(|load| load.in_progress > 0).collect()
+        lock(&self.maker).loads()
     }
 
     /// Returns the endpoints against which this node has evidence.
-    pub(crate) fn leaving(&self, now_ms: u64) -> Vec<EndpointLoad> {
-        let maker = self.maker();
-        let out = maker
-            .endpoints
-            .iter()
-            .filter(|endpoint| endpoint.ejection.is_out_by_own_evidence(now_ms));
-        out.map(|endpoint| endpoint.load()).collect()
-    }
-
-    /// Takes in what a peer told.
-    pub(crate) fn note_peer(&self, hello: &PeerHello, now_ms: u64) {
-        let mut maker = self.maker();
-        for leaving in &hello.leaving {
-            if let Ok(row) = maker.find(leaving.vm.as_str(), leaving.incarnation) {
-                maker.endpoints[row].ejection.note_peer(now_ms);
-            }
-        }
-        let loads = PeerLoads {
-            node: hello.node.clone(),
-            at_ms: now_ms,
-            loads: hello.loads.clone(),
-        };
-        match maker
-            .peers
-            .binary_search_by(|peer| peer.node.cmp(&hello.node))
-        {
-            Ok(row) => maker.peers[row] = loads,
-            Err(row) => maker.peers.insert(row, loads),
-        }
-        maker.count_peers(now_ms);
+    pub(crate) fn leaving(&self) -> Vec<EndpointLoad> {
+        lock(&self.maker).leaving(self.now_ms())
     }
 
     fn make(&self, now_ms: u64) -> Arc<Table> {
-        let mut maker = self.maker();
+        let mut maker = lock(&self.maker);
         let state = self.node.state();
         let former = self.latest.load_full();
         let nodes = self.node.live_nodes();
         maker.see_nodes(nodes, now_ms);
-        maker.count_peers(now_ms);
         let node = &self.node.settings().identity.node;
         let node_count = self.node.settings().peers.len() + 1;
         let services = state
@@ -180,6 +153,7 @@
             })
             .collect();
         maker.forget_gone(&state);
+        maker.see_peers(&self.node.peers().views(now_ms), now_ms);
         let table = Arc::new(Table {
             offset: state.offset(),
             made_ms: now_ms,
@@ -188,13 +162,26 @@
         self.latest.store(Arc::clone(&table));
         table
     }
+}
 
-    fn maker(&self) -> MutexGuard<'_, Maker> {
-        self.maker.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock(maker: &Mutex<Maker>) -> MutexGuard<'_, Maker> {
+    maker.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Maker {
+    fn loads(&self) -> Vec<EndpointLoad> {
+        let all = self.endpoints.iter().map(|endpoint| endpoint.load());
+        all.filter(|load| load.in_progress > 0).collect()
+    }
+
+    fn leaving(&self, now_ms: u64) -> Vec<EndpointLoad> {
+        let out = self
+            .endpoints
+            .iter()
+            .filter(|endpoint| endpoint.ejection.is_out_by_own_evidence(now_ms));
+        out.map(|endpoint| endpoint.load()).collect()
+    }
+
     fn find(&self, vm: &str, incarnation: u64) -> Result<usize, usize> {
         self.endpoints.binary_search_by(|endpoint| {
             (endpoint.vm.as_str(), endpoint.incarnation).cmp(&(vm, incarnation))
@@ -248,6 +235,9 @@
 
     /// Notes the live nodes.
     fn see_nodes(&mut self, nodes: Vec<NodeName>, now_ms: u64) {
+        if now_ms >= self.view.since_ms + SHARE_LAG_MS {
+            self.former_view = None;
+        }
         if nodes == self.view.nodes {
             return;
         }
@@ -271,22 +261,19 @@
         }
     }
 
-    fn count_peers(&mut self, now_ms: u64) {
-        if now_ms >= self.view.since_ms + SHARE_LAG_MS {
-            self.former_view = None;
-        }
-        self.peers
-            .retain(|peer| now_ms < peer.at_ms + PEER_LOADS_MS);
+    /// Takes in what the peers last told of endpoints.
+    fn see_peers(&mut self, peers: &[PeerView], now_ms: u64) {
         for endpoint in &self.endpoints {
-            let count = self.peers.iter().filter_map(|peer| {
-                let key = (&endpoint.vm, endpoint.incarnation);
-                let row = peer
-                    .loads
-                    .binary_search_by(|load| (&load.vm, load.incarnation).cmp(&key))
-                    .ok()?;
-                Some(peer.loads[row].in_progress)
-            });
-            endpoint.set_peers_in_progress(count.sum());
+            let loads = peers
+                .iter()
+                .filter_map(|peer| find_load(&peer.hello.loads, endpoint));
+            endpoint.set_peers_in_progress(loads.map(|load| load.in_progress).sum());
+            let is_leaving = peers
+                .iter()
+                .any(|peer| find_load(&peer.hello.leaving, endpoint).is_some());
+            if is_leaving {
+                endpoint.ejection.note_peer(now_ms);
+            }
         }
     }
 
@@ -302,6 +289,14 @@
     }
 }
 
+fn find_load<'a>(loads: &'a [EndpointLoad], endpoint: &Endpoint) -> Option<&'a EndpointLoad> {
+    let key = (&endpoint.vm, endpoint.incarnation);
+    let row = loads
+        .binary_search_by(|load| (&load.vm, load.incarnation).cmp(&key))
+        .ok()?;
+    loads.get(row)
+}
+
 /// Returns the connections that one node may open to an endpoint, so that all nodes with their
 /// probes stay within what the endpoint accepts.
 fn connections_of_node(service: &ServiceSpec, node_count: usize) -> usize {
--- a/crates/gateway/tests/at_most_once.rs
+++ b/crates/gateway/tests/at_most_once.rs
@@ -5,7 +5,7 @@
 use {
     common::{Fleet, FleetOptions, assert_own, renewal, wait_until},
     http::StatusCode,
-    lynxwheel_coordination::now_ms,
+    lynxwheel_coordination::Clock,
     lynxwheel_gateway::{DID_NOT_RUN_HEADER, ISSUED_HEADER, KeyAge, key_age, uuid_v7_ms},
     lynxwheel_transport::Answer,
     std::time::Duration,
@@ -141,7 +141,7 @@
 async fn key_older_than_kept_is_refused() {
     let fleet = Fleet::start(FleetOptions::default()).await;
     let keep_ms = fleet.nodes[0].node.state().key_keep_ms();
-    let issued_ms = now_ms() - keep_ms;
+    let issued_ms = Clock::system().now_ms() - keep_ms;
     let request = renewal("lotion-7", "").with_header(ISSUED_HEADER, issued_ms.to_string());
     let answer = fleet.nodes[0].call(&request).await.expect("an answer");
     assert_eq!(reason(&answer), "key_too_old");
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -7,7 +7,9 @@
     hyper::body::Incoming,
     lynxwheel_coordination::{Duties, Node, NodeIdentity, NodeSettings, PeerAddress},
     lynxwheel_decisions::{RoutePolicy, own_share},
-    lynxwheel_gateway::{Gateway, IDEMPOTENCY_KEY_HEADER, PEER_ANSWER_PATH, REQUEST_ID_HEADER},
+    lynxwheel_gateway::{
+        Gateway, IDEMPOTENCY_KEY_HEADER, PEER_ANSWER_PATH, PEER_RUN_PATH, REQUEST_ID_HEADER,
+    },
     lynxwheel_protocol::{
         Amount, Budget, PoolSpec, RecordBody, Resource, ServiceSpec, VmPhase, VmSpec,
     },
@@ -84,8 +86,9 @@
             serving.clone().handle(request)
         }));
         let serving = gateway.clone();
+        let serving_node = node.clone();
         runtime.spawn(peers.serve(shutdown.clone(), move |request| {
-            serve_peer(serving.clone(), request)
+            serve_peer(serving_node.clone(), serving.clone(), request)
         }));
         Self {
             node,
@@ -111,11 +114,11 @@
     }
 }
 
-async fn serve_peer(gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
-    if request.uri().path() == PEER_ANSWER_PATH {
-        gateway.peer_answer(request).await
-    } else {
-        gateway.peer_run(request).await
+async fn serve_peer(node: Node, gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        PEER_ANSWER_PATH => gateway.peer_answer(request).await,
+        path if path.starts_with(PEER_RUN_PATH) => gateway.peer_run(request).await,
+        _ => node.handle_peer(request).await,
     }
 }
 
--- a/crates/gateway/tests/slots.rs
+++ b/crates/gateway/tests/slots.rs
@@ -7,7 +7,7 @@
     http::{Method, StatusCode},
     lynxwheel_decisions::slot_share,
     lynxwheel_gateway::{CLASS_HEADER, DEADLINE_HEADER, DID_NOT_RUN_HEADER, TEAM_HEADER},
-    lynxwheel_protocol::{NodeName, PeerHello, VmName},
+    lynxwheel_protocol::{NodeName, VmName},
     lynxwheel_transport::{Answer, ClientRequest},
     std::{sync::Arc, time::Duration},
     tokio::task::JoinSet,
@@ -174,14 +174,19 @@
     );
 }
 
-/// An endpoint announces that it leaves while the VM list is minutes behind. Its first refusal
-/// takes it out of this node's choice, and a peer that is told takes it out too, so neither sends
-/// anything more to it for seconds.
+/// An endpoint leaves while the VM list is minutes behind and the log is down. Its first refusal
+/// takes it out of this node's choice, and a peer in the same zone that is told takes it out too,
+/// so neither sends anything more to it for seconds.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_endpoint_gets_nothing_more_on_any_node() {
-    let fleet = Fleet::start(FleetOptions::default()).await;
+    let fleet = Fleet::start(FleetOptions {
+        nodes: 4,
+        ..FleetOptions::default()
+    })
+    .await;
     fleet.platform.with_platform(|platform| {
         platform.faults.vm_list_frozen = true;
+        platform.faults.log_down = true;
         let leaving = platform.machine_mut("vm-0").expect("vm-0");
         leaving.is_leaving = true;
     });
@@ -193,20 +198,20 @@
             break;
         }
     }
-    let leaving = first.gateway.leaving();
-    assert_eq!(leaving.len(), 1);
-    assert_eq!(leaving[0].vm.as_str(), "vm-0");
-    let hello = PeerHello {
-        node: "node-0".into(),
-        leaving,
-        ..PeerHello::default()
+    assert_eq!(first.gateway.leaving()[0].vm.as_str(), "vm-0");
+    let second = &fleet.nodes[3].node;
+    let is_told = || {
+        let peers = second.peers().views(second.clock().now_ms());
+        peers.iter().any(|peer| !peer.hello.leaving.is_empty())
     };
-    fleet.nodes[1].gateway.note_peer(&hello);
+    wait_until("the peer is told", is_told).await;
+    // The peer's table is made anew within this time.
+    tokio::time::sleep(Duration::from_millis(100)).await;
     for number in 0..50 {
         let id = format!("more-{number}");
-        assert_own(&ask(&fleet.nodes[1], &id, "").await, &id);
+        assert_own(&ask(&fleet.nodes[3], &id, "").await, &id);
     }
-    let evidence = fleet.nodes[1].gateway.leaving();
+    let evidence = fleet.nodes[3].gateway.leaving();
     assert!(evidence.is_empty(), "the peer asked it: {evidence:?}");
 }
 
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         body::{Body, full_body},
+        counted::CountedStream,
         stall::StallGuard,
     },
     bytes::Bytes,
@@ -198,6 +199,7 @@
         let answer = handler(request);
         Box::pin(async move { Ok::<_, Infallible>(answer.await) })
     });
+    let stream = CountedStream::new(stream, "server");
     let stream = StallGuard::new(stream, Duration::from_millis(limits.write_stall_ms));
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -228,7 +230,7 @@
 }
 
 /// Closes a connection, after a last answer if there is one.
-async fn close(mut stream: StallGuard<TcpStream>, answer: Option<&[u8]>) {
+async fn close(mut stream: StallGuard<CountedStream>, answer: Option<&[u8]>) {
     let closing = async {
         if let Some(answer) = answer {
             stream.write_all(answer).await?;
