--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,166 @@
+//! What a load shows.
+
+use {
+    crate::{tally::Tally, usage::Usage},
+    serde::Serialize,
+    std::{fmt, time::Duration},
+};
+
+/// Latencies in microseconds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Latency {
+    /// Median.
+    pub p50_us: u64,
+    /// Value that 90 % do not exceed.
+    pub p90_us: u64,
+    /// Value that 99 % do not exceed.
+    pub p99_us: u64,
+    /// Value that 99.9 % do not exceed.
+    pub p999_us: u64,
+    /// Highest.
+    pub max_us: u64,
+}
+
+/// Results of one side.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct SideReport {
+    /// Whole answers to the callers' own requests.
+    pub answered: u64,
+    /// Refusals that say that the request did not run.
+    pub refused: u64,
+    /// Refusals and give-ups that do not say so.
+    pub unknown: u64,
+    /// Answers that are not the caller's own.
+    pub wrong: u64,
+    /// Answers that broke off.
+    pub cut: u64,
+    /// Requests whose connection failed before an answer.
+    pub failed: u64,
+    /// Further attempts of callers.
+    pub retried: u64,
+    /// Whole answers a second.
+    pub answered_per_s: u64,
+    /// Latency of whole answers.
+    pub latency: Latency,
+}
+
+impl SideReport {
+    pub(crate) fn new(tally: &Tally, elapsed: Duration) -> Self {
+        let at = |quantile| tally.latency.value_at_quantile(quantile);
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            answered: tally.answered,
+            refused: tally.refused,
+            unknown: tally.unknown,
+            wrong: tally.wrong,
+            cut: tally.cut,
+            failed: tally.failed,
+            retried: tally.retried,
+            answered_per_s: tally.answered * 1_000 / elapsed_ms.max(1),
+            latency: Latency {
+                p50_us: at(0.5),
+                p90_us: at(0.9),
+                p99_us: at(0.99),
+                p999_us: at(0.999),
+                max_us: tally.latency.max(),
+            },
+        }
+    }
+}
+
+/// Results of a load.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Through the nodes.
+    pub nodes: SideReport,
+    /// Straight to the endpoints, when asked for.
+    pub direct: Option<SideReport>,
+    /// Requests not sent because too many were unanswered.
+    pub not_sent: u64,
+    /// Keys that ran more than once, when the platform tells.
+    pub doubled: Option<u64>,
+    /// Processor time of the measured processes for one request, in microseconds.
+    pub processor_us_per_request: u64,
+    /// Resident memory of the measured processes at the end of the sending, in kibibytes.
+    pub memory_kib: u64,
+}
+
+impl LoadReport {
+    pub(crate) fn with_usage(mut self, before: Usage, after: Usage) -> Self {
+        let used_us = after.processor_us.saturating_sub(before.processor_us);
+        self.processor_us_per_request = used_us / self.nodes.answered.max(1);
+        self.memory_kib = after.memory_kib;
+        self
+    }
+
+    /// Tells whether every answer was whole and the caller's own, and nothing ran twice.
+    #[must_use]
+    pub fn is_truthful(&self) -> bool {
+        self.nodes.wrong == 0 && self.nodes.cut == 0 && self.doubled.unwrap_or(0) == 0
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "{:8} {:>9} {:>8} {:>8} {:>6} {:>5} {:>7} {:>8} {:>8} {:>8} {:>9} {:>9}",
+            "side",
+            "answered",
+            "per s",
+            "refused",
+            "wrong",
+            "cut",
+            "failed",
+            "unknown",
+            "p50 us",
+            "p99 us",
+            "p99.9 us",
+            "max us"
+        )?;
+        write_side(formatter, "nodes", &self.nodes)?;
+        if let Some(direct) = &self.direct {
+            write_side(formatter, "direct", direct)?;
+            let (with, without) = (&self.nodes.latency, &direct.latency);
+            let added = |a: u64, b: u64| i128::from(a) - i128::from(b);
+            writeln!(
+                formatter,
+                "added: p50 {} us, p99 {} us",
+                added(with.p50_us, without.p50_us),
+                added(with.p99_us, without.p99_us)
+            )?;
+        }
+        writeln!(
+            formatter,
+            "callers' retries {}, not sent {}, doubled {}",
+            self.nodes.retried,
+            self.not_sent,
+            self.doubled
+                .map_or_else(|| "not asked".to_owned(), |count| count.to_string())
+        )?;
+        write!(
+            formatter,
+            "measured processes: {} us of processor a request, {} KiB resident",
+            self.processor_us_per_request, self.memory_kib
+        )
+    }
+}
+
+fn write_side(formatter: &mut fmt::Formatter<'_>, name: &str, side: &SideReport) -> fmt::Result {
+    writeln!(
+        formatter,
+        "{:8} {:>9} {:>8} {:>8} {:>6} {:>5} {:>7} {:>8} {:>8} {:>8} {:>9} {:>9}",
+        name,
+        side.answered,
+        side.answered_per_s,
+        side.refused,
+        side.wrong,
+        side.cut,
+        side.failed,
+        side.unknown,
+        side.latency.p50_us,
+        side.latency.p99_us,
+        side.latency.p999_us,
+        side.latency.max_us
+    )
+}
