--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -81,7 +81,11 @@
     let Ok(body) = request.into_body().collect().await else {
         return error_answer(StatusCode::BAD_REQUEST, "the body broke off");
     };
-    tokio::time::sleep(Duration::from_millis(number(&query, "ms"))).await;
+    let work_ms = number(&query, "ms");
+    if work_ms > 0 {
+        // A sleep of nothing would still last until the timer's next tick.
+        tokio::time::sleep(Duration::from_millis(work_ms)).await;
+    }
     if number(&query, "break") == 1 {
         return broken_answer(number(&query, "size"));
     }
