Pass requests on to peers with a surplus of slots; shares kept per endpoint

Requests are passed on when no own slot is free and a peer told of a surplus of a quarter.

Tables look at all VMs once per 10 ms at most, sorted by pool, and shares are dealt anew only when the nodes change; before, each service looked at all VMs for each change of the state.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -39,7 +39,7 @@
 pub use rendezvous::rendezvous_rank;
 pub use routing::{
     EndpointView, RouteChoice, RoutePolicy, RouteReason, RouteRequest, least_loaded, own_share,
-    slot_share,
+    slot_shares,
 };
 pub use tuning::Tuning;
 pub use verdicts::{GiveUpPlan, GiveUpReason, QuarantinePlan, plan_give_ups, plan_quarantines};
--- a/crates/decisions/src/routing.rs
+++ b/crates/decisions/src/routing.rs
@@ -91,22 +91,24 @@
     choose(request, endpoints, |endpoint| endpoint.share)
 }
 
-/// Returns how many of an endpoint's slots belong to `node`.
+/// Returns how many of an endpoint's slots belong to each of `nodes`, in their order.
 ///
 /// Slots are dealt in turn over the nodes in the endpoint's rendezvous order. When a node is lost
 /// only its slots change hands, and each other node gains at most one while nodes are no fewer
 /// than slots.
 #[must_use]
-pub fn slot_share(vm: &VmName, node: &NodeName, nodes: &[NodeName], slots: u32) -> u32 {
+pub fn slot_shares(vm: &VmName, nodes: &[NodeName], slots: u32) -> Vec<u32> {
     let Ok(count) = u32::try_from(nodes.len()) else {
-        return 0;
+        return Vec::new();
     };
-    if nodes.binary_search(node).is_err() {
-        return 0;
-    }
-    let rank = rendezvous_rank(vm.as_str(), node, nodes);
-    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-    slots / count + u32::from(rank < slots % count)
+    nodes
+        .iter()
+        .map(|node| {
+            let rank = rendezvous_rank(vm.as_str(), node, nodes);
+            let is_early = u32::try_from(rank).is_ok_and(|rank| rank < slots % count);
+            slots / count + u32::from(is_early)
+        })
+        .collect()
 }
 
 fn choose(
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,14 +9,13 @@
         payload::{Payload, STALL},
         queue::Place,
         refusal::{DID_NOT_RUN_HEADER, Refusal, RefusalReason},
-        table::{Row, ServiceRow, Tables},
+        table::{Row, ServiceRow, Spare, Tables},
     },
     http::Response,
     log::info,
     lynxwheel_coordination::Node,
     lynxwheel_decisions::{
         Admission, AdmissionView, EndpointView, RoutePolicy, RouteReason, RouteRequest, admit,
-        rendezvous_rank,
     },
     lynxwheel_protocol::VmName,
     lynxwheel_transport::{Body, Clients, TransportError, bounded_body, holding_body},
@@ -78,7 +77,11 @@
     ) -> Result<Response<Body>, Refusal> {
         self.budget.note_request();
         if let Some(peer) = self.peer_with_slots(request) {
-            return self.send_to_peer(request, peer, payload, deadline).await;
+            let sent = self.send_to_peer(request, peer, payload, deadline).await;
+            let is_refused = sent.as_ref().is_err_and(|refusal| refusal.did_not_run);
+            if !is_refused || !payload.is_at_hand() || !self.budget.take() {
+                return sent;
+            }
         }
         let mut tried: Vec<VmName> = Vec::new();
         loop {
@@ -100,27 +103,29 @@
         }
     }
 
-    /// Returns the peer that runs a request of a service on whose endpoints this node has no slot.
+    /// Returns the peer to which a request is passed on because this node has no slot for it.
     ///
-    /// A pool with fewer slots than there are nodes leaves some nodes without any, and the balancer
-    /// sends them callers all the same.
+    /// A pool with fewer slots than there are nodes leaves some nodes without any, and a balancer
+    /// that lost a node may send its neighbour twice as much. The peer takes the request on its own
+    /// slots, so the endpoints' bounds hold as before.
     fn peer_with_slots(&self, request: &CallerRequest) -> Option<SocketAddr> {
+        if request.is_forwarded {
+            return None;
+        }
         let table = self.tables.load();
         let service = table.service(&request.service)?;
-        if request.is_forwarded || service.slots() > 0 {
+        if service.has_free_slot() && service.queue.lengths(request.class).ahead == 0 {
+            return None;
+        }
+        let spare = pick_spare(&service.spares, request.digest(&[]))?;
+        if service.slots() > 0 && !spare.has_surplus() {
             return None;
         }
-        let row = service.rows.first()?;
-        let nodes = self.node.live_nodes();
-        let owner = nodes
-            .iter()
-            .find(|node| rendezvous_rank(row.endpoint.vm.as_str(), node, &nodes) == 0)?;
-        let peers = &self.node.settings().peers;
-        let found = peers.binary_search_by(|peer| peer.node.cmp(owner)).ok()?;
         info!(event = "routing", request = request.request_id.as_str(),
-            service = request.service.as_str(), node = owner.as_str(), reason = "no_own_slot",
-            offset = table.offset; "");
-        Some(peers[found].address)
+            service = request.service.as_str(), node = spare.node.as_str(),
+            reason = "passed_on", offset = table.offset; "");
+        metrics::counter!("lynxwheel_passed_on_total").increment(1);
+        Some(spare.address)
     }
 
     async fn send_to_peer(
@@ -250,6 +255,16 @@
     }
 }
 
+/// Picks the better of two peers, so that nodes with the same old news do not all pick one.
+fn pick_spare(spares: &[Spare], seed: u64) -> Option<&Spare> {
+    let count = u64::try_from(spares.len())
+        .ok()
+        .filter(|count| *count > 0)?;
+    let at = |seed: u64| usize::try_from(seed % count).unwrap_or(0);
+    // They are sorted, so the earlier one has more free slots.
+    spares.get(at(seed).min(at(seed >> 32)))
+}
+
 fn view(row: &Row, slots: u32) -> EndpointView<'_> {
     EndpointView {
         vm: &row.endpoint.vm,
@@ -267,6 +282,9 @@
     service: &ServiceRow,
     deadline: Instant,
 ) -> Result<Place, Refusal> {
+    if service.slots() == 0 {
+        return Err(no_endpoint());
+    }
     let lengths = service.queue.lengths(request.class);
     let remaining = deadline.saturating_duration_since(Instant::now());
     let view = AdmissionView {
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{ejection::Ejection, queue::ServiceQueue},
+    compact_str::CompactString,
     lynxwheel_protocol::{EndpointLoad, VmName, ZoneName},
+    lynxwheel_state::VmState,
     lynxwheel_transport::Client,
     std::{
         net::SocketAddr,
@@ -23,6 +25,7 @@
     pub(crate) vm: VmName,
     pub(crate) incarnation: u64,
     pub(crate) address: SocketAddr,
+    pub(crate) address_text: CompactString,
     pub(crate) zone: ZoneName,
     pub(crate) client: Client,
     pub(crate) ejection: Ejection,
@@ -31,23 +34,20 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(
-        vm: &VmName,
-        incarnation: u64,
-        zone: &ZoneName,
-        address: SocketAddr,
-        max_connections: usize,
-    ) -> Self {
-        Self {
-            vm: vm.clone(),
-            incarnation,
+    /// Creates the endpoint of a VM's life; `None` when its address is none.
+    pub(crate) fn new(vm: &VmState, max_connections: usize) -> Option<Self> {
+        let address: SocketAddr = vm.address.parse().ok()?;
+        Some(Self {
+            vm: vm.name.clone(),
+            incarnation: vm.incarnation,
             address,
-            zone: zone.clone(),
+            address_text: vm.address.clone(),
+            zone: vm.zone.clone(),
             client: Client::new(address, max_connections),
             ejection: Ejection::default(),
             in_progress: AtomicU32::new(0),
             peers_in_progress: AtomicU32::new(0),
-        }
+        })
     }
 
     /// Returns the requests of this node in progress on it.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod peers;
 mod queue;
 mod refusal;
+mod shares;
 mod table;
 
 pub use answers::{KeptAnswer, KeptHeader};
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,11 +1,14 @@
 //! Endpoints by service, kept ready for the choice.
 
 use {
-    crate::{endpoints::Endpoint, queue::ServiceQueue},
+    crate::{
+        endpoints::Endpoint,
+        queue::ServiceQueue,
+        shares::{EndpointShares, NodeView},
+    },
     arc_swap::ArcSwap,
-    lynxwheel_coordination::{LocalView, Node, PeerView},
-    lynxwheel_decisions::slot_share,
-    lynxwheel_protocol::{EndpointLoad, NodeName, ServiceSpec},
+    lynxwheel_coordination::{LocalView, Node, NodeSettings, PeerView},
+    lynxwheel_protocol::{EndpointLoad, NodeName, PoolName, ServiceSpec},
     lynxwheel_state::{FleetState, VmState},
     std::{
         net::SocketAddr,
@@ -16,8 +19,17 @@
 /// Age at which the table is made anew although the state has not changed, in milliseconds.
 const MAX_AGE_MS: u64 = 50;
 
-/// Time for which a node goes on with the smaller of its old and new shares, in milliseconds.
-const SHARE_LAG_MS: u64 = 3_000;
+/// Age below which the table is used although the state has changed, in milliseconds.
+///
+/// Every request with a key changes the state; without the bound each of them would cost a look
+/// at all VMs.
+const MIN_AGE_MS: u64 = 10;
+
+/// Part of a peer's slots that must be free for it to be given another node's requests.
+///
+/// Peers tell their loads once a second. Near saturation every free slot is taken again long
+/// before that is known, and requests passed on would only wait elsewhere.
+const SURPLUS_PART: u32 = 4;
 
 /// Connections to one endpoint that the node's probes may take.
 const PROBE_CONNECTIONS: u32 = 2;
@@ -35,6 +47,8 @@
     pub(crate) spec: ServiceSpec,
     pub(crate) rows: Vec<Row>,
     pub(crate) queue: Arc<ServiceQueue>,
+    /// Live peers with slots, those with most free ones first.
+    pub(crate) spares: Vec<Spare>,
 }
 
 impl ServiceRow {
@@ -42,6 +56,12 @@
     pub(crate) fn slots(&self) -> u32 {
         self.rows.iter().map(|row| row.share).sum()
     }
+
+    /// Tells whether one of this node's slots is free.
+    pub(crate) fn has_free_slot(&self) -> bool {
+        let mut rows = self.rows.iter();
+        rows.any(|row| row.endpoint.in_progress() < row.share)
+    }
 }
 
 /// Services by name, as of one state.
@@ -63,19 +83,36 @@
     }
 }
 
-/// Set of nodes that share the slots.
-#[derive(Clone, Debug, Default)]
-struct NodeView {
-    nodes: Vec<NodeName>,
-    since_ms: u64,
+/// A peer with slots for a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Spare {
+    pub(crate) node: NodeName,
+    pub(crate) address: SocketAddr,
+    /// Slots that are its own.
+    pub(crate) slots: u32,
+    /// Those of them that were free when it last told.
+    pub(crate) free: u32,
+}
+
+impl Spare {
+    /// Tells whether so many slots are free that some still are, although the news is old.
+    pub(crate) fn has_surplus(&self) -> bool {
+        self.free * SURPLUS_PART >= self.slots
+    }
+}
+
+/// An endpoint as the maker knows it.
+#[derive(Debug)]
+struct Known {
+    endpoint: Arc<Endpoint>,
+    shares: EndpointShares,
 }
 
 /// What tables are made from besides the state.
 #[derive(Debug, Default)]
 struct Maker {
-    endpoints: Vec<Arc<Endpoint>>,
+    endpoints: Vec<Known>,
     view: NodeView,
-    former_view: Option<NodeView>,
 }
 
 /// The latest table; copies share it.
@@ -105,7 +142,12 @@
         let now_ms = self.now_ms();
         let latest = self.latest.load_full();
         let offset = self.node.state().offset();
-        let is_fresh = latest.offset >= offset && now_ms < latest.made_ms + MAX_AGE_MS;
+        let max_age_ms = if latest.offset >= offset {
+            MAX_AGE_MS
+        } else {
+            MIN_AGE_MS
+        };
+        let is_fresh = now_ms < latest.made_ms + max_age_ms;
         if is_fresh { latest } else { self.make(now_ms) }
     }
 
@@ -133,10 +175,9 @@
         let mut maker = lock(&self.maker);
         let state = self.node.state();
         let former = self.latest.load_full();
-        let nodes = self.node.live_nodes();
-        maker.see_nodes(nodes, now_ms);
-        let node = &self.node.settings().identity.node;
-        let node_count = self.node.settings().peers.len() + 1;
+        let peers = self.node.peers().views(now_ms);
+        maker.view.see(self.node.live_nodes(), now_ms);
+        let pools = by_pool(&state);
         let services = state
             .services()
             .map(|spec| {
@@ -144,16 +185,19 @@
                     .service(spec.name.as_str())
                     .map(|row| Arc::clone(&row.queue))
                     .unwrap_or_default();
-                let rows = maker.rows(&state, spec, node, node_count);
+                let vms = of_pool(&pools, &spec.pool);
+                let rows = maker.rows(vms, spec, self.node.settings());
+                let spares = maker.spares(vms, &peers, self.node.settings());
                 Arc::new(ServiceRow {
                     spec: spec.clone(),
                     rows,
                     queue,
+                    spares,
                 })
             })
             .collect();
         maker.forget_gone(&state);
-        maker.see_peers(&self.node.peers().views(now_ms), now_ms);
+        maker.see_peers(&peers, now_ms);
         let table = Arc::new(Table {
             offset: state.offset(),
             made_ms: now_ms,
@@ -164,106 +208,128 @@
     }
 }
 
+/// Returns the available VMs in the order of their pools.
+fn by_pool(state: &FleetState) -> Vec<&VmState> {
+    let mut vms: Vec<&VmState> = state.vms().iter().filter(|vm| vm.is_available()).collect();
+    vms.sort_by(|a, b| a.pool.cmp(&b.pool));
+    vms
+}
+
+fn of_pool<'a, 'b>(vms: &'b [&'a VmState], pool: &PoolName) -> &'b [&'a VmState] {
+    let start = vms.partition_point(|vm| vm.pool < *pool);
+    let end = vms.partition_point(|vm| vm.pool <= *pool);
+    &vms[start..end]
+}
+
 fn lock(maker: &Mutex<Maker>) -> MutexGuard<'_, Maker> {
     maker.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Maker {
     fn loads(&self) -> Vec<EndpointLoad> {
-        let all = self.endpoints.iter().map(|endpoint| endpoint.load());
+        let all = self.endpoints.iter().map(|known| known.endpoint.load());
         all.filter(|load| load.in_progress > 0).collect()
     }
 
     fn leaving(&self, now_ms: u64) -> Vec<EndpointLoad> {
-        let out = self
-            .endpoints
-            .iter()
-            .filter(|endpoint| endpoint.ejection.is_out_by_own_evidence(now_ms));
-        out.map(|endpoint| endpoint.load()).collect()
+        let all = self.endpoints.iter().map(|known| &known.endpoint);
+        all.filter(|endpoint| endpoint.ejection.is_out_by_own_evidence(now_ms))
+            .map(|endpoint| endpoint.load())
+            .collect()
     }
 
     fn find(&self, vm: &str, incarnation: u64) -> Result<usize, usize> {
-        self.endpoints.binary_search_by(|endpoint| {
-            (endpoint.vm.as_str(), endpoint.incarnation).cmp(&(vm, incarnation))
+        self.endpoints.binary_search_by(|known| {
+            (known.endpoint.vm.as_str(), known.endpoint.incarnation).cmp(&(vm, incarnation))
         })
     }
 
     fn rows(
         &mut self,
-        state: &FleetState,
+        vms: &[&VmState],
         service: &ServiceSpec,
-        node: &NodeName,
-        node_count: usize,
+        settings: &NodeSettings,
     ) -> Vec<Row> {
-        let available = state
-            .vms()
-            .iter()
-            .filter(|vm| vm.pool == service.pool && vm.is_available());
-        available
+        let node = &settings.identity.node;
+        let connections = connections_of_node(service, settings.peers.len() + 1);
+        vms.iter()
             .filter_map(|vm| {
-                let endpoint = self.endpoint(vm, service, node_count)?;
-                let share = self.share(vm, node, service.slots_per_endpoint);
-                Some(Row { endpoint, share })
+                let place = self.place(vm, connections)?;
+                let known = &mut self.endpoints[place];
+                known
+                    .shares
+                    .refresh(&vm.name, service.slots_per_endpoint, &self.view);
+                Some(Row {
+                    endpoint: Arc::clone(&known.endpoint),
+                    share: known.shares.share(node, &self.view),
+                })
             })
             .collect()
     }
 
-    fn endpoint(
-        &mut self,
-        vm: &VmState,
-        service: &ServiceSpec,
-        node_count: usize,
-    ) -> Option<Arc<Endpoint>> {
-        let address: SocketAddr = vm.address.parse().ok()?;
-        match self.find(vm.name.as_str(), vm.incarnation) {
-            Ok(row) if self.endpoints[row].address == address => {
-                Some(Arc::clone(&self.endpoints[row]))
+    /// Returns the place of a VM's life, which is taken in when it is new.
+    fn place(&mut self, vm: &VmState, connections: usize) -> Option<usize> {
+        let found = self.find(vm.name.as_str(), vm.incarnation);
+        if let Ok(row) = found
+            && self.endpoints[row].endpoint.address_text == vm.address
+        {
+            return Some(row);
+        }
+        let endpoint = Endpoint::new(vm, connections)?;
+        let known = Known {
+            endpoint: Arc::new(endpoint),
+            shares: EndpointShares::default(),
+        };
+        match found {
+            Ok(row) => {
+                self.endpoints[row] = known;
+                Some(row)
             }
-            found => {
-                let connections = connections_of_node(service, node_count);
-                let endpoint =
-                    Endpoint::new(&vm.name, vm.incarnation, &vm.zone, address, connections);
-                let endpoint = Arc::new(endpoint);
-                match found {
-                    Ok(row) => self.endpoints[row] = Arc::clone(&endpoint),
-                    Err(row) => self.endpoints.insert(row, Arc::clone(&endpoint)),
-                }
-                Some(endpoint)
+            Err(row) => {
+                self.endpoints.insert(row, known);
+                Some(row)
             }
         }
     }
 
-    /// Notes the live nodes.
-    fn see_nodes(&mut self, nodes: Vec<NodeName>, now_ms: u64) {
-        if now_ms >= self.view.since_ms + SHARE_LAG_MS {
-            self.former_view = None;
-        }
-        if nodes == self.view.nodes {
-            return;
-        }
-        let view = NodeView {
-            nodes,
-            since_ms: now_ms,
-        };
-        let former = std::mem::replace(&mut self.view, view);
-        self.former_view = (!former.nodes.is_empty()).then_some(former);
-    }
-
-    /// Returns this node's share of an endpoint's slots.
-    ///
-    /// Nodes learn of a change of their set at different times. A node gives slots up at once and
-    /// takes slots over only after a while, when the others have given them up.
-    fn share(&self, vm: &VmState, node: &NodeName, slots: u32) -> u32 {
-        let share = slot_share(&vm.name, node, &self.view.nodes, slots);
-        match &self.former_view {
-            Some(former) => share.min(slot_share(&vm.name, node, &former.nodes, slots)),
-            None => share,
-        }
+    /// Returns the live peers with slots on a service's endpoints.
+    fn spares(&self, vms: &[&VmState], peers: &[PeerView], settings: &NodeSettings) -> Vec<Spare> {
+        let mut spares: Vec<Spare> = peers
+            .iter()
+            .filter_map(|peer| {
+                let node = &peer.hello.node;
+                let row = settings
+                    .peers
+                    .binary_search_by(|peer| peer.node.cmp(node))
+                    .ok()?;
+                let mut spare = Spare {
+                    node: node.clone(),
+                    address: settings.peers[row].address,
+                    slots: 0,
+                    free: 0,
+                };
+                for vm in vms {
+                    let Ok(place) = self.find(vm.name.as_str(), vm.incarnation) else {
+                        continue;
+                    };
+                    let known = &self.endpoints[place];
+                    let load = find_load(&peer.hello.loads, &known.endpoint);
+                    let taken = load.map_or(0, |load| load.in_progress);
+                    let slots = known.shares.share(node, &self.view);
+                    spare.slots += slots;
+                    spare.free += slots.saturating_sub(taken);
+                }
+                (spare.slots > 0).then_some(spare)
+            })
+            .collect();
+        spares.sort_by(|a, b| b.free.cmp(&a.free).then(a.node.cmp(&b.node)));
+        spares
     }
 
     /// Takes in what the peers last told of endpoints.
     fn see_peers(&mut self, peers: &[PeerView], now_ms: u64) {
-        for endpoint in &self.endpoints {
+        for known in &self.endpoints {
+            let endpoint = &known.endpoint;
             let loads = peers
                 .iter()
                 .filter_map(|peer| find_load(&peer.hello.loads, endpoint));
@@ -279,7 +345,8 @@
 
     /// Forgets lives that are over, with their connections, once their last request has ended.
     fn forget_gone(&mut self, state: &FleetState) {
-        self.endpoints.retain(|endpoint| {
+        self.endpoints.retain(|known| {
+            let endpoint = &known.endpoint;
             let is_current = state
                 .vms()
                 .get(endpoint.vm.as_str())
--- a/crates/gateway/tests/slots.rs
+++ b/crates/gateway/tests/slots.rs
@@ -5,7 +5,7 @@
 use {
     common::{Fleet, FleetOptions, SERVICE, TestNode, assert_own, renewal, wait_until},
     http::{Method, StatusCode},
-    lynxwheel_decisions::slot_share,
+    lynxwheel_decisions::slot_shares,
     lynxwheel_gateway::{CLASS_HEADER, DEADLINE_HEADER, DID_NOT_RUN_HEADER, TEAM_HEADER},
     lynxwheel_protocol::{NodeName, VmName},
     lynxwheel_transport::{Answer, ClientRequest},
@@ -250,14 +250,12 @@
                 (0..$nodes).map(|node| format!("node-{node:02}").into()).collect();
             for vm in 0..50 {
                 let vm: VmName = format!("vm-{vm}").into();
-                let share = |node| slot_share(&vm, node, &nodes, $slots);
-                let sum: u32 = nodes.iter().map(share).sum();
-                assert_eq!(sum, $slots);
-                let survivors = &nodes[1..];
-                for node in survivors {
-                    let after = slot_share(&vm, node, survivors, $slots);
-                    assert!(after >= share(node), "a survivor lost a slot");
-                }
+                let before = slot_shares(&vm, &nodes, $slots);
+                assert_eq!(before.iter().sum::<u32>(), $slots);
+                let after = slot_shares(&vm, &nodes[1..], $slots);
+                assert_eq!(after.iter().sum::<u32>(), $slots);
+                let is_kept = before[1..].iter().zip(&after).all(|(before, after)| before <= after);
+                assert!(is_kept, "a survivor lost a slot: {before:?}, then {after:?}");
             }
         })*
     };
