--- a/crates/gateway/src/keys.rs
+++ b/crates/gateway/src/keys.rs
@@ -23,7 +23,10 @@
     lynxwheel_state::{KeyEntry, KeyState},
     lynxwheel_transport::{Body, Clients, Gathered, gather_body},
     std::{sync::Arc, time::Duration},
-    tokio::{sync::oneshot, time::Instant},
+    tokio::{
+        sync::{oneshot, watch},
+        time::Instant,
+    },
 };
 
 /// Time after which to come back to a key that is not settled, in milliseconds.
@@ -56,6 +59,7 @@
     intents: Intents,
     answers: Answers,
     peers: Arc<Clients>,
+    under_way: Arc<watch::Sender<()>>,
 }
 
 impl Keys {
@@ -64,6 +68,7 @@
             intents: Intents::new(node.clone()),
             answers: Answers::default(),
             peers: Arc::new(Clients::new(PEER_CONNECTIONS)),
+            under_way: Arc::new(watch::Sender::new(())),
             node,
             dispatcher,
         }
@@ -74,6 +79,11 @@
         answer_peer(&self.answers, self.node.incarnation(), request).await
     }
 
+    /// Waits until the outcome of every request that was begun is in the log.
+    pub(crate) async fn settled(&self) {
+        self.under_way.closed().await;
+    }
+
     /// Runs a request unless an attempt with its key came before, on any node.
     pub(crate) async fn run(
         &self,
@@ -147,7 +157,11 @@
         let (reply, outcome) = oneshot::channel();
         let deadline = run.deadline;
         let keys = self.clone();
-        tokio::spawn(async move { keys.execute(&run, reply).await });
+        let guard = self.under_way.subscribe();
+        tokio::spawn(async move {
+            keys.execute(&run, reply).await;
+            drop(guard);
+        });
         match tokio::time::timeout_at(deadline, outcome).await {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(_)) => Err(unknown()),
--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -228,6 +228,7 @@
         }
         self.end_claim(name, &claim);
         let time_ms = self.time_ms;
+        let transition_ms = self.transition_ms;
         self.change_vm(name.as_str(), |vm| {
             // Evidence of a later life than the one that was acted on is newer than the action.
             let is_proven = vm.incarnation > claim.incarnation && vm.phase == VmPhase::Live;
@@ -237,7 +238,7 @@
                 vm.phase = VmPhase::Unknown;
             }
             if !(succeeded && is_proven) {
-                vm.evidence_ms = time_ms + 1;
+                vm.evidence_ms = transition_ms + 1;
             }
             vm.failed_in = if succeeded { None } else { Some(wave.clone()) };
             if succeeded {
@@ -292,11 +293,11 @@
             return Verdict::Rejected(rejection);
         }
         self.end_claim(name, &claim);
-        let time_ms = self.time_ms;
+        let transition_ms = self.transition_ms;
         self.change_vm(name.as_str(), |vm| {
             vm.pool = target.clone();
             vm.phase = VmPhase::Unknown;
-            vm.evidence_ms = time_ms + 1;
+            vm.evidence_ms = transition_ms + 1;
         });
         Verdict::Accepted
     }
