--- a/crates/coordination/src/appender.rs
+++ b/crates/coordination/src/appender.rs
@@ -208,6 +208,7 @@
         let mut may_be_applied = false;
         let mut pause_ms = RETRY_PAUSE_MS;
         loop {
+            metrics::counter!("lynxwheel_appends_total").increment(1);
             match self.log.append(entries.clone()).await {
                 Ok(_) => return GroupEnded { is_refused: false },
                 Err(error) => {
