--- a/crates/coordination/src/appender.rs
+++ b/crates/coordination/src/appender.rs
@@ -296,6 +296,7 @@
         let mut failures = 0;
         loop {
             let sent = Instant::now();
+            metrics::counter!("lynxwheel_appends_total").increment(1);
             match self.log.append(entries.clone()).await {
                 Ok(_) => return GroupEnded { is_refused: false },
                 Err(error) => {
--- a/crates/gateway/src/ejection.rs
+++ b/crates/gateway/src/ejection.rs
@@ -8,8 +8,8 @@
 /// Doublings of that time at most.
 const MAX_DOUBLINGS: u32 = 4;
 
-/// Time for which a peer's word keeps an endpoint out, in milliseconds.
-const PEER_MS: u64 = 2_000;
+/// Time for which a peer's word keeps an endpoint out after it was last heard, in milliseconds.
+const PEER_MS: u64 = 1_000;
 
 /// Evidence against an endpoint.
 ///
