Compare digests of the whole state between peers

Cause: the digest chains records with verdicts, so a difference in counts or phases was seen only once a verdict depended on it.

Now every 256 records each node keeps a copy of its state (cheap, the chunks are shared), digests its encoding when it next tells a peer, and compares. Only builds that know the same fold version are compared, since another build may encode the state otherwise and an upgrade would stop every node's decisions. The property tests also compare the bytes of states restored at any point.

Seen failing with the comparison taken out: differing_content_stops_decisions FAILED (1 passed; 1 failed).

Test nodes of coordination listen on loopback addresses of their own: reserved ports on a shared address can be taken by another test in between.

--- a/crates/coordination/src/divergence.rs
+++ b/crates/coordination/src/divergence.rs
@@ -2,21 +2,26 @@
 
 use {
     log::error,
-    lynxwheel_protocol::{NodeName, PeerHello},
+    lynxwheel_protocol::{FOLD_VERSION, NodeName, PeerHello},
+    lynxwheel_state::{FleetState, save},
     std::{
         collections::VecDeque,
         sync::{
-            Mutex, MutexGuard, PoisonError,
+            Arc, Mutex, MutexGuard, OnceLock, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
     },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Digests remembered; more than the records between two messages of a peer.
 const MAX_DIGESTS: usize = 8_192;
 
+/// Records between two digests of the whole state.
+const MARK_RECORDS: u64 = 256;
+
 /// Digest of the state after one record.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct DigestAt {
     /// Offset of the record.
     pub(crate) offset: u64,
@@ -33,10 +38,21 @@
 #[derive(Debug, Default)]
 pub(crate) struct Divergence {
     digests: Mutex<VecDeque<DigestAt>>,
+    mark: Mutex<Option<Arc<Mark>>>,
     compared: Mutex<Vec<Compared>>,
     has_diverged: AtomicBool,
 }
 
+/// State at an offset where every node takes a digest of all of it.
+///
+/// The digest of the verdicts shows a difference only once a verdict depends on it. Copies of the
+/// state are cheap, so the fold only keeps one; whoever tells peers works the digest out.
+#[derive(Debug)]
+struct Mark {
+    state: FleetState,
+    digest: OnceLock<u64>,
+}
+
 /// Last comparison with one peer.
 #[derive(Debug)]
 struct Compared {
@@ -56,14 +72,49 @@
     /// Forgets the digests, when the state was replaced.
     pub(crate) fn forget(&self) {
         lock(&self.digests).clear();
+        *lock(&self.mark) = None;
+    }
+
+    /// Keeps the state for a digest of all of it, at the same offsets on every node.
+    pub(crate) fn mark_if_due(&self, state: &FleetState) {
+        if state.offset().is_multiple_of(MARK_RECORDS) {
+            let mark = Mark {
+                state: state.clone(),
+                digest: OnceLock::new(),
+            };
+            *lock(&self.mark) = Some(Arc::new(mark));
+        }
+    }
+
+    /// Returns the last digest of the whole state; offset 0 when there is none.
+    pub(crate) fn content_digest(&self) -> DigestAt {
+        let mark = lock(&self.mark).clone();
+        let Some(mark) = mark else {
+            return DigestAt::default();
+        };
+        let digest = mark
+            .digest
+            .get_or_init(|| save(&mark.state).map_or(0, |bytes| xxh3_64(&bytes)));
+        DigestAt {
+            offset: mark.state.offset(),
+            digest: *digest,
+        }
     }
 
     /// Compares a peer's digest with this node's at the same offset, if it is remembered.
     pub(crate) fn compare(&self, hello: &PeerHello) {
-        let Some(own) = self.digest_at(hello.digest_offset) else {
+        let own = self.digest_at(hello.digest_offset);
+        let content = self.content_digest();
+        // A build that encodes the state otherwise knows another version of the fold; during an
+        // upgrade its digests of the whole state say nothing.
+        let is_same_mark = content.offset > 0
+            && content.offset == hello.content_offset
+            && hello.fold_version == FOLD_VERSION;
+        if own.is_none() && !is_same_mark {
             return;
-        };
-        let agrees = own == hello.digest;
+        }
+        let agrees = own.is_none_or(|own| own == hello.digest)
+            && (!is_same_mark || content.digest == hello.content_digest);
         let mut compared = lock(&self.compared);
         match compared.binary_search_by(|row| row.node.cmp(&hello.node)) {
             Ok(row) => compared[row].agrees = agrees,
@@ -79,7 +130,7 @@
             return;
         }
         error!(event = "digest_differs", peer = hello.node.as_str(),
-            offset = hello.digest_offset, own = own, theirs = hello.digest;
+            offset = hello.digest_offset, content_offset = hello.content_offset;
             "a peer has another state at the same offset");
         let differing = compared.iter().filter(|row| !row.agrees).count();
         let agreeing = 1 + compared.len() - differing;
--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -106,6 +106,7 @@
         for entry in &message.entries {
             decisions.extend(self.fold(entry));
             if self.state.offset() == entry.offset {
+                self.divergence.mark_if_due(&self.state);
                 digests.push(DigestAt {
                     offset: entry.offset,
                     digest: self.state.digest(),
--- a/crates/coordination/src/peer_server.rs
+++ b/crates/coordination/src/peer_server.rs
@@ -37,6 +37,7 @@
     #[must_use]
     pub fn hello(&self) -> PeerHello {
         let state = self.state();
+        let content = self.divergence().content_digest();
         PeerHello {
             node: self.settings().identity.node.clone(),
             incarnation: self.incarnation(),
@@ -48,6 +49,8 @@
             offset: state.offset(),
             digest_offset: state.offset(),
             digest: state.digest(),
+            content_offset: content.offset,
+            content_digest: content.digest,
             loads: self.peers().local_loads(),
             leaving: self.peers().local_leaving(),
         }
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -8,7 +8,13 @@
     lynxwheel_protocol::PeerHello,
     lynxwheel_standin::PlatformServer,
     lynxwheel_transport::{Client, Server, Shutdown},
-    std::{future::Future, net::SocketAddr, time::Duration},
+    std::{
+        future::Future,
+        net::SocketAddr,
+        process,
+        sync::atomic::{AtomicU16, Ordering},
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
@@ -142,7 +148,7 @@
 /// Finds a free address for each node.
 pub fn free_addresses(count: u32) -> Vec<PeerAddress> {
     let listeners: Vec<std::net::TcpListener> = (0..count)
-        .map(|_| std::net::TcpListener::bind(any_port()).expect("a free port"))
+        .map(|_| std::net::TcpListener::bind(own_address()).expect("a free port"))
         .collect();
     (1..)
         .zip(&listeners)
@@ -195,6 +201,16 @@
     }
 }
 
+/// Returns a loopback address that no other test of this process uses, with any port.
+///
+/// A port that was free a moment ago on a shared address is soon taken by another test.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = u8::try_from(process::id() % 250).unwrap_or(0) + 1;
+    SocketAddr::from(([127, process, high, low], 0))
+}
+
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -264,6 +264,22 @@
     assert!(!first.node.proposer().is_accepted(team("day-shift")).await);
 }
 
+/// Two nodes count a pool's available VMs differently, yet neither has rejected what the other
+/// accepted so far. The digest of the whole state must show it before a decision depends on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn differing_content_stops_decisions() {
+    let fleet = Fleet::start(2).await;
+    let first = fleet.run(0).await;
+    while first.node.hello().content_offset == 0 {
+        declare(&first, "night-shift").await;
+    }
+    let mut lying = first.node.hello();
+    lying.node = fleet.addresses[1].node.clone();
+    lying.content_digest ^= 1;
+    fleet.tell(0, &lying).await;
+    assert!(first.node.has_diverged());
+}
+
 /// A starting node has half of one state and half of another. Two nodes wrote snapshots at the
 /// same time, a third died while writing, and an append was repeated after a lost answer. Only
 /// the latest whole one may count.
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -64,8 +64,12 @@
     pub offset: u64,
     /// Offset at which `digest` was taken.
     pub digest_offset: u64,
-    /// Digest of the folded state at `digest_offset`.
+    /// Digest of the records and verdicts up to `digest_offset`.
     pub digest: u64,
+    /// Offset at which `content_digest` was taken; 0 means never.
+    pub content_offset: u64,
+    /// Digest of the whole state at `content_offset`.
+    pub content_digest: u64,
     /// Load that the sender puts on endpoints; sorted.
     pub loads: Vec<EndpointLoad>,
     /// Endpoints that the sender saw leaving or failing, by VM and incarnation; sorted.
--- a/crates/state/tests/fold_model/mod.rs
+++ b/crates/state/tests/fold_model/mod.rs
@@ -257,6 +257,9 @@
             }
         }
         prop_assert_eq!(state.digest(), self.state.digest());
+        let bytes = |state| save(state).map_err(|error| fail(&error));
+        let is_same = bytes(&state)? == bytes(&self.state)?;
+        prop_assert!(is_same, "other bytes from a snapshot at {from}");
         prop_assert!(
             state == self.state,
             "another state from a snapshot at {from}"
