Placement: room made for urgent work accounts for VMs that are over-committed

Attempts that use more than was declared leave a VM with more reserved than it has; a stop then made less room than planned and urgent work waited for a second one. Baselines get quarantines.

--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -165,7 +165,7 @@
         });
         let Some(index) = room.choose(job, &demand) else {
             if job.spec.class == Class::Urgent {
-                make_room(self.view.state, room, &demand, &mut plan.stops);
+                make_room(self.view.state, room, job, &demand, &mut plan.stops);
             }
             return;
         };
--- a/crates/decisions/src/preemption.rs
+++ b/crates/decisions/src/preemption.rs
@@ -30,10 +30,12 @@
 pub(crate) fn make_room(
     state: &FleetState,
     room: &mut PoolRoom<'_>,
+    urgent: &JobState,
     demand: &Resources,
     stops: &mut Vec<Preemption>,
 ) {
     let best = (0..room.vms.len())
+        .filter(|vm| room.is_new_to(*vm, urgent))
         .filter_map(|vm| offer(state, room, vm, demand, stops))
         .min_by_key(|offer| offer.new_stops.len());
     let Some(best) = best else {
@@ -41,7 +43,8 @@
     };
     for job in best.new_stops {
         let reserved = job.attempt.as_ref().map(|run| run.reserved);
-        room.vms[best.vm].soon = room.vms[best.vm].soon.plus(&reserved.unwrap_or_default());
+        let taken_soon = &mut room.vms[best.vm].taken_soon;
+        *taken_soon = taken_soon.minus(&reserved.unwrap_or_default());
         stops.push(Preemption {
             job: job.spec.name.clone(),
             attempt: job.attempts,
@@ -57,7 +60,8 @@
     demand: &Resources,
     stops: &[Preemption],
 ) -> Option<Offer<'a>> {
-    let mut free = room.vms[vm].soon;
+    let capacity = room.vms[vm].vm.capacity;
+    let mut taken = room.vms[vm].taken_soon;
     let mut lower: Vec<&JobState> = Vec::new();
     for name in &room.vms[vm].vm.attempts {
         let job = state.jobs().get(name.as_str())?;
@@ -74,11 +78,12 @@
     });
     let mut new_stops = Vec::new();
     for job in lower {
-        if demand.fits(&free) {
+        if demand.plus(&taken).fits(&capacity) {
             break;
         }
-        free = free.plus(&job.attempt.as_ref()?.reserved);
+        taken = taken.minus(&job.attempt.as_ref()?.reserved);
         new_stops.push(job);
     }
-    demand.fits(&free).then_some(Offer { vm, new_stops })
+    let fits = demand.plus(&taken).fits(&capacity);
+    fits.then_some(Offer { vm, new_stops })
 }
--- a/crates/decisions/src/room.rs
+++ b/crates/decisions/src/room.rs
@@ -10,6 +10,9 @@
     lynxwheel_state::{FleetState, JobState, VmState},
 };
 
+/// Failures in a row after which a VM is used last.
+const SUSPECT_FAILURES: u32 = 2;
+
 /// Why a VM was preferred.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Tier {
@@ -27,14 +30,22 @@
     pub(crate) vm: &'a VmState,
     /// Room for starts now.
     pub(crate) free: Resources,
-    /// Room once the attempts that were asked to stop are over, less what is pledged.
-    pub(crate) soon: Resources,
+    /// What is taken once the attempts that were asked to stop are over, with what is pledged.
+    ///
+    /// It may exceed the capacity, since attempts may use more than was declared.
+    pub(crate) taken_soon: Resources,
     pub(crate) tier: Tier,
     wait_ms: u64,
     zone: usize,
     rack: usize,
 }
 
+impl VmRoom<'_> {
+    fn fits_soon(&self, demand: &Resources) -> bool {
+        demand.plus(&self.taken_soon).fits(&self.vm.capacity)
+    }
+}
+
 /// The VMs of one pool that can take attempts during the round.
 #[derive(Clone, Debug)]
 pub(crate) struct PoolRoom<'a> {
@@ -70,7 +81,7 @@
                 vms.push(VmRoom {
                     vm,
                     free: vm.free(),
-                    soon: vm.free().plus(&stopping(state, vm)),
+                    taken_soon: vm.reserved.minus(&stopping(state, vm)),
                     tier: next.map_or(Tier::Settled, |next| tier(&next)),
                     wait_ms: next.map_or(u64::MAX, |next| next.wait_ms),
                     zone,
@@ -112,7 +123,7 @@
     pub(crate) fn take(&mut self, index: usize, demand: &Resources) {
         let room = &mut self.vms[index];
         room.free = room.free.minus(demand);
-        room.soon = room.soon.minus(demand);
+        room.taken_soon = room.taken_soon.plus(demand);
         self.zone_attempts[room.zone] += 1;
         self.rack_attempts[room.rack] += 1;
     }
@@ -125,21 +136,28 @@
     fn admits(&self, index: usize, job: &JobState, demand: &Resources) -> bool {
         let room = &self.vms[index];
         let is_open = room.tier != Tier::Cordoned || job.spec.class == Class::Urgent;
-        let has_failed = job.failed_on.binary_search(&room.vm.name).is_ok();
-        let is_new = !has_failed || job.failed_on.len() >= self.vms.len();
-        is_open && is_new && demand.fits(&room.free) && demand.fits(&room.soon)
+        is_open && self.is_new_to(index, job) && demand.fits(&room.free) && room.fits_soon(demand)
+    }
+
+    /// Tells whether a job has not failed on a VM, or on every one of them.
+    pub(crate) fn is_new_to(&self, index: usize, job: &JobState) -> bool {
+        let has_failed = job
+            .failed_on
+            .binary_search(&self.vms[index].vm.name)
+            .is_ok();
+        !has_failed || job.failed_on.len() >= self.vms.len()
     }
 
     /// Returns what an attempt costs on a VM; the lowest is chosen.
     ///
-    /// A VM that a wave takes later comes after the others. Batch work is packed tightly, which leaves other VMs empty for maintenance and large jobs; work that
+    /// A VM on which the last attempts failed comes last, and one that a wave takes later before
+    /// it. Batch work is packed tightly, which leaves other VMs empty for maintenance and large jobs; work that
     /// people wait for is spread over zones and racks, so that one failure takes little of it.
     ///
     /// Among the VMs that a wave takes later, a job goes where it puts the wave off least: long
     /// jobs gather on the VM that is busy for longest anyway, and the others are empty sooner.
     fn cost(&self, index: usize, job: &JobState, demand: &Resources) -> Cost {
         let room = &self.vms[index];
-        let has_failed = job.failed_on.binary_search(&room.vm.name).is_ok();
         let spread = if job.spec.class == Class::Batch {
             0
         } else {
@@ -148,7 +166,7 @@
         let left = share(&room.free.minus(demand), &room.vm.capacity);
         let runs_ms = job.spec.run_time_ms.max(job.estimate.ran_ms);
         Cost {
-            has_failed,
+            is_suspect: room.vm.failures >= SUSPECT_FAILURES,
             tier: room.tier,
             put_off_ms: runs_ms.saturating_sub(room.wait_ms),
             spread,
@@ -165,7 +183,7 @@
 /// What an attempt costs on a VM, the weightiest first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Cost {
-    has_failed: bool,
+    is_suspect: bool,
     tier: Tier,
     put_off_ms: u64,
     spread: u64,
--- a/crates/experiment/src/args.rs
+++ b/crates/experiment/src/args.rs
@@ -21,6 +21,9 @@
 /// Exit code when results could not be written.
 const EXIT_OUTPUT: u8 = 1;
 
+/// Length of a step in the placement experiment, in milliseconds: starts are measured in it.
+const PLACEMENT_STEP_MS: u64 = 1_000;
+
 /// Milliseconds of an hour.
 const HOUR_MS: u64 = 3_600_000;
 
@@ -105,7 +108,10 @@
 /// Runs the policies asked for on the inputs of one seed.
 #[must_use]
 pub fn run_seed(args: &ExperimentArgs, seed: u64) -> Vec<Measures> {
-    let profile = Profile::new(args.profile);
+    let mut profile = Profile::new(args.profile);
+    if args.name == ExperimentName::Placement {
+        profile.step_ms = PLACEMENT_STEP_MS;
+    }
     let is_wanted = |name: &str| args.policy.as_deref().is_none_or(|policy| policy == name);
     let shape = shape(args.name, args.profile);
     let mut rows = match args.name {
--- a/crates/experiment/src/policies.rs
+++ b/crates/experiment/src/policies.rs
@@ -169,7 +169,8 @@
             .collect();
         waiting.sort_by_key(|job| (job.spec.class, job.pending_since_ms));
         let view = FleetView::new(state);
-        let mut free: Vec<Vec<Room<'_>>> = view.pools.iter().map(rooms).collect();
+        let mut free: Vec<Vec<Room<'_>>> =
+            view.pools.iter().map(|pool| rooms(pool, now_ms)).collect();
         let mut plan = PlacementPlan::default();
         for job in waiting {
             let Some(pool) = view.pool_index(job.spec.pool.as_str()) else {
@@ -209,11 +210,11 @@
     attempts: usize,
 }
 
-fn rooms<'a>(pool: &PoolView<'a>) -> Vec<Room<'a>> {
+fn rooms<'a>(pool: &PoolView<'a>, now_ms: u64) -> Vec<Room<'a>> {
     pool.vms
         .iter()
         .copied()
-        .filter(|vm| vm.is_available())
+        .filter(|vm| vm.is_available() && vm.quarantined_until_ms <= now_ms)
         .map(|vm| Room {
             vm: &vm.name,
             free: vm.free(),
