--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -1,7 +1,14 @@
 //! Folding the log's entries into the published state.
 
 use {
-    crate::{proposer::Decision, published::Published, waiters::Waiters},
+    crate::{
+        divergence::{DigestAt, Divergence},
+        operations::Operations,
+        proposer::Decision,
+        published::Published,
+        recent::RecentEntries,
+        waiters::Waiters,
+    },
     kameo::{
         Actor,
         message::{Context, Message},
@@ -19,12 +26,29 @@
     pub(crate) entries: Vec<LogEntry>,
 }
 
+/// Replaces the state by a later one, when records between them cannot be read.
+#[derive(Debug)]
+pub(crate) struct Reload {
+    state: Box<FleetState>,
+}
+
+impl Reload {
+    pub(crate) fn new(state: FleetState) -> Self {
+        Self {
+            state: Box::new(state),
+        }
+    }
+}
+
 /// Actor that owns the state.
 #[derive(Actor, Debug)]
 pub(crate) struct Fold {
     state: FleetState,
     published: Arc<Published>,
     waiters: Arc<Waiters>,
+    recent: Arc<RecentEntries>,
+    operations: Arc<Operations>,
+    divergence: Arc<Divergence>,
     incarnation: u64,
 }
 
@@ -33,12 +57,18 @@
         state: FleetState,
         published: Arc<Published>,
         waiters: Arc<Waiters>,
+        recent: Arc<RecentEntries>,
+        operations: Arc<Operations>,
+        divergence: Arc<Divergence>,
         incarnation: u64,
     ) -> Self {
         Self {
             state,
             published,
             waiters,
+            recent,
+            operations,
+            divergence,
             incarnation,
         }
     }
@@ -58,6 +88,7 @@
         };
         let verdict = self.state.apply(entry.offset, &record);
         log_verdict(entry.offset, &record, &verdict);
+        self.operations.note(entry.offset, &record, &verdict);
         (record.id.incarnation == self.incarnation).then_some(Decision {
             id: record.id,
             offset: entry.offset,
@@ -70,11 +101,19 @@
     type Reply = ();
 
     async fn handle(&mut self, message: FoldEntries, _context: &mut Context<Self, Self::Reply>) {
-        let decisions: Vec<Decision> = message
-            .entries
-            .iter()
-            .filter_map(|entry| self.fold(entry))
-            .collect();
+        let mut decisions = Vec::new();
+        let mut digests = Vec::with_capacity(message.entries.len());
+        for entry in &message.entries {
+            decisions.extend(self.fold(entry));
+            if self.state.offset() == entry.offset {
+                digests.push(DigestAt {
+                    offset: entry.offset,
+                    digest: self.state.digest(),
+                });
+            }
+        }
+        self.divergence.note(&digests);
+        self.recent.note(&message.entries);
         self.published.store(self.state.clone());
         // Published first, so that a proposer finds its own record in the state it then reads.
         for decision in decisions {
@@ -86,6 +125,20 @@
     }
 }
 
+impl Message<Reload> for Fold {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Reload, _context: &mut Context<Self, Self::Reply>) {
+        if message.state.offset() <= self.state.offset() {
+            return;
+        }
+        info!(event = "reloaded", from = self.state.offset(), offset = message.state.offset(); "");
+        self.state = *message.state;
+        self.divergence.forget();
+        self.published.store(self.state.clone());
+    }
+}
+
 #[expect(
     clippy::cast_precision_loss,
     reason = "gauges are floats; offsets stay far below 2^52"
@@ -140,5 +193,7 @@
         RecordBody::Quarantine { .. } => "quarantine",
         RecordBody::Intent { .. } => "intent",
         RecordBody::Outcome { .. } => "outcome",
+        RecordBody::Snapshot { .. } => "snapshot",
+        RecordBody::Tick => "tick",
     }
 }
--- a/crates/coordination/src/observer.rs
+++ b/crates/coordination/src/observer.rs
@@ -1,10 +1,12 @@
 //! Finding out about VMs: the platform's list and probes of endpoints.
 
 use {
-    crate::{clock::now_ms, node::Node},
+    crate::node::Node,
     log::{debug, info},
     lynxwheel_decisions::rendezvous_rank,
-    lynxwheel_protocol::{RecordBody, VmEntry, VmList, VmListState, VmPhase, VmReport},
+    lynxwheel_protocol::{
+        MAX_REPORTS, RecordBody, VmEntry, VmList, VmListState, VmPhase, VmReport,
+    },
     lynxwheel_state::{FleetState, VmState},
     lynxwheel_transport::Client,
     serde::Deserialize,
@@ -55,8 +57,9 @@
             continue;
         }
         let clients = node.clients().clone();
+        let clock = node.clock().clone();
         probes.spawn(async move {
-            let probe_ms = now_ms();
+            let probe_ms = clock.now_ms();
             let health = match entry.address.parse::<SocketAddr>() {
                 Ok(address) => probe(&clients.get(address), &entry).await,
                 Err(_) => None,
@@ -71,9 +74,12 @@
         };
         reports.extend(report(&node.state(), &entry, probe_ms, health.as_ref()));
     }
-    if !reports.is_empty() {
-        reports.sort();
+    reports.sort();
+    // After a zone's failure the reports of a whole fleet would exceed a record's bound and be
+    // refused again and again.
+    for reports in reports.chunks(MAX_REPORTS) {
         info!(event = "vm_reports", count = reports.len(), offset = state.offset(); "");
+        let reports = reports.to_vec();
         node.proposer()
             .is_accepted(RecordBody::Report { reports })
             .await;
--- a/crates/coordination/src/planner.rs
+++ b/crates/coordination/src/planner.rs
@@ -1,7 +1,7 @@
 //! Planning: proposing claims, starts and final answers when it is this node's turn.
 
 use {
-    crate::{clock::now_ms, node::Node},
+    crate::node::Node,
     log::info,
     lynxwheel_decisions::{
         ClaimStep, Tuning, plan_claims, plan_give_ups, plan_placements, plan_quarantines,
@@ -59,7 +59,7 @@
             node,
             nodes: node.live_nodes(),
             state: node.state(),
-            now_ms: now_ms(),
+            now_ms: node.clock().now_ms(),
             proposals: JoinSet::new(),
         }
     }
--- a/crates/experiment/src/routing.rs
+++ b/crates/experiment/src/routing.rs
@@ -107,18 +107,16 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Returns what `node` takes an endpoint's load for.
-    fn seen(&self, endpoint: usize, node: usize, policy: RoutePolicy) -> u32 {
-        let own = self.own(endpoint, node);
+    /// Returns the requests of other nodes on an endpoint that `node` knows of.
+    fn peers(&self, endpoint: usize, node: usize, policy: RoutePolicy) -> u32 {
         if policy != RoutePolicy::InUse {
-            return own;
+            return 0;
         }
         let peers = self.exchanged[endpoint].iter().enumerate();
-        let others: u32 = peers
+        peers
             .filter(|(peer, _)| *peer != node)
             .map(|(_, count)| count)
-            .sum();
-        own + others
+            .sum()
     }
 }
 
@@ -156,8 +154,10 @@
                 .map(|index| EndpointView {
                     vm: &names[index],
                     zone: &zones[index % zones.len()],
-                    in_progress: endpoints.seen(index, node, policy),
+                    in_progress: endpoints.own(index, node),
+                    peers_in_progress: endpoints.peers(index, node, policy),
                     slots: SLOTS,
+                    share: 0,
                 })
                 .collect();
             let request = RouteRequest {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,15 +17,29 @@
 //! # }
 //! ```
 
+mod answers;
 mod caller_request;
 mod dispatch;
+mod ejection;
 mod endpoints;
+mod forward;
 mod gateway;
+mod intents;
+mod key_age;
+mod keys;
+mod limits;
+mod payload;
+mod peers;
+mod queue;
 mod refusal;
+mod table;
 
+pub use answers::{KeptAnswer, KeptHeader};
 pub use caller_request::{
-    CLASS_HEADER, CallerRequest, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER,
-    TEAM_HEADER,
+    CLASS_HEADER, CallerRequest, DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, ISSUED_HEADER,
+    REQUEST_ID_HEADER, TEAM_HEADER,
 };
 pub use gateway::Gateway;
+pub use key_age::{KeyAge, key_age, uuid_v7_ms};
+pub use peers::{PEER_ANSWER_PATH, PeerAnswer, PeerAnswerRequest};
 pub use refusal::{DID_NOT_RUN_HEADER, Refusal, RefusalReason};
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -6,6 +6,7 @@
     crate::{
         names::{JobName, NodeName, PoolName, RackName, VmName, WaveName, ZoneName},
         resource::{Resource, ResourceRef, Resources},
+        snapshot::SnapshotId,
     },
     serde::{Deserialize, Serialize},
 };
@@ -51,6 +52,9 @@
     Unknown,
 }
 
+/// Reports in one record at most, so that it keeps to the bound of a record's size.
+pub const MAX_REPORTS: usize = 256;
+
 /// What a node found out about a VM.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct VmReport {
@@ -262,4 +266,11 @@
         /// Outcome.
         outcome: KeyOutcome,
     },
+    /// Tells that a snapshot stands whole in the snapshot stream.
+    Snapshot {
+        /// Snapshot.
+        id: SnapshotId,
+    },
+    /// Confirms the time when nothing else is to be written.
+    Tick,
 }
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -5,6 +5,9 @@
     VmListState, VmName, ZoneName,
 };
 
+/// Refusal of an endpoint whose slots are all taken.
+pub(crate) const NO_FREE_SLOT: &str = "no free slot";
+
 /// An attempt on a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Task {
@@ -43,6 +46,8 @@
     pub in_progress: u32,
     /// Highest fencing number seen.
     pub fence: u64,
+    /// Fencing number of the last reboot; each reboots at most once.
+    pub rebooted_fence: u64,
     /// When its reboot ends, in milliseconds since the epoch.
     pub up_again_ms: Option<u64>,
     /// Attempts of this life.
@@ -92,16 +97,39 @@
         if now_ms > request.not_after_ms {
             return Err("too late".into());
         }
-        let is_repeated = request.action == VmAction::Reboot
-            && request.fence == self.fence
-            && self.up_again_ms.is_some();
+        let is_repeated = request.fence == self.rebooted_fence;
         self.fence = request.fence;
         match request.action {
             VmAction::Drain => self.is_draining = true,
             VmAction::Undrain => self.is_draining = false,
             VmAction::Reboot if is_repeated => {}
-            VmAction::Reboot => self.go_down(now_ms + reboot_ms),
+            VmAction::Reboot => {
+                self.rebooted_fence = request.fence;
+                self.go_down(now_ms + reboot_ms);
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes a request in, unless it is meant for another life or cannot be served now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason of the refusal, after which the request did not start.
+    pub fn enter(&mut self, meant: Option<u64>, slots: u32) -> Result<(), &'static str> {
+        if meant.is_some_and(|incarnation| incarnation != self.incarnation) {
+            return Err("another incarnation");
+        }
+        if !self.is_up {
+            return Err("down");
+        }
+        if self.is_draining || self.is_leaving {
+            return Err("leaving");
+        }
+        if self.in_progress >= slots {
+            return Err(NO_FREE_SLOT);
         }
+        self.in_progress += 1;
         Ok(())
     }
 
@@ -187,7 +215,8 @@
             if task.state != TaskState::Running {
                 continue;
             }
-            if now_ms >= task.started_ms + task.start.run_time_ms {
+            let end_ms = task.started_ms + task.start.run_time_ms;
+            if now_ms >= end_ms && end_ms <= task.lease_until_ms {
                 task.state = TaskState::Succeeded;
             } else if now_ms >= task.lease_until_ms {
                 task.state = TaskState::Failed;
