Observer within its share; a fresh look before each planned step

The list is fetched by one node in turn, less often the larger the fleet. Each VM is probed by one node: at every tick while in transition, otherwise at no more than 16 probes a second and node. By sizes of messages, not measured: a list of 210 KB every 10 s in turn is 2.3 KB/s for each of nine nodes, 16 probes of about 400 B are 6.2 KB/s.

--- a/crates/coordination/src/actions.rs
+++ b/crates/coordination/src/actions.rs
@@ -1,7 +1,7 @@
 //! Carrying out the claims that this node holds.
 
 use {
-    crate::node::Node,
+    crate::{node::Node, observer::confirm_pool},
     log::{info, warn},
     lynxwheel_decisions::{
         ActionStep, ClaimReview, ClaimStep as Step, ReleaseReason, action_step, review_claims,
@@ -161,6 +161,10 @@
 
     /// Returns whether the recheck was accepted, if that is known.
     async fn try_begin(&self) -> Option<bool> {
+        if !confirm_pool(&self.node, &self.vm.pool).await {
+            // The fold knows of the loss by now and says whether the budget still has room.
+            self.log_step("pool_changed");
+        }
         let not_after_ms = self.node.clock().now_ms() + ACTION_WINDOW_MS;
         let body = RecordBody::Begin {
             vm: self.vm.name.clone(),
--- a/crates/coordination/src/observer.rs
+++ b/crates/coordination/src/observer.rs
@@ -1,11 +1,15 @@
 //! Finding out about VMs: the platform's list and probes of endpoints.
+//!
+//! Each VM is probed by one node. VMs in transition are probed at every tick and the others at a
+//! rate that grows no further with the fleet, and the list is fetched by one node in turn, so
+//! that what a node spends on it is bounded.
 
 use {
     crate::node::Node,
     log::{debug, info},
     lynxwheel_decisions::rendezvous_rank,
     lynxwheel_protocol::{
-        MAX_REPORTS, RecordBody, VmEntry, VmList, VmListState, VmPhase, VmReport,
+        MAX_REPORTS, PoolName, RecordBody, VmEntry, VmList, VmListState, VmName, VmPhase, VmReport,
     },
     lynxwheel_state::{FleetState, VmState},
     lynxwheel_transport::Client,
@@ -20,6 +24,19 @@
 /// Time that the VM list may take, in milliseconds.
 const LIST_TIMEOUT_MS: u64 = 2_000;
 
+/// Shortest time between two fetches of the list by all nodes together, in milliseconds.
+const LIST_MS: u64 = 500;
+
+/// Time added to it for each VM, in milliseconds: the list grows with the fleet.
+const LIST_MS_PER_VM: u64 = 7;
+
+/// Shortest time between two probes of a VM that is not in transition, in milliseconds.
+const QUIET_MS: u64 = 500;
+
+/// Time added to it for each VM that the node probes, in milliseconds: 16 probes a second at
+/// most.
+const QUIET_MS_PER_VM: u64 = 64;
+
 /// Endpoint's own word on its health.
 #[derive(Clone, Debug, Deserialize)]
 struct Health {
@@ -28,57 +45,175 @@
     leaving: bool,
 }
 
+/// When a VM was probed last.
+#[derive(Clone, Debug)]
+struct Probed {
+    vm: VmName,
+    at_ms: u64,
+}
+
+/// Answer to a probe, or its absence.
+#[derive(Debug)]
+struct Finding {
+    vm: VmName,
+    probe_ms: u64,
+    health: Option<Health>,
+}
+
 /// Observes VMs for as long as it is polled.
 pub(crate) async fn observe(node: Node) {
     let platform = Client::new(node.settings().platform, 2);
+    let mut probed = Vec::new();
+    let mut list_turn = 0;
     loop {
-        let limit = Duration::from_millis(LIST_TIMEOUT_MS);
-        match platform.fetch::<VmList>("/vms", limit).await {
-            Ok(list) => observe_list(&node, list).await,
-            Err(error) => debug!(event = "vm_list_failed"; "{error}"),
+        if let Some(list) = fetch_in_turn(&node, &platform, &mut list_turn).await {
+            report_list(&node, list).await;
         }
+        let due = due_probes(&node, &mut probed);
+        report_probes(&node, due).await;
         tokio::time::sleep(Duration::from_millis(node.settings().tick_ms)).await;
     }
 }
 
-async fn observe_list(node: &Node, list: VmList) {
-    let mut probes = JoinSet::new();
+/// Fetches the list when it is this node's turn.
+async fn fetch_in_turn(node: &Node, platform: &Client, last_turn: &mut u64) -> Option<VmList> {
+    let interval_ms = LIST_MS + LIST_MS_PER_VM * node.state().vms().len() as u64;
+    let turn = node.clock().now_ms() / interval_ms;
+    if turn == *last_turn || !is_first(node, &format!("vm-list/{turn}")) {
+        return None;
+    }
+    *last_turn = turn;
+    let limit = Duration::from_millis(LIST_TIMEOUT_MS);
+    match platform.fetch::<VmList>("/vms", limit).await {
+        Ok(list) => Some(list),
+        Err(error) => {
+            debug!(event = "vm_list_failed"; "{error}");
+            None
+        }
+    }
+}
+
+fn is_first(node: &Node, subject: &str) -> bool {
+    rendezvous_rank(subject, &node.settings().identity.node, &node.live_nodes()) == 0
+}
+
+/// Reports what the list says of VMs in another life, at another address or leaving.
+///
+/// The list lags, so it never makes a VM live: a VM that it shows in a new life counts as unknown
+/// until a probe finds it there.
+async fn report_list(node: &Node, list: VmList) {
     let state = node.state();
-    for entry in list.vms {
-        let Some(vm) = state.vms().get(entry.name.as_str()) else {
-            continue;
-        };
-        if rendezvous_rank(
-            vm.name.as_str(),
-            &node.settings().identity.node,
-            &node.live_nodes(),
-        ) != 0
-        {
+    let mut reports: Vec<VmReport> = list
+        .vms
+        .iter()
+        .filter_map(|entry| list_report(state.vms().get(entry.name.as_str())?, entry, list.made_ms))
+        .collect();
+    propose(node, &mut reports).await;
+}
+
+fn list_report(vm: &VmState, entry: &VmEntry, made_ms: u64) -> Option<VmReport> {
+    let is_moved = vm.address != entry.address || vm.incarnation < entry.incarnation;
+    let phase = match entry.state {
+        VmListState::Leaving => VmPhase::Leaving,
+        VmListState::Live if is_moved => VmPhase::Unknown,
+        VmListState::Live => vm.phase,
+    };
+    let report = VmReport {
+        vm: entry.name.clone(),
+        incarnation: entry.incarnation,
+        phase,
+        evidence_ms: made_ms.max(vm.evidence_ms),
+        zone: entry.zone.clone(),
+        rack: entry.rack.clone(),
+        address: entry.address.clone(),
+        capacity: entry.capacity,
+    };
+    is_news(vm, &report).then_some(report)
+}
+
+/// Returns the VMs of this node whose next probe is due, and notes that they are probed.
+fn due_probes(node: &Node, probed: &mut Vec<Probed>) -> Vec<VmState> {
+    let state = node.state();
+    let now_ms = node.clock().now_ms();
+    let own: Vec<&VmState> = state
+        .vms()
+        .iter()
+        .filter(|vm| !vm.address.is_empty() && is_first(node, vm.name.as_str()))
+        .collect();
+    let quiet_ms = QUIET_MS + QUIET_MS_PER_VM * own.len() as u64;
+    probed.retain(|row| state.vms().get(row.vm.as_str()).is_some());
+    let mut due = Vec::new();
+    for vm in own {
+        let is_quiet = vm.phase == VmPhase::Live && vm.claim.is_none();
+        let wait_ms = if is_quiet { quiet_ms } else { 0 };
+        let row = probed.binary_search_by(|row| row.vm.cmp(&vm.name));
+        if row.is_ok_and(|row| now_ms < probed[row].at_ms + wait_ms) {
             continue;
         }
+        match row {
+            Ok(row) => probed[row].at_ms = now_ms,
+            Err(row) => {
+                let vm = vm.name.clone();
+                probed.insert(row, Probed { vm, at_ms: now_ms });
+            }
+        }
+        due.push(vm.clone());
+    }
+    due
+}
+
+/// Probes VMs and reports what is news; tells whether anything was.
+async fn report_probes(node: &Node, vms: Vec<VmState>) -> bool {
+    let mut probes = JoinSet::new();
+    for vm in vms {
         let clients = node.clients().clone();
         let clock = node.clock().clone();
         probes.spawn(async move {
             let probe_ms = clock.now_ms();
-            let health = match entry.address.parse::<SocketAddr>() {
-                Ok(address) => probe(&clients.get(address), &entry).await,
+            let health = match vm.address.parse::<SocketAddr>() {
+                Ok(address) => probe(&clients.get(address), &vm.name).await,
                 Err(_) => None,
             };
-            (entry, probe_ms, health)
+            Finding {
+                vm: vm.name,
+                probe_ms,
+                health,
+            }
         });
     }
     let mut reports = Vec::new();
-    while let Some(probed) = probes.join_next().await {
-        let Ok((entry, probe_ms, health)) = probed else {
-            continue;
-        };
-        reports.extend(report(&node.state(), &entry, probe_ms, health.as_ref()));
+    while let Some(found) = probes.join_next().await {
+        if let Ok(finding) = found {
+            reports.extend(probe_report(&node.state(), &finding));
+        }
     }
+    let is_news = !reports.is_empty();
+    propose(node, &mut reports).await;
+    is_news
+}
+
+/// Asks the available VMs of a pool right before a planned step; tells whether all of them are
+/// there.
+///
+/// A VM may have failed since its last probe. Without a fresh look a planned step would take the
+/// pool below its floor for as long as the failure is not noticed.
+pub(crate) async fn confirm_pool(node: &Node, pool: &PoolName) -> bool {
+    let state = node.state();
+    let available: Vec<VmState> = state
+        .vms()
+        .iter()
+        .filter(|vm| vm.pool == *pool && vm.is_available())
+        .cloned()
+        .collect();
+    !report_probes(node, available).await
+}
+
+async fn propose(node: &Node, reports: &mut [VmReport]) {
     reports.sort();
     // After a zone's failure the reports of a whole fleet would exceed a record's bound and be
     // refused again and again.
     for reports in reports.chunks(MAX_REPORTS) {
-        info!(event = "vm_reports", count = reports.len(), offset = state.offset(); "");
+        info!(event = "vm_reports", count = reports.len(), offset = node.state().offset(); "");
         let reports = reports.to_vec();
         node.proposer()
             .is_accepted(RecordBody::Report { reports })
@@ -86,35 +221,37 @@
     }
 }
 
-async fn probe(client: &Client, entry: &VmEntry) -> Option<Health> {
+async fn probe(client: &Client, vm: &VmName) -> Option<Health> {
     let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
     let answer = client.get("/healthz", limit).await.ok()?;
     let health: Health = serde_json::from_slice(&answer.body).ok()?;
-    (health.vm == entry.name.as_str()).then_some(health)
+    (health.vm == vm.as_str()).then_some(health)
 }
 
-/// Returns what to report of a VM, if it is news.
-fn report(
-    state: &FleetState,
-    entry: &VmEntry,
-    probe_ms: u64,
-    health: Option<&Health>,
-) -> Option<VmReport> {
-    let vm = state.vms().get(entry.name.as_str())?;
-    let phase = match health {
+/// Returns what to report of a probed VM, if it is news.
+fn probe_report(state: &FleetState, finding: &Finding) -> Option<VmReport> {
+    let vm = state.vms().get(finding.vm.as_str())?;
+    // A VM that announced that it goes may still answer well; only its next life is live again.
+    let is_leaving = |health: &Health| {
+        health.leaving || vm.phase == VmPhase::Leaving && health.incarnation == vm.incarnation
+    };
+    let phase = match &finding.health {
         None => VmPhase::Failed,
-        Some(health) if health.leaving || entry.state == VmListState::Leaving => VmPhase::Leaving,
+        Some(health) if is_leaving(health) => VmPhase::Leaving,
         Some(_) => VmPhase::Live,
     };
     let report = VmReport {
-        vm: entry.name.clone(),
-        incarnation: health.map_or(entry.incarnation, |health| health.incarnation),
+        vm: vm.name.clone(),
+        incarnation: finding
+            .health
+            .as_ref()
+            .map_or(vm.incarnation, |health| health.incarnation),
         phase,
-        evidence_ms: probe_ms,
-        zone: entry.zone.clone(),
-        rack: entry.rack.clone(),
-        address: entry.address.clone(),
-        capacity: entry.capacity,
+        evidence_ms: finding.probe_ms,
+        zone: vm.zone.clone(),
+        rack: vm.rack.clone(),
+        address: vm.address.clone(),
+        capacity: vm.capacity,
     };
     is_news(vm, &report).then_some(report)
 }
--- a/crates/coordination/src/planner.rs
+++ b/crates/coordination/src/planner.rs
@@ -1,13 +1,13 @@
 //! Planning: proposing claims, starts and final answers when it is this node's turn.
 
 use {
-    crate::node::Node,
+    crate::{node::Node, observer::confirm_pool},
     log::info,
     lynxwheel_decisions::{
         ClaimStep, Tuning, plan_claims, plan_give_ups, plan_placements, plan_quarantines,
         rendezvous_rank, review_claims,
     },
-    lynxwheel_protocol::{NodeName, RecordBody},
+    lynxwheel_protocol::{NodeName, PoolName, RecordBody},
     lynxwheel_state::FleetState,
     std::{sync::Arc, time::Duration},
     tokio::{task::JoinSet, time::Instant},
@@ -117,14 +117,23 @@
             info!(event = "placement", decision = "claim", vm = plan.vm.as_str(),
                 reason = plan.reason.as_str(), wait_ms = plan.drain.wait_ms,
                 job_moves = plan.drain.moves, offset = self.state.offset(); "");
-            self.propose(RecordBody::Claim {
+            let body = RecordBody::Claim {
                 vm: plan.vm,
                 purpose: plan.purpose,
                 holder: self.holder(),
-            });
+            };
+            self.propose_confirmed(plan.pool, body);
         }
     }
 
+    /// Proposes a claim once the VMs of its pool have shown that they are there.
+    fn propose_confirmed(&mut self, pool: PoolName, body: RecordBody) {
+        let node = self.node.clone();
+        self.proposals.spawn(async move {
+            confirm_pool(&node, &pool).await && node.proposer().is_accepted(body).await
+        });
+    }
+
     fn propose_placements(&mut self) {
         let plan = plan_placements(&self.state, &self.tuning(), self.now_ms, MAX_STARTS);
         for stop in plan.stops {
--- a/crates/decisions/src/waves.rs
+++ b/crates/decisions/src/waves.rs
@@ -42,6 +42,8 @@
 pub struct ClaimPlan {
     /// VM.
     pub vm: VmName,
+    /// Pool that it belongs to.
+    pub pool: PoolName,
     /// Purpose.
     pub purpose: ClaimPurpose,
     /// Reason.
@@ -173,6 +175,7 @@
         };
         ClaimPlan {
             vm: self.vm.name.clone(),
+            pool: self.vm.pool.clone(),
             purpose: self.purpose,
             reason,
             drain: self.drain,
--- a/crates/experiment/src/executor.rs
+++ b/crates/experiment/src/executor.rs
@@ -135,6 +135,7 @@
         world.vm_moves += u64::from(verdict.is_accepted());
         return;
     }
+    world.probe_pool(name.as_str());
     let not_after_ms = world.clock_ms() + ACTION_TIMEOUT_MS;
     let verdict = world.submit(RecordBody::Begin {
         vm,
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -101,6 +101,7 @@
         let claims = policy.claims(&self.world.state, clock_ms);
         self.decision_time += began.elapsed();
         for (vm, purpose) in claims {
+            self.world.probe_pool(vm.as_str());
             let verdict = self.world.submit(RecordBody::Claim {
                 vm: vm.clone(),
                 purpose,
--- a/crates/experiment/src/world.rs
+++ b/crates/experiment/src/world.rs
@@ -160,6 +160,24 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Asks the VMs of a pool right before a planned step and reports what is news.
+    pub fn probe_pool(&mut self, vm: &str) {
+        let Some(pool) = self.state.vms().get(vm).map(|vm| vm.pool.clone()) else {
+            return;
+        };
+        let news: Vec<usize> = self
+            .state
+            .vms()
+            .iter()
+            .filter(|vm| vm.pool == pool && vm.is_available())
+            .map(|vm| index_of(vm.name.as_str()))
+            .filter(|vm| !self.truth.machines[*vm].is_up)
+            .collect();
+        for vm in news {
+            self.report(vm);
+        }
+    }
+
     /// Starts the reboot of a VM.
     pub fn reboot(&mut self, vm: usize) {
         let input = &self.inputs.vms[vm];
