--- /dev/null
+++ b/crates/decisions/tests/waves.rs
@@ -0,0 +1,237 @@
+//! Claims, their review and the forecast of waves.
+
+mod common;
+
+use {
+    common::{Fleet, vm_name},
+    lynxwheel_decisions::{
+        ClaimStep, Outlook, ReleaseReason, Tuning, forecast, plan_claims, review_claims,
+    },
+    lynxwheel_protocol::{JobOutcome, NodeName, RecordBody, Resource, VmPhase, VmSpec, WaveGoal},
+    lynxwheel_state::Verdict,
+};
+
+macro_rules! claims {
+    ($($(#[$doc:meta])* $name:ident: $fleet:expr => $expected:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            let fleet: Fleet = $fleet;
+            assert_eq!(planned(&fleet), $expected.map(vm_name).to_vec());
+        })*
+    };
+}
+
+macro_rules! reviews {
+    ($($(#[$doc:meta])* $name:ident: $fleet:expr, $nodes:expr => $expected:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            let fleet: Fleet = $fleet;
+            let nodes: Vec<NodeName> = $nodes.iter().map(|node: &&str| (*node).into()).collect();
+            let steps: Vec<ClaimStep> =
+                review_claims(&fleet.state, &nodes).into_iter().map(|review| review.step).collect();
+            assert_eq!(steps, $expected);
+        })*
+    };
+}
+
+fn planned(fleet: &Fleet) -> Vec<String> {
+    let tuning = Tuning::new(fleet.state.weights());
+    let plans = plan_claims(&fleet.state, &tuning, fleet.now_ms);
+    let mut names: Vec<String> = plans.iter().map(|plan| plan.vm.as_str().into()).collect();
+    names.sort();
+    names
+}
+
+fn running(vms: usize, zones: usize, floor: u32) -> Fleet {
+    Fleet::new(vms, zones, floor)
+        .with_weights(10, 2, 1)
+        .with_wave(WaveGoal::Run)
+}
+
+fn proven() -> Fleet {
+    let mut fleet = running(24, 1, 16);
+    for vm in 0..4 {
+        fleet.maintain(vm, 1, true);
+    }
+    fleet
+}
+
+fn busy() -> Fleet {
+    let mut fleet = running(4, 1, 2);
+    fleet.job("long", 1, |_| {});
+    fleet.start("long", 0);
+    fleet
+}
+
+fn failing_early() -> Fleet {
+    let mut fleet = running(24, 2, 16);
+    fleet.maintain(0, 2, false);
+    fleet.maintain(2, 2, false);
+    fleet
+}
+
+fn failing_rack() -> Fleet {
+    let mut fleet = running(24, 2, 16);
+    for vm in [1, 3, 5, 7] {
+        fleet.maintain(vm, 2, true);
+    }
+    fleet.maintain(0, 2, false);
+    fleet.maintain(2, 2, false);
+    fleet
+}
+
+fn drained_then_failed() -> Fleet {
+    let mut fleet = running(4, 1, 3);
+    fleet.claim(0);
+    fleet.report(1, 1, 1, VmPhase::Failed);
+    fleet
+}
+
+fn drained_then(goal: WaveGoal) -> Fleet {
+    let mut fleet = running(4, 1, 3);
+    fleet.claim(0);
+    fleet.wave(goal, 0);
+    fleet
+}
+
+fn halted() -> Fleet {
+    let mut fleet = running(24, 2, 16);
+    fleet.claim(4);
+    fleet.maintain(0, 2, false);
+    fleet.maintain(2, 2, false);
+    fleet
+}
+
+claims! {
+    /// A bad image must not take a pool's whole budget before anyone can notice.
+    wave_begins_with_a_small_step: running(24, 1, 16) => [0, 1, 2];
+    /// After four VMs came back, seven may be out at once.
+    wave_grows_with_what_is_done: proven() => [4, 5, 6, 7, 8, 9, 10];
+    /// The pool's floor bounds the step whatever the ramp says.
+    budget_bounds_the_step: running(24, 1, 23) => [0];
+    full_budget_leaves_nothing: running(4, 1, 4) => [];
+    /// Two zones at once would take two failure domains of the pool down together.
+    one_zone_at_a_time: running(24, 2, 16) => [0, 2, 4];
+    paused_wave_claims_nothing: Fleet::new(4, 1, 2).with_wave(WaveGoal::Pause) => [];
+    /// A wave seems stuck and holds a VM for an hour: the VM was claimed while a job that cannot
+    /// be moved ran on it, and the claim charged the budget all the while.
+    busy_vm_is_not_claimed: busy() => [1];
+    /// A bad image takes VM after VM down. Two failed before any came back: the wave must halt.
+    early_failures_halt_the_wave: failing_early() => [];
+    /// VMs of one rack do not come back although the action proved harmless elsewhere. The wave
+    /// keeps off that rack and goes on in the other zone.
+    failing_rack_is_left_alone: failing_rack() => [9, 11, 13, 15, 17];
+}
+
+reviews! {
+    sound_claim_is_left_alone: drained_then(WaveGoal::Run), ["node-1"] => vec![];
+    /// A pool falls below its floor: a VM was drained for a wave, then another one failed. The
+    /// drain must be undone, since the drained VM still works.
+    drain_is_undone_when_the_pool_loses_a_vm: drained_then_failed(), ["node-1"]
+        => vec![ClaimStep::Release(ReleaseReason::PoolBelowFloor)];
+    drain_is_undone_by_pause: drained_then(WaveGoal::Pause), ["node-1"]
+        => vec![ClaimStep::Release(ReleaseReason::WavePaused)];
+    drain_is_undone_by_abort: drained_then(WaveGoal::Abort), ["node-1"]
+        => vec![ClaimStep::Release(ReleaseReason::WaveAborted)];
+    drain_is_undone_by_halt: halted(), ["node-1"]
+        => vec![ClaimStep::Release(ReleaseReason::WaveHalted)];
+    /// A VM stays out of service for ever: the node that held its claim is gone. Another node
+    /// must take the claim over, with its charge.
+    claim_of_a_dead_holder_is_taken_over: drained_then(WaveGoal::Run), ["node-2"]
+        => vec![ClaimStep::TakeOver];
+}
+
+/// An operator takes a move back while the VM drains for it. The move must be dropped.
+#[test]
+fn unnecessary_move_is_dropped() {
+    let mut fleet = Fleet::new(4, 1, 2);
+    let spec = lynxwheel_protocol::PoolSpec {
+        name: "target".into(),
+        ..fleet.state.pools().get("pool").unwrap().spec.clone()
+    };
+    fleet.put(Resource::Pool(spec));
+    for (pool, expected) in [
+        ("target", vec![]),
+        ("pool", vec![ReleaseReason::MoveNotWanted]),
+    ] {
+        fleet.put(Resource::Vm(VmSpec {
+            name: "vm-00".into(),
+            pool: pool.into(),
+        }));
+        for plan in plan_claims(
+            &fleet.state,
+            &Tuning::new(fleet.state.weights()),
+            fleet.now_ms,
+        ) {
+            let (vm, purpose) = (plan.vm, plan.purpose);
+            let holder = "node-1".into();
+            fleet.accept(RecordBody::Claim {
+                vm,
+                purpose,
+                holder,
+            });
+        }
+        let steps: Vec<ClaimStep> = review_claims(&fleet.state, &["node-1".into()])
+            .into_iter()
+            .map(|review| review.step)
+            .collect();
+        let expected: Vec<ClaimStep> = expected.into_iter().map(ClaimStep::Release).collect();
+        assert_eq!(steps, expected, "{pool}");
+    }
+}
+
+/// A VM reboots although its operator paused the wave: the pause came between the claim and the
+/// recheck. The fold must refuse the action.
+#[test]
+fn action_is_refused_after_a_pause() {
+    let mut fleet = running(4, 1, 3);
+    let fence = fleet.claim(0);
+    fleet.wave(WaveGoal::Pause, 0);
+    let verdict = fleet.apply(RecordBody::Begin {
+        vm: "vm-00".into(),
+        fence,
+        not_after_ms: u64::MAX,
+    });
+    assert!(matches!(verdict, Verdict::Rejected(_)), "{verdict:?}");
+}
+
+/// A billing run is cut off by a reboot: its VM was claimed while the run went on. The fold must
+/// refuse the action until the attempt is over.
+#[test]
+fn action_waits_for_the_attempt() {
+    let mut fleet = busy();
+    let fence = fleet.claim(0);
+    let begin = RecordBody::Begin {
+        vm: "vm-00".into(),
+        fence,
+        not_after_ms: u64::MAX,
+    };
+    let early = fleet.apply(begin.clone());
+    assert!(matches!(early, Verdict::Rejected(_)), "{early:?}");
+    fleet.end("long", JobOutcome::Succeeded);
+    assert_eq!(fleet.apply(begin), Verdict::Accepted);
+}
+
+#[test]
+fn late_wave_says_what_it_needs() {
+    let mut fleet = running(8, 1, 7);
+    let action_ms = 300_000;
+    fleet.wave(WaveGoal::Run, fleet.now_ms + 2 * action_ms);
+    let wave = fleet.state.waves().first().unwrap();
+    let late = forecast(&fleet.state, wave, fleet.now_ms);
+    let expected = Outlook::Late {
+        finish_ms: fleet.now_ms + 8 * action_ms,
+        needs_vms: 3,
+    };
+    assert_eq!(late.outlook, expected);
+}
+
+#[test]
+fn wave_without_room_says_so() {
+    let fleet = running(8, 1, 8);
+    let wave = fleet.state.waves().first().unwrap();
+    let outlook = forecast(&fleet.state, wave, fleet.now_ms).outlook;
+    let expected = Outlook::NoRoom {
+        pools: 1,
+        needs_vms: 1,
+    };
+    assert_eq!(outlook, expected);
+}
