Stories of placement, pauses, moves taken back, bad racks and lost endpoints

Seen failing with the guard out: urgent_work_makes_room (nothing is stopped, the dispatch never starts), quota_holds (12 rejected: at its quota -> 12 accepted), move_no_longer_wanted (13 rejected -> 13 accepted), wave_paused (vm-0 wave_paused -> nothing to review), jobs_keep_off_the_wave (on_due_vm -> on vm-1, the next to be claimed), no_endpoint_left (none -> vm-1, down), bad_rack_is_left_alone (nothing to claim -> vm-6 of the bad rack).

--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -280,6 +280,11 @@
         /// Job.
         job: String,
     },
+    /// Asks the worker of a job's attempt to stop it with its progress kept.
+    StopTask {
+        /// Job.
+        job: String,
+    },
     /// Reports how a job's attempt ended: by the worker's word, or that its VM is lost.
     EndJob {
         /// Job.
--- a/crates/scenario/src/steps.rs
+++ b/crates/scenario/src/steps.rs
@@ -56,6 +56,7 @@
             Command::Review { live } => self.review(name, live),
             Command::Act { vm, action } => self.act(name, vm, action.0),
             Command::StartTask { job } => self.start_task(name, job),
+            Command::StopTask { job } => self.stop_task(name, job),
             Command::EndJob { job, outcome } => self.end_job(name, job, outcome.0),
             Command::Route { pool, seed } => self.route(name, pool, *seed),
             Command::Dispatch => self.dispatch(),
@@ -283,6 +284,17 @@
         }
     }
 
+    fn stop_task(&mut self, name: &str, job: &str) -> StepResult {
+        let state = self.node(name)?.state();
+        let state = state.jobs().get(job).ok_or("no such job")?;
+        let (vm, attempt) = match &state.attempt {
+            Some(attempt) if attempt.stopping => (attempt.vm.clone(), state.attempts),
+            _ => return Err("no attempt is to be stopped".into()),
+        };
+        self.machine_mut(vm.as_str())?.stop(job, attempt);
+        Ok(String::new())
+    }
+
     fn end_job(&mut self, name: &str, job: &str, end: JobEnd) -> StepResult {
         let state = self.node(name)?.state();
         let job = state.jobs().get(job).ok_or("no such job")?;
--- a/crates/scenario/tests/stories.rs
+++ b/crates/scenario/tests/stories.rs
@@ -27,18 +27,23 @@
 stories! {
     append_answer_lost
     append_applied_late
+    bad_rack_is_left_alone
     budget_tightened
     cancellation_wave
     clock_ahead
     endpoint_leaves_before_dispatch
     job_fails_everywhere
     job_fits_nowhere
+    jobs_keep_off_the_wave
     log_down_long
     log_trimmed_under_reader
     move_hands_over_once
+    move_no_longer_wanted
+    no_endpoint_left
     node_from_old_snapshot
     node_frozen_before_action
     node_killed_before_answer
+    quota_holds
     rack_fails_in_wave
     snapshot_half_written
     snapshots_interleaved
@@ -46,11 +51,13 @@
     two_operators
     two_planners
     two_versions
+    urgent_work_makes_room
     vm_back_with_new_life
     vm_fails_while_neighbours_drain
     vm_list_behind
     wave_aborted
     wave_halts_on_failures
+    wave_paused
     worker_fails_everything
     zone_cut_from_log
     zone_cut_from_peers
