Stories of forecasts, wrong sizes, admission and shares of slots

Process test of nodes that see the log and not each other, through relays between their peer listeners.

--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -169,6 +169,21 @@
 
 /// Starts node `number` of those that share `ports`, three for each.
 pub fn start_node(platform: SocketAddr, ports: &[u16], number: usize, directory: &str) -> TestNode {
+    let peers: Vec<SocketAddr> = ports
+        .chunks(3)
+        .map(|own| SocketAddr::from(([127, 0, 0, 1], own[2])))
+        .collect();
+    start_node_with_peers(platform, ports, &peers, number, directory)
+}
+
+/// Starts node `number` that reaches the others at `peers`.
+pub fn start_node_with_peers(
+    platform: SocketAddr,
+    ports: &[u16],
+    peers: &[SocketAddr],
+    number: usize,
+    directory: &str,
+) -> TestNode {
     let own = &ports[number * 3..number * 3 + 3];
     let zone = number % 3 + 1;
     let mut settings = format!(
@@ -177,11 +192,11 @@
          [timing]\ntick_ms = 50\nrank_delay_ms = 100\ndrain_ms = 1000\n[peers]\n",
         own[0], own[1], own[2]
     );
-    let peers: Vec<String> = (0..ports.len() / 3)
-        .filter(|other| *other != number)
-        .map(|other| format!("node-{other} = 127.0.0.1:{}", ports[other * 3 + 2]))
-        .collect();
-    settings += &peers.join("\n");
+    for (other, peer) in peers.iter().enumerate() {
+        if other != number {
+            settings += &format!("node-{other} = {peer}\n");
+        }
+    }
     // Two runs of the tests at the same time must not write each other's settings.
     let directory = format!("{directory}-{}", process::id());
     let path = scratch(&directory).join(format!("node-{number}.ini"));
--- a/crates/lynxwheel/tests/proof/fleet.rs
+++ b/crates/lynxwheel/tests/proof/fleet.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         checker::{Told, check, is_attempt_of},
-        common::{LIMIT, TestNode, TestPlatform, declare_maps, free_ports, start_node},
+        common::{LIMIT, TestNode, TestPlatform, declare_maps, free_ports, start_node_with_peers},
     },
     http::{Method, StatusCode},
     lynxwheel::audit,
@@ -11,7 +11,7 @@
     lynxwheel_protocol::{LogEntry, ReadAnswer, Resource, VmList, WaveAction, WaveGoal, WaveSpec},
     lynxwheel_standin::{Faults, Relay, RunEntry},
     lynxwheel_transport::{Client, ClientRequest},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     tokio::time::Instant,
 };
 
@@ -27,7 +27,10 @@
 /// A platform, relays and nodes.
 pub struct Fleet {
     platform: TestPlatform,
+    /// Ways of the nodes to the platform.
     pub relays: Vec<Relay>,
+    /// Ways of the other nodes to each one.
+    pub peer_relays: Vec<Relay>,
     pub nodes: Vec<TestNode>,
     ports: Vec<u16>,
     directory: &'static str,
@@ -39,12 +42,18 @@
         let platform = TestPlatform::start(VMS);
         let ports = free_ports(count * 3);
         let mut relays = Vec::new();
-        let mut nodes = Vec::new();
-        for number in 0..count {
-            let relay = Relay::start(platform.client.peer()).await.expect("relay");
-            nodes.push(start_node(relay.address(), &ports, number, directory));
-            relays.push(relay);
+        let mut peer_relays = Vec::new();
+        for own in ports.chunks(3) {
+            relays.push(start_relay(platform.client.peer()).await);
+            peer_relays.push(start_relay(SocketAddr::from(([127, 0, 0, 1], own[2]))).await);
         }
+        let peers: Vec<SocketAddr> = peer_relays.iter().map(Relay::address).collect();
+        let nodes: Vec<TestNode> = (0..count)
+            .map(|number| {
+                let platform = relays[number].address();
+                start_node_with_peers(platform, &ports, &peers, number, directory)
+            })
+            .collect();
         declare_maps(&nodes[0], VMS, FLOOR).await;
         for node in &nodes {
             for vm in 0..VMS {
@@ -54,6 +63,7 @@
         Self {
             platform,
             relays,
+            peer_relays,
             nodes,
             ports,
             directory,
@@ -83,7 +93,8 @@
     /// Starts a node anew in the place of one that ended, and waits until it is ready.
     pub async fn restart(&mut self, number: usize) {
         let platform = self.relays[number].address();
-        let node = start_node(platform, &self.ports, number, self.directory);
+        let peers: Vec<SocketAddr> = self.peer_relays.iter().map(Relay::address).collect();
+        let node = start_node_with_peers(platform, &self.ports, &peers, number, self.directory);
         node.wait_until_ready().await;
         self.nodes[number] = node;
     }
@@ -180,3 +191,7 @@
         }
     }
 }
+
+async fn start_relay(target: SocketAddr) -> Relay {
+    Relay::start(target).await.expect("relay")
+}
--- a/crates/lynxwheel/tests/proof/main.rs
+++ b/crates/lynxwheel/tests/proof/main.rs
@@ -248,6 +248,28 @@
     fleet.assert_restarted_once().await;
 }
 
+/// The nodes see the log but not each other, in the middle of a wave, so each takes the others for
+/// dead, plans for itself and takes their claims over. The log's order decides: every VM is
+/// restarted once, the pool stays at its floor, and charges run once.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_cut_from_each_other_break_no_budget() {
+    let fleet = Fleet::start(3, "peers_cut").await;
+    let load = Load::start(&fleet.callers(), 4);
+    load.wait_answered(SOME).await;
+    for relay in &fleet.peer_relays {
+        relay.cut();
+    }
+    fleet.start_wave("kernel").await;
+    load.wait_answered(SOME).await;
+    fleet.nodes[2].wait_ready("wave/kernel").await;
+    for relay in &fleet.peer_relays {
+        relay.mend();
+    }
+    load.wait_answered(SOME).await;
+    fleet.assert_proper(&load.stop().await).await;
+    fleet.assert_restarted_once().await;
+}
+
 fn charge(key: &str) -> ClientRequest {
     ClientRequest::new(Method::POST, "/maps/charge?ms=5").with_header("idempotency-key", key)
 }
--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -167,6 +167,9 @@
         /// Goal.
         #[arg(key)]
         goal: Option<GoalName>,
+        /// When it should be complete, in milliseconds.
+        #[arg(key)]
+        deadline_in_ms: Option<u64>,
     },
     /// Declares a team.
     Team {
@@ -299,6 +302,14 @@
         /// Reason.
         reason: String,
     },
+    /// Reports what a job's attempt uses.
+    Usage {
+        /// Job.
+        job: String,
+        /// Use in thousandths of a core.
+        #[arg(key)]
+        cores_milli: u32,
+    },
     /// Keeps jobs off a VM.
     Quarantine {
         /// VM.
@@ -330,6 +341,39 @@
     },
     /// Hands a request to the endpoint chosen last.
     Dispatch,
+    /// Asks the real admission whether a request may wait for a slot.
+    Admit {
+        /// Class.
+        class: ClassName,
+        /// Requests that wait.
+        #[arg(key)]
+        waiting: usize,
+        /// Requests that wait and are served before it.
+        #[arg(key)]
+        ahead: usize,
+        /// Requests that may wait at most.
+        #[arg(key)]
+        limit: usize,
+        /// Slots that serve the queue.
+        #[arg(key)]
+        slots: u32,
+        /// Mean time of a request, in microseconds.
+        #[arg(key)]
+        mean_us: u64,
+        /// Time until the deadline, in milliseconds.
+        #[arg(key)]
+        remaining_ms: u64,
+    },
+    /// Deals the slots of an endpoint out to nodes.
+    DealSlots {
+        /// VM of the endpoint.
+        vm: String,
+        /// Nodes that are taken to be alive.
+        nodes: Vec<String>,
+        /// Slots.
+        #[arg(key)]
+        slots: u32,
+    },
     /// Raises the fold's version.
     RaiseVersion {
         /// Version.
@@ -345,6 +389,11 @@
         /// VM.
         name: String,
     },
+    /// Shows the forecast of a wave.
+    ShowForecast {
+        /// Wave.
+        name: String,
+    },
     /// Shows a job as the node sees it.
     ShowJob {
         /// Job.
--- a/crates/scenario/src/decide.rs
+++ b/crates/scenario/src/decide.rs
@@ -1,10 +1,14 @@
 //! Steps in which a node asks the real decision functions and proposes what they say.
 
 use {
-    crate::world::{Chosen, StepResult, World},
+    crate::{
+        command::Command,
+        world::{Chosen, StepResult, World},
+    },
     lynxwheel_decisions::{
-        ClaimStep, EndpointView, RouteRequest, Tuning, least_loaded, plan_claims, plan_give_ups,
-        plan_placements, plan_quarantines, review_claims,
+        AdmissionView, ClaimStep, EndpointView, RouteRequest, Tuning, admit, forecast,
+        least_loaded, plan_claims, plan_give_ups, plan_placements, plan_quarantines, review_claims,
+        slot_share,
     },
     lynxwheel_protocol::{NodeName, RecordBody},
     lynxwheel_state::VmState,
@@ -111,6 +115,13 @@
         Ok(lines_or(&lines, "nothing to review"))
     }
 
+    pub(crate) fn show_forecast(&mut self, name: &str, wave: &str) -> StepResult {
+        let now_ms = self.now_ms;
+        let state = self.node(name)?.state();
+        let wave = state.waves().get(wave).ok_or("no such wave")?;
+        Ok(forecast(state, wave, now_ms).to_string())
+    }
+
     pub(crate) fn route(&mut self, name: &str, pool: &str, seed: u64) -> StepResult {
         let node = self.node(name)?;
         let candidates: Vec<&VmState> = node
@@ -153,3 +164,50 @@
         lines.join("\n")
     }
 }
+
+/// Returns what admission says of a request.
+pub(crate) fn admitted(command: &Command) -> String {
+    let Command::Admit {
+        class,
+        waiting,
+        ahead,
+        limit,
+        slots,
+        mean_us,
+        remaining_ms,
+    } = command
+    else {
+        return String::new();
+    };
+    let view = AdmissionView {
+        class: class.0,
+        waiting: *waiting,
+        ahead: *ahead,
+        limit: *limit,
+        slots: *slots,
+        mean_us: *mean_us,
+        remaining_ms: *remaining_ms,
+    };
+    format!("{:?}", admit(&view))
+}
+
+/// Returns the shares of an endpoint's slots.
+pub(crate) fn shares(vm: &str, nodes: &[String], slots: u32) -> String {
+    let mut names: Vec<NodeName> = nodes.iter().map(|node| node.as_str().into()).collect();
+    names.sort();
+    let vm = vm.into();
+    let shares: Vec<u32> = names
+        .iter()
+        .map(|node| slot_share(&vm, node, &names, slots))
+        .collect();
+    let lines: Vec<String> = names
+        .iter()
+        .zip(&shares)
+        .map(|(node, share)| format!("{node} {share}"))
+        .collect();
+    format!(
+        "{}: {} in all",
+        lines.join(", "),
+        shares.iter().sum::<u32>()
+    )
+}
--- a/crates/scenario/src/declare.rs
+++ b/crates/scenario/src/declare.rs
@@ -34,13 +34,18 @@
             name: name.as_str().into(),
             pool: pool.as_str().into(),
         })),
-        Command::Wave { name, pool, goal } => Some(Resource::Wave(WaveSpec {
+        Command::Wave {
+            name,
+            pool,
+            goal,
+            deadline_in_ms,
+        } => Some(Resource::Wave(WaveSpec {
             name: name.as_str().into(),
             pools: vec![pool.as_str().into()],
             action: WaveAction::Reboot,
             goal: goal.map_or(WaveGoal::Run, |goal| goal.0),
             due_before_ms: now_ms,
-            deadline_ms: 0,
+            deadline_ms: deadline_in_ms.map_or(0, |deadline_ms| now_ms + deadline_ms),
         })),
         Command::Team { name, cores_milli } => Some(Resource::Team(TeamSpec {
             name: name.as_str().into(),
--- a/crates/scenario/src/platform_steps.rs
+++ b/crates/scenario/src/platform_steps.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         command::{Command, Fault},
+        decide::{admitted, shares},
         world::{STREAM, StepResult, World},
     },
     lynxwheel_standin::{Machine, VmTemplate},
@@ -33,6 +34,8 @@
                 failing.sort();
             }
             Command::ShowMachine { vm } => return self.show_machine(vm),
+            Command::Admit { .. } => return Ok(admitted(command)),
+            Command::DealSlots { vm, nodes, slots } => return Ok(shares(vm, nodes, *slots)),
             Command::ShowNodes => return Ok(self.show_nodes()),
             _ => return Err("this step needs a node's name before it".into()),
         }
--- a/crates/scenario/src/records.rs
+++ b/crates/scenario/src/records.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{command::Command, node::SimNode},
-    lynxwheel_protocol::{ClaimPurpose, KeyOutcome, RecordBody, RequestKey},
+    lynxwheel_protocol::{ClaimPurpose, KeyOutcome, RecordBody, RequestKey, Resources},
     std::error::Error,
 };
 
@@ -59,6 +59,7 @@
             job: job.as_str().into(),
             reason: reason.as_str().into(),
         },
+        Command::Usage { job, cores_milli } => usage_record(node, job, *cores_milli)?,
         Command::Quarantine { vm, for_ms } => RecordBody::Quarantine {
             vm: vm.as_str().into(),
             until_ms: now_ms + for_ms,
@@ -98,3 +99,20 @@
         holder: node.name.clone(),
     })
 }
+
+fn usage_record(
+    node: &SimNode,
+    name: &str,
+    cores_milli: u32,
+) -> Result<RecordBody, Box<dyn Error>> {
+    let job = node.state().jobs().get(name).ok_or("no such job")?;
+    Ok(RecordBody::Usage {
+        job: name.into(),
+        attempt: job.attempts,
+        used: Resources {
+            cores_milli,
+            memory_mib: cores_milli,
+            accelerators: 0,
+        },
+    })
+}
--- a/crates/scenario/src/steps.rs
+++ b/crates/scenario/src/steps.rs
@@ -62,6 +62,7 @@
             Command::Dispatch => self.dispatch(),
             Command::ShowPool { name: pool } => show::pool(self.node(name)?, pool),
             Command::ShowVm { name: vm } => show::vm(self.node(name)?, vm),
+            Command::ShowForecast { name: wave } => self.show_forecast(name, wave),
             Command::ShowJob { name: job } => show::job(self.node(name)?, job),
             Command::ShowKey { key } => Ok(show::key(self.node(name)?, *key)),
             _ => self.propose_step(name, command),
--- a/crates/scenario/tests/stories.rs
+++ b/crates/scenario/tests/stories.rs
@@ -31,6 +31,7 @@
     budget_tightened
     cancellation_wave
     clock_ahead
+    declared_size_is_wrong
     endpoint_leaves_before_dispatch
     job_fails_everywhere
     job_fits_nowhere
@@ -45,6 +46,8 @@
     node_killed_before_answer
     quota_holds
     rack_fails_in_wave
+    requests_beyond_the_slots
+    slots_when_a_node_is_lost
     snapshot_half_written
     snapshots_interleaved
     task_lease_lapses
@@ -56,6 +59,7 @@
     vm_fails_while_neighbours_drain
     vm_list_behind
     wave_aborted
+    wave_forecast_is_honest
     wave_halts_on_failures
     wave_paused
     worker_fails_everything
