--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -192,11 +192,12 @@
          [timing]\ntick_ms = 50\nrank_delay_ms = 100\ndrain_ms = 1000\n[peers]\n",
         own[0], own[1], own[2]
     );
-    for (other, peer) in peers.iter().enumerate() {
-        if other != number {
-            settings += &format!("node-{other} = {peer}\n");
-        }
-    }
+    let peers: Vec<String> = (0..)
+        .zip(peers)
+        .filter(|(other, _)| *other != number)
+        .map(|(other, peer)| format!("node-{other} = {peer}"))
+        .collect();
+    settings += &peers.join("\n");
     // Two runs of the tests at the same time must not write each other's settings.
     let directory = format!("{directory}-{}", process::id());
     let path = scratch(&directory).join(format!("node-{number}.ini"));
