--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -96,13 +96,16 @@
             return Err("too late".into());
         }
         let is_done = request.vm_incarnation != self.incarnation;
-        let is_repeated = request.fence == self.fence && self.up_again_ms.is_some();
+        let is_repeated = request.fence == self.rebooted_fence;
         self.fence = request.fence;
         match request.action {
             VmAction::Drain => self.is_draining = true,
             VmAction::Undrain => self.is_draining = false,
             VmAction::Reboot if is_repeated || is_done => {}
-            VmAction::Reboot => self.go_down(now_ms + reboot_ms),
+            VmAction::Reboot => {
+                self.rebooted_fence = request.fence;
+                self.go_down(now_ms + reboot_ms);
+            }
         }
         Ok(())
     }
