Pass requests on only when the own queue is a round of slots behind

Now a node passes on once its queue is as long as its slots, and not to a peer that could not be reached lately.

Seen failing with passing on out: 'Some(4) at once'.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -107,14 +107,17 @@
     ///
     /// A pool with fewer slots than there are nodes leaves some nodes without any, and a balancer
     /// that lost a node may send its neighbour twice as much. The peer takes the request on its own
-    /// slots, so the endpoints' bounds hold as before.
+    /// slots, so the endpoints' bounds hold as before. A short queue is worked off here: what is
+    /// known of the peers is up to a second old, and nodes that passed on every burst would flood
+    /// the few peers that were idle then.
     fn peer_with_slots(&self, request: &CallerRequest) -> Option<SocketAddr> {
         if request.is_forwarded {
             return None;
         }
         let table = self.tables.load();
         let service = table.service(&request.service)?;
-        if service.has_free_slot() && service.queue.lengths(request.class).ahead == 0 {
+        let is_behind = service.queue.lengths(request.class).ahead >= service.slots() as usize;
+        if !is_behind {
             return None;
         }
         let spare = pick_spare(&service.spares, request.digest(&[]))?;
@@ -141,7 +144,10 @@
         let outgoing =
             outgoing_to_peer(request, peer, body, deadline).map_err(|error| refusal_of(&error))?;
         let sent = self.peers.get(peer).send(outgoing, deadline).await;
-        let mut response = sent.map_err(|error| refusal_of(&error))?;
+        let mut response = sent.map_err(|error| {
+            self.tables.note_unreachable(peer);
+            refusal_of(&error)
+        })?;
         remove_hop_headers(response.headers_mut());
         if response.headers().contains_key(DID_NOT_RUN_HEADER) {
             return Err(no_endpoint());
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -31,6 +31,10 @@
 /// before that is known, and requests passed on would only wait elsewhere.
 const SURPLUS_PART: u32 = 4;
 
+/// Time for which an unreachable peer gets no requests, in milliseconds; by then the membership
+/// knows whether it is gone.
+const UNREACHABLE_MS: u64 = 5_000;
+
 /// Connections to one endpoint that the node's probes may take.
 const PROBE_CONNECTIONS: u32 = 2;
 
@@ -56,12 +60,6 @@
     pub(crate) fn slots(&self) -> u32 {
         self.rows.iter().map(|row| row.share).sum()
     }
-
-    /// Tells whether one of this node's slots is free.
-    pub(crate) fn has_free_slot(&self) -> bool {
-        let mut rows = self.rows.iter();
-        rows.any(|row| row.endpoint.in_progress() < row.share)
-    }
 }
 
 /// Services by name, as of one state.
@@ -113,6 +111,14 @@
 struct Maker {
     endpoints: Vec<Known>,
     view: NodeView,
+    unreachable: Vec<Unreachable>,
+}
+
+/// A peer that could not be reached.
+#[derive(Clone, Copy, Debug)]
+struct Unreachable {
+    address: SocketAddr,
+    until_ms: u64,
 }
 
 /// The latest table; copies share it.
@@ -171,12 +177,24 @@
         lock(&self.maker).leaving(self.now_ms())
     }
 
+    /// Notes that a peer could not be reached.
+    ///
+    /// A node that died is taken to be live until its heartbeats have been missing for a while, and
+    /// its free slots, as it last told, would draw requests all that time.
+    pub(crate) fn note_unreachable(&self, address: SocketAddr) {
+        let until_ms = self.now_ms() + UNREACHABLE_MS;
+        let unreachable = &mut lock(&self.maker).unreachable;
+        unreachable.retain(|peer| peer.address != address);
+        unreachable.push(Unreachable { address, until_ms });
+    }
+
     fn make(&self, now_ms: u64) -> Arc<Table> {
         let mut maker = lock(&self.maker);
         let state = self.node.state();
         let former = self.latest.load_full();
         let peers = self.node.peers().views(now_ms);
         maker.view.see(self.node.live_nodes(), now_ms);
+        maker.unreachable.retain(|peer| now_ms < peer.until_ms);
         let pools = by_pool(&state);
         let services = state
             .services()
@@ -302,9 +320,13 @@
                     .peers
                     .binary_search_by(|peer| peer.node.cmp(node))
                     .ok()?;
+                let address = settings.peers[row].address;
+                if self.unreachable.iter().any(|peer| peer.address == address) {
+                    return None;
+                }
                 let mut spare = Spare {
                     node: node.clone(),
-                    address: settings.peers[row].address,
+                    address,
                     slots: 0,
                     free: 0,
                 };
--- a/crates/gateway/tests/slots.rs
+++ b/crates/gateway/tests/slots.rs
@@ -79,6 +79,38 @@
     }
 }
 
+/// A node died and its callers moved over to one neighbour, which gets more than its slots can
+/// serve while another node idles. The neighbour passes requests on, so that all slots are used,
+/// and still no more than all.
+#[tokio::test(flavor = "multi_thread")]
+async fn overloaded_node_passes_requests_on_to_an_idle_one() {
+    let fleet = Fleet::start(FleetOptions {
+        vms: 1,
+        ..FleetOptions::default()
+    })
+    .await;
+    let fleet = Arc::new(fleet);
+    let first = &fleet.nodes[0].node;
+    let knows_peer = || !first.peers().views(first.clock().now_ms()).is_empty();
+    wait_until("the peer is known", knows_peer).await;
+    let mut callers = JoinSet::new();
+    for caller in 0..16 {
+        let fleet = Arc::clone(&fleet);
+        callers.spawn(async move {
+            let id = format!("map-{caller}");
+            assert_own(&ask(&fleet.nodes[0], &id, "ms=300").await, &id);
+        });
+        // One after the other, so that each finds the queue that the ones before made.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    while let Some(ended) = callers.join_next().await {
+        ended.expect("no refusal");
+    }
+    let runs = fleet.platform.runs();
+    let most = runs.iter().map(|run| run.in_progress).max();
+    assert!(most > Some(4) && most <= Some(8), "{most:?} at once");
+}
+
 /// Batch work fills every slot and waits in the queue when an outage notice comes. The notice is
 /// served next, before batch work that came earlier.
 #[tokio::test(flavor = "multi_thread")]
