--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -245,7 +245,7 @@
             Ok(response) => response,
             Err(error) => {
                 note_failure(&endpoint, &error, self.node.clock().now_ms());
-                return Err(refusal_of(&error));
+                return Err(refusal_at(&error, deadline));
             }
         };
         if let Some(reason) = not_started(&response) {
@@ -350,6 +350,15 @@
         .with_retry_after_ms(RETRY_AFTER_MS)
 }
 
+/// Returns the refusal of a failed exchange, which is a timeout when the deadline has passed.
+fn refusal_at(error: &TransportError, deadline: Instant) -> Refusal {
+    if error.may_have_run && Instant::now() >= deadline {
+        let detail = "no answer before the deadline; it may have run";
+        return Refusal::may_have_run(RefusalReason::Timeout, detail);
+    }
+    refusal_of(error)
+}
+
 fn refusal_of(error: &TransportError) -> Refusal {
     if error.may_have_run {
         Refusal::may_have_run(RefusalReason::OutcomeUnknown, error.to_string())
--- a/crates/gateway/src/ejection.rs
+++ b/crates/gateway/src/ejection.rs
@@ -6,7 +6,7 @@
 const FIRST_MS: u64 = 1_000;
 
 /// Doublings of that time at most.
-const MAX_DOUBLINGS: u32 = 4;
+const MAX_DOUBLINGS: u32 = 2;
 
 /// Time for which a peer's word keeps an endpoint out after it was last heard, in milliseconds.
 const PEER_MS: u64 = 1_000;
@@ -42,6 +42,14 @@
         self.until_ms.store(now_ms + out_ms, Ordering::Relaxed);
     }
 
+    /// Notes that a request is sent to it, which keeps further ones off until the endpoint has
+    /// answered if it failed before.
+    pub(crate) fn note_trial(&self, now_ms: u64) {
+        if self.failures.load(Ordering::Relaxed) > 0 {
+            self.until_ms.store(now_ms + FIRST_MS, Ordering::Relaxed);
+        }
+    }
+
     /// Notes that the endpoint answered a request.
     pub(crate) fn note_success(&self) {
         if self.failures.load(Ordering::Relaxed) > 0 {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -28,8 +28,9 @@
 const INCARNATION_HEADER: HeaderName = HeaderName::from_static("vm-incarnation");
 
 /// Headers that concern one connection only.
-const HOP_HEADERS: [HeaderName; 9] = [
+const HOP_HEADERS: [HeaderName; 10] = [
     header::CONNECTION,
+    header::EXPECT,
     header::HOST,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
