--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Fleet, RunningNode, wait_for, wait_until},
-    lynxwheel_coordination::{Clock, SnapshotAssembly, cut_snapshot},
+    lynxwheel_coordination::{Clock, ProposeError, SnapshotAssembly, cut_snapshot},
     lynxwheel_protocol::{
         Kind, Record, RecordBody, Resource, ResourceRef, Resources, TeamSpec, WriterId,
     },
@@ -93,6 +93,30 @@
         .with_platform(|platform| platform.log.trim(STREAM, last + 1));
 }
 
+/// A declaration that was accepted is gone after an upgrade. The nodes were replaced one after
+/// another while the log was trimmed each time, also past the last snapshot. Each new node must
+/// take the state of one that is still there.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_replaced_one_after_another() {
+    let fleet = Fleet::start(3).await;
+    let mut nodes = vec![fleet.run(0).await, fleet.run(1).await, fleet.run(2).await];
+    for row in 0..3 {
+        let name = format!("shift-{row}");
+        declare(&nodes[row], &name).await;
+        wait_until("all know the declaration", || {
+            nodes.iter().all(|run| knows(run, &name))
+        })
+        .await;
+        nodes[row].shutdown.begin();
+        trim_all(&fleet);
+        nodes[row] = fleet.run(row).await;
+        wait_until("the new node is current", || nodes[row].node.is_current()).await;
+    }
+    for run in &nodes {
+        assert!((0..3).all(|row| knows(run, &format!("shift-{row}"))));
+    }
+}
+
 /// A declaration that was accepted is gone at one node only, until it is declared again. The node
 /// was replaced after the log had been trimmed, and no snapshot reached the log's beginning. It
 /// must start from a peer's state.
@@ -153,6 +177,22 @@
     .await;
 }
 
+/// Everything accepted would be lost if all nodes were replaced now. The log service keeps less
+/// than the settings take it to keep, so its records after the last snapshot are gone. The nodes
+/// must write a new snapshot at once instead of at its time.
+#[tokio::test(flavor = "multi_thread")]
+async fn snapshot_overtaken_by_the_trim_is_renewed() {
+    let fleet = Fleet::start(1).await;
+    let only = fleet.run(0).await;
+    declare(&only, "night-shift").await;
+    let snapshot = || only.node.state().snapshot().map_or(0, |id| id.offset);
+    wait_until("the first snapshot", || snapshot() > 0).await;
+    declare(&only, "day-shift").await;
+    let declared = only.node.state().offset();
+    trim_all(&fleet);
+    wait_until("a snapshot beyond the trim", || snapshot() >= declared).await;
+}
+
 /// Operators wait for seconds on writes during an outage, or are told that they failed when they
 /// did not. A proposal during an outage must be refused at once, and one after it accepted.
 #[tokio::test(flavor = "multi_thread")]
@@ -172,6 +212,43 @@
     wait_until("it is current again", || only.node.is_current()).await;
 }
 
+/// An operator's write hangs for seconds and its outcome is called unknown although it was never
+/// sent. It waited in the queue behind a group whose append had broken off. Such a write must be
+/// refused at once, as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_behind_a_stuck_append_are_refused() {
+    let fleet = Fleet::start(1).await;
+    let only = fleet.run(0).await;
+    declare(&only, "night-shift").await;
+    wait_until("nothing else is to be written", || {
+        only.node.state().snapshot().is_some()
+    })
+    .await;
+    set_late(&fleet, u32::MAX);
+    let stuck = only.node.proposer().propose(team("late-shift")).await;
+    assert!(
+        matches!(stuck, Err(ProposeError::Unknown { .. })),
+        "{stuck:?}"
+    );
+    let refused = only.node.proposer().propose(team("early-shift")).await;
+    assert!(
+        matches!(refused, Err(ProposeError::NotAppended { .. })),
+        "{refused:?}"
+    );
+    set_late(&fleet, 0);
+    wait_until("the unknown one comes back", || knows(&only, "late-shift")).await;
+    assert!(!knows(&only, "early-shift"));
+    declare(&only, "early-shift").await;
+}
+
+/// Lets appends take effect much later than their answers.
+fn set_late(fleet: &Fleet, late_appends: u32) {
+    fleet.platform.with_platform(|platform| {
+        platform.faults.late_appends = late_appends;
+        platform.faults.late_ms = 20_000;
+    });
+}
+
 /// Nodes that hold different states both place work. One of them folded a record differently; a
 /// peer's digest at the same offset shows it. Both must stop, as neither knows who is right.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -88,7 +88,8 @@
                 self.claim(policy);
                 self.measure_wave(policy);
             }
-            run_claims(&mut self.world, &mut self.breaches);
+            let heeds_halts = matches!(self.policy, RunPolicy::Wave(WavePolicy::InUse));
+            run_claims(&mut self.world, &mut self.breaches, heeds_halts);
             self.place();
         }
         self.measures()
@@ -100,6 +101,7 @@
         let claims = policy.claims(&self.world.state, clock_ms);
         self.decision_time += began.elapsed();
         for (vm, purpose) in claims {
+            self.world.probe_pool(vm.as_str());
             let verdict = self.world.submit(RecordBody::Claim {
                 vm: vm.clone(),
                 purpose,
@@ -122,10 +124,7 @@
             }
         };
         let give_ups = plan_give_ups(&self.world.state, clock_ms);
-        let quarantines = match self.policy {
-            RunPolicy::Place(PlacePolicy::FirstFit | PlacePolicy::SpreadOnly) => Vec::new(),
-            _ => plan_quarantines(&self.world.state),
-        };
+        let quarantines = plan_quarantines(&self.world.state);
         self.decision_time += began.elapsed();
         self.carry_out(plan);
         for plan in give_ups {
--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -97,16 +97,22 @@
         /// Name.
         name: String,
     },
-    /// Replaces the node's state by a kept snapshot, if that is no step back.
-    Restore {
+    /// Reads one chunk of a kept snapshot, or all of them.
+    ReadChunk {
         /// Name.
         name: String,
+        /// Position of the chunk.
+        index: Option<usize>,
     },
-    /// Cuts the end off a kept snapshot, as a writer that died half way would.
-    HalveSnapshot {
+    /// Changes a byte of a kept snapshot's chunk.
+    SpoilChunk {
         /// Name.
         name: String,
+        /// Position of the chunk.
+        index: usize,
     },
+    /// Replaces the node's state by the latest whole snapshot read, if that is no step back.
+    Restore,
     /// Sends the last record again, whose append had no answer.
     Retry,
     /// Declares a pool with the VMs from vm-0 on, and observes them.
--- a/crates/scenario/src/node.rs
+++ b/crates/scenario/src/node.rs
@@ -1,7 +1,7 @@
 //! A simulated node: a cursor into the log, the folded state and what it believes.
 
 use {
-    lynxwheel_coordination::Published,
+    lynxwheel_coordination::{Published, SnapshotAssembly},
     lynxwheel_protocol::{NodeName, ReadAnswer, Record, VmName, WriterId, ZoneName, decode_record},
     lynxwheel_state::{FleetState, Verdict},
     std::{error, fmt},
@@ -13,6 +13,7 @@
     pub(crate) vm: VmName,
     pub(crate) fence: u64,
     pub(crate) not_after_ms: u64,
+    pub(crate) vm_incarnation: u64,
 }
 
 /// Verdict on one record, as the node's fold gave it.
@@ -53,6 +54,7 @@
     pub(crate) is_cut: bool,
     pub(crate) unanswered: Option<Record>,
     pub(crate) beliefs: Vec<Belief>,
+    pub(crate) snapshots: SnapshotAssembly,
     state: FleetState,
     published: Published,
 }
@@ -74,6 +76,7 @@
             is_cut: false,
             unanswered: None,
             beliefs: Vec::new(),
+            snapshots: SnapshotAssembly::default(),
             published: Published::new(state.clone()),
             state,
         }
--- a/crates/scenario/src/steps.rs
+++ b/crates/scenario/src/steps.rs
@@ -7,13 +7,13 @@
         node::{Belief, SimNode},
         records::{ACTION_WINDOW_MS, record_of},
         show,
-        world::{Kept, StepResult, World},
+        world::{StepResult, World},
     },
     lynxwheel_protocol::{
         ActionRequest, FOLD_VERSION, JobOutcome, RecordBody, TaskStart, TaskState, VmAction,
         VmEntry, VmListState, VmPhase, VmReport,
     },
-    lynxwheel_state::{FleetState, TASK_LEASE_MS, restore, save},
+    lynxwheel_state::{FleetState, TASK_LEASE_MS},
     std::error::Error,
 };
 
@@ -33,8 +33,15 @@
             Command::Read => self.read(name),
             Command::ReadFrom { peer } => self.read_from(name, peer),
             Command::Snapshot { name: snapshot } => self.keep_snapshot(name, snapshot),
-            Command::Restore { name: snapshot } => self.restore_snapshot(name, snapshot),
-            Command::HalveSnapshot { name: snapshot } => self.halve_snapshot(snapshot),
+            Command::ReadChunk {
+                name: snapshot,
+                index,
+            } => self.read_chunk(name, snapshot, *index),
+            Command::SpoilChunk {
+                name: snapshot,
+                index,
+            } => self.spoil_chunk(snapshot, *index),
+            Command::Restore => self.restore_snapshot(name),
             Command::Retry => self.retry(name),
             Command::Fleet {
                 pool,
@@ -112,6 +119,7 @@
                 vm: vm.into(),
                 fence: claim.fence,
                 not_after_ms: claim.not_after_ms,
+                vm_incarnation: claim.incarnation,
             });
         if let Some(belief) = belief {
             node.believe(belief);
@@ -135,7 +143,7 @@
             return Err("the node runs already".into());
         }
         let state = match from {
-            Some(snapshot) => restore(&self.kept(snapshot)?.bytes)?,
+            Some(snapshot) => self.whole(snapshot)?,
             None => FleetState::new(),
         };
         self.runs += 1;
@@ -170,42 +178,6 @@
         }
     }
 
-    fn kept(&self, name: &str) -> Result<&Kept, Box<dyn Error>> {
-        self.kept
-            .iter()
-            .find(|kept| kept.name == name)
-            .ok_or_else(|| format!("no snapshot {name}").into())
-    }
-
-    fn keep_snapshot(&mut self, node: &str, name: &str) -> StepResult {
-        let state = self.node(node)?.state();
-        let kept = Kept {
-            name: name.into(),
-            bytes: save(state)?,
-        };
-        let offset = state.offset();
-        self.kept.push(kept);
-        Ok(format!("at {offset}"))
-    }
-
-    fn restore_snapshot(&mut self, node: &str, name: &str) -> StepResult {
-        let state = match restore(&self.kept(name)?.bytes) {
-            Ok(state) => state,
-            Err(error) => return Ok(format!("refused: {error}")),
-        };
-        let node = self.node_mut(node)?;
-        let is_taken = node.restore(state);
-        let outcome = if is_taken { "restored" } else { "kept its own" };
-        Ok(format!("{outcome}, at {}", node.state().offset()))
-    }
-
-    fn halve_snapshot(&mut self, name: &str) -> StepResult {
-        let row = self.kept.iter().position(|kept| kept.name == name);
-        let kept = &mut self.kept[row.ok_or("no such snapshot")?];
-        kept.bytes.truncate(kept.bytes.len() / 2);
-        Ok(String::new())
-    }
-
     fn retry(&mut self, name: &str) -> StepResult {
         let record = self.node_mut(name)?.unanswered.clone();
         self.append(name, record.ok_or("nothing to send again")?)
@@ -270,6 +242,7 @@
                 VmAction::Reboot => belief.not_after_ms,
                 _ => now_ms + ACTION_WINDOW_MS,
             },
+            vm_incarnation: belief.vm_incarnation,
         };
         if self.reach(vm).is_none() {
             return Ok("the VM does not answer".into());
