--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -4,7 +4,7 @@
     lynxwheel_protocol::{
         ClaimPurpose, Condition, Kind, ResourceRef, ResourceView, VmPhase, WaveGoal,
     },
-    lynxwheel_state::{FleetState, JobPhase, JobState, VmState, WaveState},
+    lynxwheel_state::{FleetState, JobPhase, JobState, PoolState, VmState, WaveState},
     serde_json::{Value, json},
 };
 
@@ -14,6 +14,9 @@
 /// Condition of a job that has its final answer, whether or not it is the one wanted.
 pub const FINAL: &str = "Final";
 
+/// Pools without a spare VM that a wave's reason names at most.
+const NAMED_POOLS: usize = 5;
+
 /// Conditions with the figures behind them.
 struct Status {
     conditions: Vec<Condition>,
@@ -184,17 +187,40 @@
     }
 }
 
-fn wave_status(state: &FleetState, wave: &WaveState) -> Status {
-    let due = state
+fn due_vms<'a>(state: &'a FleetState, wave: &'a WaveState) -> impl Iterator<Item = &'a VmState> {
+    state
         .vms()
         .iter()
         .filter(|vm| wave.spec.pools.binary_search(&vm.pool).is_ok())
         .filter(|vm| vm.maintained_ms < wave.spec.due_before_ms)
-        .count();
+}
+
+/// Says how far a running wave is, and which pools' budgets hold it up.
+fn running_reason(state: &FleetState, wave: &WaveState, due: usize) -> String {
+    let is_due = |pool: &PoolState| due_vms(state, wave).any(|vm| vm.pool == pool.spec.name);
+    let held: Vec<String> = wave
+        .spec
+        .pools
+        .iter()
+        .filter_map(|name| state.pools().get(name.as_str()))
+        .filter(|pool| pool.availability().spare() == 0 && is_due(pool))
+        .take(NAMED_POOLS)
+        .map(|pool| format!("{} {} of {}", pool.spec.name, pool.available, pool.floor()))
+        .collect();
+    let claimed = wave.claimed;
+    if held.is_empty() {
+        return format!("{due} VMs are due, {claimed} in work");
+    }
+    let held = held.join(", ");
+    format!("{due} VMs are due, {claimed} in work; no VM to spare in pools {held}")
+}
+
+fn wave_status(state: &FleetState, wave: &WaveState) -> Status {
+    let due = due_vms(state, wave).count();
     let is_idle = wave.claimed == 0;
     let (holds, reason) = match wave.spec.goal {
         WaveGoal::Run if due == 0 && is_idle => (true, "complete".to_owned()),
-        WaveGoal::Run => (false, format!("{due} VMs are due")),
+        WaveGoal::Run => (false, running_reason(state, wave, due)),
         WaveGoal::Pause if is_idle => (true, format!("paused with {due} VMs due")),
         WaveGoal::Abort if is_idle => (true, format!("aborted with {due} VMs due")),
         WaveGoal::Pause => (false, format!("pausing, {} VMs are in work", wave.claimed)),
--- a/crates/lynxctl/src/cli.rs
+++ b/crates/lynxctl/src/cli.rs
@@ -1,7 +1,10 @@
 //! Command line of the operators' command.
 
 use {
-    crate::{commands, error::EXIT_CODES},
+    crate::{
+        commands,
+        error::{CtlError, EXIT_CODES},
+    },
     clap::{Args, Parser, Subcommand, ValueEnum},
     clap_complete::Shell,
     lynxwheel_protocol::{Kind, OperationId, PoolName, ResourceRef, VmName, WaveName},
@@ -199,6 +202,11 @@
             }
             ExitCode::SUCCESS
         }
+        // Differences are what `diff` was asked for, not a failure to tell them.
+        Err(CtlError::Differs { text }) => {
+            println!("{text}");
+            ExitCode::from(CtlError::Differs { text }.exit_code())
+        }
         Err(error) => {
             eprintln!("{error}");
             ExitCode::from(error.exit_code())
--- a/crates/lynxctl/tests/ctl/commands.rs
+++ b/crates/lynxctl/tests/ctl/commands.rs
@@ -194,6 +194,17 @@
     assert_eq!(fleet.ctl("wave start kernel --pools notices").await.code, 6);
 }
 
+/// A wave stands still for hours. The operator needs to see that a budget holds it up, and whose.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn wave_that_stands_still_says_which_budget_holds_it() {
+    let (fleet, directory) = applied("still").await;
+    let all = FLEET.replace("budget.min_available = 2", "budget.min_available = 4");
+    files("still", &[("fleet.ini", &all)]);
+    fleet.done(&format!("apply -f {directory}")).await;
+    fleet.done("wave start kernel --pools notices").await;
+    assert_snapshot!(fleet.done("explain wave kernel").await);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drained_vm_moves_into_the_spare_pool() {
     let (fleet, _) = applied("drain").await;
