--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,12 +4,12 @@
     crate::{
         caller_request::CallerRequest,
         endpoints::{Endpoint, Slot},
-        forward::{NotStarted, not_started, outgoing, remove_hop_headers},
+        forward::{NotStarted, not_started, outgoing, outgoing_to_peer, remove_hop_headers},
         limits::RetryBudget,
         payload::{Payload, STALL},
         queue::Place,
-        refusal::{Refusal, RefusalReason},
-        table::{Row, ServiceRow, Tables},
+        refusal::{DID_NOT_RUN_HEADER, Refusal, RefusalReason},
+        table::{Row, ServiceRow, Spare, Tables},
     },
     http::Response,
     log::info,
@@ -18,8 +18,8 @@
         Admission, AdmissionView, EndpointView, RoutePolicy, RouteReason, RouteRequest, admit,
     },
     lynxwheel_protocol::VmName,
-    lynxwheel_transport::{Body, TransportError, bounded_body, holding_body},
-    std::sync::Arc,
+    lynxwheel_transport::{Body, Clients, TransportError, bounded_body, holding_body},
+    std::{net::SocketAddr, sync::Arc},
     tokio::time::Instant,
 };
 
@@ -29,6 +29,9 @@
 /// Requests of one service that wait for a slot at most.
 const MAX_WAITING: usize = 256;
 
+/// Connections to one peer for passing requests on.
+const PEER_CONNECTIONS: usize = 64;
+
 /// Time after which to come back when no endpoint can take a request, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -39,6 +42,7 @@
     tables: Tables,
     budget: RetryBudget,
     policy: RoutePolicy,
+    peers: Arc<Clients>,
 }
 
 /// Outcome of one look for a slot.
@@ -58,6 +62,7 @@
             tables,
             budget: RetryBudget::new(),
             policy,
+            peers: Arc::new(Clients::new(PEER_CONNECTIONS)),
         }
     }
 
@@ -71,6 +76,13 @@
         deadline: Instant,
     ) -> Result<Response<Body>, Refusal> {
         self.budget.note_request();
+        if let Some(peer) = self.peer_with_slots(request) {
+            let sent = self.send_to_peer(request, peer, payload, deadline).await;
+            let is_refused = sent.as_ref().is_err_and(|refusal| refusal.did_not_run);
+            if !is_refused || !payload.is_at_hand() || !self.budget.take() {
+                return sent;
+            }
+        }
         let mut tried: Vec<VmName> = Vec::new();
         loop {
             let slot = self.acquire(request, &tried, deadline).await?;
@@ -91,6 +103,52 @@
         }
     }
 
+    /// Returns the peer to which a request is passed on because this node has no slot for it.
+    ///
+    /// A pool with fewer slots than there are nodes leaves some nodes without any, and a balancer
+    /// that lost a node may send its neighbour twice as much. The peer takes the request on its own
+    /// slots, so the endpoints' bounds hold as before.
+    fn peer_with_slots(&self, request: &CallerRequest) -> Option<SocketAddr> {
+        if request.is_forwarded {
+            return None;
+        }
+        let table = self.tables.load();
+        let service = table.service(&request.service)?;
+        if service.has_free_slot() && service.queue.lengths(request.class).ahead == 0 {
+            return None;
+        }
+        let spare = pick_spare(&service.spares, request.digest(&[]))?;
+        if service.slots() > 0 && !spare.has_surplus() {
+            return None;
+        }
+        info!(event = "routing", request = request.request_id.as_str(),
+            service = request.service.as_str(), node = spare.node.as_str(),
+            reason = "passed_on", offset = table.offset; "");
+        metrics::counter!("lynxwheel_passed_on_total").increment(1);
+        Some(spare.address)
+    }
+
+    async fn send_to_peer(
+        &self,
+        request: &CallerRequest,
+        peer: SocketAddr,
+        payload: &mut Payload,
+        deadline: Instant,
+    ) -> Result<Response<Body>, Refusal> {
+        let Some(body) = payload.take() else {
+            return Err(no_endpoint());
+        };
+        let outgoing =
+            outgoing_to_peer(request, peer, body, deadline).map_err(|error| refusal_of(&error))?;
+        let sent = self.peers.get(peer).send(outgoing, deadline).await;
+        let mut response = sent.map_err(|error| refusal_of(&error))?;
+        remove_hop_headers(response.headers_mut());
+        if response.headers().contains_key(DID_NOT_RUN_HEADER) {
+            return Err(no_endpoint());
+        }
+        Ok(response)
+    }
+
     /// Takes a slot, after a wait in the service's queue where admission allows it.
     async fn acquire(
         &self,
@@ -100,7 +158,7 @@
     ) -> Result<Slot, Refusal> {
         let mut place: Option<Place> = None;
         loop {
-            let table = self.tables.load(self.tables.now_ms());
+            let table = self.tables.load();
             let service = table.service(&request.service).ok_or_else(|| {
                 Refusal::not_run(RefusalReason::UnknownService, "the service was withdrawn")
             })?;
@@ -134,7 +192,7 @@
         offset: u64,
         tried: &[VmName],
     ) -> Choice {
-        let now_ms = self.tables.now_ms();
+        let now_ms = self.node.clock().now_ms();
         let rows: Vec<&Row> = service
             .rows
             .iter()
@@ -180,18 +238,33 @@
         let response = match endpoint.client.send(outgoing, deadline).await {
             Ok(response) => response,
             Err(error) => {
-                note_failure(&endpoint, &error, self.tables.now_ms());
+                note_failure(&endpoint, &error, self.node.clock().now_ms());
                 return Err(refusal_of(&error));
             }
         };
         if let Some(reason) = not_started(&response) {
-            return Err(note_not_started(&endpoint, reason, self.tables.now_ms()));
+            let now_ms = self.node.clock().now_ms();
+            let refusal = note_not_started(&endpoint, reason, now_ms);
+            if reason == NotStarted::Gone {
+                self.node.peers().announce();
+            }
+            return Err(refusal);
         }
         endpoint.ejection.note_success();
         Ok(incoming(response, slot))
     }
 }
 
+/// Picks the better of two peers, so that nodes with the same old news do not all pick one.
+fn pick_spare(spares: &[Spare], seed: u64) -> Option<&Spare> {
+    let count = u64::try_from(spares.len())
+        .ok()
+        .filter(|count| *count > 0)?;
+    let at = |seed: u64| usize::try_from(seed % count).unwrap_or(0);
+    // They are sorted, so the earlier one has more free slots.
+    spares.get(at(seed).min(at(seed >> 32)))
+}
+
 fn view(row: &Row, slots: u32) -> EndpointView<'_> {
     EndpointView {
         vm: &row.endpoint.vm,
@@ -209,6 +282,9 @@
     service: &ServiceRow,
     deadline: Instant,
 ) -> Result<Place, Refusal> {
+    if service.slots() == 0 {
+        return Err(no_endpoint());
+    }
     let lengths = service.queue.lengths(request.class);
     let remaining = deadline.saturating_duration_since(Instant::now());
     let view = AdmissionView {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,18 +4,19 @@
     crate::{
         caller_request::CallerRequest,
         dispatch::Dispatcher,
+        forward::PEER_RUN_PATH,
         keys::Keys,
         limits::TeamRates,
         payload::{MAX_KEPT_BYTES, MAX_KEYED_BYTES, Payload},
         refusal::{Refusal, RefusalReason},
         table::Tables,
     },
-    http::{Request, Response},
+    http::{Request, Response, Uri, uri::PathAndQuery},
     hyper::body::Incoming,
     log::info,
     lynxwheel_coordination::Node,
     lynxwheel_decisions::{RoutePolicy, own_share},
-    lynxwheel_protocol::{EndpointLoad, PeerHello, ServiceSpec},
+    lynxwheel_protocol::{EndpointLoad, ServiceSpec},
     lynxwheel_transport::Body,
     std::time::Duration,
     tokio::time::Instant,
@@ -41,6 +42,7 @@
     #[must_use]
     pub fn with_policy(node: Node, policy: RoutePolicy) -> Self {
         let tables = Tables::new(node.clone());
+        node.peers().set_local(tables.local_view());
         let dispatcher = Dispatcher::new(node.clone(), tables.clone(), policy);
         Self {
             tables,
@@ -53,11 +55,32 @@
     /// Answers a request.
     pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let (parts, incoming) = request.into_parts();
-        let request = match CallerRequest::new(parts) {
-            Ok(request) => request,
-            Err(refusal) => return refusal.answer(),
+        match CallerRequest::new(parts) {
+            Ok(request) => self.answer(&request, incoming).await,
+            Err(refusal) => refusal.answer(),
+        }
+    }
+
+    /// Runs a request that a peer without own slots passes on, to be mounted on the peer listener.
+    pub async fn peer_run(self, request: Request<Incoming>) -> Response<Body> {
+        let (mut parts, incoming) = request.into_parts();
+        let path = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+        let path = format!("/{}", path.strip_prefix(PEER_RUN_PATH).unwrap_or_default());
+        let Ok(uri) = Uri::try_from(path) else {
+            return Refusal::not_run(RefusalReason::BadRequest, "no such path").answer();
         };
-        match self.run(&request, incoming).await {
+        parts.uri = uri;
+        match CallerRequest::new(parts) {
+            Ok(mut request) => {
+                request.is_forwarded = true;
+                self.answer(&request, incoming).await
+            }
+            Err(refusal) => refusal.answer(),
+        }
+    }
+
+    async fn answer(&self, request: &CallerRequest, incoming: Incoming) -> Response<Body> {
+        match self.run(request, incoming).await {
             Ok(response) => response,
             Err(refusal) => {
                 info!(event = "refused", request = request.request_id.as_str(),
@@ -91,12 +114,7 @@
     /// Returns the endpoints that this node saw leaving or failing, for its peers.
     #[must_use]
     pub fn leaving(&self) -> Vec<EndpointLoad> {
-        self.tables.leaving(self.tables.now_ms())
-    }
-
-    /// Takes in what a peer told.
-    pub fn note_peer(&self, hello: &PeerHello) {
-        self.tables.note_peer(hello, self.tables.now_ms());
+        self.tables.leaving()
     }
 
     async fn run(
@@ -105,19 +123,20 @@
         incoming: Incoming,
     ) -> Result<Response<Body>, Refusal> {
         let arrived = Instant::now();
-        let table = self.tables.load(self.tables.now_ms());
+        let table = self.tables.load();
         let service = table.service(&request.service).ok_or_else(|| {
             let detail = format!("there is no service {}", request.service);
             Refusal::not_run(RefusalReason::UnknownService, detail)
         })?;
         let spec = &service.spec;
-        self.rates.take(
-            &spec.name,
-            &request.team,
-            spec.team_rate_per_s,
-            self.tables.now_ms(),
-        )?;
         let deadline = arrived + allowed(request, spec);
+        if request.is_forwarded {
+            let mut payload = Payload::read(incoming, MAX_KEPT_BYTES, deadline).await?;
+            return self.dispatcher.run(request, &mut payload, deadline).await;
+        }
+        let now_ms = self.tables.now_ms();
+        self.rates
+            .take(&spec.name, &request.team, spec.team_rate_per_s, now_ms)?;
         match &request.key {
             Some(key) if !request.is_idempotent() => {
                 match Payload::read(incoming, MAX_KEYED_BYTES, deadline).await? {
--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -9,7 +9,7 @@
     serde_json::Value,
     std::{
         env, fs,
-        io::{BufRead, BufReader},
+        io::{BufRead, BufReader, Write},
         net::{SocketAddr, TcpListener},
         ops::Range,
         path::PathBuf,
@@ -44,8 +44,13 @@
             .expect("start lynxwheel");
         let stdout = child.stdout.take().expect("piped standard output");
         let (sender, lines) = mpsc::channel();
+        let path = scratch("logs").join(format!("{}.log", child.id()));
+        // Shown with a test that fails.
+        println!("{} writes to {}", arguments.join(" "), path.display());
+        let mut log = fs::File::create(path).expect("make a log file");
         thread::spawn(move || {
             for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                writeln!(log, "{line}").expect("write the log");
                 // The output is read to its end, so that the process never blocks on it.
                 drop(sender.send(line));
             }
@@ -164,12 +169,23 @@
 
 /// Starts node `number` of those that share `ports`, three for each.
 pub fn start_node(platform: SocketAddr, ports: &[u16], number: usize, directory: &str) -> TestNode {
+    start_node_with_tick(platform, ports, number, directory, 50)
+}
+
+/// Starts node `number` with a pause of `tick_ms` between looks at VMs and jobs.
+pub fn start_node_with_tick(
+    platform: SocketAddr,
+    ports: &[u16],
+    number: usize,
+    directory: &str,
+    tick_ms: u64,
+) -> TestNode {
     let own = &ports[number * 3..number * 3 + 3];
     let zone = number % 3 + 1;
     let mut settings = format!(
         "[node]\nname = node-{number}\nzone = zone-{zone}\n[listen]\ncallers = 127.0.0.1:{}\n\
          operators = 127.0.0.1:{}\npeers = 127.0.0.1:{}\n[platform]\naddress = {platform}\n\
-         [timing]\ntick_ms = 50\nrank_delay_ms = 100\ndrain_ms = 1000\n[peers]\n",
+         [timing]\ntick_ms = {tick_ms}\nrank_delay_ms = 100\ndrain_ms = 1000\n[peers]\n",
         own[0], own[1], own[2]
     );
     let peers: Vec<String> = (0..ports.len() / 3)
@@ -177,7 +193,9 @@
         .map(|other| format!("node-{other} = 127.0.0.1:{}", ports[other * 3 + 2]))
         .collect();
     settings += &peers.join("\n");
-    let path = scratch(directory).join(format!("node-{number}.ini"));
+    // Two runs of the tests at the same time must not write each other's settings.
+    let directory = format!("{directory}-{}", process::id());
+    let path = scratch(&directory).join(format!("node-{number}.ini"));
     fs::write(&path, settings).expect("write settings");
     let (process, lines) =
         TestProcess::start(&["run", "--settings", path.to_str().expect("path in UTF-8")]);
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -199,8 +199,8 @@
         let answer = handler(request);
         Box::pin(async move { Ok::<_, Infallible>(answer.await) })
     });
-    let counted = CountedStream::new(stream, "server");
-    let stream = StallGuard::new(counted, Duration::from_millis(limits.write_stall_ms));
+    let stream = CountedStream::new(stream, "server");
+    let stream = StallGuard::new(stream, Duration::from_millis(limits.write_stall_ms));
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_read_ms))
