--- a/crates/scenario/src/decide.rs
+++ b/crates/scenario/src/decide.rs
@@ -8,7 +8,7 @@
     lynxwheel_decisions::{
         AdmissionView, ClaimStep, EndpointView, RouteRequest, Tuning, admit, forecast,
         least_loaded, plan_claims, plan_give_ups, plan_placements, plan_quarantines, review_claims,
-        slot_share,
+        slot_shares,
     },
     lynxwheel_protocol::{NodeName, RecordBody},
     lynxwheel_state::VmState,
@@ -196,10 +196,7 @@
     let mut names: Vec<NodeName> = nodes.iter().map(|node| node.as_str().into()).collect();
     names.sort();
     let vm = vm.into();
-    let shares: Vec<u32> = names
-        .iter()
-        .map(|node| slot_share(&vm, node, &names, slots))
-        .collect();
+    let shares = slot_shares(&vm, &names, slots);
     let lines: Vec<String> = names
         .iter()
         .zip(&shares)
--- a/crates/standin/src/machine.rs
+++ b/crates/standin/src/machine.rs
@@ -46,6 +46,8 @@
     pub in_progress: u32,
     /// Highest fencing number seen.
     pub fence: u64,
+    /// Fencing number of the last reboot; each reboots at most once.
+    pub rebooted_fence: u64,
     /// When its reboot ends, in milliseconds since the epoch.
     pub up_again_ms: Option<u64>,
     /// Attempts of this life.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -77,6 +77,7 @@
             is_draining: false,
             in_progress: 0,
             fence: 0,
+            rebooted_fence: 0,
             up_again_ms: None,
             tasks: Vec::new(),
             started: Vec::new(),
