--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -214,9 +214,11 @@
             seed: request.digest(&[]),
         };
         let choice = (self.policy)(&route, &views);
-        let slot = choice
-            .endpoint
-            .and_then(|index| rows[index].endpoint.enter(choice.limit, &service.queue));
+        let slot = choice.endpoint.and_then(|index| {
+            let slot = rows[index].endpoint.enter(choice.limit, &service.queue)?;
+            slot.endpoint().ejection.note_trial(now_ms);
+            Some(slot)
+        });
         let vm = slot.as_ref().map_or("", |slot| slot.endpoint().vm.as_str());
         info!(event = "routing", request = request.request_id.as_str(),
             service = request.service.as_str(), vm = vm, reason = choice.reason.as_str(),
--- a/crates/gateway/tests/slots.rs
+++ b/crates/gateway/tests/slots.rs
@@ -247,6 +247,38 @@
     assert!(evidence.is_empty(), "the peer asked it: {evidence:?}");
 }
 
+/// The only endpoint refuses to start while it restarts, with the log down. Requests are refused at
+/// once and without a run, and served again soon after it is back, without a word from the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_that_is_back_is_used_again() {
+    let fleet = Fleet::start(FleetOptions {
+        nodes: 1,
+        vms: 1,
+        ..FleetOptions::default()
+    })
+    .await;
+    let set_leaving = |is_leaving: bool| {
+        fleet.platform.with_platform(|platform| {
+            platform.faults.log_down = true;
+            platform.machine_mut("vm-0").expect("vm-0").is_leaving = is_leaving;
+        });
+    };
+    set_leaving(true);
+    for number in 0..5 {
+        let answer = ask(&fleet.nodes[0], &format!("map-{number}"), "").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(not_started(&answer));
+    }
+    set_leaving(false);
+    let until = tokio::time::Instant::now() + common::LIMIT;
+    while ask(&fleet.nodes[0], "back", "").await.status != StatusCode::OK {
+        assert!(tokio::time::Instant::now() < until, "it stayed out");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // The first success ends all doubt.
+    assert_own(&ask(&fleet.nodes[0], "next", "").await, "next");
+}
+
 /// A caller sends a body that is too large to keep. It passes through whole, with its length seen
 /// by the endpoint, and the slot is free again afterwards.
 #[tokio::test(flavor = "multi_thread")]
