--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -136,6 +136,9 @@
     }
 }
 
+/// Pause between two looks at VMs and jobs, in milliseconds.
+const TICK_MS: u64 = 50;
+
 /// Ports by which the choices of two test processes are apart.
 const PORTS_PER_PROCESS: u32 = 211;
 
@@ -169,7 +172,7 @@
 
 /// Starts node `number` of those that share `ports`, three for each.
 pub fn start_node(platform: SocketAddr, ports: &[u16], number: usize, directory: &str) -> TestNode {
-    start_node_with_tick(platform, ports, number, directory, 50)
+    start_node_with_tick(platform, ports, number, directory, TICK_MS)
 }
 
 /// Starts node `number` with a pause of `tick_ms` between looks at VMs and jobs.
@@ -179,6 +182,32 @@
     number: usize,
     directory: &str,
     tick_ms: u64,
+) -> TestNode {
+    let peers: Vec<SocketAddr> = ports
+        .chunks(3)
+        .map(|own| SocketAddr::from(([127, 0, 0, 1], own[2])))
+        .collect();
+    start_node_with(platform, ports, &peers, number, directory, tick_ms)
+}
+
+/// Starts node `number` that reaches the others at `peers`.
+pub fn start_node_with_peers(
+    platform: SocketAddr,
+    ports: &[u16],
+    peers: &[SocketAddr],
+    number: usize,
+    directory: &str,
+) -> TestNode {
+    start_node_with(platform, ports, peers, number, directory, TICK_MS)
+}
+
+fn start_node_with(
+    platform: SocketAddr,
+    ports: &[u16],
+    peers: &[SocketAddr],
+    number: usize,
+    directory: &str,
+    tick_ms: u64,
 ) -> TestNode {
     let own = &ports[number * 3..number * 3 + 3];
     let zone = number % 3 + 1;
@@ -188,9 +217,10 @@
          [timing]\ntick_ms = {tick_ms}\nrank_delay_ms = 100\ndrain_ms = 1000\n[peers]\n",
         own[0], own[1], own[2]
     );
-    let peers: Vec<String> = (0..ports.len() / 3)
-        .filter(|other| *other != number)
-        .map(|other| format!("node-{other} = 127.0.0.1:{}", ports[other * 3 + 2]))
+    let peers: Vec<String> = (0..)
+        .zip(peers)
+        .filter(|(other, _)| *other != number)
+        .map(|(other, peer)| format!("node-{other} = {peer}"))
         .collect();
     settings += &peers.join("\n");
     // Two runs of the tests at the same time must not write each other's settings.
