Planning: one look at demands that fit nowhere, final answers once a second

Final answers and quarantines are planned once a second and not at every offset.

Ruled out: looking at the VM sizes before the quota, which is faster but gives another reason to a job that is too large for both.

--- a/crates/coordination/src/planner.rs
+++ b/crates/coordination/src/planner.rs
@@ -28,15 +28,18 @@
     let mut planned_at = Instant::now();
     loop {
         let offset = Some(node.state().offset());
-        let is_due = offset != planned_offset || planned_at.elapsed() >= quiet;
-        if is_due && node.is_current() {
+        let is_quiet = planned_at.elapsed() >= quiet;
+        if (is_quiet || offset != planned_offset) && node.is_current() {
             planned_offset = offset;
-            planned_at = Instant::now();
             let mut round = Round::new(&node);
             round.take_over();
             round.propose_claims();
             round.propose_placements();
-            round.propose_verdicts();
+            if is_quiet {
+                // Final answers and quarantines are never urgent.
+                round.propose_verdicts();
+                planned_at = Instant::now();
+            }
             round.proposals.join_all().await;
         }
         // Either news or the tick starts the next round.
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -148,10 +148,15 @@
 
     fn place(&mut self, job: &JobState, plan: &mut PlacementPlan) {
         let demand = demand_of(job);
-        let Some(team) = self.team_with_quota(job, &demand) else {
+        let Some(pool) = self.view.pool_index(job.spec.pool.as_str()) else {
             return;
         };
-        let Some(pool) = self.view.pool_index(job.spec.pool.as_str()) else {
+        let is_urgent = job.spec.class == Class::Urgent;
+        let known = self.rooms[pool].as_ref();
+        if !is_urgent && known.is_some_and(|room| room.is_hopeless(job, &demand)) {
+            return;
+        }
+        let Some(team) = self.team_with_quota(job, &demand) else {
             return;
         };
         let room = self.rooms[pool].get_or_insert_with(|| {
@@ -164,7 +169,7 @@
             )
         });
         let Some(index) = room.choose(job, &demand) else {
-            if job.spec.class == Class::Urgent {
+            if is_urgent {
                 make_room(self.view.state, room, job, &demand, &mut plan.stops);
             }
             return;
--- a/crates/decisions/src/room.rs
+++ b/crates/decisions/src/room.rs
@@ -97,17 +97,20 @@
         }
     }
 
-    /// Returns the index of the VM for a job.
+    /// Tells whether a demand no larger than this one found no room before.
     ///
-    /// A demand that found no room is remembered, and larger ones of its class or a lower one
-    /// are not tried again; a round over many waiting jobs costs one pass over the VMs.
+    /// Such a demand is remembered, and larger ones of its class or a lower one are not tried
+    /// again; a round over many waiting jobs costs one pass over the VMs.
+    pub(crate) fn is_hopeless(&self, job: &JobState, demand: &Resources) -> bool {
+        self.unplaceable
+            .iter()
+            .any(|(class, small)| *class <= job.spec.class && small.fits(demand))
+    }
+
+    /// Returns the index of the VM for a job.
     pub(crate) fn choose(&mut self, job: &JobState, demand: &Resources) -> Option<usize> {
         let class = job.spec.class;
-        let is_hopeless = self
-            .unplaceable
-            .iter()
-            .any(|(other, small)| *other <= class && small.fits(demand));
-        if is_hopeless {
+        if self.is_hopeless(job, demand) {
             return None;
         }
         let best = (0..self.vms.len())
