--- a/crates/api/src/answers.rs
+++ b/crates/api/src/answers.rs
@@ -3,17 +3,13 @@
 use {
     crate::changes::TooOld,
     http::{HeaderName, HeaderValue, Response, StatusCode, header},
-    lynxwheel_protocol::{FieldError, Problem, ProblemReason, Resource},
+    lynxwheel_protocol::{
+        CURRENT_HEADER, FieldError, Problem, ProblemReason, REVISION_HEADER, Resource,
+    },
     lynxwheel_state::{FleetState, Rejection},
     lynxwheel_transport::{Body, json_answer},
 };
 
-/// Header that tells whether the node knows that it is current.
-pub const CURRENT_HEADER: &str = "x-lynxwheel-current";
-
-/// Header that names the offset up to which the node has folded.
-pub const REVISION_HEADER: &str = "x-lynxwheel-revision";
-
 /// Answers with a problem.
 pub(crate) fn problem_answer(problem: &Problem) -> Response<Body> {
     let mut answer = json_answer(status_of(problem.reason), problem);
@@ -135,13 +131,12 @@
         .collect()
 }
 
-/// Says that changes from a revision are no longer kept.
+/// Says that changes from a revision cannot be told.
 pub(crate) fn too_old(reach: TooOld) -> Problem {
     let detail = format!(
-        "changes are kept from revision {} on; list again",
-        reach.earliest
+        "this node cannot tell every change since revision {}, which is too old or another \
+         node's; list again",
+        reach.offset
     );
-    let mut problem = Problem::new(ProblemReason::TooOld, detail);
-    problem.revision = Some(reach.earliest);
-    problem
+    Problem::new(ProblemReason::TooOld, detail)
 }
--- a/crates/coordination/src/actions.rs
+++ b/crates/coordination/src/actions.rs
@@ -29,6 +29,11 @@
     let tick = Duration::from_millis(node.settings().tick_ms);
     let mut offsets = node.published().offsets();
     loop {
+        if node.has_diverged() {
+            // A drain by a state that nobody else has would take a VM out of service uncharged.
+            tokio::time::sleep(tick).await;
+            continue;
+        }
         let state = node.state();
         let reviews = review_claims(&state, &node.live_nodes());
         let mut steps = JoinSet::new();
@@ -249,6 +254,7 @@
             action,
             fence: self.claim.fence,
             not_after_ms,
+            vm_incarnation: self.claim.incarnation,
         };
         let limit = Duration::from_millis(CALL_TIMEOUT_MS);
         let path = action_path(&self.vm.name);
--- a/crates/coordination/src/observer.rs
+++ b/crates/coordination/src/observer.rs
@@ -169,11 +169,16 @@
         let clients = node.clients().clone();
         let clock = node.clock().clone();
         probes.spawn(async move {
-            let probe_ms = clock.now_ms();
-            let health = match vm.address.parse::<SocketAddr>() {
-                Ok(address) => probe(&clients.get(address), &vm.name).await,
-                Err(_) => None,
-            };
+            let client = vm.address.parse::<SocketAddr>();
+            let client = client.map(|address| clients.get(address)).ok();
+            let mut probe_ms = clock.now_ms();
+            let mut health = probe(client.as_ref(), &vm.name).await;
+            if health.is_none() {
+                // A node that was paused finds its probes timed out when it wakes, though the
+                // endpoints answered. Without a second look it would report sound VMs as failed.
+                probe_ms = clock.now_ms();
+                health = probe(client.as_ref(), &vm.name).await;
+            }
             Finding {
                 vm: vm.name,
                 probe_ms,
@@ -221,9 +226,9 @@
     }
 }
 
-async fn probe(client: &Client, vm: &VmName) -> Option<Health> {
+async fn probe(client: Option<&Client>, vm: &VmName) -> Option<Health> {
     let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
-    let answer = client.get("/healthz", limit).await.ok()?;
+    let answer = client?.get("/healthz", limit).await.ok()?;
     let health: Health = serde_json::from_slice(&answer.body).ok()?;
     (health.vm == vm.as_str()).then_some(health)
 }
--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -7,7 +7,7 @@
     log::{error, info, warn},
     lynxwheel_api::Api,
     lynxwheel_coordination::{Duties, Node},
-    lynxwheel_gateway::{Gateway, PEER_ANSWER_PATH},
+    lynxwheel_gateway::{Gateway, PEER_ANSWER_PATH, PEER_RUN_PATH},
     lynxwheel_transport::{Body, Server, Shutdown, error_answer, json_answer},
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     serde_json::json,
@@ -273,6 +273,7 @@
 async fn serve_peer(node: Node, gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
         PEER_ANSWER_PATH => gateway.peer_answer(request).await,
+        path if path.starts_with(PEER_RUN_PATH) => gateway.peer_run(request).await,
         _ => node.handle_peer(request).await,
     }
 }
