--- a/crates/experiment/src/measures.rs
+++ b/crates/experiment/src/measures.rs
@@ -49,7 +49,7 @@
     /// Time from the declaration of a job to its first start, mean, in seconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub start_mean_s: Option<f64>,
-    /// Requests refused by a full endpoint although another one had a free slot.
+    /// Requests sent to an endpoint whose slots were all taken.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub overload_refusals: Option<u64>,
     /// Time of a request, 99th percentile, in milliseconds.
--- a/crates/experiment/src/routing.rs
+++ b/crates/experiment/src/routing.rs
@@ -6,11 +6,15 @@
         policies::IN_USE,
         profile::Profile,
     },
-    lynxwheel_decisions::{EndpointView, RouteRequest, least_loaded},
-    lynxwheel_protocol::{VmName, ZoneName},
+    lynxwheel_decisions::{EndpointView, RouteRequest, least_loaded, own_share, slot_shares},
+    lynxwheel_protocol::{NodeName, VmName, ZoneName},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    std::time::{Duration, Instant},
+    std::{
+        cmp::Reverse,
+        collections::BinaryHeap,
+        time::{Duration, Instant},
+    },
 };
 
 /// Nodes that route.
@@ -31,21 +35,21 @@
 /// Age of what a node knows of the other nodes' requests, in milliseconds.
 const EXCHANGE_MS: u64 = 50;
 
-/// Time after which a refused request is sent again, in milliseconds.
-const RETRY_MS: u64 = 10;
+/// Time after which a request that found no slot tries again, in milliseconds.
+const RETRY_MS: u64 = 2;
 
 /// How an endpoint is chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum RoutePolicy {
-    /// The decision in use, on a node's own requests and what its peers told it.
+enum Routing {
+    /// The decision in use: a node takes slots of its own share only.
     InUse,
     /// Any endpoint.
     Random,
-    /// The one with the fewest of the node's own requests.
+    /// The one with the fewest requests of the node and of its peers, as they last told.
     LocalLeastLoaded,
 }
 
-impl RoutePolicy {
+impl Routing {
     const ALL: [Self; 3] = [Self::InUse, Self::Random, Self::LocalLeastLoaded];
 
     fn as_str(self) -> &'static str {
@@ -57,6 +61,16 @@
     }
 }
 
+/// A request that waits to be sent.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Waiting {
+    next_ms: u64,
+    number: usize,
+    arrived_ms: u64,
+    node: usize,
+    serves_ms: u64,
+}
+
 /// A request in progress.
 #[derive(Clone, Copy, Debug)]
 struct Busy {
@@ -107,84 +121,98 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Returns the requests of other nodes on an endpoint that `node` knows of.
-    fn peers(&self, endpoint: usize, node: usize, policy: RoutePolicy) -> u32 {
-        if policy != RoutePolicy::InUse {
-            return 0;
-        }
-        let peers = self.exchanged[endpoint].iter().enumerate();
-        peers
+    /// Returns what the peers of `node` told of their requests on an endpoint.
+    fn peers(&self, endpoint: usize, node: usize) -> u32 {
+        let counts = self.exchanged[endpoint].iter().enumerate();
+        counts
             .filter(|(peer, _)| *peer != node)
             .map(|(_, count)| count)
             .sum()
     }
 }
 
+/// Names and shares, which stay the same for a run.
+struct Layout {
+    vms: Vec<VmName>,
+    zones: Vec<ZoneName>,
+    shares: Vec<Vec<u32>>,
+}
+
+impl Layout {
+    fn new(profile: &Profile) -> Self {
+        let nodes: Vec<NodeName> = (0..NODES)
+            .map(|node| format!("node-{node}").into())
+            .collect();
+        let vms: Vec<VmName> = (0..ENDPOINTS)
+            .map(|index| format!("vm-{index}").into())
+            .collect();
+        let shares = vms
+            .iter()
+            .map(|vm| slot_shares(vm, &nodes, SLOTS))
+            .collect();
+        Self {
+            vms,
+            zones: (0..profile.zones.min(3))
+                .map(|index| format!("zone-{index}").into())
+                .collect(),
+            shares,
+        }
+    }
+
+    fn views(&self, endpoints: &Endpoints, node: usize) -> Vec<EndpointView<'_>> {
+        let view = |index: usize| EndpointView {
+            vm: &self.vms[index],
+            zone: &self.zones[index % self.zones.len()],
+            in_progress: endpoints.own(index, node),
+            peers_in_progress: endpoints.peers(index, node),
+            slots: SLOTS,
+            share: self.shares[index][node],
+        };
+        (0..ENDPOINTS).map(view).collect()
+    }
+}
+
 /// Runs every policy on the inputs of one seed.
 #[must_use]
 pub fn run(profile: &Profile, seed: u64) -> Vec<Measures> {
-    let policies = RoutePolicy::ALL.into_iter();
+    let policies = Routing::ALL.into_iter();
     policies
         .map(|policy| run_policy(profile, seed, policy))
         .collect()
 }
 
-fn run_policy(profile: &Profile, seed: u64, policy: RoutePolicy) -> Measures {
-    let mut inputs = ChaCha8Rng::seed_from_u64(seed);
+fn run_policy(profile: &Profile, seed: u64, policy: Routing) -> Measures {
+    let layout = Layout::new(profile);
     let mut choices = ChaCha8Rng::seed_from_u64(!seed);
-    let names: Vec<VmName> = (0..ENDPOINTS)
-        .map(|index| format!("vm-{index}").into())
-        .collect();
-    let zones: Vec<ZoneName> = (0..profile.zones.min(3))
-        .map(|index| format!("zone-{index}").into())
-        .collect();
+    let mut waiting = arrivals(seed);
     let mut endpoints = Endpoints::new();
     let mut refusals = 0;
     let mut decisions = Duration::ZERO;
     let mut times_ms = Vec::with_capacity(REQUESTS);
-    let mut now_ms = 0;
-    for _ in 0..REQUESTS {
-        now_ms += inputs.random_range(0..=2 * GAP_MS);
-        let node = inputs.random_range(0..NODES);
-        let serves_ms = service_ms(&mut inputs);
-        let mut sent_ms = now_ms;
-        loop {
-            endpoints.advance(now_ms);
-            let views: Vec<EndpointView<'_>> = (0..ENDPOINTS)
-                .map(|index| EndpointView {
-                    vm: &names[index],
-                    zone: &zones[index % zones.len()],
-                    in_progress: endpoints.own(index, node),
-                    peers_in_progress: endpoints.peers(index, node, policy),
-                    slots: SLOTS,
-                    share: 0,
-                })
-                .collect();
-            let request = RouteRequest {
-                zone: &zones[node % zones.len()],
-                seed: choices.random(),
-            };
-            let began = Instant::now();
-            let chosen = choose(policy, &request, &views, &mut choices);
-            decisions += began.elapsed();
-            let is_free = |endpoint: &usize| endpoints.all(*endpoint) < SLOTS;
-            if let Some(endpoint) = chosen.filter(is_free) {
-                let busy = Busy {
-                    endpoint,
-                    node,
-                    ends_ms: sent_ms + serves_ms,
-                };
-                endpoints.busy.push(busy);
-                break;
-            }
-            let has_room = (0..ENDPOINTS).any(|endpoint| is_free(&endpoint));
-            refusals += u64::from(has_room);
-            sent_ms += RETRY_MS;
-            if sent_ms > now_ms + 100 * RETRY_MS {
-                break;
-            }
+    while let Some(Reverse(mut request)) = waiting.pop() {
+        endpoints.advance(request.next_ms);
+        let views = layout.views(&endpoints, request.node);
+        let route = RouteRequest {
+            zone: &layout.zones[request.node % layout.zones.len()],
+            seed: choices.random(),
+        };
+        let began = Instant::now();
+        let chosen = choose(policy, &route, &views, &mut choices);
+        decisions += began.elapsed();
+        let is_full = |endpoint: &usize| endpoints.all(*endpoint) >= SLOTS;
+        refusals += u64::from(chosen.as_ref().is_some_and(is_full));
+        if let Some(endpoint) = chosen.filter(|endpoint| !is_full(endpoint)) {
+            let ends_ms = request.next_ms + request.serves_ms;
+            endpoints.busy.push(Busy {
+                endpoint,
+                node: request.node,
+                ends_ms,
+            });
+            times_ms.push(ends_ms - request.arrived_ms);
+        } else {
+            request.next_ms += RETRY_MS;
+            waiting.push(Reverse(request));
         }
-        times_ms.push(sent_ms - now_ms + serves_ms);
     }
     #[expect(clippy::cast_precision_loss, reason = "milliseconds of a request")]
     let request_p99_ms = percentile(&mut times_ms, 99) as f64;
@@ -198,16 +226,35 @@
     }
 }
 
+/// Draws the requests of a seed.
+fn arrivals(seed: u64) -> BinaryHeap<Reverse<Waiting>> {
+    let mut inputs = ChaCha8Rng::seed_from_u64(seed);
+    let mut now_ms = 0;
+    let mut waiting = BinaryHeap::with_capacity(REQUESTS);
+    for number in 0..REQUESTS {
+        now_ms += inputs.random_range(0..=2 * GAP_MS);
+        waiting.push(Reverse(Waiting {
+            next_ms: now_ms,
+            number,
+            arrived_ms: now_ms,
+            node: inputs.random_range(0..NODES),
+            serves_ms: service_ms(&mut inputs),
+        }));
+    }
+    waiting
+}
+
 fn choose(
-    policy: RoutePolicy,
+    policy: Routing,
     request: &RouteRequest<'_>,
     views: &[EndpointView<'_>],
     choices: &mut ChaCha8Rng,
 ) -> Option<usize> {
-    if policy == RoutePolicy::Random {
-        return Some(choices.random_range(0..views.len()));
+    match policy {
+        Routing::InUse => own_share(request, views).endpoint,
+        Routing::Random => Some(choices.random_range(0..views.len())),
+        Routing::LocalLeastLoaded => least_loaded(request, views).endpoint,
     }
-    least_loaded(request, views).endpoint
 }
 
 /// Draws the time that an endpoint takes, in milliseconds: mostly short, now and then long.
