--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -167,33 +167,59 @@
         .collect()
 }
 
+/// What the settings of a test's nodes have in common.
+pub struct TestSettings<'a> {
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Ports of the nodes, three for each.
+    pub ports: &'a [u16],
+    /// Where the nodes reach each other.
+    pub peers: &'a [SocketAddr],
+    /// Pause between looks at VMs and jobs, in milliseconds.
+    pub tick_ms: u64,
+}
+
+/// Pause between looks at VMs and jobs that tests use, in milliseconds.
+pub const TICK_MS: u64 = 50;
+
 /// Starts node `number` of those that share `ports`, three for each.
 pub fn start_node(platform: SocketAddr, ports: &[u16], number: usize, directory: &str) -> TestNode {
-    let peers: Vec<SocketAddr> = ports
-        .chunks(3)
-        .map(|own| SocketAddr::from(([127, 0, 0, 1], own[2])))
-        .collect();
-    start_node_with_peers(platform, ports, &peers, number, directory)
+    start_node_with_tick(platform, ports, number, directory, TICK_MS)
 }
 
-/// Starts node `number` that reaches the others at `peers`.
-pub fn start_node_with_peers(
+/// Starts node `number` with a pause of `tick_ms` between looks at VMs and jobs.
+pub fn start_node_with_tick(
     platform: SocketAddr,
     ports: &[u16],
-    peers: &[SocketAddr],
     number: usize,
     directory: &str,
+    tick_ms: u64,
 ) -> TestNode {
-    let own = &ports[number * 3..number * 3 + 3];
+    let peers: Vec<SocketAddr> = ports
+        .chunks(3)
+        .map(|own| SocketAddr::from(([127, 0, 0, 1], own[2])))
+        .collect();
+    let settings = TestSettings {
+        platform,
+        ports,
+        peers: &peers,
+        tick_ms,
+    };
+    start_node_with(&settings, number, directory)
+}
+
+/// Starts node `number` with settings.
+pub fn start_node_with(test: &TestSettings<'_>, number: usize, directory: &str) -> TestNode {
+    let own = &test.ports[number * 3..number * 3 + 3];
     let zone = number % 3 + 1;
     let mut settings = format!(
         "[node]\nname = node-{number}\nzone = zone-{zone}\n[listen]\ncallers = 127.0.0.1:{}\n\
-         operators = 127.0.0.1:{}\npeers = 127.0.0.1:{}\n[platform]\naddress = {platform}\n\
-         [timing]\ntick_ms = 50\nrank_delay_ms = 100\ndrain_ms = 1000\n[peers]\n",
-        own[0], own[1], own[2]
+         operators = 127.0.0.1:{}\npeers = 127.0.0.1:{}\n[platform]\naddress = {}\n\
+         [timing]\ntick_ms = {}\nrank_delay_ms = 100\ndrain_ms = 1000\n[peers]\n",
+        own[0], own[1], own[2], test.platform, test.tick_ms
     );
     let peers: Vec<String> = (0..)
-        .zip(peers)
+        .zip(test.peers)
         .filter(|(other, _)| *other != number)
         .map(|(other, peer)| format!("node-{other} = {peer}"))
         .collect();
--- a/crates/scenario/src/decide.rs
+++ b/crates/scenario/src/decide.rs
@@ -6,9 +6,8 @@
         world::{Chosen, StepResult, World},
     },
     lynxwheel_decisions::{
-        AdmissionView, ClaimStep, EndpointView, RouteRequest, Tuning, admit, forecast,
-        least_loaded, plan_claims, plan_give_ups, plan_placements, plan_quarantines, review_claims,
-        slot_share,
+        AdmissionView, ClaimStep, EndpointView, RouteRequest, Tuning, admit, forecast, own_share,
+        plan_claims, plan_give_ups, plan_placements, plan_quarantines, review_claims, slot_shares,
     },
     lynxwheel_protocol::{NodeName, RecordBody},
     lynxwheel_state::VmState,
@@ -145,7 +144,7 @@
             zone: &node.zone,
             seed,
         };
-        let choice = least_loaded(&request, &views);
+        let choice = own_share(&request, &views);
         let chosen = choice.endpoint.map(|index| Chosen {
             vm: candidates[index].name.clone(),
             incarnation: candidates[index].incarnation,
@@ -195,11 +194,7 @@
 pub(crate) fn shares(vm: &str, nodes: &[String], slots: u32) -> String {
     let mut names: Vec<NodeName> = nodes.iter().map(|node| node.as_str().into()).collect();
     names.sort();
-    let vm = vm.into();
-    let shares: Vec<u32> = names
-        .iter()
-        .map(|node| slot_share(&vm, node, &names, slots))
-        .collect();
+    let shares = slot_shares(&vm.into(), &names, slots);
     let lines: Vec<String> = names
         .iter()
         .zip(&shares)
