--- a/crates/experiment/src/run.rs
+++ b/crates/experiment/src/run.rs
@@ -101,6 +101,7 @@
         let claims = policy.claims(&self.world.state, clock_ms);
         self.decision_time += began.elapsed();
         for (vm, purpose) in claims {
+            self.world.probe_pool(vm.as_str());
             let verdict = self.world.submit(RecordBody::Claim {
                 vm: vm.clone(),
                 purpose,
@@ -123,10 +124,7 @@
             }
         };
         let give_ups = plan_give_ups(&self.world.state, clock_ms);
-        let quarantines = match self.policy {
-            RunPolicy::Place(PlacePolicy::FirstFit | PlacePolicy::SpreadOnly) => Vec::new(),
-            _ => plan_quarantines(&self.world.state),
-        };
+        let quarantines = plan_quarantines(&self.world.state);
         self.decision_time += began.elapsed();
         self.carry_out(plan);
         for plan in give_ups {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -107,14 +107,17 @@
     ///
     /// A pool with fewer slots than there are nodes leaves some nodes without any, and a balancer
     /// that lost a node may send its neighbour twice as much. The peer takes the request on its own
-    /// slots, so the endpoints' bounds hold as before.
+    /// slots, so the endpoints' bounds hold as before. A short queue is worked off here: what is
+    /// known of the peers is up to a second old, and nodes that passed on every burst would flood
+    /// the few peers that were idle then.
     fn peer_with_slots(&self, request: &CallerRequest) -> Option<SocketAddr> {
         if request.is_forwarded {
             return None;
         }
         let table = self.tables.load();
         let service = table.service(&request.service)?;
-        if service.has_free_slot() && service.queue.lengths(request.class).ahead == 0 {
+        let is_behind = service.queue.lengths(request.class).ahead >= service.slots() as usize;
+        if !is_behind {
             return None;
         }
         let spare = pick_spare(&service.spares, request.digest(&[]))?;
@@ -141,7 +144,10 @@
         let outgoing =
             outgoing_to_peer(request, peer, body, deadline).map_err(|error| refusal_of(&error))?;
         let sent = self.peers.get(peer).send(outgoing, deadline).await;
-        let mut response = sent.map_err(|error| refusal_of(&error))?;
+        let mut response = sent.map_err(|error| {
+            self.tables.note_unreachable(peer);
+            refusal_of(&error)
+        })?;
         remove_hop_headers(response.headers_mut());
         if response.headers().contains_key(DID_NOT_RUN_HEADER) {
             return Err(no_endpoint());
@@ -208,9 +214,11 @@
             seed: request.digest(&[]),
         };
         let choice = (self.policy)(&route, &views);
-        let slot = choice
-            .endpoint
-            .and_then(|index| rows[index].endpoint.enter(choice.limit, &service.queue));
+        let slot = choice.endpoint.and_then(|index| {
+            let slot = rows[index].endpoint.enter(choice.limit, &service.queue)?;
+            slot.endpoint().ejection.note_trial(now_ms);
+            Some(slot)
+        });
         let vm = slot.as_ref().map_or("", |slot| slot.endpoint().vm.as_str());
         info!(event = "routing", request = request.request_id.as_str(),
             service = request.service.as_str(), vm = vm, reason = choice.reason.as_str(),
@@ -239,7 +247,7 @@
             Ok(response) => response,
             Err(error) => {
                 note_failure(&endpoint, &error, self.node.clock().now_ms());
-                return Err(refusal_of(&error));
+                return Err(refusal_at(&error, deadline));
             }
         };
         if let Some(reason) = not_started(&response) {
@@ -344,6 +352,15 @@
         .with_retry_after_ms(RETRY_AFTER_MS)
 }
 
+/// Returns the refusal of a failed exchange, which is a timeout when the deadline has passed.
+fn refusal_at(error: &TransportError, deadline: Instant) -> Refusal {
+    if error.may_have_run && Instant::now() >= deadline {
+        let detail = "no answer before the deadline; it may have run";
+        return Refusal::may_have_run(RefusalReason::Timeout, detail);
+    }
+    refusal_of(error)
+}
+
 fn refusal_of(error: &TransportError) -> Refusal {
     if error.may_have_run {
         Refusal::may_have_run(RefusalReason::OutcomeUnknown, error.to_string())
--- a/crates/gateway/tests/slots.rs
+++ b/crates/gateway/tests/slots.rs
@@ -79,6 +79,38 @@
     }
 }
 
+/// A node died and its callers moved over to one neighbour, which gets more than its slots can
+/// serve while another node idles. The neighbour passes requests on, so that all slots are used,
+/// and still no more than all.
+#[tokio::test(flavor = "multi_thread")]
+async fn overloaded_node_passes_requests_on_to_an_idle_one() {
+    let fleet = Fleet::start(FleetOptions {
+        vms: 1,
+        ..FleetOptions::default()
+    })
+    .await;
+    let fleet = Arc::new(fleet);
+    let first = &fleet.nodes[0].node;
+    let knows_peer = || !first.peers().views(first.clock().now_ms()).is_empty();
+    wait_until("the peer is known", knows_peer).await;
+    let mut callers = JoinSet::new();
+    for caller in 0..16 {
+        let fleet = Arc::clone(&fleet);
+        callers.spawn(async move {
+            let id = format!("map-{caller}");
+            assert_own(&ask(&fleet.nodes[0], &id, "ms=300").await, &id);
+        });
+        // One after the other, so that each finds the queue that the ones before made.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    while let Some(ended) = callers.join_next().await {
+        ended.expect("no refusal");
+    }
+    let runs = fleet.platform.runs();
+    let most = runs.iter().map(|run| run.in_progress).max();
+    assert!(most > Some(4) && most <= Some(8), "{most:?} at once");
+}
+
 /// Batch work fills every slot and waits in the queue when an outage notice comes. The notice is
 /// served next, before batch work that came earlier.
 #[tokio::test(flavor = "multi_thread")]
@@ -215,6 +247,38 @@
     assert!(evidence.is_empty(), "the peer asked it: {evidence:?}");
 }
 
+/// The only endpoint refuses to start while it restarts, with the log down. Requests are refused at
+/// once and without a run, and served again soon after it is back, without a word from the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_that_is_back_is_used_again() {
+    let fleet = Fleet::start(FleetOptions {
+        nodes: 1,
+        vms: 1,
+        ..FleetOptions::default()
+    })
+    .await;
+    let set_leaving = |is_leaving: bool| {
+        fleet.platform.with_platform(|platform| {
+            platform.faults.log_down = true;
+            platform.machine_mut("vm-0").expect("vm-0").is_leaving = is_leaving;
+        });
+    };
+    set_leaving(true);
+    for number in 0..5 {
+        let answer = ask(&fleet.nodes[0], &format!("map-{number}"), "").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(not_started(&answer));
+    }
+    set_leaving(false);
+    let until = tokio::time::Instant::now() + common::LIMIT;
+    while ask(&fleet.nodes[0], "back", "").await.status != StatusCode::OK {
+        assert!(tokio::time::Instant::now() < until, "it stayed out");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // The first success ends all doubt.
+    assert_own(&ask(&fleet.nodes[0], "next", "").await, "next");
+}
+
 /// A caller sends a body that is too large to keep. It passes through whole, with its length seen
 /// by the endpoint, and the slot is free again afterwards.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/lynxwheel/tests/proof/fleet.rs
+++ b/crates/lynxwheel/tests/proof/fleet.rs
@@ -3,10 +3,7 @@
 use {
     crate::{
         checker::{Told, check, is_attempt_of},
-        common::{
-            LIMIT, TICK_MS, TestNode, TestPlatform, TestSettings, declare_maps, free_ports,
-            start_node_with,
-        },
+        common::{LIMIT, TestNode, TestPlatform, declare_maps, free_ports, start_node_with_peers},
     },
     http::{Method, StatusCode},
     lynxwheel::audit,
@@ -55,7 +52,10 @@
         }
         let peers: Vec<SocketAddr> = peer_relays.iter().map(Relay::address).collect();
         let nodes: Vec<TestNode> = (0..count)
-            .map(|number| start(&relays[number], &ports, &peers, number, directory))
+            .map(|number| {
+                let platform = relays[number].address();
+                start_node_with_peers(platform, &ports, &peers, number, directory)
+            })
             .collect();
         declare_maps(&nodes[0], VMS, FLOOR).await;
         for node in &nodes {
@@ -95,9 +95,9 @@
 
     /// Starts a node anew in the place of one that ended, and waits until it is ready.
     pub async fn restart(&mut self, number: usize) {
+        let platform = self.relays[number].address();
         let peers: Vec<SocketAddr> = self.peer_relays.iter().map(Relay::address).collect();
-        let relay = &self.relays[number];
-        let node = start(relay, &self.ports, &peers, number, self.directory);
+        let node = start_node_with_peers(platform, &self.ports, &peers, number, self.directory);
         node.wait_until_ready().await;
         self.nodes[number] = node;
     }
@@ -216,19 +216,3 @@
 async fn start_relay(target: SocketAddr) -> Relay {
     Relay::start(target).await.expect("relay")
 }
-
-fn start(
-    platform: &Relay,
-    ports: &[u16],
-    peers: &[SocketAddr],
-    number: usize,
-    directory: &str,
-) -> TestNode {
-    let settings = TestSettings {
-        platform: platform.address(),
-        ports,
-        peers,
-        tick_ms: TICK_MS,
-    };
-    start_node_with(&settings, number, directory)
-}
