--- a/crates/lynxwheel/tests/pages.rs
+++ b/crates/lynxwheel/tests/pages.rs
@@ -1,66 +1,90 @@
-//! The operators' page against the code.
+//! The pages against the code.
 
 use {
     lynxwheel::{Config, KNOWN_KEYS, NAMED_SECTIONS},
-    std::{collections::BTreeSet, fs, path::Path},
+    std::{fs, path::Path},
 };
 
-const PAGE: &str = "../../docs/OPERATIONS.md";
+const OPERATIONS: &str = "../../docs/OPERATIONS.md";
 
-const SOURCES: &str = "..";
+const PROOF: &str = "../../docs/PROOF.md";
 
-fn page() -> String {
-    fs::read_to_string(PAGE).expect("the page")
+const PACKAGES: &str = "..";
+
+const STORIES: &str = "../scenario/tests/scripts";
+
+/// Section and key of the settings.
+#[derive(Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct SettingKey {
+    section: String,
+    key: String,
 }
 
-/// Returns the words in backquotes of the first two cells of a table's rows.
-fn documented_keys(page: &str) -> BTreeSet<(String, String)> {
-    let after = page.split("| section | key |").nth(1).expect("a table");
-    let rows = after
+fn page(path: &str) -> String {
+    fs::read_to_string(path).expect("the page")
+}
+
+/// Returns the words in backquotes.
+fn quoted(text: &str) -> impl Iterator<Item = &str> {
+    text.split('`').skip(1).step_by(2)
+}
+
+/// Returns the rows of the table that begins with `header`, as their cells.
+fn table<'a>(page: &'a str, header: &str) -> Vec<Vec<&'a str>> {
+    let after = page.split(header).nth(1).expect("a table");
+    after
         .lines()
         .skip(2)
-        .take_while(|line| line.starts_with('|'));
-    rows.map(|row| {
-        let mut cells = row.split('|').skip(1).map(str::trim);
-        let mut cell = || cells.next().expect("cell").replace('`', "");
-        (cell(), cell())
-    })
-    .collect()
+        .take_while(|line| line.starts_with('|'))
+        .map(|row| row.split('|').skip(1).map(str::trim).collect())
+        .collect()
 }
 
 /// An operator looks a key up that the page does not have, or sets one that is no longer known.
 #[test]
 fn page_has_every_key_of_the_settings() {
-    let known: BTreeSet<(String, String)> = KNOWN_KEYS
-        .iter()
-        .flat_map(|(section, keys)| {
-            keys.iter()
-                .map(|key| ((*section).to_owned(), (*key).to_owned()))
-        })
-        .collect();
-    let documented = documented_keys(&page());
-    let (named, fixed): (BTreeSet<_>, BTreeSet<_>) = documented
-        .into_iter()
-        .partition(|(section, _)| NAMED_SECTIONS.contains(&section.as_str()));
+    let page = page(OPERATIONS);
+    let documented = table(&page, "| section | key |");
+    let mut fixed: Vec<SettingKey> = Vec::new();
+    let mut named: Vec<&str> = Vec::new();
+    for cells in &documented {
+        let section = cells[0].trim_matches('`');
+        if NAMED_SECTIONS.contains(&section) {
+            named.push(section);
+        } else {
+            fixed.push(SettingKey {
+                section: section.into(),
+                key: cells[1].trim_matches('`').into(),
+            });
+        }
+    }
+    let mut known: Vec<SettingKey> = Vec::new();
+    for (section, keys) in KNOWN_KEYS {
+        known.extend(keys.iter().map(|key| SettingKey {
+            section: section.into(),
+            key: (*key).into(),
+        }));
+    }
+    fixed.sort();
+    known.sort();
     assert_eq!(fixed, known);
-    let sections: BTreeSet<String> = named.into_iter().map(|(section, _)| section).collect();
-    assert_eq!(sections, NAMED_SECTIONS.map(str::to_owned).into());
+    assert_eq!(named, NAMED_SECTIONS);
 }
 
 /// An operator copies the page's example; apart from the token files it must be accepted.
 #[test]
 fn example_of_the_page_is_accepted() {
-    let page = page();
+    let page = page(OPERATIONS);
     let after = page.split("```ini").nth(1).expect("an example");
     let example = after.split("```").next().expect("its end");
     let example = example
         .replace(
             "@/etc/lynxwheel/oncall.token",
-            "a-token-of-the-person-on-call",
+            "the-token-of-who-is-on-call",
         )
         .replace(
             "@/etc/lynxwheel/dashboards.token",
-            "a-token-of-the-dashboards",
+            "the-token-of-dashboards",
         );
     let config = Config::parse("page.ini", &example).expect("a valid example");
     assert_eq!(config.peers.len(), 2);
@@ -69,32 +93,50 @@
 /// An alert waits for an event or metric that the code no longer writes.
 #[test]
 fn events_and_metrics_of_the_page_exist() {
-    let page = page();
-    let sources = sources();
-    let names = page.split('`').skip(1).step_by(2);
-    let metrics = names.filter(|name| name.starts_with("lynxwheel_"));
-    for metric in metrics {
+    let page = page(OPERATIONS);
+    let sources = sources("src");
+    for metric in quoted(&page).filter(|name| name.starts_with("lynxwheel_")) {
         let name = metric.split('{').next().expect("a name");
         assert!(sources.contains(&format!("\"{name}\"")), "no metric {name}");
     }
-    let events = page.split("| event | says |").nth(1).expect("a table");
-    let rows = events
-        .lines()
-        .skip(2)
-        .take_while(|line| line.starts_with('|'));
-    for row in rows {
-        let cell = row.split('|').nth(1).expect("cell");
-        for event in cell.split('`').skip(1).step_by(2) {
+    for cells in table(&page, "| event | says |") {
+        for event in quoted(cells[0]) {
             let written = format!("event = \"{event}\"");
             assert!(sources.contains(&written), "no event {event}");
         }
     }
 }
 
-fn sources() -> String {
+/// Somebody who checks a promise looks for a story or test that was renamed or taken out.
+#[test]
+fn proofs_of_the_page_exist() {
+    let page = page(PROOF);
+    let tests = sources("tests");
+    let proofs = page.split("## Not proved").next().expect("the tables");
+    let names = quoted(proofs).filter(|name| {
+        name.contains('_') && name.chars().all(|c| c.is_ascii_lowercase() || c == '_')
+    });
+    for name in names.filter(|name| *name != "key_keep_ms" && *name != "drain_ms") {
+        let is_story = Path::new(STORIES).join(name).exists();
+        let is_test = tests.contains(&format!("fn {name}("));
+        assert!(is_story || is_test, "no story or test {name}");
+    }
+    for story in fs::read_dir(STORIES).expect("stories") {
+        let name = story.expect("story").file_name();
+        let name = name.to_str().expect("UTF-8");
+        assert!(
+            quoted(proofs).any(|word| word == name),
+            "{name} proves nothing"
+        );
+    }
+}
+
+/// Returns the text of every file under `directory` of the packages.
+fn sources(directory: &str) -> String {
     let mut text = String::new();
-    for package in fs::read_dir(SOURCES).expect("packages") {
-        gather(&package.expect("package").path().join("src"), &mut text);
+    for package in fs::read_dir(PACKAGES).expect("packages") {
+        let path = package.expect("package").path().join(directory);
+        gather(&path, &mut text);
     }
     text
 }
@@ -108,7 +150,7 @@
         if path.is_dir() {
             gather(&path, text);
         } else {
-            text.push_str(&fs::read_to_string(&path).expect("source"));
+            text.push_str(&fs::read_to_string(&path).expect("text"));
         }
     }
 }
