--- a/crates/coordination/src/actions.rs
+++ b/crates/coordination/src/actions.rs
@@ -1,7 +1,7 @@
 //! Carrying out the claims that this node holds.
 
 use {
-    crate::{node::Node, observer::confirm_pool},
+    crate::{node::Node, observer::confirm_pool, share::CoreShare},
     log::{info, warn},
     lynxwheel_decisions::{
         ActionStep, ClaimReview, ClaimStep as Step, ReleaseReason, action_step, review_claims,
@@ -11,7 +11,7 @@
     lynxwheel_transport::Client,
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
-    tokio::task::JoinSet,
+    tokio::{task::JoinSet, time::Instant},
 };
 
 /// Time that a call to the platform may take, in milliseconds.
@@ -23,6 +23,9 @@
 /// Connections to the platform for actions.
 const CONNECTIONS: usize = 8;
 
+/// Share of a core that looking for claims may take.
+const CORE_SHARE: CoreShare = CoreShare::new(5);
+
 /// Carries claims out for as long as it is polled.
 pub(crate) async fn act(node: Node) {
     let platform = Client::new(node.settings().platform, CONNECTIONS);
@@ -34,6 +37,7 @@
             tokio::time::sleep(tick).await;
             continue;
         }
+        let began = Instant::now();
         let state = node.state();
         let reviews = review_claims(&state, &node.live_nodes());
         let mut steps = JoinSet::new();
@@ -47,7 +51,9 @@
                 steps.spawn(step.take());
             }
         }
+        let rest = CORE_SHARE.rest(began.elapsed());
         steps.join_all().await;
+        tokio::time::sleep(rest).await;
         drop(tokio::time::timeout(tick, offsets.changed()).await);
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -34,6 +34,7 @@
 mod recent;
 mod recovery;
 mod settings;
+mod share;
 mod snapshot_chunks;
 mod snapshots;
 mod tasks;
--- a/crates/coordination/src/planner.rs
+++ b/crates/coordination/src/planner.rs
@@ -1,7 +1,7 @@
 //! Planning: proposing claims, starts and final answers when it is this node's turn.
 
 use {
-    crate::{node::Node, observer::confirm_pool},
+    crate::{node::Node, observer::confirm_pool, share::CoreShare},
     log::info,
     lynxwheel_decisions::{
         ClaimStep, Tuning, plan_claims, plan_give_ups, plan_placements, plan_quarantines,
@@ -19,6 +19,9 @@
 /// Time between rounds without news, in milliseconds: drains end and patience runs out by time.
 const QUIET_ROUND_MS: u64 = 1_000;
 
+/// Share of a core that planning may take.
+const CORE_SHARE: CoreShare = CoreShare::new(15);
+
 /// Plans for as long as it is polled.
 pub(crate) async fn plan(node: Node) {
     let mut offsets = node.published().offsets();
@@ -31,6 +34,7 @@
         let is_quiet = planned_at.elapsed() >= quiet;
         if (is_quiet || offset != planned_offset) && node.is_current() {
             planned_offset = offset;
+            let began = Instant::now();
             let mut round = Round::new(&node);
             round.take_over();
             round.propose_claims();
@@ -40,7 +44,9 @@
                 round.propose_verdicts();
                 planned_at = Instant::now();
             }
+            let cost = began.elapsed();
             round.proposals.join_all().await;
+            tokio::time::sleep(CORE_SHARE.rest(cost)).await;
         }
         // Either news or the tick starts the next round.
         drop(tokio::time::timeout(tick, offsets.changed()).await);
--- a/crates/coordination/src/tasks.rs
+++ b/crates/coordination/src/tasks.rs
@@ -1,7 +1,7 @@
 //! Starting and watching the attempts that this node holds.
 
 use {
-    crate::node::Node,
+    crate::{node::Node, share::CoreShare},
     log::{info, warn},
     lynxwheel_decisions::rendezvous_rank,
     lynxwheel_protocol::{
@@ -10,7 +10,7 @@
     lynxwheel_state::{Attempt, JobState, TASK_LEASE_MS},
     lynxwheel_transport::{Client, TransportError},
     std::time::Duration,
-    tokio::task::JoinSet,
+    tokio::{task::JoinSet, time::Instant},
 };
 
 /// Time that a call to a worker may take, in milliseconds.
@@ -22,12 +22,16 @@
 /// Status by which a worker says that it did not start an attempt.
 const NOT_STARTED: &str = "status 409";
 
+/// Share of a core that looking for attempts may take.
+const CORE_SHARE: CoreShare = CoreShare::new(5);
+
 /// Runs attempts for as long as it is polled.
 pub(crate) async fn run(node: Node) {
     let platform = Client::new(node.settings().platform, CONNECTIONS);
     let tick = Duration::from_millis(node.settings().tick_ms);
     let mut offsets = node.published().offsets();
     loop {
+        let began = Instant::now();
         let state = node.state();
         let nodes = node.live_nodes();
         let mut steps = JoinSet::new();
@@ -45,7 +49,9 @@
                 steps.spawn(step.take());
             }
         }
+        let rest = CORE_SHARE.rest(began.elapsed());
         steps.join_all().await;
+        tokio::time::sleep(rest).await;
         drop(tokio::time::timeout(tick, offsets.changed()).await);
     }
 }
