Tidy the API and lynxctl: pages joined in one place, names of conditions and fields shared

The field that a missing reference belongs to was worked out twice, the name of the condition Final stood twice, and lynxctl restarted a list without a bound.

--- a/crates/api/src/answers.rs
+++ b/crates/api/src/answers.rs
@@ -116,16 +116,10 @@
 }
 
 fn missing_fields(resource: &Resource, state: &FleetState) -> Vec<FieldError> {
-    let is_wave = matches!(resource, Resource::Wave(_));
-    state
-        .missing_needs(resource)
-        .into_iter()
+    let missing = state.missing_needs(resource).into_iter();
+    missing
         .map(|need| FieldError {
-            field: if is_wave {
-                "pools".into()
-            } else {
-                need.kind.as_str().into()
-            },
+            field: resource.need_field(need.kind).into(),
             reason: format!("{need} does not exist"),
         })
         .collect()
--- a/crates/api/src/handler.rs
+++ b/crates/api/src/handler.rs
@@ -139,8 +139,7 @@
         let operation: OperationId = text
             .parse()
             .map_err(|reason| Problem::new(ProblemReason::BadRequest, reason))?;
-        // Asked first: what arrives in between is then at most seen too early, never missed
-        // by a node that calls itself current.
+        // Asked first, since "not seen" of a current node must cover all up to this moment.
         let current = self.node.is_current();
         let view = OperationView {
             operation,
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -33,4 +33,4 @@
 pub use handler::Api;
 pub use openapi::openapi;
 pub use routes::{Action, Route, routes};
-pub use status::{FINAL, READY, view};
+pub use status::view;
--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -2,18 +2,12 @@
 
 use {
     lynxwheel_protocol::{
-        ClaimPurpose, Condition, Kind, ResourceRef, ResourceView, VmPhase, WaveGoal,
+        ClaimPurpose, Condition, FINAL, Kind, READY, ResourceRef, ResourceView, VmPhase, WaveGoal,
     },
     lynxwheel_state::{FleetState, JobPhase, JobState, PoolState, VmState, WaveState},
     serde_json::{Value, json},
 };
 
-/// Condition that holds when what was declared is so.
-pub const READY: &str = "Ready";
-
-/// Condition of a job that has its final answer, whether or not it is the one wanted.
-pub const FINAL: &str = "Final";
-
 /// Pools without a spare VM that a wave's reason names at most.
 const NAMED_POOLS: usize = 5;
 
--- a/crates/api/tests/api/access.rs
+++ b/crates/api/tests/api/access.rs
@@ -68,8 +68,6 @@
     administrator_declares_pools: declare_pool(), Some(ADMINISTRATOR) => 200;
 }
 
-/// A token of a lower role comes first among equals by name only; the role that counts is that
-/// of the token sent.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn refusal_names_holder_and_needed_role() {
     let platform = platform(0).await;
--- a/crates/lynxctl/src/apply.rs
+++ b/crates/lynxctl/src/apply.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         client::ApiClient,
-        declarations::{Declaration, texts},
+        declarations::{Declaration, DeclarationError, texts},
         error::CtlError,
     },
     lynxwheel_protocol::{FieldError, Kind, ProblemReason, Resource, ResourceRef, ResourceView},
@@ -139,18 +139,14 @@
 }
 
 fn missing_error(step: &Step, need: &ResourceRef) -> FieldError {
-    let is_wave = step.declaration.resource.kind() == Kind::Wave;
     FieldError {
-        field: if is_wave { "pools" } else { need.kind.as_str() }.into(),
+        field: step.declaration.resource.need_field(need.kind).into(),
         reason: format!("{need} is declared neither in the files nor in the fleet"),
     }
 }
 
 /// Asks a server whether it would take a step; what it needs exists already.
-async fn trial_errors(
-    client: &ApiClient,
-    step: &Step,
-) -> Result<Vec<crate::declarations::DeclarationError>, CtlError> {
+async fn trial_errors(client: &ApiClient, step: &Step) -> Result<Vec<DeclarationError>, CtlError> {
     let trial = client
         .put(&step.declaration.resource, step.revision, true)
         .await;
--- a/crates/lynxctl/src/client.rs
+++ b/crates/lynxctl/src/client.rs
@@ -6,7 +6,7 @@
     http_body_util::BodyExt,
     lynxwheel_protocol::{
         CURRENT_HEADER, Kind, OperationId, OperationList, OperationOutcome, OperationView, Problem,
-        Resource, ResourceList, ResourceRef, ResourceView, WatchEvent, WriteAnswer,
+        ProblemReason, Resource, ResourceList, ResourceRef, ResourceView, WatchEvent, WriteAnswer,
     },
     lynxwheel_transport::{Answer, Body, Client, ClientRequest, TransportError, empty_body},
     serde::de::DeserializeOwned,
@@ -33,6 +33,9 @@
 /// Resources asked for with one page.
 const PAGE: usize = 1_000;
 
+/// Times that a list is begun anew when its pages cannot be joined.
+const LIST_ATTEMPTS: usize = 5;
+
 /// Bytes of one line of a watch at most.
 const MAX_LINE_BYTES: usize = 1024 * 1024;
 
@@ -95,32 +98,37 @@
     ///
     /// Fails as [`ApiClient::get`] does.
     pub async fn list(&self, kind: Kind) -> Result<ResourceList, CtlError> {
+        for _ in 0..LIST_ATTEMPTS {
+            if let Some(list) = self.pages(kind).await? {
+                return Ok(list);
+            }
+        }
+        let detail = "the fleet changes faster than its pages can be read";
+        Err(CtlError::Refused {
+            what: format!("list {kind}"),
+            problem: Box::new(Problem::new(ProblemReason::TooOld, detail)),
+        })
+    }
+
+    /// Joins the pages of a list; nothing when they cannot be joined any more.
+    async fn pages(&self, kind: Kind) -> Result<Option<ResourceList>, CtlError> {
         let mut whole: Option<ResourceList> = None;
         let mut place = String::new();
         loop {
             let path = format!("/v1/{kind}?limit={PAGE}{place}");
             let (peer, answer) = self.call(&self.request(Method::GET, path)).await?;
             if answer.status == StatusCode::GONE {
-                // The pages cannot be joined any more: from the start.
-                (whole, place) = (None, String::new());
-                continue;
+                return Ok(None);
             }
-            let page: ResourceList = decode(&format!("list {kind}"), peer, &answer)?;
-            let next = page.continue_at.clone();
+            let mut page: ResourceList = decode(&format!("list {kind}"), peer, &answer)?;
+            let next = page.continue_at.take();
             match &mut whole {
-                Some(whole) => whole.items.extend(page.items),
+                Some(whole) => whole.items.append(&mut page.items),
                 None => whole = Some(page),
             }
-            match (next, whole.take()) {
-                (Some(next), joined) => {
-                    place = format!("&continue={next}");
-                    whole = joined;
-                }
-                (None, Some(mut joined)) => {
-                    joined.continue_at = None;
-                    return Ok(joined);
-                }
-                (None, None) => {}
+            match next {
+                Some(next) => place = format!("&continue={next}"),
+                None => return Ok(whole),
             }
         }
     }
@@ -248,10 +256,7 @@
                 Ok(OperationOutcome::Rejected { reason, .. }) => {
                     return Err(CtlError::Refused {
                         what: what.into(),
-                        problem: Box::new(Problem::new(
-                            lynxwheel_protocol::ProblemReason::Rejected,
-                            reason,
-                        )),
+                        problem: Box::new(Problem::new(ProblemReason::Rejected, reason)),
                     });
                 }
                 Ok(OperationOutcome::NotSeen | OperationOutcome::TooOld) | Err(_) => {}
--- a/crates/lynxctl/src/commands.rs
+++ b/crates/lynxctl/src/commands.rs
@@ -10,7 +10,7 @@
         output, steer, wait,
     },
     clap::CommandFactory,
-    lynxwheel_protocol::{Kind, ResourceRef, ResourceView, WaveGoal},
+    lynxwheel_protocol::{Problem, ProblemReason, ResourceRef, ResourceView, WaveGoal},
     serde::Serialize,
     std::{env, fs, time::Duration},
 };
@@ -153,8 +153,8 @@
         .await?
         .ok_or_else(|| CtlError::Refused {
             what: "get".into(),
-            problem: Box::new(lynxwheel_protocol::Problem::new(
-                lynxwheel_protocol::ProblemReason::NotFound,
+            problem: Box::new(Problem::new(
+                ProblemReason::NotFound,
                 format!("{reference} is not declared"),
             )),
         })
@@ -174,6 +174,3 @@
     clap_complete::generate(shell, &mut Cli::command(), "lynxctl", &mut bytes);
     String::from_utf8_lossy(&bytes).into_owned()
 }
-
-/// Kinds whose resources use a pool's VMs.
-pub(crate) const POOL_USERS: [Kind; 2] = [Kind::Service, Kind::Job];
--- a/crates/lynxctl/src/steer.rs
+++ b/crates/lynxctl/src/steer.rs
@@ -1,12 +1,7 @@
 //! Changes of one declaration: waves and moves.
 
 use {
-    crate::{
-        client::ApiClient,
-        commands::{POOL_USERS, declared},
-        error::CtlError,
-        wait,
-    },
+    crate::{client::ApiClient, commands::declared, error::CtlError, wait},
     lynxwheel_protocol::{
         Kind, PoolName, Problem, ProblemReason, Resource, ResourceRef, VmName, VmSpec, WaveAction,
         WaveGoal, WaveName, WaveSpec,
@@ -14,6 +9,9 @@
     std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+/// Kinds whose resources use a pool's VMs.
+const POOL_USERS: [Kind; 2] = [Kind::Service, Kind::Job];
+
 /// Declares a new wave.
 pub(crate) async fn start_wave(
     client: &ApiClient,
--- a/crates/lynxctl/src/wait.rs
+++ b/crates/lynxctl/src/wait.rs
@@ -2,14 +2,11 @@
 
 use {
     crate::{client::ApiClient, error::CtlError, output},
-    lynxwheel_protocol::{ProblemReason, ResourceRef, ResourceView, WatchEvent},
+    lynxwheel_protocol::{FINAL, ProblemReason, ResourceRef, ResourceView, WatchEvent},
     std::time::Duration,
     tokio::time::{Instant, sleep, timeout_at},
 };
 
-/// Condition of a job that has its final answer, whether or not it is the one wanted.
-const FINAL: &str = "Final";
-
 /// Pause before a broken watch is opened anew.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 
--- a/crates/protocol/src/api.rs
+++ b/crates/protocol/src/api.rs
@@ -15,6 +15,12 @@
 /// Header that names the offset up to which the node has folded.
 pub const REVISION_HEADER: &str = "x-lynxwheel-revision";
 
+/// Condition that holds when what was declared is so.
+pub const READY: &str = "Ready";
+
+/// Condition of a job that has its final answer, whether or not it is the one wanted.
+pub const FINAL: &str = "Final";
+
 /// One thing that holds or does not hold of a resource.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Condition {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -25,8 +25,8 @@
 mod validate;
 
 pub use api::{
-    CURRENT_HEADER, Condition, EndReason, FieldError, MoveList, MoveView, OperationId,
-    OperationList, OperationOutcome, OperationView, Problem, ProblemReason, REVISION_HEADER,
+    CURRENT_HEADER, Condition, EndReason, FINAL, FieldError, MoveList, MoveView, OperationId,
+    OperationList, OperationOutcome, OperationView, Problem, ProblemReason, READY, REVISION_HEADER,
     ResourceList, ResourceView, WatchEvent, WriteAnswer,
 };
 pub use codec::{
--- a/crates/protocol/src/resource.rs
+++ b/crates/protocol/src/resource.rs
@@ -384,6 +384,15 @@
         }
     }
 
+    /// Returns the field that refers to resources of `kind`.
+    #[must_use]
+    pub fn need_field(&self, kind: Kind) -> &'static str {
+        match self {
+            Self::Wave(_) => "pools",
+            _ => kind.as_str(),
+        }
+    }
+
     /// Returns a reference to it by kind and name.
     #[must_use]
     pub fn reference(&self) -> ResourceRef {
