An unknown phase in a known life is no news

For some tens of milliseconds no endpoint was left. Ruled out: the second look at failed probes, which works as meant. The fold leaves such a report out now; a new life or another address still makes a VM unknown.

Story list_read_by_a_woken_node, seen failing with the guard out: 9 rejected: newer evidence -> 9 accepted, 0 available of 3, none (no_endpoint).

--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -213,6 +213,8 @@
     },
     /// Looks at the VM list and the endpoints and reports what is new.
     Observe,
+    /// Reports what the VM list shows in lives that the node does not know, without a probe.
+    ObserveList,
     /// Asks the real planner for claims and proposes them.
     ProposeClaims,
     /// Asks the real planner for starts and proposes them.
--- a/crates/scenario/src/steps.rs
+++ b/crates/scenario/src/steps.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         command::{Command, JobEnd},
+        decide::SLOTS,
         declare::declaration,
         node::{Belief, SimNode},
         records::{ACTION_WINDOW_MS, record_of},
         show,
-        world::{StepResult, World},
+        world::{STREAM, StepResult, World},
     },
     lynxwheel_protocol::{
         ActionRequest, FOLD_VERSION, JobOutcome, RecordBody, TaskStart, TaskState, VmAction,
@@ -50,6 +51,7 @@
                 zones,
             } => self.declare_fleet(name, pool, *vms, *floor, *zones),
             Command::Observe => self.observe(name),
+            Command::ObserveList => self.observe_list(name),
             Command::ProposeClaims => self.propose_claims(name),
             Command::ProposeStarts => self.propose_starts(name),
             Command::ProposeVerdicts => self.propose_verdicts(name),
@@ -172,7 +174,7 @@
         let offset = self.node(peer)?.state().offset();
         let own = self.node(name)?.state().offset();
         let count = usize::try_from(offset.saturating_sub(own)).unwrap_or(usize::MAX);
-        let answer = self.platform.log.read(crate::world::STREAM, own + 1, count);
+        let answer = self.platform.log.read(STREAM, own + 1, count);
         let node = self.node_mut(name)?;
         match node.fold(&answer) {
             Ok(_) => Ok(format!("at {}", node.state().offset())),
@@ -205,6 +207,28 @@
         Ok(format!("{}: {outcome}", names.join(", ")))
     }
 
+    fn observe_list(&mut self, name: &str) -> StepResult {
+        let now_ms = self.now_ms;
+        let list = self.platform.vm_list(now_ms);
+        let node = self.node(name)?;
+        let is_new = |entry: &&VmEntry| {
+            let known = node.state().vms().get(entry.name.as_str());
+            known.is_some_and(|vm| vm.incarnation < entry.incarnation)
+        };
+        let reports = list.vms.iter().filter(is_new).map(|entry| VmReport {
+            vm: entry.name.clone(),
+            incarnation: entry.incarnation,
+            phase: VmPhase::Unknown,
+            evidence_ms: list.made_ms,
+            zone: entry.zone.clone(),
+            rack: entry.rack.clone(),
+            address: entry.address.clone(),
+            capacity: entry.capacity,
+        });
+        let reports = reports.collect();
+        self.propose(name, RecordBody::Report { reports })
+    }
+
     /// Returns what a probe shows of a VM, if it is news to the node.
     fn report(&self, node: &SimNode, entry: &VmEntry) -> Option<VmReport> {
         let known = node.state().vms().get(entry.name.as_str())?;
@@ -324,7 +348,7 @@
     fn dispatch(&mut self) -> StepResult {
         let chosen = self.chosen.take().ok_or("no endpoint was chosen")?;
         let machine = self.machine_mut(chosen.vm.as_str())?;
-        match machine.enter(Some(chosen.incarnation), crate::decide::SLOTS) {
+        match machine.enter(Some(chosen.incarnation), SLOTS) {
             Ok(()) => Ok(format!("runs on {}", chosen.vm)),
             Err(reason) => Ok(format!("did not start on {}: {reason}", chosen.vm)),
         }
--- a/crates/scenario/tests/stories.rs
+++ b/crates/scenario/tests/stories.rs
@@ -36,6 +36,7 @@
     job_fails_everywhere
     job_fits_nowhere
     jobs_keep_off_the_wave
+    list_read_by_a_woken_node
     log_down_long
     log_trimmed_under_reader
     move_hands_over_once
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -11,7 +11,8 @@
         writers::{Writer, Writers},
     },
     lynxwheel_protocol::{
-        PolicySpec, Record, RecordBody, RequestKey, ServiceSpec, SnapshotId, VmReport, Weights,
+        PolicySpec, Record, RecordBody, RequestKey, ServiceSpec, SnapshotId, VmPhase, VmReport,
+        Weights,
     },
     serde::{Deserialize, Serialize},
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -427,6 +428,13 @@
         if !is_newer || evidence_ms < vm.evidence_ms {
             return false;
         }
+        // The list shows a life that the reporting node did not know of, and a probe may have
+        // found the VM live in it meanwhile: a node that wakes behind the log would make every
+        // VM unknown at once, and no endpoint would be left.
+        let is_same_place = is_same_life && report.address == vm.address;
+        if is_same_place && report.phase == VmPhase::Unknown {
+            return false;
+        }
         self.change_vm(report.vm.as_str(), |vm| {
             if !is_same_life {
                 vm.failures = 0;
