--- a/crates/api/src/handler.rs
+++ b/crates/api/src/handler.rs
@@ -15,9 +15,10 @@
     hyper::body::Incoming,
     log::info,
     lynxwheel_coordination::Node,
+    lynxwheel_decisions::explain,
     lynxwheel_protocol::{
-        MoveList, MoveView, OperationId, OperationList, OperationView, Problem, ProblemReason,
-        ResourceRef,
+        ExplanationView, MoveList, MoveView, OperationId, OperationList, OperationView, Problem,
+        ProblemReason, ResourceRef,
     },
     lynxwheel_state::FleetState,
     lynxwheel_transport::{Body, Shutdown, json_answer},
@@ -110,6 +111,10 @@
                 expect_none(query)?;
                 self.get(&reference)
             }
+            (Action::Explain, Target::Resource(reference)) => {
+                expect_none(query)?;
+                self.explain(&reference)
+            }
             (Action::Put, Target::Resource(reference)) => {
                 write::put(&self.node, &reference, request).await
             }
@@ -126,13 +131,24 @@
     }
 
     fn get(&self, reference: &ResourceRef) -> Result<Response<Body>, Problem> {
-        match view(&self.node.state(), reference) {
-            Some(view) => Ok(json_answer(StatusCode::OK, &view)),
-            None => Err(Problem::new(
-                ProblemReason::NotFound,
-                format!("{reference} is not declared"),
-            )),
+        let view = view(&self.node.state(), reference).ok_or_else(|| not_declared(reference))?;
+        Ok(json_answer(StatusCode::OK, &view))
+    }
+
+    fn explain(&self, reference: &ResourceRef) -> Result<Response<Body>, Problem> {
+        let current = self.node.is_current();
+        let state = self.node.state();
+        if state.declared(reference).is_none() {
+            return Err(not_declared(reference));
         }
+        let explanation = explain(&state, reference, self.node.clock().now_ms());
+        let view = ExplanationView {
+            reference: reference.clone(),
+            observed_revision: state.offset(),
+            current,
+            explanation: explanation.to_string(),
+        };
+        Ok(json_answer(StatusCode::OK, &view))
     }
 
     fn operation(&self, text: &str) -> Result<Response<Body>, Problem> {
@@ -178,6 +194,13 @@
     }
 }
 
+fn not_declared(reference: &ResourceRef) -> Problem {
+    Problem::new(
+        ProblemReason::NotFound,
+        format!("{reference} is not declared"),
+    )
+}
+
 fn moves_of(state: &FleetState) -> Vec<MoveView> {
     state
         .vms()
--- a/crates/api/src/openapi.rs
+++ b/crates/api/src/openapi.rs
@@ -59,6 +59,7 @@
     match action {
         Action::List => "A page of resources, or JSON lines of changes for watch=true",
         Action::Get => "The resource with its revision, conditions and status",
+        Action::Explain => "The reason, with the revision it holds for",
         Action::Put | Action::Delete => "The revision and the operation, or a trial's outcome",
         Action::ListMoves => "Moves by VM",
         Action::ListOperations => "Operations, the last one first",
--- a/crates/api/src/routes.rs
+++ b/crates/api/src/routes.rs
@@ -13,6 +13,8 @@
     List,
     /// Show one resource.
     Get,
+    /// Tell why one resource stands where it does.
+    Explain,
     /// Declare a resource.
     Put,
     /// Withdraw a resource.
@@ -42,7 +44,7 @@
 
 /// Every route.
 #[must_use]
-pub fn routes() -> [Route; 8] {
+pub fn routes() -> [Route; 9] {
     let route = |method, path, action, summary| Route {
         method,
         path,
@@ -86,6 +88,12 @@
             Action::Get,
             "Show a resource with its status",
         ),
+        route(
+            Method::GET,
+            "/v1/{kind}/{name}/explanation",
+            Action::Explain,
+            "Tell why a resource stands where it does",
+        ),
         route(
             Method::PUT,
             "/v1/{kind}/{name}",
--- a/crates/lynxctl/src/cli.rs
+++ b/crates/lynxctl/src/cli.rs
@@ -7,6 +7,8 @@
     },
     clap::{Args, Parser, Subcommand, ValueEnum},
     clap_complete::Shell,
+    lynxwheel_experiment::ExperimentArgs,
+    lynxwheel_load::LoadArgs,
     lynxwheel_protocol::{Kind, OperationId, PoolName, ResourceRef, VmName, WaveName},
     std::{net::SocketAddr, path::PathBuf, process::ExitCode},
     tokio::runtime::Builder,
@@ -55,6 +57,31 @@
 /// What to do.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    /// Ask a node.
+    #[command(flatten)]
+    Remote(RemoteCommand),
+    /// Work without an operators' address.
+    #[command(flatten)]
+    Local(LocalCommand),
+}
+
+/// What needs no operators' address.
+#[derive(Debug, Subcommand)]
+pub enum LocalCommand {
+    /// Judge the decisions against baselines on seeded faults.
+    Experiment(ExperimentArgs),
+    /// Send requests in an open loop and check every answer.
+    Load(LoadArgs),
+    /// Print completions for a shell.
+    Completions {
+        /// Shell.
+        shell: Shell,
+    },
+}
+
+/// What a node is asked for.
+#[derive(Debug, Subcommand)]
+pub enum RemoteCommand {
     /// Declare what files say, after checking all of it.
     Apply(FileArgs),
     /// Show what `apply` would change.
@@ -114,11 +141,6 @@
         /// Operation, as the answer to a write names it.
         id: Option<OperationId>,
     },
-    /// Print completions for a shell.
-    Completions {
-        /// Shell.
-        shell: Shell,
-    },
 }
 
 /// Where declarations are.
@@ -187,6 +209,14 @@
 /// Carries a command out: results on standard output, progress and errors on standard error.
 #[must_use]
 pub fn execute(cli: &Cli) -> ExitCode {
+    // The tools bring runtimes of their own.
+    match &cli.command {
+        Command::Local(LocalCommand::Experiment(args)) => {
+            return lynxwheel_experiment::execute(args);
+        }
+        Command::Local(LocalCommand::Load(args)) => return lynxwheel_load::execute(args),
+        _ => {}
+    }
     let runtime = match Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/lynxctl/src/client.rs
+++ b/crates/lynxctl/src/client.rs
@@ -5,8 +5,9 @@
     http::{Method, Request, StatusCode},
     http_body_util::BodyExt,
     lynxwheel_protocol::{
-        CURRENT_HEADER, Kind, OperationId, OperationList, OperationOutcome, OperationView, Problem,
-        ProblemReason, Resource, ResourceList, ResourceRef, ResourceView, WatchEvent, WriteAnswer,
+        CURRENT_HEADER, ExplanationView, Kind, OperationId, OperationList, OperationOutcome,
+        OperationView, Problem, ProblemReason, Resource, ResourceList, ResourceRef, ResourceView,
+        WatchEvent, WriteAnswer,
     },
     lynxwheel_transport::{Answer, Body, Client, ClientRequest, TransportError, empty_body},
     serde::de::DeserializeOwned,
@@ -92,6 +93,17 @@
         decode(&format!("get {reference}"), peer, &answer).map(Some)
     }
 
+    /// Returns why a resource stands where it does.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`ApiClient::get`] does, or when the resource is not declared.
+    pub async fn explain(&self, reference: &ResourceRef) -> Result<ExplanationView, CtlError> {
+        let path = format!("{}/explanation", path(reference));
+        let (peer, answer) = self.call(&self.request(Method::GET, path)).await?;
+        decode(&format!("explain {reference}"), peer, &answer)
+    }
+
     /// Returns every resource of a kind.
     ///
     /// # Errors
--- a/crates/lynxctl/src/commands.rs
+++ b/crates/lynxctl/src/commands.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         apply::{carry_out, plan},
-        cli::{Cli, Command, Connection, Output, WaveCommand},
+        cli::{Cli, Command, Connection, LocalCommand, Output, RemoteCommand, WaveCommand},
         client::ApiClient,
         declarations::load,
         error::CtlError,
@@ -24,11 +24,13 @@
 ///
 /// Fails when the command could not be carried out, or what it asked for does not hold.
 pub async fn run(cli: &Cli, progress: &(dyn Fn(&str) + Sync)) -> Result<String, CtlError> {
-    if let Command::Completions { shell } = &cli.command {
-        return Ok(completions(*shell));
-    }
+    let command = match &cli.command {
+        Command::Remote(command) => command,
+        Command::Local(LocalCommand::Completions { shell }) => return Ok(completions(*shell)),
+        Command::Local(_) => return Ok(String::new()),
+    };
     let client = connect(&cli.connection)?;
-    let told = run_with(&client, cli, progress).await;
+    let told = run_with(&client, cli, command, progress).await;
     if client.was_behind() {
         progress("a node that answered does not know that it is current; it may show the past");
     }
@@ -38,10 +40,11 @@
 async fn run_with(
     client: &ApiClient,
     cli: &Cli,
+    command: &RemoteCommand,
     progress: &(dyn Fn(&str) + Sync),
 ) -> Result<String, CtlError> {
-    match &cli.command {
-        Command::Apply(args) => {
+    match command {
+        RemoteCommand::Apply(args) => {
             let declarations = load(&args.path).map_err(CtlError::Declarations)?;
             let plan = plan(client, &declarations).await?;
             carry_out(client, &plan, progress).await?;
@@ -51,7 +54,7 @@
                 plan.unchanged
             ))
         }
-        Command::Diff(args) => {
+        RemoteCommand::Diff(args) => {
             let declarations = load(&args.path).map_err(CtlError::Declarations)?;
             let plan = plan(client, &declarations).await?;
             let text = plan.text();
@@ -61,11 +64,11 @@
                 Err(CtlError::Differs { text })
             }
         }
-        Command::Get { kind, name: None } => {
+        RemoteCommand::Get { kind, name: None } => {
             let list = client.list(*kind).await?;
             Ok(shown(cli, &list, || output::list(&list.items)))
         }
-        Command::Get {
+        RemoteCommand::Get {
             kind,
             name: Some(name),
         } => {
@@ -74,15 +77,18 @@
                 output::list(std::slice::from_ref(&view))
             }))
         }
-        Command::Describe(args) => {
+        RemoteCommand::Describe(args) => {
             let view = declared(client, &args.reference()).await?;
             Ok(shown(cli, &view, || output::describe(&view)))
         }
-        Command::Explain(args) => {
+        RemoteCommand::Explain(args) => {
             let view = declared(client, &args.reference()).await?;
-            Ok(shown(cli, &view, || output::conditions(&view)))
+            let explained = client.explain(&args.reference()).await?;
+            Ok(shown(cli, &explained, || {
+                format!("{}\n\n{}", explained.explanation, output::conditions(&view))
+            }))
         }
-        Command::Watch {
+        RemoteCommand::Watch {
             resource,
             until_ready,
             timeout_s,
@@ -90,30 +96,29 @@
             let limit = Duration::from_secs(*timeout_s);
             wait::follow(client, &resource.reference(), *until_ready, limit, progress).await
         }
-        Command::Delete(args) => {
+        RemoteCommand::Delete(args) => {
             let answer = client.delete(&args.reference()).await?;
             Ok(format!(
                 "{} withdrawn at revision {}",
                 answer.reference, answer.revision
             ))
         }
-        Command::Wave(command) => wave(client, command).await,
-        Command::Move { vm, pool, wait_s } => {
+        RemoteCommand::Wave(command) => wave(client, command).await,
+        RemoteCommand::Move { vm, pool, wait_s } => {
             steer::move_vm(client, vm, pool, *wait_s, progress).await
         }
-        Command::Drain { vm, into, wait_s } => {
+        RemoteCommand::Drain { vm, into, wait_s } => {
             steer::check_unused(client, into).await?;
             steer::move_vm(client, vm, into, *wait_s, progress).await
         }
-        Command::Operation { id: None } => {
+        RemoteCommand::Operation { id: None } => {
             let list = client.operations().await?;
             Ok(shown(cli, &list, || output::operations(&list.items)))
         }
-        Command::Operation { id: Some(id) } => {
+        RemoteCommand::Operation { id: Some(id) } => {
             let view = client.operation(*id).await?;
             Ok(shown(cli, &view, || output::operation(&view)))
         }
-        Command::Completions { shell } => Ok(completions(*shell)),
     }
 }
 
--- a/crates/protocol/src/api.rs
+++ b/crates/protocol/src/api.rs
@@ -176,6 +176,19 @@
     pub claimed: bool,
 }
 
+/// Why a resource stands where it does.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ExplanationView {
+    /// Resource.
+    pub reference: ResourceRef,
+    /// Offset of the state that was explained.
+    pub observed_revision: u64,
+    /// Whether the node knows that it has seen everything up to a moment ago.
+    pub current: bool,
+    /// Reason, for people.
+    pub explanation: String,
+}
+
 /// List of moves.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MoveList {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -25,9 +25,9 @@
 mod validate;
 
 pub use api::{
-    CURRENT_HEADER, Condition, EndReason, FINAL, FieldError, MoveList, MoveView, OperationId,
-    OperationList, OperationOutcome, OperationView, Problem, ProblemReason, READY, REVISION_HEADER,
-    ResourceList, ResourceView, WatchEvent, WriteAnswer,
+    CURRENT_HEADER, Condition, EndReason, ExplanationView, FINAL, FieldError, MoveList, MoveView,
+    OperationId, OperationList, OperationOutcome, OperationView, Problem, ProblemReason, READY,
+    REVISION_HEADER, ResourceList, ResourceView, WatchEvent, WriteAnswer,
 };
 pub use codec::{
     CodecError, MAX_MESSAGE_BYTES, MAX_RECORD_BYTES, decode_chunk, decode_message, decode_record,
