Gateway tests take peer ports from below the system's own range

Cause: a port that was free a moment ago went to another socket before the node listened on it ('bind: address in use' in late_intent_does_not_burn_the_key, once, with the whole workspace's tests under a machine load of 50).

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -17,6 +17,7 @@
     lynxwheel_transport::{Answer, Body, Client, ClientRequest, Server, Shutdown, TransportError},
     std::{
         net::SocketAddr,
+        sync::atomic::{AtomicU32, Ordering},
         time::{Duration, Instant},
     },
     tokio::runtime::{Builder, Runtime},
@@ -25,6 +26,15 @@
 /// Time within which anything waited for must happen; far above what it takes.
 pub const LIMIT: Duration = Duration::from_mins(1);
 
+/// First port of nodes' peer listeners, and how many there are below the system's own range.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u32 = 20_000;
+
+/// Ports by which test processes with neighbouring ids are apart.
+const PORTS_PER_PROCESS: u32 = 101;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// Name of the one service and its pool.
 pub const SERVICE: &str = "renewals";
 
@@ -277,13 +287,20 @@
     settings
 }
 
+/// Returns addresses whose ports nobody is given by chance.
+///
+/// A node's peers must know its port before it listens. A port that the system hands out and takes
+/// back may go to any other socket meanwhile; these are below those that it hands out.
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<std::net::TcpListener> = (0..count)
-        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("bind"))
-        .collect();
-    listeners
-        .iter()
-        .map(|listener| listener.local_addr().expect("address"))
+    let candidates = std::iter::repeat_with(|| {
+        let turn =
+            NEXT_PORT.fetch_add(1, Ordering::Relaxed) + std::process::id() * PORTS_PER_PROCESS;
+        let port = FIRST_PORT + u16::try_from(turn % PORTS).expect("below the range's length");
+        SocketAddr::from(([127, 0, 0, 1], port))
+    });
+    candidates
+        .filter(|address| std::net::TcpListener::bind(address).is_ok())
+        .take(count)
         .collect()
 }
 
