--- a/crates/lynxwheel/tests/proof/fleet.rs
+++ b/crates/lynxwheel/tests/proof/fleet.rs
@@ -3,15 +3,18 @@
 use {
     crate::{
         checker::{Told, check, is_attempt_of},
-        common::{LIMIT, TestNode, TestPlatform, declare_maps, free_ports, start_node},
+        common::{LIMIT, TestNode, TestPlatform, declare_maps, free_ports, start_node_with_peers},
     },
     http::{Method, StatusCode},
     lynxwheel::audit,
     lynxwheel_coordination::Clock,
-    lynxwheel_protocol::{LogEntry, ReadAnswer, Resource, VmList, WaveAction, WaveGoal, WaveSpec},
+    lynxwheel_protocol::{
+        LogEntry, ReadAnswer, Resource, VmList, WaveAction, WaveGoal, WaveSpec, decode_record,
+    },
     lynxwheel_standin::{Faults, Relay, RunEntry},
+    lynxwheel_state::FleetState,
     lynxwheel_transport::{Client, ClientRequest},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     tokio::time::Instant,
 };
 
@@ -27,7 +30,10 @@
 /// A platform, relays and nodes.
 pub struct Fleet {
     platform: TestPlatform,
+    /// Ways of the nodes to the platform.
     pub relays: Vec<Relay>,
+    /// Ways of the other nodes to each one.
+    pub peer_relays: Vec<Relay>,
     pub nodes: Vec<TestNode>,
     ports: Vec<u16>,
     directory: &'static str,
@@ -39,12 +45,18 @@
         let platform = TestPlatform::start(VMS);
         let ports = free_ports(count * 3);
         let mut relays = Vec::new();
-        let mut nodes = Vec::new();
-        for number in 0..count {
-            let relay = Relay::start(platform.client.peer()).await.expect("relay");
-            nodes.push(start_node(relay.address(), &ports, number, directory));
-            relays.push(relay);
+        let mut peer_relays = Vec::new();
+        for own in ports.chunks(3) {
+            relays.push(start_relay(platform.client.peer()).await);
+            peer_relays.push(start_relay(SocketAddr::from(([127, 0, 0, 1], own[2]))).await);
         }
+        let peers: Vec<SocketAddr> = peer_relays.iter().map(Relay::address).collect();
+        let nodes: Vec<TestNode> = (0..count)
+            .map(|number| {
+                let platform = relays[number].address();
+                start_node_with_peers(platform, &ports, &peers, number, directory)
+            })
+            .collect();
         declare_maps(&nodes[0], VMS, FLOOR).await;
         for node in &nodes {
             for vm in 0..VMS {
@@ -54,6 +66,7 @@
         Self {
             platform,
             relays,
+            peer_relays,
             nodes,
             ports,
             directory,
@@ -83,7 +96,8 @@
     /// Starts a node anew in the place of one that ended, and waits until it is ready.
     pub async fn restart(&mut self, number: usize) {
         let platform = self.relays[number].address();
-        let node = start_node(platform, &self.ports, number, self.directory);
+        let peers: Vec<SocketAddr> = self.peer_relays.iter().map(Relay::address).collect();
+        let node = start_node_with_peers(platform, &self.ports, &peers, number, self.directory);
         node.wait_until_ready().await;
         self.nodes[number] = node;
     }
@@ -148,6 +162,24 @@
         }
     }
 
+    /// Waits until a VM is claimed and returns the number of the node that holds the claim.
+    pub async fn wait_holder(&self) -> usize {
+        let until = Instant::now() + LIMIT;
+        loop {
+            let mut state = FleetState::new();
+            for entry in self.log().await {
+                let record = decode_record(&entry.bytes).expect("a record");
+                state.apply(entry.offset, &record);
+            }
+            let holder = state.vms().iter().find_map(|vm| vm.claim.as_ref());
+            if let Some(claim) = holder {
+                let number = claim.holder.as_str().trim_start_matches("node-");
+                return number.parse().expect("a node's number");
+            }
+            assert!(Instant::now() < until, "no VM is claimed");
+        }
+    }
+
     /// Asserts that the platform restarted each VM exactly once.
     pub async fn assert_restarted_once(&self) {
         let list: VmList = self
@@ -180,3 +212,7 @@
         }
     }
 }
+
+async fn start_relay(target: SocketAddr) -> Relay {
+    Relay::start(target).await.expect("relay")
+}
--- a/crates/scenario/src/steps.rs
+++ b/crates/scenario/src/steps.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         command::{Command, JobEnd},
+        decide::SLOTS,
         declare::declaration,
         node::{Belief, SimNode},
         records::{ACTION_WINDOW_MS, record_of},
         show,
-        world::{StepResult, World},
+        world::{STREAM, StepResult, World},
     },
     lynxwheel_protocol::{
         ActionRequest, FOLD_VERSION, JobOutcome, RecordBody, TaskStart, TaskState, VmAction,
@@ -50,17 +51,20 @@
                 zones,
             } => self.declare_fleet(name, pool, *vms, *floor, *zones),
             Command::Observe => self.observe(name),
+            Command::ObserveList => self.observe_list(name),
             Command::ProposeClaims => self.propose_claims(name),
             Command::ProposeStarts => self.propose_starts(name),
             Command::ProposeVerdicts => self.propose_verdicts(name),
             Command::Review { live } => self.review(name, live),
             Command::Act { vm, action } => self.act(name, vm, action.0),
             Command::StartTask { job } => self.start_task(name, job),
+            Command::StopTask { job } => self.stop_task(name, job),
             Command::EndJob { job, outcome } => self.end_job(name, job, outcome.0),
             Command::Route { pool, seed } => self.route(name, pool, *seed),
             Command::Dispatch => self.dispatch(),
             Command::ShowPool { name: pool } => show::pool(self.node(name)?, pool),
             Command::ShowVm { name: vm } => show::vm(self.node(name)?, vm),
+            Command::ShowForecast { name: wave } => self.show_forecast(name, wave),
             Command::ShowJob { name: job } => show::job(self.node(name)?, job),
             Command::ShowKey { key } => Ok(show::key(self.node(name)?, *key)),
             _ => self.propose_step(name, command),
@@ -170,7 +174,7 @@
         let offset = self.node(peer)?.state().offset();
         let own = self.node(name)?.state().offset();
         let count = usize::try_from(offset.saturating_sub(own)).unwrap_or(usize::MAX);
-        let answer = self.platform.log.read(crate::world::STREAM, own + 1, count);
+        let answer = self.platform.log.read(STREAM, own + 1, count);
         let node = self.node_mut(name)?;
         match node.fold(&answer) {
             Ok(_) => Ok(format!("at {}", node.state().offset())),
@@ -203,6 +207,28 @@
         Ok(format!("{}: {outcome}", names.join(", ")))
     }
 
+    fn observe_list(&mut self, name: &str) -> StepResult {
+        let now_ms = self.now_ms;
+        let list = self.platform.vm_list(now_ms);
+        let node = self.node(name)?;
+        let is_new = |entry: &&VmEntry| {
+            let known = node.state().vms().get(entry.name.as_str());
+            known.is_some_and(|vm| vm.incarnation < entry.incarnation)
+        };
+        let reports = list.vms.iter().filter(is_new).map(|entry| VmReport {
+            vm: entry.name.clone(),
+            incarnation: entry.incarnation,
+            phase: VmPhase::Unknown,
+            evidence_ms: list.made_ms,
+            zone: entry.zone.clone(),
+            rack: entry.rack.clone(),
+            address: entry.address.clone(),
+            capacity: entry.capacity,
+        });
+        let reports = reports.collect();
+        self.propose(name, RecordBody::Report { reports })
+    }
+
     /// Returns what a probe shows of a VM, if it is news to the node.
     fn report(&self, node: &SimNode, entry: &VmEntry) -> Option<VmReport> {
         let known = node.state().vms().get(entry.name.as_str())?;
@@ -283,6 +309,17 @@
         }
     }
 
+    fn stop_task(&mut self, name: &str, job: &str) -> StepResult {
+        let state = self.node(name)?.state();
+        let state = state.jobs().get(job).ok_or("no such job")?;
+        let (vm, attempt) = match &state.attempt {
+            Some(attempt) if attempt.stopping => (attempt.vm.clone(), state.attempts),
+            _ => return Err("no attempt is to be stopped".into()),
+        };
+        self.machine_mut(vm.as_str())?.stop(job, attempt);
+        Ok(String::new())
+    }
+
     fn end_job(&mut self, name: &str, job: &str, end: JobEnd) -> StepResult {
         let state = self.node(name)?.state();
         let job = state.jobs().get(job).ok_or("no such job")?;
@@ -311,7 +348,7 @@
     fn dispatch(&mut self) -> StepResult {
         let chosen = self.chosen.take().ok_or("no endpoint was chosen")?;
         let machine = self.machine_mut(chosen.vm.as_str())?;
-        match machine.enter(Some(chosen.incarnation), crate::decide::SLOTS) {
+        match machine.enter(Some(chosen.incarnation), SLOTS) {
             Ok(()) => Ok(format!("runs on {}", chosen.vm)),
             Err(reason) => Ok(format!("did not start on {}: {reason}", chosen.vm)),
         }
