--- a/crates/decisions/src/forecast.rs
+++ b/crates/decisions/src/forecast.rs
@@ -70,7 +70,7 @@
             ),
             Outlook::NoRoom { pools, needs_vms } => write!(
                 formatter,
-                "cannot finish under this budget: {pools} pools need {needs_vms} more VMs"
+                "cannot finish under this budget: VMs needed: {needs_vms}, in pools: {pools}"
             ),
             Outlook::Stopped => write!(formatter, "stopped by the operator"),
             Outlook::Halted(health) => write!(formatter, "halted: {}", health.as_str()),
