--- a/crates/decisions/benches/planning.rs
+++ b/crates/decisions/benches/planning.rs
@@ -1,11 +1,11 @@
 //! Cost of a round of planning at several sizes.
 
-#[path = "../../state/benches/letter/mod.rs"]
-mod letter;
+#[path = "../../state/benches/full_size/mod.rs"]
+mod full_size;
 
 use {
     divan::{Bencher, black_box},
-    letter::{fleet, maintenance},
+    full_size::{fleet, maintenance},
     lynxwheel_decisions::{
         Tuning, plan_claims, plan_give_ups, plan_placements, plan_quarantines, review_claims,
     },
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -287,6 +287,13 @@
     settings
 }
 
+/// Returns a loopback address of this process alone, so that other test processes take no port of
+/// it.
+fn own_ip() -> [u8; 4] {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    [127, high | 1, low, 1]
+}
+
 /// Returns addresses whose ports nobody is given by chance.
 ///
 /// A node's peers must know its port before it listens. A port that the system hands out and takes
@@ -296,7 +303,7 @@
         let turn =
             NEXT_PORT.fetch_add(1, Ordering::Relaxed) + std::process::id() * PORTS_PER_PROCESS;
         let port = FIRST_PORT + u16::try_from(turn % PORTS).expect("below the range's length");
-        SocketAddr::from(([127, 0, 0, 1], port))
+        SocketAddr::from((own_ip(), port))
     });
     candidates
         .filter(|address| std::net::TcpListener::bind(address).is_ok())
--- a/crates/state/benches/fold.rs
+++ b/crates/state/benches/fold.rs
@@ -1,10 +1,10 @@
 //! Cost of folding, publishing, saving and restoring at several sizes.
 
-mod letter;
+mod full_size;
 
 use {
     divan::{Bencher, black_box, counter::ItemsCount},
-    letter::{fleet, maintenance},
+    full_size::{fleet, maintenance},
     lynxwheel_protocol::{Record, decode_record, encode_record},
     lynxwheel_state::{FleetState, restore, save},
 };
--- a/crates/state/examples/state_size.rs
+++ b/crates/state/examples/state_size.rs
@@ -2,8 +2,8 @@
 //!
 //! One size a process, since freed memory of an earlier one would be counted as free.
 
-#[path = "../benches/letter/mod.rs"]
-mod letter;
+#[path = "../benches/full_size/mod.rs"]
+mod full_size;
 
 use {
     lynxwheel_state::{restore, save},
@@ -17,8 +17,8 @@
     let quarters = argument(1).unwrap_or(4);
     let keys = argument(2).unwrap_or(0);
     let empty_bytes = resident_bytes();
-    let mut built = letter::fleet(quarters);
-    letter::use_keys(&mut built, keys);
+    let mut built = full_size::fleet(quarters);
+    full_size::use_keys(&mut built, keys);
     println!(
         "built_bytes {}",
         resident_bytes().saturating_sub(empty_bytes)
@@ -35,7 +35,7 @@
         started.elapsed().as_secs_f64() * 1_000.0
     );
     // What the first state left free is reused, so the growth is that of two states at most.
-    let records = letter::maintenance(&state, 1).len();
+    let records = full_size::maintenance(&state, 1).len();
     println!(
         "quarters {quarters} keys {keys} records {records} snapshot_bytes {}",
         bytes.len()
