A new life counts only when the VM itself shows it

The list now only says where to look; a VM that it shows elsewhere is probed there, and what it shows as going is believed for the same life only.

--- a/crates/coordination/src/observer.rs
+++ b/crates/coordination/src/observer.rs
@@ -97,38 +97,73 @@
     rendezvous_rank(subject, &node.settings().identity.node, &node.live_nodes()) == 0
 }
 
-/// Reports what the list says of VMs in another life, at another address or leaving.
+/// Reports what the list says of VMs that go, and probes those in another life or place.
 ///
-/// The list lags, so it never makes a VM live: a VM that it shows in a new life counts as unknown
-/// until a probe finds it there.
+/// The list lags, and so may this node's state after a pause: a report by the list alone would
+/// take a VM out of service that another node has found live in its new life. So a new life counts
+/// only when the VM itself shows it.
 async fn report_list(node: &Node, list: VmList) {
     let state = node.state();
-    let mut reports: Vec<VmReport> = list
-        .vms
-        .iter()
-        .filter_map(|entry| list_report(state.vms().get(entry.name.as_str())?, entry, list.made_ms))
-        .collect();
+    let mut probes = JoinSet::new();
+    let mut reports = Vec::new();
+    for entry in list.vms {
+        let Some(vm) = state.vms().get(entry.name.as_str()) else {
+            continue;
+        };
+        if entry.incarnation == vm.incarnation && entry.state == VmListState::Leaving {
+            let seen_ms = list.made_ms.max(vm.evidence_ms);
+            reports.push(entry_report(entry, VmPhase::Leaving, seen_ms));
+        } else if is_elsewhere(vm, &entry) {
+            probes.spawn(probe_entry(node.clone(), entry));
+        }
+    }
+    while let Some(found) = probes.join_next().await {
+        if let Ok(Some(report)) = found {
+            reports.push(report);
+        }
+    }
+    reports.retain(|report| {
+        let vm = state.vms().get(report.vm.as_str());
+        vm.is_some_and(|vm| is_news(vm, report))
+    });
     propose(node, &mut reports).await;
 }
 
-fn list_report(vm: &VmState, entry: &VmEntry, made_ms: u64) -> Option<VmReport> {
-    let is_moved = vm.address != entry.address || vm.incarnation < entry.incarnation;
-    let phase = match entry.state {
-        VmListState::Leaving => VmPhase::Leaving,
-        VmListState::Live if is_moved => VmPhase::Unknown,
-        VmListState::Live => vm.phase,
+fn is_elsewhere(vm: &VmState, entry: &VmEntry) -> bool {
+    let is_same = vm.address == entry.address
+        && vm.zone == entry.zone
+        && vm.rack == entry.rack
+        && vm.capacity == entry.capacity
+        && vm.incarnation == entry.incarnation;
+    !is_same && entry.incarnation >= vm.incarnation
+}
+
+async fn probe_entry(node: Node, entry: VmEntry) -> Option<VmReport> {
+    let address = entry.address.parse::<SocketAddr>().ok()?;
+    let client = node.clients().get(address);
+    let probe_ms = node.clock().now_ms();
+    let health = probe(Some(&client), &entry.name).await?;
+    let phase = if health.leaving {
+        VmPhase::Leaving
+    } else {
+        VmPhase::Live
     };
-    let report = VmReport {
-        vm: entry.name.clone(),
+    let mut report = entry_report(entry, phase, probe_ms);
+    report.incarnation = health.incarnation;
+    Some(report)
+}
+
+fn entry_report(entry: VmEntry, phase: VmPhase, evidence_ms: u64) -> VmReport {
+    VmReport {
+        vm: entry.name,
         incarnation: entry.incarnation,
         phase,
-        evidence_ms: made_ms.max(vm.evidence_ms),
-        zone: entry.zone.clone(),
-        rack: entry.rack.clone(),
-        address: entry.address.clone(),
+        evidence_ms,
+        zone: entry.zone,
+        rack: entry.rack,
+        address: entry.address,
         capacity: entry.capacity,
-    };
-    is_news(vm, &report).then_some(report)
+    }
 }
 
 /// Returns the VMs of this node whose next probe is due, and notes that they are probed.
