--- a/crates/lynxwheel/benches/capacity.rs
+++ b/crates/lynxwheel/benches/capacity.rs
@@ -27,6 +27,13 @@
 /// Clock ticks of a second in `/proc`.
 const TICKS_PER_S: f64 = 100.0;
 
+/// Demand of one job.
+const DEMAND: Resources = Resources {
+    cores_milli: 1_000,
+    memory_mib: 1_024,
+    accelerators: 0,
+};
+
 /// Sizes to measure.
 #[derive(Debug, Parser)]
 struct Args {
@@ -36,7 +43,7 @@
     /// Number of nodes.
     #[arg(long, default_value_t = 9)]
     nodes: usize,
-    /// Jobs for each VM; they wait for a team without quota.
+    /// Jobs for each VM; all but one wait, since their team's quota has room for one.
     #[arg(long, default_value_t = 0)]
     jobs_per_vm: u32,
     /// Time to measure, in seconds.
@@ -116,7 +123,7 @@
 async fn declare(node: &TestNode, vms: u32, jobs_per_vm: u32) {
     node.declare(&Resource::Team(TeamSpec {
         name: "waiting".into(),
-        quota: Resources::default(),
+        quota: DEMAND,
     }))
     .await;
     for pool in 0..vms.div_ceil(VMS_PER_POOL) {
@@ -144,11 +151,7 @@
                 pool: pool.as_str().into(),
                 team: "waiting".into(),
                 class: Class::Batch,
-                demand: Resources {
-                    cores_milli: 1_000,
-                    memory_mib: 1_024,
-                    accelerators: 0,
-                },
+                demand: DEMAND,
                 run_time_ms: 60_000,
                 checkpoint: true,
                 max_attempts: 3,
--- a/crates/lynxwheel/src/config.rs
+++ b/crates/lynxwheel/src/config.rs
@@ -13,10 +13,10 @@
 };
 
 /// Sections and the keys that each may hold.
-pub const KNOWN_KEYS: [(&str, &[&str]); 7] = [
+pub const KNOWN_KEYS: [(&str, &[&str]); 8] = [
     ("node", &["name", "zone"]),
     ("listen", &["callers", "operators", "peers"]),
-    ("platform", &["address", "stream"]),
+    ("platform", &["address", "stream", "appends_per_s"]),
     ("peers", &[]),
     ("tokens", &[]),
     (
@@ -29,6 +29,7 @@
             "drain_ms",
         ],
     ),
+    ("snapshots", &["records", "period_ms"]),
     ("log", &["level", "file"]),
 ];
 
@@ -117,6 +118,12 @@
     pub action_timeout_ms: u64,
     /// `[timing] drain_ms`: time between readiness off and the end of accepting; 1000.
     pub drain_ms: u64,
+    /// `[platform] appends_per_s`: appends in a second that all nodes together make at most; 360.
+    pub appends_per_s: u32,
+    /// `[snapshots] records`: records after which a snapshot is due; 20000.
+    pub snapshot_records: u64,
+    /// `[snapshots] period_ms`: time after which a snapshot is due; 600000.
+    pub snapshot_period_ms: u64,
     /// `[log] level`: lowest level written; `info`.
     pub log_level: String,
     /// `[log] file`: file of the log; standard output by default.
@@ -176,11 +183,14 @@
                 .unwrap_or("fleet")
                 .to_owned(),
             peers: reader.peers(),
-            propose_timeout_ms: reader.milliseconds("propose_timeout_ms", 3_000),
-            tick_ms: reader.milliseconds("tick_ms", 200),
-            rank_delay_ms: reader.milliseconds("rank_delay_ms", 300),
-            action_timeout_ms: reader.milliseconds("action_timeout_ms", 600_000),
-            drain_ms: reader.milliseconds("drain_ms", 1_000),
+            propose_timeout_ms: reader.number("timing", "propose_timeout_ms", 3_000),
+            tick_ms: reader.number("timing", "tick_ms", 200),
+            rank_delay_ms: reader.number("timing", "rank_delay_ms", 300),
+            action_timeout_ms: reader.number("timing", "action_timeout_ms", 600_000),
+            drain_ms: reader.number("timing", "drain_ms", 1_000),
+            appends_per_s: reader.small_number("platform", "appends_per_s", 360),
+            snapshot_records: reader.number("snapshots", "records", 20_000),
+            snapshot_period_ms: reader.number("snapshots", "period_ms", 600_000),
             log_level: reader.level(),
             log_file: reader.text("log", "file").map(PathBuf::from),
         };
@@ -205,6 +215,9 @@
         settings.tick_ms = self.tick_ms;
         settings.rank_delay_ms = self.rank_delay_ms;
         settings.action_timeout_ms = self.action_timeout_ms;
+        settings.appends_per_s = self.appends_per_s;
+        settings.snapshot_records = self.snapshot_records;
+        settings.snapshot_period_ms = self.snapshot_period_ms;
         settings
     }
 }
@@ -276,15 +289,23 @@
         })
     }
 
-    fn milliseconds(&mut self, key: &str, default: u64) -> u64 {
-        let Some(text) = self.text("timing", key) else {
+    fn small_number(&mut self, section: &str, key: &str, default: u32) -> u32 {
+        let number = self.number(section, key, default.into());
+        u32::try_from(number).unwrap_or_else(|_| {
+            self.bad(section, key, "is too large");
+            default
+        })
+    }
+
+    fn number(&mut self, section: &str, key: &str, default: u64) -> u64 {
+        let Some(text) = self.text(section, key) else {
             return default;
         };
         match text.parse() {
             Ok(number) if number > 0 => number,
             _ => {
-                let reason = format!("must be a whole number of milliseconds above 0, not {text}");
-                self.bad("timing", key, reason);
+                let reason = format!("must be a whole number above 0, not {text}");
+                self.bad(section, key, reason);
                 default
             }
         }
--- a/crates/lynxwheel/src/embedded.rs
+++ b/crates/lynxwheel/src/embedded.rs
@@ -157,6 +157,9 @@
         rank_delay_ms: 100,
         action_timeout_ms: 60_000,
         drain_ms: 100,
+        appends_per_s: 360,
+        snapshot_records: 20_000,
+        snapshot_period_ms: 600_000,
         log_level: "error".into(),
         log_file: None,
     }
