--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -40,35 +40,46 @@
     }
 }
 
+/// What the fold tells the other duties of a node; copies share it.
+#[derive(Clone, Debug)]
+pub(crate) struct FoldOutputs {
+    /// Latest state.
+    pub(crate) published: Arc<Published>,
+    /// Proposers that wait for their records.
+    pub(crate) waiters: Arc<Waiters>,
+    /// Latest entries, for peers that are cut from the log.
+    pub(crate) recent: Arc<RecentEntries>,
+    /// Outcomes of declarations.
+    pub(crate) operations: Arc<Operations>,
+    /// Digests to compare with peers.
+    pub(crate) divergence: Arc<Divergence>,
+}
+
+impl FoldOutputs {
+    pub(crate) fn new(state: FleetState) -> Self {
+        Self {
+            published: Arc::new(Published::new(state)),
+            waiters: Arc::default(),
+            recent: Arc::default(),
+            operations: Arc::default(),
+            divergence: Arc::default(),
+        }
+    }
+}
+
 /// Actor that owns the state.
 #[derive(Actor, Debug)]
 pub(crate) struct Fold {
     state: FleetState,
-    published: Arc<Published>,
-    waiters: Arc<Waiters>,
-    recent: Arc<RecentEntries>,
-    operations: Arc<Operations>,
-    divergence: Arc<Divergence>,
+    outputs: FoldOutputs,
     incarnation: u64,
 }
 
 impl Fold {
-    pub(crate) fn new(
-        state: FleetState,
-        published: Arc<Published>,
-        waiters: Arc<Waiters>,
-        recent: Arc<RecentEntries>,
-        operations: Arc<Operations>,
-        divergence: Arc<Divergence>,
-        incarnation: u64,
-    ) -> Self {
+    pub(crate) fn new(state: FleetState, outputs: FoldOutputs, incarnation: u64) -> Self {
         Self {
             state,
-            published,
-            waiters,
-            recent,
-            operations,
-            divergence,
+            outputs,
             incarnation,
         }
     }
@@ -88,7 +99,9 @@
         };
         let verdict = self.state.apply(entry.offset, &record);
         log_verdict(entry.offset, &record, &verdict);
-        self.operations.note(entry.offset, &record, &verdict);
+        self.outputs
+            .operations
+            .note(entry.offset, &record, &verdict);
         (record.id.incarnation == self.incarnation).then_some(Decision {
             id: record.id,
             offset: entry.offset,
@@ -106,20 +119,20 @@
         for entry in &message.entries {
             decisions.extend(self.fold(entry));
             if self.state.offset() == entry.offset {
-                self.divergence.mark_if_due(&self.state);
+                self.outputs.divergence.mark_if_due(&self.state);
                 digests.push(DigestAt {
                     offset: entry.offset,
                     digest: self.state.digest(),
                 });
             }
         }
-        self.divergence.note(&digests);
-        self.recent.note(&message.entries);
-        self.published.store(self.state.clone());
+        self.outputs.divergence.note(&digests);
+        self.outputs.recent.note(&message.entries);
+        self.outputs.published.store(self.state.clone());
         // Published first, so that a proposer finds its own record in the state it then reads.
         for decision in decisions {
             if decision.verdict != Verdict::Duplicate {
-                self.waiters.resolve(decision.id.sequence, decision);
+                self.outputs.waiters.resolve(decision.id.sequence, decision);
             }
         }
         metrics::gauge!("lynxwheel_fold_offset").set(offset_metric(self.state.offset()));
@@ -135,8 +148,8 @@
         }
         info!(event = "reloaded", from = self.state.offset(), offset = message.state.offset(); "");
         self.state = *message.state;
-        self.divergence.forget();
-        self.published.store(self.state.clone());
+        self.outputs.divergence.forget();
+        self.outputs.published.store(self.state.clone());
     }
 }
 
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -8,11 +8,11 @@
         clock::{Clock, new_incarnation},
         divergence::Divergence,
         duty::spawn_duty,
-        fold::Fold,
+        fold::{Fold, FoldOutputs},
         log_client::LogClient,
         membership::{PEER_CONNECTIONS, exchange_hellos},
         observer,
-        operations::{Operation, Operations},
+        operations::Operation,
         pace::RateShare,
         peers::Peers,
         planner,
@@ -24,7 +24,6 @@
         snapshots::write_snapshots,
         tasks,
         upkeep::keep_up,
-        waiters::Waiters,
     },
     kameo::{actor::Spawn, mailbox},
     log::{error, info},
@@ -60,66 +59,57 @@
 struct Inner {
     settings: NodeSettings,
     incarnation: u64,
-    published: Arc<Published>,
-    operations: Arc<Operations>,
+    outputs: FoldOutputs,
     proposer: Proposer,
     clients: Arc<Clients>,
     peers: Peers,
     peer_clients: Clients,
-    recent: Arc<RecentEntries>,
-    divergence: Arc<Divergence>,
     snapshot_log: LogClient,
 }
 
-impl Node {
-    /// Starts a node and its duties, which end with the signal.
-    #[must_use]
-    pub fn start(settings: NodeSettings, shutdown: &Shutdown) -> (Self, Duties) {
-        let incarnation = new_incarnation(settings.identity.node.as_str(), &settings.clock);
-        let published = Arc::new(Published::new(FleetState::new()));
-        let divergence = Arc::new(Divergence::default());
-        let recent = Arc::new(RecentEntries::default());
-        let peers = Peers::new(&settings);
-        let waiters = Arc::new(Waiters::default());
-        let operations = Arc::new(Operations::default());
-        let log = LogClient::new(settings.platform, &settings.stream);
+impl Inner {
+    fn new(
+        settings: NodeSettings,
+        incarnation: u64,
+        log: &LogClient,
+        outputs: FoldOutputs,
+    ) -> Self {
         let appender = Appender::new(
             log.clone(),
             settings.clock.clone(),
             RateShare::new(settings.appends_per_s, settings.peers.len() + 1),
-            Arc::clone(&published),
-            Arc::clone(&waiters),
+            Arc::clone(&outputs.published),
+            Arc::clone(&outputs.waiters),
             incarnation,
         );
         let appender =
             Appender::spawn_in_thread_with_mailbox(appender, mailbox::bounded(APPEND_RING));
-        let fold = Fold::new(
-            FleetState::new(),
-            Arc::clone(&published),
-            waiters,
-            Arc::clone(&recent),
-            Arc::clone(&operations),
-            Arc::clone(&divergence),
-            incarnation,
-        );
-        let fold = Fold::spawn_in_thread_with_mailbox(fold, mailbox::bounded(FOLD_RING));
         let limit = Duration::from_millis(settings.propose_timeout_ms);
         let snapshots = format!("{}{SNAPSHOT_SUFFIX}", settings.stream);
-        let snapshot_log = LogClient::new(settings.platform, &snapshots);
+        Self {
+            incarnation,
+            proposer: Proposer::new(appender, limit, Arc::clone(&outputs.divergence)),
+            clients: Arc::new(Clients::new(PROBE_CONNECTIONS)),
+            peers: Peers::new(&settings),
+            peer_clients: Clients::new(PEER_CONNECTIONS),
+            snapshot_log: LogClient::new(settings.platform, &snapshots),
+            outputs,
+            settings,
+        }
+    }
+}
+
+impl Node {
+    /// Starts a node and its duties, which end with the signal.
+    #[must_use]
+    pub fn start(settings: NodeSettings, shutdown: &Shutdown) -> (Self, Duties) {
+        let incarnation = new_incarnation(settings.identity.node.as_str(), &settings.clock);
+        let outputs = FoldOutputs::new(FleetState::new());
+        let log = LogClient::new(settings.platform, &settings.stream);
+        let fold = Fold::new(FleetState::new(), outputs.clone(), incarnation);
+        let fold = Fold::spawn_in_thread_with_mailbox(fold, mailbox::bounded(FOLD_RING));
         let node = Self {
-            inner: Arc::new(Inner {
-                settings,
-                incarnation,
-                operations,
-                published,
-                proposer: Proposer::new(appender, limit, Arc::clone(&divergence)),
-                clients: Arc::new(Clients::new(PROBE_CONNECTIONS)),
-                peers,
-                peer_clients: Clients::new(PEER_CONNECTIONS),
-                recent,
-                divergence,
-                snapshot_log,
-            }),
+            inner: Arc::new(Inner::new(settings, incarnation, &log, outputs)),
         };
         let mut duties = Duties::new(shutdown.clone());
         duties.run("reader", reader::read_log(node.clone(), log, fold.clone()));
@@ -156,25 +146,25 @@
     /// Returns the latest state.
     #[must_use]
     pub fn state(&self) -> Arc<FleetState> {
-        self.inner.published.load()
+        self.inner.outputs.published.load()
     }
 
     /// Returns where the state is published.
     #[must_use]
     pub fn published(&self) -> &Published {
-        &self.inner.published
+        &self.inner.outputs.published
     }
 
     /// Returns what became of a declaration that any node wrote.
     #[must_use]
     pub fn operation(&self, id: OperationId) -> OperationOutcome {
-        self.inner.operations.look_up(id, &self.state())
+        self.inner.outputs.operations.look_up(id, &self.state())
     }
 
     /// Returns the latest declarations of all nodes, the last one first.
     #[must_use]
     pub fn latest_operations(&self, limit: usize) -> Vec<Operation> {
-        self.inner.operations.latest(limit)
+        self.inner.outputs.operations.latest(limit)
     }
 
     /// Returns the handle for proposals.
@@ -200,7 +190,7 @@
     }
 
     pub(crate) fn recent(&self) -> &RecentEntries {
-        &self.inner.recent
+        &self.inner.outputs.recent
     }
 
     /// Returns the nodes that are taken to be live, this one included, sorted.
@@ -230,17 +220,17 @@
     /// Tells whether the state differs from the peers'; such a node proposes nothing.
     #[must_use]
     pub fn has_diverged(&self) -> bool {
-        self.inner.divergence.has_diverged()
+        self.inner.outputs.divergence.has_diverged()
     }
 
     /// Tells whether the node itself has read the log lately and to its end.
     pub(crate) fn reads_log(&self) -> bool {
-        let read_ms = self.inner.published.read_ms();
-        read_ms + CURRENT_MS > self.clock().now_ms() && self.inner.published.is_caught_up()
+        let read_ms = self.inner.outputs.published.read_ms();
+        read_ms + CURRENT_MS > self.clock().now_ms() && self.inner.outputs.published.is_caught_up()
     }
 
     pub(crate) fn divergence(&self) -> &Divergence {
-        &self.inner.divergence
+        &self.inner.outputs.divergence
     }
 
     pub(crate) fn snapshot_log(&self) -> &LogClient {
