Use no connection again that was idle for two seconds

Cause: a peer may close an idle connection at the moment in which a request is sent on it; nobody can tell then whether it ran. Seen in the capacity bench, whose second look at /metrics came 5 s after the first and met the server's closing ('connection closed before message completed'). A renewal would have been told 'outcome unknown' for nothing. Ruled out: a crash of the node (no panic in its log) and the reader's limit on heads (the connection was idle).

--- a/crates/lynxwheel/benches/capacity.rs
+++ b/crates/lynxwheel/benches/capacity.rs
@@ -165,6 +165,8 @@
 async fn usages(nodes: &[TestNode]) -> Vec<Usage> {
     let mut usages = Vec::new();
     for node in nodes {
+        // The node closes connections that were idle for so long.
+        node.operators.close_idle();
         let answer = node
             .operators
             .get("/metrics", LIMIT)
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -30,6 +30,9 @@
     },
 };
 
+/// Time for which an idle connection is used again; peers commonly close theirs after 5 s.
+const MAX_IDLE: Duration = Duration::from_secs(2);
+
 /// Request with a body in memory.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
@@ -98,17 +101,37 @@
 #[derive(Debug)]
 struct Inner {
     peer: SocketAddr,
-    idle: Mutex<Vec<SendRequest<Body>>>,
+    max_idle: Duration,
+    idle: Mutex<Vec<IdleConnection>>,
     permits: Arc<Semaphore>,
 }
 
+/// A connection that waits for its next request.
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Body>,
+    since: Instant,
+}
+
 impl Client {
     /// Creates a client that opens at most `max_connections` to `peer`.
     #[must_use]
     pub fn new(peer: SocketAddr, max_connections: usize) -> Self {
+        Self::with_max_idle(peer, max_connections, MAX_IDLE)
+    }
+
+    /// Creates a client that uses no connection again that was idle for `max_idle`.
+    ///
+    /// A peer may close an idle connection at the moment in which a request is sent on it. Nobody
+    /// can tell then whether the request ran, and the caller of one that is not idempotent would
+    /// be told "outcome unknown" for nothing. Peers that close idle connections wait for some
+    /// seconds, so one that was used a moment ago is safe.
+    #[must_use]
+    pub fn with_max_idle(peer: SocketAddr, max_connections: usize, max_idle: Duration) -> Self {
         Self {
             inner: Arc::new(Inner {
                 peer,
+                max_idle,
                 idle: Mutex::new(Vec::new()),
                 permits: Arc::new(Semaphore::new(max_connections)),
             }),
@@ -255,9 +278,10 @@
 
     fn take_idle(&self) -> Option<SendRequest<Body>> {
         let mut idle = lock(&self.inner.idle);
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        while let Some(connection) = idle.pop() {
+            let is_fresh = connection.since.elapsed() < self.inner.max_idle;
+            if is_fresh && connection.sender.is_ready() {
+                return Some(connection.sender);
             }
         }
         None
@@ -349,7 +373,8 @@
         }) = self.lease.take()
             && !sender.is_closed()
         {
-            lock(&inner.idle).push(sender);
+            let since = Instant::now();
+            lock(&inner.idle).push(IdleConnection { sender, since });
         }
     }
 }
