--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -50,6 +50,18 @@
     pub policy: RoutePolicy,
 }
 
+impl FleetOptions {
+    /// Describes one node with one endpoint that serves one request at a time.
+    pub fn one_slot() -> Self {
+        Self {
+            nodes: 1,
+            vms: 1,
+            slots: 1,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for FleetOptions {
     fn default() -> Self {
         Self {
--- a/crates/gateway/tests/slots.rs
+++ b/crates/gateway/tests/slots.rs
@@ -115,14 +115,7 @@
 /// served next, before batch work that came earlier.
 #[tokio::test(flavor = "multi_thread")]
 async fn urgent_work_is_served_before_batch_work() {
-    let fleet = Fleet::start(FleetOptions {
-        nodes: 1,
-        vms: 1,
-        slots: 1,
-        ..FleetOptions::default()
-    })
-    .await;
-    let fleet = Arc::new(fleet);
+    let fleet = Arc::new(Fleet::start(FleetOptions::one_slot()).await);
     let mut callers = JoinSet::new();
     for caller in 0..6 {
         let fleet = Arc::clone(&fleet);
@@ -146,14 +139,7 @@
 /// time after which to come back, and it did not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_cannot_be_served_in_time_is_refused_at_once() {
-    let fleet = Fleet::start(FleetOptions {
-        nodes: 1,
-        vms: 1,
-        slots: 1,
-        ..FleetOptions::default()
-    })
-    .await;
-    let fleet = Arc::new(fleet);
+    let fleet = Arc::new(Fleet::start(FleetOptions::one_slot()).await);
     assert_own(&ask(&fleet.nodes[0], "first", "ms=500").await, "first");
     let mut callers = JoinSet::new();
     for caller in 0..4 {
