A refusal tells of all attempts of its request

Found by reading the retry loop. An idempotent request whose first attempt broke off, and may have run, is tried again; when that attempt was refused before it started (no endpoint left, no slot in time, a refusal of the endpoint), the caller got that refusal as it was, with 'did not run'. Only the last attempt had not run. The process tests' checker did not meet it: its endpoints break answers only after the head, which ends the retries.

Refusals now carry whether any attempt may have run.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -84,20 +84,25 @@
             }
         }
         let mut tried: Vec<VmName> = Vec::new();
+        let mut may_have_run = false;
         loop {
-            let slot = self.acquire(request, &tried, deadline).await?;
+            let slot = match self.acquire(request, &tried, deadline).await {
+                Ok(slot) => slot,
+                Err(refusal) => return Err(refusal.after_attempts(may_have_run)),
+            };
             let vm = slot.endpoint().vm.clone();
             let failure = match self.send(request, slot, payload, deadline).await {
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
             };
+            may_have_run |= !failure.did_not_run;
             if let Err(row) = tried.binary_search(&vm) {
                 tried.insert(row, vm);
             }
             let may_retry = failure.did_not_run || request.is_idempotent();
             let can_retry = payload.is_at_hand() && tried.len() < MAX_ATTEMPTS;
             if !may_retry || !can_retry || Instant::now() >= deadline || !self.budget.take() {
-                return Err(failure);
+                return Err(failure.after_attempts(may_have_run));
             }
             metrics::counter!("lynxwheel_retries_total").increment(1);
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -109,6 +109,16 @@
         }
     }
 
+    /// Takes "did not run" back when an earlier attempt of the request may have run.
+    ///
+    /// The last attempt may be refused before it starts while an earlier one, whose connection
+    /// broke, did run; its caller would be told that nothing had happened.
+    #[must_use]
+    pub fn after_attempts(mut self, may_have_run: bool) -> Self {
+        self.did_not_run &= !may_have_run;
+        self
+    }
+
     /// Tells when to come back.
     #[must_use]
     pub fn with_retry_after_ms(mut self, retry_after_ms: u64) -> Self {
