Stay ready while the log is down for everybody

Found by reading: readiness was 'current', and in an outage of the log no node is. The process test asks a node directly and the tests' balancer falls back to any node, so neither showed it.

Weighed: readiness on for ever once current (a node that is cut off alone would serve by an old state beside others that know better) and as it was. Taken: off when others read the log or nobody is heard, on when no live peer reads it.

--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -19,6 +19,7 @@
         proposer::Proposer,
         published::Published,
         reader,
+        readiness::Readiness,
         recent::RecentEntries,
         settings::NodeSettings,
         snapshots::write_snapshots,
@@ -30,7 +31,15 @@
     lynxwheel_protocol::{FOLD_VERSION, NodeName, OperationId, OperationOutcome, RecordBody},
     lynxwheel_state::FleetState,
     lynxwheel_transport::{Clients, Shutdown},
-    std::{future::Future, sync::Arc, thread, time::Duration},
+    std::{
+        future::Future,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
 };
 
 /// Batches that wait for the fold at most.
@@ -65,6 +74,7 @@
     peers: Peers,
     peer_clients: Clients,
     snapshot_log: LogClient,
+    was_current: AtomicBool,
 }
 
 impl Inner {
@@ -93,6 +103,7 @@
             peers: Peers::new(&settings),
             peer_clients: Clients::new(PEER_CONNECTIONS),
             snapshot_log: LogClient::new(settings.platform, &snapshots),
+            was_current: AtomicBool::new(false),
             outputs,
             settings,
         }
@@ -210,6 +221,23 @@
         has_joined && (self.reads_log() || self.is_level_with_reader(state.offset()))
     }
 
+    /// Returns what the node's readiness depends on.
+    #[must_use]
+    pub fn readiness(&self) -> Readiness {
+        let is_current = self.is_current();
+        if is_current {
+            self.inner.was_current.store(true, Ordering::Relaxed);
+        }
+        let views = self.peers().views(self.clock().now_ms());
+        Readiness {
+            is_current,
+            was_current: self.inner.was_current.load(Ordering::Relaxed),
+            peers: self.settings().peers.len(),
+            live_peers: views.len(),
+            reading_peers: views.iter().filter(|view| view.hello.reads_log).count(),
+        }
+    }
+
     fn is_level_with_reader(&self, offset: u64) -> bool {
         let views = self.peers().views(self.clock().now_ms());
         views
--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -230,10 +230,10 @@
 
 impl Health {
     fn ready(&self) -> Response<Body> {
-        let is_current = self.node.is_current();
+        let readiness = self.node.readiness();
         let is_stopping = self.stopping.has_begun();
         let has_diverged = self.node.has_diverged();
-        let status = if is_current && !is_stopping && !has_diverged {
+        let status = if readiness.is_ready() && !is_stopping && !has_diverged {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -242,7 +242,7 @@
         json_answer(
             status,
             &json!({
-                "current": is_current,
+                "current": readiness.is_current,
                 "diverged": has_diverged,
                 "stopping": is_stopping,
                 "offset": offset,
