Write of an attempt's end only what the fold can accept

Found by reading: the watcher of an attempt on a failed VM proposed its loss in every tick, and the fold rejected it until the lease had lapsed (60 s). A rack with 56 attempts would have written 280 records a second of the 360 that all nodes may append. The watcher now asks the state first.

The test for it showed more: 21 records still, since the stand-in answered 409, a worker's own refusal, for a machine that is down, and the attempt ended as 'not started' and was placed there again in every tick until the failure was known. Nobody had heard from that worker; such a call now fails as unreachable (502), and the attempt ends as lost when it is known to be over, as the promise of one start at a time asks.

--- a/crates/coordination/src/tasks.rs
+++ b/crates/coordination/src/tasks.rs
@@ -103,7 +103,11 @@
             vm.incarnation > self.attempt.vm_incarnation || vm.phase == VmPhase::Failed
         });
         if is_gone {
-            self.end(JobOutcome::Lost).await;
+            // Asked before, the fold would reject it: a lost rack's attempts would fill the log
+            // with rejected records, some in each tick, until their leases have lapsed.
+            if state.is_over(&self.attempt) {
+                self.end(JobOutcome::Lost).await;
+            }
             return;
         }
         match self.start().await {
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -314,6 +314,8 @@
     let fails = platform.fails_tasks(name);
     match platform.machine_mut(name) {
         None => error_answer(StatusCode::NOT_FOUND, "no such VM"),
+        // Nobody has heard from the worker, so this is no refusal of its own.
+        Some(machine) if !machine.is_up => error_answer(StatusCode::BAD_GATEWAY, "down"),
         Some(machine) => match machine.start(&start, now_ms(), fails) {
             Ok(()) => message_answer(&true),
             Err(reason) => error_answer(StatusCode::CONFLICT, &reason),
--- a/crates/state/src/placements.rs
+++ b/crates/state/src/placements.rs
@@ -161,7 +161,8 @@
     /// A VM that does not answer may still run the attempt; a second start would run the job
     /// twice. It is over when the machine has a new life, or when it has been failed for so long
     /// that the attempt's lease has lapsed.
-    fn is_over(&self, attempt: &Attempt) -> bool {
+    #[must_use]
+    pub fn is_over(&self, attempt: &Attempt) -> bool {
         self.vms.get(attempt.vm.as_str()).is_none_or(|vm| {
             vm.incarnation > attempt.vm_incarnation
                 || vm.phase == VmPhase::Failed && self.time_ms >= vm.evidence_ms + LOST_AFTER_MS
