Ask in one place whether an attempt's VM is gone

The look for urgent steps and the step itself each asked whether the VM of an attempt is missing, failed or in a later life. One function answers both now.

--- a/crates/coordination/src/tasks.rs
+++ b/crates/coordination/src/tasks.rs
@@ -7,7 +7,7 @@
     lynxwheel_protocol::{
         JobOutcome, NodeName, RecordBody, TaskReport, TaskStart, TaskState, VmPhase,
     },
-    lynxwheel_state::{Attempt, FleetState, JobState, TASK_LEASE_MS},
+    lynxwheel_state::{Attempt, FleetState, JobState, TASK_LEASE_MS, VmState},
     lynxwheel_transport::{Client, TransportError},
     std::time::Duration,
     tokio::{task::JoinSet, time::Instant},
@@ -67,12 +67,13 @@
 /// Tells whether an attempt is to stop, or its VM is gone or claimed, which cannot wait.
 fn needs_step(state: &FleetState, attempt: &Attempt) -> bool {
     let vm = state.vms().get(attempt.vm.as_str());
-    attempt.stopping
-        || vm.is_none_or(|vm| {
-            vm.claim.is_some()
-                || vm.phase == VmPhase::Failed
-                || vm.incarnation > attempt.vm_incarnation
-        })
+    let is_claimed = vm.is_some_and(|vm| vm.claim.is_some());
+    attempt.stopping || is_claimed || is_vm_gone(vm, attempt)
+}
+
+/// Tells whether the VM that an attempt was placed on cannot be asked about it any more.
+fn is_vm_gone(vm: Option<&VmState>, attempt: &Attempt) -> bool {
+    vm.is_none_or(|vm| vm.phase == VmPhase::Failed || vm.incarnation > attempt.vm_incarnation)
 }
 
 /// Tells whether this node watches an attempt: as its holder, or in place of one that is gone.
@@ -99,10 +100,7 @@
     async fn take(self) {
         let state = self.node.state();
         let vm = state.vms().get(self.attempt.vm.as_str());
-        let is_gone = vm.is_none_or(|vm| {
-            vm.incarnation > self.attempt.vm_incarnation || vm.phase == VmPhase::Failed
-        });
-        if is_gone {
+        if is_vm_gone(vm, &self.attempt) {
             // Asked before, the fold would reject it: a lost rack's attempts would fill the log
             // with rejected records, some in each tick, until their leases have lapsed.
             if state.is_over(&self.attempt) {
