--- /dev/null
+++ b/crates/controller/src/commit.rs
@@ -0,0 +1,141 @@
+//! Storing batches, one after the other, under the owner's epoch.
+
+use {
+    log::warn,
+    lynxwheel_engine::Record,
+    lynxwheel_platform::{AppendOutcome, PlatformSettings, Producer, StoreClient, keyed_record},
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// Topic of the engine's records; it keeps the newest of each key for good.
+pub const STATE_TOPIC: &str = "keyed.lynxwheel";
+
+/// Name under which owners write.
+const PRODUCER: &str = "owner";
+
+/// Shortest and longest pause before an append is repeated, in milliseconds.
+const MIN_RETRY_MS: u64 = 40;
+const MAX_RETRY_MS: u64 = 400;
+
+/// Bytes that a record's frame adds.
+const FRAME_BYTES: usize = 8;
+
+/// Numbers the appends of one owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Writer {
+    epoch: u64,
+    sequence: u64,
+    request_bytes: usize,
+}
+
+/// Appends that store one batch, in order.
+#[derive(Debug)]
+pub struct Commit {
+    epoch: u64,
+    appends: Vec<(u64, Vec<Vec<u8>>)>,
+}
+
+impl Writer {
+    /// Creates the writer of an epoch.
+    #[must_use]
+    pub fn new(epoch: u64, settings: &PlatformSettings) -> Self {
+        Self {
+            epoch,
+            sequence: 0,
+            request_bytes: settings.request_bytes / 2,
+        }
+    }
+
+    /// Shuts lower epochs out: an append without records sets the epoch.
+    ///
+    /// Returns whether it is set, or nothing while that is not known.
+    pub async fn fence(&mut self, store: &StoreClient) -> Option<bool> {
+        let producer = Producer {
+            name: PRODUCER,
+            epoch: self.epoch,
+            sequence: self.sequence,
+        };
+        match store.append(STATE_TOPIC, &[], None, Some(producer)).await {
+            AppendOutcome::Stored { .. } | AppendOutcome::OutOfSequence { .. } => {
+                self.sequence += 1;
+                Some(true)
+            }
+            AppendOutcome::Fenced => Some(false),
+            AppendOutcome::Moved { .. } | AppendOutcome::NothingDone | AppendOutcome::Unknown => {
+                None
+            }
+        }
+    }
+
+    /// Numbers the appends that store these records.
+    pub fn commit(&mut self, records: &[Record]) -> Commit {
+        let mut appends: Vec<(u64, Vec<Vec<u8>>)> = Vec::new();
+        let mut bytes = usize::MAX;
+        for record in records {
+            let encoded = keyed_record(&record.key, &record.value);
+            let size = encoded.len() + FRAME_BYTES;
+            if bytes.saturating_add(size) > self.request_bytes {
+                appends.push((self.sequence, Vec::new()));
+                self.sequence += 1;
+                bytes = 0;
+            }
+            bytes += size;
+            if let Some((_, group)) = appends.last_mut() {
+                group.push(encoded);
+            }
+        }
+        Commit {
+            epoch: self.epoch,
+            appends,
+        }
+    }
+}
+
+impl Commit {
+    /// Stores the batch, however long the store is away; tells whether this owner may go on.
+    pub async fn store(&self, store: &StoreClient) -> bool {
+        for (sequence, records) in &self.appends {
+            if !self.append(store, *sequence, records).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn append(&self, store: &StoreClient, sequence: u64, records: &[Vec<u8>]) -> bool {
+        let producer = Producer {
+            name: PRODUCER,
+            epoch: self.epoch,
+            sequence,
+        };
+        let mut pause_ms = MIN_RETRY_MS;
+        loop {
+            let outcome = store
+                .append(STATE_TOPIC, records, None, Some(producer))
+                .await;
+            match outcome {
+                AppendOutcome::Stored { .. } => return true,
+                // The epoch is ours alone, so the store can only be ahead by this very append.
+                AppendOutcome::OutOfSequence { expected } if expected == sequence + 1 => {
+                    return true;
+                }
+                AppendOutcome::Fenced | AppendOutcome::OutOfSequence { .. } => {
+                    warn!(event = "append_refused", epoch = self.epoch, outcome:? = outcome; "");
+                    return false;
+                }
+                AppendOutcome::Moved { .. }
+                | AppendOutcome::NothingDone
+                | AppendOutcome::Unknown => {
+                    warn!(
+                        event = "append_repeated", epoch = self.epoch, sequence = sequence,
+                        outcome:? = outcome, pause_ms = pause_ms;
+                        ""
+                    );
+                    sleep(Duration::from_millis(pause_ms)).await;
+                    pause_ms = (pause_ms * 2).min(MAX_RETRY_MS);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/ingress.rs
@@ -0,0 +1,228 @@
+//! Callers' requests: hand in, ask, cancel, count.
+
+use {
+    crate::{
+        node::Node,
+        peer::{Ask, OWNER_PATH, OwnerAnswer, OwnerRequest},
+        peer_server::ask_here,
+    },
+    http::{HeaderValue, Method, Request, Response, StatusCode, header},
+    hyper::body::Incoming,
+    log::info,
+    lynxwheel_engine::{JobId, Queue},
+    lynxwheel_platform::{caller_deadline_ms, decode_job, pending_body, state_body},
+    lynxwheel_transport::{Body, Server, ServerLimits, collect_body, error_answer, full_body},
+    std::{io, sync::Arc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Time for the owner's answer when the caller does not say how long it waits, in milliseconds.
+const DEFAULT_DEADLINE_MS: u64 = 3_000;
+
+/// Time kept of the caller's own for the way back, in milliseconds.
+const WAY_BACK_MS: u64 = 100;
+
+/// When a refused caller may come back, in seconds: an owner's loss is made good within about two,
+/// and whole seconds are all that the header can say.
+const RETRY_AFTER_S: &str = "1";
+
+/// Binds the callers' address.
+///
+/// # Errors
+///
+/// Fails when it cannot be bound.
+pub async fn bind(node: &Node) -> io::Result<Server> {
+    let server = Server::bind(node.settings.callers).await?;
+    Ok(server.with_limits(ServerLimits::default()))
+}
+
+/// Answers callers until the node closes.
+pub async fn serve(node: Arc<Node>, server: Server) {
+    let shutdown = node.closing.clone();
+    let handler = move |request: Request<Incoming>| {
+        let node = Arc::clone(&node);
+        async move { answer(&node, request).await }
+    };
+    server.serve(shutdown, handler).await;
+}
+
+async fn answer(node: &Node, request: Request<Incoming>) -> Response<Body> {
+    let config = node.config.load_full();
+    if config.version == 0 {
+        return unavailable("no configuration yet");
+    }
+    let path = request.uri().path();
+    let host = host_of(&request);
+    let Some(queue) = config.queue_for(&host, path) else {
+        return error_answer(StatusCode::NOT_FOUND, "no such queue");
+    };
+    let rest = path[queue.path_prefix.len()..].to_string();
+    if rest.is_empty() {
+        return match *request.method() {
+            Method::GET => count(node, queue).await,
+            _ => not_allowed("GET"),
+        };
+    }
+    let Ok(job) = rest.parse::<JobId>() else {
+        return error_answer(
+            StatusCode::NOT_FOUND,
+            "no id of a job: 16 hexadecimal digits",
+        );
+    };
+    let method = request.method().clone();
+    match method {
+        Method::POST => submit(node, job, queue, config.limits.max_body_bytes, request).await,
+        Method::GET => state(node, job, &request).await,
+        Method::DELETE => cancel(node, job, &request).await,
+        _ => not_allowed("GET, POST, DELETE"),
+    }
+}
+
+fn host_of(request: &Request<Incoming>) -> String {
+    let host = request
+        .headers()
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| request.uri().host())
+        .unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
+fn deadline(request: &Request<Incoming>) -> Duration {
+    let deadline_ms = caller_deadline_ms(request.headers()).unwrap_or(DEFAULT_DEADLINE_MS);
+    Duration::from_millis(deadline_ms.saturating_sub(WAY_BACK_MS))
+}
+
+async fn submit(
+    node: &Node,
+    job: JobId,
+    queue: &Queue,
+    max_body_bytes: usize,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let limit = deadline(&request);
+    let body = match collect_body(request.into_body(), max_body_bytes).await {
+        Ok(body) => body,
+        Err(answer) => return answer,
+    };
+    let spec = match decode_job(&body) {
+        Ok(spec) => Box::new(spec),
+        Err(mistake) => return error_answer(StatusCode::BAD_REQUEST, &mistake),
+    };
+    let ask = Ask::Submit {
+        job: job.to_string(),
+        queue: queue.clone(),
+        spec,
+    };
+    let answer = ask_owner(node, ask, limit).await;
+    info!(event = "submit", job = job.as_str(), outcome:? = answer, epoch = node.view.borrow().epoch; "");
+    match answer {
+        OwnerAnswer::Accepted => error_answer(StatusCode::OK, ""),
+        OwnerAnswer::Refused | OwnerAnswer::NotOwner => unavailable("not accepted; it never runs"),
+        _ => error_answer(
+            StatusCode::GATEWAY_TIMEOUT,
+            "whether it was accepted is not known",
+        ),
+    }
+}
+
+async fn state(node: &Node, job: JobId, request: &Request<Incoming>) -> Response<Body> {
+    let ask = Ask::State {
+        job: job.to_string(),
+    };
+    match ask_owner(node, ask, deadline(request)).await {
+        OwnerAnswer::State(state) => json(state_body(state)),
+        OwnerAnswer::Unknown => {
+            info!(event = "state", job = job.as_str(), outcome = "unknown"; "");
+            error_answer(StatusCode::GONE, "no such job")
+        }
+        _ => unavailable("no owner to ask"),
+    }
+}
+
+async fn cancel(node: &Node, job: JobId, request: &Request<Incoming>) -> Response<Body> {
+    let ask = Ask::Cancel {
+        job: job.to_string(),
+    };
+    let answer = ask_owner(node, ask, deadline(request)).await;
+    info!(event = "cancel", job = job.as_str(), outcome:? = answer; "");
+    match answer {
+        OwnerAnswer::Cancelled => error_answer(StatusCode::OK, ""),
+        OwnerAnswer::Unknown => error_answer(StatusCode::GONE, "no such job"),
+        OwnerAnswer::Refused | OwnerAnswer::NotOwner => unavailable("no owner to ask"),
+        _ => error_answer(
+            StatusCode::GATEWAY_TIMEOUT,
+            "whether it was cancelled is not known",
+        ),
+    }
+}
+
+async fn count(node: &Node, queue: &Queue) -> Response<Body> {
+    let ask = Ask::Pending {
+        queue: queue.clone(),
+    };
+    let limit = Duration::from_millis(DEFAULT_DEADLINE_MS - WAY_BACK_MS);
+    match ask_owner(node, ask, limit).await {
+        OwnerAnswer::Pending(count) => json(pending_body(count)),
+        _ => unavailable("no owner to ask"),
+    }
+}
+
+/// Asks the owner, here or at another node.
+async fn ask_owner(node: &Node, ask: Ask, limit: Duration) -> OwnerAnswer {
+    let (epoch, owner) = {
+        let view = node.view.borrow();
+        (view.epoch, view.owner)
+    };
+    let request = OwnerRequest { epoch, ask };
+    if node.owner.load().is_some() {
+        return timeout(limit, ask_here(node, request))
+            .await
+            .unwrap_or(OwnerAnswer::Unclear);
+    }
+    let Some(owner) = owner else {
+        return OwnerAnswer::NotOwner;
+    };
+    let client = node.peers.get(owner.address);
+    match client.exchange(OWNER_PATH, &request, limit).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            info!(
+                event = "forward_failed", peer:% = owner.address, epoch = owner.epoch,
+                reason = error.reason.as_str(), may_have_run = error.may_have_run;
+                ""
+            );
+            if error.may_have_run {
+                OwnerAnswer::Unclear
+            } else {
+                OwnerAnswer::NotOwner
+            }
+        }
+    }
+}
+
+fn json(body: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(full_body(body));
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+fn unavailable(reason: &str) -> Response<Body> {
+    let mut response = error_answer(StatusCode::SERVICE_UNAVAILABLE, reason);
+    response
+        .headers_mut()
+        .insert(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+    response
+}
+
+fn not_allowed(methods: &'static str) -> Response<Body> {
+    let mut response = error_answer(StatusCode::METHOD_NOT_ALLOWED, "no such method here");
+    response
+        .headers_mut()
+        .insert(header::ALLOW, HeaderValue::from_static(methods));
+    response
+}
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,39 @@
+//! Node of a fleet on the users' platform.
+//!
+//! Every node takes callers' requests; one of them owns the fleet for a while, decides and gives
+//! orders. Which one is agreed through the platform's log:
+//!
+//! ```
+//! use lynxwheel_controller::{OwnershipKind, OwnershipRecord, OwnershipView};
+//!
+//! let mut view = OwnershipView::default();
+//! let claim = OwnershipRecord {
+//!     kind: OwnershipKind::Claim,
+//!     epoch: 0,
+//!     incarnation: 7,
+//!     address: "127.0.0.1:7060".parse().unwrap(),
+//! };
+//! view.apply(Some(&claim), 1_000);
+//! assert_eq!(view.owner.unwrap().epoch, 1);
+//! ```
+
+mod clock;
+mod commit;
+mod dispatch;
+mod feeds;
+mod ingress;
+mod node;
+mod owner;
+mod ownership;
+mod peer;
+mod peer_server;
+mod ready;
+mod watcher;
+
+pub use {
+    node::run,
+    ownership::{
+        FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, RENEW_EVERY_MS,
+        SILENCE_MS,
+    },
+};
--- /dev/null
+++ b/crates/controller/src/node.rs
@@ -0,0 +1,198 @@
+//! A node: what its duties share, its start and its stop.
+
+use {
+    crate::{
+        clock, feeds, ingress,
+        owner::{OwnerHandle, OwnerMessage},
+        ownership::OwnershipView,
+        peer_server, ready, watcher,
+    },
+    arc_swap::{ArcSwap, ArcSwapOption},
+    log::info,
+    lynxwheel_engine::{EngineSettings, FleetConfig, WaveOrder},
+    lynxwheel_platform::{PlatformSettings, StoreClient},
+    lynxwheel_transport::{Clients, Shutdown},
+    std::{
+        io,
+        net::{IpAddr, SocketAddr},
+        sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
+        time::Duration,
+    },
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+/// Longest lease granted to endpoints, in milliseconds: it outlives an owner's loss and its
+/// successor's start by some seconds, and bounds how long the runs of a dead endpoint are missing.
+const LEASE_MS: u64 = 6_000;
+
+/// Time for which an ended job is remembered beyond what callers are promised, in milliseconds.
+const RETENTION_SLACK_MS: u64 = 30_000;
+
+/// Time for which a stopping node goes on taking connections, in milliseconds: the balancer asks
+/// each second and believes the second miss.
+const LEAVE_MS: u64 = 2_600;
+
+/// Time that is kept of the grace period for the last answers, in milliseconds.
+const LAST_ANSWERS_MS: u64 = 1_200;
+
+/// Connections to another node at most.
+const PEER_CONNECTIONS: usize = 32;
+
+/// What the duties of a node share.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings.
+    pub settings: PlatformSettings,
+    /// Life of this process; no two share it.
+    pub incarnation: u64,
+    /// Address at which it takes other nodes' requests.
+    pub peer_address: SocketAddr,
+    /// Store.
+    pub store: StoreClient,
+    /// Connections to other nodes.
+    pub peers: Clients,
+    /// Configuration in force here.
+    pub config: ArcSwap<FleetConfig>,
+    /// Orders of maintenance that were read.
+    pub waves: Mutex<Vec<WaveOrder>>,
+    /// What is known of ownership.
+    pub view: tokio::sync::watch::Sender<OwnershipView>,
+    /// The owner's duties while this node is the owner.
+    pub owner: ArcSwapOption<OwnerHandle>,
+    /// Epoch under which this process has written; it is never taken up twice.
+    pub taken_epoch: AtomicU64,
+    /// Given when the node has to stop.
+    pub stopping: Shutdown,
+    /// Given when the node takes no connections any more.
+    pub closing: Shutdown,
+}
+
+impl Node {
+    /// Creates a node.
+    #[must_use]
+    pub fn new(settings: PlatformSettings) -> Self {
+        let ip: IpAddr = settings
+            .ip
+            .parse()
+            .unwrap_or_else(|_| settings.callers.ip());
+        Self {
+            incarnation: rand::random(),
+            peer_address: SocketAddr::new(ip, settings.peer_ports.0),
+            store: StoreClient::new(settings.store),
+            peers: Clients::new(PEER_CONNECTIONS),
+            config: ArcSwap::default(),
+            waves: Mutex::default(),
+            view: tokio::sync::watch::Sender::default(),
+            owner: ArcSwapOption::empty(),
+            taken_epoch: AtomicU64::new(0),
+            stopping: Shutdown::new(),
+            closing: Shutdown::new(),
+            settings,
+        }
+    }
+
+    /// Returns the bounds for the engine.
+    #[must_use]
+    pub fn engine_settings(&self) -> EngineSettings {
+        let bounds = &self.settings.bounds;
+        EngineSettings {
+            lease_ms: bounds.max_lease_ms.min(LEASE_MS),
+            retention_ms: bounds.retention_ms + RETENTION_SLACK_MS,
+            migrate_ms: bounds.migrate_ms,
+            maintenance_ms: bounds.maintenance_ms,
+            notice_ms: bounds.notice_ms,
+            remote_factor: bounds.remote_factor,
+        }
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    pub fn put_config(&self, config: FleetConfig) {
+        if config.version <= self.config.load().version {
+            return;
+        }
+        info!(
+            event = "config", version = config.version, queues = config.queues.len(),
+            pools = config.pools.len();
+            ""
+        );
+        let config = Arc::new(config);
+        self.config.store(Arc::clone(&config));
+        if let Some(owner) = self.owner.load_full() {
+            owner.offer(OwnerMessage::event(lynxwheel_engine::Event::Config(config)));
+        }
+    }
+
+    /// Takes in an order of maintenance.
+    pub fn put_wave(&self, order: WaveOrder) {
+        info!(
+            event = "wave_order", wave = order.wave, vms = order.vms.len(),
+            duration_s = order.duration_s, max_count = order.max_count;
+            ""
+        );
+        let mut waves = self.waves.lock().unwrap_or_else(PoisonError::into_inner);
+        match waves.binary_search_by_key(&order.wave, |known| known.wave) {
+            Ok(place) => waves[place] = order.clone(),
+            Err(place) => waves.insert(place, order.clone()),
+        }
+        drop(waves);
+        if let Some(owner) = self.owner.load_full() {
+            owner.offer(OwnerMessage::event(lynxwheel_engine::Event::Wave(order)));
+        }
+    }
+}
+
+/// Runs a node until SIGTERM or SIGINT, then stops gracefully.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or signals cannot be received.
+pub async fn run(settings: PlatformSettings) -> io::Result<()> {
+    let node = Arc::new(Node::new(settings));
+    info!(
+        event = "start", node = node.settings.node_name.as_str(), zone = node.settings.zone.as_str(),
+        incarnation = node.incarnation;
+        ""
+    );
+    let callers = ingress::bind(&node).await?;
+    let peers = peer_server::bind(&node).await?;
+    let ready = ready::bind(&node).await?;
+    tokio::spawn(feeds::follow_operator(Arc::clone(&node)));
+    tokio::spawn(watcher::watch(Arc::clone(&node)));
+    let callers = tokio::spawn(ingress::serve(Arc::clone(&node), callers));
+    tokio::spawn(peer_server::serve(Arc::clone(&node), peers));
+    tokio::spawn(ready::serve(Arc::clone(&node), ready));
+    wait_for_stop().await?;
+    stop(&node).await;
+    let rest_ms = node
+        .settings
+        .bounds
+        .grace_ms
+        .saturating_sub(LEAVE_MS + LAST_ANSWERS_MS);
+    let ended = tokio::time::timeout(Duration::from_millis(rest_ms), callers).await;
+    info!(event = "stop", is_complete = ended.is_ok(), at_ms = clock::wall_ms(); "");
+    Ok(())
+}
+
+async fn wait_for_stop() -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            // The settings of a process are fixed for its life: addresses and bounds.
+            _ = hangup.recv() => info!(event = "reload", outcome = "nothing to take over"; ""),
+        }
+    }
+}
+
+async fn stop(node: &Node) {
+    info!(event = "stopping"; "");
+    node.stopping.begin();
+    if let Some(owner) = node.owner.load_full() {
+        owner.offer(OwnerMessage::Release);
+    }
+    tokio::time::sleep(Duration::from_millis(LEAVE_MS)).await;
+    node.closing.begin();
+}
--- /dev/null
+++ b/crates/controller/src/ownership.rs
@@ -0,0 +1,139 @@
+//! Who owns the fleet: the records in the log, and what a node concludes from them.
+//!
+//! A claim is appended on the condition that the log ends where the claimant has read to, so of
+//! several one succeeds, and a renewal in between defeats them all. The claim's offset, plus one,
+//! is the epoch: no two claims share it, and it rises. It is a hint for who should act; safety
+//! comes from the epoch at the store and at the endpoints, which refuse lower ones.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// Time between an owner's renewals, in milliseconds: three fit into the silence allowed.
+pub const RENEW_EVERY_MS: u64 = 500;
+
+/// Silence after which another node claims, in milliseconds. A store slowed to a hundredth takes
+/// some 400 ms an append, so that even then a sound owner is heard in time.
+pub const SILENCE_MS: u64 = 1_800;
+
+/// Age of the last renewal up to which an owner gives orders for VMs, in milliseconds: well below
+/// the silence after which there may be a successor.
+pub const FRESH_MS: u64 = 1_400;
+
+/// What a record of the ownership log says.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum OwnershipKind {
+    /// A node takes over; the record's offset gives the epoch.
+    Claim,
+    /// The owner goes on.
+    Renewal,
+    /// The owner gives up.
+    Release,
+}
+
+/// Record of the ownership log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnershipRecord {
+    /// What it says.
+    pub kind: OwnershipKind,
+    /// Epoch of the writer; 0 in a claim.
+    pub epoch: u64,
+    /// Life of the writer's process.
+    pub incarnation: u64,
+    /// Address at which the writer takes other nodes' requests.
+    pub address: SocketAddr,
+}
+
+impl OwnershipRecord {
+    /// Encodes the record.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).unwrap_or_default()
+    }
+
+    /// Decodes a record; nothing when it is malformed.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        rmp_serde::from_slice(bytes).ok()
+    }
+}
+
+/// An owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OwnerId {
+    /// Epoch.
+    pub epoch: u64,
+    /// Life of its process.
+    pub incarnation: u64,
+    /// Address at which it takes other nodes' requests.
+    pub address: SocketAddr,
+}
+
+/// What a node knows of ownership.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OwnershipView {
+    /// Owner, if there is one.
+    pub owner: Option<OwnerId>,
+    /// Highest epoch heard of.
+    pub epoch: u64,
+    /// Offset up to which the log was read.
+    pub read_to: u64,
+    /// Whether the owner has given up.
+    pub is_released: bool,
+    heard_ms: u64,
+    reading_since_ms: Option<u64>,
+}
+
+impl OwnershipView {
+    /// Takes in the record at the offset up to which the log was read.
+    pub fn apply(&mut self, record: Option<&OwnershipRecord>, now_ms: u64) {
+        let offset = self.read_to;
+        self.read_to += 1;
+        let Some(record) = record else {
+            return;
+        };
+        let epoch = match record.kind {
+            OwnershipKind::Claim => offset + 1,
+            OwnershipKind::Renewal | OwnershipKind::Release => record.epoch,
+        };
+        if epoch < self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        self.heard_ms = now_ms;
+        self.is_released = record.kind == OwnershipKind::Release;
+        self.owner = (!self.is_released).then_some(OwnerId {
+            epoch,
+            incarnation: record.incarnation,
+            address: record.address,
+        });
+    }
+
+    /// Takes in that the log was read up to its end.
+    pub fn note_read(&mut self, now_ms: u64) {
+        self.reading_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Takes in that the log could not be read: silence says nothing about the owner then.
+    pub fn note_failure(&mut self) {
+        self.reading_since_ms = None;
+    }
+
+    /// Continues at an offset, as the records before it have expired.
+    pub fn skip_to(&mut self, offset: u64) {
+        self.read_to = offset;
+    }
+
+    /// Tells whether the fleet needs an owner.
+    #[must_use]
+    pub fn needs_owner(&self, now_ms: u64) -> bool {
+        let Some(since_ms) = self.reading_since_ms else {
+            return false;
+        };
+        if self.is_released || self.epoch == 0 {
+            return true;
+        }
+        now_ms > self.heard_ms.max(since_ms) + SILENCE_MS
+    }
+}
--- /dev/null
+++ b/crates/controller/src/peer.rs
@@ -0,0 +1,68 @@
+//! Messages between nodes: callers' requests on their way to the owner.
+
+use {
+    lynxwheel_engine::{JobSpec, JobState, Queue},
+    serde::{Deserialize, Serialize},
+};
+
+/// Path at which a node takes other nodes' requests.
+pub const OWNER_PATH: &str = "/owner";
+
+/// A caller's request for the owner.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OwnerRequest {
+    /// Highest epoch that the sender has heard of; an owner of a lower one learns that it is over.
+    pub epoch: u64,
+    /// What is asked for.
+    pub ask: Ask,
+}
+
+/// What a caller asks for.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Ask {
+    /// Hand in a job.
+    Submit {
+        /// Id of the job.
+        job: String,
+        /// Queue as the sender's configuration has it.
+        queue: Queue,
+        /// What the caller sent.
+        spec: Box<JobSpec>,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// Id of the job.
+        job: String,
+    },
+    /// Tell a job's state.
+    State {
+        /// Id of the job.
+        job: String,
+    },
+    /// Count the jobs of a queue of which no task has started.
+    Pending {
+        /// Queue.
+        queue: Queue,
+    },
+}
+
+/// The owner's answer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum OwnerAnswer {
+    /// The job is accepted and stored.
+    Accepted,
+    /// The job is cancelled, or had ended before.
+    Cancelled,
+    /// State of a job.
+    State(JobState),
+    /// Number of jobs.
+    Pending(usize),
+    /// No such job.
+    Unknown,
+    /// Nothing was done, and it does not run.
+    Refused,
+    /// The asked node is not the owner; nothing was done.
+    NotOwner,
+    /// Whether it was done is not known.
+    Unclear,
+}
--- /dev/null
+++ b/crates/controller/src/watcher.rs
@@ -0,0 +1,198 @@
+//! Watching the ownership log: following the owner, claiming when there is none, renewing.
+
+use {
+    crate::{
+        clock,
+        node::Node,
+        owner::{self, OwnerMessage},
+        ownership::{OwnershipKind, OwnershipRecord, OwnershipView, RENEW_EVERY_MS},
+    },
+    log::{info, warn},
+    lynxwheel_platform::{AppendOutcome, Read},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// Topic of the ownership records.
+pub const OWNERSHIP_TOPIC: &str = "lynxwheel-owner";
+
+/// Longest wait of a poll, in milliseconds.
+const WAIT_MS: u64 = 700;
+
+/// Pause after a failed call, in milliseconds.
+const RETRY_MS: u64 = 100;
+
+/// Claims are spread over this time, in milliseconds, so that most nodes see the first one and
+/// save theirs.
+const CLAIM_SPREAD_MS: u64 = 120;
+
+/// Watches the ownership log for as long as the process lives.
+pub async fn watch(node: Arc<Node>) {
+    let mut is_lost = false;
+    loop {
+        let is_read = read_on(&node, WAIT_MS).await;
+        if is_read == is_lost {
+            is_lost = !is_read;
+            if is_lost {
+                warn!(event = "store_lost", duty = "ownership"; "");
+            } else {
+                info!(event = "store_regained", duty = "ownership"; "");
+            }
+        }
+        if !is_read {
+            sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+        follow(&node).await;
+        if may_claim(&node) {
+            claim(&node).await;
+        }
+    }
+}
+
+fn may_claim(node: &Node) -> bool {
+    !node.stopping.has_begun()
+        && node.owner.load().is_none()
+        && node.view.borrow().needs_owner(clock::steady_ms())
+}
+
+/// Reads what was written since; tells whether that worked.
+async fn read_on(node: &Node, wait_ms: u64) -> bool {
+    let from = node.view.borrow().read_to;
+    let read = node.store.read(OWNERSHIP_TOPIC, from, wait_ms).await;
+    let now_ms = clock::steady_ms();
+    let mut is_missing = false;
+    let is_read = match read {
+        Ok(Read::Records { records, .. }) => {
+            node.view.send_modify(|view| {
+                // The renewal of this node's own duties may have moved on meanwhile.
+                view.note_read(now_ms);
+                for record in &records {
+                    view.apply(OwnershipRecord::decode(record).as_ref(), now_ms);
+                }
+            });
+            true
+        }
+        Ok(Read::Trimmed { first }) => {
+            node.view.send_modify(|view| view.skip_to(first));
+            true
+        }
+        Ok(Read::Missing) => {
+            node.view.send_modify(|view| view.note_read(now_ms));
+            is_missing = true;
+            true
+        }
+        Err(_) => {
+            node.view.send_modify(OwnershipView::note_failure);
+            false
+        }
+    };
+    if is_missing {
+        sleep(Duration::from_millis(RETRY_MS)).await;
+    }
+    is_read
+}
+
+/// Takes up the owner's duties, or lays them down, as the log says.
+async fn follow(node: &Arc<Node>) {
+    let owner = node.view.borrow().owner;
+    let mine = owner.filter(|owner| owner.incarnation == node.incarnation);
+    let current = node.owner.load_full();
+    match (current, mine) {
+        (Some(current), Some(mine)) if current.epoch == mine.epoch => {}
+        (Some(current), _) => {
+            if owner.is_some_and(|owner| owner.epoch > current.epoch) {
+                current.offer(OwnerMessage::Deposed);
+            }
+        }
+        // The numbers of its appends are gone with the duties that were laid down: a second life
+        // under one epoch could take another append's answer for its own.
+        (None, Some(mine)) if mine.epoch == node.taken_epoch.load(Ordering::Relaxed) => {
+            release(node, mine.epoch).await;
+        }
+        (None, Some(mine)) if !node.stopping.has_begun() => {
+            owner::take_over(node, mine.epoch).await;
+        }
+        (None, _) => {}
+    }
+}
+
+async fn claim(node: &Node) {
+    let pause_ms = rand::random_range(0..CLAIM_SPREAD_MS);
+    sleep(Duration::from_millis(pause_ms)).await;
+    if !read_on(node, 0).await || !may_claim(node) {
+        return;
+    }
+    let record = OwnershipRecord {
+        kind: OwnershipKind::Claim,
+        epoch: 0,
+        incarnation: node.incarnation,
+        address: node.peer_address,
+    };
+    let at = node.view.borrow().read_to;
+    let outcome = node
+        .store
+        .append(OWNERSHIP_TOPIC, &[record.encode()], Some(at), None)
+        .await;
+    // A claim that succeeded is read back, also when its answer was lost.
+    info!(event = "claim", at = at, outcome:? = outcome; "");
+}
+
+/// Renews this node's ownership until the handle is closed.
+pub async fn renew(node: Arc<Node>, owner: Arc<owner::OwnerHandle>) {
+    let record = OwnershipRecord {
+        kind: OwnershipKind::Renewal,
+        epoch: owner.epoch,
+        incarnation: node.incarnation,
+        address: node.peer_address,
+    };
+    let record = record.encode();
+    let mut at = node.view.borrow().read_to;
+    loop {
+        at = at.max(node.view.borrow().read_to);
+        let sent_ms = clock::steady_ms();
+        let outcome = node
+            .store
+            .append(
+                OWNERSHIP_TOPIC,
+                std::slice::from_ref(&record),
+                Some(at),
+                None,
+            )
+            .await;
+        let pause_ms = match outcome {
+            AppendOutcome::Stored { end, .. } => {
+                at = end;
+                owner.note_renewed(sent_ms);
+                RENEW_EVERY_MS
+            }
+            // Somebody else has written, or an earlier renewal without answer: the watcher tells.
+            _ => RETRY_MS,
+        };
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Gives this node's ownership up, so that another node claims at once.
+pub async fn release(node: &Node, epoch: u64) {
+    let record = OwnershipRecord {
+        kind: OwnershipKind::Release,
+        epoch,
+        incarnation: node.incarnation,
+        address: node.peer_address,
+    };
+    for _ in 0..3 {
+        let at = node.view.borrow().read_to;
+        let outcome = node
+            .store
+            .append(OWNERSHIP_TOPIC, &[record.encode()], Some(at), None)
+            .await;
+        info!(event = "release", epoch = epoch, outcome:? = outcome; "");
+        if matches!(outcome, AppendOutcome::Stored { .. }) {
+            return;
+        }
+        sleep(Duration::from_millis(RETRY_MS)).await;
+    }
+}
--- /dev/null
+++ b/crates/engine/src/attempts.rs
@@ -0,0 +1,425 @@
+//! Runs of tasks: starts and stops, their answers, and the ends that endpoints report.
+
+use crate::{
+    endpoints::SUSPECT_AFTER,
+    engine::{Engine, ORDER_RETRY_MS},
+    event::{CallOutcome, Effect, EndpointKey, Now, Refusal, StartOrder},
+    job::{JobState, TaskRef},
+    reports::{EndKind, EndedTask},
+    state::{Attempt, Job, Phase},
+};
+
+/// Rest of an endpoint after one run failed there, in milliseconds: long enough for other runs to
+/// show whether the endpoint or the task is to blame.
+const FIRST_REST_MS: u64 = 300;
+
+/// Rest of an endpoint after more runs failed in a row, in milliseconds. Troubles of endpoints
+/// last for seconds, and each trial costs somebody one of few attempts.
+const LONG_REST_MS: u64 = 4_000;
+
+/// Runs that fail in a row before an endpoint rests for long.
+const BAD_AFTER: u32 = 2;
+
+/// Rest of an endpoint that refused an order, in milliseconds.
+const REFUSAL_REST_MS: u64 = 500;
+
+/// Pause of a task whose order was malformed for the endpoint, in milliseconds.
+const INVALID_PAUSE_MS: u64 = 2_000;
+
+impl Engine {
+    /// Stops a run; one whose order has not gone out is simply forgotten.
+    pub(crate) fn stop_run(&mut self, task: &TaskRef, run: u32, now: Now) {
+        let Ok(place) = self.search(task.job) else {
+            return;
+        };
+        let Some(attempt) = find_attempt(&mut self.jobs[place], task, run) else {
+            return;
+        };
+        if attempt.phase == Phase::Placed {
+            self.remove_attempt(task, run, now);
+            return;
+        }
+        if attempt.is_stopping {
+            return;
+        }
+        attempt.is_stopping = true;
+        attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
+        let endpoint = attempt.endpoint;
+        self.jobs[place].is_dirty = true;
+        self.forming.push(Effect::Stop {
+            endpoint,
+            task: *task,
+            run,
+        });
+    }
+
+    /// Forgets a run that is over or never was, and gives its room back.
+    pub(crate) fn remove_attempt(&mut self, task: &TaskRef, run: u32, now: Now) {
+        let Ok(place) = self.search(task.job) else {
+            return;
+        };
+        let job = &mut self.jobs[place];
+        let Some(known) = job.task_mut(task) else {
+            return;
+        };
+        let Some(at) = known.attempts.iter().position(|attempt| attempt.run == run) else {
+            return;
+        };
+        let attempt = known.attempts.remove(at);
+        job.is_dirty = true;
+        self.endpoints
+            .get_mut(attempt.endpoint)
+            .release(task, run, now.steady_ms);
+        self.is_schedule_due = true;
+        self.break_gang(place, task, run, now);
+    }
+
+    /// Stops the other members of a gang of which one has ended before it was done.
+    fn break_gang(&mut self, place: usize, task: &TaskRef, run: u32, now: Now) {
+        let job = &self.jobs[place];
+        let is_gang = job.step_spec(task).is_some_and(|spec| spec.gang);
+        let is_done = job.task(task).is_some_and(|task| task.is_done);
+        if !is_gang || is_done {
+            return;
+        }
+        let members: Vec<TaskRef> = job
+            .tasks()
+            .filter(|(name, member)| {
+                name.is_sibling(task) && member.attempts.iter().any(|attempt| attempt.run == run)
+            })
+            .map(|(name, _)| name)
+            .collect();
+        for member in members {
+            self.stop_run(&member, run, now);
+        }
+    }
+
+    pub(crate) fn start_answered(
+        &mut self,
+        key: EndpointKey,
+        task: &TaskRef,
+        run: u32,
+        outcome: CallOutcome<u64>,
+        now: Now,
+    ) {
+        match outcome {
+            CallOutcome::Done(clock_ms) => {
+                self.endpoints.get_mut(key).read_clock(clock_ms, now);
+                self.confirm(key, task, run, now);
+            }
+            // That run is known there; the next report tells how it stands.
+            CallOutcome::Refused(Refusal::OldRun) => self.confirm(key, task, run, now),
+            CallOutcome::Refused(refusal) => {
+                self.rest_after_refusal(key, refusal, now);
+                if refusal == Refusal::Invalid {
+                    self.delay_task(task, now.steady_ms + INVALID_PAUSE_MS);
+                }
+                self.start_failed(task, run, now);
+            }
+            CallOutcome::Unsent => {
+                self.call_failed(key, now);
+                self.start_failed(task, run, now);
+            }
+            CallOutcome::Unknown => {
+                self.call_failed(key, now);
+                if let Ok(place) = self.search(task.job)
+                    && let Some(attempt) = find_attempt(&mut self.jobs[place], task, run)
+                {
+                    attempt.may_start_late = true;
+                    if attempt.phase == Phase::Ordered {
+                        attempt.phase = Phase::Unanswered;
+                        attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
+                    }
+                }
+            }
+            CallOutcome::OtherLife => self.endpoint_over(key, now),
+            CallOutcome::Fenced => self.at_once.push(Effect::Resign),
+        }
+    }
+
+    fn rest_after_refusal(&mut self, key: EndpointKey, refusal: Refusal, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.rests_until_ms = now.steady_ms + REFUSAL_REST_MS;
+        if refusal == Refusal::Late {
+            // The reading of its clock is off; a report brings a new one.
+            endpoint.renew_at_ms = now.steady_ms;
+        }
+    }
+
+    fn delay_task(&mut self, task: &TaskRef, until_ms: u64) {
+        if let Ok(place) = self.search(task.job)
+            && let Some(known) = self.jobs[place].task_mut(task)
+        {
+            known.not_before_ms = until_ms;
+        }
+    }
+
+    /// Takes back a start that was refused, or asks again when an earlier order of the same run
+    /// may still be carried out.
+    fn start_failed(&mut self, task: &TaskRef, run: u32, now: Now) {
+        let Ok(place) = self.search(task.job) else {
+            return;
+        };
+        let Some(attempt) = find_attempt(&mut self.jobs[place], task, run) else {
+            return;
+        };
+        if attempt.may_start_late {
+            attempt.phase = Phase::Unanswered;
+            attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
+        } else if matches!(attempt.phase, Phase::Ordered | Phase::Unanswered) {
+            self.remove_attempt(task, run, now);
+        }
+    }
+
+    /// Notes that an endpoint has a run.
+    pub(crate) fn confirm(&mut self, key: EndpointKey, task: &TaskRef, run: u32, now: Now) {
+        let renewals = self.endpoints.get(key).renewals;
+        let Ok(place) = self.search(task.job) else {
+            return;
+        };
+        let job = &mut self.jobs[place];
+        let Some(attempt) = find_attempt(job, task, run) else {
+            return;
+        };
+        if attempt.phase != Phase::Confirmed {
+            attempt.phase = Phase::Confirmed;
+            attempt.confirmed_at_renewal = renewals;
+        }
+        let is_stopping = attempt.is_stopping;
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+            // Nothing hangs on this state, so it is told before it is stored.
+            if job.shown == Some(JobState::Queued) {
+                job.shown = Some(JobState::Running);
+            }
+        }
+        let endpoint = self.endpoints.get_mut(key);
+        if endpoint.renew_at_ms == u64::MAX {
+            endpoint.renew_at_ms = now.steady_ms;
+        }
+        if is_stopping {
+            self.at_once.push(Effect::Stop {
+                endpoint: key,
+                task: *task,
+                run,
+            });
+        }
+    }
+
+    pub(crate) fn stop_answered(
+        &mut self,
+        key: EndpointKey,
+        task: &TaskRef,
+        run: u32,
+        outcome: &CallOutcome<u64>,
+        now: Now,
+    ) {
+        match outcome {
+            CallOutcome::Done(_) | CallOutcome::Refused(_) => {
+                if let CallOutcome::Done(clock_ms) = outcome {
+                    self.endpoints.get_mut(key).read_clock(*clock_ms, now);
+                }
+                // From now on that run cannot begin there, and a report sent later tells its end.
+                let renewals = self.endpoints.get(key).renewals;
+                if let Ok(place) = self.search(task.job)
+                    && let Some(attempt) = find_attempt(&mut self.jobs[place], task, run)
+                {
+                    attempt.phase = Phase::Confirmed;
+                    attempt.confirmed_at_renewal = renewals;
+                    attempt.retry_at_ms = u64::MAX;
+                }
+                let endpoint = self.endpoints.get_mut(key);
+                endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
+            }
+            CallOutcome::Unsent | CallOutcome::Unknown => self.call_failed(key, now),
+            CallOutcome::OtherLife => self.endpoint_over(key, now),
+            CallOutcome::Fenced => self.at_once.push(Effect::Resign),
+        }
+    }
+
+    /// Repeats orders without answer; a start names the same run, so it happens once.
+    pub(crate) fn repeat_orders(&mut self, now: Now) {
+        let mut due: Vec<(TaskRef, u32, EndpointKey, bool)> = Vec::new();
+        for job in &mut self.jobs {
+            let names: Vec<TaskRef> = job
+                .tasks()
+                .filter(|(_, task)| {
+                    task.attempts
+                        .iter()
+                        .any(|attempt| needs_repeat(attempt, now))
+                })
+                .map(|(name, _)| name)
+                .collect();
+            for name in names {
+                let Some(task) = job.task_mut(&name) else {
+                    continue;
+                };
+                for attempt in task
+                    .attempts
+                    .iter_mut()
+                    .filter(|attempt| needs_repeat(attempt, now))
+                {
+                    attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
+                    due.push((name, attempt.run, attempt.endpoint, attempt.is_stopping));
+                }
+            }
+        }
+        for (task, run, key, is_stop) in due {
+            let endpoint = self.endpoints.get_mut(key);
+            if endpoint.silent_calls >= SUSPECT_AFTER || !endpoint.is_reachable() {
+                continue;
+            }
+            if is_stop {
+                self.at_once.push(Effect::Stop {
+                    endpoint: key,
+                    task,
+                    run,
+                });
+            } else if let Some(deadline_ms) = endpoint.grant(now, self.settings.lease_ms)
+                && let Ok(place) = self.search(task.job)
+            {
+                let order = start_order(&self.jobs[place], key, &task, run, deadline_ms);
+                self.at_once.push(Effect::Start(Box::new(order)));
+            }
+        }
+    }
+
+    /// Takes in that a run has ended.
+    pub(crate) fn run_ended(&mut self, key: EndpointKey, ended: &EndedTask, now: Now) {
+        let Ok(place) = self.search(ended.task.job) else {
+            return;
+        };
+        let job = &mut self.jobs[place];
+        let Some(task) = job.task_mut(&ended.task) else {
+            return;
+        };
+        let is_known = task.attempts.iter().any(|attempt| attempt.run == ended.run);
+        if !ended.checkpoint.is_empty() && !task.is_done {
+            task.checkpoint = ended.checkpoint.clone();
+        }
+        match ended.kind {
+            EndKind::Done => {
+                self.endpoints.get_mut(key).failed_runs = 0;
+                self.run_done(place, &ended.task, ended.run, now);
+            }
+            EndKind::Failed if is_known => self.run_failed(place, key, ended, now),
+            _ => self.remove_attempt(&ended.task, ended.run, now),
+        }
+    }
+
+    fn run_done(&mut self, place: usize, name: &TaskRef, run: u32, now: Now) {
+        let job = &mut self.jobs[place];
+        job.is_dirty = true;
+        let Some(spec) = job.step_spec(name) else {
+            return;
+        };
+        let (lasts, is_gang) = (spec.long_running, spec.gang);
+        if lasts {
+            self.remove_attempt(name, run, now);
+            return;
+        }
+        let names: Vec<TaskRef> = if is_gang {
+            // One end of a gang stands for all of them.
+            job.tasks()
+                .map(|(other, _)| other)
+                .filter(|other| other.is_sibling(name))
+                .collect()
+        } else {
+            vec![*name]
+        };
+        for member in &names {
+            if let Some(task) = self.jobs[place].task_mut(member) {
+                task.is_done = true;
+                task.checkpoint = Default::default();
+            }
+        }
+        self.remove_attempt(name, run, now);
+        for member in &names {
+            let runs: Vec<u32> = self.jobs[place]
+                .task(member)
+                .map(|task| task.attempts.iter().map(|attempt| attempt.run).collect())
+                .unwrap_or_default();
+            for other in runs {
+                self.stop_run(member, other, now);
+            }
+        }
+        self.is_schedule_due = true;
+        self.settle_job(place, now);
+    }
+
+    /// Completes a job when every task is done.
+    fn settle_job(&mut self, place: usize, now: Now) {
+        let job = &mut self.jobs[place];
+        if job.settle() && !job.state.is_final() {
+            job.state = JobState::Completed;
+            job.is_dirty = true;
+            job.ended_ms = now.steady_ms;
+        }
+    }
+
+    fn run_failed(&mut self, place: usize, key: EndpointKey, ended: &EndedTask, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.failed_runs += 1;
+        let rest_ms = if endpoint.failed_runs >= BAD_AFTER {
+            LONG_REST_MS
+        } else {
+            FIRST_REST_MS
+        };
+        endpoint.rests_until_ms = endpoint.rests_until_ms.max(now.steady_ms + rest_ms);
+        let max_attempts = self.jobs[place].queue.max_attempts;
+        let job = &mut self.jobs[place];
+        let lasts = job
+            .step_spec(&ended.task)
+            .is_some_and(|spec| spec.long_running);
+        let mut is_hopeless = false;
+        if let Some(task) = job.task_mut(&ended.task) {
+            task.failed += 1;
+            task.avoid = Some(key);
+            is_hopeless = !lasts && task.failed >= max_attempts;
+        }
+        self.remove_attempt(&ended.task, ended.run, now);
+        if is_hopeless && !self.jobs[place].state.is_final() {
+            self.end_job(place, JobState::Failed, now);
+        }
+    }
+}
+
+fn needs_repeat(attempt: &Attempt, now: Now) -> bool {
+    let is_waiting = attempt.phase == Phase::Unanswered
+        || (attempt.is_stopping && attempt.phase != Phase::Inherited);
+    is_waiting && now.steady_ms >= attempt.retry_at_ms
+}
+
+/// Returns a run of a task to change.
+pub(crate) fn find_attempt<'a>(
+    job: &'a mut Job,
+    task: &TaskRef,
+    run: u32,
+) -> Option<&'a mut Attempt> {
+    job.task_mut(task)?
+        .attempts
+        .iter_mut()
+        .find(|attempt| attempt.run == run)
+}
+
+/// Returns the order that starts a run.
+pub(crate) fn start_order(
+    job: &Job,
+    endpoint: EndpointKey,
+    task: &TaskRef,
+    run: u32,
+    deadline_ms: u64,
+) -> StartOrder {
+    let checkpoint = job
+        .task(task)
+        .map(|known| known.checkpoint.clone())
+        .unwrap_or_default();
+    StartOrder {
+        endpoint,
+        task: *task,
+        run,
+        payload: job.spec.payload.clone(),
+        deadline_ms,
+        checkpoint,
+    }
+}
--- /dev/null
+++ b/crates/engine/src/endpoints.rs
@@ -0,0 +1,315 @@
+//! Endpoints: their lives, leases and room.
+
+use {
+    crate::{
+        event::{EndpointKey, Now},
+        job::{Room, TaskRef},
+        reports::EndpointEntry,
+    },
+    compact_str::CompactString,
+    std::net::{IpAddr, Ipv4Addr, SocketAddr},
+};
+
+/// Share of an endpoint's clock that may be missing, in percent: its steady clock may be 2 % slow,
+/// and one more is kept for what rounds and delays add.
+const CLOCK_SLACK_PERCENT: u64 = 3;
+
+/// Time added to the end of a lease before it counts as over, in milliseconds: the endpoint ends
+/// its runs a moment after the deadline.
+const LEASE_MARGIN_MS: u64 = 150;
+
+/// Failed calls in a row after which an endpoint gets no more lease and nothing new.
+pub const SUSPECT_AFTER: u32 = 2;
+
+/// A reading of an endpoint's steady clock.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct ClockReading {
+    clock_ms: u64,
+    at_ms: u64,
+}
+
+/// A run that takes room of an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Placed {
+    /// Task.
+    pub task: TaskRef,
+    /// Run.
+    pub run: u32,
+    /// Room taken.
+    pub room: Room,
+    /// Whether it serves users of its own.
+    pub serves: bool,
+    /// Whether it uses only what others leave.
+    pub fills: bool,
+    /// Whether it runs until it is stopped.
+    pub lasts: bool,
+    /// Bound of a serving task's tail in milliseconds; 0 for none.
+    pub target_ms: u64,
+    /// Tail of a serving task in milliseconds, as it was last told.
+    pub tail_ms: u64,
+}
+
+/// One life of an endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Id of this life.
+    pub id: CompactString,
+    /// Address for orders.
+    pub address: SocketAddr,
+    /// Pool.
+    pub pool: CompactString,
+    /// Availability zone.
+    pub zone: CompactString,
+    /// VM on which it runs; empty while it is not known.
+    pub vm: CompactString,
+    /// Room in all.
+    pub capacity: Room,
+    /// Labels, the rack among them.
+    pub labels: Vec<CompactString>,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// Whether the registry lists it.
+    pub is_listed: bool,
+    /// Whether this life is known to be over.
+    pub is_over: bool,
+    /// Whether it has told what runs on it, so that something new may start.
+    pub is_reconciled: bool,
+    /// Whether it is being emptied for a move or for maintenance.
+    pub is_held_back: bool,
+    /// Failed calls in a row.
+    pub silent_calls: u32,
+    /// Runs in a row that ended as failed there.
+    pub failed_runs: u32,
+    /// Until when nothing new starts there, on the steady clock.
+    pub rests_until_ms: u64,
+    /// Room taken by runs that may be under way.
+    pub used: Room,
+    /// Those runs.
+    pub placed: Vec<Placed>,
+    /// Renewals sent.
+    pub renewals: u64,
+    /// Whether a renewal is under way.
+    pub is_renewing: bool,
+    /// When the next renewal is due, on the steady clock.
+    pub renew_at_ms: u64,
+    /// Last end taken into account.
+    pub seen: u64,
+    /// Last end whose effect is stored; only these are acknowledged.
+    pub stored_seen: u64,
+    /// Last end that was acknowledged.
+    pub acknowledged: u64,
+    /// When it became empty, on the steady clock.
+    pub empty_since_ms: u64,
+    /// Stops sent for runs that nobody here knows, with their times.
+    pub strays: Vec<(TaskRef, u32, u64)>,
+    clock: Option<ClockReading>,
+    lease_until_clock_ms: u64,
+    over_at_ms: Option<u64>,
+}
+
+impl Endpoint {
+    fn new(id: CompactString, now_ms: u64) -> Self {
+        Self {
+            id,
+            address: SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0),
+            pool: CompactString::default(),
+            zone: CompactString::default(),
+            vm: CompactString::default(),
+            capacity: Room::default(),
+            labels: Vec::new(),
+            is_draining: false,
+            is_listed: false,
+            is_over: false,
+            is_reconciled: false,
+            is_held_back: false,
+            silent_calls: 0,
+            failed_runs: 0,
+            rests_until_ms: 0,
+            used: Room::default(),
+            placed: Vec::new(),
+            renewals: 0,
+            is_renewing: false,
+            renew_at_ms: 0,
+            seen: 0,
+            stored_seen: 0,
+            acknowledged: 0,
+            empty_since_ms: now_ms,
+            strays: Vec::new(),
+            clock: None,
+            lease_until_clock_ms: 0,
+            over_at_ms: None,
+        }
+    }
+
+    /// Takes over what the registry says.
+    pub fn update(&mut self, entry: &EndpointEntry) {
+        self.address = entry.address;
+        self.pool = entry.pool.clone();
+        self.zone = entry.zone.clone();
+        self.capacity = entry.capacity;
+        self.labels.clone_from(&entry.labels);
+        self.is_draining = entry.is_draining;
+        self.is_listed = true;
+        if let Some(vm) = &entry.vm {
+            self.vm = vm.clone();
+        }
+    }
+
+    /// Tells whether calls go to it.
+    #[must_use]
+    pub fn is_reachable(&self) -> bool {
+        !self.is_over && self.address.port() != 0
+    }
+
+    /// Tells whether something new may start there.
+    #[must_use]
+    pub fn takes_starts(&self, now_ms: u64) -> bool {
+        self.is_listed
+            && !self.is_over
+            && !self.is_draining
+            && !self.is_held_back
+            && self.is_reconciled
+            && self.silent_calls == 0
+            && now_ms >= self.rests_until_ms
+    }
+
+    /// Returns the room that is left.
+    #[must_use]
+    pub fn free(&self) -> Room {
+        self.capacity.less(&self.used)
+    }
+
+    /// Returns the rack, which is the label that names one; empty when none does.
+    #[must_use]
+    pub fn has_label(&self, label: &str) -> bool {
+        self.labels.iter().any(|known| known == label)
+    }
+
+    /// Takes in a reading of the endpoint's clock.
+    pub fn read_clock(&mut self, clock_ms: u64, now: Now) {
+        self.clock = Some(ClockReading {
+            clock_ms,
+            at_ms: now.steady_ms,
+        });
+        self.silent_calls = 0;
+    }
+
+    /// Grants a lease that begins now; returns its end on the endpoint's clock.
+    pub fn grant(&mut self, now: Now, lease_ms: u64) -> Option<u64> {
+        let reading = self.clock?;
+        let passed_ms = now.steady_ms.saturating_sub(reading.at_ms);
+        let deadline_ms = reading.clock_ms + passed_ms + lease_ms;
+        self.lease_until_clock_ms = self.lease_until_clock_ms.max(deadline_ms);
+        Some(deadline_ms)
+    }
+
+    /// Reckons with leases that an earlier owner may have granted until now.
+    pub fn inherit_leases(&mut self, lease_ms: u64) {
+        if let Some(reading) = self.clock {
+            let bound_ms = reading.clock_ms + lease_ms;
+            self.lease_until_clock_ms = self.lease_until_clock_ms.max(bound_ms);
+        }
+        self.over_at_ms = None;
+    }
+
+    /// Says when every lease is over at the latest for an endpoint whose clock is not known.
+    pub fn bound_unknown_leases(&mut self, at_ms: u64) {
+        if self.clock.is_none() {
+            self.over_at_ms = Some(at_ms);
+        }
+    }
+
+    /// Tells whether every lease granted is over, so that nothing can run there any more.
+    ///
+    /// An order that is carried out late is covered too: it carries its own deadline, which is
+    /// among those granted.
+    #[must_use]
+    pub fn is_lease_over(&self, now: Now) -> bool {
+        if let Some(at_ms) = self.over_at_ms {
+            return now.steady_ms > at_ms;
+        }
+        let Some(reading) = self.clock else {
+            return false;
+        };
+        let left_ms =
+            (self.lease_until_clock_ms + LEASE_MARGIN_MS).saturating_sub(reading.clock_ms);
+        let wait_ms = left_ms * (100 + CLOCK_SLACK_PERCENT) / 100;
+        now.steady_ms > reading.at_ms + wait_ms
+    }
+
+    /// Takes room for a run.
+    pub fn place(&mut self, placed: Placed) {
+        self.used.add(&placed.room);
+        self.placed.push(placed);
+    }
+
+    /// Gives a run's room back.
+    pub fn release(&mut self, task: &TaskRef, run: u32, now_ms: u64) {
+        let place = self
+            .placed
+            .iter()
+            .position(|placed| placed.task == *task && placed.run == run);
+        if let Some(place) = place {
+            let placed = self.placed.swap_remove(place);
+            self.used = self.used.less(&placed.room);
+            if self.placed.is_empty() {
+                self.empty_since_ms = now_ms;
+            }
+        }
+    }
+}
+
+/// Every endpoint's life that this owner has heard of.
+#[derive(Clone, Debug, Default)]
+pub struct Endpoints {
+    lives: Vec<Endpoint>,
+    /// Keys sorted by id.
+    by_id: Vec<EndpointKey>,
+}
+
+impl Endpoints {
+    /// Returns an endpoint.
+    #[must_use]
+    pub fn get(&self, key: EndpointKey) -> &Endpoint {
+        &self.lives[key as usize]
+    }
+
+    /// Returns an endpoint to change.
+    pub fn get_mut(&mut self, key: EndpointKey) -> &mut Endpoint {
+        &mut self.lives[key as usize]
+    }
+
+    fn search(&self, id: &str) -> Result<usize, usize> {
+        self.by_id
+            .binary_search_by(|&key| self.get(key).id.as_str().cmp(id))
+    }
+
+    /// Returns the key of an id.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<EndpointKey> {
+        self.search(id).ok().map(|place| self.by_id[place])
+    }
+
+    /// Returns the key of an id, and adds the endpoint when it is new.
+    pub fn find_or_add(&mut self, id: &CompactString, now_ms: u64) -> EndpointKey {
+        match self.search(id) {
+            Ok(place) => self.by_id[place],
+            Err(place) => {
+                let key = EndpointKey::try_from(self.lives.len()).unwrap_or(EndpointKey::MAX);
+                self.lives.push(Endpoint::new(id.clone(), now_ms));
+                self.by_id.insert(place, key);
+                key
+            }
+        }
+    }
+
+    /// Returns every endpoint with its key.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        (0..).zip(&self.lives)
+    }
+
+    /// Returns the keys of all endpoints.
+    pub fn keys(&self) -> std::ops::Range<EndpointKey> {
+        0..EndpointKey::try_from(self.lives.len()).unwrap_or(EndpointKey::MAX)
+    }
+}
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,489 @@
+//! The engine: what one owner knows of the fleet, and what follows from each event.
+//!
+//! An event changes the state in memory and adds effects to the forming batch. The caller cuts a
+//! batch, stores its records, and reports the commit; only then are the batch's effects released.
+//! So nothing is ordered, acknowledged or answered that a later owner would not know of. What is
+//! safe without being stored, such as renewing a lease, is released at once.
+
+use {
+    crate::{
+        config::{FleetConfig, Queue},
+        endpoints::Endpoints,
+        event::{CallerAnswer, Effect, EndpointKey, Event, Now, ReplyToken, StartOrder},
+        job::{JobId, JobSpec, JobState, TaskRef},
+        pools::Vm,
+        state::{Job, Phase},
+        stored::{
+            Record, RecordKind, StoredProgress, StoredSpec, StoredWave, decode, progress_drop,
+            progress_record, record_kind, restore_job, spec_drop, spec_record,
+        },
+        waves::Wave,
+    },
+    std::sync::Arc,
+};
+
+/// Time after which an endpoint is asked again when its order got no answer, in milliseconds.
+pub const ORDER_RETRY_MS: u64 = 200;
+
+/// Bounds that the platform sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSettings {
+    /// Length of the leases granted to endpoints, in milliseconds.
+    pub lease_ms: u64,
+    /// Time that an ended job is remembered, in milliseconds.
+    pub retention_ms: u64,
+    /// Time that a VM takes to move, in milliseconds.
+    pub migrate_ms: u64,
+    /// Time that maintenance takes, in milliseconds.
+    pub maintenance_ms: u64,
+    /// Time for which a long-running task must be at work again before it counts as available.
+    pub notice_ms: u64,
+    /// Factor by which a task is slower away from its data.
+    pub remote_factor: f64,
+}
+
+impl Default for EngineSettings {
+    /// The figures of the platform's examples.
+    fn default() -> Self {
+        Self {
+            lease_ms: 6_000,
+            retention_ms: 150_000,
+            migrate_ms: 1_500,
+            maintenance_ms: 2_000,
+            notice_ms: 4_500,
+            remote_factor: 2.0,
+        }
+    }
+}
+
+/// A job that has ended and of which only the state is kept.
+#[derive(Clone, Copy, Debug)]
+struct EndedJob {
+    id: JobId,
+    state: JobState,
+    at_ms: u64,
+}
+
+/// Records to store together, and what is released when they are.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// Records.
+    pub records: Vec<Record>,
+    effects: Vec<Effect>,
+    shown: Vec<(JobId, JobState)>,
+    stored_ends: Vec<(EndpointKey, u64)>,
+}
+
+/// State of the fleet in the hands of its owner.
+#[derive(Debug)]
+pub struct Engine {
+    pub(crate) settings: EngineSettings,
+    pub(crate) config: Arc<FleetConfig>,
+    /// Jobs in progress, sorted by id; boxed, so that inserting moves little.
+    #[expect(
+        clippy::vec_box,
+        reason = "inserting in the middle moves pointers only"
+    )]
+    pub(crate) jobs: Vec<Box<Job>>,
+    /// Jobs that have ended, sorted by id.
+    ended: Vec<EndedJob>,
+    pub(crate) endpoints: Endpoints,
+    /// VMs sorted by name.
+    pub(crate) vms: Vec<Vm>,
+    /// Waves sorted by number.
+    pub(crate) waves: Vec<Wave>,
+    pub(crate) forming: Vec<Effect>,
+    pub(crate) at_once: Vec<Effect>,
+    pub(crate) drops: Vec<Record>,
+    pub(crate) is_schedule_due: bool,
+    pub(crate) may_order_vms: bool,
+}
+
+impl Engine {
+    /// Creates an engine that knows of nothing.
+    #[must_use]
+    pub fn new(settings: EngineSettings) -> Self {
+        Self {
+            settings,
+            config: Arc::default(),
+            jobs: Vec::new(),
+            ended: Vec::new(),
+            endpoints: Endpoints::default(),
+            vms: Vec::new(),
+            waves: Vec::new(),
+            forming: Vec::new(),
+            at_once: Vec::new(),
+            drops: Vec::new(),
+            is_schedule_due: false,
+            may_order_vms: false,
+        }
+    }
+
+    /// Takes in the records of earlier owners, the newest of each key.
+    ///
+    /// Returns the keys of records that cannot be read; they are left alone.
+    pub fn restore<'a>(&mut self, records: &'a [Record], now: Now) -> Vec<&'a str> {
+        let mut unread = Vec::new();
+        let mut specs: Vec<(JobId, StoredSpec)> = Vec::new();
+        for record in records {
+            if let Some(RecordKind::Spec(id)) = record_kind(&record.key) {
+                match decode(&record.value) {
+                    Some(spec) => specs.push((id, spec)),
+                    None => unread.push(record.key.as_str()),
+                }
+            }
+        }
+        specs.sort_unstable_by_key(|(id, _)| *id);
+        for record in records {
+            let is_read = match record_kind(&record.key) {
+                Some(RecordKind::Progress(id)) => decode(&record.value)
+                    .is_some_and(|progress| self.restore_one(id, progress, &mut specs, now)),
+                Some(RecordKind::Wave(wave)) => decode::<StoredWave>(&record.value)
+                    .map(|stored| self.restore_wave(wave, stored))
+                    .is_some(),
+                Some(RecordKind::Spec(_)) => true,
+                None => false,
+            };
+            if !is_read {
+                unread.push(record.key.as_str());
+            }
+        }
+        self.jobs.sort_unstable_by_key(|job| job.id);
+        self.ended.sort_unstable_by_key(|job| job.id);
+        self.charge_inherited(now);
+        self.is_schedule_due = true;
+        unread
+    }
+
+    fn restore_one(
+        &mut self,
+        id: JobId,
+        progress: StoredProgress,
+        specs: &mut Vec<(JobId, StoredSpec)>,
+        now: Now,
+    ) -> bool {
+        let spec = match specs.binary_search_by_key(&id, |(known, _)| *known) {
+            Ok(place) => Some(specs[place].1.clone()),
+            Err(_) => None,
+        };
+        let Some(spec) = spec else {
+            let state = progress.state();
+            if state.is_final() {
+                self.ended.push(EndedJob {
+                    id,
+                    state,
+                    at_ms: now.steady_ms,
+                });
+            }
+            return state.is_final();
+        };
+        let endpoints = &mut self.endpoints;
+        let job = restore_job(id, spec, progress, |name| {
+            endpoints.find_or_add(name, now.steady_ms)
+        });
+        self.jobs.push(Box::new(job));
+        true
+    }
+
+    /// Takes in an event.
+    pub fn handle(&mut self, event: Event, now: Now) {
+        match event {
+            Event::Submit {
+                job,
+                queue,
+                spec,
+                token,
+            } => self.submit(job, queue, *spec, token, now),
+            Event::Cancel { job, token } => self.cancel(job, token, now),
+            Event::Config(config) => self.set_config(config),
+            Event::Listed(entry) => self.endpoint_listed(&entry, now),
+            Event::Unlisted(id) => self.endpoint_unlisted(&id, now),
+            Event::Vms(vms) => self.vms_listed(vms, now),
+            Event::Wave(order) => self.wave_ordered(order, now),
+            Event::Started {
+                endpoint,
+                task,
+                run,
+                outcome,
+            } => self.start_answered(endpoint, &task, run, outcome, now),
+            Event::Stopped {
+                endpoint,
+                task,
+                run,
+                outcome,
+            } => self.stop_answered(endpoint, &task, run, &outcome, now),
+            Event::Renewed { endpoint, outcome } => self.renewal_answered(endpoint, outcome, now),
+            Event::Paced {
+                endpoint,
+                task,
+                run,
+                percent,
+                is_done,
+            } => self.pace_answered(endpoint, &task, run, percent, is_done),
+            Event::VmAnswer { vm, outcome } => self.vm_answered(&vm, outcome, now),
+            Event::Tick => self.tick(now),
+        }
+    }
+
+    /// Allows orders for VMs, or forbids them while another owner might give some.
+    pub fn allow_vm_orders(&mut self, is_allowed: bool) {
+        self.may_order_vms = is_allowed;
+    }
+
+    fn submit(&mut self, id: JobId, queue: Queue, spec: JobSpec, token: ReplyToken, now: Now) {
+        let accepted = Effect::Reply {
+            token,
+            answer: CallerAnswer::Accepted,
+        };
+        match self.search(id) {
+            Ok(place) => {
+                let job = &mut self.jobs[place];
+                if job.shown.is_some() {
+                    self.at_once.push(accepted);
+                } else {
+                    job.waiting.push(token);
+                }
+            }
+            Err(_) if self.find_ended(id).is_some() => self.at_once.push(accepted),
+            Err(place) => {
+                let mut job = Box::new(Job::new(id, queue, spec, now.wall_ms));
+                job.waiting.push(token);
+                job.begin_due(now.wall_ms);
+                self.jobs.insert(place, job);
+                self.is_schedule_due = true;
+            }
+        }
+    }
+
+    fn cancel(&mut self, id: JobId, token: ReplyToken, now: Now) {
+        let answer = |answer| Effect::Reply { token, answer };
+        if let Ok(place) = self.search(id) {
+            if !self.jobs[place].state.is_final() {
+                self.end_job(place, JobState::Cancelled, now);
+            }
+            // The answer waits for the batch, as the end may not be stored yet.
+            self.forming.push(answer(CallerAnswer::Cancelled));
+        } else if self.find_ended(id).is_some() {
+            self.at_once.push(answer(CallerAnswer::Cancelled));
+        } else {
+            self.at_once.push(answer(CallerAnswer::Unknown));
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    pub(crate) fn end_job(&mut self, place: usize, state: JobState, now: Now) {
+        let job = &mut self.jobs[place];
+        job.state = state;
+        job.is_dirty = true;
+        job.ended_ms = now.steady_ms;
+        let running: Vec<(TaskRef, u32)> = job
+            .tasks()
+            .flat_map(|(name, task)| task.attempts.iter().map(move |attempt| (name, attempt.run)))
+            .collect();
+        for (task, run) in running {
+            self.stop_run(&task, run, now);
+        }
+    }
+
+    fn set_config(&mut self, config: Arc<FleetConfig>) {
+        for job in &mut self.jobs {
+            let queue = config.queues.iter().find(|queue| queue.is_same(&job.queue));
+            if let Some(queue) = queue
+                && *queue != job.queue
+            {
+                job.queue = queue.clone();
+                // Written again with the next change, so that a later owner starts from it.
+                job.is_spec_stored = false;
+                job.is_dirty = true;
+            }
+        }
+        self.config = config;
+        self.is_schedule_due = true;
+    }
+
+    pub(crate) fn search(&self, id: JobId) -> Result<usize, usize> {
+        self.jobs.binary_search_by_key(&id, |job| job.id)
+    }
+
+    fn find_ended(&self, id: JobId) -> Option<&EndedJob> {
+        let place = self.ended.binary_search_by_key(&id, |job| job.id);
+        place.ok().map(|place| &self.ended[place])
+    }
+
+    /// Returns what may be told of a job; nothing when no such job is stored.
+    #[must_use]
+    pub fn shown(&self, id: JobId) -> Option<JobState> {
+        match self.search(id) {
+            Ok(place) => self.jobs[place].shown,
+            Err(_) => self.find_ended(id).map(|job| job.state),
+        }
+    }
+
+    /// Tells whether a job was handed in that is not stored yet.
+    #[must_use]
+    pub fn is_unstored(&self, id: JobId) -> bool {
+        self.search(id)
+            .is_ok_and(|place| self.jobs[place].shown.is_none())
+    }
+
+    /// Counts the jobs of a queue of which no task has started.
+    #[must_use]
+    pub fn pending(&self, queue: &Queue) -> usize {
+        self.jobs
+            .iter()
+            .filter(|job| job.state == JobState::Queued && job.queue.is_same(queue))
+            .count()
+    }
+
+    /// Returns the jobs in progress.
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.iter().map(AsRef::as_ref)
+    }
+
+    /// Returns the endpoints.
+    #[must_use]
+    pub fn endpoints(&self) -> &Endpoints {
+        &self.endpoints
+    }
+
+    /// Takes the effects that wait for nothing.
+    pub fn take_at_once(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.at_once)
+    }
+
+    /// Cuts a batch: places what can start, and gathers what has changed.
+    pub fn cut_batch(&mut self, now: Now) -> Batch {
+        if self.is_schedule_due {
+            self.is_schedule_due = false;
+            self.schedule(now);
+        }
+        let mut batch = Batch {
+            records: std::mem::take(&mut self.drops),
+            effects: Vec::new(),
+            shown: Vec::new(),
+            stored_ends: self.unacknowledged(),
+        };
+        for job in &mut self.jobs {
+            if !job.is_dirty {
+                continue;
+            }
+            job.is_dirty = false;
+            if !job.is_spec_stored {
+                job.is_spec_stored = true;
+                batch.records.push(spec_record(job));
+            }
+            batch.records.push(progress_record(job, &self.endpoints));
+            batch.shown.push((job.id, job.state));
+            batch
+                .effects
+                .extend(job.waiting.drain(..).map(|token| Effect::Reply {
+                    token,
+                    answer: CallerAnswer::Accepted,
+                }));
+        }
+        batch.records.extend(self.wave_records());
+        batch.effects.append(&mut self.forming);
+        batch
+    }
+
+    /// Takes in that a batch is stored, and returns what it releases.
+    pub fn committed(&mut self, batch: Batch, now: Now) -> Vec<Effect> {
+        for (id, state) in batch.shown {
+            if let Ok(place) = self.search(id) {
+                let job = &mut self.jobs[place];
+                job.shown = Some(state);
+                if state.is_final() && !job.has_attempts() && !job.is_dirty {
+                    self.forget_details(place);
+                }
+            }
+        }
+        for (key, number) in batch.stored_ends {
+            let endpoint = self.endpoints.get_mut(key);
+            endpoint.stored_seen = endpoint.stored_seen.max(number);
+        }
+        let mut released = Vec::with_capacity(batch.effects.len());
+        for effect in batch.effects {
+            match effect {
+                Effect::Start(order) => {
+                    released.extend(self.release_start(*order, now));
+                }
+                other => released.push(other),
+            }
+        }
+        released
+    }
+
+    /// Fills in a start's lease when its decision is stored.
+    ///
+    /// A start whose run was given up in the meantime was never sent, and so never will be.
+    fn release_start(&mut self, mut order: StartOrder, now: Now) -> Option<Effect> {
+        let place = self.search(order.task.job).ok()?;
+        let task = self.jobs[place].task_mut(&order.task)?;
+        let attempt = task
+            .attempts
+            .iter_mut()
+            .find(|attempt| attempt.run == order.run)?;
+        let endpoint = self.endpoints.get_mut(order.endpoint);
+        if attempt.is_stopping || endpoint.is_over {
+            return None;
+        }
+        order.deadline_ms = endpoint.grant(now, self.settings.lease_ms)?;
+        attempt.phase = Phase::Ordered;
+        Some(Effect::Start(Box::new(order)))
+    }
+
+    /// Keeps only the state of a job that has ended.
+    pub(crate) fn forget_details(&mut self, place: usize) {
+        let job = self.jobs.remove(place);
+        self.drops.push(spec_drop(job.id));
+        if let Err(place) = self.ended.binary_search_by_key(&job.id, |ended| ended.id) {
+            let ended = EndedJob {
+                id: job.id,
+                state: job.state,
+                at_ms: job.ended_ms,
+            };
+            self.ended.insert(place, ended);
+        }
+    }
+
+    fn tick(&mut self, now: Now) {
+        self.begin_occurrences(now);
+        self.expire_leases(now);
+        self.repeat_orders(now);
+        self.renew_leases(now);
+        self.forget_old(now);
+        self.plan_waves(now);
+        self.plan_pools(now);
+        // Rests and delays end without an event of their own.
+        self.is_schedule_due = true;
+    }
+
+    fn begin_occurrences(&mut self, now: Now) {
+        for job in &mut self.jobs {
+            if !job.state.is_final() {
+                job.begin_due(now.wall_ms);
+            }
+        }
+    }
+
+    fn forget_old(&mut self, now: Now) {
+        let retention_ms = self.settings.retention_ms;
+        let drops = &mut self.drops;
+        self.ended.retain(|job| {
+            let is_kept = now.steady_ms < job.at_ms + retention_ms;
+            if !is_kept {
+                drops.push(progress_drop(job.id));
+            }
+            is_kept
+        });
+    }
+
+    /// Returns the ends taken into account since the last batch.
+    fn unacknowledged(&self) -> Vec<(EndpointKey, u64)> {
+        self.endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.seen > endpoint.stored_seen)
+            .map(|(key, endpoint)| (key, endpoint.seen))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/engine/src/event.rs
@@ -0,0 +1,265 @@
+//! What the engine learns and what it asks for.
+
+use {
+    crate::{
+        config::FleetConfig,
+        config::Queue,
+        job::{JobId, JobSpec, TaskRef},
+        reports::{EndpointEntry, EndpointReport, VmEntry, WaveOrder},
+    },
+    compact_str::CompactString,
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// Number of an endpoint's life within one engine.
+pub type EndpointKey = u32;
+
+/// Names a caller's request that waits for its answer.
+pub type ReplyToken = u64;
+
+/// Times at which something is decided.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Now {
+    /// Steady clock that counts suspension too, in milliseconds.
+    pub steady_ms: u64,
+    /// Time of day, in milliseconds since 1970.
+    pub wall_ms: u64,
+}
+
+/// Outcome of a call to an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallOutcome<T> {
+    /// Answered.
+    Done(T),
+    /// Another life answered: the one meant is over.
+    OtherLife,
+    /// A newer owner has given orders there.
+    Fenced,
+    /// Refused, and nothing was done.
+    Refused(Refusal),
+    /// Nothing was sent: no connection.
+    Unsent,
+    /// No answer: it may have been carried out, or may be later.
+    Unknown,
+}
+
+/// Why an endpoint refused an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// That run, or a later one, was stopped or has ended there.
+    OldRun,
+    /// The order's time was over.
+    Late,
+    /// It does not fit.
+    NoRoom,
+    /// The ticket does not hold.
+    Ticket,
+    /// The endpoint is unhealthy or busy.
+    Unhealthy,
+    /// It does not know the task, or takes the order for malformed.
+    Invalid,
+}
+
+/// Outcome of a call for a VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum VmOutcome {
+    /// Done, now or before.
+    Done,
+    /// The VM is not up, or is leaving.
+    Busy,
+    /// Refused for another reason: nothing was done.
+    Refused,
+    /// No answer: it may have been carried out, or may be later.
+    Unknown,
+}
+
+/// What the engine learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller hands in a job.
+    Submit {
+        /// Id of the job.
+        job: JobId,
+        /// Queue as the receiving node's configuration has it.
+        queue: Queue,
+        /// What the caller sent.
+        spec: Box<JobSpec>,
+        /// Request that waits.
+        token: ReplyToken,
+    },
+    /// A caller cancels a job.
+    Cancel {
+        /// Id of the job.
+        job: JobId,
+        /// Request that waits.
+        token: ReplyToken,
+    },
+    /// A configuration came into force.
+    Config(Arc<FleetConfig>),
+    /// An endpoint's entry was written.
+    Listed(Box<EndpointEntry>),
+    /// An endpoint's entry was removed.
+    Unlisted(CompactString),
+    /// The platform's list of VMs, whole.
+    Vms(Vec<VmEntry>),
+    /// An operator orders maintenance.
+    Wave(WaveOrder),
+    /// Answer to a start.
+    Started {
+        /// Endpoint.
+        endpoint: EndpointKey,
+        /// Task.
+        task: TaskRef,
+        /// Run.
+        run: u32,
+        /// Outcome, with the endpoint's clock.
+        outcome: CallOutcome<u64>,
+    },
+    /// Answer to a stop.
+    Stopped {
+        /// Endpoint.
+        endpoint: EndpointKey,
+        /// Task.
+        task: TaskRef,
+        /// Run.
+        run: u32,
+        /// Outcome, with the endpoint's clock.
+        outcome: CallOutcome<u64>,
+    },
+    /// Answer to a renewal of an endpoint's lease.
+    Renewed {
+        /// Endpoint.
+        endpoint: EndpointKey,
+        /// Outcome.
+        outcome: CallOutcome<EndpointReport>,
+    },
+    /// Answer to a change of pace.
+    Paced {
+        /// Endpoint.
+        endpoint: EndpointKey,
+        /// Task.
+        task: TaskRef,
+        /// Run.
+        run: u32,
+        /// Share of work asked for, in percent.
+        percent: u8,
+        /// Whether it was carried out.
+        is_done: bool,
+    },
+    /// Answer to a move or to maintenance.
+    VmAnswer {
+        /// VM.
+        vm: CompactString,
+        /// Outcome.
+        outcome: VmOutcome,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// Answer to a caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerAnswer {
+    /// The job is accepted and stored.
+    Accepted,
+    /// The job is cancelled, or had ended before.
+    Cancelled,
+    /// No such job.
+    Unknown,
+    /// The job was not accepted and never runs.
+    Refused,
+}
+
+/// What the engine asks for.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Start a run.
+    Start(Box<StartOrder>),
+    /// Stop a run.
+    Stop {
+        /// Endpoint.
+        endpoint: EndpointKey,
+        /// Task.
+        task: TaskRef,
+        /// Run.
+        run: u32,
+    },
+    /// Renew an endpoint's lease and ask for its report.
+    Renew {
+        /// Endpoint.
+        endpoint: EndpointKey,
+        /// End of the lease on the endpoint's clock, if it is to be renewed.
+        deadline_ms: Option<u64>,
+        /// Ends up to this number may be forgotten.
+        acknowledged: u64,
+        /// Time that the endpoint may wait for an end, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Let a run work at a share of its speed.
+    Pace {
+        /// Endpoint.
+        endpoint: EndpointKey,
+        /// Task.
+        task: TaskRef,
+        /// Run.
+        run: u32,
+        /// Share in percent.
+        percent: u8,
+    },
+    /// Move a VM to another pool.
+    Move {
+        /// VM.
+        vm: CompactString,
+        /// Pool.
+        pool: CompactString,
+    },
+    /// Begin the maintenance of a VM.
+    Maintain {
+        /// VM.
+        vm: CompactString,
+        /// Wave.
+        wave: u64,
+    },
+    /// Publish how a wave stands.
+    PublishWave {
+        /// Wave.
+        wave: u64,
+        /// Whether every VM has had its maintenance.
+        is_completed: bool,
+    },
+    /// Answer a caller.
+    Reply {
+        /// Request.
+        token: ReplyToken,
+        /// Answer.
+        answer: CallerAnswer,
+    },
+    /// Give up ownership: a newer owner gives orders.
+    Resign,
+}
+
+/// Order to start a run.
+#[derive(Clone, Debug)]
+pub struct StartOrder {
+    /// Endpoint.
+    pub endpoint: EndpointKey,
+    /// Task.
+    pub task: TaskRef,
+    /// Run.
+    pub run: u32,
+    /// Text of the job.
+    pub payload: CompactString,
+    /// End of the lease on the endpoint's clock, in milliseconds.
+    pub deadline_ms: u64,
+    /// Checkpoint from which to go on; empty for none.
+    pub checkpoint: CompactString,
+}
+
+/// Where an endpoint's life is reached.
+#[derive(Clone, Debug)]
+pub struct EndpointAddress {
+    /// Id of the life.
+    pub id: CompactString,
+    /// Address.
+    pub address: SocketAddr,
+}
--- /dev/null
+++ b/crates/engine/src/leases.rs
@@ -0,0 +1,384 @@
+//! Endpoints' lives and leases: who is listed, what each reports, when a lease is over.
+
+use crate::{
+    attempts::find_attempt,
+    endpoints::{Placed, SUSPECT_AFTER},
+    engine::Engine,
+    event::{CallOutcome, Effect, EndpointKey, Now},
+    job::TaskRef,
+    reports::{EndpointEntry, EndpointReport, RunningTask},
+    state::Phase,
+};
+
+/// Time between renewals of a lease, in milliseconds. A quarter of the shortest lease in use, so
+/// that three may fail before it lapses; each costs a call.
+const RENEW_EVERY_MS: u64 = 1_000;
+
+/// Time that an endpoint may wait for an end before it answers a renewal, in milliseconds: an end
+/// is then told at once, without more calls.
+const RENEW_WAIT_MS: u64 = 1_000;
+
+/// Shorter wait where filling tasks run beside serving ones, in milliseconds: tails are told only
+/// with an answer, and one over its bound must be found well within a second.
+const TAIL_WAIT_MS: u64 = 400;
+
+/// Pause before the next renewal after one that told an end, in milliseconds: ends come in groups,
+/// and one call fetches several.
+const RENEW_PAUSE_MS: u64 = 12;
+
+/// Pause after a renewal that failed, in milliseconds.
+const RENEW_RETRY_MS: u64 = 250;
+
+/// Time in which a stop for an unknown run is not repeated, in milliseconds.
+const STRAY_PAUSE_MS: u64 = 500;
+
+/// Time by which every lease of an earlier owner is over at an endpoint that cannot be asked, as a
+/// multiple of the lease in percent: slow clock and the time that the owner kept granting.
+const INHERITED_PERCENT: u64 = 150;
+
+impl Engine {
+    pub(crate) fn endpoint_listed(&mut self, entry: &EndpointEntry, now: Now) {
+        let key = self.endpoints.find_or_add(&entry.id, now.steady_ms);
+        let endpoint = self.endpoints.get_mut(key);
+        if endpoint.is_over {
+            return;
+        }
+        let began_draining = entry.is_draining && !endpoint.is_draining;
+        endpoint.update(entry);
+        if !endpoint.is_reconciled && !endpoint.is_renewing {
+            endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
+        }
+        if began_draining {
+            self.leave_draining(key, now);
+        }
+        self.end_predecessors(key, now);
+        self.renew_leases(now);
+        self.is_schedule_due = true;
+    }
+
+    /// Ends earlier lives at the address or on the VM of a new one: there is one at a time.
+    fn end_predecessors(&mut self, key: EndpointKey, now: Now) {
+        let (address, vm) = {
+            let endpoint = self.endpoints.get(key);
+            (endpoint.address, endpoint.vm.clone())
+        };
+        let replaced: Vec<EndpointKey> = self
+            .endpoints
+            .iter()
+            .filter(|&(other, endpoint)| {
+                // Keys rise with the order of discovery.
+                other < key
+                    && !endpoint.is_over
+                    && (endpoint.address == address || (!vm.is_empty() && endpoint.vm == vm))
+            })
+            .map(|(other, _)| other)
+            .collect();
+        for other in replaced {
+            self.endpoint_over(other, now);
+        }
+    }
+
+    /// Stops the long-running tasks of an endpoint that is leaving, so that they go on elsewhere.
+    fn leave_draining(&mut self, key: EndpointKey, now: Now) {
+        let lasting: Vec<(TaskRef, u32)> = self
+            .endpoints
+            .get(key)
+            .placed
+            .iter()
+            .filter(|placed| placed.lasts)
+            .map(|placed| (placed.task, placed.run))
+            .collect();
+        for (task, run) in lasting {
+            self.stop_run(&task, run, now);
+        }
+    }
+
+    pub(crate) fn endpoint_unlisted(&mut self, id: &str, now: Now) {
+        let Some(key) = self.endpoints.find(id) else {
+            return;
+        };
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.is_listed = false;
+        // Asked now, so that a life that has ended is found out before its lease is over.
+        endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
+    }
+
+    /// Takes in that a life is over: nothing runs there, and nothing will.
+    pub(crate) fn endpoint_over(&mut self, key: EndpointKey, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.is_over = true;
+        endpoint.is_listed = false;
+        self.lose_runs(key, now);
+    }
+
+    fn lose_runs(&mut self, key: EndpointKey, now: Now) {
+        let lost: Vec<(TaskRef, u32)> = self
+            .endpoints
+            .get(key)
+            .placed
+            .iter()
+            .map(|placed| (placed.task, placed.run))
+            .collect();
+        for (task, run) in lost {
+            self.remove_attempt(&task, run, now);
+        }
+    }
+
+    /// Notes a call without answer.
+    pub(crate) fn call_failed(&mut self, key: EndpointKey, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.silent_calls += 1;
+        endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms + RENEW_RETRY_MS);
+    }
+
+    /// Takes back the runs of endpoints whose leases are over.
+    pub(crate) fn expire_leases(&mut self, now: Now) {
+        let expired: Vec<EndpointKey> = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| {
+                let is_silent = endpoint.silent_calls >= SUSPECT_AFTER || !endpoint.is_reachable();
+                is_silent && !endpoint.placed.is_empty() && endpoint.is_lease_over(now)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            self.endpoints.get_mut(key).is_reconciled = false;
+            self.lose_runs(key, now);
+        }
+    }
+
+    /// Sends the renewals that are due.
+    pub(crate) fn renew_leases(&mut self, now: Now) {
+        for key in self.endpoints.keys() {
+            let endpoint = self.endpoints.get_mut(key);
+            let is_needed = !endpoint.placed.is_empty()
+                || !endpoint.strays.is_empty()
+                || endpoint.stored_seen > endpoint.acknowledged
+                || (!endpoint.is_reconciled && endpoint.is_listed);
+            let is_due = now.steady_ms >= endpoint.renew_at_ms;
+            if !endpoint.is_reachable() || endpoint.is_renewing || !is_needed || !is_due {
+                continue;
+            }
+            endpoint.is_renewing = true;
+            endpoint.renewals += 1;
+            let is_trusted = endpoint.silent_calls < SUSPECT_AFTER && endpoint.is_reconciled;
+            let deadline_ms = if is_trusted {
+                endpoint.grant(now, self.settings.lease_ms)
+            } else {
+                None
+            };
+            let wait_ms = if !is_trusted || endpoint.placed.is_empty() {
+                0
+            } else if has_mixed_load(&endpoint.placed) {
+                TAIL_WAIT_MS
+            } else {
+                RENEW_WAIT_MS
+            };
+            endpoint.acknowledged = endpoint.stored_seen;
+            self.at_once.push(Effect::Renew {
+                endpoint: key,
+                deadline_ms,
+                acknowledged: endpoint.stored_seen,
+                wait_ms,
+            });
+        }
+    }
+
+    pub(crate) fn renewal_answered(
+        &mut self,
+        key: EndpointKey,
+        outcome: CallOutcome<EndpointReport>,
+        now: Now,
+    ) {
+        self.endpoints.get_mut(key).is_renewing = false;
+        match outcome {
+            CallOutcome::Done(report) => self.take_report(key, &report, now),
+            CallOutcome::OtherLife => self.endpoint_over(key, now),
+            CallOutcome::Fenced => self.at_once.push(Effect::Resign),
+            CallOutcome::Unsent => {
+                let endpoint = self.endpoints.get(key);
+                // Nothing listens where an endpoint said that it would leave, and its entry is
+                // gone too: it has left.
+                if endpoint.is_draining && !endpoint.is_listed {
+                    self.endpoint_over(key, now);
+                } else {
+                    self.renewal_failed(key, now);
+                }
+            }
+            CallOutcome::Unknown | CallOutcome::Refused(_) => self.renewal_failed(key, now),
+        }
+        self.renew_leases(now);
+    }
+
+    fn renewal_failed(&mut self, key: EndpointKey, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.renew_at_ms = u64::MAX;
+        self.call_failed(key, now);
+    }
+
+    fn take_report(&mut self, key: EndpointKey, report: &EndpointReport, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.read_clock(report.clock_ms, now);
+        if !endpoint.is_reconciled {
+            endpoint.is_reconciled = true;
+            endpoint.inherit_leases(self.settings.lease_ms);
+        }
+        let renewal = endpoint.renewals;
+        let seen = endpoint.seen;
+        for ended in report.ended.iter().filter(|ended| ended.number > seen) {
+            self.run_ended(key, ended, now);
+        }
+        if let Some(last) = report.ended.last() {
+            let endpoint = self.endpoints.get_mut(key);
+            endpoint.seen = endpoint.seen.max(last.number);
+        }
+        for running in &report.running {
+            self.take_running(key, running, now);
+        }
+        if !report.is_partial {
+            self.drop_missing(key, report, renewal, now);
+        }
+        self.adjust_pace(key, now);
+        let endpoint = self.endpoints.get_mut(key);
+        let pause_ms = if !report.ended.is_empty() {
+            RENEW_PAUSE_MS
+        } else if endpoint.placed.is_empty() {
+            RENEW_EVERY_MS
+        } else {
+            0
+        };
+        endpoint.renew_at_ms = now.steady_ms + pause_ms;
+        self.is_schedule_due = true;
+    }
+
+    fn take_running(&mut self, key: EndpointKey, running: &RunningTask, now: Now) {
+        let RunningTask { task, run, .. } = running;
+        let is_ours = self.search(task.job).is_ok_and(|place| {
+            find_attempt(&mut self.jobs[place], task, *run)
+                .is_some_and(|attempt| attempt.endpoint == key)
+        });
+        if !is_ours {
+            self.stop_stray(key, task, *run, now);
+            return;
+        }
+        self.confirm_running(key, running, now);
+    }
+
+    fn confirm_running(&mut self, key: EndpointKey, running: &RunningTask, now: Now) {
+        let Ok(place) = self.search(running.task.job) else {
+            return;
+        };
+        let is_new = {
+            let job = &mut self.jobs[place];
+            if let Some(task) = job.task_mut(&running.task)
+                && !running.checkpoint.is_empty()
+            {
+                task.checkpoint = running.checkpoint.clone();
+            }
+            let Some(attempt) = find_attempt(job, &running.task, running.run) else {
+                return;
+            };
+            attempt.percent = running.percent;
+            attempt.phase != Phase::Confirmed
+        };
+        if is_new {
+            self.confirm(key, &running.task, running.run, now);
+        }
+        let endpoint = self.endpoints.get_mut(key);
+        let placed = endpoint
+            .placed
+            .iter_mut()
+            .find(|placed| placed.task == running.task && placed.run == running.run);
+        if let Some(placed) = placed {
+            placed.tail_ms = running.usage.unwrap_or_default();
+        }
+    }
+
+    /// Stops a run that nobody here ordered, such as one of a cancelled job that began late.
+    fn stop_stray(&mut self, key: EndpointKey, task: &TaskRef, run: u32, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        let stray = endpoint
+            .strays
+            .iter_mut()
+            .find(|(known, known_run, _)| known == task && *known_run == run);
+        match stray {
+            Some((_, _, sent_ms)) if now.steady_ms < *sent_ms + STRAY_PAUSE_MS => return,
+            Some((_, _, sent_ms)) => *sent_ms = now.steady_ms,
+            None => endpoint.strays.push((*task, run, now.steady_ms)),
+        }
+        self.at_once.push(Effect::Stop {
+            endpoint: key,
+            task: *task,
+            run,
+        });
+    }
+
+    /// Takes back runs that a report leaves out though it was asked for after they were known to
+    /// be there, or that an earlier owner's order never brought there.
+    fn drop_missing(&mut self, key: EndpointKey, report: &EndpointReport, renewal: u64, now: Now) {
+        let is_listed = |task: &TaskRef, run: u32| {
+            report
+                .running
+                .iter()
+                .any(|running| running.task == *task && running.run == run)
+        };
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint
+            .strays
+            .retain(|(task, run, _)| is_listed(task, *run));
+        let unlisted: Vec<(TaskRef, u32)> = endpoint
+            .placed
+            .iter()
+            .filter(|placed| !is_listed(&placed.task, placed.run))
+            .map(|placed| (placed.task, placed.run))
+            .collect();
+        for (task, run) in unlisted {
+            let is_over = self.search(task.job).is_ok_and(|place| {
+                find_attempt(&mut self.jobs[place], &task, run).is_some_and(|attempt| match attempt
+                    .phase
+                {
+                    Phase::Inherited => true,
+                    Phase::Confirmed => renewal > attempt.confirmed_at_renewal,
+                    Phase::Placed | Phase::Ordered | Phase::Unanswered => false,
+                })
+            });
+            if is_over {
+                self.remove_attempt(&task, run, now);
+            }
+        }
+    }
+
+    /// Takes room for the runs of an earlier owner, and says when they are over at the latest.
+    pub(crate) fn charge_inherited(&mut self, now: Now) {
+        for job in &self.jobs {
+            for (name, task) in job.tasks() {
+                let Some(spec) = job.step_spec(&name) else {
+                    continue;
+                };
+                for attempt in &task.attempts {
+                    let placed = Placed {
+                        task: name,
+                        run: attempt.run,
+                        room: spec.charged(),
+                        serves: spec.serves(),
+                        fills: spec.fills,
+                        lasts: spec.long_running,
+                        target_ms: spec.target_ms,
+                        tail_ms: 0,
+                    };
+                    self.endpoints.get_mut(attempt.endpoint).place(placed);
+                }
+            }
+        }
+        let bound_ms = now.steady_ms + self.settings.lease_ms * INHERITED_PERCENT / 100;
+        for key in self.endpoints.keys() {
+            self.endpoints.get_mut(key).bound_unknown_leases(bound_ms);
+        }
+    }
+}
+
+/// Tells whether filling tasks run beside serving ones.
+fn has_mixed_load(placed: &[Placed]) -> bool {
+    placed.iter().any(|run| run.fills) && placed.iter().any(|run| run.serves)
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,56 @@
+//! Decisions about jobs, tasks, endpoints, VMs and waves.
+//!
+//! The crate has no clock and no I/O: an owner hands in events with the time, stores the records
+//! of each batch, and carries the released effects out.
+//!
+//! ```
+//! use lynxwheel_engine::{Engine, EngineSettings, Event, FleetConfig, JobSpec, Now, Queue, StepSpec};
+//!
+//! let mut engine = Engine::new(EngineSettings::default());
+//! let id = "5c0e7a21d94b36f8".parse().unwrap();
+//! let step = StepSpec { count: 2, ..StepSpec::default() };
+//! let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
+//! let now = Now { steady_ms: 1_000, wall_ms: 1_000 };
+//! engine.handle(
+//!     Event::Submit { job: id, queue: Queue::default(), spec: Box::new(spec), token: 1 },
+//!     now,
+//! );
+//! assert_eq!(engine.shown(id), None);
+//! let batch = engine.cut_batch(now);
+//! assert_eq!(batch.records.len(), 2);
+//! let effects = engine.committed(batch, now);
+//! assert_eq!(effects.len(), 1);
+//! assert!(engine.shown(id).is_some());
+//! ```
+
+mod attempts;
+mod config;
+mod endpoints;
+mod engine;
+mod event;
+mod job;
+mod leases;
+mod pacing;
+mod pools;
+mod reports;
+mod schedule;
+mod state;
+mod stored;
+mod waves;
+
+pub use {
+    config::{CallerLimits, FleetConfig, Pool, Queue},
+    endpoints::{Endpoint, Endpoints, Placed},
+    engine::{Batch, Engine, EngineSettings},
+    event::{
+        CallOutcome, CallerAnswer, Effect, EndpointAddress, EndpointKey, Event, Now, Refusal,
+        ReplyToken, StartOrder, VmOutcome,
+    },
+    job::{BadName, JobId, JobSpec, JobState, Room, StepSpec, TaskRef},
+    pacing::next_pace,
+    reports::{
+        EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
+    },
+    state::{Attempt, Job, Occurrence, Phase, StepRun, Task},
+    stored::{Record, RecordKind, StoredWave, record_kind},
+};
--- /dev/null
+++ b/crates/engine/src/pools.rs
@@ -0,0 +1,410 @@
+//! VMs and pools: which VM belongs where, by what the pools' work asks for.
+
+use {
+    crate::{
+        engine::Engine,
+        event::{Effect, EndpointKey, Now, VmOutcome},
+        reports::{VmEntry, VmState},
+    },
+    compact_str::CompactString,
+};
+
+/// Time in which waiting work should be worked off, in milliseconds: about what a job may wait and
+/// still be on time at both users' objectives.
+const WORK_OFF_MS: u64 = 1_200;
+
+/// Time that a VM has to be empty before it is switched off, in milliseconds. A move costs as much
+/// as about this time in a pool, so a shorter wait would pay the move for nothing.
+const IDLE_MS: u64 = 1_500;
+
+/// VMs that a pool keeps at least while others have none to spare, so that its next job starts at once.
+const KEPT_VMS: usize = 2;
+
+/// Time without answer after which an order for a VM is repeated, in milliseconds.
+const VM_ORDER_RETRY_MS: u64 = 1_500;
+
+/// Pause of a VM that refused an order, in milliseconds.
+const VM_REST_MS: u64 = 2_000;
+
+/// What was ordered for a VM.
+#[derive(Clone, Debug, PartialEq)]
+pub enum VmOrder {
+    /// A move to this pool.
+    Move(CompactString),
+    /// Maintenance of this wave.
+    Maintain(u64),
+}
+
+/// A VM as this owner knows it.
+#[derive(Clone, Debug)]
+pub struct Vm {
+    /// As the platform listed it last.
+    pub entry: VmEntry,
+    /// Order without a known outcome.
+    pub order: Option<VmOrder>,
+    /// When that order was given, on the steady clock.
+    pub ordered_ms: u64,
+    /// Until when nothing is ordered for it, on the steady clock.
+    pub rests_until_ms: u64,
+    /// When it was found on its way, on the steady clock; 0 when it is not.
+    pub away_since_ms: u64,
+}
+
+/// Work of one pool.
+#[derive(Clone, Debug, Default)]
+struct PoolLoad {
+    name: CompactString,
+    is_standby: bool,
+    /// Room of endpoints that take starts, in thousandths of a core.
+    supply: u64,
+    /// Room of VMs on their way here.
+    arriving: u64,
+    /// Room in use.
+    used: u64,
+    /// Work that waits, in thousandths of a core times milliseconds.
+    waiting: u64,
+    /// Endpoints that take starts.
+    members: usize,
+}
+
+impl PoolLoad {
+    /// Room that should be here.
+    fn wanted(&self) -> u64 {
+        self.used + self.waiting / WORK_OFF_MS
+    }
+
+    fn missing(&self) -> u64 {
+        self.wanted().saturating_sub(self.supply + self.arriving)
+    }
+}
+
+impl Engine {
+    pub(crate) fn vm_place(&self, name: &str) -> Result<usize, usize> {
+        self.vms
+            .binary_search_by(|vm| vm.entry.name.as_str().cmp(name))
+    }
+
+    /// Takes in the platform's list of VMs.
+    pub(crate) fn vms_listed(&mut self, entries: Vec<VmEntry>, now: Now) {
+        let is_gone = |vm: &Vm| !entries.iter().any(|entry| entry.name == vm.entry.name);
+        self.vms.retain(|vm| !is_gone(vm));
+        for entry in entries {
+            if !entry.endpoint.is_empty()
+                && let Some(key) = self.endpoints.find(&entry.endpoint)
+            {
+                self.endpoints.get_mut(key).vm = entry.name.clone();
+            }
+            match self.vm_place(&entry.name) {
+                Ok(place) => self.vms[place].refresh(entry, now),
+                Err(place) => self.vms.insert(
+                    place,
+                    Vm {
+                        entry,
+                        order: None,
+                        ordered_ms: 0,
+                        rests_until_ms: 0,
+                        away_since_ms: 0,
+                    },
+                ),
+            }
+        }
+        self.end_replaced(now);
+    }
+
+    /// Ends lives on VMs that are listed with another one.
+    fn end_replaced(&mut self, now: Now) {
+        let replaced: Vec<EndpointKey> = self
+            .endpoints
+            .iter()
+            .filter(|(key, endpoint)| {
+                !endpoint.is_over
+                    && !endpoint.vm.is_empty()
+                    && self.vm_place(&endpoint.vm).is_ok_and(|place| {
+                        let current = &self.vms[place].entry.endpoint;
+                        // A list may be older than the registry: only a younger life counts.
+                        self.endpoints
+                            .find(current)
+                            .is_some_and(|other| other > *key)
+                    })
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in replaced {
+            self.endpoint_over(key, now);
+        }
+    }
+
+    pub(crate) fn endpoint_of_vm(&self, name: &str) -> Option<EndpointKey> {
+        self.endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.vm == name && !endpoint.is_over)
+            .map(|(key, _)| key)
+            .last()
+    }
+
+    /// Takes in the answer to an order for a VM.
+    pub(crate) fn vm_answered(&mut self, name: &str, outcome: VmOutcome, now: Now) {
+        let Ok(place) = self.vm_place(name) else {
+            return;
+        };
+        let Some(order) = self.vms[place].order.clone() else {
+            return;
+        };
+        let endpoint = self.endpoint_of_vm(name);
+        match outcome {
+            VmOutcome::Done => {
+                self.vms[place].begin_absence(&order, now);
+                if let VmOrder::Maintain(wave) = order {
+                    self.maintenance_begun(wave, name);
+                }
+                if let Some(key) = endpoint {
+                    self.endpoint_over(key, now);
+                }
+            }
+            VmOutcome::Busy | VmOutcome::Refused => {
+                let vm = &mut self.vms[place];
+                vm.order = None;
+                vm.rests_until_ms = now.steady_ms + VM_REST_MS;
+                if let VmOrder::Maintain(wave) = order {
+                    self.maintenance_refused(wave, name);
+                }
+                if let Some(key) = endpoint {
+                    self.endpoints.get_mut(key).is_held_back = false;
+                }
+            }
+            // Repeated later: both orders do nothing when they were carried out before.
+            VmOutcome::Unknown => {}
+        }
+    }
+
+    /// Orders a move or maintenance of a VM whose endpoint is empty.
+    pub(crate) fn order_vm(&mut self, place: usize, order: VmOrder, now: Now) {
+        let vm = &mut self.vms[place];
+        vm.ordered_ms = now.steady_ms;
+        let name = vm.entry.name.clone();
+        let effect = match &order {
+            VmOrder::Move(pool) => Effect::Move {
+                vm: name.clone(),
+                pool: pool.clone(),
+            },
+            VmOrder::Maintain(wave) => Effect::Maintain {
+                vm: name.clone(),
+                wave: *wave,
+            },
+        };
+        vm.order = Some(order);
+        self.forming.push(effect);
+        if let Some(key) = self.endpoint_of_vm(&name) {
+            self.endpoints.get_mut(key).is_held_back = true;
+        }
+    }
+
+    fn repeat_vm_orders(&mut self, now: Now) {
+        for place in 0..self.vms.len() {
+            let vm = &self.vms[place];
+            let is_due = now.steady_ms >= vm.ordered_ms + VM_ORDER_RETRY_MS;
+            if let Some(order) = vm.order.clone()
+                && is_due
+            {
+                self.order_vm(place, order, now);
+            }
+        }
+    }
+
+    /// Moves VMs to where work waits, and switches off those that have been empty for long.
+    pub(crate) fn plan_pools(&mut self, now: Now) {
+        if !self.may_order_vms || self.vms.is_empty() {
+            return;
+        }
+        self.repeat_vm_orders(now);
+        let mut loads = self.pool_loads(now);
+        loop {
+            let Some(place) = neediest(&loads) else {
+                break;
+            };
+            let Some(vm) = self.spare_vm(&loads, place, now) else {
+                break;
+            };
+            let cpu = self.vms[vm].entry.capacity.cpu_millis.max(1);
+            self.note_departure(&mut loads, vm);
+            loads[place].arriving += cpu;
+            let pool = loads[place].name.clone();
+            self.order_vm(vm, VmOrder::Move(pool), now);
+        }
+        self.switch_off_idle(&mut loads, now);
+    }
+
+    fn note_departure(&self, loads: &mut [PoolLoad], vm: usize) {
+        let entry = &self.vms[vm].entry;
+        if let Some(load) = loads.iter_mut().find(|load| load.name == entry.pool) {
+            load.supply = load.supply.saturating_sub(entry.capacity.cpu_millis);
+            load.members = load.members.saturating_sub(1);
+        }
+    }
+
+    fn pool_loads(&self, now: Now) -> Vec<PoolLoad> {
+        let mut loads: Vec<PoolLoad> = self
+            .config
+            .pools
+            .iter()
+            .map(|pool| PoolLoad {
+                name: pool.name.clone(),
+                is_standby: pool.is_standby,
+                ..PoolLoad::default()
+            })
+            .collect();
+        for (_, endpoint) in self.endpoints.iter() {
+            let Ok(place) = loads.binary_search_by(|load| load.name.cmp(&endpoint.pool)) else {
+                continue;
+            };
+            if !endpoint.is_over {
+                loads[place].used += endpoint.used.cpu_millis;
+            }
+            if endpoint.takes_starts(now.steady_ms) {
+                loads[place].supply += endpoint.capacity.cpu_millis;
+                loads[place].members += 1;
+            }
+        }
+        for vm in &self.vms {
+            let target = match (&vm.order, vm.entry.state) {
+                (Some(VmOrder::Move(pool)), _) => pool,
+                (None, VmState::Moving) => &vm.entry.pool,
+                _ => continue,
+            };
+            if let Ok(place) = loads.binary_search_by(|load| load.name.cmp(target)) {
+                loads[place].arriving += vm.entry.capacity.cpu_millis;
+            }
+        }
+        self.add_waiting(&mut loads);
+        loads
+    }
+
+    fn add_waiting(&self, loads: &mut [PoolLoad]) {
+        for job in self.jobs.iter().filter(|job| !job.state.is_final()) {
+            let Ok(place) = loads.binary_search_by(|load| load.name.cmp(&job.queue.pool)) else {
+                continue;
+            };
+            for occurrence in &job.occurrences {
+                for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
+                    if !occurrence.is_open(spec) {
+                        continue;
+                    }
+                    let count = step.tasks.iter().filter(|task| task.is_waiting()).count();
+                    let work_ms = spec.estimated_ms.max(WORK_OFF_MS / 2);
+                    let work = spec.charged().cpu_millis * work_ms;
+                    loads[place].waiting += work * u64::try_from(count).unwrap_or_default();
+                }
+            }
+        }
+    }
+
+    /// Returns a VM that can leave its pool for a needier one: from standby first, then an empty
+    /// one of a pool that has more than it wants.
+    fn spare_vm(&self, loads: &[PoolLoad], needy: usize, now: Now) -> Option<usize> {
+        let is_standby = |vm: &Vm| {
+            loads
+                .iter()
+                .any(|load| load.is_standby && load.name == vm.entry.pool)
+        };
+        let is_free = |vm: &Vm| {
+            vm.order.is_none()
+                && vm.entry.state == VmState::Up
+                && now.steady_ms >= vm.rests_until_ms
+                && vm.entry.pool != loads[needy].name
+                && !self.awaits_maintenance(&vm.entry.name)
+        };
+        let free: Vec<usize> = (0..self.vms.len())
+            .filter(|&place| is_free(&self.vms[place]))
+            .collect();
+        let from_standby = free.iter().find(|&&place| is_standby(&self.vms[place]));
+        if let Some(&place) = from_standby {
+            return Some(place);
+        }
+        free.into_iter().find(|&place| {
+            let vm = &self.vms[place];
+            let cpu = vm.entry.capacity.cpu_millis;
+            loads.iter().any(|load| {
+                load.name == vm.entry.pool
+                    && load.supply >= load.wanted() + cpu
+                    && load.members > KEPT_VMS
+            }) && self.is_empty_vm(&vm.entry.name, now)
+        })
+    }
+
+    /// Tells whether a VM's endpoint is there and runs nothing.
+    fn is_empty_vm(&self, name: &str, now: Now) -> bool {
+        self.endpoint_of_vm(name).is_some_and(|key| {
+            let endpoint = self.endpoints.get(key);
+            endpoint.placed.is_empty() && endpoint.takes_starts(now.steady_ms)
+        })
+    }
+
+    fn switch_off_idle(&mut self, loads: &mut [PoolLoad], now: Now) {
+        let Some(standby) = loads.iter().find(|load| load.is_standby) else {
+            return;
+        };
+        let standby = standby.name.clone();
+        for place in 0..self.vms.len() {
+            let vm = &self.vms[place];
+            let is_candidate = vm.order.is_none()
+                && vm.entry.state == VmState::Up
+                && vm.entry.pool != standby
+                && now.steady_ms >= vm.rests_until_ms;
+            if !is_candidate || !self.is_empty_vm(&vm.entry.name, now) {
+                continue;
+            }
+            let cpu = vm.entry.capacity.cpu_millis;
+            let is_surplus = loads.iter().any(|load| {
+                load.name == vm.entry.pool
+                    && load.members > KEPT_VMS
+                    && load.supply >= load.wanted() + cpu
+            });
+            let has_idled = self.endpoint_of_vm(&vm.entry.name).is_some_and(|key| {
+                now.steady_ms >= self.endpoints.get(key).empty_since_ms + IDLE_MS
+            });
+            if is_surplus && has_idled {
+                self.note_departure(loads, place);
+                self.order_vm(place, VmOrder::Move(standby.clone()), now);
+            }
+        }
+    }
+}
+
+impl Vm {
+    fn refresh(&mut self, entry: VmEntry, now: Now) {
+        let is_ordered_move = match &self.order {
+            Some(VmOrder::Move(pool)) => entry.pool == *pool,
+            _ => false,
+        };
+        if is_ordered_move {
+            self.order = None;
+        }
+        self.away_since_ms = match entry.state {
+            VmState::Up => 0,
+            _ if self.away_since_ms == 0 => now.steady_ms,
+            _ => self.away_since_ms,
+        };
+        self.entry = entry;
+    }
+
+    /// Notes that the VM has left for what was ordered.
+    fn begin_absence(&mut self, order: &VmOrder, now: Now) {
+        self.order = None;
+        self.away_since_ms = now.steady_ms;
+        self.entry.endpoint = CompactString::default();
+        match order {
+            VmOrder::Move(pool) => {
+                self.entry.pool = pool.clone();
+                self.entry.state = VmState::Moving;
+            }
+            VmOrder::Maintain(_) => self.entry.state = VmState::Maintenance,
+        }
+    }
+}
+
+/// Returns the pool that misses most, if any misses something.
+fn neediest(loads: &[PoolLoad]) -> Option<usize> {
+    (0..loads.len())
+        .filter(|&place| !loads[place].is_standby && loads[place].missing() > 0)
+        .max_by_key(|&place| loads[place].missing())
+}
--- /dev/null
+++ b/crates/engine/src/waves.rs
@@ -0,0 +1,348 @@
+//! Waves of maintenance: which VM goes next, within the wave's budget and in time.
+
+use {
+    crate::{
+        engine::Engine,
+        event::{Effect, Now},
+        job::TaskRef,
+        pools::VmOrder,
+        reports::{VmState, WaveOrder},
+        stored::{Record, StoredWave, wave_record},
+    },
+    compact_str::CompactString,
+};
+
+/// Time that an order and the return to the pool add to maintenance, in milliseconds.
+const TURN_MS: u64 = 700;
+
+/// Share of a wave's time, in percent, by which it should be over: the rest covers delays.
+const AIM_PERCENT: u64 = 85;
+
+/// Time for which a VM is emptied before its runs are stopped, in milliseconds.
+const DRAIN_PATIENCE_MS: u64 = 2_500;
+
+/// A wave and how far it is.
+#[derive(Clone, Debug)]
+pub struct Wave {
+    /// Number.
+    pub number: u64,
+    /// Order, once it was read.
+    order: Option<WaveOrder>,
+    stored: StoredWave,
+    /// When the order was read, on the steady clock.
+    since_ms: u64,
+    /// VMs that are being emptied, with the time at which that began.
+    emptying: Vec<(CompactString, u64)>,
+    is_dirty: bool,
+    is_announced: bool,
+}
+
+impl Wave {
+    fn new(number: u64) -> Self {
+        Self {
+            number,
+            order: None,
+            stored: StoredWave::default(),
+            since_ms: 0,
+            emptying: Vec::new(),
+            is_dirty: false,
+            is_announced: false,
+        }
+    }
+
+    fn has_begun(&self, vm: &str) -> bool {
+        contains(&self.stored.begun, vm)
+    }
+
+    fn is_ordered(&self, vm: &str) -> bool {
+        contains(&self.stored.ordered, vm)
+    }
+}
+
+impl Engine {
+    pub(crate) fn restore_wave(&mut self, number: u64, stored: StoredWave) {
+        let place = self.wave_or_new(number);
+        self.waves[place].stored = stored;
+    }
+
+    fn wave_or_new(&mut self, number: u64) -> usize {
+        match self.waves.binary_search_by_key(&number, |wave| wave.number) {
+            Ok(place) => place,
+            Err(place) => {
+                self.waves.insert(place, Wave::new(number));
+                place
+            }
+        }
+    }
+
+    pub(crate) fn wave_ordered(&mut self, order: WaveOrder, now: Now) {
+        let place = self.wave_or_new(order.wave);
+        let wave = &mut self.waves[place];
+        if wave.order.is_none() {
+            wave.since_ms = now.steady_ms;
+        }
+        wave.order = Some(order);
+        if !wave.is_announced {
+            wave.is_announced = true;
+            let (number, is_completed) = (wave.number, wave.stored.is_completed);
+            self.forming.push(Effect::PublishWave {
+                wave: number,
+                is_completed,
+            });
+        }
+    }
+
+    /// Returns the records of the waves that have changed.
+    pub(crate) fn wave_records(&mut self) -> Vec<Record> {
+        let mut records = Vec::new();
+        for wave in &mut self.waves {
+            if wave.is_dirty {
+                wave.is_dirty = false;
+                records.push(wave_record(wave.number, &wave.stored));
+            }
+        }
+        records
+    }
+
+    /// Tells whether a VM is due for maintenance that has not begun.
+    pub(crate) fn awaits_maintenance(&self, vm: &str) -> bool {
+        self.waves.iter().any(|wave| {
+            !wave.stored.is_completed
+                && !wave.has_begun(vm)
+                && wave.emptying.iter().any(|(name, _)| name == vm)
+        })
+    }
+
+    pub(crate) fn maintenance_begun(&mut self, number: u64, vm: &str) {
+        let place = self.wave_or_new(number);
+        let wave = &mut self.waves[place];
+        insert(&mut wave.stored.begun, vm);
+        wave.emptying.retain(|(name, _)| name != vm);
+        wave.is_dirty = true;
+    }
+
+    pub(crate) fn maintenance_refused(&mut self, number: u64, vm: &str) {
+        let place = self.wave_or_new(number);
+        let wave = &mut self.waves[place];
+        wave.emptying.retain(|(name, _)| name != vm);
+    }
+
+    /// Goes on with each wave.
+    pub(crate) fn plan_waves(&mut self, now: Now) {
+        if !self.may_order_vms || self.vms.is_empty() {
+            return;
+        }
+        for place in 0..self.waves.len() {
+            let wave = &self.waves[place];
+            if wave.order.is_some() && !wave.stored.is_completed {
+                self.plan_wave(place, now);
+            }
+        }
+    }
+
+    fn plan_wave(&mut self, place: usize, now: Now) {
+        let Some(order) = self.waves[place].order.clone() else {
+            return;
+        };
+        let left: Vec<CompactString> = order
+            .vms
+            .iter()
+            .filter(|vm| !self.waves[place].has_begun(vm) && self.vm_place(vm).is_ok())
+            .cloned()
+            .collect();
+        let down = self.down_in_wave(place, &order);
+        if left.is_empty() {
+            self.complete_wave(place);
+            return;
+        }
+        let mut budget = order.max_count.saturating_sub(down);
+        self.order_empty(place, &left, &mut budget, now);
+        self.empty_more(place, &left, budget, &order, now);
+        self.hurry(place, now);
+    }
+
+    fn complete_wave(&mut self, place: usize) {
+        let wave = &mut self.waves[place];
+        wave.stored.is_completed = true;
+        wave.is_dirty = true;
+        let number = wave.number;
+        self.forming.push(Effect::PublishWave {
+            wave: number,
+            is_completed: true,
+        });
+    }
+
+    /// Counts the wave's VMs that are down for it, or may be.
+    fn down_in_wave(&self, place: usize, order: &WaveOrder) -> usize {
+        let wave = &self.waves[place];
+        order
+            .vms
+            .iter()
+            .filter(|name| {
+                let Ok(vm) = self.vm_place(name).map(|place| &self.vms[place]) else {
+                    return false;
+                };
+                let is_pending = wave.is_ordered(name) && !wave.has_begun(name);
+                is_pending || vm.entry.state == VmState::Maintenance
+            })
+            .count()
+    }
+
+    /// Orders maintenance of VMs that run nothing.
+    fn order_empty(&mut self, place: usize, left: &[CompactString], budget: &mut usize, now: Now) {
+        for name in left {
+            if *budget == 0 {
+                return;
+            }
+            if !self.can_begin(place, name, now) {
+                continue;
+            }
+            let Ok(vm) = self.vm_place(name) else {
+                continue;
+            };
+            let wave = &mut self.waves[place];
+            insert(&mut wave.stored.ordered, name);
+            wave.is_dirty = true;
+            let number = wave.number;
+            self.order_vm(vm, VmOrder::Maintain(number), now);
+            *budget -= 1;
+        }
+    }
+
+    fn can_begin(&self, place: usize, name: &str, now: Now) -> bool {
+        let Ok(vm) = self.vm_place(name).map(|place| &self.vms[place]) else {
+            return false;
+        };
+        let is_pending = self.waves[place].is_ordered(name);
+        let is_quiet = vm.order.is_none()
+            && vm.entry.state == VmState::Up
+            && now.steady_ms >= vm.rests_until_ms;
+        let is_empty = match self.endpoint_of_vm(name) {
+            Some(key) => {
+                let endpoint = self.endpoints.get(key);
+                endpoint.placed.is_empty() && endpoint.is_reconciled && !endpoint.is_draining
+            }
+            // A VM of the standby pool has no endpoint.
+            None => vm.entry.endpoint.is_empty(),
+        };
+        is_quiet && (is_empty || is_pending)
+    }
+
+    /// Keeps new work from as many VMs as can be maintained next.
+    fn empty_more(
+        &mut self,
+        place: usize,
+        left: &[CompactString],
+        budget: usize,
+        order: &WaveOrder,
+        now: Now,
+    ) {
+        let ahead = budget.max(1).min(order.max_count);
+        let busy = self.waves[place].emptying.len();
+        if busy >= ahead {
+            return;
+        }
+        let mut by_load: Vec<(usize, u64, CompactString)> = left
+            .iter()
+            .filter(|name| {
+                !self.waves[place]
+                    .emptying
+                    .iter()
+                    .any(|(known, _)| known == *name)
+            })
+            .filter_map(|name| {
+                let endpoint = self.endpoints.get(self.endpoint_of_vm(name)?);
+                let lasting = endpoint.placed.iter().filter(|run| run.lasts).count();
+                let is_open = !endpoint.is_held_back && !endpoint.is_draining;
+                is_open.then(|| (lasting, endpoint.used.cpu_millis, name.clone()))
+            })
+            .collect();
+        by_load.sort_unstable();
+        for (_, _, name) in by_load.into_iter().take(ahead - busy) {
+            if let Some(key) = self.endpoint_of_vm(&name) {
+                self.endpoints.get_mut(key).is_held_back = true;
+            }
+            self.waves[place].emptying.push((name, now.steady_ms));
+        }
+    }
+
+    /// Stops what runs on VMs that have been emptied for long: long-running tasks at once, as far
+    /// as their budgets allow, the others when the wave would be late otherwise.
+    fn hurry(&mut self, place: usize, now: Now) {
+        let wave = &self.waves[place];
+        let is_short_of_time = wave.order.as_ref().is_some_and(|order| {
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "seconds of a wave, never negative"
+            )]
+            let duration_ms = (order.duration_s * 1_000.0) as u64;
+            let left = order.vms.iter().filter(|vm| !wave.has_begun(vm)).count();
+            let turns = left.div_ceil(order.max_count.max(1));
+            let needed_ms = u64::try_from(turns).unwrap_or(u64::MAX)
+                * (self.settings.maintenance_ms + TURN_MS + DRAIN_PATIENCE_MS);
+            let passed_ms = now.steady_ms.saturating_sub(wave.since_ms);
+            passed_ms + needed_ms > duration_ms * AIM_PERCENT / 100
+        });
+        for (name, since_ms) in wave.emptying.clone() {
+            let Some(key) = self.endpoint_of_vm(&name) else {
+                continue;
+            };
+            let is_impatient = is_short_of_time && now.steady_ms >= since_ms + DRAIN_PATIENCE_MS;
+            let runs: Vec<(TaskRef, u32, bool)> = self
+                .endpoints
+                .get(key)
+                .placed
+                .iter()
+                .map(|placed| (placed.task, placed.run, placed.lasts))
+                .collect();
+            for (task, run, lasts) in runs {
+                let may_stop = if lasts {
+                    self.may_interrupt(&task)
+                } else {
+                    is_impatient
+                };
+                if may_stop {
+                    self.stop_run(&task, run, now);
+                }
+            }
+        }
+    }
+
+    /// Tells whether a long-running task may be interrupted within its step's budget.
+    pub(crate) fn may_interrupt(&self, task: &TaskRef) -> bool {
+        let Ok(place) = self.search(task.job) else {
+            return true;
+        };
+        let job = &self.jobs[place];
+        let Some(spec) = job.step_spec(task) else {
+            return true;
+        };
+        if spec.max_unavailable == 0 {
+            return true;
+        }
+        let away = job
+            .tasks()
+            .filter(|(name, _)| name.is_sibling(task) && name.index != task.index)
+            .filter(|(_, other)| {
+                !other
+                    .attempts
+                    .iter()
+                    .any(|attempt| attempt.percent >= 100 && !attempt.is_stopping)
+            })
+            .count();
+        away < usize::from(spec.max_unavailable)
+    }
+}
+
+fn contains(names: &[CompactString], name: &str) -> bool {
+    names
+        .binary_search_by(|known| known.as_str().cmp(name))
+        .is_ok()
+}
+
+fn insert(names: &mut Vec<CompactString>, name: &str) {
+    if let Err(place) = names.binary_search_by(|known| known.as_str().cmp(name)) {
+        names.insert(place, name.into());
+    }
+}
--- a/crates/lynxwheel/src/cli.rs
+++ b/crates/lynxwheel/src/cli.rs
@@ -3,6 +3,7 @@
 use {
     crate::{config::Config, daemon, dev, logging},
     clap::{Args, Parser, Subcommand},
+    lynxwheel_platform::PlatformSettings,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
@@ -39,6 +40,8 @@
 pub enum Command {
     /// Run a node until SIGTERM or SIGINT, then stop gracefully.
     Run(SettingsArgs),
+    /// Run a node on the users' platform, by the settings file that the platform writes.
+    Serve(PlatformArgs),
     /// Check settings and say every mistake.
     Check(SettingsArgs),
     /// Run an embedded platform with endpoints, for development.
@@ -53,6 +56,22 @@
     pub settings: PathBuf,
 }
 
+/// Where the platform's settings file is.
+#[derive(Args, Debug)]
+pub struct PlatformArgs {
+    /// Settings file that the platform writes.
+    #[arg(
+        long,
+        value_name = "FILE",
+        env = "LYNXWHEEL_CONFIG",
+        default_value = "/etc/lynxwheel/settings.conf"
+    )]
+    pub settings: PathBuf,
+    /// Say every mistake of the file and do nothing else.
+    #[arg(long)]
+    pub check: bool,
+}
+
 /// How to run the embedded platform.
 #[derive(Args, Debug)]
 pub struct DevArgs {
@@ -89,6 +108,7 @@
 pub fn execute(cli: &Cli) -> ExitCode {
     match &cli.command {
         Command::Run(args) => with_settings(&args.settings, run),
+        Command::Serve(args) => serve(args),
         Command::Check(args) => with_settings(&args.settings, |_| ExitCode::SUCCESS),
         Command::Dev(args) => develop(args),
     }
@@ -119,6 +139,34 @@
     }
 }
 
+fn serve(args: &PlatformArgs) -> ExitCode {
+    let settings = match PlatformSettings::load(&args.settings) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            for error in &errors {
+                eprintln!("{error}");
+            }
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = logging::start_ring_logging() {
+        eprintln!("{error}");
+        return ExitCode::from(EXIT_FAILED);
+    }
+    // One thread: entry VMs have a share of one core, and each further thread costs memory.
+    let outcome = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .and_then(|runtime| runtime.block_on(lynxwheel_controller::run(settings)));
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failed(&error.to_string()),
+    }
+}
+
 fn develop(args: &DevArgs) -> ExitCode {
     logging::start_quiet_logging();
     let runtime = match runtime() {
--- a/crates/lynxwheel/src/lib.rs
+++ b/crates/lynxwheel/src/lib.rs
@@ -22,6 +22,7 @@
 mod logging;
 mod main_job;
 mod report;
+mod ring_log;
 
 pub use audit::{PoolAudit, audit};
 pub use config::{Config, ConfigError, KNOWN_KEYS, NAMED_SECTIONS};
--- a/crates/lynxwheel/src/logging.rs
+++ b/crates/lynxwheel/src/logging.rs
@@ -1,7 +1,7 @@
 //! JSON log lines.
 
 use {
-    crate::config::Config,
+    crate::{config::Config, ring_log::RingAppender},
     log::LevelFilter,
     log4rs::{
         Handle,
@@ -40,6 +40,20 @@
     log4rs::init_config(log_config).map_err(|error| error.to_string())
 }
 
+/// Starts a log of decisions on standard output that never blocks.
+///
+/// # Errors
+///
+/// Returns the reason when its thread cannot be started or a log was started before.
+pub fn start_ring_logging() -> Result<Handle, String> {
+    let ring = RingAppender::start().map_err(|error| error.to_string())?;
+    let log_config = LogConfig::builder()
+        .appender(Appender::builder().build(APPENDER, Box::new(ring)))
+        .build(Root::builder().appender(APPENDER).build(LevelFilter::Info))
+        .map_err(|error| error.to_string())?;
+    log4rs::init_config(log_config).map_err(|error| error.to_string())
+}
+
 /// Starts a log of warnings and errors on standard error, for development.
 pub fn start_quiet_logging() {
     let appender = ConsoleAppender::builder()
