Keep jobs that ended before a take-over

Ruled out: pages of the newest records (136 of 136 read), records that cannot be read (none logged).

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -178,9 +178,11 @@
             return state.is_final();
         };
         let endpoints = &mut self.endpoints;
-        let job = restore_job(id, spec, progress, |name| {
+        let mut job = restore_job(id, spec, progress, |name| {
             endpoints.find_or_add(name, now.steady_ms)
         });
+        // When it ended by an earlier owner's clock means nothing here: it is kept from now on.
+        job.ended_ms = now.steady_ms;
         self.jobs.push(Box::new(job));
         true
     }
--- /dev/null
+++ b/crates/engine/tests/common/mod.rs
@@ -0,0 +1,364 @@
+//! A store, endpoints and a manual clock around an engine.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use lynxwheel_engine::{
+    Batch, CallOutcome, CallerAnswer, Effect, EndKind, EndedTask, EndpointEntry, EndpointReport,
+    Engine, EngineSettings, Event, FleetConfig, JobId, JobSpec, JobState, Now, Pool, Queue, Record,
+    Room, RunningTask, StepSpec, TaskRef,
+};
+
+/// Time that every step of the clock takes at the start, in milliseconds: far from zero, as a real
+/// steady clock is.
+const START_MS: u64 = 5_000_000;
+
+/// Name of the only pool with work.
+pub const POOL: &str = "maps";
+
+/// Returns the id of the job with a number.
+pub fn job_id(number: u64) -> JobId {
+    format!("{number:016x}").parse().expect("16 digits")
+}
+
+/// Returns the queue of every job.
+pub fn queue() -> Queue {
+    Queue {
+        host: "maps.example".into(),
+        path_prefix: "/maps/".into(),
+        pool: POOL.into(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.6,
+        target_latency_ms: 600,
+        advised: false,
+    }
+}
+
+/// Returns a step of tasks with one core for a second each.
+pub fn step(count: u16) -> StepSpec {
+    StepSpec {
+        count,
+        room: Room {
+            cpu_millis: 1_000,
+            memory_mb: 100,
+            gpus: 0,
+        },
+        estimated_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+/// What an endpoint of the tests does with its runs.
+#[derive(Clone, Debug, Default)]
+pub struct FakeEndpoint {
+    pub id: String,
+    pub running: Vec<(TaskRef, u32)>,
+    pub ended: Vec<EndedTask>,
+    pub fence: u64,
+    pub is_silent: bool,
+    pub started: Vec<(TaskRef, u32)>,
+}
+
+/// An engine with what is around it.
+pub struct Fleet {
+    pub engine: Engine,
+    pub stored: Vec<Record>,
+    pub endpoints: Vec<FakeEndpoint>,
+    pub entries: Vec<EndpointEntry>,
+    pub replies: Vec<(u64, CallerAnswer)>,
+    pub orders: Vec<Effect>,
+    pub now: Now,
+    pub is_store_down: bool,
+    in_flight: Option<Batch>,
+}
+
+impl Fleet {
+    pub fn new() -> Self {
+        let now = Now {
+            steady_ms: START_MS,
+            wall_ms: START_MS,
+        };
+        let mut fleet = Self {
+            engine: Engine::new(EngineSettings::default()),
+            stored: Vec::new(),
+            endpoints: Vec::new(),
+            entries: Vec::new(),
+            replies: Vec::new(),
+            orders: Vec::new(),
+            now,
+            is_store_down: false,
+            in_flight: None,
+        };
+        fleet.configure();
+        fleet
+    }
+
+    fn configure(&mut self) {
+        let pool = |name: &str, is_standby| Pool {
+            name: name.into(),
+            is_standby,
+            checks_admission: false,
+        };
+        let config = FleetConfig {
+            version: 1,
+            queues: vec![queue()],
+            pools: vec![pool(POOL, false), pool("spare", true)],
+            ..FleetConfig::default()
+        };
+        self.handle(Event::Config(config.into()));
+    }
+
+    pub fn handle(&mut self, event: Event) {
+        self.engine.handle(event, self.now);
+    }
+
+    pub fn list_endpoint(&mut self, id: &str, cpu_millis: u64) {
+        let port = 9_000 + u16::try_from(self.endpoints.len()).expect("few endpoints");
+        let entry = EndpointEntry {
+            id: id.into(),
+            address: ([127, 0, 0, 1], port).into(),
+            pool: POOL.into(),
+            zone: "zone-1".into(),
+            capacity: Room {
+                cpu_millis,
+                memory_mb: 64_000,
+                gpus: 0,
+            },
+            labels: vec!["a".into(), format!("rack-{id}").into()],
+            is_draining: false,
+            remaining_ms: None,
+            vm: None,
+        };
+        self.endpoints.push(FakeEndpoint {
+            id: id.into(),
+            ..FakeEndpoint::default()
+        });
+        self.entries.push(entry.clone());
+        self.handle(Event::Listed(Box::new(entry)));
+    }
+
+    pub fn submit(&mut self, number: u64, tasks: u16) {
+        let spec = JobSpec {
+            steps: vec![step(tasks)],
+            ..JobSpec::default()
+        };
+        self.submit_spec(number, spec);
+    }
+
+    pub fn submit_spec(&mut self, number: u64, spec: JobSpec) {
+        self.handle(Event::Submit {
+            job: job_id(number),
+            queue: queue(),
+            spec: Box::new(spec),
+            token: number,
+        });
+    }
+
+    pub fn shown(&self, number: u64) -> Option<JobState> {
+        self.engine.shown(job_id(number))
+    }
+
+    /// Advances the clock in ticks.
+    pub fn advance(&mut self, ms: u64) {
+        for _ in 0..ms / 100 {
+            self.now.steady_ms += 100;
+            self.now.wall_ms += 100;
+            self.handle(Event::Tick);
+            self.settle();
+        }
+    }
+
+    /// Carries out effects and stores batches until nothing is left to do.
+    pub fn settle(&mut self) {
+        while self.turn() {}
+    }
+
+    /// Stores one batch and carries nothing out that it releases later.
+    pub fn settle_without_cleaning(&mut self) {
+        let batch = self.engine.cut_batch(self.now);
+        self.store(&batch);
+        drop(self.engine.committed(batch, self.now));
+    }
+
+    fn turn(&mut self) -> bool {
+        let mut effects = self.engine.take_at_once();
+        if !self.is_store_down {
+            let batch = match self.in_flight.take() {
+                Some(batch) => batch,
+                None => self.engine.cut_batch(self.now),
+            };
+            let has_records = !batch.records.is_empty();
+            self.store(&batch);
+            effects.extend(self.engine.committed(batch, self.now));
+            if effects.is_empty() && !has_records {
+                return false;
+            }
+        }
+        let is_busy = !effects.is_empty();
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        is_busy || !self.is_store_down
+    }
+
+    fn store(&mut self, batch: &Batch) {
+        for record in &batch.records {
+            self.stored.retain(|known| known.key != record.key);
+            if !record.value.is_empty() {
+                self.stored.push(record.clone());
+            }
+        }
+    }
+
+    fn endpoint(&mut self, key: u32) -> &mut FakeEndpoint {
+        let id = self.engine.endpoints().get(key).id.to_string();
+        self.endpoints
+            .iter_mut()
+            .find(|endpoint| endpoint.id == id)
+            .expect("a listed endpoint")
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        self.orders.push(effect.clone());
+        let clock_ms = self.now.steady_ms / 2;
+        match effect {
+            Effect::Start(order) => {
+                let (key, task, run) = (order.endpoint, order.task, order.run);
+                let endpoint = self.endpoint(key);
+                let outcome = if endpoint.is_silent {
+                    CallOutcome::Unknown
+                } else {
+                    if !endpoint.running.contains(&(task, run)) {
+                        endpoint.running.push((task, run));
+                        endpoint.started.push((task, run));
+                    }
+                    CallOutcome::Done(clock_ms)
+                };
+                self.handle(Event::Started {
+                    endpoint: key,
+                    task,
+                    run,
+                    outcome,
+                });
+            }
+            Effect::Stop {
+                endpoint: key,
+                task,
+                run,
+            } => {
+                let endpoint = self.endpoint(key);
+                let outcome = if endpoint.is_silent {
+                    CallOutcome::Unknown
+                } else {
+                    endpoint.end(&task, run, EndKind::Stopped);
+                    CallOutcome::Done(clock_ms)
+                };
+                self.handle(Event::Stopped {
+                    endpoint: key,
+                    task,
+                    run,
+                    outcome,
+                });
+            }
+            Effect::Renew {
+                endpoint: key,
+                acknowledged,
+                ..
+            } => {
+                let endpoint = self.endpoint(key);
+                let outcome = if endpoint.is_silent {
+                    CallOutcome::Unknown
+                } else {
+                    endpoint.ended.retain(|ended| ended.number > acknowledged);
+                    CallOutcome::Done(endpoint.report(clock_ms))
+                };
+                self.handle(Event::Renewed {
+                    endpoint: key,
+                    outcome,
+                });
+            }
+            Effect::Reply { token, answer } => self.replies.push((token, answer)),
+            _ => {}
+        }
+    }
+
+    /// Ends every run as done.
+    pub fn end_all_done(&mut self) {
+        self.end_all(EndKind::Done);
+    }
+
+    /// Ends every run, and lets the endpoints be asked.
+    pub fn end_all(&mut self, kind: EndKind) {
+        for endpoint in &mut self.endpoints {
+            for (task, run) in endpoint.running.clone() {
+                endpoint.end(&task, run, kind);
+            }
+        }
+        self.now.steady_ms += 1_000;
+        self.now.wall_ms += 1_000;
+        self.handle(Event::Tick);
+        let effects = self.engine.take_at_once();
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    /// Replaces the owner by one that reads what is stored.
+    pub fn take_over(&mut self) {
+        self.in_flight = None;
+        self.now.steady_ms += 10;
+        self.now.wall_ms += 10;
+        let mut engine = Engine::new(EngineSettings::default());
+        assert_eq!(engine.restore(&self.stored, self.now), Vec::<&str>::new());
+        self.engine = engine;
+        self.configure();
+        for entry in self.entries.clone() {
+            self.handle(Event::Listed(Box::new(entry)));
+        }
+    }
+
+    /// Counts the starts of a task over all endpoints.
+    pub fn starts(&self, task: &str) -> usize {
+        let task: TaskRef = task.parse().expect("a task's name");
+        self.endpoints
+            .iter()
+            .flat_map(|endpoint| &endpoint.started)
+            .filter(|(started, _)| *started == task)
+            .count()
+    }
+}
+
+impl FakeEndpoint {
+    fn report(&self, clock_ms: u64) -> EndpointReport {
+        EndpointReport {
+            clock_ms,
+            running: self
+                .running
+                .iter()
+                .map(|(task, run)| RunningTask {
+                    task: *task,
+                    run: *run,
+                    checkpoint: "".into(),
+                    percent: 100,
+                    usage: None,
+                })
+                .collect(),
+            ended: self.ended.clone(),
+            is_partial: false,
+        }
+    }
+
+    fn end(&mut self, task: &TaskRef, run: u32, kind: EndKind) {
+        let place = self.running.iter().position(|known| *known == (*task, run));
+        if let Some(place) = place {
+            self.running.remove(place);
+            let number = self.ended.last().map_or(0, |ended| ended.number) + 1;
+            self.ended.push(EndedTask {
+                number,
+                task: *task,
+                run,
+                kind,
+                checkpoint: "".into(),
+            });
+        }
+    }
+}
