--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -23,6 +23,9 @@
 /// Time without answer after which an order for a VM is repeated, in milliseconds.
 const VM_ORDER_RETRY_MS: u64 = 1_500;
 
+/// Time added to a maintenance before a list counts that shows the VM back, in milliseconds.
+const MAINTENANCE_SLACK_MS: u64 = 300;
+
 /// Pause of a VM that refused an order, in milliseconds.
 const VM_REST_MS: u64 = 2_000;
 
@@ -46,8 +49,8 @@
     pub ordered_ms: u64,
     /// Until when nothing is ordered for it, on the steady clock.
     pub rests_until_ms: u64,
-    /// When it was found on its way, on the steady clock; 0 when it is not.
-    pub away_since_ms: u64,
+    /// Until when its maintenance lasts at least, on the steady clock.
+    pub maintained_until_ms: u64,
 }
 
 /// Work of one pool.
@@ -65,6 +68,10 @@
     waiting: u64,
     /// Endpoints that take starts.
     members: usize,
+    /// VMs on their way here.
+    arriving_vms: usize,
+    /// Endpoints that long-running tasks need, as only so many of a step may share one.
+    needed_members: usize,
 }
 
 impl PoolLoad {
@@ -74,7 +81,14 @@
     }
 
     fn missing(&self) -> u64 {
-        self.wanted().saturating_sub(self.supply + self.arriving)
+        let room = self.wanted().saturating_sub(self.supply + self.arriving);
+        let is_short = self.members + self.arriving_vms < self.needed_members;
+        room.max(u64::from(is_short))
+    }
+
+    /// Tells whether a VM with this much room can leave.
+    fn can_spare(&self, cpu: u64) -> bool {
+        self.members > KEPT_VMS.max(self.needed_members) && self.supply >= self.wanted() + cpu
     }
 }
 
@@ -103,7 +117,7 @@
                         order: None,
                         ordered_ms: 0,
                         rests_until_ms: 0,
-                        away_since_ms: 0,
+                        maintained_until_ms: 0,
                     },
                 ),
             }
@@ -153,7 +167,8 @@
         let endpoint = self.endpoint_of_vm(name);
         match outcome {
             VmOutcome::Done => {
-                self.vms[place].begin_absence(&order, now);
+                let until_ms = now.steady_ms + self.settings.maintenance_ms + MAINTENANCE_SLACK_MS;
+                self.vms[place].begin_absence(&order, until_ms);
                 if let VmOrder::Maintain(wave) = order {
                     self.maintenance_begun(wave, name);
                 }
@@ -228,6 +243,7 @@
             let cpu = self.vms[vm].entry.capacity.cpu_millis.max(1);
             self.note_departure(&mut loads, vm);
             loads[place].arriving += cpu;
+            loads[place].arriving_vms += 1;
             let pool = loads[place].name.clone();
             self.order_vm(vm, VmOrder::Move(pool), now);
         }
@@ -273,6 +289,7 @@
             };
             if let Ok(place) = loads.binary_search_by(|load| load.name.cmp(target)) {
                 loads[place].arriving += vm.entry.capacity.cpu_millis;
+                loads[place].arriving_vms += 1;
             }
         }
         self.add_waiting(&mut loads);
@@ -289,6 +306,11 @@
                     if !occurrence.is_open(spec) {
                         continue;
                     }
+                    if spec.long_running && spec.max_per_endpoint > 0 {
+                        let needed = spec.count.div_ceil(spec.max_per_endpoint);
+                        let load = &mut loads[place];
+                        load.needed_members = load.needed_members.max(usize::from(needed));
+                    }
                     let count = step.tasks.iter().filter(|task| task.is_waiting()).count();
                     let work_ms = spec.estimated_ms.max(WORK_OFF_MS / 2);
                     let work = spec.charged().cpu_millis * work_ms;
@@ -323,11 +345,10 @@
         free.into_iter().find(|&place| {
             let vm = &self.vms[place];
             let cpu = vm.entry.capacity.cpu_millis;
-            loads.iter().any(|load| {
-                load.name == vm.entry.pool
-                    && load.supply >= load.wanted() + cpu
-                    && load.members > KEPT_VMS
-            }) && self.is_empty_vm(&vm.entry.name, now)
+            loads
+                .iter()
+                .any(|load| load.name == vm.entry.pool && load.can_spare(cpu))
+                && self.is_empty_vm(&vm.entry.name, now)
         })
     }
 
@@ -354,11 +375,9 @@
                 continue;
             }
             let cpu = vm.entry.capacity.cpu_millis;
-            let is_surplus = loads.iter().any(|load| {
-                load.name == vm.entry.pool
-                    && load.members > KEPT_VMS
-                    && load.supply >= load.wanted() + cpu
-            });
+            let is_surplus = loads
+                .iter()
+                .any(|load| load.name == vm.entry.pool && load.can_spare(cpu));
             let has_idled = self.endpoint_of_vm(&vm.entry.name).is_some_and(|key| {
                 now.steady_ms >= self.endpoints.get(key).empty_since_ms + IDLE_MS
             });
@@ -379,25 +398,33 @@
         if is_ordered_move {
             self.order = None;
         }
-        self.away_since_ms = match entry.state {
-            VmState::Up => 0,
-            _ if self.away_since_ms == 0 => now.steady_ms,
-            _ => self.away_since_ms,
-        };
+        let is_maintained = now.steady_ms < self.maintained_until_ms;
         self.entry = entry;
+        // A list that was asked for before the maintenance began shows the VM as it was; taken for
+        // its return, one VM too many would be down.
+        if is_maintained {
+            self.entry.state = VmState::Maintenance;
+        }
+    }
+
+    /// Tells whether the VM is down for maintenance, or may be.
+    pub fn is_in_maintenance(&self) -> bool {
+        self.entry.state == VmState::Maintenance
     }
 
     /// Notes that the VM has left for what was ordered.
-    fn begin_absence(&mut self, order: &VmOrder, now: Now) {
+    fn begin_absence(&mut self, order: &VmOrder, maintained_until_ms: u64) {
         self.order = None;
-        self.away_since_ms = now.steady_ms;
         self.entry.endpoint = CompactString::default();
         match order {
             VmOrder::Move(pool) => {
                 self.entry.pool = pool.clone();
                 self.entry.state = VmState::Moving;
             }
-            VmOrder::Maintain(_) => self.entry.state = VmState::Maintenance,
+            VmOrder::Maintain(_) => {
+                self.entry.state = VmState::Maintenance;
+                self.maintained_until_ms = maintained_until_ms;
+            }
         }
     }
 }
--- a/crates/engine/src/waves.rs
+++ b/crates/engine/src/waves.rs
@@ -125,6 +125,14 @@
         let place = self.wave_or_new(number);
         let wave = &mut self.waves[place];
         wave.emptying.retain(|(name, _)| name != vm);
+        if let Ok(at) = wave
+            .stored
+            .ordered
+            .binary_search_by(|known| known.as_str().cmp(vm))
+        {
+            wave.stored.ordered.remove(at);
+            wave.is_dirty = true;
+        }
     }
 
     /// Goes on with each wave.
@@ -150,6 +158,7 @@
             .filter(|vm| !self.waves[place].has_begun(vm) && self.vm_place(vm).is_ok())
             .cloned()
             .collect();
+        self.hold_back_ordered(place, &left, now);
         let down = self.down_in_wave(place, &order);
         if left.is_empty() {
             self.complete_wave(place);
@@ -157,10 +166,28 @@
         }
         let mut budget = order.max_count.saturating_sub(down);
         self.order_empty(place, &left, &mut budget, now);
-        self.empty_more(place, &left, budget, &order, now);
+        self.empty_more(place, &left, budget, now);
         self.hurry(place, now);
     }
 
+    /// Keeps work from VMs whose maintenance was ordered without a known outcome.
+    ///
+    /// An earlier owner's order may still be carried out, and its successor repeats it; what had
+    /// started on the VM meanwhile would be cut off, long-running tasks against their budget.
+    fn hold_back_ordered(&mut self, place: usize, left: &[CompactString], now: Now) {
+        for name in left {
+            let wave = &mut self.waves[place];
+            let is_emptying = wave.emptying.iter().any(|(known, _)| known == name);
+            if wave.is_ordered(name) && !is_emptying {
+                wave.emptying.push((name.clone(), now.steady_ms));
+            }
+            let is_emptying = wave.emptying.iter().any(|(known, _)| known == name);
+            if is_emptying && let Some(key) = self.endpoint_of_vm(name) {
+                self.endpoints.get_mut(key).is_held_back = true;
+            }
+        }
+    }
+
     fn complete_wave(&mut self, place: usize) {
         let wave = &mut self.waves[place];
         wave.stored.is_completed = true;
@@ -183,7 +210,7 @@
                     return false;
                 };
                 let is_pending = wave.is_ordered(name) && !wave.has_begun(name);
-                is_pending || vm.entry.state == VmState::Maintenance
+                is_pending || vm.is_in_maintenance()
             })
             .count()
     }
@@ -194,7 +221,7 @@
             if *budget == 0 {
                 return;
             }
-            if !self.can_begin(place, name, now) {
+            if !self.can_begin(name, now) {
                 continue;
             }
             let Ok(vm) = self.vm_place(name) else {
@@ -209,11 +236,10 @@
         }
     }
 
-    fn can_begin(&self, place: usize, name: &str, now: Now) -> bool {
+    fn can_begin(&self, name: &str, now: Now) -> bool {
         let Ok(vm) = self.vm_place(name).map(|place| &self.vms[place]) else {
             return false;
         };
-        let is_pending = self.waves[place].is_ordered(name);
         let is_quiet = vm.order.is_none()
             && vm.entry.state == VmState::Up
             && now.steady_ms >= vm.rests_until_ms;
@@ -225,19 +251,12 @@
             // A VM of the standby pool has no endpoint.
             None => vm.entry.endpoint.is_empty(),
         };
-        is_quiet && (is_empty || is_pending)
+        is_quiet && is_empty
     }
 
     /// Keeps new work from as many VMs as can be maintained next.
-    fn empty_more(
-        &mut self,
-        place: usize,
-        left: &[CompactString],
-        budget: usize,
-        order: &WaveOrder,
-        now: Now,
-    ) {
-        let ahead = budget.max(1).min(order.max_count);
+    fn empty_more(&mut self, place: usize, left: &[CompactString], budget: usize, now: Now) {
+        let ahead = self.pace_of_wave(place, left.len(), now).min(budget.max(1));
         let busy = self.waves[place].emptying.len();
         if busy >= ahead {
             return;
@@ -266,23 +285,36 @@
         }
     }
 
+    /// Returns how many VMs have to be emptied at once for the wave to be in time.
+    ///
+    /// Emptying more than that takes room from jobs, and from long-running tasks the endpoints on
+    /// which they could go on.
+    fn pace_of_wave(&self, place: usize, left: usize, now: Now) -> usize {
+        let wave = &self.waves[place];
+        let Some(order) = &wave.order else {
+            return 1;
+        };
+        let passed_ms = now.steady_ms.saturating_sub(wave.since_ms);
+        let rest_ms = (duration_ms(order) * AIM_PERCENT / 100).saturating_sub(passed_ms);
+        let turns = usize::try_from(rest_ms / self.turn_ms()).unwrap_or(usize::MAX);
+        left.div_ceil(turns.max(1)).clamp(1, order.max_count.max(1))
+    }
+
+    /// Time from the decision to empty a VM to its return, in milliseconds.
+    fn turn_ms(&self) -> u64 {
+        self.settings.maintenance_ms + TURN_MS + DRAIN_PATIENCE_MS
+    }
+
     /// Stops what runs on VMs that have been emptied for long: long-running tasks at once, as far
     /// as their budgets allow, the others when the wave would be late otherwise.
     fn hurry(&mut self, place: usize, now: Now) {
         let wave = &self.waves[place];
         let is_short_of_time = wave.order.as_ref().is_some_and(|order| {
-            #[expect(
-                clippy::cast_possible_truncation,
-                clippy::cast_sign_loss,
-                reason = "seconds of a wave, never negative"
-            )]
-            let duration_ms = (order.duration_s * 1_000.0) as u64;
             let left = order.vms.iter().filter(|vm| !wave.has_begun(vm)).count();
             let turns = left.div_ceil(order.max_count.max(1));
-            let needed_ms = u64::try_from(turns).unwrap_or(u64::MAX)
-                * (self.settings.maintenance_ms + TURN_MS + DRAIN_PATIENCE_MS);
+            let needed_ms = u64::try_from(turns).unwrap_or(u64::MAX) * self.turn_ms();
             let passed_ms = now.steady_ms.saturating_sub(wave.since_ms);
-            passed_ms + needed_ms > duration_ms * AIM_PERCENT / 100
+            passed_ms + needed_ms > duration_ms(order) * AIM_PERCENT / 100
         });
         for (name, since_ms) in wave.emptying.clone() {
             let Some(key) = self.endpoint_of_vm(&name) else {
@@ -325,16 +357,30 @@
             .tasks()
             .filter(|(name, _)| name.is_sibling(task) && name.index != task.index)
             .filter(|(_, other)| {
-                !other
-                    .attempts
-                    .iter()
-                    .any(|attempt| attempt.percent >= 100 && !attempt.is_stopping)
+                !other.attempts.iter().any(|attempt| {
+                    // What was told last counts only as long as the endpoint goes on telling.
+                    let endpoint = self.endpoints.get(attempt.endpoint);
+                    let is_sound = endpoint.is_listed
+                        && !endpoint.is_over
+                        && !endpoint.is_draining
+                        && endpoint.silent_calls == 0;
+                    is_sound && attempt.percent >= 100 && !attempt.is_stopping
+                })
             })
             .count();
         away < usize::from(spec.max_unavailable)
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "seconds of a wave, never negative"
+)]
+fn duration_ms(order: &WaveOrder) -> u64 {
+    (order.duration_s.max(0.0) * 1_000.0) as u64
+}
+
 fn contains(names: &[CompactString], name: &str) -> bool {
     names
         .binary_search_by(|known| known.as_str().cmp(name))
--- /dev/null
+++ b/crates/engine/tests/waves.rs
@@ -0,0 +1,109 @@
+//! Waves of maintenance, moves, and what they may cut off.
+
+mod common;
+
+use {
+    common::{Fleet, POOL, queue, step},
+    lynxwheel_engine::{
+        Effect, Event, JobSpec, Room, StepSpec, VmEntry, VmOutcome, VmState, WaveOrder,
+    },
+};
+
+fn vm(name: &str, endpoint: &str) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        pool: POOL.into(),
+        state: VmState::Up,
+        zone: "zone-1".into(),
+        labels: Vec::new(),
+        capacity: Room {
+            cpu_millis: 16_000,
+            memory_mb: 64_000,
+            gpus: 0,
+        },
+        endpoint: endpoint.into(),
+    }
+}
+
+fn wave(vms: &[&str], max_count: usize) -> Event {
+    Event::Wave(WaveOrder {
+        wave: 1,
+        vms: vms.iter().map(|name| (*name).into()).collect(),
+        duration_s: 20.0,
+        max_count,
+    })
+}
+
+fn maintained(fleet: &Fleet) -> Vec<String> {
+    let names = fleet.orders.iter().filter_map(|order| match order {
+        Effect::Maintain { vm, .. } => Some(vm.to_string()),
+        _ => None,
+    });
+    names.collect()
+}
+
+/// Returns a fleet of three VMs with an endpoint each.
+fn three_vms() -> (Fleet, Vec<VmEntry>) {
+    let mut fleet = Fleet::new();
+    let mut vms = Vec::new();
+    for number in 1..=3 {
+        let endpoint = format!("i-{number}");
+        fleet.list_endpoint(&endpoint, 16_000);
+        vms.push(vm(&format!("vm-{number}"), &endpoint));
+    }
+    fleet.handle(Event::Vms(vms.clone()));
+    fleet.settle();
+    fleet.engine.allow_vm_orders(true);
+    (fleet, vms)
+}
+
+/// Two VMs of a wave are down where one is allowed. The list of VMs was asked for before the first
+/// maintenance began and came after; it shows the VM as up, and the next one was ordered.
+#[test]
+fn stale_list_of_vms_does_not_end_a_maintenance() {
+    let (mut fleet, vms) = three_vms();
+    fleet.handle(wave(&["vm-1", "vm-2"], 1));
+    fleet.advance(100);
+    assert_eq!(maintained(&fleet).len(), 1);
+    let first = maintained(&fleet).remove(0);
+    fleet.handle(Event::VmAnswer {
+        vm: first.as_str().into(),
+        outcome: VmOutcome::Done,
+    });
+    fleet.handle(Event::Vms(vms));
+    fleet.advance(1_000);
+    assert_eq!(maintained(&fleet), [first]);
+}
+
+/// A long-running task is cut off though its budget is spent. One of its siblings sits on an
+/// endpoint that has fallen silent; what it told last, at work, was taken for how it stands.
+#[test]
+fn silent_sibling_counts_as_unavailable() {
+    let (mut fleet, _) = three_vms();
+    let spec = StepSpec {
+        long_running: true,
+        max_per_endpoint: 1,
+        max_unavailable: 1,
+        ..step(3)
+    };
+    fleet.submit_spec(
+        1,
+        JobSpec {
+            steps: vec![spec],
+            ..JobSpec::default()
+        },
+    );
+    fleet.settle();
+    fleet.advance(1_500);
+    fleet.endpoints[0].is_silent = true;
+    fleet.advance(1_500);
+    let _ = queue();
+    fleet.handle(wave(&["vm-2", "vm-3"], 2));
+    fleet.advance(1_000);
+    let stops = fleet
+        .orders
+        .iter()
+        .filter(|order| matches!(order, Effect::Stop { .. }))
+        .count();
+    assert_eq!(stops, 0, "{:?}", fleet.orders.last());
+}
