Ask the owner again instead of telling callers that nothing is known; readiness by contact

A job's id makes the ask repeatable, so the node repeats it until the caller's time is over, and refuses at once what was certainly not heard once a take-over would have been done. Renewals every 350 ms, silence 1.3 s instead of 1.8 s.

--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -13,7 +13,7 @@
     lynxwheel_platform::{caller_deadline_ms, decode_job, pending_body, state_body},
     lynxwheel_transport::{Body, Server, ServerLimits, collect_body, error_answer, full_body},
     std::{io, sync::Arc, time::Duration},
-    tokio::time::timeout,
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// Time for the owner's answer when the caller does not say how long it waits, in milliseconds.
@@ -22,6 +22,17 @@
 /// Time kept of the caller's own for the way back, in milliseconds.
 const WAY_BACK_MS: u64 = 100;
 
+/// Longest time for one ask, in milliseconds: a store slowed to a hundredth still lets the owner
+/// answer, and a connection that fell silent is given up in time for another.
+const ATTEMPT_MS: u64 = 1_000;
+
+/// Pause before the owner is asked again, in milliseconds.
+const ASK_PAUSE_MS: u64 = 80;
+
+/// Time for which a caller is kept for a new owner, in milliseconds: a little less than the silence
+/// after which one comes, so that most are served and the others come back when there is one.
+const TAKE_OVER_MS: u64 = 1_300;
+
 /// When a refused caller may come back, in seconds: an owner's loss is made good within about two,
 /// and whole seconds are all that the header can say.
 const RETRY_AFTER_S: &str = "1";
@@ -169,17 +180,47 @@
     }
 }
 
-/// Asks the owner, here or at another node.
+/// Asks the owner, and asks again while there is a new one to come or the outcome is not known.
+///
+/// Every ask may be repeated: a job's id makes a second hand-in the same job. A caller that is told
+/// "not known" cannot safely come back with a request that must not run twice, so the node finds
+/// out itself as long as the caller waits. One that has certainly not been heard is kept only as
+/// long as a take-over lasts, and then refused.
 async fn ask_owner(node: &Node, ask: Ask, limit: Duration) -> OwnerAnswer {
+    let begun = Instant::now();
+    let patience = limit.min(Duration::from_millis(TAKE_OVER_MS));
+    let mut is_unclear = false;
+    loop {
+        let left = limit.saturating_sub(begun.elapsed());
+        let attempt = left.min(Duration::from_millis(ATTEMPT_MS));
+        match ask_once(node, ask.clone(), attempt).await {
+            OwnerAnswer::Unclear => is_unclear = true,
+            OwnerAnswer::NotOwner => {}
+            answer => return answer,
+        }
+        let end = if is_unclear { limit } else { patience };
+        if begun.elapsed() + Duration::from_millis(ASK_PAUSE_MS) >= end {
+            break;
+        }
+        sleep(Duration::from_millis(ASK_PAUSE_MS)).await;
+    }
+    if is_unclear {
+        OwnerAnswer::Unclear
+    } else {
+        OwnerAnswer::NotOwner
+    }
+}
+
+/// Asks the owner once, here or at another node.
+async fn ask_once(node: &Node, ask: Ask, limit: Duration) -> OwnerAnswer {
     let (epoch, owner) = {
         let view = node.view.borrow();
         (view.epoch, view.owner)
     };
     let request = OwnerRequest { epoch, ask };
     if node.owner.load().is_some() {
-        return timeout(limit, ask_here(node, request))
-            .await
-            .unwrap_or(OwnerAnswer::Unclear);
+        let answer = timeout(limit, ask_here(node, request)).await;
+        return answer.unwrap_or(OwnerAnswer::Unclear);
     }
     let Some(owner) = owner else {
         return OwnerAnswer::NotOwner;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -15,7 +15,10 @@
     std::{
         io,
         net::{IpAddr, SocketAddr},
-        sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
     tokio::signal::unix::{SignalKind, signal},
@@ -35,6 +38,10 @@
 /// Time that is kept of the grace period for the last answers, in milliseconds.
 const LAST_ANSWERS_MS: u64 = 1_200;
 
+/// Time without contact to the store after which a node is not ready, in milliseconds: one poll
+/// and its slack.
+const OUT_OF_TOUCH_MS: u64 = 1_800;
+
 /// Connections to another node at most.
 const PEER_CONNECTIONS: usize = 32;
 
@@ -61,6 +68,8 @@
     pub owner: ArcSwapOption<OwnerHandle>,
     /// Epoch under which this process has written; it is never taken up twice.
     pub taken_epoch: AtomicU64,
+    /// When the store was reached last, on the steady clock in milliseconds.
+    pub contact_ms: AtomicU64,
     /// Given when the node has to stop.
     pub stopping: Shutdown,
     /// Given when the node takes no connections any more.
@@ -85,12 +94,32 @@
             view: tokio::sync::watch::Sender::default(),
             owner: ArcSwapOption::empty(),
             taken_epoch: AtomicU64::new(0),
+            contact_ms: AtomicU64::new(0),
             stopping: Shutdown::new(),
             closing: Shutdown::new(),
             settings,
         }
     }
 
+    /// Notes that the store was reached.
+    pub fn note_contact(&self) {
+        self.contact_ms.store(clock::steady_ms(), Ordering::Relaxed);
+    }
+
+    /// Tells whether callers are served here: with a configuration, not stopping, and in touch with
+    /// the store.
+    ///
+    /// A node that is cut off alone can neither follow the owner nor learn of another, and every
+    /// caller it takes is lost. When the store is away for everybody no node is ready, and the
+    /// balancer then uses all of them.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let contact_ms = self.contact_ms.load(Ordering::Relaxed);
+        self.config.load().version > 0
+            && !self.stopping.has_begun()
+            && clock::steady_ms() < contact_ms + OUT_OF_TOUCH_MS
+    }
+
     /// Returns the bounds for the engine.
     #[must_use]
     pub fn engine_settings(&self) -> EngineSettings {
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -11,15 +11,15 @@
 };
 
 /// Time between an owner's renewals, in milliseconds: three fit into the silence allowed.
-pub const RENEW_EVERY_MS: u64 = 500;
+pub const RENEW_EVERY_MS: u64 = 350;
 
 /// Silence after which another node claims, in milliseconds. A store slowed to a hundredth takes
-/// some 400 ms an append, so that even then a sound owner is heard in time.
-pub const SILENCE_MS: u64 = 1_800;
+/// some 400 ms an append, so that even then a sound owner is heard every 800 ms.
+pub const SILENCE_MS: u64 = 1_300;
 
 /// Age of the last renewal up to which an owner gives orders for VMs, in milliseconds: well below
 /// the silence after which there may be a successor.
-pub const FRESH_MS: u64 = 1_400;
+pub const FRESH_MS: u64 = 1_000;
 
 /// What a record of the ownership log says.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/controller/src/ready.rs
+++ b/crates/controller/src/ready.rs
@@ -18,14 +18,10 @@
 }
 
 /// Answers the balancer.
-///
-/// A node is ready while it has a configuration and is not stopping. An outage of the store does not change
-/// that: no other node would be better off, and callers still get states and refusals.
 pub async fn serve(node: Arc<Node>, server: Server) {
     let shutdown = node.closing.clone();
     let handler = move |_: Request<Incoming>| {
-        let is_ready = node.config.load().version > 0 && !node.stopping.has_begun();
-        let status = if is_ready {
+        let status = if node.is_ready() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -44,7 +44,9 @@
         }
         if !is_read {
             sleep(Duration::from_millis(RETRY_MS)).await;
+            continue;
         }
+        node.note_contact();
         follow(&node).await;
         if may_claim(&node) {
             claim(&node).await;
