--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -109,6 +109,9 @@
     pub begun: Vec<CompactString>,
     /// Whether every VM has had its maintenance.
     pub is_completed: bool,
+    /// Time of day at which the order was read first, in milliseconds since 1970; 0 before that.
+    #[serde(default)]
+    pub since_ms: u64,
 }
 
 /// Encodes a value; the types of this module always can be.
--- a/crates/engine/src/waves.rs
+++ b/crates/engine/src/waves.rs
@@ -29,8 +29,6 @@
     /// Order, once it was read.
     order: Option<WaveOrder>,
     stored: StoredWave,
-    /// When the order was read, on the steady clock.
-    since_ms: u64,
     /// VMs that are being emptied, with the time at which that began.
     emptying: Vec<(CompactString, u64)>,
     is_dirty: bool,
@@ -43,7 +41,6 @@
             number,
             order: None,
             stored: StoredWave::default(),
-            since_ms: 0,
             emptying: Vec::new(),
             is_dirty: false,
             is_announced: false,
@@ -78,8 +75,10 @@
     pub(crate) fn wave_ordered(&mut self, order: WaveOrder, now: Now) {
         let place = self.wave_or_new(order.wave);
         let wave = &mut self.waves[place];
-        if wave.order.is_none() {
-            wave.since_ms = now.steady_ms;
+        // Stored, so that a later owner does not take the wave for one that has just begun.
+        if wave.stored.since_ms == 0 {
+            wave.stored.since_ms = now.wall_ms;
+            wave.is_dirty = true;
         }
         wave.order = Some(order);
         if !wave.is_announced {
@@ -294,7 +293,7 @@
         let Some(order) = &wave.order else {
             return 1;
         };
-        let passed_ms = now.steady_ms.saturating_sub(wave.since_ms);
+        let passed_ms = now.wall_ms.saturating_sub(wave.stored.since_ms);
         let rest_ms = (duration_ms(order) * AIM_PERCENT / 100).saturating_sub(passed_ms);
         let turns = usize::try_from(rest_ms / self.turn_ms()).unwrap_or(usize::MAX);
         left.div_ceil(turns.max(1)).clamp(1, order.max_count.max(1))
@@ -313,7 +312,7 @@
             let left = order.vms.iter().filter(|vm| !wave.has_begun(vm)).count();
             let turns = left.div_ceil(order.max_count.max(1));
             let needed_ms = u64::try_from(turns).unwrap_or(u64::MAX) * self.turn_ms();
-            let passed_ms = now.steady_ms.saturating_sub(wave.since_ms);
+            let passed_ms = now.wall_ms.saturating_sub(wave.stored.since_ms);
             passed_ms + needed_ms > duration_ms(order) * AIM_PERCENT / 100
         });
         for (name, since_ms) in wave.emptying.clone() {
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -107,3 +107,25 @@
         .count();
     assert_eq!(stops, 0, "{:?}", fleet.orders.last());
 }
+
+/// A wave ends late. Its owner is lost in the middle, and the successor, which reads the order
+/// anew, takes the wave for one that has just begun and leaves busy VMs alone.
+#[test]
+fn wave_keeps_its_time_over_a_take_over() {
+    let (mut fleet, vms) = three_vms();
+    fleet.submit(1, 40);
+    fleet.settle();
+    fleet.handle(wave(&["vm-1", "vm-2", "vm-3"], 1));
+    fleet.advance(8_000);
+    fleet.take_over();
+    fleet.handle(wave(&["vm-1", "vm-2", "vm-3"], 1));
+    fleet.handle(Event::Vms(vms));
+    fleet.settle();
+    fleet.engine.allow_vm_orders(true);
+    fleet.advance(3_000);
+    assert_eq!(
+        maintained(&fleet).len(),
+        1,
+        "time is short: a busy VM is emptied"
+    );
+}
