Let a successor order VMs at once, and claim at once in a dead owner's place

Each order for a VM is now stored before it goes out, and a successor waits only for VMs with a recent one. A process that starts at the dead owner's address need not wait for its silence. Tests: waves.rs, ownership.rs.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -130,6 +130,7 @@
             migrate_ms: bounds.migrate_ms,
             maintenance_ms: bounds.maintenance_ms,
             notice_ms: bounds.notice_ms,
+            vm_holder_ms: bounds.vm_holder_ms,
             remote_factor: bounds.remote_factor,
         }
     }
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -126,7 +126,6 @@
 pub struct Owner {
     node: Arc<Node>,
     epoch: u64,
-    claimed_ms: u64,
     engine: Engine,
     writer: Writer,
     dispatcher: Option<Dispatcher>,
@@ -182,10 +181,7 @@
             .map(|owner| owner.renewed_ms())
             .unwrap_or_default();
         let is_fresh = now.steady_ms < renewed_ms + FRESH_MS;
-        let holder_ms = self.node.settings.bounds.vm_holder_ms;
-        let is_settled = now.steady_ms >= self.claimed_ms + holder_ms;
-        self.engine
-            .allow_vm_orders(is_fresh && is_settled && !self.is_leaving);
+        self.engine.allow_vm_orders(is_fresh && !self.is_leaving);
     }
 
     fn ask(&mut self, ask: Ask, reply: oneshot::Sender<OwnerAnswer>, now: Now) {
@@ -386,7 +382,6 @@
     let owner = Owner {
         node: Arc::clone(node),
         epoch,
-        claimed_ms: begun_ms,
         engine,
         writer,
         dispatcher: None,
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -125,6 +125,13 @@
         self.read_to = offset;
     }
 
+    /// Tells whether the owner's process is known to be over: another one listens at its address.
+    #[must_use]
+    pub fn is_predecessor(&self, incarnation: u64, address: SocketAddr) -> bool {
+        self.owner
+            .is_some_and(|owner| owner.address == address && owner.incarnation != incarnation)
+    }
+
     /// Tells whether the fleet needs an owner.
     #[must_use]
     pub fn needs_owner(&self, now_ms: u64) -> bool {
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -55,9 +55,12 @@
 }
 
 fn may_claim(node: &Node) -> bool {
-    !node.stopping.has_begun()
-        && node.owner.load().is_none()
-        && node.view.borrow().needs_owner(clock::steady_ms())
+    !node.stopping.has_begun() && node.owner.load().is_none() && is_vacant(node)
+}
+
+fn is_vacant(node: &Node) -> bool {
+    let view = node.view.borrow();
+    view.needs_owner(clock::steady_ms()) || view.is_predecessor(node.incarnation, node.peer_address)
 }
 
 /// Reads what was written since; tells whether that worked.
--- /dev/null
+++ b/crates/controller/tests/ownership.rs
@@ -0,0 +1,84 @@
+//! Who may claim the fleet, and when.
+
+use {
+    lynxwheel_controller::{OwnershipKind, OwnershipRecord, OwnershipView, SILENCE_MS},
+    std::net::SocketAddr,
+};
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn record(kind: OwnershipKind, epoch: u64, incarnation: u64) -> OwnershipRecord {
+    OwnershipRecord {
+        kind,
+        epoch,
+        incarnation,
+        address: address(7_060),
+    }
+}
+
+/// Returns a view with an owner of epoch 1 that was heard at 1,000 ms.
+fn owned() -> OwnershipView {
+    let mut view = OwnershipView::default();
+    view.note_read(1_000);
+    view.apply(Some(&record(OwnershipKind::Claim, 0, 7)), 1_000);
+    view
+}
+
+macro_rules! cases {
+    ($($(#[$story:meta])* $name:ident: $body:expr;)*) => {
+        $($(#[$story])* #[test] fn $name() { $body; })*
+    };
+}
+
+cases! {
+    claim_gives_the_epoch_by_its_offset: assert_eq!(owned().owner.map(|owner| owner.epoch), Some(1));
+
+    sound_owner_is_left_alone: assert!(!owned().needs_owner(1_000 + SILENCE_MS));
+
+    silent_owner_is_replaced: assert!(owned().needs_owner(1_001 + SILENCE_MS));
+
+    /// Every node claims when the store comes back. It was away for all; nobody heard the owner,
+    /// which went on all the while.
+    outage_of_the_store_says_nothing_about_the_owner: {
+        let mut view = owned();
+        view.note_failure();
+        assert!(!view.needs_owner(20_000));
+        view.note_read(20_000);
+        assert!(!view.needs_owner(20_000 + SILENCE_MS));
+        assert!(view.needs_owner(20_001 + SILENCE_MS));
+    };
+
+    release_asks_for_another_owner_at_once: {
+        let mut view = owned();
+        view.apply(Some(&record(OwnershipKind::Release, 1, 7)), 1_100);
+        assert!(view.needs_owner(1_100));
+        assert_eq!(view.owner, None);
+    };
+
+    /// A late renewal of a former owner is read after its successor's claim.
+    late_renewal_changes_nothing: {
+        let mut view = owned();
+        view.apply(Some(&record(OwnershipKind::Claim, 0, 8)), 1_200);
+        view.apply(Some(&record(OwnershipKind::Renewal, 1, 7)), 1_300);
+        assert_eq!(view.owner.map(|owner| owner.incarnation), Some(8));
+    };
+
+    /// All processes are killed and start again within a second; callers are refused for as long
+    /// as the nodes wait for an owner whose process is gone. The process that took its place at its
+    /// address can know.
+    successor_at_the_owners_address_need_not_wait: {
+        assert!(owned().is_predecessor(8, address(7_060)));
+        assert!(!owned().is_predecessor(7, address(7_060)));
+        assert!(!owned().is_predecessor(8, address(7_061)));
+    };
+
+    record_of_another_writer_is_passed_over: {
+        let mut view = owned();
+        assert_eq!(OwnershipRecord::decode(b"\xc1noise"), None);
+        view.apply(None, 1_100);
+        assert_eq!(view.read_to, 2);
+        assert_eq!(view.owner.map(|owner| owner.epoch), Some(1));
+    };
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -15,11 +15,13 @@
         pools::Vm,
         state::{Job, Phase},
         stored::{
-            Record, RecordKind, StoredProgress, StoredSpec, StoredWave, decode, progress_drop,
-            progress_record, record_kind, restore_job, spec_drop, spec_record,
+            Record, RecordKind, StoredProgress, StoredSpec, StoredVm, StoredWave, decode,
+            progress_drop, progress_record, record_kind, restore_job, spec_drop, spec_record,
+            vm_name,
         },
         waves::Wave,
     },
+    compact_str::CompactString,
     std::sync::Arc,
 };
 
@@ -39,6 +41,8 @@
     pub maintenance_ms: u64,
     /// Time for which a long-running task must be at work again before it counts as available.
     pub notice_ms: u64,
+    /// Time in which orders for one VM may not come from two owners, in milliseconds.
+    pub vm_holder_ms: u64,
     /// Factor by which a task is slower away from its data.
     pub remote_factor: f64,
 }
@@ -52,6 +56,7 @@
             migrate_ms: 1_500,
             maintenance_ms: 2_000,
             notice_ms: 4_500,
+            vm_holder_ms: 3_000,
             remote_factor: 2.0,
         }
     }
@@ -91,6 +96,8 @@
     pub(crate) endpoints: Endpoints,
     /// VMs sorted by name.
     pub(crate) vms: Vec<Vm>,
+    /// VMs for which an earlier owner ordered something lately, with the end of their rest.
+    pub(crate) resting_vms: Vec<(CompactString, u64)>,
     /// Waves sorted by number.
     pub(crate) waves: Vec<Wave>,
     pub(crate) forming: Vec<Effect>,
@@ -114,6 +121,7 @@
             ended: Vec::new(),
             endpoints: Endpoints::default(),
             vms: Vec::new(),
+            resting_vms: Vec::new(),
             waves: Vec::new(),
             forming: Vec::new(),
             at_once: Vec::new(),
@@ -147,6 +155,9 @@
                 Some(RecordKind::Wave(wave)) => decode::<StoredWave>(&record.value)
                     .map(|stored| self.restore_wave(wave, stored))
                     .is_some(),
+                Some(RecordKind::Vm) => decode::<StoredVm>(&record.value)
+                    .map(|stored| self.restore_vm(vm_name(&record.key), stored, now))
+                    .is_some(),
                 Some(RecordKind::Spec(_)) => true,
                 None => false,
             };
@@ -400,6 +411,7 @@
                 }));
         }
         batch.records.extend(self.wave_records());
+        batch.records.extend(self.vm_records(now));
         batch.effects.append(&mut self.forming);
         batch
     }
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -5,6 +5,7 @@
         engine::Engine,
         event::{Effect, EndpointKey, Now, VmOutcome},
         reports::{VmEntry, VmState},
+        stored::{Record, StoredVm, vm_record},
     },
     compact_str::CompactString,
 };
@@ -26,6 +27,9 @@
 /// Time added to a maintenance before a list counts that shows the VM back, in milliseconds.
 const MAINTENANCE_SLACK_MS: u64 = 300;
 
+/// How far the times of day of two nodes may be apart, in milliseconds, jumps included.
+const CLOCK_SPREAD_MS: u64 = 6_000;
+
 /// Pause of a VM that refused an order, in milliseconds.
 const VM_REST_MS: u64 = 2_000;
 
@@ -49,6 +53,8 @@
     pub ordered_ms: u64,
     /// Until when nothing is ordered for it, on the steady clock.
     pub rests_until_ms: u64,
+    /// Whether an order for it is still to be stored.
+    pub is_dirty: bool,
     /// Until when its maintenance lasts at least, on the steady clock.
     pub maintained_until_ms: u64,
 }
@@ -113,11 +119,12 @@
                 Err(place) => self.vms.insert(
                     place,
                     Vm {
+                        rests_until_ms: self.inherited_rest_ms(&entry.name),
                         entry,
                         order: None,
                         ordered_ms: 0,
-                        rests_until_ms: 0,
                         maintained_until_ms: 0,
+                        is_dirty: false,
                     },
                 ),
             }
@@ -208,12 +215,41 @@
             },
         };
         vm.order = Some(order);
+        vm.is_dirty = true;
         self.forming.push(effect);
         if let Some(key) = self.endpoint_of_vm(&name) {
             self.endpoints.get_mut(key).is_held_back = true;
         }
     }
 
+    /// Returns the records of the VMs for which something was ordered.
+    pub(crate) fn vm_records(&mut self, now: Now) -> Vec<Record> {
+        let mut records = Vec::new();
+        for vm in self.vms.iter_mut().filter(|vm| vm.is_dirty) {
+            vm.is_dirty = false;
+            records.push(vm_record(&vm.entry.name, now.wall_ms));
+        }
+        records
+    }
+
+    /// Takes in when an earlier owner ordered something for a VM.
+    pub(crate) fn restore_vm(&mut self, name: &str, stored: StoredVm, now: Now) {
+        let recent_ms = self.settings.vm_holder_ms + CLOCK_SPREAD_MS;
+        if now.wall_ms < stored.ordered_ms + recent_ms {
+            let until_ms = now.steady_ms + self.settings.vm_holder_ms;
+            self.resting_vms.push((name.into(), until_ms));
+        }
+    }
+
+    /// Returns until when an earlier owner's order for a VM forbids another, on the steady clock.
+    ///
+    /// Orders of two owners for one VM must not follow each other closely. Every order is stored
+    /// before it goes out, so a VM without a recent one is free at once.
+    fn inherited_rest_ms(&self, name: &str) -> u64 {
+        let resting = self.resting_vms.iter().find(|(known, _)| known == name);
+        resting.map_or(0, |(_, until_ms)| *until_ms)
+    }
+
     fn repeat_vm_orders(&mut self, now: Now) {
         for place in 0..self.vms.len() {
             let vm = &self.vms[place];
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -24,6 +24,9 @@
 /// First character of the key of a record of a wave.
 const WAVE_PREFIX: char = 'w';
 
+/// First character of the key of a record of a VM.
+const VM_PREFIX: char = 'v';
+
 /// A record to store: the newest one with a key lasts, and one without value drops the key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
@@ -42,6 +45,8 @@
     Progress(JobId),
     /// A wave.
     Wave(u64),
+    /// A VM.
+    Vm,
 }
 
 /// Decodes a key.
@@ -57,6 +62,7 @@
         SPEC_PREFIX => rest.parse().ok().map(RecordKind::Spec),
         PROGRESS_PREFIX => rest.parse().ok().map(RecordKind::Progress),
         WAVE_PREFIX => rest.parse().ok().map(RecordKind::Wave),
+        VM_PREFIX => Some(RecordKind::Vm),
         _ => None,
     }
 }
@@ -114,6 +120,13 @@
     pub since_ms: u64,
 }
 
+/// A VM, as it is stored: when something was ordered for it last.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredVm {
+    /// Time of day of the order, in milliseconds since 1970.
+    pub ordered_ms: u64,
+}
+
 /// Encodes a value; the types of this module always can be.
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     rmp_serde::to_vec(value).unwrap_or_default()
@@ -210,6 +223,21 @@
     }
 }
 
+/// Returns the record of a VM for which something is ordered.
+#[must_use]
+pub fn vm_record(name: &str, ordered_ms: u64) -> Record {
+    Record {
+        key: format!("{VM_PREFIX}/{name}"),
+        value: encode(&StoredVm { ordered_ms }),
+    }
+}
+
+/// Returns the name of the VM in a key.
+#[must_use]
+pub fn vm_name(key: &str) -> &str {
+    key.split_once('/').map_or("", |(_, name)| name)
+}
+
 /// Builds a job from its two records.
 ///
 /// `key_of` names an endpoint by its id. Runs are taken as inherited: whether they are under way
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -136,3 +136,23 @@
         "time is short: a busy VM is emptied"
     );
 }
+
+/// Two owners order the same VM within seconds, and the platform sees them take turns. A
+/// successor waits with VMs that its predecessor ordered lately, and only with these.
+#[test]
+fn successor_waits_only_for_vms_ordered_lately() {
+    let (mut fleet, vms) = three_vms();
+    fleet.handle(wave(&["vm-1"], 1));
+    fleet.advance(100);
+    assert_eq!(maintained(&fleet), ["vm-1"]);
+    fleet.take_over();
+    fleet.orders.clear();
+    fleet.handle(wave(&["vm-1", "vm-2"], 2));
+    fleet.handle(Event::Vms(vms));
+    fleet.settle();
+    fleet.engine.allow_vm_orders(true);
+    fleet.advance(500);
+    assert_eq!(maintained(&fleet), ["vm-2"]);
+    fleet.advance(3_000);
+    assert!(maintained(&fleet).contains(&"vm-1".to_string()));
+}
