Repeat an earlier owner's order for a VM without another place in the budget

Cause: a VM whose maintenance was ordered without a known outcome counts as down, and its own repeat had to wait for a free place, for ever where none became free. Test: waves.rs.

--- a/crates/engine/src/waves.rs
+++ b/crates/engine/src/waves.rs
@@ -217,10 +217,10 @@
     /// Orders maintenance of VMs that run nothing.
     fn order_empty(&mut self, place: usize, left: &[CompactString], budget: &mut usize, now: Now) {
         for name in left {
-            if *budget == 0 {
-                return;
-            }
-            if !self.can_begin(name, now) {
+            // One that was ordered before counts as down already; only repeating the order brings
+            // its outcome.
+            let is_counted = self.waves[place].is_ordered(name);
+            if (*budget == 0 && !is_counted) || !self.can_begin(name, now) {
                 continue;
             }
             let Ok(vm) = self.vm_place(name) else {
@@ -231,7 +231,9 @@
             wave.is_dirty = true;
             let number = wave.number;
             self.order_vm(vm, VmOrder::Maintain(number), now);
-            *budget -= 1;
+            if !is_counted {
+                *budget -= 1;
+            }
         }
     }
 
