--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -1,13 +1,16 @@
 //! Runs of tasks: starts and stops, their answers, and the ends that endpoints report.
 
-use crate::{
-    endpoints::SUSPECT_AFTER,
-    engine::{Engine, ORDER_RETRY_MS},
-    event::{CallOutcome, Effect, EndpointKey, Now, Refusal, StartOrder},
-    job::{JobState, TaskRef},
-    note::{Note, RunEnd},
-    reports::{EndKind, EndedTask},
-    state::{Attempt, Job, Phase},
+use {
+    crate::{
+        endpoints::SUSPECT_AFTER,
+        engine::{Engine, ORDER_RETRY_MS},
+        event::{CallOutcome, Effect, EndpointKey, Now, Refusal, StartOrder},
+        job::{JobState, TaskRef},
+        note::{Note, RunEnd},
+        reports::{EndKind, EndedTask},
+        state::{Attempt, Job, Phase},
+    },
+    compact_str::CompactString,
 };
 
 /// Rest of an endpoint after one run failed there, in milliseconds: long enough for other runs to
@@ -106,20 +109,20 @@
         key: EndpointKey,
         task: &TaskRef,
         run: u32,
-        outcome: CallOutcome<u64>,
+        outcome: &CallOutcome<u64>,
         now: Now,
     ) {
         match outcome {
             CallOutcome::Done(clock_ms) => {
-                self.endpoints.get_mut(key).read_clock(clock_ms, now);
+                self.endpoints.get_mut(key).read_clock(*clock_ms, now);
                 self.confirm(key, task, run, now);
                 self.renew_leases(now);
             }
             // That run is known there; the next report tells how it stands.
             CallOutcome::Refused(Refusal::OldRun) => self.confirm(key, task, run, now),
             CallOutcome::Refused(refusal) => {
-                self.rest_after_refusal(key, refusal, now);
-                if refusal == Refusal::Invalid {
+                self.rest_after_refusal(key, *refusal, now);
+                if *refusal == Refusal::Invalid {
                     self.delay_task(task, now.steady_ms + INVALID_PAUSE_MS);
                 }
                 self.start_failed(task, run, now);
@@ -302,7 +305,7 @@
         };
         let is_known = task.attempts.iter().any(|attempt| attempt.run == ended.run);
         if !ended.checkpoint.is_empty() && !task.is_done {
-            task.checkpoint = ended.checkpoint.clone();
+            task.checkpoint.clone_from(&ended.checkpoint);
         }
         match ended.kind {
             EndKind::Done => {
@@ -337,7 +340,7 @@
         for member in &names {
             if let Some(task) = self.jobs[place].task_mut(member) {
                 task.is_done = true;
-                task.checkpoint = Default::default();
+                task.checkpoint = CompactString::default();
             }
         }
         self.remove_attempt(name, run, RunEnd::Reported(EndKind::Done), now);
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -51,6 +51,10 @@
 
 /// One life of an endpoint.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts about one life"
+)]
 pub struct Endpoint {
     /// Id of this life.
     pub id: CompactString,
@@ -147,14 +151,14 @@
     /// Takes over what the registry says.
     pub fn update(&mut self, entry: &EndpointEntry) {
         self.address = entry.address;
-        self.pool = entry.pool.clone();
-        self.zone = entry.zone.clone();
+        self.pool.clone_from(&entry.pool);
+        self.zone.clone_from(&entry.zone);
         self.capacity = entry.capacity;
         self.labels.clone_from(&entry.labels);
         self.is_draining = entry.is_draining;
         self.is_listed = true;
         if let Some(vm) = &entry.vm {
-            self.vm = vm.clone();
+            self.vm.clone_from(vm);
         }
     }
 
@@ -182,7 +186,7 @@
         self.capacity.less(&self.used)
     }
 
-    /// Returns the rack, which is the label that names one; empty when none does.
+    /// Tells whether the endpoint has a label.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|known| known == label)
@@ -198,6 +202,7 @@
     }
 
     /// Grants a lease that begins now; returns its end on the endpoint's clock.
+    #[must_use]
     pub fn grant(&mut self, now: Now, lease_ms: u64) -> Option<u64> {
         let reading = self.clock?;
         let passed_ms = now.steady_ms.saturating_sub(reading.at_ms);
@@ -312,6 +317,7 @@
     }
 
     /// Returns the keys of all endpoints.
+    #[must_use]
     pub fn keys(&self) -> std::ops::Range<EndpointKey> {
         0..EndpointKey::try_from(self.lives.len()).unwrap_or(EndpointKey::MAX)
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -151,7 +151,7 @@
         for record in records {
             let is_read = match record_kind(&record.key) {
                 Some(RecordKind::Progress(id)) => decode(&record.value)
-                    .is_some_and(|progress| self.restore_one(id, progress, &mut specs, now)),
+                    .is_some_and(|progress| self.restore_one(id, progress, &specs, now)),
                 Some(RecordKind::Wave(wave)) => decode::<StoredWave>(&record.value)
                     .map(|stored| self.restore_wave(wave, stored))
                     .is_some(),
@@ -176,7 +176,7 @@
         &mut self,
         id: JobId,
         progress: StoredProgress,
-        specs: &mut Vec<(JobId, StoredSpec)>,
+        specs: &[(JobId, StoredSpec)],
         now: Now,
     ) -> bool {
         let spec = match specs.binary_search_by_key(&id, |(known, _)| *known) {
@@ -224,7 +224,7 @@
                 task,
                 run,
                 outcome,
-            } => self.start_answered(endpoint, &task, run, outcome, now),
+            } => self.start_answered(endpoint, &task, run, &outcome, now),
             Event::Stopped {
                 endpoint,
                 task,
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -290,7 +290,7 @@
             if let Some(task) = job.task_mut(&running.task)
                 && !running.checkpoint.is_empty()
             {
-                task.checkpoint = running.checkpoint.clone();
+                task.checkpoint.clone_from(&running.checkpoint);
             }
             let Some(attempt) = find_attempt(job, &running.task, running.run) else {
                 return;
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -112,7 +112,7 @@
             if !entry.endpoint.is_empty()
                 && let Some(key) = self.endpoints.find(&entry.endpoint)
             {
-                self.endpoints.get_mut(key).vm = entry.name.clone();
+                self.endpoints.get_mut(key).vm.clone_from(&entry.name);
             }
             match self.vm_place(&entry.name) {
                 Ok(place) => self.vms[place].refresh(entry, now),
@@ -269,10 +269,7 @@
         }
         self.repeat_vm_orders(now);
         let mut loads = self.pool_loads(now);
-        loop {
-            let Some(place) = neediest(&loads) else {
-                break;
-            };
+        while let Some(place) = neediest(&loads) {
             let Some(vm) = self.spare_vm(&loads, place, now) else {
                 break;
             };
@@ -454,7 +451,7 @@
         self.entry.endpoint = CompactString::default();
         match order {
             VmOrder::Move(pool) => {
-                self.entry.pool = pool.clone();
+                self.entry.pool.clone_from(pool);
                 self.entry.state = VmState::Moving;
             }
             VmOrder::Maintain(_) => {
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -314,7 +314,7 @@
 /// Chooses endpoints for all tasks of a gang, in one rack if they are slower otherwise, or none.
 fn choose_gang(
     endpoints: &Endpoints,
-    slots: &mut Vec<Slot>,
+    slots: &mut [Slot],
     job: &Job,
     name: &TaskRef,
     spec: &StepSpec,
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -1,7 +1,7 @@
 //! What of a job lasts: records that a later owner reads.
 //!
 //! A job has two records: what the caller sent, written once, and how far it is, written again
-//! with each change. Both are MessagePack arrays, so field names cost nothing.
+//! with each change. Both are `MessagePack` arrays, so field names cost nothing.
 
 use {
     crate::{
