Repeat no stop that is not stored

Cause: a stop that waited for the store was sent as a repeat 200 ms later. Ruled out: records read in part (all pages), a stale report. Test: waves.rs, seen failing.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -196,7 +196,7 @@
             attempt.phase = Phase::Confirmed;
             attempt.confirmed_at_renewal = renewals;
         }
-        let is_stopping = attempt.is_stopping;
+        let is_stopping = attempt.is_stop_stored;
         if job.state == JobState::Queued {
             job.state = JobState::Running;
             // Nothing hangs on this state, so it is told before it is stored.
@@ -270,7 +270,7 @@
                     .filter(|attempt| needs_repeat(attempt, now))
                 {
                     attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
-                    due.push((name, attempt.run, attempt.endpoint, attempt.is_stopping));
+                    due.push((name, attempt.run, attempt.endpoint, attempt.is_stop_stored));
                 }
             }
         }
@@ -406,10 +406,27 @@
 
 fn needs_repeat(attempt: &Attempt, now: Now) -> bool {
     let is_waiting = attempt.phase == Phase::Unanswered
-        || (attempt.is_stopping && attempt.phase != Phase::Inherited);
+        || (attempt.is_stop_stored && attempt.phase != Phase::Inherited);
     is_waiting && now.steady_ms >= attempt.retry_at_ms
 }
 
+impl Engine {
+    /// Notes that the decision to stop a run is stored; tells whether the run is still known.
+    ///
+    /// Until then the order is not sent, nor repeated: a successor that does not know of it would
+    /// take the run for one at work, and interrupt others of its step beyond their budget.
+    pub(crate) fn stop_stored(&mut self, task: &TaskRef, run: u32) -> bool {
+        let Ok(place) = self.search(task.job) else {
+            return false;
+        };
+        let attempt = find_attempt(&mut self.jobs[place], task, run);
+        attempt.is_some_and(|attempt| {
+            attempt.is_stop_stored = true;
+            true
+        })
+    }
+}
+
 /// Returns a run of a task to change.
 pub(crate) fn find_attempt<'a>(
     job: &'a mut Job,
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -26,6 +26,10 @@
 
 /// One run of a task, from the decision to its proven end.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts about one run"
+)]
 pub struct Attempt {
     /// Number of the run.
     pub run: u32,
@@ -40,6 +44,8 @@
     pub may_start_late: bool,
     /// Whether it is to be stopped.
     pub is_stopping: bool,
+    /// Whether the decision to stop it is stored, so that the order may go out.
+    pub is_stop_stored: bool,
     /// When an order for it may be repeated, on the steady clock.
     pub retry_at_ms: u64,
     /// When it was decided, on the steady clock.
@@ -61,6 +67,7 @@
             confirmed_at_renewal: 0,
             may_start_late: false,
             is_stopping: false,
+            is_stop_stored: false,
             retry_at_ms: 0,
             since_ms,
             percent: 0,
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -260,6 +260,7 @@
         let mut attempt = Attempt::new(run, endpoint, 0);
         attempt.phase = Phase::Inherited;
         attempt.is_stopping = is_stopping;
+        attempt.is_stop_stored = is_stopping;
         Some(attempt)
     };
     let restore_task = |StoredTask(run, failed, is_done, checkpoint, attempts): StoredTask| Task {
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -156,3 +156,33 @@
     fleet.advance(3_000);
     assert!(maintained(&fleet).contains(&"vm-1".to_string()));
 }
+
+/// Two long-running tasks of a step are away where one may be. The owner could not reach the store
+/// and had decided to stop one of them; the order went out as a repeat of one that had not been
+/// sent. The successor knew nothing of it and stopped another.
+#[test]
+fn stop_that_is_not_stored_is_not_repeated() {
+    let (mut fleet, _) = three_vms();
+    let spec = StepSpec {
+        long_running: true,
+        max_unavailable: 1,
+        ..step(2)
+    };
+    fleet.submit_spec(
+        1,
+        JobSpec {
+            steps: vec![spec],
+            ..JobSpec::default()
+        },
+    );
+    fleet.settle();
+    fleet.advance(1_500);
+    fleet.is_store_down = true;
+    fleet.handle(wave(&["vm-1"], 1));
+    fleet.advance(2_000);
+    let is_stop = |order: &&Effect| matches!(order, Effect::Stop { .. });
+    assert_eq!(fleet.orders.iter().filter(is_stop).count(), 0);
+    fleet.is_store_down = false;
+    fleet.advance(500);
+    assert_ne!(fleet.orders.iter().filter(is_stop).count(), 0);
+}
