--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -4,6 +4,7 @@
     log::warn,
     lynxwheel_engine::Record,
     lynxwheel_platform::{AppendOutcome, PlatformSettings, Producer, StoreClient, keyed_record},
+    metrics::counter,
     std::time::Duration,
     tokio::time::sleep,
 };
@@ -21,6 +22,16 @@
 /// Bytes that a record's frame adds.
 const FRAME_BYTES: usize = 8;
 
+fn outcome_label(outcome: AppendOutcome) -> &'static str {
+    match outcome {
+        AppendOutcome::Stored { .. } => "stored",
+        AppendOutcome::Moved { .. } | AppendOutcome::OutOfSequence { .. } => "conflict",
+        AppendOutcome::Fenced => "fenced",
+        AppendOutcome::NothingDone => "refused",
+        AppendOutcome::Unknown => "unknown",
+    }
+}
+
 /// Numbers the appends of one owner.
 #[derive(Clone, Copy, Debug)]
 pub struct Writer {
@@ -114,6 +125,7 @@
             let outcome = store
                 .append(STATE_TOPIC, records, None, Some(producer))
                 .await;
+            counter!("lynxwheel_appends_total", "outcome" => outcome_label(outcome)).increment(1);
             match outcome {
                 AppendOutcome::Stored { .. } => return true,
                 // The epoch is ours alone, so the store can only be ahead by this very append.
--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -12,6 +12,7 @@
     lynxwheel_engine::{JobId, Queue},
     lynxwheel_platform::{caller_deadline_ms, decode_job, pending_body, state_body},
     lynxwheel_transport::{Body, Server, ServerLimits, collect_body, error_answer, full_body},
+    metrics::{counter, histogram},
     std::{io, sync::Arc, time::Duration},
     tokio::time::{Instant, sleep, timeout},
 };
@@ -126,7 +127,9 @@
         queue: queue.clone(),
         spec,
     };
+    let begun = Instant::now();
     let answer = ask_owner(node, ask, limit).await;
+    count_request("submit", answer, begun);
     info!(event = "submit", job = job.as_str(), outcome:? = answer, epoch = node.view.borrow().epoch; "");
     match answer {
         OwnerAnswer::Accepted => error_answer(StatusCode::OK, ""),
@@ -142,7 +145,10 @@
     let ask = Ask::State {
         job: job.to_string(),
     };
-    match ask_owner(node, ask, deadline(request)).await {
+    let begun = Instant::now();
+    let answer = ask_owner(node, ask, deadline(request)).await;
+    count_request("state", answer, begun);
+    match answer {
         OwnerAnswer::State(state) => json(state_body(state)),
         OwnerAnswer::Unknown => {
             info!(event = "state", job = job.as_str(), outcome = "unknown"; "");
@@ -156,7 +162,9 @@
     let ask = Ask::Cancel {
         job: job.to_string(),
     };
+    let begun = Instant::now();
     let answer = ask_owner(node, ask, deadline(request)).await;
+    count_request("cancel", answer, begun);
     info!(event = "cancel", job = job.as_str(), outcome:? = answer; "");
     match answer {
         OwnerAnswer::Cancelled => error_answer(StatusCode::OK, ""),
@@ -243,6 +251,21 @@
     }
 }
 
+/// Counts a caller's request by its outcome, with the time that the answer took.
+fn count_request(kind: &'static str, answer: OwnerAnswer, begun: Instant) {
+    let outcome = match answer {
+        OwnerAnswer::Accepted
+        | OwnerAnswer::Cancelled
+        | OwnerAnswer::State(_)
+        | OwnerAnswer::Pending(_) => "answered",
+        OwnerAnswer::Unknown => "no_such_job",
+        OwnerAnswer::Refused | OwnerAnswer::NotOwner => "refused",
+        OwnerAnswer::Unclear => "unclear",
+    };
+    counter!("lynxwheel_requests_total", "kind" => kind, "outcome" => outcome).increment(1);
+    histogram!("lynxwheel_request_seconds", "kind" => kind).record(begun.elapsed());
+}
+
 fn json(body: Vec<u8>) -> Response<Body> {
     let mut response = Response::new(full_body(body));
     response.headers_mut().insert(
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -32,7 +32,7 @@
 mod watcher;
 
 pub use {
-    node::run,
+    node::{MetricsPage, run},
     ownership::{
         FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, RENEW_EVERY_MS,
         SILENCE_MS,
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -13,7 +13,7 @@
     lynxwheel_platform::{PlatformSettings, StoreClient},
     lynxwheel_transport::{Clients, Shutdown},
     std::{
-        io,
+        fmt, io,
         net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex, PoisonError,
@@ -42,9 +42,46 @@
 /// and its slack.
 const OUT_OF_TOUCH_MS: u64 = 1_800;
 
+/// Time between summing up the samples of the metrics, in milliseconds: the recorder's own default.
+const METRICS_UPKEEP_MS: u64 = 5_000;
+
 /// Connections to another node at most.
 const PEER_CONNECTIONS: usize = 32;
 
+/// Renders the metrics as text; what renders them is the program's choice.
+#[derive(Clone)]
+pub struct MetricsPage {
+    render: Arc<dyn Fn() -> String + Send + Sync>,
+    upkeep: Arc<dyn Fn() + Send + Sync>,
+}
+
+impl MetricsPage {
+    /// Wraps what renders the metrics, and what sums up their samples now and then, so that they
+    /// take no more and more memory while nobody asks.
+    #[must_use]
+    pub fn new(
+        render: impl Fn() -> String + Send + Sync + 'static,
+        upkeep: impl Fn() + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            render: Arc::new(render),
+            upkeep: Arc::new(upkeep),
+        }
+    }
+
+    /// Renders the metrics.
+    #[must_use]
+    pub fn render(&self) -> String {
+        (self.render)()
+    }
+}
+
+impl fmt::Debug for MetricsPage {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("MetricsPage")
+    }
+}
+
 /// What the duties of a node share.
 #[derive(Debug)]
 pub struct Node {
@@ -70,6 +107,8 @@
     pub taken_epoch: AtomicU64,
     /// When the store was reached last, on the steady clock in milliseconds.
     pub contact_ms: AtomicU64,
+    /// Renders the metrics as text.
+    pub metrics: MetricsPage,
     /// Given when the node has to stop.
     pub stopping: Shutdown,
     /// Given when the node takes no connections any more.
@@ -79,7 +118,7 @@
 impl Node {
     /// Creates a node.
     #[must_use]
-    pub fn new(settings: PlatformSettings) -> Self {
+    pub fn new(settings: PlatformSettings, metrics: MetricsPage) -> Self {
         let ip: IpAddr = settings
             .ip
             .parse()
@@ -93,6 +132,7 @@
             waves: Mutex::default(),
             view: tokio::sync::watch::Sender::default(),
             owner: ArcSwapOption::empty(),
+            metrics,
             taken_epoch: AtomicU64::new(0),
             contact_ms: AtomicU64::new(0),
             stopping: Shutdown::new(),
@@ -176,8 +216,8 @@
 /// # Errors
 ///
 /// Fails when an address cannot be bound or signals cannot be received.
-pub async fn run(settings: PlatformSettings) -> io::Result<()> {
-    let node = Arc::new(Node::new(settings));
+pub async fn run(settings: PlatformSettings, metrics: MetricsPage) -> io::Result<()> {
+    let node = Arc::new(Node::new(settings, metrics));
     info!(
         event = "start", node = node.settings.node_name.as_str(), zone = node.settings.zone.as_str(),
         incarnation = node.incarnation;
@@ -188,6 +228,7 @@
     let ready = ready::bind(&node).await?;
     tokio::spawn(feeds::follow_operator(Arc::clone(&node)));
     tokio::spawn(watcher::watch(Arc::clone(&node)));
+    tokio::spawn(sum_up_metrics(node.metrics.clone()));
     let callers = tokio::spawn(ingress::serve(Arc::clone(&node), callers));
     tokio::spawn(peer_server::serve(Arc::clone(&node), peers));
     tokio::spawn(ready::serve(Arc::clone(&node), ready));
@@ -203,6 +244,13 @@
     Ok(())
 }
 
+async fn sum_up_metrics(metrics: MetricsPage) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(METRICS_UPKEEP_MS)).await;
+        (metrics.upkeep)();
+    }
+}
+
 async fn wait_for_stop() -> io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/controller/src/notes.rs
+++ b/crates/controller/src/notes.rs
@@ -3,8 +3,20 @@
 use {
     log::info,
     lynxwheel_engine::{EndKind, Note, RunEnd},
+    metrics::{counter, histogram},
+    std::time::Duration,
 };
 
+fn end_label(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Reported(EndKind::Done) => "done",
+        RunEnd::Reported(EndKind::Failed) => "failed",
+        RunEnd::Reported(_) => "stopped",
+        RunEnd::Refused | RunEnd::NeverOrdered => "not_started",
+        RunEnd::Missing | RunEnd::EndpointOver | RunEnd::LeaseOver => "lost",
+    }
+}
+
 /// Writes a line for each note.
 ///
 /// Runs that ended as done are left out: there are hundreds a second, and their job's end tells of
@@ -14,28 +26,38 @@
         match note {
             Note::RunOver {
                 end: RunEnd::Reported(EndKind::Done),
+                after_ms,
                 ..
-            } => {}
+            } => {
+                counter!("lynxwheel_runs_total", "end" => "done").increment(1);
+                histogram!("lynxwheel_run_seconds").record(Duration::from_millis(*after_ms));
+            }
             Note::RunOver {
                 task,
                 run,
                 endpoint,
                 end,
                 after_ms,
-            } => info!(
+            } => {
+                counter!("lynxwheel_runs_total", "end" => end_label(*end)).increment(1);
+                info!(
                 event = "run_over", epoch = epoch, task:% = task, run = run,
                 endpoint = endpoint.as_str(), end:? = end, after_ms = after_ms;
                 ""
-            ),
+                );
+            }
             Note::JobEnded {
                 job,
                 state,
                 after_ms,
-            } => info!(
+            } => {
+                histogram!("lynxwheel_job_seconds").record(Duration::from_millis(*after_ms));
+                info!(
                 event = "job_ended", epoch = epoch, job = job.as_str(), state:? = state,
                 after_ms = after_ms;
                 ""
-            ),
+                );
+            }
             Note::EndpointOver { endpoint, vm, runs } => info!(
                 event = "endpoint_over", epoch = epoch, endpoint = endpoint.as_str(),
                 vm = vm.as_str(), runs = runs;
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -26,6 +26,7 @@
         Batch, CallerAnswer, Effect, Engine, Event, JobId, Now, Record, ReplyToken,
     },
     lynxwheel_platform::{EndpointCalls, VmCalls},
+    metrics::{counter, histogram},
     std::{
         sync::{
             Arc, Mutex, PoisonError,
@@ -430,9 +431,12 @@
     node.taken_epoch.store(epoch, Ordering::Relaxed);
     node.owner.store(Some(Arc::clone(&handle)));
     drop(prepared.spawn(owner));
+    counter!("lynxwheel_take_overs_total").increment(1);
+    let took_ms = clock::steady_ms().saturating_sub(begun_ms);
+    histogram!("lynxwheel_take_over_seconds").record(Duration::from_millis(took_ms));
     info!(
         event = "ownership_taken", epoch = epoch, jobs = jobs, records = records.len(),
-        took_ms = clock::steady_ms() - begun_ms;
+        took_ms = took_ms;
         ""
     );
     handle.add_duty(tokio::spawn(feeds::follow_registry(
--- a/crates/controller/src/peer_server.rs
+++ b/crates/controller/src/peer_server.rs
@@ -13,6 +13,9 @@
     std::{io, sync::Arc},
 };
 
+/// Path of the metrics, in the text format of Prometheus.
+const METRICS_PATH: &str = "/metrics";
+
 /// Binds the address for other nodes.
 ///
 /// # Errors
@@ -33,6 +36,9 @@
 }
 
 async fn answer(node: &Node, request: Request<Incoming>) -> Response<Body> {
+    if request.uri().path() == METRICS_PATH {
+        return error_answer(StatusCode::OK, &node.metrics.render());
+    }
     if request.uri().path() != OWNER_PATH {
         return error_answer(StatusCode::NOT_FOUND, "no such path");
     }
--- a/crates/lynxwheel/src/cli.rs
+++ b/crates/lynxwheel/src/cli.rs
@@ -3,7 +3,9 @@
 use {
     crate::{config::Config, daemon, dev, logging},
     clap::{Args, Parser, Subcommand},
+    lynxwheel_controller::MetricsPage,
     lynxwheel_platform::PlatformSettings,
+    metrics_exporter_prometheus::PrometheusBuilder,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
@@ -156,11 +158,18 @@
         eprintln!("{error}");
         return ExitCode::from(EXIT_FAILED);
     }
+    let metrics = match PrometheusBuilder::new().install_recorder() {
+        Ok(recorder) => {
+            let upkeep = recorder.clone();
+            MetricsPage::new(move || recorder.render(), move || upkeep.run_upkeep())
+        }
+        Err(error) => return failed(&error.to_string()),
+    };
     // One thread: entry VMs have a share of one core, and each further thread costs memory.
     let outcome = Builder::new_current_thread()
         .enable_all()
         .build()
-        .and_then(|runtime| runtime.block_on(lynxwheel_controller::run(settings)));
+        .and_then(|runtime| runtime.block_on(lynxwheel_controller::run(settings, metrics)));
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => failed(&error.to_string()),
