Ask which endpoints may run a step where a queue wants it

Starts on such queues carried no ticket and were refused. Tests: advice.rs (three cases; the first showed that asks made while placing were left until the next event, mended).

--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -8,7 +8,8 @@
         CallOutcome, Effect, EndpointAddress, EndpointKey, Endpoints, Event, StartOrder, TaskRef,
     },
     lynxwheel_platform::{
-        AppendOutcome, EndpointCalls, STATUS_TOPIC, StoreClient, VmCalls, keyed_record, wave_status,
+        AdviceCalls, AppendOutcome, EndpointCalls, STATUS_TOPIC, StoreClient, VmCalls,
+        keyed_record, wave_status,
     },
     std::time::Duration,
     tokio::time::sleep,
@@ -23,6 +24,7 @@
     actor: ActorRef<Owner>,
     endpoints: EndpointCalls,
     vms: Option<VmCalls>,
+    advice: Option<AdviceCalls>,
     store: StoreClient,
 }
 
@@ -33,12 +35,14 @@
         actor: ActorRef<Owner>,
         endpoints: EndpointCalls,
         vms: Option<VmCalls>,
+        advice: Option<AdviceCalls>,
         store: StoreClient,
     ) -> Self {
         Self {
             actor,
             endpoints,
             vms,
+            advice,
             store,
         }
     }
@@ -110,6 +114,21 @@
                     .await;
                 });
             }
+            Effect::Advise { step, endpoints } => {
+                tokio::spawn(async move {
+                    let answer = match &this.advice {
+                        Some(calls) => calls.ask(&step, &endpoints).await,
+                        None => Err("no such service in the settings".into()),
+                    };
+                    info!(
+                        event = "advice", step:% = step, asked = endpoints.len(),
+                        outcome:? = answer.as_ref().map(|(tickets, _)| tickets.len());
+                        ""
+                    );
+                    let answer = answer.ok();
+                    this.tell(Event::Advised { step, answer }).await;
+                });
+            }
             Effect::Move { vm, pool } => {
                 tokio::spawn(async move {
                     let Some(calls) = &this.vms else {
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -25,7 +25,7 @@
     lynxwheel_engine::{
         Batch, CallerAnswer, Effect, Engine, Event, JobId, Now, Record, ReplyToken,
     },
-    lynxwheel_platform::{EndpointCalls, VmCalls},
+    lynxwheel_platform::{AdviceCalls, EndpointCalls, VmCalls},
     metrics::{counter, histogram},
     std::{
         sync::{
@@ -169,6 +169,9 @@
         let effects = self.engine.take_at_once();
         self.carry_out(effects, context);
         self.write(now, context);
+        // Placing asks for advice at once.
+        let effects = self.engine.take_at_once();
+        self.carry_out(effects, context);
         notes::log_notes(self.epoch, &self.engine.take_notes());
     }
 }
@@ -416,6 +419,7 @@
         actor.clone(),
         endpoint_calls,
         vm_calls.clone(),
+        node.settings.advice_service.map(AdviceCalls::new),
         node.store.clone(),
     );
     let owner = Owner {
--- /dev/null
+++ b/crates/engine/src/advice.rs
@@ -0,0 +1,167 @@
+//! Steps whose endpoints another service chooses: which may be used, with which ticket.
+
+use {
+    crate::{
+        endpoints::Endpoints,
+        engine::Engine,
+        event::{Effect, EndpointKey, Now},
+        job::TaskRef,
+    },
+    compact_str::CompactString,
+};
+
+/// Endpoints asked about in one call at most. The service takes time for each that is named, and
+/// the users' objective for a step reckons with 30.
+const ASKED_AT_ONCE: usize = 30;
+
+/// Time before a ticket's end from which it is not used, in milliseconds: a start takes some 10 ms
+/// to its endpoint, and a few times that when the store is slow.
+const TICKET_MARGIN_MS: u64 = 300;
+
+/// Pause after an ask without answer, in milliseconds.
+const ASK_RETRY_MS: u64 = 300;
+
+/// Time after which an ask counts as lost, in milliseconds; the caller gives up before.
+const ASK_LOST_MS: u64 = 8_000;
+
+/// A ticket for the tasks of a step on one endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    /// Id of the endpoint.
+    pub endpoint: CompactString,
+    /// Text that goes with each start.
+    pub text: CompactString,
+}
+
+/// What is known of one step.
+#[derive(Clone, Debug)]
+pub(crate) struct StepAdvice {
+    step: TaskRef,
+    /// Tickets with the time until which they are used, on the steady clock.
+    tickets: Vec<(EndpointKey, CompactString, u64)>,
+    /// Endpoints that may not run the step; that does not change.
+    refused: Vec<EndpointKey>,
+    asked: Vec<EndpointKey>,
+    ask_at_ms: u64,
+}
+
+impl StepAdvice {
+    fn new(step: TaskRef) -> Self {
+        Self {
+            step,
+            tickets: Vec::new(),
+            refused: Vec::new(),
+            asked: Vec::new(),
+            ask_at_ms: 0,
+        }
+    }
+
+    fn ticket(&self, key: EndpointKey, now: Now) -> Option<&CompactString> {
+        self.tickets
+            .iter()
+            .find(|(known, _, until_ms)| *known == key && now.steady_ms < *until_ms)
+            .map(|(_, text, _)| text)
+    }
+}
+
+impl Engine {
+    fn advice_place(&mut self, step: &TaskRef) -> usize {
+        let step = TaskRef { index: 0, ..*step };
+        match self.advice.binary_search_by_key(&step, |known| known.step) {
+            Ok(place) => place,
+            Err(place) => {
+                self.advice.insert(place, StepAdvice::new(step));
+                place
+            }
+        }
+    }
+
+    /// Returns the endpoints for which a step has a ticket, and asks about others that have room.
+    pub(crate) fn advised_members(
+        &mut self,
+        step: &TaskRef,
+        members: &[EndpointKey],
+        now: Now,
+    ) -> Vec<EndpointKey> {
+        let place = self.advice_place(step);
+        let advice = &mut self.advice[place];
+        let usable: Vec<EndpointKey> = members
+            .iter()
+            .copied()
+            .filter(|&key| advice.ticket(key, now).is_some())
+            .collect();
+        if now.steady_ms >= advice.ask_at_ms {
+            let unknown = members
+                .iter()
+                .copied()
+                .filter(|key| !advice.refused.contains(key) && !usable.contains(key));
+            advice.asked = unknown.take(ASKED_AT_ONCE).collect();
+            if !advice.asked.is_empty() {
+                advice.ask_at_ms = now.steady_ms + ASK_LOST_MS;
+                self.at_once.push(Effect::Advise {
+                    step: *step,
+                    endpoints: names(&self.endpoints, &advice.asked),
+                });
+            }
+        }
+        usable
+    }
+
+    /// Returns the ticket for a start; empty where none is needed.
+    pub(crate) fn ticket_for(&self, task: &TaskRef, key: EndpointKey, now: Now) -> CompactString {
+        let step = TaskRef { index: 0, ..*task };
+        let place = self.advice.binary_search_by_key(&step, |known| known.step);
+        place
+            .ok()
+            .and_then(|place| self.advice[place].ticket(key, now))
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// Takes in an answer: tickets of the endpoints that may run the step, or nothing when the call
+    /// failed.
+    pub(crate) fn advised(&mut self, step: &TaskRef, answer: Option<(Vec<Ticket>, u64)>, now: Now) {
+        let place = self.advice_place(step);
+        let endpoints = &self.endpoints;
+        let advice = &mut self.advice[place];
+        let asked = std::mem::take(&mut advice.asked);
+        let Some((tickets, valid_ms)) = answer else {
+            advice.ask_at_ms = now.steady_ms + ASK_RETRY_MS;
+            return;
+        };
+        advice.ask_at_ms = now.steady_ms;
+        let until_ms = now.steady_ms + valid_ms.saturating_sub(TICKET_MARGIN_MS);
+        for key in asked {
+            let id = &endpoints.get(key).id;
+            advice.tickets.retain(|(known, _, _)| *known != key);
+            match tickets.iter().find(|ticket| ticket.endpoint == *id) {
+                Some(ticket) => advice.tickets.push((key, ticket.text.clone(), until_ms)),
+                None => advice.refused.push(key),
+            }
+        }
+        self.is_schedule_due = true;
+    }
+
+    /// Forgets a ticket that an endpoint did not take.
+    pub(crate) fn ticket_refused(&mut self, task: &TaskRef, key: EndpointKey) {
+        let place = self.advice_place(task);
+        self.advice[place]
+            .tickets
+            .retain(|(known, _, _)| *known != key);
+    }
+
+    /// Forgets what is known of the steps of jobs that have ended.
+    pub(crate) fn forget_advice(&mut self) {
+        let jobs = &self.jobs;
+        self.advice.retain(|advice| {
+            jobs.binary_search_by_key(&advice.step.job, |job| job.id)
+                .is_ok()
+        });
+    }
+}
+
+fn names(endpoints: &Endpoints, keys: &[EndpointKey]) -> Vec<CompactString> {
+    keys.iter()
+        .map(|&key| endpoints.get(key).id.clone())
+        .collect()
+}
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -122,6 +122,9 @@
             CallOutcome::Refused(Refusal::OldRun) => self.confirm(key, task, run, now),
             CallOutcome::Refused(refusal) => {
                 self.rest_after_refusal(key, *refusal, now);
+                if *refusal == Refusal::Ticket {
+                    self.ticket_refused(task, key);
+                }
                 if *refusal == Refusal::Invalid {
                     self.delay_task(task, now.steady_ms + INVALID_PAUSE_MS);
                 }
@@ -288,7 +291,8 @@
             } else if let Some(deadline_ms) = endpoint.grant(now, self.settings.lease_ms)
                 && let Ok(place) = self.search(task.job)
             {
-                let order = start_order(&self.jobs[place], key, &task, run, deadline_ms);
+                let mut order = start_order(&self.jobs[place], key, &task, run, deadline_ms);
+                order.ticket = self.ticket_for(&task, key, now);
                 self.at_once.push(Effect::Start(Box::new(order)));
             }
         }
@@ -458,5 +462,6 @@
         payload: job.spec.payload.clone(),
         deadline_ms,
         checkpoint,
+        ticket: CompactString::default(),
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        advice::StepAdvice,
         config::{FleetConfig, Queue},
         endpoints::Endpoints,
         event::{CallerAnswer, Effect, EndpointKey, Event, Now, ReplyToken, StartOrder},
@@ -103,6 +104,8 @@
     pub(crate) forming: Vec<Effect>,
     pub(crate) at_once: Vec<Effect>,
     pub(crate) drops: Vec<Record>,
+    /// What is known of steps whose endpoints another service chooses, sorted by step.
+    pub(crate) advice: Vec<StepAdvice>,
     pub(crate) notes: Vec<Note>,
     /// Entries of endpoints that were seen being written.
     pub(crate) fresh_entries: u64,
@@ -126,6 +129,7 @@
             forming: Vec::new(),
             at_once: Vec::new(),
             drops: Vec::new(),
+            advice: Vec::new(),
             notes: Vec::new(),
             fresh_entries: 0,
             is_schedule_due: false,
@@ -235,6 +239,7 @@
                 outcome,
             } => self.stop_answered(endpoint, &task, run, &outcome, now),
             Event::Renewed { endpoint, outcome } => self.renewal_answered(endpoint, outcome, now),
+            Event::Advised { step, answer } => self.advised(&step, answer, now),
             Event::Paced {
                 endpoint,
                 task,
@@ -463,6 +468,7 @@
         }
         order.deadline_ms = endpoint.grant(now, self.settings.lease_ms)?;
         attempt.phase = Phase::Ordered;
+        order.ticket = self.ticket_for(&order.task, order.endpoint, now);
         Some(Effect::Start(Box::new(order)))
     }
 
@@ -486,6 +492,7 @@
         self.repeat_orders(now);
         self.renew_leases(now);
         self.forget_old(now);
+        self.forget_advice();
         self.plan_waves(now);
         self.plan_pools(now);
         // Rests and delays end without an event of their own.
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        advice::Ticket,
         config::FleetConfig,
         config::Queue,
         job::{JobId, JobSpec, TaskRef},
@@ -138,6 +139,13 @@
         /// Outcome.
         outcome: CallOutcome<EndpointReport>,
     },
+    /// Answer to an ask which endpoints may run a step.
+    Advised {
+        /// First task of the step.
+        step: TaskRef,
+        /// Tickets and the time for which they hold in milliseconds; nothing when the call failed.
+        answer: Option<(Vec<Ticket>, u64)>,
+    },
     /// Answer to a change of pace.
     Paced {
         /// Endpoint.
@@ -200,6 +208,13 @@
         /// Time that the endpoint may wait for an end, in milliseconds.
         wait_ms: u64,
     },
+    /// Ask which endpoints may run a step.
+    Advise {
+        /// First task of the step.
+        step: TaskRef,
+        /// Ids of the endpoints.
+        endpoints: Vec<CompactString>,
+    },
     /// Let a run work at a share of its speed.
     Pace {
         /// Endpoint.
@@ -258,6 +273,8 @@
     pub deadline_ms: u64,
     /// Checkpoint from which to go on; empty for none.
     pub checkpoint: CompactString,
+    /// Ticket; empty where none is needed.
+    pub ticket: CompactString,
 }
 
 /// Where an endpoint's life is reached.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,6 +23,7 @@
 //! assert!(engine.shown(id).is_some());
 //! ```
 
+mod advice;
 mod attempts;
 mod config;
 mod endpoints;
@@ -40,6 +41,7 @@
 mod waves;
 
 pub use {
+    advice::Ticket,
     config::{CallerLimits, FleetConfig, Pool, Queue},
     endpoints::{Endpoint, Endpoints, Placed},
     engine::{Batch, Engine, EngineSettings},
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -121,7 +121,7 @@
     }
 
     fn place_step(&mut self, candidate: &Candidate, members: &[EndpointKey], now: Now) {
-        let job = &mut self.jobs[candidate.job];
+        let job = &self.jobs[candidate.job];
         let spec = job.spec.steps[candidate.step].clone();
         let name = TaskRef {
             job: job.id,
@@ -129,8 +129,15 @@
             step: u16::try_from(candidate.step).unwrap_or(u16::MAX),
             index: 0,
         };
-        let mut slots = slots(&self.endpoints, members, &name, &spec);
         let waiting = waiting(job, candidate, now);
+        let is_advised = job.queue.advised;
+        let mut slots = slots(&self.endpoints, members, &name, &spec);
+        if is_advised {
+            let with_room: Vec<EndpointKey> = slots.iter().map(|slot| slot.key).collect();
+            let usable = self.advised_members(&name, &with_room, now);
+            slots.retain(|slot| usable.contains(&slot.key));
+        }
+        let job = &self.jobs[candidate.job];
         let chosen = if spec.gang {
             let step = &job.occurrences[candidate.occurrence].steps[candidate.step];
             let is_whole = step
--- /dev/null
+++ b/crates/engine/tests/advice.rs
@@ -0,0 +1,101 @@
+//! Queues whose endpoints another service chooses.
+
+mod common;
+
+use {
+    common::{Fleet, job_id, queue, step},
+    lynxwheel_engine::{Effect, Event, JobSpec, Queue, Ticket},
+};
+
+fn submit(fleet: &mut Fleet) {
+    let queue = Queue {
+        advised: true,
+        ..queue()
+    };
+    let spec = JobSpec {
+        steps: vec![step(1)],
+        ..JobSpec::default()
+    };
+    fleet.handle(Event::Submit {
+        job: job_id(1),
+        queue,
+        spec: Box::new(spec),
+        token: 1,
+    });
+    fleet.settle();
+}
+
+fn asked(fleet: &Fleet) -> Vec<Vec<String>> {
+    let asks = fleet.orders.iter().filter_map(|order| match order {
+        Effect::Advise { endpoints, .. } => {
+            Some(endpoints.iter().map(ToString::to_string).collect())
+        }
+        _ => None,
+    });
+    asks.collect()
+}
+
+fn answer(fleet: &mut Fleet, good: &[&str]) {
+    let tickets = good.iter().map(|id| Ticket {
+        endpoint: (*id).into(),
+        text: format!("ticket-{id}").into(),
+    });
+    fleet.handle(Event::Advised {
+        step: format!("{}.0.0.0", job_id(1)).parse().expect("a name"),
+        answer: Some((tickets.collect(), 3_000)),
+    });
+    fleet.settle();
+}
+
+fn two_endpoints() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.list_endpoint("i-2", 16_000);
+    submit(&mut fleet);
+    fleet
+}
+
+#[test]
+fn step_waits_for_its_tickets_and_starts_with_one() {
+    let mut fleet = two_endpoints();
+    assert_eq!(asked(&fleet), [["i-1", "i-2"]]);
+    assert!(
+        fleet
+            .endpoints
+            .iter()
+            .all(|endpoint| endpoint.started.is_empty())
+    );
+    answer(&mut fleet, &["i-2"]);
+    assert_eq!(fleet.endpoints[1].started.len(), 1);
+    let tickets: Vec<&str> = fleet
+        .orders
+        .iter()
+        .filter_map(|order| match order {
+            Effect::Start(order) => Some(order.ticket.as_str()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(tickets, ["ticket-i-2"]);
+}
+
+/// A job never starts. The service that chooses was down when it was asked, and nobody asked again.
+#[test]
+fn ask_without_answer_is_repeated() {
+    let mut fleet = two_endpoints();
+    fleet.handle(Event::Advised {
+        step: format!("{}.0.0.0", job_id(1)).parse().expect("a name"),
+        answer: None,
+    });
+    fleet.advance(600);
+    assert_eq!(asked(&fleet).len(), 2);
+}
+
+/// The service is asked about the same endpoints over and over, which costs it time for each; what
+/// it refused once it always refuses.
+#[test]
+fn refused_endpoints_are_not_asked_about_again() {
+    let mut fleet = two_endpoints();
+    answer(&mut fleet, &[]);
+    fleet.advance(1_000);
+    assert_eq!(asked(&fleet).len(), 1);
+}
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -214,6 +214,7 @@
             let has_records = !batch.records.is_empty();
             self.store(&batch);
             effects.extend(self.engine.committed(batch, self.now));
+            effects.extend(self.engine.take_at_once());
             if effects.is_empty() && !has_records {
                 return false;
             }
