Stop runs that stand still, so that they go on elsewhere

Cause: tasks on a worker may stand still while it answers every renewal, and nobody looked at their progress. Test: stragglers.rs, seen failing with the limits out. Kept for what it is to the callers of such a run; its gain in worth is not proved.

--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -205,6 +205,13 @@
         self.silent_calls = 0;
     }
 
+    /// Tells whether the endpoint answered within the last `age_ms`.
+    #[must_use]
+    pub fn has_reported_since(&self, now: Now, age_ms: u64) -> bool {
+        self.clock
+            .is_some_and(|reading| now.steady_ms < reading.at_ms + age_ms)
+    }
+
     /// Grants a lease that begins now; returns its end on the endpoint's clock.
     #[must_use]
     pub fn grant(&mut self, now: Now, lease_ms: u64) -> Option<u64> {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -490,6 +490,7 @@
         self.begin_occurrences(now);
         self.expire_leases(now);
         self.repeat_orders(now);
+        self.stop_stuck_runs(now);
         self.renew_leases(now);
         self.forget_old(now);
         self.forget_advice();
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -323,6 +323,9 @@
             let Some(attempt) = find_attempt(job, &running.task, running.run) else {
                 return;
             };
+            if attempt.percent != running.percent || attempt.phase != Phase::Confirmed {
+                attempt.progress_ms = now.steady_ms;
+            }
             attempt.percent = running.percent;
             attempt.phase != Phase::Confirmed
         };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -38,6 +38,7 @@
 mod schedule;
 mod state;
 mod stored;
+mod stragglers;
 mod waves;
 
 pub use {
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -52,6 +52,8 @@
     pub since_ms: u64,
     /// How much is done, or 100 for a long-running task at work.
     pub percent: u32,
+    /// When it showed progress last, on the steady clock.
+    pub progress_ms: u64,
     /// Share of its speed that was asked for.
     pub pace: u8,
 }
@@ -71,6 +73,7 @@
             retry_at_ms: 0,
             since_ms,
             percent: 0,
+            progress_ms: since_ms,
             pace: 100,
         }
     }
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -55,6 +55,8 @@
     pub ended: Vec<EndedTask>,
     pub fence: u64,
     pub is_silent: bool,
+    /// Progress of every run that is told; 100 when it is not set.
+    pub percent: Option<u32>,
     pub started: Vec<(TaskRef, u32)>,
 }
 
@@ -389,7 +391,7 @@
                     task: *task,
                     run: *run,
                     checkpoint: "".into(),
-                    percent: 100,
+                    percent: self.percent.unwrap_or(100),
                     usage: None,
                 })
                 .collect(),
