--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         event::{EndpointKey, Now},
-        job::{Room, TaskRef},
+        job::{Room, StepSpec, TaskRef},
         reports::EndpointEntry,
     },
     compact_str::CompactString,
@@ -49,6 +49,23 @@
     pub tail_ms: u64,
 }
 
+impl Placed {
+    /// Creates what a run of a step takes.
+    #[must_use]
+    pub fn new(task: TaskRef, run: u32, spec: &StepSpec) -> Self {
+        Self {
+            task,
+            run,
+            room: spec.charged(),
+            serves: spec.serves(),
+            fills: spec.fills,
+            lasts: spec.long_running,
+            target_ms: spec.target_ms,
+            tail_ms: 0,
+        }
+    }
+}
+
 /// One life of an endpoint.
 #[derive(Clone, Debug)]
 #[expect(
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -15,11 +15,7 @@
         note::Note,
         pools::Vm,
         state::{Job, Phase},
-        stored::{
-            Record, RecordKind, StoredProgress, StoredSpec, StoredVm, StoredWave, decode,
-            progress_drop, progress_record, record_kind, restore_job, spec_drop, spec_record,
-            vm_name,
-        },
+        stored::{Record, progress_drop, progress_record, spec_drop, spec_record},
         waves::Wave,
     },
     compact_str::CompactString,
@@ -65,10 +61,10 @@
 
 /// A job that has ended and of which only the state is kept.
 #[derive(Clone, Copy, Debug)]
-struct EndedJob {
-    id: JobId,
-    state: JobState,
-    at_ms: u64,
+pub(crate) struct EndedJob {
+    pub(crate) id: JobId,
+    pub(crate) state: JobState,
+    pub(crate) at_ms: u64,
 }
 
 /// Records to store together, and what is released when they are.
@@ -93,7 +89,7 @@
     )]
     pub(crate) jobs: Vec<Box<Job>>,
     /// Jobs that have ended, sorted by id.
-    ended: Vec<EndedJob>,
+    pub(crate) ended: Vec<EndedJob>,
     pub(crate) endpoints: Endpoints,
     /// VMs sorted by name.
     pub(crate) vms: Vec<Vm>,
@@ -137,80 +133,6 @@
         }
     }
 
-    /// Takes in the records of earlier owners, the newest of each key.
-    ///
-    /// Returns the keys of records that cannot be read; they are left alone.
-    pub fn restore<'a>(&mut self, records: &'a [Record], now: Now) -> Vec<&'a str> {
-        let mut unread = Vec::new();
-        let mut specs: Vec<(JobId, StoredSpec)> = Vec::new();
-        for record in records {
-            if let Some(RecordKind::Spec(id)) = record_kind(&record.key) {
-                match decode(&record.value) {
-                    Some(spec) => specs.push((id, spec)),
-                    None => unread.push(record.key.as_str()),
-                }
-            }
-        }
-        specs.sort_unstable_by_key(|(id, _)| *id);
-        for record in records {
-            let is_read = match record_kind(&record.key) {
-                Some(RecordKind::Progress(id)) => decode(&record.value)
-                    .is_some_and(|progress| self.restore_one(id, progress, &specs, now)),
-                Some(RecordKind::Wave(wave)) => decode::<StoredWave>(&record.value)
-                    .map(|stored| self.restore_wave(wave, stored))
-                    .is_some(),
-                Some(RecordKind::Vm) => decode::<StoredVm>(&record.value)
-                    .map(|stored| self.restore_vm(vm_name(&record.key), stored, now))
-                    .is_some(),
-                Some(RecordKind::Spec(_)) => true,
-                None => false,
-            };
-            if !is_read {
-                unread.push(record.key.as_str());
-            }
-        }
-        self.jobs.sort_unstable_by_key(|job| job.id);
-        self.ended.sort_unstable_by_key(|job| job.id);
-        self.charge_inherited(now);
-        self.is_schedule_due = true;
-        unread
-    }
-
-    fn restore_one(
-        &mut self,
-        id: JobId,
-        progress: StoredProgress,
-        specs: &[(JobId, StoredSpec)],
-        now: Now,
-    ) -> bool {
-        let spec = match specs.binary_search_by_key(&id, |(known, _)| *known) {
-            Ok(place) => Some(specs[place].1.clone()),
-            Err(_) => None,
-        };
-        let Some(spec) = spec else {
-            let state = progress.state();
-            if state.is_final() {
-                self.ended.push(EndedJob {
-                    id,
-                    state,
-                    at_ms: now.steady_ms,
-                });
-            }
-            return state.is_final();
-        };
-        let endpoints = &mut self.endpoints;
-        let mut job = restore_job(id, spec, progress, |name, address| {
-            let key = endpoints.find_or_add(name, now.steady_ms);
-            // It is asked there even when its entry has lapsed.
-            endpoints.get_mut(key).address = address;
-            key
-        });
-        // When it ended by an earlier owner's clock means nothing here: it is kept from now on.
-        job.ended_ms = now.steady_ms;
-        self.jobs.push(Box::new(job));
-        true
-    }
-
     /// Takes in an event.
     pub fn handle(&mut self, event: Event, now: Now) {
         match event {
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -404,16 +404,7 @@
                     continue;
                 };
                 for attempt in &task.attempts {
-                    let placed = Placed {
-                        task: name,
-                        run: attempt.run,
-                        room: spec.charged(),
-                        serves: spec.serves(),
-                        fills: spec.fills,
-                        lasts: spec.long_running,
-                        target_ms: spec.target_ms,
-                        tail_ms: 0,
-                    };
+                    let placed = Placed::new(name, attempt.run, spec);
                     self.endpoints.get_mut(attempt.endpoint).place(placed);
                 }
             }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -35,6 +35,7 @@
 mod pacing;
 mod pools;
 mod reports;
+mod restore;
 mod schedule;
 mod state;
 mod stored;
--- /dev/null
+++ b/crates/engine/src/restore.rs
@@ -0,0 +1,87 @@
+//! What a new owner makes of the records of earlier ones.
+
+use crate::{
+    engine::{EndedJob, Engine},
+    event::Now,
+    job::JobId,
+    stored::{
+        Record, RecordKind, StoredProgress, StoredSpec, StoredVm, StoredWave, decode, record_kind,
+        restore_job, vm_name,
+    },
+};
+
+impl Engine {
+    /// Takes in the records of earlier owners, the newest of each key.
+    ///
+    /// Returns the keys of records that cannot be read; they are left alone.
+    pub fn restore<'a>(&mut self, records: &'a [Record], now: Now) -> Vec<&'a str> {
+        let mut unread = Vec::new();
+        let mut specs: Vec<(JobId, StoredSpec)> = Vec::new();
+        for record in records {
+            if let Some(RecordKind::Spec(id)) = record_kind(&record.key) {
+                match decode(&record.value) {
+                    Some(spec) => specs.push((id, spec)),
+                    None => unread.push(record.key.as_str()),
+                }
+            }
+        }
+        specs.sort_unstable_by_key(|(id, _)| *id);
+        for record in records {
+            let is_read = match record_kind(&record.key) {
+                Some(RecordKind::Progress(id)) => decode(&record.value)
+                    .is_some_and(|progress| self.restore_one(id, progress, &specs, now)),
+                Some(RecordKind::Wave(wave)) => decode::<StoredWave>(&record.value)
+                    .map(|stored| self.restore_wave(wave, stored))
+                    .is_some(),
+                Some(RecordKind::Vm) => decode::<StoredVm>(&record.value)
+                    .map(|stored| self.restore_vm(vm_name(&record.key), stored, now))
+                    .is_some(),
+                Some(RecordKind::Spec(_)) => true,
+                None => false,
+            };
+            if !is_read {
+                unread.push(record.key.as_str());
+            }
+        }
+        self.jobs.sort_unstable_by_key(|job| job.id);
+        self.ended.sort_unstable_by_key(|job| job.id);
+        self.charge_inherited(now);
+        self.is_schedule_due = true;
+        unread
+    }
+
+    fn restore_one(
+        &mut self,
+        id: JobId,
+        progress: StoredProgress,
+        specs: &[(JobId, StoredSpec)],
+        now: Now,
+    ) -> bool {
+        let spec = match specs.binary_search_by_key(&id, |(known, _)| *known) {
+            Ok(place) => Some(specs[place].1.clone()),
+            Err(_) => None,
+        };
+        let Some(spec) = spec else {
+            let state = progress.state();
+            if state.is_final() {
+                self.ended.push(EndedJob {
+                    id,
+                    state,
+                    at_ms: now.steady_ms,
+                });
+            }
+            return state.is_final();
+        };
+        let endpoints = &mut self.endpoints;
+        let mut job = restore_job(id, spec, progress, |name, address| {
+            let key = endpoints.find_or_add(name, now.steady_ms);
+            // It is asked there even when its entry has lapsed.
+            endpoints.get_mut(key).address = address;
+            key
+        });
+        // When it ended by an earlier owner's clock means nothing here: it is kept from now on.
+        job.ended_ms = now.steady_ms;
+        self.jobs.push(Box::new(job));
+        true
+    }
+}
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -172,16 +172,9 @@
             job.is_dirty = true;
             let order = crate::attempts::start_order(job, key, &task, run, 0);
             self.forming.push(Effect::Start(Box::new(order)));
-            self.endpoints.get_mut(key).place(Placed {
-                task,
-                run,
-                room: spec.charged(),
-                serves: spec.serves(),
-                fills: spec.fills,
-                lasts: spec.long_running,
-                target_ms: spec.target_ms,
-                tail_ms: 0,
-            });
+            self.endpoints
+                .get_mut(key)
+                .place(Placed::new(task, run, &spec));
         }
     }
 }
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -26,10 +26,6 @@
 
 /// One run of a task, from the decision to its proven end.
 #[derive(Clone, Debug, PartialEq)]
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "independent facts about one run"
-)]
 pub struct Attempt {
     /// Number of the run.
     pub run: u32,
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Fleet, POOL, queue, step},
+    common::{Fleet, POOL, step},
     lynxwheel_engine::{
         Effect, Event, JobSpec, Room, StepSpec, VmEntry, VmOutcome, VmState, WaveOrder,
     },
@@ -48,6 +48,24 @@
     names
 }
 
+/// Hands in a job whose tasks last, of which one may be unavailable.
+fn submit_lasting(fleet: &mut Fleet, count: u16, max_per_endpoint: u16) {
+    let spec = StepSpec {
+        long_running: true,
+        max_per_endpoint,
+        max_unavailable: 1,
+        ..step(count)
+    };
+    let steps = vec![spec];
+    fleet.submit_spec(
+        1,
+        JobSpec {
+            steps,
+            ..JobSpec::default()
+        },
+    );
+}
+
 /// Returns a fleet of three VMs with an endpoint each.
 fn three_vms() -> (Fleet, Vec<VmEntry>) {
     let mut fleet = Fleet::new();
@@ -86,24 +104,11 @@
 #[test]
 fn silent_sibling_counts_as_unavailable() {
     let (mut fleet, _) = three_vms();
-    let spec = StepSpec {
-        long_running: true,
-        max_per_endpoint: 1,
-        max_unavailable: 1,
-        ..step(3)
-    };
-    fleet.submit_spec(
-        1,
-        JobSpec {
-            steps: vec![spec],
-            ..JobSpec::default()
-        },
-    );
+    submit_lasting(&mut fleet, 3, 1);
     fleet.settle();
     fleet.advance(1_500);
     fleet.endpoints[0].is_silent = true;
     fleet.advance(1_500);
-    let _ = queue();
     fleet.handle(wave(&["vm-2", "vm-3"], 2));
     fleet.advance(1_000);
     let stops = fleet
@@ -163,18 +168,7 @@
 #[test]
 fn stop_that_is_not_stored_is_not_repeated() {
     let (mut fleet, _) = three_vms();
-    let spec = StepSpec {
-        long_running: true,
-        max_unavailable: 1,
-        ..step(2)
-    };
-    fleet.submit_spec(
-        1,
-        JobSpec {
-            steps: vec![spec],
-            ..JobSpec::default()
-        },
-    );
+    submit_lasting(&mut fleet, 2, 0);
     fleet.settle();
     fleet.advance(1_500);
     fleet.is_store_down = true;
