--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::owner::{Owner, OwnerMessage},
+    compact_str::CompactString,
     kameo::actor::ActorRef,
     log::info,
     lynxwheel_engine::{
@@ -56,39 +57,46 @@
                 address: endpoint.address,
             }
         };
+        let to = match &effect {
+            Effect::Start(order) => Some(address(order.endpoint)),
+            Effect::Stop { endpoint, .. }
+            | Effect::Renew { endpoint, .. }
+            | Effect::Pace { endpoint, .. } => Some(address(*endpoint)),
+            _ => None,
+        };
         let this = self.clone();
-        match effect {
-            Effect::Start(order) => {
-                let to = address(order.endpoint);
-                tokio::spawn(async move { this.start(&to, &order).await });
+        tokio::spawn(async move {
+            match to {
+                Some(to) => this.call_endpoint(effect, &to).await,
+                None => this.call_platform(effect).await,
             }
+        });
+    }
+
+    async fn call_endpoint(&self, effect: Effect, to: &EndpointAddress) {
+        match effect {
+            Effect::Start(order) => self.start(to, &order).await,
             Effect::Stop {
                 endpoint,
                 task,
                 run,
-            } => {
-                let to = address(endpoint);
-                tokio::spawn(async move { this.stop(endpoint, &to, task, run).await });
-            }
+            } => self.stop(endpoint, to, task, run).await,
             Effect::Renew {
                 endpoint,
                 deadline_ms,
                 acknowledged,
                 wait_ms,
             } => {
-                let to = address(endpoint);
-                tokio::spawn(async move {
-                    let calls = &this.endpoints;
-                    let outcome = calls.renew(&to, deadline_ms, acknowledged, wait_ms).await;
-                    if !matches!(outcome, CallOutcome::Done(_)) {
-                        info!(
-                            event = "renewal_failed", endpoint = to.id.as_str(),
-                            peer:% = to.address, outcome:? = outcome;
-                            ""
-                        );
-                    }
-                    this.tell(Event::Renewed { endpoint, outcome }).await;
-                });
+                let calls = &self.endpoints;
+                let outcome = calls.renew(to, deadline_ms, acknowledged, wait_ms).await;
+                if !matches!(outcome, CallOutcome::Done(_)) {
+                    info!(
+                        event = "renewal_failed", endpoint = to.id.as_str(), peer:% = to.address,
+                        outcome:? = outcome;
+                        ""
+                    );
+                }
+                self.tell(Event::Renewed { endpoint, outcome }).await;
             }
             Effect::Pace {
                 endpoint,
@@ -96,75 +104,69 @@
                 run,
                 percent,
             } => {
-                let to = address(endpoint);
-                tokio::spawn(async move {
-                    let is_done = this.endpoints.pace(&to, &task, run, percent).await;
-                    info!(
-                        event = "pace", task:% = task, run = run, percent = percent,
-                        is_done = is_done;
-                        ""
-                    );
-                    this.tell(Event::Paced {
-                        endpoint,
-                        task,
-                        run,
-                        percent,
-                        is_done,
-                    })
-                    .await;
-                });
-            }
-            Effect::Advise { step, endpoints } => {
-                tokio::spawn(async move {
-                    let answer = match &this.advice {
-                        Some(calls) => calls.ask(&step, &endpoints).await,
-                        None => Err("no such service in the settings".into()),
-                    };
-                    info!(
-                        event = "advice", step:% = step, asked = endpoints.len(),
-                        outcome:? = answer.as_ref().map(|(tickets, _)| tickets.len());
-                        ""
-                    );
-                    let answer = answer.ok();
-                    this.tell(Event::Advised { step, answer }).await;
-                });
+                let is_done = self.endpoints.pace(to, &task, run, percent).await;
+                info!(
+                    event = "pace", task:% = task, run = run, percent = percent, is_done = is_done;
+                    ""
+                );
+                self.tell(Event::Paced {
+                    endpoint,
+                    task,
+                    run,
+                    percent,
+                    is_done,
+                })
+                .await;
             }
+            _ => {}
+        }
+    }
+
+    async fn call_platform(&self, effect: Effect) {
+        match effect {
+            Effect::Advise { step, endpoints } => self.advise(step, &endpoints).await,
             Effect::Move { vm, pool } => {
-                tokio::spawn(async move {
-                    let Some(calls) = &this.vms else {
-                        return;
-                    };
-                    let outcome = calls.move_to(&vm, &pool).await;
-                    info!(
-                        event = "vm_move", vm = vm.as_str(), pool = pool.as_str(),
-                        outcome:? = outcome;
-                        ""
-                    );
-                    this.tell(Event::VmAnswer { vm, outcome }).await;
-                });
+                let Some(calls) = &self.vms else {
+                    return;
+                };
+                let outcome = calls.move_to(&vm, &pool).await;
+                info!(
+                    event = "vm_move", vm = vm.as_str(), pool = pool.as_str(), outcome:? = outcome;
+                    ""
+                );
+                self.tell(Event::VmAnswer { vm, outcome }).await;
             }
             Effect::Maintain { vm, wave } => {
-                tokio::spawn(async move {
-                    let Some(calls) = &this.vms else {
-                        return;
-                    };
-                    let outcome = calls.maintain(&vm, wave).await;
-                    info!(
-                        event = "vm_maintenance", vm = vm.as_str(), wave = wave,
-                        outcome:? = outcome;
-                        ""
-                    );
-                    this.tell(Event::VmAnswer { vm, outcome }).await;
-                });
-            }
-            Effect::PublishWave { wave, is_completed } => {
-                tokio::spawn(async move { this.publish(wave, is_completed).await });
+                let Some(calls) = &self.vms else {
+                    return;
+                };
+                let outcome = calls.maintain(&vm, wave).await;
+                info!(
+                    event = "vm_maintenance", vm = vm.as_str(), wave = wave, outcome:? = outcome;
+                    ""
+                );
+                self.tell(Event::VmAnswer { vm, outcome }).await;
             }
+            Effect::PublishWave { wave, is_completed } => self.publish(wave, is_completed).await,
             // The actor answers callers and resigns by itself.
-            Effect::Reply { .. } | Effect::Resign => {}
+            _ => {}
         }
     }
 
+    async fn advise(&self, step: TaskRef, endpoints: &[CompactString]) {
+        let answer = match &self.advice {
+            Some(calls) => calls.ask(&step, endpoints).await,
+            None => Err("no such service in the settings".into()),
+        };
+        info!(
+            event = "advice", step:% = step, asked = endpoints.len(),
+            outcome:? = answer.as_ref().map(|(tickets, _)| tickets.len());
+            ""
+        );
+        let answer = answer.ok();
+        self.tell(Event::Advised { step, answer }).await;
+    }
+
     async fn tell(&self, event: Event) {
         // The actor ends with the ownership; its successor asks the endpoints itself.
         drop(self.actor.tell(OwnerMessage::event(event)).send().await);
