Random histories of owners, endpoints and the store, checked after each step

Endpoints fall silent, crash and come back, the store goes away, owners are lost with what they had not stored. Checked: no task runs twice, none after it was done, room, accepted jobs known, every job ends.

--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -14,6 +14,11 @@
 /// Name of the only pool with work.
 pub const POOL: &str = "maps";
 
+/// Returns the steady clock of every endpoint.
+fn clock_ms(now: Now) -> u64 {
+    now.steady_ms - START_MS / 2
+}
+
 /// Returns the id of the job with a number.
 pub fn job_id(number: u64) -> JobId {
     format!("{number:016x}").parse().expect("16 digits")
@@ -55,6 +60,12 @@
     pub ended: Vec<EndedTask>,
     pub fence: u64,
     pub is_silent: bool,
+    /// Ends so far in this life.
+    pub ends: u64,
+    /// End of the lease on its clock.
+    pub lease_until_ms: u64,
+    /// Tasks whose ends were not acknowledged when the lease lapsed; these may run again.
+    pub exempt: Vec<TaskRef>,
     /// Progress of every run that is told; 100 when it is not set.
     pub percent: Option<u32>,
     pub started: Vec<(TaskRef, u32)>,
@@ -188,6 +199,10 @@
         for _ in 0..ms / 100 {
             self.now.steady_ms += 100;
             self.now.wall_ms += 100;
+            let clock_ms = clock_ms(self.now);
+            for endpoint in &mut self.endpoints {
+                endpoint.lapse(clock_ms);
+            }
             self.handle(Event::Tick);
             self.settle();
         }
@@ -253,14 +268,24 @@
 
     fn carry_out(&mut self, effect: Effect) {
         self.orders.push(effect.clone());
-        let clock_ms = self.now.steady_ms / 2;
+        let clock_ms = clock_ms(self.now);
         match effect {
             Effect::Start(order) => {
                 let (key, task, run) = (order.endpoint, order.task, order.run);
+                if self.is_gone(key) {
+                    self.handle(Event::Started {
+                        endpoint: key,
+                        task,
+                        run,
+                        outcome: CallOutcome::OtherLife,
+                    });
+                    return;
+                }
                 let endpoint = self.endpoint(key);
                 let outcome = if endpoint.is_silent {
                     CallOutcome::Unknown
                 } else {
+                    endpoint.lease_until_ms = endpoint.lease_until_ms.max(order.deadline_ms);
                     if !endpoint.running.contains(&(task, run)) {
                         endpoint.running.push((task, run));
                         endpoint.started.push((task, run));
@@ -279,6 +304,15 @@
                 task,
                 run,
             } => {
+                if self.is_gone(key) {
+                    self.handle(Event::Stopped {
+                        endpoint: key,
+                        task,
+                        run,
+                        outcome: CallOutcome::OtherLife,
+                    });
+                    return;
+                }
                 let endpoint = self.endpoint(key);
                 let outcome = if endpoint.is_silent {
                     CallOutcome::Unknown
@@ -295,10 +329,17 @@
             }
             Effect::Renew {
                 endpoint,
+                deadline_ms,
                 acknowledged,
                 wait_ms,
-                ..
             } => {
+                if !self.is_gone(endpoint) {
+                    let fake = self.endpoint(endpoint);
+                    if !fake.is_silent {
+                        let until_ms = deadline_ms.unwrap_or_default();
+                        fake.lease_until_ms = fake.lease_until_ms.max(until_ms);
+                    }
+                }
                 let due_ms = self.now.steady_ms + wait_ms;
                 self.waiting.push((due_ms, endpoint, acknowledged));
             }
@@ -309,7 +350,7 @@
 
     /// Answers renewals that are due, or whose endpoint has an end to tell.
     fn answer_renewals(&mut self) {
-        let clock_ms = self.now.steady_ms / 2;
+        let clock_ms = clock_ms(self.now);
         for (due_ms, key, acknowledged) in std::mem::take(&mut self.waiting) {
             let now_ms = self.now.steady_ms;
             if self.is_gone(key) {
@@ -381,6 +422,18 @@
 }
 
 impl FakeEndpoint {
+    /// Kills everything when the lease is over.
+    fn lapse(&mut self, clock_ms: u64) {
+        if self.lease_until_ms == 0 || clock_ms <= self.lease_until_ms {
+            return;
+        }
+        let done = self.ended.iter().map(|ended| ended.task);
+        self.exempt.extend(done);
+        for (task, run) in self.running.clone() {
+            self.end(&task, run, EndKind::Lapsed);
+        }
+    }
+
     fn report(&self, clock_ms: u64) -> EndpointReport {
         EndpointReport {
             clock_ms,
@@ -400,11 +453,12 @@
         }
     }
 
-    fn end(&mut self, task: &TaskRef, run: u32, kind: EndKind) {
+    pub fn end(&mut self, task: &TaskRef, run: u32, kind: EndKind) {
         let place = self.running.iter().position(|known| *known == (*task, run));
         if let Some(place) = place {
             self.running.remove(place);
-            let number = self.ended.last().map_or(0, |ended| ended.number) + 1;
+            self.ends += 1;
+            let number = self.ends;
             self.ended.push(EndedTask {
                 number,
                 task: *task,
--- /dev/null
+++ b/crates/engine/tests/histories.rs
@@ -0,0 +1,207 @@
+//! Random histories of owners, endpoints and the store, checked after each step.
+//!
+//! Endpoints fall silent and come back, in their old life or a new one; the store goes away; owners
+//! are lost and replaced, with what they had stored; runs end in every way. Whatever happens, a
+//! task has no two runs under way on endpoints that are up, nothing starts after it is done, room
+//! is never overdrawn, and a job that was accepted stays known.
+
+mod common;
+
+use {
+    common::{Fleet, job_id, listed, step},
+    lynxwheel_engine::{CallerAnswer, EndKind, JobSpec, StepSpec, TaskRef},
+    rand::{Rng, RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+};
+
+const ENDPOINTS: usize = 4;
+
+const STEPS: usize = 250;
+
+/// Room of each endpoint in runs of one core.
+const CORES: u64 = 4;
+
+struct History {
+    fleet: Fleet,
+    random: ChaCha8Rng,
+    jobs: u64,
+    lives: usize,
+    done: Vec<TaskRef>,
+}
+
+impl History {
+    fn new(seed: u64) -> Self {
+        let mut fleet = Fleet::new();
+        for number in 0..ENDPOINTS {
+            fleet.list_endpoint(&format!("i-{number}"), CORES * 1_000);
+        }
+        Self {
+            fleet,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            jobs: 0,
+            lives: ENDPOINTS,
+            done: Vec::new(),
+        }
+    }
+
+    fn play(&mut self) {
+        for _ in 0..STEPS {
+            self.happen();
+            let pause_ms = self.random.random_range(1..8) * 100;
+            self.fleet.advance(pause_ms);
+            self.check();
+        }
+        self.recover();
+    }
+
+    fn happen(&mut self) {
+        let endpoint = self.random.random_range(0..ENDPOINTS);
+        match self.random.random_range(0..20) {
+            0..6 => self.submit(),
+            6..14 => self.end_runs(endpoint),
+            14 => self.fleet.endpoints[endpoint].is_silent ^= true,
+            15 => self.crash(endpoint),
+            16 => self.fleet.is_store_down ^= true,
+            17 => self.take_over(),
+            18 => self.cancel(),
+            _ => {}
+        }
+    }
+
+    fn submit(&mut self) {
+        self.jobs += 1;
+        let first = step(self.random.random_range(1..5));
+        let second = StepSpec {
+            after: vec![0],
+            max_per_endpoint: 1,
+            ..step(self.random.random_range(1..4))
+        };
+        let spec = JobSpec {
+            steps: vec![first, second],
+            ..JobSpec::default()
+        };
+        self.fleet.submit_spec(self.jobs, spec);
+        self.fleet.settle();
+    }
+
+    fn end_runs(&mut self, endpoint: usize) {
+        for (task, run) in self.fleet.endpoints[endpoint].running.clone() {
+            let kind = match self.random.random_range(0..12) {
+                0 => EndKind::Failed,
+                1 => EndKind::Lapsed,
+                2..4 => continue,
+                _ => EndKind::Done,
+            };
+            self.fleet.endpoints[endpoint].end(&task, run, kind);
+            if kind == EndKind::Done {
+                self.done.push(task);
+            }
+        }
+    }
+
+    /// Ends a life; another begins at the same address.
+    fn crash(&mut self, endpoint: usize) {
+        self.lives += 1;
+        let id = format!("i-{}", self.lives);
+        let fake = &mut self.fleet.endpoints[endpoint];
+        // What was done and not told is lost with the life.
+        let lost: Vec<TaskRef> = fake.ended.iter().map(|ended| ended.task).collect();
+        self.done.retain(|task| !lost.contains(task));
+        fake.id.clone_from(&id);
+        fake.running.clear();
+        fake.ended.clear();
+        fake.started.clear();
+        fake.lease_until_ms = 0;
+        fake.ends = 0;
+        fake.is_silent = false;
+        self.fleet.entries[endpoint].id = id.into();
+        let entry = self.fleet.entries[endpoint].clone();
+        self.fleet.handle(listed(entry, true));
+    }
+
+    fn take_over(&mut self) {
+        // What the old owner could not store is lost with it.
+        self.fleet.is_store_down = false;
+        self.fleet.take_over();
+        self.fleet.settle();
+    }
+
+    fn cancel(&mut self) {
+        if self.jobs > 0 && self.random.next_u32().is_multiple_of(4) {
+            let job = job_id(self.random.random_range(1..=self.jobs));
+            self.fleet
+                .handle(lynxwheel_engine::Event::Cancel { job, token: 0 });
+            self.fleet.settle();
+        }
+    }
+
+    fn check(&mut self) {
+        for endpoint in &mut self.fleet.endpoints {
+            for task in endpoint.exempt.drain(..) {
+                self.done.retain(|done| *done != task);
+            }
+        }
+        let fleet = &self.fleet;
+        let mut running: Vec<TaskRef> = fleet
+            .endpoints
+            .iter()
+            .flat_map(|endpoint| endpoint.running.iter().map(|(task, _)| *task))
+            .collect();
+        let count = running.len();
+        running.sort_unstable();
+        running.dedup();
+        assert_eq!(running.len(), count, "a task runs twice");
+        for endpoint in &fleet.endpoints {
+            let used = u64::try_from(endpoint.running.len()).expect("few runs");
+            assert!(used <= CORES, "{} is overdrawn: {used}", endpoint.id);
+        }
+        for task in &running {
+            assert!(!self.done.contains(task), "{task} runs after it was done");
+        }
+        for (token, answer) in &fleet.replies {
+            if *token > 0 && *answer == CallerAnswer::Accepted {
+                assert!(fleet.shown(*token).is_some(), "job {token} is forgotten");
+            }
+        }
+    }
+
+    /// Ends all trouble; every job must come to its end.
+    fn recover(&mut self) {
+        self.fleet.is_store_down = false;
+        for endpoint in &mut self.fleet.endpoints {
+            endpoint.is_silent = false;
+        }
+        for _ in 0..400 {
+            self.fleet.advance(500);
+            for endpoint in 0..ENDPOINTS {
+                for (task, run) in self.fleet.endpoints[endpoint].running.clone() {
+                    self.fleet.endpoints[endpoint].end(&task, run, EndKind::Done);
+                }
+            }
+        }
+        for job in 1..=self.jobs {
+            let state = self.fleet.shown(job);
+            assert!(
+                state.is_none_or(lynxwheel_engine::JobState::is_final),
+                "job {job}: {state:?}"
+            );
+        }
+    }
+}
+
+macro_rules! histories {
+    ($($name:ident: $seeds:expr;)*) => {
+        $(#[test] fn $name() {
+            for seed in $seeds {
+                println!("seed {seed}");
+                History::new(seed).play();
+            }
+        })*
+    };
+}
+
+histories! {
+    first_seeds: 0..12;
+    further_seeds: 1_000..1_012;
+    orders_to_a_life_that_is_over: [5_149];
+}
