End only the life that an order for a VM found there

Also: an owner that is not sure to be the owner denies no job when it is to be cancelled. Test: waves.rs, seen failing.

--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -182,15 +182,7 @@
         if !matches!(event, Event::Tick) {
             return;
         }
-        let renewed_ms = self
-            .node
-            .owner
-            .load()
-            .as_ref()
-            .map(|owner| owner.renewed_ms())
-            .unwrap_or_default();
-        let is_fresh = now.steady_ms < renewed_ms + FRESH_MS;
-        self.engine.allow_vm_orders(is_fresh);
+        self.engine.allow_vm_orders(self.is_fresh(now));
     }
 
     fn ask(&mut self, ask: Ask, reply: oneshot::Sender<OwnerAnswer>, now: Now) {
@@ -212,6 +204,9 @@
                 let Ok(job) = job.parse::<JobId>() else {
                     return answer_now(reply, OwnerAnswer::Unknown);
                 };
+                if !self.may_deny(job, now) {
+                    return answer_now(reply, OwnerAnswer::Unclear);
+                }
                 let token = self.wait(reply);
                 return self.engine.handle(Event::Cancel { job, token }, now);
             }
@@ -221,7 +216,7 @@
         answer_now(reply, answer);
     }
 
-    /// Tells a job's state; that a job is not known only while nobody else can own the fleet.
+    /// Tells a job's state.
     fn state(&self, job: &str, now: Now) -> OwnerAnswer {
         let Ok(job) = job.parse::<JobId>() else {
             return OwnerAnswer::Unknown;
@@ -229,20 +224,29 @@
         if let Some(state) = self.engine.shown(job) {
             return OwnerAnswer::State(state);
         }
-        let renewed_ms = self
-            .node
-            .owner
-            .load()
-            .as_ref()
-            .map(|owner| owner.renewed_ms());
-        let is_fresh = renewed_ms.is_some_and(|renewed_ms| now.steady_ms < renewed_ms + FRESH_MS);
-        if is_fresh && !self.engine.is_unstored(job) {
+        if self.may_deny(job, now) && !self.engine.is_unstored(job) {
             OwnerAnswer::Unknown
         } else {
             OwnerAnswer::Unclear
         }
     }
 
+    /// Tells whether this owner may say of a job that it is not known.
+    ///
+    /// An owner that was cut off or suspended does not know the jobs of its successor; a caller
+    /// would be told that its accepted job is gone, or that there was nothing to cancel.
+    fn may_deny(&self, job: JobId, now: Now) -> bool {
+        self.engine.shown(job).is_some() || self.is_fresh(now)
+    }
+
+    /// Tells whether the last renewal is so recent that nobody else can believe to be the owner.
+    fn is_fresh(&self, now: Now) -> bool {
+        let owner = self.node.owner.load();
+        owner
+            .as_ref()
+            .is_some_and(|owner| now.steady_ms < owner.renewed_ms() + FRESH_MS)
+    }
+
     fn wait(&mut self, reply: oneshot::Sender<OwnerAnswer>) -> ReplyToken {
         self.next_token += 1;
         self.waiting.push((self.next_token, reply));
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -52,6 +52,8 @@
     pub entry: VmEntry,
     /// Order without a known outcome.
     pub order: Option<VmOrder>,
+    /// Endpoint that was on the VM when the order was given first.
+    pub ordered_endpoint: Option<EndpointKey>,
     /// When that order was given, on the steady clock.
     pub ordered_ms: u64,
     /// Until when nothing is ordered for it, on the steady clock.
@@ -125,6 +127,7 @@
                         rests_until_ms: self.inherited_rest_ms(&entry.name),
                         entry,
                         order: None,
+                        ordered_endpoint: None,
                         ordered_ms: 0,
                         maintained_until_ms: 0,
                         is_dirty: false,
@@ -174,7 +177,9 @@
         let Some(order) = self.vms[place].order.clone() else {
             return;
         };
-        let endpoint = self.endpoint_of_vm(name);
+        // Only the life that the order found on the VM ends with it. A repeated order is answered
+        // as done, too, when the VM has come back and another life already runs tasks on it.
+        let endpoint = self.vms[place].ordered_endpoint;
         match outcome {
             VmOutcome::Done => {
                 let until_ms = now.steady_ms + self.settings.maintenance_ms + MAINTENANCE_SLACK_MS;
@@ -204,9 +209,13 @@
 
     /// Orders a move or maintenance of a VM whose endpoint is empty.
     pub(crate) fn order_vm(&mut self, place: usize, order: VmOrder, now: Now) {
+        let name = self.vms[place].entry.name.clone();
+        let current = self.endpoint_of_vm(&name);
         let vm = &mut self.vms[place];
+        if vm.order.as_ref() != Some(&order) {
+            vm.ordered_endpoint = current;
+        }
         vm.ordered_ms = now.steady_ms;
-        let name = vm.entry.name.clone();
         let effect = match &order {
             VmOrder::Move(pool) => Effect::Move {
                 vm: name.clone(),
@@ -220,7 +229,7 @@
         vm.order = Some(order);
         vm.is_dirty = true;
         self.forming.push(effect);
-        if let Some(key) = self.endpoint_of_vm(&name) {
+        if let Some(key) = self.vms[place].ordered_endpoint {
             self.endpoints.get_mut(key).is_held_back = true;
         }
     }
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use {
-    common::{Fleet, POOL, step},
+    common::{Fleet, POOL, listed, step},
     lynxwheel_engine::{
-        Effect, Event, JobSpec, Room, StepSpec, VmEntry, VmOutcome, VmState, WaveOrder,
+        Effect, EndKind, Event, JobSpec, Room, StepSpec, VmEntry, VmOutcome, VmState, WaveOrder,
     },
 };
 
@@ -180,3 +180,38 @@
     fleet.advance(500);
     assert_ne!(fleet.orders.iter().filter(is_stop).count(), 0);
 }
+
+/// A customer is charged twice. The answer to a maintenance was slow, the order was repeated, and
+/// the VM had come back with a new life that ran tasks when the repeat was answered as done. The
+/// new life was taken for the one that had ended, and its tasks were started elsewhere.
+#[test]
+fn late_answer_to_an_order_spares_the_next_life() {
+    let (mut fleet, _) = three_vms();
+    fleet.handle(wave(&["vm-1"], 1));
+    fleet.advance(100);
+    assert_eq!(maintained(&fleet), ["vm-1"]);
+    fleet.list_endpoint("i-4", 16_000);
+    let entry = {
+        let mut entry = fleet.entries[3].clone();
+        entry.vm = Some("vm-1".into());
+        entry
+    };
+    fleet.handle(listed(entry, true));
+    fleet.submit(1, 40);
+    fleet.settle();
+    assert_ne!(fleet.endpoints[3].started.len(), 0);
+    fleet.handle(Event::VmAnswer {
+        vm: "vm-1".into(),
+        outcome: VmOutcome::Done,
+    });
+    // Room elsewhere, so that lost tasks would start again.
+    for (task, run) in fleet.endpoints[1].running.clone() {
+        fleet.endpoints[1].end(&task, run, EndKind::Done);
+    }
+    fleet.settle();
+    fleet.advance(500);
+    for index in 0..40 {
+        let task = format!("{}.0.0.{index}", common::job_id(1));
+        assert_eq!(fleet.starts(&task), 1, "{task}");
+    }
+}
