--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -415,18 +415,39 @@
 }
 
 impl Engine {
-    /// Notes that the decision to stop a run is stored; tells whether the run is still known.
+    /// Notes that the decision to stop a run is stored; tells whether the order may go out.
     ///
     /// Until then the order is not sent, nor repeated: a successor that does not know of it would
-    /// take the run for one at work, and interrupt others of its step beyond their budget.
+    /// take the run for one at work, and interrupt others of its step beyond their budget. A store
+    /// that is away draws this out for seconds, in which others of the step may have gone; the
+    /// decision is taken back then.
     pub(crate) fn stop_stored(&mut self, task: &TaskRef, run: u32) -> bool {
         let Ok(place) = self.search(task.job) else {
             return false;
         };
-        let attempt = find_attempt(&mut self.jobs[place], task, run);
-        attempt.is_some_and(|attempt| {
-            attempt.is_stop_stored = true;
-            true
+        let is_owed = self.jobs[place].state.is_final() || self.is_leaving(task, run);
+        let may_stop = is_owed || self.may_interrupt(task);
+        let job = &mut self.jobs[place];
+        let Some(attempt) = find_attempt(job, task, run) else {
+            return false;
+        };
+        attempt.is_stopping = may_stop;
+        attempt.is_stop_stored = may_stop;
+        job.is_dirty |= !may_stop;
+        may_stop
+    }
+
+    /// Tells whether the endpoint of a run is leaving, so that the run ends there in any case.
+    fn is_leaving(&self, task: &TaskRef, run: u32) -> bool {
+        let Ok(place) = self.search(task.job) else {
+            return false;
+        };
+        let attempts = self.jobs[place].task(task).map(|known| &known.attempts);
+        attempts.is_some_and(|attempts| {
+            attempts
+                .iter()
+                .filter(|attempt| attempt.run == run)
+                .any(|attempt| self.endpoints.get(attempt.endpoint).is_draining)
         })
     }
 }
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -215,3 +215,23 @@
         assert_eq!(fleet.starts(&task), 1, "{task}");
     }
 }
+
+/// Two long-running tasks of a step are away where one may be. The first was to be stopped for a
+/// wave while the store was down; before the decision could be stored the endpoint of the second
+/// crashed, and the order went out all the same when the store came back.
+#[test]
+fn stop_is_taken_back_when_a_sibling_went_before_it_was_stored() {
+    let (mut fleet, _) = three_vms();
+    submit_lasting(&mut fleet, 2, 1);
+    fleet.settle();
+    fleet.advance(1_500);
+    fleet.is_store_down = true;
+    fleet.handle(wave(&["vm-1"], 1));
+    fleet.advance(300);
+    fleet.endpoints[1].is_silent = true;
+    fleet.advance(2_000);
+    fleet.is_store_down = false;
+    fleet.advance(500);
+    let is_stop = |order: &&Effect| matches!(order, Effect::Stop { .. });
+    assert_eq!(fleet.orders.iter().filter(is_stop).count(), 0);
+}
