--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -145,7 +145,10 @@
                         ""
                     );
                     sleep(Duration::from_millis(pause_ms)).await;
-                    pause_ms = (pause_ms * 2).min(MAX_RETRY_MS);
+                    // Silence was waited for already; refusals call for fewer tries.
+                    if outcome != AppendOutcome::Unknown {
+                        pause_ms = (pause_ms * 2).min(MAX_RETRY_MS);
+                    }
                 }
             }
         }
