Choose test ports by connecting, not by listening

Cause: frozen_holder_restarts_nothing_twice failed once in the whole check (its node: 'cannot listen for operators on 127.0.0.1:28795: Address already in use'). The tests chose a port by listening on it and closing; other tests were starting processes at that moment, and a child holds its parent's listeners until it runs its program. Ruled out: two tests with one port (numbers are unique in a process), ephemeral ports (32768 and above), left-over processes (none). The check is as strict: a port on which somebody listens is passed over. Test harness only.

--- a/crates/lynxwheel/tests/common/mod.rs
+++ b/crates/lynxwheel/tests/common/mod.rs
@@ -10,7 +10,7 @@
     std::{
         env, fs,
         io::{BufRead, BufReader, Write},
-        net::{SocketAddr, TcpListener},
+        net::{SocketAddr, TcpStream},
         ops::Range,
         path::PathBuf,
         process::{self, Child, Command, Stdio},
@@ -155,13 +155,22 @@
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let index = spread.wrapping_add(step) % u32::from(PORTS.end - PORTS.start);
         let port = PORTS.start + u16::try_from(index).expect("within the range");
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        if is_free(port) {
             ports.push(port);
         }
     }
     ports
 }
 
+/// Tells whether nobody listens on a port.
+///
+/// Asked by connecting: a listener of our own, closed again, would stay open in the processes that
+/// other tests are just starting, until these run their program, and the node that gets the port
+/// would find it taken.
+fn is_free(port: u16) -> bool {
+    TcpStream::connect(("127.0.0.1", port)).is_err()
+}
+
 /// Starts `count` nodes that know each other.
 pub fn start_nodes(platform: SocketAddr, count: usize, directory: &str) -> Vec<TestNode> {
     let ports = free_ports(count * 3);
