One search for other lives in an endpoint's place; drop what nobody reads

Read once more as a whole: the search for lives at the same address or on the same VM stood twice and is one function now; three settings of the engine, an answer to callers that was never given, and an unused parameter are gone.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -167,11 +167,8 @@
         EngineSettings {
             lease_ms: bounds.max_lease_ms.min(LEASE_MS),
             retention_ms: bounds.retention_ms + RETENTION_SLACK_MS,
-            migrate_ms: bounds.migrate_ms,
             maintenance_ms: bounds.maintenance_ms,
-            notice_ms: bounds.notice_ms,
             vm_holder_ms: bounds.vm_holder_ms,
-            remote_factor: bounds.remote_factor,
         }
     }
 
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -280,7 +280,6 @@
                 CallerAnswer::Accepted => OwnerAnswer::Accepted,
                 CallerAnswer::Cancelled => OwnerAnswer::Cancelled,
                 CallerAnswer::Unknown => OwnerAnswer::Unknown,
-                CallerAnswer::Refused => OwnerAnswer::Refused,
             };
             answer_now(reply, answer);
         }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -32,16 +32,10 @@
     pub lease_ms: u64,
     /// Time that an ended job is remembered, in milliseconds.
     pub retention_ms: u64,
-    /// Time that a VM takes to move, in milliseconds.
-    pub migrate_ms: u64,
     /// Time that maintenance takes, in milliseconds.
     pub maintenance_ms: u64,
-    /// Time for which a long-running task must be at work again before it counts as available.
-    pub notice_ms: u64,
     /// Time in which orders for one VM may not come from two owners, in milliseconds.
     pub vm_holder_ms: u64,
-    /// Factor by which a task is slower away from its data.
-    pub remote_factor: f64,
 }
 
 impl Default for EngineSettings {
@@ -50,11 +44,8 @@
         Self {
             lease_ms: 6_000,
             retention_ms: 150_000,
-            migrate_ms: 1_500,
             maintenance_ms: 2_000,
-            notice_ms: 4_500,
             vm_holder_ms: 3_000,
-            remote_factor: 2.0,
         }
     }
 }
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -179,8 +179,6 @@
     Cancelled,
     /// No such job.
     Unknown,
-    /// The job was not accepted and never runs.
-    Refused,
 }
 
 /// What the engine asks for.
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -71,22 +71,11 @@
     /// when entries and the stored names of endpoints come in any order, and their runs were
     /// started a second time elsewhere.
     fn end_predecessors(&mut self, key: EndpointKey, now: Now) {
-        let (address, vm, order) = {
-            let endpoint = self.endpoints.get(key);
-            (endpoint.address, endpoint.vm.clone(), endpoint.entry_order)
-        };
-        let replaced: Vec<EndpointKey> = self
-            .endpoints
-            .iter()
-            .filter(|(_, endpoint)| {
-                endpoint.entry_order < order
-                    && !endpoint.is_over
-                    && (endpoint.address == address || (!vm.is_empty() && endpoint.vm == vm))
-            })
-            .map(|(other, _)| other)
-            .collect();
-        for other in replaced {
-            self.endpoint_over(other, now);
+        let order = self.endpoints.get(key).entry_order;
+        for other in self.others_in_place(key) {
+            if self.endpoints.get(other).entry_order < order {
+                self.endpoint_over(other, now);
+            }
         }
     }
 
@@ -95,23 +84,22 @@
     /// After a take-over nobody can tell the order of two lives, and waiting for the leases of one
     /// that ended long ago kept its long-running tasks away, from one take-over to the next.
     fn end_others_at(&mut self, key: EndpointKey, now: Now) {
-        let (address, vm) = {
-            let endpoint = self.endpoints.get(key);
-            (endpoint.address, endpoint.vm.clone())
-        };
-        let others: Vec<EndpointKey> = self
-            .endpoints
+        for other in self.others_in_place(key) {
+            self.endpoint_over(other, now);
+        }
+    }
+
+    /// Returns other lives, not known to be over, at the address or on the VM of one.
+    fn others_in_place(&self, key: EndpointKey) -> Vec<EndpointKey> {
+        let one = self.endpoints.get(key);
+        self.endpoints
             .iter()
             .filter(|&(other, endpoint)| {
-                other != key
-                    && !endpoint.is_over
-                    && (endpoint.address == address || (!vm.is_empty() && endpoint.vm == vm))
+                let is_same_vm = !one.vm.is_empty() && endpoint.vm == one.vm;
+                other != key && !endpoint.is_over && (endpoint.address == one.address || is_same_vm)
             })
             .map(|(other, _)| other)
-            .collect();
-        for other in others {
-            self.endpoint_over(other, now);
-        }
+            .collect()
     }
 
     /// Stops the long-running tasks of an endpoint that is leaving, so that they go on elsewhere.
@@ -283,7 +271,7 @@
         if !report.is_partial {
             self.drop_missing(key, report, renewal, now);
         }
-        self.adjust_pace(key, now);
+        self.adjust_pace(key);
         let endpoint = self.endpoints.get_mut(key);
         let pause_ms = if !report.ended.is_empty() {
             RENEW_PAUSE_MS
--- a/crates/engine/src/pacing.rs
+++ b/crates/engine/src/pacing.rs
@@ -3,7 +3,7 @@
 use crate::{
     attempts::find_attempt,
     engine::Engine,
-    event::{Effect, EndpointKey, Now},
+    event::{Effect, EndpointKey},
     job::TaskRef,
 };
 
@@ -19,7 +19,7 @@
 
 impl Engine {
     /// Adjusts the pace of what fills on an endpoint to the tails just reported.
-    pub(crate) fn adjust_pace(&mut self, key: EndpointKey, _now: Now) {
+    pub(crate) fn adjust_pace(&mut self, key: EndpointKey) {
         let endpoint = self.endpoints.get(key);
         let worst_percent = endpoint
             .placed
