--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -259,7 +259,7 @@
         | OwnerAnswer::State(_)
         | OwnerAnswer::Pending(_) => "answered",
         OwnerAnswer::Unknown => "no_such_job",
-        OwnerAnswer::Refused | OwnerAnswer::NotOwner => "refused",
+        OwnerAnswer::Refused | OwnerAnswer::NotOwner | OwnerAnswer::Yielded => "refused",
         OwnerAnswer::Unclear => "unclear",
     };
     counter!("lynxwheel_requests_total", "kind" => kind, "outcome" => outcome).increment(1);
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -12,6 +12,7 @@
 //!     epoch: 0,
 //!     incarnation: 7,
 //!     address: "127.0.0.1:7060".parse().unwrap(),
+//!     cpu_millis: 250,
 //! };
 //! view.apply(Some(&claim), 1_000);
 //! assert_eq!(view.owner.unwrap().epoch, 1);
@@ -35,6 +36,6 @@
     node::{MetricsPage, run},
     ownership::{
         FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, RENEW_EVERY_MS,
-        SILENCE_MS,
+        SILENCE_MS, SMALL_NODE_DELAY_MS,
     },
 };
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -211,6 +211,8 @@
                 return self.engine.handle(Event::Cancel { job, token }, now);
             }
             Ask::State { job } => self.state(&job, now),
+            // Answered before it gets here.
+            Ask::Yield => OwnerAnswer::Refused,
             Ask::Pending { queue } => OwnerAnswer::Pending(self.engine.pending(&queue)),
         };
         answer_now(reply, answer);
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -21,6 +21,13 @@
 /// the silence after which there may be a successor.
 pub const FRESH_MS: u64 = 1_000;
 
+/// Time for which a small node lets larger ones claim first, in milliseconds: two of the pauses
+/// over which claims are spread.
+pub const SMALL_NODE_DELAY_MS: u64 = 240;
+
+/// A whole core, in thousandths of one.
+const WHOLE_CORE_MILLIS: u32 = 1_000;
+
 /// What a record of the ownership log says.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum OwnershipKind {
@@ -43,6 +50,14 @@
     pub incarnation: u64,
     /// Address at which the writer takes other nodes' requests.
     pub address: SocketAddr,
+    /// Processor that the writer has, in thousandths of a core.
+    pub cpu_millis: u32,
+}
+
+/// Tells whether a node is so much smaller than another that the other should own the fleet.
+/// Three quarters leave alike nodes alone, whatever their figures are rounded to.
+fn is_much_less(cpu_millis: u32, other_millis: u32) -> bool {
+    u64::from(cpu_millis) * 4 < u64::from(other_millis) * 3
 }
 
 impl OwnershipRecord {
@@ -68,6 +83,8 @@
     pub incarnation: u64,
     /// Address at which it takes other nodes' requests.
     pub address: SocketAddr,
+    /// Processor that it has, in thousandths of a core.
+    pub cpu_millis: u32,
 }
 
 /// What a node knows of ownership.
@@ -81,6 +98,8 @@
     pub read_to: u64,
     /// Whether the owner has given up.
     pub is_released: bool,
+    /// Most processor that a writer of the log had, in thousandths of a core.
+    pub largest_cpu_millis: u32,
     heard_ms: u64,
     reading_since_ms: Option<u64>,
 }
@@ -107,7 +126,9 @@
             epoch,
             incarnation: record.incarnation,
             address: record.address,
+            cpu_millis: record.cpu_millis,
         });
+        self.largest_cpu_millis = self.largest_cpu_millis.max(record.cpu_millis);
     }
 
     /// Takes in that the log was read up to its end.
@@ -132,6 +153,30 @@
             .is_some_and(|owner| owner.address == address && owner.incarnation != incarnation)
     }
 
+    /// Returns how long a node lets larger ones claim first, in milliseconds.
+    ///
+    /// The owner does a good part of the fleet's work, and a small node that owns it falls behind
+    /// in bursts: jobs then start seconds late. While nobody has ever owned the fleet the sizes of
+    /// the others are not known, so a node waits by its own; nothing hangs on that second.
+    #[must_use]
+    pub fn claim_delay_ms(&self, cpu_millis: u32) -> u64 {
+        if self.largest_cpu_millis == 0 {
+            return u64::from(WHOLE_CORE_MILLIS.saturating_sub(cpu_millis));
+        }
+        if is_much_less(cpu_millis, self.largest_cpu_millis) {
+            SMALL_NODE_DELAY_MS
+        } else {
+            0
+        }
+    }
+
+    /// Tells whether the owner is so small that a node of this size should ask to succeed it.
+    #[must_use]
+    pub fn has_small_owner(&self, cpu_millis: u32) -> bool {
+        self.owner
+            .is_some_and(|owner| is_much_less(owner.cpu_millis, cpu_millis))
+    }
+
     /// Tells whether the fleet needs an owner.
     #[must_use]
     pub fn needs_owner(&self, now_ms: u64) -> bool {
--- a/crates/controller/src/peer.rs
+++ b/crates/controller/src/peer.rs
@@ -39,6 +39,8 @@
         /// Id of the job.
         job: String,
     },
+    /// Give ownership up, as the sender is much larger.
+    Yield,
     /// Count the jobs of a queue of which no task has started.
     Pending {
         /// Queue.
@@ -55,6 +57,8 @@
     Cancelled,
     /// State of a job.
     State(JobState),
+    /// The owner gives up.
+    Yielded,
     /// Number of jobs.
     Pending(usize),
     /// No such job.
--- a/crates/controller/src/peer_server.rs
+++ b/crates/controller/src/peer_server.rs
@@ -4,7 +4,7 @@
     crate::{
         node::Node,
         owner::{OwnerMessage, ask_owner},
-        peer::{OWNER_PATH, OwnerAnswer, OwnerRequest},
+        peer::{Ask, OWNER_PATH, OwnerAnswer, OwnerRequest},
     },
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
@@ -63,5 +63,9 @@
         owner.offer(OwnerMessage::Deposed);
         return OwnerAnswer::NotOwner;
     }
+    if matches!(request.ask, Ask::Yield) {
+        owner.offer(OwnerMessage::Release);
+        return OwnerAnswer::Yielded;
+    }
     ask_owner(&owner, request.ask).await
 }
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -6,6 +6,7 @@
         node::Node,
         owner::{self, OwnerMessage},
         ownership::{OwnershipKind, OwnershipRecord, OwnershipView, RENEW_EVERY_MS},
+        peer::{Ask, OWNER_PATH, OwnerAnswer, OwnerRequest},
     },
     log::{info, warn},
     lynxwheel_platform::{AppendOutcome, Read},
@@ -16,7 +17,7 @@
         },
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep},
 };
 
 /// Topic of the ownership records.
@@ -32,12 +33,17 @@
 /// save theirs.
 const CLAIM_SPREAD_MS: u64 = 120;
 
+/// Time between asks of a larger node that a small owner may give up, in milliseconds: a change of
+/// owners costs some tenths of a second, so it waits until the larger node has lived for a while.
+const YIELD_EVERY_MS: u64 = 3_000;
+
 /// Tries to give ownership up before the others have to find out by themselves.
 const RELEASE_TRIES: u32 = 3;
 
 /// Watches the ownership log for as long as the process lives.
 pub async fn watch(node: Arc<Node>) {
     let mut is_lost = false;
+    let mut asked = Instant::now();
     loop {
         let is_read = read_on(&node, WAIT_MS).await;
         if is_read == is_lost {
@@ -57,6 +63,10 @@
         if may_claim(&node) {
             claim(&node).await;
         }
+        if asked.elapsed() > Duration::from_millis(YIELD_EVERY_MS) && has_small_owner(&node) {
+            asked = Instant::now();
+            ask_to_yield(&node).await;
+        }
     }
 }
 
@@ -130,8 +140,40 @@
     }
 }
 
+fn has_small_owner(node: &Node) -> bool {
+    !node.stopping.has_begun() && node.view.borrow().has_small_owner(node.settings.cpu_millis)
+}
+
+/// Asks a small owner to give up, so that a larger node follows it.
+async fn ask_to_yield(node: &Node) {
+    let (epoch, owner) = {
+        let view = node.view.borrow();
+        (view.epoch, view.owner)
+    };
+    let Some(owner) = owner else {
+        return;
+    };
+    let request = OwnerRequest {
+        epoch,
+        ask: Ask::Yield,
+    };
+    let client = node.peers.get(owner.address);
+    let limit = Duration::from_millis(WAIT_MS);
+    let answer: Result<OwnerAnswer, _> = client.exchange(OWNER_PATH, &request, limit).await;
+    info!(
+        event = "yield_asked", epoch = epoch, peer:% = owner.address,
+        owner_cpu_millis = owner.cpu_millis, outcome:? = answer.as_ref().ok();
+        ""
+    );
+}
+
 async fn claim(node: &Node) {
     let pause_ms = rand::random_range(0..CLAIM_SPREAD_MS);
+    let size_ms = {
+        let view = node.view.borrow();
+        view.claim_delay_ms(node.settings.cpu_millis)
+    };
+    let pause_ms = pause_ms + size_ms;
     sleep(Duration::from_millis(pause_ms)).await;
     if !read_on(node, 0).await || !may_claim(node) {
         return;
@@ -141,6 +183,7 @@
         epoch: 0,
         incarnation: node.incarnation,
         address: node.peer_address,
+        cpu_millis: node.settings.cpu_millis,
     };
     let at = node.view.borrow().read_to;
     let outcome = node
@@ -161,6 +204,7 @@
         epoch,
         incarnation: node.incarnation,
         address: node.peer_address,
+        cpu_millis: node.settings.cpu_millis,
     };
     let record = record.encode();
     let mut at = node.view.borrow().read_to;
@@ -196,6 +240,7 @@
         epoch,
         incarnation: node.incarnation,
         address: node.peer_address,
+        cpu_millis: node.settings.cpu_millis,
     };
     for _ in 0..RELEASE_TRIES {
         // On no condition: readers pass over the release of an epoch that is not in force.
--- a/crates/controller/tests/ownership.rs
+++ b/crates/controller/tests/ownership.rs
@@ -1,7 +1,9 @@
 //! Who may claim the fleet, and when.
 
 use {
-    lynxwheel_controller::{OwnershipKind, OwnershipRecord, OwnershipView, SILENCE_MS},
+    lynxwheel_controller::{
+        OwnershipKind, OwnershipRecord, OwnershipView, SILENCE_MS, SMALL_NODE_DELAY_MS,
+    },
     std::net::SocketAddr,
 };
 
@@ -15,6 +17,7 @@
         epoch,
         incarnation,
         address: address(7_060),
+        cpu_millis: 250,
     }
 }
 
@@ -74,6 +77,21 @@
         assert!(!owned().is_predecessor(8, address(7_061)));
     };
 
+    /// A node with an eighth of a core claims the fleet beside nodes with half a core, and jobs wait
+    /// for seconds whenever many come at once.
+    larger_node_claims_first: {
+        let nobody = OwnershipView::default();
+        assert!(nobody.claim_delay_ms(500) + SMALL_NODE_DELAY_MS < nobody.claim_delay_ms(120));
+        assert_eq!(owned().claim_delay_ms(120), SMALL_NODE_DELAY_MS);
+        assert_eq!(owned().claim_delay_ms(250), 0);
+    };
+
+    small_owner_is_asked_to_yield: {
+        assert!(owned().has_small_owner(500));
+        assert!(!owned().has_small_owner(260));
+        assert!(!OwnershipView::default().has_small_owner(500));
+    };
+
     record_of_another_writer_is_passed_over: {
         let mut view = owned();
         assert_eq!(OwnershipRecord::decode(b"\xc1noise"), None);
