Succeed an owner whose address refuses connections after 0.2 s, and let VMs rest by the log's order

Cause 1: a killed owner was only missed by its silence (1.3 s); callers were kept that long, then refused, and came back a second later. A refused connection shows that the process has ended. Renewals now carry how far the owners' records are stored, so a successor knows by when each order was given and lets only the youngest rest.

--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -5,7 +5,13 @@
     lynxwheel_engine::Record,
     lynxwheel_platform::{AppendOutcome, PlatformSettings, Producer, StoreClient, keyed_record},
     metrics::counter,
-    std::time::Duration,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -33,17 +39,20 @@
 }
 
 /// Numbers the appends of one owner.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Writer {
     epoch: u64,
     sequence: u64,
     request_bytes: usize,
+    /// Offset up to which the records are known to be stored.
+    stored_end: Arc<AtomicU64>,
 }
 
 /// Appends that store one batch, in order.
 #[derive(Debug)]
 pub struct Commit {
     epoch: u64,
+    stored_end: Arc<AtomicU64>,
     appends: Vec<(u64, Vec<Vec<u8>>)>,
 }
 
@@ -55,9 +64,16 @@
             epoch,
             sequence: 0,
             request_bytes: settings.request_bytes / 2,
+            stored_end: Arc::default(),
         }
     }
 
+    /// Returns the offset up to which the records are known to be stored, as it moves on.
+    #[must_use]
+    pub fn stored_end(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.stored_end)
+    }
+
     /// Shuts lower epochs out: an append without records sets the epoch.
     ///
     /// Returns whether it is set, or nothing while that is not known.
@@ -98,6 +114,7 @@
         }
         Commit {
             epoch: self.epoch,
+            stored_end: Arc::clone(&self.stored_end),
             appends,
         }
     }
@@ -127,7 +144,10 @@
                 .await;
             counter!("lynxwheel_appends_total", "outcome" => outcome_label(outcome)).increment(1);
             match outcome {
-                AppendOutcome::Stored { .. } => return true,
+                AppendOutcome::Stored { end, .. } => {
+                    self.stored_end.fetch_max(end, Ordering::Relaxed);
+                    return true;
+                }
                 // The epoch is ours alone, so the store can only be ahead by this very append.
                 AppendOutcome::OutOfSequence { expected } if expected == sequence + 1 => {
                     return true;
--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -242,6 +242,9 @@
                 reason = error.reason.as_str(), may_have_run = error.may_have_run;
                 ""
             );
+            if error.is_refused {
+                node.note_owner_refused(owner.epoch);
+            }
             if error.may_have_run {
                 OwnerAnswer::Unclear
             } else {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -13,6 +13,7 @@
 //!     incarnation: 7,
 //!     address: "127.0.0.1:7060".parse().unwrap(),
 //!     cpu_millis: 250,
+//!     stored_end: 0,
 //! };
 //! view.apply(Some(&claim), 1_000);
 //! assert_eq!(view.owner.unwrap().epoch, 1);
@@ -35,7 +36,7 @@
 pub use {
     node::{MetricsPage, run},
     ownership::{
-        FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, RENEW_EVERY_MS,
-        SILENCE_MS, SMALL_NODE_DELAY_MS,
+        FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS,
+        RENEW_EVERY_MS, SILENCE_MS, SMALL_NODE_DELAY_MS,
     },
 };
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -21,7 +21,10 @@
         },
         time::Duration,
     },
-    tokio::signal::unix::{SignalKind, signal},
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        sync::Notify,
+    },
 };
 
 /// Longest lease granted to endpoints, in milliseconds: it outlives an owner's loss and its
@@ -101,6 +104,8 @@
     pub waves: Mutex<Vec<WaveOrder>>,
     /// What is known of ownership.
     pub view: tokio::sync::watch::Sender<OwnershipView>,
+    /// Given when nothing listens at the owner's address.
+    pub owner_refused: Notify,
     /// The owner's duties while this node is the owner.
     pub owner: ArcSwapOption<OwnerHandle>,
     /// Epoch under which this process has written; it is never taken up twice.
@@ -132,6 +137,7 @@
             waves: Mutex::default(),
             view: tokio::sync::watch::Sender::default(),
             owner: ArcSwapOption::empty(),
+            owner_refused: Notify::new(),
             metrics,
             taken_epoch: AtomicU64::new(0),
             contact_ms: AtomicU64::new(0),
@@ -172,6 +178,14 @@
         }
     }
 
+    /// Notes that nothing listens at the address of the owner of an epoch.
+    pub fn note_owner_refused(&self, epoch: u64) {
+        let now_ms = clock::steady_ms();
+        self.view
+            .send_modify(|view| view.note_refused(epoch, now_ms));
+        self.owner_refused.notify_one();
+    }
+
     /// Puts a configuration in force, unless it is older than the one that is.
     pub fn put_config(&self, config: FleetConfig) {
         if config.version <= self.config.load().version {
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -23,9 +23,10 @@
     },
     log::{error, info, warn},
     lynxwheel_engine::{
-        Batch, CallerAnswer, Effect, Engine, Event, JobId, Now, Record, ReplyToken,
+        Batch, CallerAnswer, Effect, Engine, Event, JobId, Now, Record, RecordKind, ReplyToken,
+        record_kind,
     },
-    lynxwheel_platform::{AdviceCalls, EndpointCalls, VmCalls},
+    lynxwheel_platform::{AdviceCalls, EndpointCalls, KeyedRecord, VmCalls},
     metrics::{counter, histogram},
     std::{
         sync::{
@@ -46,6 +47,10 @@
 /// Tries to shut earlier owners out before the take-over is given up.
 const FENCE_TRIES: u32 = 8;
 
+/// Time within which an order for a VM arrives once it is stored, in milliseconds: the longest that
+/// such a call takes.
+const VM_ORDER_MS: u64 = 1_200;
+
 /// Pause after a failed step of taking over, in milliseconds.
 const RETRY_MS: u64 = 100;
 
@@ -341,14 +346,16 @@
 pub async fn take_over(node: &Arc<Node>, epoch: u64) {
     let begun_ms = clock::steady_ms();
     let renewed_ms = Arc::new(AtomicU64::new(0));
+    let writer = Writer::new(epoch, &node.settings);
     let renewals = tokio::spawn(watcher::renew(
         Arc::clone(node),
         epoch,
         Arc::clone(&renewed_ms),
+        writer.stored_end(),
     ));
-    match prepare(node, epoch).await {
+    match prepare(node, writer).await {
         Ok((writer, records)) => {
-            let handle = start(node, epoch, begun_ms, writer, &records, renewed_ms);
+            let handle = start(node, epoch, begun_ms, writer, records, renewed_ms);
             handle.add_duty(renewals);
         }
         Err(reason) => {
@@ -359,8 +366,7 @@
 }
 
 /// Shuts earlier owners out of the store, and reads what they stored.
-async fn prepare(node: &Node, epoch: u64) -> Result<(Writer, Vec<Record>), String> {
-    let mut writer = Writer::new(epoch, &node.settings);
+async fn prepare(node: &Node, mut writer: Writer) -> Result<(Writer, Vec<KeyedRecord>), String> {
     let mut tries = 0;
     loop {
         match writer.fence(&node.store).await {
@@ -375,11 +381,7 @@
     }
     let newest = node.store.newest(STATE_TOPIC).await;
     let (records, _) = newest.map_err(|error| error.to_string())?;
-    let records = records.into_iter().map(|record| Record {
-        key: record.key,
-        value: record.value,
-    });
-    Ok((writer, records.collect()))
+    Ok((writer, records))
 }
 
 fn start(
@@ -387,14 +389,20 @@
     epoch: u64,
     begun_ms: u64,
     writer: Writer,
-    records: &[Record],
+    stored: Vec<KeyedRecord>,
     renewed_ms: Arc<AtomicU64>,
 ) -> Arc<OwnerHandle> {
     let now = clock::now();
     let mut engine = Engine::new(node.engine_settings());
-    for key in engine.restore(records, now) {
+    let offsets: Vec<Option<u64>> = stored.iter().map(|record| record.offset).collect();
+    let records: Vec<Record> = stored
+        .into_iter()
+        .map(|KeyedRecord { key, value, .. }| Record { key, value })
+        .collect();
+    for key in engine.restore(&records, now) {
         error!(event = "record_unread", key = key; "");
     }
+    bound_vm_rests(node, &mut engine, &records, &offsets);
     engine.handle(Event::Config(node.config.load_full()), now);
     let waves = node.waves.lock().unwrap_or_else(PoisonError::into_inner);
     for order in waves.iter() {
@@ -462,6 +470,23 @@
     handle
 }
 
+/// Tells the engine by when earlier owners' orders for VMs were stored, where this node heard it.
+///
+/// Two owners' orders for one VM must not follow each other closely. Times of day do not tell how
+/// old an order is, as clocks jump; without this every VM ordered lately rests for the whole time,
+/// and the pool whose turn it is gets its VMs seconds late.
+fn bound_vm_rests(node: &Node, engine: &mut Engine, records: &[Record], offsets: &[Option<u64>]) {
+    let view = node.view.borrow();
+    let holder_ms = node.settings.bounds.vm_holder_ms + VM_ORDER_MS;
+    for (record, offset) in records.iter().zip(offsets) {
+        if record_kind(&record.key) == Some(RecordKind::Vm)
+            && let Some(by_ms) = offset.and_then(|offset| view.stored_by_ms(offset))
+        {
+            engine.bound_vm_rest(&record.key, by_ms + holder_ms);
+        }
+    }
+}
+
 async fn tick(owner: Arc<OwnerHandle>) {
     loop {
         owner.send(OwnerMessage::event(Event::Tick)).await;
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -21,6 +21,15 @@
 /// the silence after which there may be a successor.
 pub const FRESH_MS: u64 = 1_000;
 
+/// Time for which an owner's address has to refuse connections before another node claims, in
+/// milliseconds: a restarted process is back at its address sooner than its leases suffer, but one
+/// that was only slow to listen is left alone.
+pub const REFUSING_MS: u64 = 200;
+
+/// Statements kept on what was stored by when: at a renewal each 350 ms, five seconds, which is
+/// longer than any order of an earlier owner matters.
+const STORED_BY_KEPT: usize = 16;
+
 /// Time for which a small node lets larger ones claim first, in milliseconds: two of the pauses
 /// over which claims are spread.
 pub const SMALL_NODE_DELAY_MS: u64 = 240;
@@ -52,6 +61,8 @@
     pub address: SocketAddr,
     /// Processor that the writer has, in thousandths of a core.
     pub cpu_millis: u32,
+    /// Offset up to which the writer knows the owners' records to be stored; 0 for none.
+    pub stored_end: u64,
 }
 
 /// Tells whether a node is so much smaller than another that the other should own the fleet.
@@ -87,6 +98,13 @@
     pub cpu_millis: u32,
 }
 
+/// Everything before an offset of the owners' records was stored by a time on this node's clock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct StoredBy {
+    end: u64,
+    at_ms: u64,
+}
+
 /// What a node knows of ownership.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct OwnershipView {
@@ -100,6 +118,10 @@
     pub is_released: bool,
     /// Most processor that a writer of the log had, in thousandths of a core.
     pub largest_cpu_millis: u32,
+    /// What was stored by when, in the order heard.
+    stored_by: Vec<StoredBy>,
+    /// Since when the owner's address refuses connections, with the epoch asked.
+    refusing: Option<(u64, u64)>,
     heard_ms: u64,
     reading_since_ms: Option<u64>,
 }
@@ -121,6 +143,8 @@
         }
         self.epoch = epoch;
         self.heard_ms = now_ms;
+        self.refusing = None;
+        self.note_stored(record.stored_end, now_ms);
         self.is_released = record.kind == OwnershipKind::Release;
         self.owner = (!self.is_released).then_some(OwnerId {
             epoch,
@@ -131,6 +155,46 @@
         self.largest_cpu_millis = self.largest_cpu_millis.max(record.cpu_millis);
     }
 
+    fn note_stored(&mut self, end: u64, now_ms: u64) {
+        let newest = self.stored_by.last().map_or(0, |known| known.end);
+        if end > newest {
+            if self.stored_by.len() == STORED_BY_KEPT {
+                self.stored_by.remove(0);
+            }
+            self.stored_by.push(StoredBy { end, at_ms: now_ms });
+        }
+    }
+
+    /// Returns by when a record of the owners was stored at the latest, on this node's clock;
+    /// nothing when that was not heard.
+    #[must_use]
+    pub fn stored_by_ms(&self, offset: u64) -> Option<u64> {
+        let place = self.stored_by.partition_point(|known| known.end <= offset);
+        self.stored_by.get(place).map(|known| known.at_ms)
+    }
+
+    /// Takes in that nothing listens at the address of the owner of an epoch.
+    ///
+    /// Its process has ended though its VM lives. Waiting for its silence kept callers for 1.3 s,
+    /// and those that were refused meanwhile came back only a second later. A renewal that is read
+    /// after the refusal takes it back, and a claim on a mistake is harmless but for a change of
+    /// owners.
+    pub fn note_refused(&mut self, epoch: u64, now_ms: u64) {
+        let is_known = self.refusing.is_some_and(|(known, _)| known == epoch);
+        if epoch == self.epoch && !is_known {
+            self.refusing = Some((epoch, now_ms));
+        }
+    }
+
+    /// Tells whether the owner's process has been known to be over for long enough to succeed it.
+    #[must_use]
+    pub fn is_owner_refusing(&self, now_ms: u64) -> bool {
+        self.owner.is_some()
+            && self
+                .refusing
+                .is_some_and(|(_, since_ms)| now_ms >= since_ms + REFUSING_MS)
+    }
+
     /// Takes in that the log was read up to its end.
     pub fn note_read(&mut self, now_ms: u64) {
         self.reading_since_ms.get_or_insert(now_ms);
@@ -186,6 +250,6 @@
         if self.is_released || self.epoch == 0 {
             return true;
         }
-        now_ms > self.heard_ms.max(since_ms) + SILENCE_MS
+        self.is_owner_refusing(now_ms) || now_ms > self.heard_ms.max(since_ms) + SILENCE_MS
     }
 }
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -5,7 +5,7 @@
         clock,
         node::Node,
         owner::{self, OwnerMessage},
-        ownership::{OwnershipKind, OwnershipRecord, OwnershipView, RENEW_EVERY_MS},
+        ownership::{OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS, RENEW_EVERY_MS},
         peer::{Ask, OWNER_PATH, OwnerAnswer, OwnerRequest},
     },
     log::{info, warn},
@@ -45,7 +45,11 @@
     let mut is_lost = false;
     let mut asked = Instant::now();
     loop {
-        let is_read = read_on(&node, WAIT_MS).await;
+        let is_read = tokio::select! {
+            is_read = read_on(&node, WAIT_MS) => is_read,
+            // The poll is dropped: what it would have brought is read again.
+            () = owner_ended(&node) => read_on(&node, 0).await,
+        };
         if is_read == is_lost {
             is_lost = !is_read;
             if is_lost {
@@ -140,6 +144,12 @@
     }
 }
 
+/// Waits until the owner's process is known to be over.
+async fn owner_ended(node: &Node) {
+    node.owner_refused.notified().await;
+    sleep(Duration::from_millis(REFUSING_MS)).await;
+}
+
 fn has_small_owner(node: &Node) -> bool {
     !node.stopping.has_begun() && node.view.borrow().has_small_owner(node.settings.cpu_millis)
 }
@@ -184,6 +194,7 @@
         incarnation: node.incarnation,
         address: node.peer_address,
         cpu_millis: node.settings.cpu_millis,
+        stored_end: 0,
     };
     let at = node.view.borrow().read_to;
     let outcome = node
@@ -198,24 +209,30 @@
 ///
 /// Begins with the take-over, which a slow store draws out: silence until its end would call for
 /// the next claim before the first owner has begun.
-pub async fn renew(node: Arc<Node>, epoch: u64, renewed_ms: Arc<AtomicU64>) {
-    let record = OwnershipRecord {
+pub async fn renew(
+    node: Arc<Node>,
+    epoch: u64,
+    renewed_ms: Arc<AtomicU64>,
+    stored_end: Arc<AtomicU64>,
+) {
+    let mut record = OwnershipRecord {
         kind: OwnershipKind::Renewal,
         epoch,
         incarnation: node.incarnation,
         address: node.peer_address,
         cpu_millis: node.settings.cpu_millis,
+        stored_end: 0,
     };
-    let record = record.encode();
     let mut at = node.view.borrow().read_to;
     loop {
+        record.stored_end = stored_end.load(Ordering::Relaxed);
         at = at.max(node.view.borrow().read_to);
         let sent_ms = clock::steady_ms();
         let outcome = node
             .store
             .append(
                 OWNERSHIP_TOPIC,
-                std::slice::from_ref(&record),
+                std::slice::from_ref(&record.encode()),
                 Some(at),
                 None,
             )
@@ -241,6 +258,7 @@
         incarnation: node.incarnation,
         address: node.peer_address,
         cpu_millis: node.settings.cpu_millis,
+        stored_end: 0,
     };
     for _ in 0..RELEASE_TRIES {
         // On no condition: readers pass over the release of an epoch that is not in force.
--- a/crates/controller/tests/ownership.rs
+++ b/crates/controller/tests/ownership.rs
@@ -2,7 +2,7 @@
 
 use {
     lynxwheel_controller::{
-        OwnershipKind, OwnershipRecord, OwnershipView, SILENCE_MS, SMALL_NODE_DELAY_MS,
+        OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS, SILENCE_MS, SMALL_NODE_DELAY_MS,
     },
     std::net::SocketAddr,
 };
@@ -18,6 +18,7 @@
         incarnation,
         address: address(7_060),
         cpu_millis: 250,
+        stored_end: 0,
     }
 }
 
@@ -92,6 +93,42 @@
         assert!(!OwnershipView::default().has_small_owner(500));
     };
 
+    /// The owner's process is killed; its VM refuses connections. Callers were kept for 1.3 s, then
+    /// refused, and came back a second later.
+    owner_whose_address_refuses_is_followed_soon: {
+        let mut view = owned();
+        view.note_refused(1, 1_100);
+        view.note_refused(1, 1_250);
+        assert!(!view.needs_owner(1_099 + REFUSING_MS));
+        assert!(view.needs_owner(1_100 + REFUSING_MS));
+    };
+
+    /// A node asks an address from before the last claim, or the owner was only slow to listen.
+    refusal_says_nothing_of_another_owner: {
+        let mut view = owned();
+        view.note_refused(0, 1_100);
+        assert!(!view.needs_owner(1_500));
+        view.note_refused(1, 1_100);
+        view.apply(Some(&record(OwnershipKind::Renewal, 1, 7)), 1_200);
+        assert!(!view.needs_owner(1_500));
+    };
+
+    /// A successor let every VM rest that had been ordered in the last nine seconds by the time of
+    /// day, though the log shows that most of these orders were seconds old.
+    renewals_tell_by_when_orders_were_stored: {
+        let mut view = owned();
+        let renewal = |stored_end| OwnershipRecord {
+            stored_end,
+            ..record(OwnershipKind::Renewal, 1, 7)
+        };
+        view.apply(Some(&renewal(40)), 2_000);
+        view.apply(Some(&renewal(40)), 2_350);
+        view.apply(Some(&renewal(60)), 2_700);
+        assert_eq!(view.stored_by_ms(39), Some(2_000));
+        assert_eq!(view.stored_by_ms(40), Some(2_700));
+        assert_eq!(view.stored_by_ms(60), None);
+    };
+
     record_of_another_writer_is_passed_over: {
         let mut view = owned();
         assert_eq!(OwnershipRecord::decode(b"\xc1noise"), None);
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -5,7 +5,7 @@
         engine::Engine,
         event::{Effect, EndpointKey, Now, VmOutcome},
         reports::{VmEntry, VmState},
-        stored::{Record, StoredVm, vm_record},
+        stored::{Record, StoredVm, vm_name, vm_record},
     },
     compact_str::CompactString,
 };
@@ -253,6 +253,17 @@
         }
     }
 
+    /// Takes in until when an earlier owner's order for a VM forbids another at most, on the steady
+    /// clock, as the order of records in the log tells it.
+    pub fn bound_vm_rest(&mut self, key: &str, until_ms: u64) {
+        let name = vm_name(key);
+        for (known, rest_ms) in &mut self.resting_vms {
+            if known == name {
+                *rest_ms = until_ms.min(*rest_ms);
+            }
+        }
+    }
+
     /// Returns until when an earlier owner's order for a VM forbids another, on the steady clock.
     ///
     /// Orders of two owners for one VM must not follow each other closely. Every order is stored
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -17,6 +17,7 @@
     lynxwheel_protocol::{MAX_MESSAGE_BYTES, decode_message, encode_message},
     serde::{Serialize, de::DeserializeOwned},
     std::{
+        io,
         net::SocketAddr,
         pin::Pin,
         sync::{Arc, Mutex, PoisonError},
@@ -293,7 +294,10 @@
         let stream = timeout_at(deadline, TcpStream::connect(peer))
             .await
             .map_err(|_| unsent("timeout".into()))?
-            .map_err(|error| unsent(error.to_string()))?;
+            .map_err(|error| TransportError {
+                is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
+                ..unsent(error.to_string())
+            })?;
         stream
             .set_nodelay(true)
             .map_err(|error| unsent(error.to_string()))?;
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -42,6 +42,8 @@
     pub reason: String,
     /// Whether the peer may have acted on the request; `false` only when that is proven.
     pub may_have_run: bool,
+    /// Whether the peer's VM answered that nothing listens at the address.
+    pub is_refused: bool,
 }
 
 impl TransportError {
@@ -53,6 +55,7 @@
             peer,
             reason: reason.into(),
             may_have_run: false,
+            is_refused: false,
         }
     }
 
@@ -64,6 +67,7 @@
             peer,
             reason: reason.into(),
             may_have_run: true,
+            is_refused: false,
         }
     }
 }
