Soak real nodes with overlapping faults, against stand-ins of the platform

crates/soak runs nodes as processes behind loopback proxies and judges what callers, endpoints and the VMs' service see; platform/standin speaks the platform's wire: store, endpoints, VMs. Before, 'serve' had no process test, and the stand-ins did not speak the wire.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -22,7 +22,7 @@
         time::Duration,
     },
     tokio::{
-        signal::unix::{SignalKind, signal},
+        signal::unix::{Signal, SignalKind, signal},
         sync::Notify,
     },
 };
@@ -228,6 +228,8 @@
 ///
 /// Fails when an address cannot be bound or signals cannot be received.
 pub async fn run(settings: PlatformSettings, metrics: MetricsPage) -> io::Result<()> {
+    // First, so that a signal that comes while the node starts stops it gracefully, too.
+    let signals = Signals::new()?;
     let node = Arc::new(Node::new(settings, metrics));
     info!(
         event = "start", node = node.settings.node_name.as_str(), zone = node.settings.zone.as_str(),
@@ -243,7 +245,7 @@
     let callers = tokio::spawn(ingress::serve(Arc::clone(&node), callers));
     tokio::spawn(peer_server::serve(Arc::clone(&node), peers));
     tokio::spawn(ready::serve(Arc::clone(&node), ready));
-    wait_for_stop().await?;
+    signals.wait_for_stop().await;
     stop(&node).await;
     let rest_ms = node
         .settings
@@ -262,16 +264,32 @@
     }
 }
 
-async fn wait_for_stop() -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            // The settings of a process are fixed for its life: addresses and bounds.
-            _ = hangup.recv() => info!(event = "reload", outcome = "nothing to take over"; ""),
+/// Signals that concern a node.
+struct Signals {
+    term: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    async fn wait_for_stop(mut self) {
+        loop {
+            tokio::select! {
+                _ = self.term.recv() => return,
+                _ = self.interrupt.recv() => return,
+                // The settings of a process are fixed for its life: addresses and bounds.
+                _ = self.hangup.recv() => {
+                    info!(event = "reload", outcome = "nothing to take over"; "");
+                }
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,140 @@
+//! The faults of one run, drawn from its seed.
+
+use {
+    crate::proxy::LinkTrouble,
+    lynxwheel_platform_standin::{EndpointTrouble, StoreTrouble},
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+};
+
+/// Time before the first fault, in milliseconds.
+const FIRST_MS: u64 = 300;
+
+/// Pause between the beginnings of two faults, in milliseconds; they last longer, and overlap.
+const PAUSES_MS: std::ops::Range<u64> = 100..900;
+
+/// How long a fault lasts, in milliseconds: from less than a heartbeat to beyond the time after
+/// which a successor takes over.
+const LENGTHS_MS: std::ops::Range<u64> = 150..3_500;
+
+/// Which link is disturbed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkPlace {
+    /// Between a node and the store.
+    Store(usize),
+    /// Between callers and a node.
+    Callers(usize),
+    /// Between all nodes and an endpoint.
+    Endpoint(usize),
+}
+
+/// One fault.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// A node is killed, and started again at the end.
+    KillNode(usize),
+    /// Every node is killed; all are started again at the end.
+    KillAll,
+    /// A node stands still.
+    PauseNode(usize),
+    /// A node is told to stop, and started again when it has.
+    StopNode(usize),
+    /// A node is told that its settings have changed.
+    HangUp(usize),
+    /// The store misbehaves.
+    Store(StoreTrouble),
+    /// The store drops the history of what operators and endpoints write.
+    ForgetHistory,
+    /// A link is disturbed.
+    Link(LinkPlace, LinkTrouble),
+    /// An endpoint misbehaves.
+    Endpoint(usize, EndpointTrouble),
+    /// An endpoint's life ends; another begins at the end.
+    EndLife(usize),
+    /// An endpoint says that it leaves, and does so at the end.
+    Drain(usize),
+    /// A new configuration.
+    Configure,
+    /// Maintenance is ordered for half of the VMs.
+    Maintain,
+}
+
+/// A fault with its times.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlannedFault {
+    /// When it begins, in milliseconds since the traffic's start.
+    pub at_ms: u64,
+    /// How long it lasts, in milliseconds.
+    pub for_ms: u64,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// Draws the faults of a run.
+#[must_use]
+pub fn plan_faults(seed: u64, length_ms: u64, nodes: usize, endpoints: usize) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut planned = Vec::new();
+    let mut at_ms = FIRST_MS;
+    while at_ms < length_ms {
+        planned.push(PlannedFault {
+            at_ms,
+            for_ms: random.random_range(LENGTHS_MS),
+            fault: draw(&mut random, nodes, endpoints),
+        });
+        at_ms += random.random_range(PAUSES_MS);
+    }
+    planned
+}
+
+fn draw(random: &mut ChaCha8Rng, nodes: usize, endpoints: usize) -> Fault {
+    let node = random.random_range(0..nodes);
+    let endpoint = random.random_range(0..endpoints);
+    match random.random_range(0..28) {
+        0..4 => Fault::KillNode(node),
+        4..7 => Fault::PauseNode(node),
+        7 | 8 => Fault::StopNode(node),
+        9 => Fault::HangUp(node),
+        10 => Fault::KillAll,
+        11 | 12 => Fault::Store(store_trouble(random)),
+        13 => Fault::ForgetHistory,
+        14 | 15 => Fault::Link(LinkPlace::Store(node), link_trouble(random)),
+        16 => Fault::Link(LinkPlace::Callers(node), link_trouble(random)),
+        17 | 18 => Fault::Link(LinkPlace::Endpoint(endpoint), link_trouble(random)),
+        19..23 => Fault::Endpoint(endpoint, endpoint_trouble(random)),
+        23 | 24 => Fault::EndLife(endpoint),
+        25 => Fault::Drain(endpoint),
+        26 => Fault::Configure,
+        _ => Fault::Maintain,
+    }
+}
+
+fn store_trouble(random: &mut ChaCha8Rng) -> StoreTrouble {
+    match random.random_range(0..4) {
+        0 => StoreTrouble::Down,
+        1 => StoreTrouble::Silent,
+        2 => StoreTrouble::Slow(random.random_range(50..500)),
+        _ => StoreTrouble::Lossy,
+    }
+}
+
+fn link_trouble(random: &mut ChaCha8Rng) -> LinkTrouble {
+    match random.random_range(0..5) {
+        0 => LinkTrouble::Delayed(random.random_range(20..400)),
+        1 => LinkTrouble::Reset,
+        2 => LinkTrouble::CutForward,
+        3 => LinkTrouble::CutBack,
+        _ => LinkTrouble::Silent,
+    }
+}
+
+fn endpoint_trouble(random: &mut ChaCha8Rng) -> EndpointTrouble {
+    match random.random_range(0..8) {
+        0 => EndpointTrouble::Silent,
+        1 | 2 => EndpointTrouble::Mute,
+        3 | 4 => EndpointTrouble::Late(random.random_range(500..5_000)),
+        5 => EndpointTrouble::Refusing,
+        6 => EndpointTrouble::Failing,
+        _ => EndpointTrouble::Stuck,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,34 @@
+//! Randomized soak of the real program.
+//!
+//! Nodes run as processes of their own, against stand-ins of the platform in this process. Faults
+//! come from outside: signals, proxies between nodes and what they talk to, a store and endpoints
+//! that misbehave, all drawn from a seed and overlapping. What callers and endpoints see is checked
+//! while it happens; afterwards everything is healed, and what was accepted has to come to its end.
+//!
+//! ```
+//! use lynxwheel_soak::plan_faults;
+//!
+//! assert_eq!(plan_faults(7, 5_000, 3, 8), plan_faults(7, 5_000, 3, 8));
+//! ```
+
+mod callers;
+mod faults;
+mod ledger;
+mod nodes;
+mod proxy;
+mod run;
+mod world;
+
+pub use {
+    faults::{Fault, LinkPlace, PlannedFault, plan_faults},
+    ledger::Ledger,
+    proxy::{LinkTrouble, Proxy},
+    run::{SoakPlan, Verdict, run_soak},
+};
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks what tasks of one process share; a panic elsewhere changes nothing here.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,175 @@
+//! One run: traffic and faults, healing, and the verdict.
+
+use {
+    crate::{
+        callers::Callers,
+        faults::plan_faults,
+        ledger::Ledger,
+        world::{CPU_MILLIS, GRACE_MS, MAX_DOWN, World, queues},
+    },
+    lynxwheel_engine::JobId,
+    nix::sys::signal::Signal,
+    std::{
+        fs, io,
+        path::{Path, PathBuf},
+        process,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        task::JoinSet,
+        time::{Instant, sleep},
+    },
+};
+
+/// Callers at work at once.
+const CALLERS: u64 = 6;
+
+/// Time for an owner to take the fleet up before the traffic begins, and for nodes that were just
+/// started before they are told to stop, in milliseconds.
+const SETTLE_MS: u64 = 1_500;
+
+/// Time after the healing in which everything that was accepted has to come to its end, in
+/// milliseconds: the longest silence, leases that run out, and the work itself, several times over.
+const CALM_MS: u64 = 40_000;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct SoakPlan {
+    /// The real program.
+    pub program: PathBuf,
+    /// Seed of faults and traffic.
+    pub seed: u64,
+    /// Length of traffic and faults, in milliseconds.
+    pub length_ms: u64,
+    /// Nodes.
+    pub nodes: usize,
+    /// Folder for settings and logs of the nodes; kept when a promise is broken.
+    pub folder: PathBuf,
+}
+
+impl SoakPlan {
+    /// Plans a run of a seed with a folder of its own.
+    #[must_use]
+    pub fn new(program: &Path, seed: u64, length_ms: u64, nodes: usize) -> Self {
+        let name = format!("lynxwheel-soak-{}-{seed}", process::id());
+        Self {
+            program: program.into(),
+            seed,
+            length_ms,
+            nodes,
+            folder: std::env::temp_dir().join(name),
+        }
+    }
+}
+
+/// What a run has shown.
+#[derive(Clone, Debug)]
+pub struct Verdict {
+    /// Broken promises, with the seconds since the start.
+    pub broken: Vec<String>,
+    /// Jobs that were accepted and not cancelled.
+    pub owed: usize,
+    /// Runs that began.
+    pub starts: usize,
+    /// Faults.
+    pub faults: usize,
+}
+
+/// Runs a seed.
+///
+/// # Errors
+///
+/// Fails when stand-ins or nodes cannot be started.
+pub async fn run_soak(plan: &SoakPlan) -> io::Result<Verdict> {
+    fs::create_dir_all(&plan.folder)?;
+    let ledger = Arc::new(Ledger::new(CPU_MILLIS, MAX_DOWN));
+    let world = World::start(&plan.program, &plan.folder, plan.nodes, &ledger).await?;
+    sleep(Duration::from_millis(SETTLE_MS)).await;
+    let callers = Callers::new(&world.caller_addresses, &queues(), Arc::clone(&ledger));
+    let faults = plan_faults(plan.seed, plan.length_ms, plan.nodes, world.endpoints.len());
+    let count = faults.len();
+    let world = Arc::new(world);
+    let mut tasks = JoinSet::new();
+    let until = Instant::now() + Duration::from_millis(plan.length_ms);
+    for caller in 0..CALLERS {
+        let seed = plan.seed.wrapping_mul(CALLERS).wrapping_add(caller);
+        tasks.spawn(callers.clone().work(seed, until));
+    }
+    for planned in faults {
+        let world = Arc::clone(&world);
+        tasks.spawn(async move { world.suffer(planned).await });
+    }
+    while tasks.join_next().await.is_some() {}
+    world.heal();
+    sleep(Duration::from_millis(SETTLE_MS)).await;
+    check_calm(&callers, &ledger).await;
+    check_stop(&world, &ledger).await;
+    ledger.close();
+    if ledger.owed().is_empty() {
+        ledger.breaks("no job was accepted");
+    }
+    let verdict = Verdict {
+        broken: ledger.broken(),
+        owed: ledger.owed().len(),
+        starts: ledger.starts(),
+        faults: count,
+    };
+    drop(world);
+    if verdict.broken.is_empty() {
+        fs::remove_dir_all(&plan.folder)?;
+    }
+    Ok(verdict)
+}
+
+/// Checks that what was accepted comes to its end, and that lasting tasks are all at work.
+async fn check_calm(callers: &Callers, ledger: &Arc<Ledger>) {
+    let until = Instant::now() + Duration::from_millis(CALM_MS);
+    let mut checks = JoinSet::new();
+    for (job, pool, is_lasting) in ledger.owed() {
+        let callers = callers.clone();
+        let ledger = Arc::clone(ledger);
+        checks.spawn(async move {
+            let is_well = if is_lasting {
+                are_at_work(&ledger, job, until).await
+            } else {
+                callers.settles(job, &pool, until).await
+            };
+            if !is_well {
+                let (live, all) = ledger.at_work(job);
+                let text = format!("{job}: accepted, and {live} of {all} tasks run at the end");
+                ledger.breaks(&text);
+            }
+        });
+    }
+    while checks.join_next().await.is_some() {}
+}
+
+async fn are_at_work(ledger: &Ledger, job: JobId, until: Instant) -> bool {
+    while Instant::now() < until {
+        let (live, all) = ledger.at_work(job);
+        if live == all {
+            return true;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    false
+}
+
+/// Checks that every node stops in time when it is told to.
+async fn check_stop(world: &World, ledger: &Ledger) {
+    for node in &world.nodes {
+        node.signal(Signal::SIGTERM);
+    }
+    let until = Instant::now() + Duration::from_millis(GRACE_MS);
+    for (number, node) in world.nodes.iter().enumerate() {
+        while node.ended().is_none() && Instant::now() < until {
+            sleep(Duration::from_millis(50)).await;
+        }
+        match node.ended() {
+            Some(status) if status.success() => {}
+            Some(status) => ledger.breaks(&format!("node{number} stopped with {status}")),
+            None => ledger.breaks(&format!("node{number} did not stop in time")),
+        }
+    }
+}
