Choose VMs by what waiting work needs: labels, accelerators, memory, racks, endpoints of its own

Work for a label that the pool lacked brought any VM, or none; work that no VM could take kept asking, so that its pool took all VMs in and kept them; and tasks that may not share an endpoint did the same.

--- /dev/null
+++ b/crates/engine/src/demand.rs
@@ -0,0 +1,381 @@
+//! Demand: what work each pool has room for, and what it misses.
+
+use {
+    crate::{
+        engine::Engine,
+        event::Now,
+        job::{Room, StepSpec},
+        pools::{Vm, VmOrder},
+        reports::VmState,
+    },
+    compact_str::CompactString,
+};
+
+/// Time in which waiting work should be worked off, in milliseconds. A VM takes 1.6 s to come, so
+/// it has to be asked for long before jobs are late. Measured on the standard days of both sites
+/// (mean worth, two plays each): 1,200 ms 0.447 and 0.452; 700 ms 0.474 and 0.481; 400 ms 0.495 and
+/// 0.489; 220 ms 0.456 and 0.480 (one play).
+const WORK_OFF_MS: u64 = 400;
+
+/// VMs that a pool keeps at least while others have none to spare, so that its next job starts at
+/// once.
+const KEPT_VMS: usize = 2;
+
+/// Thousandths in a whole accelerator: the grain in which these are counted.
+const ACCELERATOR_MILLIS: u64 = 1_000;
+
+/// Millionths in a thousandth.
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// What only some VMs have.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Trait {
+    /// Accelerators.
+    Accelerators,
+    /// A label that a step requires.
+    Label(CompactString),
+    /// The rack in which a step's data is; elsewhere its tasks are slower.
+    DataRack(CompactString),
+}
+
+impl Trait {
+    fn is_of(&self, labels: &[CompactString], capacity: &Room) -> bool {
+        match self {
+            Self::Accelerators => capacity.gpus > 0,
+            Self::Label(label) | Self::DataRack(label) => labels.contains(label),
+        }
+    }
+
+    /// Tells whether a step cannot run without it.
+    fn is_required(&self) -> bool {
+        !matches!(self, Self::DataRack(_))
+    }
+
+    /// Returns the room in which it is counted: accelerators by themselves, the rest as usual.
+    fn counted(&self, room: &Room) -> Room {
+        match self {
+            Self::Accelerators => Room {
+                cpu_millis: room.gpus * ACCELERATOR_MILLIS,
+                ..Room::default()
+            },
+            Self::Label(_) | Self::DataRack(_) => *room,
+        }
+    }
+
+    fn of_step(spec: &StepSpec) -> impl Iterator<Item = Self> {
+        let label = |text: &CompactString| (!text.is_empty()).then(|| text.clone());
+        let accelerators = (spec.room.gpus > 0).then_some(Self::Accelerators);
+        let required = label(&spec.required_label).map(Self::Label);
+        let rack = label(&spec.data_rack).map(Self::DataRack);
+        accelerators.into_iter().chain(required).chain(rack)
+    }
+}
+
+/// Room that is here or comes, and work for it.
+#[derive(Clone, Debug, Default)]
+struct Balance {
+    /// Room of endpoints that take starts, in thousandths of a core.
+    supply: u64,
+    /// Room of VMs on their way here, in thousandths of a core.
+    arriving: u64,
+    /// Room in use.
+    used: Room,
+    /// Work that waits: room times milliseconds.
+    waiting: Room,
+    /// The same of long-running tasks of which only so many of a step may share an endpoint.
+    waiting_apart: Room,
+    /// Endpoints that take starts.
+    members: usize,
+    /// VMs on their way here.
+    arriving_vms: usize,
+    /// Endpoints that long-running tasks need, as only so many of a step may share one.
+    needed_members: usize,
+    /// Processor of a VM, in thousandths of a core.
+    vm_cpu_millis: u64,
+    /// Processor that a megabyte of a VM comes with, in millionths of a core.
+    cpu_micros_per_mb: u64,
+}
+
+impl Balance {
+    fn new(vm: &Room) -> Self {
+        let cpu_micros = vm.cpu_millis * MICROS_PER_MILLI;
+        Self {
+            vm_cpu_millis: vm.cpu_millis,
+            cpu_micros_per_mb: cpu_micros.checked_div(vm.memory_mb).unwrap_or_default(),
+            ..Self::default()
+        }
+    }
+
+    /// Returns how many endpoints there are too few for tasks that may not share one.
+    fn missing_members(&self) -> usize {
+        self.needed_members
+            .saturating_sub(self.members + self.arriving_vms)
+    }
+
+    /// Returns the room that should be here, in thousandths of a core: by processor or by memory,
+    /// whichever asks for more VMs.
+    ///
+    /// Tasks that may not share an endpoint ask for endpoints first. Counted as work, they asked
+    /// for ever more room where there were too few endpoints for them, and every other pool starved.
+    fn wanted(&self) -> u64 {
+        let mut waiting = self.waiting;
+        if self.missing_members() == 0 {
+            waiting.add(&self.waiting_apart);
+        }
+        let cpu = self.used.cpu_millis + waiting.cpu_millis / WORK_OFF_MS;
+        let memory_mb = self.used.memory_mb + waiting.memory_mb / WORK_OFF_MS;
+        cpu.max(memory_mb * self.cpu_micros_per_mb / MICROS_PER_MILLI)
+    }
+
+    fn missing(&self) -> u64 {
+        let members = u64::try_from(self.missing_members()).unwrap_or_default();
+        let room = self.wanted().saturating_sub(self.supply + self.arriving);
+        room.max(members * self.vm_cpu_millis.max(1))
+    }
+
+    fn has_left(&self, room: u64) -> bool {
+        self.supply >= self.wanted() + room
+    }
+
+    /// Takes in work of waiting tasks.
+    fn add_work(&mut self, spec: &StepSpec, room: &Room, work_ms: u64) {
+        let work = Room {
+            cpu_millis: room.cpu_millis * work_ms,
+            memory_mb: room.memory_mb * work_ms,
+            gpus: 0,
+        };
+        if needs_members(spec) {
+            self.waiting_apart.add(&work);
+        } else {
+            self.waiting.add(&work);
+        }
+    }
+
+    /// Takes in that a step, with tasks at work or not, needs so many endpoints.
+    fn need_members(&mut self, spec: &StepSpec) {
+        if needs_members(spec) {
+            let needed = usize::from(spec.count.div_ceil(spec.max_per_endpoint));
+            self.needed_members = self.needed_members.max(needed);
+        }
+    }
+}
+
+fn needs_members(spec: &StepSpec) -> bool {
+    spec.long_running && spec.max_per_endpoint > 0
+}
+
+/// Work of one pool.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PoolLoad {
+    pub(crate) name: CompactString,
+    pub(crate) is_standby: bool,
+    room: Balance,
+    /// The same for what only some VMs have, as far as waiting work asks for it.
+    traits: Vec<(Trait, Balance)>,
+}
+
+impl PoolLoad {
+    /// Returns what only some VMs have and is missed most, and how much of it is missed.
+    ///
+    /// A pool with room enough on other VMs asked for none, and its work waited for good.
+    fn missing_trait(&self) -> Option<(&Trait, u64)> {
+        let missing = self
+            .traits
+            .iter()
+            .filter(|(one, _)| one.is_required())
+            .map(|(one, balance)| (one, balance.missing()))
+            .filter(|(_, missing)| *missing > 0);
+        missing.max_by_key(|(_, missing)| *missing)
+    }
+
+    /// Tells whether a VM of the pool can leave.
+    pub(crate) fn can_spare(&self, vm: &Vm) -> bool {
+        let entry = &vm.entry;
+        let kept = KEPT_VMS.max(self.room.needed_members);
+        let mut traits = self
+            .traits
+            .iter()
+            .filter(|(one, _)| one.is_required() && one.is_of(&entry.labels, &entry.capacity));
+        self.room.members > kept
+            && self.room.has_left(entry.capacity.cpu_millis)
+            && traits.all(|(one, balance)| {
+                let room = one.counted(&entry.capacity).cpu_millis;
+                balance.members > balance.needed_members && balance.has_left(room)
+            })
+    }
+
+    /// Says how much of what waits here a VM serves better than any other would.
+    pub(crate) fn suits(&self, vm: &Vm) -> u64 {
+        self.traits
+            .iter()
+            .filter(|(one, _)| one.is_of(&vm.entry.labels, &vm.entry.capacity))
+            .map(|(_, balance)| balance.missing())
+            .sum()
+    }
+
+    /// Takes in that a VM is on its way here.
+    pub(crate) fn expect(&mut self, vm: &Vm) {
+        let entry = &vm.entry;
+        self.room.arriving += entry.capacity.cpu_millis.max(1);
+        self.room.arriving_vms += 1;
+        for (one, balance) in &mut self.traits {
+            if one.is_of(&entry.labels, &entry.capacity) {
+                balance.arriving += one.counted(&entry.capacity).cpu_millis.max(1);
+                balance.arriving_vms += 1;
+            }
+        }
+    }
+
+    /// Takes in that a VM leaves.
+    pub(crate) fn let_go(&mut self, vm: &Vm) {
+        let cpu = vm.entry.capacity.cpu_millis;
+        self.room.supply = self.room.supply.saturating_sub(cpu);
+        self.room.members = self.room.members.saturating_sub(1);
+    }
+
+    fn add_step(&mut self, spec: &StepSpec, waiting: u64, vm: &Room) {
+        self.room.need_members(spec);
+        let work_ms = spec.estimated_ms.max(WORK_OFF_MS / 2) * waiting;
+        let charged = spec.charged();
+        // What only some VMs can run is no reason for others: a pool that misses a kind of VM took
+        // all the others in for nothing, and kept them.
+        if !Trait::of_step(spec).any(|one| one.is_required()) {
+            self.room.add_work(spec, &charged, work_ms);
+        }
+        if waiting == 0 && !needs_members(spec) {
+            return;
+        }
+        for one in Trait::of_step(spec) {
+            let counted = one.counted(&charged);
+            let place = self.traits.iter().position(|(known, _)| *known == one);
+            let place = place.unwrap_or_else(|| {
+                self.traits.push((one, Balance::new(vm)));
+                self.traits.len() - 1
+            });
+            let balance = &mut self.traits[place].1;
+            balance.need_members(spec);
+            balance.add_work(spec, &counted, work_ms);
+        }
+    }
+}
+
+/// A pool that misses something.
+#[derive(Clone, Debug)]
+pub(crate) struct Need {
+    /// Place of the pool.
+    pub(crate) place: usize,
+    /// What the VM has to have.
+    pub(crate) required: Option<Trait>,
+}
+
+impl Need {
+    /// Tells whether a VM is of use.
+    pub(crate) fn is_met_by(&self, vm: &Vm) -> bool {
+        self.required
+            .as_ref()
+            .is_none_or(|one| one.is_of(&vm.entry.labels, &vm.entry.capacity))
+    }
+}
+
+/// Returns the pool that misses most, if any misses something, with what the VM has to have unless
+/// nobody has it.
+pub(crate) fn neediest(loads: &[PoolLoad], passed_over: &[(usize, Trait)]) -> Option<Need> {
+    let missing = |place: usize| {
+        let load = &loads[place];
+        let special = load
+            .missing_trait()
+            .filter(|(one, _)| !passed_over.contains(&(place, (*one).clone())));
+        match special {
+            Some((one, missing)) if missing >= load.room.missing() => (missing, Some(one.clone())),
+            _ => (load.room.missing(), None),
+        }
+    };
+    (0..loads.len())
+        .filter(|&place| !loads[place].is_standby)
+        .map(|place| (place, missing(place)))
+        .filter(|(_, (missing, _))| *missing > 0)
+        .max_by_key(|(_, (missing, _))| *missing)
+        .map(|(place, (_, required))| Need { place, required })
+}
+
+impl Engine {
+    /// Returns the work and the room of every pool, sorted by name.
+    pub(crate) fn pool_loads(&self, now: Now) -> Vec<PoolLoad> {
+        let vm = self.largest_vm();
+        let mut loads: Vec<PoolLoad> = self
+            .config
+            .pools
+            .iter()
+            .map(|pool| PoolLoad {
+                name: pool.name.clone(),
+                is_standby: pool.is_standby,
+                room: Balance::new(&vm),
+                ..PoolLoad::default()
+            })
+            .collect();
+        self.add_waiting(&mut loads, &vm);
+        self.add_endpoints(&mut loads, now);
+        for vm in &self.vms {
+            let target = match (&vm.order, vm.entry.state) {
+                (Some(VmOrder::Move(pool)), _) => pool,
+                (None, VmState::Moving) => &vm.entry.pool,
+                _ => continue,
+            };
+            if let Ok(place) = loads.binary_search_by(|load| load.name.cmp(target)) {
+                loads[place].expect(vm);
+            }
+        }
+        loads
+    }
+
+    /// Returns the room of the largest VM, by which memory is weighed against processor.
+    fn largest_vm(&self) -> Room {
+        let rooms = self.vms.iter().map(|vm| vm.entry.capacity);
+        rooms.max_by_key(|room| room.cpu_millis).unwrap_or_default()
+    }
+
+    fn add_endpoints(&self, loads: &mut [PoolLoad], now: Now) {
+        for (_, endpoint) in self.endpoints.iter() {
+            let Ok(place) = loads.binary_search_by(|load| load.name.cmp(&endpoint.pool)) else {
+                continue;
+            };
+            if endpoint.is_over {
+                continue;
+            }
+            let load = &mut loads[place];
+            let takes_starts = endpoint.takes_starts(now.steady_ms);
+            load.room.used.add(&endpoint.used);
+            if takes_starts {
+                load.room.supply += endpoint.capacity.cpu_millis;
+                load.room.members += 1;
+            }
+            for (one, balance) in &mut load.traits {
+                if one.is_of(&endpoint.labels, &endpoint.capacity) {
+                    balance.used.add(&one.counted(&endpoint.used));
+                    if takes_starts {
+                        balance.supply += one.counted(&endpoint.capacity).cpu_millis;
+                        balance.members += 1;
+                    }
+                }
+            }
+        }
+    }
+
+    fn add_waiting(&self, loads: &mut [PoolLoad], vm: &Room) {
+        for job in self.jobs.iter().filter(|job| !job.state.is_final()) {
+            let Ok(place) = loads.binary_search_by(|load| load.name.cmp(&job.queue.pool)) else {
+                continue;
+            };
+            let load = &mut loads[place];
+            for occurrence in &job.occurrences {
+                for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
+                    if !occurrence.is_open(spec) {
+                        continue;
+                    }
+                    let waiting = step.tasks.iter().filter(|task| task.is_waiting()).count();
+                    load.add_step(spec, u64::try_from(waiting).unwrap_or_default(), vm);
+                }
+            }
+        }
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -26,6 +26,7 @@
 mod advice;
 mod attempts;
 mod config;
+mod demand;
 mod endpoints;
 mod engine;
 mod event;
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -2,28 +2,21 @@
 
 use {
     crate::{
+        demand::{Need, PoolLoad, Trait, neediest},
         engine::Engine,
         event::{Effect, EndpointKey, Now, VmOutcome},
         reports::{VmEntry, VmState},
         stored::{Record, StoredVm, vm_name, vm_record},
     },
     compact_str::CompactString,
+    std::cmp::Reverse,
 };
 
-/// Time in which waiting work should be worked off, in milliseconds. A VM takes 1.6 s to come, so
-/// it has to be asked for long before jobs are late. Measured on the standard days of both sites
-/// (mean worth, two plays each): 1,200 ms 0.447 and 0.452; 700 ms 0.474 and 0.481; 400 ms 0.495 and
-/// 0.489; 220 ms 0.456 and 0.480 (one play).
-const WORK_OFF_MS: u64 = 400;
-
 /// Time that a VM has to be empty before it is switched off, in milliseconds. Measured as above at
 /// 700 ms: 2,500 ms 0.443 and 0.467; 1,500 ms 0.474 and 0.481; 900 ms 0.472 and 0.476; with the
 /// shorter time to work off, 900 ms gave the figures above.
 const IDLE_MS: u64 = 900;
 
-/// VMs that a pool keeps at least while others have none to spare, so that its next job starts at once.
-const KEPT_VMS: usize = 2;
-
 /// Time without answer after which an order for a VM is repeated, in milliseconds.
 const VM_ORDER_RETRY_MS: u64 = 1_500;
 
@@ -64,45 +57,6 @@
     pub maintained_until_ms: u64,
 }
 
-/// Work of one pool.
-#[derive(Clone, Debug, Default)]
-struct PoolLoad {
-    name: CompactString,
-    is_standby: bool,
-    /// Room of endpoints that take starts, in thousandths of a core.
-    supply: u64,
-    /// Room of VMs on their way here.
-    arriving: u64,
-    /// Room in use.
-    used: u64,
-    /// Work that waits, in thousandths of a core times milliseconds.
-    waiting: u64,
-    /// Endpoints that take starts.
-    members: usize,
-    /// VMs on their way here.
-    arriving_vms: usize,
-    /// Endpoints that long-running tasks need, as only so many of a step may share one.
-    needed_members: usize,
-}
-
-impl PoolLoad {
-    /// Room that should be here.
-    fn wanted(&self) -> u64 {
-        self.used + self.waiting / WORK_OFF_MS
-    }
-
-    fn missing(&self) -> u64 {
-        let room = self.wanted().saturating_sub(self.supply + self.arriving);
-        let is_short = self.members + self.arriving_vms < self.needed_members;
-        room.max(u64::from(is_short))
-    }
-
-    /// Tells whether a VM with this much room can leave.
-    fn can_spare(&self, cpu: u64) -> bool {
-        self.members > KEPT_VMS.max(self.needed_members) && self.supply >= self.wanted() + cpu
-    }
-}
-
 impl Engine {
     pub(crate) fn vm_place(&self, name: &str) -> Result<usize, usize> {
         self.vms
@@ -292,93 +246,35 @@
         }
         self.repeat_vm_orders(now);
         let mut loads = self.pool_loads(now);
-        while let Some(place) = neediest(&loads) {
-            let Some(vm) = self.spare_vm(&loads, place, now) else {
-                break;
+        let mut passed_over: Vec<(usize, Trait)> = Vec::new();
+        while let Some(need) = neediest(&loads, &passed_over) {
+            let Some(vm) = self.spare_vm(&loads, &need, now) else {
+                // Nobody has what this pool asks for; others may still be helped.
+                let Some(required) = need.required else {
+                    break;
+                };
+                passed_over.push((need.place, required));
+                continue;
             };
-            let cpu = self.vms[vm].entry.capacity.cpu_millis.max(1);
             self.note_departure(&mut loads, vm);
-            loads[place].arriving += cpu;
-            loads[place].arriving_vms += 1;
-            let pool = loads[place].name.clone();
+            loads[need.place].expect(&self.vms[vm]);
+            let pool = loads[need.place].name.clone();
             self.order_vm(vm, VmOrder::Move(pool), now);
         }
         self.switch_off_idle(&mut loads, now);
     }
 
     fn note_departure(&self, loads: &mut [PoolLoad], vm: usize) {
-        let entry = &self.vms[vm].entry;
-        if let Some(load) = loads.iter_mut().find(|load| load.name == entry.pool) {
-            load.supply = load.supply.saturating_sub(entry.capacity.cpu_millis);
-            load.members = load.members.saturating_sub(1);
-        }
-    }
-
-    fn pool_loads(&self, now: Now) -> Vec<PoolLoad> {
-        let mut loads: Vec<PoolLoad> = self
-            .config
-            .pools
-            .iter()
-            .map(|pool| PoolLoad {
-                name: pool.name.clone(),
-                is_standby: pool.is_standby,
-                ..PoolLoad::default()
-            })
-            .collect();
-        for (_, endpoint) in self.endpoints.iter() {
-            let Ok(place) = loads.binary_search_by(|load| load.name.cmp(&endpoint.pool)) else {
-                continue;
-            };
-            if !endpoint.is_over {
-                loads[place].used += endpoint.used.cpu_millis;
-            }
-            if endpoint.takes_starts(now.steady_ms) {
-                loads[place].supply += endpoint.capacity.cpu_millis;
-                loads[place].members += 1;
-            }
-        }
-        for vm in &self.vms {
-            let target = match (&vm.order, vm.entry.state) {
-                (Some(VmOrder::Move(pool)), _) => pool,
-                (None, VmState::Moving) => &vm.entry.pool,
-                _ => continue,
-            };
-            if let Ok(place) = loads.binary_search_by(|load| load.name.cmp(target)) {
-                loads[place].arriving += vm.entry.capacity.cpu_millis;
-                loads[place].arriving_vms += 1;
-            }
-        }
-        self.add_waiting(&mut loads);
-        loads
-    }
-
-    fn add_waiting(&self, loads: &mut [PoolLoad]) {
-        for job in self.jobs.iter().filter(|job| !job.state.is_final()) {
-            let Ok(place) = loads.binary_search_by(|load| load.name.cmp(&job.queue.pool)) else {
-                continue;
-            };
-            for occurrence in &job.occurrences {
-                for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
-                    if !occurrence.is_open(spec) {
-                        continue;
-                    }
-                    if spec.long_running && spec.max_per_endpoint > 0 {
-                        let needed = spec.count.div_ceil(spec.max_per_endpoint);
-                        let load = &mut loads[place];
-                        load.needed_members = load.needed_members.max(usize::from(needed));
-                    }
-                    let count = step.tasks.iter().filter(|task| task.is_waiting()).count();
-                    let work_ms = spec.estimated_ms.max(WORK_OFF_MS / 2);
-                    let work = spec.charged().cpu_millis * work_ms;
-                    loads[place].waiting += work * u64::try_from(count).unwrap_or_default();
-                }
-            }
+        let vm = &self.vms[vm];
+        if let Some(load) = loads.iter_mut().find(|load| load.name == vm.entry.pool) {
+            load.let_go(vm);
         }
     }
 
     /// Returns a VM that can leave its pool for a needier one: from standby first, then an empty
-    /// one of a pool that has more than it wants.
-    fn spare_vm(&self, loads: &[PoolLoad], needy: usize, now: Now) -> Option<usize> {
+    /// one of a pool that has more than it wants; among these the one that suits the work best.
+    fn spare_vm(&self, loads: &[PoolLoad], need: &Need, now: Now) -> Option<usize> {
+        let load = &loads[need.place];
         let is_standby = |vm: &Vm| {
             loads
                 .iter()
@@ -388,24 +284,25 @@
             vm.order.is_none()
                 && vm.entry.state == VmState::Up
                 && now.steady_ms >= vm.rests_until_ms
-                && vm.entry.pool != loads[needy].name
+                && vm.entry.pool != load.name
+                && need.is_met_by(vm)
                 && !self.awaits_maintenance(&vm.entry.name)
         };
-        let free: Vec<usize> = (0..self.vms.len())
-            .filter(|&place| is_free(&self.vms[place]))
-            .collect();
-        let from_standby = free.iter().find(|&&place| is_standby(&self.vms[place]));
-        if let Some(&place) = from_standby {
-            return Some(place);
-        }
-        free.into_iter().find(|&place| {
-            let vm = &self.vms[place];
-            let cpu = vm.entry.capacity.cpu_millis;
+        let can_leave = |vm: &Vm| {
             loads
                 .iter()
-                .any(|load| load.name == vm.entry.pool && load.can_spare(cpu))
+                .any(|load| load.name == vm.entry.pool && load.can_spare(vm))
                 && self.is_empty_vm(&vm.entry.name, now)
-        })
+        };
+        let best = |may_go: &dyn Fn(&Vm) -> bool| {
+            let places = (0..self.vms.len()).filter(|&place| {
+                let vm = &self.vms[place];
+                is_free(vm) && may_go(vm)
+            });
+            // The first of those that suit alike.
+            places.min_by_key(|&place| Reverse(load.suits(&self.vms[place])))
+        };
+        best(&is_standby).or_else(|| best(&can_leave))
     }
 
     /// Tells whether a VM's endpoint is there and runs nothing.
@@ -430,10 +327,9 @@
             if !is_candidate || !self.is_empty_vm(&vm.entry.name, now) {
                 continue;
             }
-            let cpu = vm.entry.capacity.cpu_millis;
             let is_surplus = loads
                 .iter()
-                .any(|load| load.name == vm.entry.pool && load.can_spare(cpu));
+                .any(|load| load.name == vm.entry.pool && load.can_spare(vm));
             let has_idled = self.endpoint_of_vm(&vm.entry.name).is_some_and(|key| {
                 now.steady_ms >= self.endpoints.get(key).empty_since_ms + IDLE_MS
             });
@@ -484,10 +380,3 @@
         }
     }
 }
-
-/// Returns the pool that misses most, if any misses something.
-fn neediest(loads: &[PoolLoad]) -> Option<usize> {
-    (0..loads.len())
-        .filter(|&place| !loads[place].is_standby && loads[place].missing() > 0)
-        .max_by_key(|&place| loads[place].missing())
-}
