Ask a silent owner whether it is there, and succeed it early when it is not

Cause: an owner that was cut off or frozen was succeeded after 1.3 s of silence in the log, as a slow store can keep a sound one silent for long. Now a node that has heard no renewal for 0.55 s asks the owner on a fresh connection: no answer in 0.25 s calls for a claim, and so does the answer that its renewals do not get through, if the store answers the asking node within 60 ms.

--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -260,7 +260,9 @@
         OwnerAnswer::Accepted
         | OwnerAnswer::Cancelled
         | OwnerAnswer::State(_)
-        | OwnerAnswer::Pending(_) => "answered",
+        | OwnerAnswer::Pending(_)
+        | OwnerAnswer::Alive
+        | OwnerAnswer::Unheard => "answered",
         OwnerAnswer::Unknown => "no_such_job",
         OwnerAnswer::Refused | OwnerAnswer::NotOwner | OwnerAnswer::Yielded => "refused",
         OwnerAnswer::Unclear => "unclear",
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -37,6 +37,6 @@
     node::{MetricsPage, run},
     ownership::{
         FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS,
-        RENEW_EVERY_MS, SILENCE_MS, SMALL_NODE_DELAY_MS,
+        RENEW_EVERY_MS, SILENCE_MS, SMALL_NODE_DELAY_MS, SUSPECT_MS,
     },
 };
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -11,7 +11,7 @@
         feeds,
         node::Node,
         notes,
-        ownership::FRESH_MS,
+        ownership::{FRESH_MS, SUSPECT_MS},
         peer::{Ask, OwnerAnswer},
         watcher,
     },
@@ -101,6 +101,12 @@
         drop(self.actor.tell(message).send().await);
     }
 
+    /// Tells whether its renewals get through to the log.
+    #[must_use]
+    pub fn is_heard(&self, now_ms: u64) -> bool {
+        now_ms < self.renewed_ms() + SUSPECT_MS
+    }
+
     fn renewed_ms(&self) -> u64 {
         self.renewed_ms.load(Ordering::Relaxed)
     }
@@ -216,8 +222,8 @@
                 return self.engine.handle(Event::Cancel { job, token }, now);
             }
             Ask::State { job } => self.state(&job, now),
-            // Answered before it gets here.
-            Ask::Yield => OwnerAnswer::Refused,
+            // Answered before they get here.
+            Ask::Alive | Ask::Yield => OwnerAnswer::Refused,
             Ask::Pending { queue } => OwnerAnswer::Pending(self.engine.pending(&queue)),
         };
         answer_now(reply, answer);
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -17,6 +17,11 @@
 /// some 400 ms an append, so that even then a sound owner is heard every 800 ms.
 pub const SILENCE_MS: u64 = 1_300;
 
+/// Silence after which the owner is asked whether it is there, in milliseconds: a renewal and its
+/// usual delays. One that does not answer either is succeeded; one that does is given the whole
+/// silence, as then the store may be slow.
+pub const SUSPECT_MS: u64 = 550;
+
 /// Age of the last renewal up to which an owner gives orders for VMs, in milliseconds: well below
 /// the silence after which there may be a successor.
 pub const FRESH_MS: u64 = 1_000;
@@ -122,6 +127,8 @@
     stored_by: Vec<StoredBy>,
     /// Since when the owner's address refuses connections, with the epoch asked.
     refusing: Option<(u64, u64)>,
+    /// Epoch of an owner that was silent and did not answer when it was asked.
+    unresponsive: Option<u64>,
     heard_ms: u64,
     reading_since_ms: Option<u64>,
 }
@@ -144,6 +151,7 @@
         self.epoch = epoch;
         self.heard_ms = now_ms;
         self.refusing = None;
+        self.unresponsive = None;
         self.note_stored(record.stored_end, now_ms);
         self.is_released = record.kind == OwnershipKind::Release;
         self.owner = (!self.is_released).then_some(OwnerId {
@@ -195,6 +203,22 @@
                 .is_some_and(|(_, since_ms)| now_ms >= since_ms + REFUSING_MS)
     }
 
+    /// Returns how long the owner may stay silent before it is asked, in milliseconds; nothing
+    /// without an owner, or while the log cannot be read.
+    #[must_use]
+    pub fn unsuspected_ms(&self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.reading_since_ms?;
+        self.owner?;
+        Some((self.heard_ms.max(since_ms) + SUSPECT_MS).saturating_sub(now_ms))
+    }
+
+    /// Takes in that the owner of an epoch, silent in the log, did not answer either.
+    pub fn note_unresponsive(&mut self, epoch: u64, now_ms: u64) {
+        if epoch == self.epoch && self.unsuspected_ms(now_ms) == Some(0) {
+            self.unresponsive = Some(epoch);
+        }
+    }
+
     /// Takes in that the log was read up to its end.
     pub fn note_read(&mut self, now_ms: u64) {
         self.reading_since_ms.get_or_insert(now_ms);
@@ -250,6 +274,7 @@
         if self.is_released || self.epoch == 0 {
             return true;
         }
-        self.is_owner_refusing(now_ms) || now_ms > self.heard_ms.max(since_ms) + SILENCE_MS
+        let is_gone = self.unresponsive == Some(self.epoch) || self.is_owner_refusing(now_ms);
+        is_gone || now_ms > self.heard_ms.max(since_ms) + SILENCE_MS
     }
 }
--- a/crates/controller/src/peer.rs
+++ b/crates/controller/src/peer.rs
@@ -39,6 +39,8 @@
         /// Id of the job.
         job: String,
     },
+    /// Say whether the owner is there.
+    Alive,
     /// Give ownership up, as the sender is much larger.
     Yield,
     /// Count the jobs of a queue of which no task has started.
@@ -57,6 +59,10 @@
     Cancelled,
     /// State of a job.
     State(JobState),
+    /// The owner is there.
+    Alive,
+    /// The owner is there, and has been unable to say so in the log.
+    Unheard,
     /// The owner gives up.
     Yielded,
     /// Number of jobs.
--- a/crates/controller/src/peer_server.rs
+++ b/crates/controller/src/peer_server.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        clock,
         node::Node,
         owner::{OwnerMessage, ask_owner},
         peer::{Ask, OWNER_PATH, OwnerAnswer, OwnerRequest},
@@ -63,6 +64,13 @@
         owner.offer(OwnerMessage::Deposed);
         return OwnerAnswer::NotOwner;
     }
+    if matches!(request.ask, Ask::Alive) {
+        return if owner.is_heard(clock::steady_ms()) {
+            OwnerAnswer::Alive
+        } else {
+            OwnerAnswer::Unheard
+        };
+    }
     if matches!(request.ask, Ask::Yield) {
         owner.offer(OwnerMessage::Release);
         return OwnerAnswer::Yielded;
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -10,6 +10,7 @@
     },
     log::{info, warn},
     lynxwheel_platform::{AppendOutcome, Read},
+    lynxwheel_transport::Client,
     std::{
         sync::{
             Arc,
@@ -33,6 +34,13 @@
 /// save theirs.
 const CLAIM_SPREAD_MS: u64 = 120;
 
+/// Time for the owner's answer whether it is there, in milliseconds: calm answers take some 5 ms, and
+/// a node slowed by ten still makes it.
+const ALIVE_MS: u64 = 250;
+
+/// Time in which a store that is not slow answers a read, in milliseconds: calm answers take 10 ms.
+const PROMPT_MS: u64 = 60;
+
 /// Time between asks of a larger node that a small owner may give up, in milliseconds: a change of
 /// owners costs some tenths of a second, so it waits until the larger node has lived for a while.
 const YIELD_EVERY_MS: u64 = 3_000;
@@ -49,6 +57,7 @@
             is_read = read_on(&node, WAIT_MS) => is_read,
             // The poll is dropped: what it would have brought is read again.
             () = owner_ended(&node) => read_on(&node, 0).await,
+            () = owner_unresponsive(&node) => read_on(&node, 0).await,
         };
         if is_read == is_lost {
             is_lost = !is_read;
@@ -150,6 +159,72 @@
     sleep(Duration::from_millis(REFUSING_MS)).await;
 }
 
+/// Waits until the owner is silent in the log and does not answer when it is asked.
+///
+/// Its VM may have lost power or been cut off, and waiting for the whole silence keeps every caller
+/// for as long. While the store is slow, a sound owner is silent too, but answers.
+async fn owner_unresponsive(node: &Node) {
+    loop {
+        let unsuspected_ms = node.view.borrow().unsuspected_ms(clock::steady_ms());
+        match unsuspected_ms {
+            Some(0) if !node.stopping.has_begun() && node.owner.load().is_none() => {
+                if !is_owner_alive(node).await {
+                    return;
+                }
+            }
+            Some(ms @ 1..) => sleep(Duration::from_millis(ms)).await,
+            _ => sleep(Duration::from_millis(WAIT_MS)).await,
+        }
+        sleep(Duration::from_millis(RETRY_MS)).await;
+    }
+}
+
+/// Asks the owner whether it is there, and notes when it does not answer.
+async fn is_owner_alive(node: &Node) -> bool {
+    let (epoch, owner) = {
+        let view = node.view.borrow();
+        (view.epoch, view.owner)
+    };
+    let Some(owner) = owner else {
+        return true;
+    };
+    // On a connection of its own: one in use may have fallen silent by itself.
+    let client = Client::new(owner.address, 1);
+    let request = OwnerRequest {
+        epoch,
+        ask: Ask::Alive,
+    };
+    let limit = Duration::from_millis(ALIVE_MS);
+    let answer: Result<OwnerAnswer, _> = client.exchange(OWNER_PATH, &request, limit).await;
+    let is_alive = match answer {
+        Ok(OwnerAnswer::Alive) => true,
+        // Cut off from the store, unless the store is slow for everybody.
+        Ok(OwnerAnswer::Unheard) => !is_store_prompt(node).await,
+        _ => false,
+    };
+    if is_alive {
+        return true;
+    }
+    info!(
+        event = "owner_unresponsive", epoch = epoch, peer:% = owner.address,
+        outcome:? = answer;
+        ""
+    );
+    let now_ms = clock::steady_ms();
+    node.view
+        .send_modify(|view| view.note_unresponsive(epoch, now_ms));
+    false
+}
+
+/// Tells whether the store answers this node as promptly as on a calm day.
+async fn is_store_prompt(node: &Node) -> bool {
+    let from = node.view.borrow().read_to;
+    let begun = Instant::now();
+    // What it reads is read again by the watch itself, which keeps the order of records.
+    let read = node.store.read(OWNERSHIP_TOPIC, from, 0).await;
+    read.is_ok() && begun.elapsed() < Duration::from_millis(PROMPT_MS)
+}
+
 fn has_small_owner(node: &Node) -> bool {
     !node.stopping.has_begun() && node.view.borrow().has_small_owner(node.settings.cpu_millis)
 }
--- a/crates/controller/tests/ownership.rs
+++ b/crates/controller/tests/ownership.rs
@@ -2,7 +2,8 @@
 
 use {
     lynxwheel_controller::{
-        OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS, SILENCE_MS, SMALL_NODE_DELAY_MS,
+        OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS, SILENCE_MS,
+        SMALL_NODE_DELAY_MS, SUSPECT_MS,
     },
     std::net::SocketAddr,
 };
@@ -103,6 +104,25 @@
         assert!(view.needs_owner(1_100 + REFUSING_MS));
     };
 
+    /// The owner is cut off. Every caller waits for 1.3 s until it has been silent for long enough,
+    /// though it does not answer when it is asked.
+    silent_owner_that_does_not_answer_is_followed_soon: {
+        let mut view = owned();
+        assert_eq!(view.unsuspected_ms(1_100), Some(SUSPECT_MS - 100));
+        view.note_unresponsive(1, 999 + SUSPECT_MS);
+        assert!(!view.needs_owner(999 + SUSPECT_MS));
+        view.note_unresponsive(1, 1_000 + SUSPECT_MS);
+        assert!(view.needs_owner(1_000 + SUSPECT_MS));
+    };
+
+    /// A node that was cut off from the owner alone hears its renewals all the while.
+    renewal_that_is_read_clears_the_owner: {
+        let mut view = owned();
+        view.note_unresponsive(1, 1_000 + SUSPECT_MS);
+        view.apply(Some(&record(OwnershipKind::Renewal, 1, 7)), 1_010 + SUSPECT_MS);
+        assert!(!view.needs_owner(1_020 + SUSPECT_MS));
+    };
+
     /// A node asks an address from before the last claim, or the owner was only slow to listen.
     refusal_says_nothing_of_another_owner: {
         let mut view = owned();
