--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -10,7 +10,7 @@
     },
     lynxwheel_platform_standin::{
         EndpointSpec, EndpointStandIn, EndpointTrouble, NodeSettings, Observer, QueueSpec,
-        StoreStandIn, StoreTrouble, VmsStandIn, put_config, put_wave,
+        StoreStandIn, StoreTrouble, VmsStandIn, forget_written, put_config, put_wave,
     },
     nix::sys::signal::Signal,
     std::{
@@ -219,8 +219,7 @@
             Fault::HangUp(node) => self.nodes[node].signal(Signal::SIGHUP),
             Fault::Store(trouble) => self.store.set_trouble(trouble),
             Fault::ForgetHistory => {
-                self.store.forget_history("keyed.op");
-                self.store.forget_history("keyed.servers");
+                forget_written(&self.store);
             }
             Fault::Link(place, trouble) => self.link(place).set_trouble(trouble),
             Fault::Endpoint(endpoint, trouble) => self.endpoints[endpoint].set_trouble(trouble),
