Forget ended lives of endpoints, and look at one endpoint where one has changed

Cause, found by reading: every move of a VM ends a life of an endpoint, and the owner kept them all (1,500 to 2,900 beside 350 endpoints after a minute, more by the hour); each answer of an endpoint looked at all of them for due renewals, and each choice of a spare VM looked at all of them for every VM. Now a life that has been over for 30 s is forgotten, an answer looks at its own endpoint, and idle VMs are found once a tick.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -116,7 +116,7 @@
             CallOutcome::Done(clock_ms) => {
                 self.endpoints.get_mut(key).read_clock(*clock_ms, now);
                 self.confirm(key, task, run, now);
-                self.renew_leases(now);
+                self.renew_lease(key, now);
             }
             // That run is known there; the next report tells how it stands.
             CallOutcome::Refused(Refusal::OldRun) => self.confirm(key, task, run, now),
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -73,6 +73,8 @@
     reason = "independent facts about one life"
 )]
 pub struct Endpoint {
+    /// Number of this life within one engine.
+    pub key: EndpointKey,
     /// Id of this life.
     pub id: CompactString,
     /// Address for orders.
@@ -95,6 +97,8 @@
     pub has_entry: bool,
     /// Whether this life is known to be over.
     pub is_over: bool,
+    /// When that became known, on the steady clock.
+    pub over_since_ms: u64,
     /// Whether it has told what runs on it, so that something new may start.
     pub is_reconciled: bool,
     /// Whether it is being emptied for a move or for maintenance.
@@ -133,8 +137,9 @@
 }
 
 impl Endpoint {
-    fn new(id: CompactString, now_ms: u64) -> Self {
+    fn new(key: EndpointKey, id: CompactString, now_ms: u64) -> Self {
         Self {
+            key,
             id,
             address: SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0),
             pool: CompactString::default(),
@@ -146,6 +151,7 @@
             is_listed: false,
             has_entry: false,
             is_over: false,
+            over_since_ms: 0,
             is_reconciled: false,
             is_held_back: false,
             entry_order: 0,
@@ -168,6 +174,14 @@
         }
     }
 
+    /// Creates what stands for a life that has been forgotten.
+    fn gone() -> Self {
+        Self {
+            is_over: true,
+            ..Self::new(EndpointKey::MAX, CompactString::default(), 0)
+        }
+    }
+
     /// Takes over what the registry says.
     pub fn update(&mut self, entry: &EndpointEntry) {
         self.address = entry.address;
@@ -295,24 +309,67 @@
     }
 }
 
-/// Every endpoint's life that this owner has heard of.
-#[derive(Clone, Debug, Default)]
+/// Every endpoint's life that this owner has heard of, but for those that ended long ago.
+#[derive(Clone, Debug)]
 pub struct Endpoints {
+    /// Lives sorted by key.
     lives: Vec<Endpoint>,
     /// Keys sorted by id.
     by_id: Vec<EndpointKey>,
+    next_key: EndpointKey,
+    /// Stands for every life that has been forgotten: late answers may still name one.
+    gone: Endpoint,
+}
+
+impl Default for Endpoints {
+    fn default() -> Self {
+        Self {
+            lives: Vec::new(),
+            by_id: Vec::new(),
+            next_key: 0,
+            gone: Endpoint::gone(),
+        }
+    }
 }
 
 impl Endpoints {
     /// Returns an endpoint.
     #[must_use]
     pub fn get(&self, key: EndpointKey) -> &Endpoint {
-        &self.lives[key as usize]
+        match self.place(key) {
+            Ok(place) => &self.lives[place],
+            Err(_) => &self.gone,
+        }
     }
 
-    /// Returns an endpoint to change.
+    /// Returns an endpoint to change; changes of a forgotten one are lost.
     pub fn get_mut(&mut self, key: EndpointKey) -> &mut Endpoint {
-        &mut self.lives[key as usize]
+        if let Ok(place) = self.place(key) {
+            return &mut self.lives[place];
+        }
+        self.gone = Endpoint::gone();
+        &mut self.gone
+    }
+
+    fn place(&self, key: EndpointKey) -> Result<usize, usize> {
+        self.lives.binary_search_by_key(&key, |life| life.key)
+    }
+
+    /// Forgets lives that ended before a time and of which nothing is left.
+    ///
+    /// Each move of a VM ends a life and begins another. Kept for good, a busy day's lives outnumbered
+    /// the endpoints by far, in memory and in every look at all of them.
+    pub fn forget_over(&mut self, before_ms: u64) {
+        let is_kept = |life: &Endpoint| {
+            !life.is_over || !life.placed.is_empty() || life.over_since_ms >= before_ms
+        };
+        if self.lives.iter().all(is_kept) {
+            return;
+        }
+        self.lives.retain(is_kept);
+        let lives = &self.lives;
+        self.by_id
+            .retain(|key| lives.binary_search_by_key(key, |life| life.key).is_ok());
     }
 
     fn search(&self, id: &str) -> Result<usize, usize> {
@@ -331,8 +388,9 @@
         match self.search(id) {
             Ok(place) => self.by_id[place],
             Err(place) => {
-                let key = EndpointKey::try_from(self.lives.len()).unwrap_or(EndpointKey::MAX);
-                self.lives.push(Endpoint::new(id.clone(), now_ms));
+                let key = self.next_key;
+                self.next_key += 1;
+                self.lives.push(Endpoint::new(key, id.clone(), now_ms));
                 self.by_id.insert(place, key);
                 key
             }
@@ -341,12 +399,12 @@
 
     /// Returns every endpoint with its key.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
-        (0..).zip(&self.lives)
+        self.lives.iter().map(|life| (life.key, life))
     }
 
     /// Returns the keys of all endpoints.
     #[must_use]
-    pub fn keys(&self) -> std::ops::Range<EndpointKey> {
-        0..EndpointKey::try_from(self.lives.len()).unwrap_or(EndpointKey::MAX)
+    pub fn keys(&self) -> Vec<EndpointKey> {
+        self.lives.iter().map(|life| life.key).collect()
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -25,6 +25,10 @@
 /// Time after which an endpoint is asked again when its order got no answer, in milliseconds.
 pub const ORDER_RETRY_MS: u64 = 200;
 
+/// Time for which an ended life of an endpoint is remembered, in milliseconds: its entry is gone and
+/// the last late answers have come long before.
+const FORGET_LIFE_MS: u64 = 30_000;
+
 /// Bounds that the platform sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineSettings {
@@ -406,6 +410,8 @@
         self.stop_stuck_runs(now);
         self.renew_leases(now);
         self.forget_old(now);
+        self.endpoints
+            .forget_over(now.steady_ms.saturating_sub(FORGET_LIFE_MS));
         self.forget_advice();
         self.plan_waves(now);
         self.plan_pools(now);
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -60,7 +60,7 @@
             self.leave_draining(key, now);
         }
         self.end_predecessors(key, now);
-        self.renew_leases(now);
+        self.renew_lease(key, now);
         self.is_schedule_due = true;
     }
 
@@ -137,6 +137,9 @@
                 runs: endpoint.placed.len(),
             });
         }
+        if !endpoint.is_over {
+            endpoint.over_since_ms = now.steady_ms;
+        }
         endpoint.is_over = true;
         endpoint.is_listed = false;
         self.lose_runs(key, RunEnd::EndpointOver, now);
@@ -182,40 +185,45 @@
     /// Sends the renewals that are due.
     pub(crate) fn renew_leases(&mut self, now: Now) {
         for key in self.endpoints.keys() {
-            let endpoint = self.endpoints.get_mut(key);
-            let is_needed = !endpoint.placed.is_empty()
-                || !endpoint.strays.is_empty()
-                || endpoint.stored_seen > endpoint.acknowledged
-                || (!endpoint.is_reconciled && endpoint.is_listed);
-            let is_due = now.steady_ms >= endpoint.renew_at_ms;
-            if !endpoint.is_reachable() || endpoint.is_renewing || !is_needed || !is_due {
-                continue;
-            }
-            endpoint.is_renewing = true;
-            endpoint.renewals += 1;
-            let is_trusted = endpoint.silent_calls < SUSPECT_AFTER && endpoint.is_reconciled;
-            let deadline_ms = if is_trusted {
-                endpoint.grant(now, self.settings.lease_ms)
-            } else {
-                None
-            };
-            let wait_ms = if !is_trusted || endpoint.placed.is_empty() {
-                0
-            } else if has_mixed_load(&endpoint.placed) {
-                TAIL_WAIT_MS
-            } else {
-                RENEW_WAIT_MS
-            };
-            endpoint.acknowledged = endpoint.stored_seen;
-            self.at_once.push(Effect::Renew {
-                endpoint: key,
-                deadline_ms,
-                acknowledged: endpoint.stored_seen,
-                wait_ms,
-            });
+            self.renew_lease(key, now);
         }
     }
 
+    /// Sends an endpoint's renewal if it is due.
+    pub(crate) fn renew_lease(&mut self, key: EndpointKey, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        let is_needed = !endpoint.placed.is_empty()
+            || !endpoint.strays.is_empty()
+            || endpoint.stored_seen > endpoint.acknowledged
+            || (!endpoint.is_reconciled && endpoint.is_listed);
+        let is_due = now.steady_ms >= endpoint.renew_at_ms;
+        if !endpoint.is_reachable() || endpoint.is_renewing || !is_needed || !is_due {
+            return;
+        }
+        endpoint.is_renewing = true;
+        endpoint.renewals += 1;
+        let is_trusted = endpoint.silent_calls < SUSPECT_AFTER && endpoint.is_reconciled;
+        let deadline_ms = if is_trusted {
+            endpoint.grant(now, self.settings.lease_ms)
+        } else {
+            None
+        };
+        let wait_ms = if !is_trusted || endpoint.placed.is_empty() {
+            0
+        } else if has_mixed_load(&endpoint.placed) {
+            TAIL_WAIT_MS
+        } else {
+            RENEW_WAIT_MS
+        };
+        endpoint.acknowledged = endpoint.stored_seen;
+        self.at_once.push(Effect::Renew {
+            endpoint: key,
+            deadline_ms,
+            acknowledged: endpoint.stored_seen,
+            wait_ms,
+        });
+    }
+
     pub(crate) fn renewal_answered(
         &mut self,
         key: EndpointKey,
@@ -239,7 +247,7 @@
             }
             CallOutcome::Unknown | CallOutcome::Refused(_) => self.renewal_failed(key, now),
         }
-        self.renew_leases(now);
+        self.renew_lease(key, now);
     }
 
     fn renewal_failed(&mut self, key: EndpointKey, now: Now) {
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -246,9 +246,10 @@
         }
         self.repeat_vm_orders(now);
         let mut loads = self.pool_loads(now);
+        let idle = self.idle_endpoints(now);
         let mut passed_over: Vec<(usize, Trait)> = Vec::new();
         while let Some(need) = neediest(&loads, &passed_over) {
-            let Some(vm) = self.spare_vm(&loads, &need, now) else {
+            let Some(vm) = self.spare_vm(&loads, &need, &idle, now) else {
                 // Nobody has what this pool asks for; others may still be helped.
                 let Some(required) = need.required else {
                     break;
@@ -261,7 +262,7 @@
             let pool = loads[need.place].name.clone();
             self.order_vm(vm, VmOrder::Move(pool), now);
         }
-        self.switch_off_idle(&mut loads, now);
+        self.switch_off_idle(&mut loads, &idle, now);
     }
 
     fn note_departure(&self, loads: &mut [PoolLoad], vm: usize) {
@@ -273,7 +274,13 @@
 
     /// Returns a VM that can leave its pool for a needier one: from standby first, then an empty
     /// one of a pool that has more than it wants; among these the one that suits the work best.
-    fn spare_vm(&self, loads: &[PoolLoad], need: &Need, now: Now) -> Option<usize> {
+    fn spare_vm(
+        &self,
+        loads: &[PoolLoad],
+        need: &Need,
+        idle: &[Option<EndpointKey>],
+        now: Now,
+    ) -> Option<usize> {
         let load = &loads[need.place];
         let is_standby = |vm: &Vm| {
             loads
@@ -292,47 +299,51 @@
             loads
                 .iter()
                 .any(|load| load.name == vm.entry.pool && load.can_spare(vm))
-                && self.is_empty_vm(&vm.entry.name, now)
         };
-        let best = |may_go: &dyn Fn(&Vm) -> bool| {
-            let places = (0..self.vms.len()).filter(|&place| {
-                let vm = &self.vms[place];
-                is_free(vm) && may_go(vm)
-            });
+        let best = |may_go: &dyn Fn(usize) -> bool| {
+            let places =
+                (0..self.vms.len()).filter(|&place| may_go(place) && is_free(&self.vms[place]));
             // The first of those that suit alike.
             places.min_by_key(|&place| Reverse(load.suits(&self.vms[place])))
         };
-        best(&is_standby).or_else(|| best(&can_leave))
+        best(&|place| is_standby(&self.vms[place]))
+            .or_else(|| best(&|place| idle[place].is_some() && can_leave(&self.vms[place])))
     }
 
-    /// Tells whether a VM's endpoint is there and runs nothing.
-    fn is_empty_vm(&self, name: &str, now: Now) -> bool {
-        self.endpoint_of_vm(name).is_some_and(|key| {
-            let endpoint = self.endpoints.get(key);
-            endpoint.placed.is_empty() && endpoint.takes_starts(now.steady_ms)
-        })
+    /// Returns for each VM the endpoint on it, if that is there and runs nothing.
+    fn idle_endpoints(&self, now: Now) -> Vec<Option<EndpointKey>> {
+        let mut found = vec![None; self.vms.len()];
+        for (key, endpoint) in self.endpoints.iter() {
+            if endpoint.is_over {
+                continue;
+            }
+            if let Ok(place) = self.vm_place(&endpoint.vm) {
+                // The last life on a VM counts.
+                let is_idle = endpoint.placed.is_empty() && endpoint.takes_starts(now.steady_ms);
+                found[place] = is_idle.then_some(key);
+            }
+        }
+        found
     }
 
-    fn switch_off_idle(&mut self, loads: &mut [PoolLoad], now: Now) {
+    fn switch_off_idle(&mut self, loads: &mut [PoolLoad], idle: &[Option<EndpointKey>], now: Now) {
         let Some(standby) = loads.iter().find(|load| load.is_standby) else {
             return;
         };
         let standby = standby.name.clone();
-        for place in 0..self.vms.len() {
+        for (place, key) in idle.iter().enumerate() {
             let vm = &self.vms[place];
             let is_candidate = vm.order.is_none()
                 && vm.entry.state == VmState::Up
                 && vm.entry.pool != standby
                 && now.steady_ms >= vm.rests_until_ms;
-            if !is_candidate || !self.is_empty_vm(&vm.entry.name, now) {
+            let Some(key) = key.filter(|_| is_candidate) else {
                 continue;
-            }
+            };
             let is_surplus = loads
                 .iter()
                 .any(|load| load.name == vm.entry.pool && load.can_spare(vm));
-            let has_idled = self.endpoint_of_vm(&vm.entry.name).is_some_and(|key| {
-                now.steady_ms >= self.endpoints.get(key).empty_since_ms + IDLE_MS
-            });
+            let has_idled = now.steady_ms >= self.endpoints.get(key).empty_since_ms + IDLE_MS;
             if is_surplus && has_idled {
                 self.note_departure(loads, place);
                 self.order_vm(place, VmOrder::Move(standby.clone()), now);
--- /dev/null
+++ b/crates/engine/tests/lives.rs
@@ -0,0 +1,69 @@
+//! Lives of endpoints: what is kept of those that have ended.
+
+mod common;
+
+use {
+    common::{Fleet, job_id, listed},
+    lynxwheel_engine::{CallOutcome, Event, JobState, TaskRef},
+};
+
+/// Lists a new life in the place of the newest one.
+fn replace(fleet: &mut Fleet, id: &str) {
+    let mut entry = fleet.entries.pop().expect("an endpoint");
+    fleet.endpoints.pop();
+    entry.id = id.into();
+    fleet.entries.push(entry.clone());
+    fleet.endpoints.push(common::FakeEndpoint {
+        id: id.into(),
+        ..common::FakeEndpoint::default()
+    });
+    fleet.handle(listed(entry, true));
+    fleet.settle();
+}
+
+/// VMs move all day, and each move ends a life of an endpoint. The owner grows and slows down by
+/// the hour, as it keeps them all and looks at all of them again and again.
+#[test]
+fn lives_that_ended_long_ago_are_forgotten() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-0", 16_000);
+    for number in 1..50 {
+        fleet.advance(1_000);
+        replace(&mut fleet, &format!("i-{number}"));
+    }
+    assert!(fleet.engine.endpoints().keys().len() < 35);
+    fleet.advance(31_000);
+    assert_eq!(fleet.engine.endpoints().keys().len(), 1);
+}
+
+/// An answer that comes after all that time names a life that has been forgotten. It concerns
+/// nobody, and work goes on.
+#[test]
+fn late_answer_of_a_forgotten_life_changes_nothing() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-0", 16_000);
+    let forgotten = fleet.engine.endpoints().keys()[0];
+    fleet.advance(1_000);
+    replace(&mut fleet, "i-1");
+    fleet.advance(31_000);
+    let task: TaskRef = format!("{}.0.0.0", job_id(1)).parse().expect("a task");
+    for outcome in [CallOutcome::Done(1), CallOutcome::Unknown] {
+        fleet.handle(Event::Started {
+            endpoint: forgotten,
+            task,
+            run: 1,
+            outcome: outcome.clone(),
+        });
+        fleet.handle(Event::Stopped {
+            endpoint: forgotten,
+            task,
+            run: 1,
+            outcome,
+        });
+    }
+    fleet.submit(1, 1);
+    fleet.settle();
+    fleet.end_all_done();
+    fleet.settle();
+    assert_eq!(fleet.shown(1), Some(JobState::Completed));
+}
