--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -5,7 +5,10 @@
     compact_str::CompactString,
     lynxwheel_engine::{JobId, JobSpec, JobState, TaskRef},
     lynxwheel_platform_standin::{EndSeen, Seen},
-    std::{sync::Mutex, time::Instant},
+    std::{
+        sync::Mutex,
+        time::{Duration, Instant},
+    },
 };
 
 /// Time after the answer to a cancel in which orders may still be carried out late, in
@@ -72,6 +75,9 @@
     orders: Vec<(CompactString, u64, CompactString)>,
     broken: Vec<String>,
     starts: usize,
+    /// Last start, and the longest time without one since it was asked for.
+    last_start: Option<Instant>,
+    longest_gap: Duration,
 }
 
 impl Book {
@@ -84,6 +90,12 @@
         self.broken.push(text);
     }
 
+    fn note_start(&mut self, now: Instant) {
+        if let Some(last) = self.last_start.replace(now) {
+            self.longest_gap = self.longest_gap.max(now - last);
+        }
+    }
+
     fn take_room(&mut self, life: &CompactString, change: i64) -> u64 {
         let place = self.rooms.iter().position(|(known, _)| known == life);
         let place = place.unwrap_or_else(|| {
@@ -131,6 +143,12 @@
         lock(&self.book).starts
     }
 
+    /// Returns the longest time without a start since the last call.
+    #[must_use]
+    pub fn take_longest_gap(&self) -> Duration {
+        std::mem::take(&mut lock(&self.book).longest_gap)
+    }
+
     /// Notes a broken promise.
     pub fn breaks(&self, text: &str) {
         let text = self.stamped(text);
@@ -316,6 +334,7 @@
         payload: &CompactString,
     ) -> Vec<String> {
         book.starts += 1;
+        book.note_start(Instant::now());
         let name = format!("{task} run {run} on {life}");
         let Some(job) = book.job(task.job) else {
             return vec![format!("{name}: nobody asked for it")];
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 mod nodes;
 mod proxy;
 mod run;
+mod take_over;
 mod world;
 
 pub use {
@@ -24,6 +25,7 @@
     ledger::Ledger,
     proxy::{LinkTrouble, Proxy},
     run::{SoakPlan, Verdict, run_soak},
+    take_over::{OwnerLoss, measure_take_over},
 };
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -23,11 +23,11 @@
 };
 
 /// Callers at work at once.
-const CALLERS: u64 = 6;
+pub const CALLERS: u64 = 6;
 
 /// Time for an owner to take the fleet up before the traffic begins, and for nodes that were just
 /// started before they are told to stop, in milliseconds.
-const SETTLE_MS: u64 = 1_500;
+pub const SETTLE_MS: u64 = 1_500;
 
 /// Time after the healing in which everything that was accepted has to come to its end, in
 /// milliseconds: the longest silence, leases that run out, and the work itself, several times over.
