Give a VM back that cannot be emptied for maintenance

Now a VM none of whose long-running tasks has left for 4 s takes work again and is tried later, after 6 s, 12 s and so on.

vm_that_cannot_be_emptied_is_given_back fails without the call.

--- a/crates/engine/src/waves.rs
+++ b/crates/engine/src/waves.rs
@@ -21,6 +21,45 @@
 /// Time for which a VM is emptied before its runs are stopped, in milliseconds.
 const DRAIN_PATIENCE_MS: u64 = 2_500;
 
+/// Time after which a VM is given back to its pool when none of its long-running tasks could leave
+/// meanwhile, in milliseconds: one that was stopped there is back before its users miss it, and a
+/// task that does find a place elsewhere takes far less.
+const GIVE_BACK_MS: u64 = 4_000;
+
+/// Pause before such a VM is emptied again, in milliseconds; twice as long after each time.
+const GIVEN_BACK_MS: u64 = 6_000;
+
+/// A VM that is being emptied.
+#[derive(Clone, Debug)]
+struct Emptying {
+    vm: CompactString,
+    /// When that began, on the steady clock.
+    since_ms: u64,
+    /// Long-running tasks that are still there.
+    lasting: usize,
+    /// When their number changed last, on the steady clock.
+    changed_ms: u64,
+}
+
+impl Emptying {
+    fn new(vm: CompactString, lasting: usize, now: Now) -> Self {
+        Self {
+            vm,
+            since_ms: now.steady_ms,
+            lasting,
+            changed_ms: now.steady_ms,
+        }
+    }
+}
+
+/// A VM that could not be emptied.
+#[derive(Clone, Debug)]
+struct GivenBack {
+    vm: CompactString,
+    until_ms: u64,
+    pause_ms: u64,
+}
+
 /// A wave and how far it is.
 #[derive(Clone, Debug)]
 pub struct Wave {
@@ -29,8 +68,8 @@
     /// Order, once it was read.
     order: Option<WaveOrder>,
     stored: StoredWave,
-    /// VMs that are being emptied, with the time at which that began.
-    emptying: Vec<(CompactString, u64)>,
+    emptying: Vec<Emptying>,
+    given_back: Vec<GivenBack>,
     is_dirty: bool,
     is_announced: bool,
 }
@@ -42,11 +81,39 @@
             order: None,
             stored: StoredWave::default(),
             emptying: Vec::new(),
+            given_back: Vec::new(),
             is_dirty: false,
             is_announced: false,
         }
     }
 
+    /// Tells whether a VM may be chosen to be emptied.
+    fn may_empty(&self, vm: &str, now: Now) -> bool {
+        let is_chosen = self.emptying.iter().any(|known| known.vm == vm);
+        let rests = self
+            .given_back
+            .iter()
+            .any(|known| known.vm == vm && now.steady_ms < known.until_ms);
+        !is_chosen && !rests
+    }
+
+    /// Notes that a VM could not be emptied, and lets it rest.
+    fn give_back(&mut self, vm: &CompactString, now: Now) {
+        self.emptying.retain(|known| known.vm != *vm);
+        let place = self.given_back.iter().position(|known| known.vm == *vm);
+        let place = place.unwrap_or_else(|| {
+            self.given_back.push(GivenBack {
+                vm: vm.clone(),
+                until_ms: 0,
+                pause_ms: GIVEN_BACK_MS,
+            });
+            self.given_back.len() - 1
+        });
+        let known = &mut self.given_back[place];
+        known.until_ms = now.steady_ms + known.pause_ms;
+        known.pause_ms *= 2;
+    }
+
     fn has_begun(&self, vm: &str) -> bool {
         contains(&self.stored.begun, vm)
     }
@@ -108,7 +175,7 @@
         self.waves.iter().any(|wave| {
             !wave.stored.is_completed
                 && !wave.has_begun(vm)
-                && wave.emptying.iter().any(|(name, _)| name == vm)
+                && wave.emptying.iter().any(|known| known.vm == vm)
         })
     }
 
@@ -116,14 +183,14 @@
         let place = self.wave_or_new(number);
         let wave = &mut self.waves[place];
         insert(&mut wave.stored.begun, vm);
-        wave.emptying.retain(|(name, _)| name != vm);
+        wave.emptying.retain(|known| known.vm != vm);
         wave.is_dirty = true;
     }
 
     pub(crate) fn maintenance_refused(&mut self, number: u64, vm: &str) {
         let place = self.wave_or_new(number);
         let wave = &mut self.waves[place];
-        wave.emptying.retain(|(name, _)| name != vm);
+        wave.emptying.retain(|known| known.vm != vm);
         if let Ok(at) = wave
             .stored
             .ordered
@@ -167,6 +234,7 @@
         self.order_empty(place, &left, &mut budget, now);
         self.empty_more(place, &left, budget, now);
         self.hurry(place, now);
+        self.give_back_stuck(place, now);
     }
 
     /// Keeps work from VMs whose maintenance was ordered without a known outcome.
@@ -176,11 +244,11 @@
     fn hold_back_ordered(&mut self, place: usize, left: &[CompactString], now: Now) {
         for name in left {
             let wave = &mut self.waves[place];
-            let is_emptying = wave.emptying.iter().any(|(known, _)| known == name);
+            let is_emptying = wave.emptying.iter().any(|known| known.vm == *name);
             if wave.is_ordered(name) && !is_emptying {
-                wave.emptying.push((name.clone(), now.steady_ms));
+                wave.emptying.push(Emptying::new(name.clone(), 0, now));
             }
-            let is_emptying = wave.emptying.iter().any(|(known, _)| known == name);
+            let is_emptying = wave.emptying.iter().any(|known| known.vm == *name);
             if is_emptying && let Some(key) = self.endpoint_of_vm(name) {
                 self.endpoints.get_mut(key).is_held_back = true;
             }
@@ -264,12 +332,7 @@
         }
         let mut by_load: Vec<(usize, u64, CompactString)> = left
             .iter()
-            .filter(|name| {
-                !self.waves[place]
-                    .emptying
-                    .iter()
-                    .any(|(known, _)| known == *name)
-            })
+            .filter(|name| self.waves[place].may_empty(name, now))
             .filter_map(|name| {
                 let endpoint = self.endpoints.get(self.endpoint_of_vm(name)?);
                 let lasting = endpoint.placed.iter().filter(|run| run.lasts).count();
@@ -278,11 +341,13 @@
             })
             .collect();
         by_load.sort_unstable();
-        for (_, _, name) in by_load.into_iter().take(ahead - busy) {
+        for (lasting, _, name) in by_load.into_iter().take(ahead - busy) {
             if let Some(key) = self.endpoint_of_vm(&name) {
                 self.endpoints.get_mut(key).is_held_back = true;
             }
-            self.waves[place].emptying.push((name, now.steady_ms));
+            self.waves[place]
+                .emptying
+                .push(Emptying::new(name, lasting, now));
         }
     }
 
@@ -317,8 +382,8 @@
             let passed_ms = now.wall_ms.saturating_sub(wave.stored.since_ms);
             passed_ms + needed_ms > duration_ms(order) * AIM_PERCENT / 100
         });
-        for (name, since_ms) in wave.emptying.clone() {
-            let Some(key) = self.endpoint_of_vm(&name) else {
+        for Emptying { vm, since_ms, .. } in wave.emptying.clone() {
+            let Some(key) = self.endpoint_of_vm(&vm) else {
                 continue;
             };
             let is_impatient = is_short_of_time && now.steady_ms >= since_ms + DRAIN_PATIENCE_MS;
@@ -342,6 +407,35 @@
         }
     }
 
+    /// Gives VMs back that cannot be emptied.
+    ///
+    /// All tasks of a step ran on the only VM that has what they need. One was stopped, could not go
+    /// on anywhere but there, and with it away none of the others could be stopped: the VM took no
+    /// work for good, and the task was away as long.
+    fn give_back_stuck(&mut self, place: usize, now: Now) {
+        for at in (0..self.waves[place].emptying.len()).rev() {
+            let vm = self.waves[place].emptying[at].vm.clone();
+            let Some(key) = self.endpoint_of_vm(&vm) else {
+                continue;
+            };
+            let endpoint = self.endpoints.get_mut(key);
+            let lasting = endpoint.placed.iter().filter(|run| run.lasts).count();
+            let known = &mut self.waves[place].emptying[at];
+            if known.lasting != lasting {
+                known.lasting = lasting;
+                known.changed_ms = now.steady_ms;
+            }
+            let changed_ms = known.changed_ms;
+            // What was ordered for the VM may still be carried out.
+            let is_ordered = self.waves[place].is_ordered(&vm);
+            if lasting > 0 && !is_ordered && now.steady_ms >= changed_ms + GIVE_BACK_MS {
+                endpoint.is_held_back = false;
+                self.waves[place].give_back(&vm, now);
+                self.is_schedule_due = true;
+            }
+        }
+    }
+
     /// Tells whether a long-running task may be interrupted within its step's budget.
     pub(crate) fn may_interrupt(&self, task: &TaskRef) -> bool {
         let Ok(place) = self.search(task.job) else {
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -235,3 +235,31 @@
     let is_stop = |order: &&Effect| matches!(order, Effect::Stop { .. });
     assert_eq!(fleet.orders.iter().filter(is_stop).count(), 0);
 }
+
+/// A long-running task is away for good, and its VM takes no work. All tasks of its step ran on the
+/// only VM with their label. One was stopped for maintenance and could go on nowhere else; with it
+/// away the budget allowed no other to be stopped.
+#[test]
+fn vm_that_cannot_be_emptied_is_given_back() {
+    let (mut fleet, _) = three_vms();
+    let step = StepSpec {
+        long_running: true,
+        max_unavailable: 1,
+        required_label: "rack-i-2".into(),
+        ..step(3)
+    };
+    fleet.submit_spec(
+        1,
+        JobSpec {
+            steps: vec![step],
+            ..JobSpec::default()
+        },
+    );
+    fleet.settle();
+    fleet.advance(1_500);
+    fleet.handle(wave_in(&["vm-2"], 1, 60.0));
+    fleet.advance(1_000);
+    assert_eq!(fleet.endpoints[1].running.len(), 2, "one is away");
+    fleet.advance(4_500);
+    assert_eq!(fleet.endpoints[1].running.len(), 3, "and back in time");
+}
