--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,9 +4,7 @@
     crate::ledger::Ledger,
     http::{Method, StatusCode},
     lynxwheel_engine::{JobId, JobSpec, Room, StepSpec},
-    lynxwheel_platform_standin::{
-        LASTING_PAYLOAD, job_body, pending_path_is_counted, read_state, wait_header,
-    },
+    lynxwheel_platform_standin::{LASTING_PAYLOAD, is_count, job_body, read_state, wait_header},
     lynxwheel_transport::{Answer, ClientRequest, Clients},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -174,9 +172,7 @@
         let queue = random.random_range(0..self.queues.len());
         let request = self.request(Method::GET, queue, "");
         let answer = self.call(self.any_node(random), &request).await;
-        if answer.is_some_and(|answer| {
-            answer.status == StatusCode::OK && !pending_path_is_counted(&answer.body)
-        }) {
+        if answer.is_some_and(|answer| answer.status == StatusCode::OK && !is_count(&answer.body)) {
             self.ledger.breaks("a queue's count is not whole");
         }
     }
