--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -31,6 +31,7 @@
 mod peer;
 mod peer_server;
 mod ready;
+mod take_over;
 mod watcher;
 
 pub use {
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -4,9 +4,10 @@
     crate::{
         clock,
         node::Node,
-        owner::{self, OwnerMessage},
+        owner::OwnerMessage,
         ownership::{OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS, RENEW_EVERY_MS},
         peer::{Ask, OWNER_PATH, OwnerAnswer, OwnerRequest},
+        take_over,
     },
     log::{info, warn},
     lynxwheel_platform::{AppendOutcome, Read},
@@ -147,7 +148,7 @@
             release(node, mine.epoch).await;
         }
         (None, Some(mine)) if !node.stopping.has_begun() => {
-            owner::take_over(node, mine.epoch).await;
+            take_over::take_over(node, mine.epoch).await;
         }
         (None, _) => {}
     }
