Let the soak and the platform's stand-ins call what there is, and say twice-told things once

No change of what is checked. The soak's queue is the stand-in's; its two runs share how they begin, its two examples how they play seeds; the example of take-overs no longer fails without a run.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -2,9 +2,8 @@
 
 use {
     clap::Parser,
-    lynxwheel_soak::{SoakPlan, run_soak},
-    std::{path::PathBuf, process::ExitCode, sync::Arc},
-    tokio::{sync::Semaphore, task::JoinSet},
+    lynxwheel_soak::{SoakPlan, play_seeds, run_soak},
+    std::{path::PathBuf, process::ExitCode},
 };
 
 /// Randomized soak of real nodes.
@@ -32,52 +31,43 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    let permits = Arc::new(Semaphore::new(arguments.jobs));
-    let mut runs = JoinSet::new();
-    for seed in arguments.first..arguments.first + arguments.count {
-        let permits = Arc::clone(&permits);
-        let plan = SoakPlan::new(
-            &arguments.program,
-            seed,
-            arguments.length_ms,
-            arguments.nodes,
-        );
-        runs.spawn(async move {
-            let _permit = permits.acquire_owned().await;
-            let folder = plan.folder.clone();
-            (seed, folder, run_soak(&plan).await)
-        });
-    }
+    let Arguments {
+        program,
+        first,
+        count,
+        jobs,
+        nodes,
+        length_ms,
+    } = Arguments::parse();
+    let plan = |seed| SoakPlan::new(&program, seed, length_ms, nodes);
+    let run = |seed| {
+        let plan = plan(seed);
+        async move { run_soak(&plan).await }
+    };
     let mut is_well = true;
-    while let Some(run) = runs.join_next().await {
-        match run {
-            Ok((seed, folder, Ok(verdict))) => {
-                println!(
-                    "seed {seed}: {} faults, {} jobs owed, {} starts, {} broken",
-                    verdict.faults,
-                    verdict.owed,
-                    verdict.starts,
-                    verdict.broken.len()
-                );
-                for broken in &verdict.broken {
-                    println!("  {broken}");
-                }
-                if !verdict.broken.is_empty() {
-                    is_well = false;
-                    println!("  logs: {}", folder.display());
-                }
-            }
-            Ok((seed, _, Err(error))) => {
-                is_well = false;
-                println!("seed {seed}: {error}");
+    play_seeds(first..first + count, jobs, run, |outcome| match outcome {
+        Ok((seed, verdict)) => {
+            println!(
+                "seed {seed}: {} faults, {} jobs owed, {} starts, {} broken",
+                verdict.faults,
+                verdict.owed,
+                verdict.starts,
+                verdict.broken.len()
+            );
+            for broken in &verdict.broken {
+                println!("  {broken}");
             }
-            Err(error) => {
+            if !verdict.broken.is_empty() {
                 is_well = false;
-                println!("{error}");
+                println!("  logs: {}", plan(seed).folder.display());
             }
         }
-    }
+        Err(text) => {
+            is_well = false;
+            println!("{text}");
+        }
+    })
+    .await;
     if is_well {
         ExitCode::SUCCESS
     } else {
--- a/crates/soak/examples/take_over.rs
+++ b/crates/soak/examples/take_over.rs
@@ -2,9 +2,8 @@
 
 use {
     clap::{Parser, ValueEnum},
-    lynxwheel_soak::{OwnerLoss, SoakPlan, measure_take_over},
-    std::{path::PathBuf, sync::Arc},
-    tokio::{sync::Semaphore, task::JoinSet},
+    lynxwheel_soak::{OwnerLoss, SoakPlan, measure_take_over, play_seeds},
+    std::path::PathBuf,
 };
 
 /// How the owner is lost.
@@ -41,31 +40,30 @@
 
 #[tokio::main]
 async fn main() {
-    let arguments = Arguments::parse();
-    let loss = match arguments.loss {
+    let Arguments {
+        program,
+        loss,
+        first,
+        count,
+        jobs,
+        nodes,
+    } = Arguments::parse();
+    let loss = match loss {
         Loss::Kill => OwnerLoss::Kill,
         Loss::Pause => OwnerLoss::Pause,
     };
-    let permits = Arc::new(Semaphore::new(arguments.jobs));
-    let mut runs = JoinSet::new();
-    for seed in arguments.first..arguments.first + arguments.count {
-        let permits = Arc::clone(&permits);
-        let plan = SoakPlan::new(&arguments.program, seed, 0, arguments.nodes);
-        runs.spawn(async move {
-            let _permit = permits.acquire_owned().await;
-            measure_take_over(&plan, loss).await
-        });
-    }
+    let play = |seed| {
+        let plan = SoakPlan::new(&program, seed, 0, nodes);
+        async move { measure_take_over(&plan, loss).await }
+    };
     let mut gaps_ms = Vec::new();
-    while let Some(run) = runs.join_next().await {
-        match run {
-            Ok(Ok(gap)) => gaps_ms.push(gap.as_millis()),
-            Ok(Err(error)) => println!("a run failed: {error}"),
-            Err(error) => println!("a run failed: {error}"),
-        }
-    }
+    play_seeds(first..first + count, jobs, play, |run| match run {
+        Ok((_, gap)) => gaps_ms.push(gap.as_millis()),
+        Err(text) => println!("a run failed: {text}"),
+    })
+    .await;
     gaps_ms.sort_unstable();
-    let at = |percent: usize| gaps_ms.get((gaps_ms.len() * percent / 100).min(gaps_ms.len() - 1));
+    let at = |percent: usize| gaps_ms.get(gaps_ms.len() * percent / 100);
     println!(
         "{} runs, time without a start in ms: p50 {:?}, p90 {:?}, most {:?}",
         gaps_ms.len(),
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,7 +4,9 @@
     crate::ledger::Ledger,
     http::{Method, StatusCode},
     lynxwheel_engine::{JobId, JobSpec, Room, StepSpec},
-    lynxwheel_platform_standin::{LASTING_PAYLOAD, is_count, job_body, read_state, wait_header},
+    lynxwheel_platform_standin::{
+        LASTING_PAYLOAD, QueueSpec, is_count, job_body, read_state, wait_header,
+    },
     lynxwheel_transport::{Answer, ClientRequest, Clients},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -27,22 +29,11 @@
 /// Connections of all callers to a node.
 const CONNECTIONS: usize = 16;
 
-/// A queue as callers know it.
-#[derive(Clone, Debug)]
-pub struct QueueKnown {
-    /// Path before the ids of its jobs.
-    pub path_prefix: String,
-    /// Pool.
-    pub pool: String,
-    /// Runs of a task that may fail before its job does.
-    pub max_attempts: u32,
-}
-
 /// What all callers share.
 #[derive(Clone, Debug)]
 pub struct Callers {
     nodes: Arc<[SocketAddr]>,
-    queues: Arc<[QueueKnown]>,
+    queues: Arc<[QueueSpec]>,
     ledger: Arc<Ledger>,
     clients: Arc<Clients>,
 }
@@ -50,7 +41,7 @@
 impl Callers {
     /// Creates callers of these nodes.
     #[must_use]
-    pub fn new(nodes: &[SocketAddr], queues: &[QueueKnown], ledger: Arc<Ledger>) -> Self {
+    pub fn new(nodes: &[SocketAddr], queues: &[QueueSpec], ledger: Arc<Ledger>) -> Self {
         Self {
             nodes: nodes.into(),
             queues: queues.into(),
@@ -96,7 +87,7 @@
         let queue = random.random_range(0..self.queues.len());
         let spec = draw_job(random);
         let id = draw_id(random);
-        let QueueKnown {
+        let QueueSpec {
             pool, max_attempts, ..
         } = &self.queues[queue];
         self.ledger.hand_in(id, &spec, pool, *max_attempts);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,8 @@
 mod nodes;
 mod proxy;
 mod run;
+mod scene;
+mod seeds;
 mod take_over;
 mod world;
 
@@ -25,6 +27,7 @@
     ledger::Ledger,
     proxy::{LinkTrouble, Proxy},
     run::{SoakPlan, Verdict, run_soak},
+    seeds::play_seeds,
     take_over::{OwnerLoss, measure_take_over},
 };
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,8 @@
         callers::Callers,
         faults::plan_faults,
         ledger::Ledger,
-        world::{CPU_MILLIS, GRACE_MS, MAX_DOWN, World, queues},
+        scene::{SETTLE_MS, Scene},
+        world::{GRACE_MS, World},
     },
     lynxwheel_engine::JobId,
     nix::sys::signal::Signal,
@@ -22,13 +23,6 @@
     },
 };
 
-/// Callers at work at once.
-pub const CALLERS: u64 = 6;
-
-/// Time for an owner to take the fleet up before the traffic begins, and for nodes that were just
-/// started before they are told to stop, in milliseconds.
-pub const SETTLE_MS: u64 = 1_500;
-
 /// Time after the healing in which everything that was accepted has to come to its end, in
 /// milliseconds: the longest silence, leases that run out, and the work itself, several times over.
 const CALM_MS: u64 = 40_000;
@@ -82,20 +76,16 @@
 ///
 /// Fails when stand-ins or nodes cannot be started.
 pub async fn run_soak(plan: &SoakPlan) -> io::Result<Verdict> {
-    fs::create_dir_all(&plan.folder)?;
-    let ledger = Arc::new(Ledger::new(CPU_MILLIS, MAX_DOWN));
-    let world = World::start(&plan.program, &plan.folder, plan.nodes, &ledger).await?;
-    sleep(Duration::from_millis(SETTLE_MS)).await;
-    let callers = Callers::new(&world.caller_addresses, &queues(), Arc::clone(&ledger));
+    let scene = Scene::start(plan).await?;
+    let mut tasks = JoinSet::new();
+    scene.call(plan.seed, plan.length_ms, &mut tasks);
+    let Scene {
+        ledger,
+        world,
+        callers,
+    } = scene;
     let faults = plan_faults(plan.seed, plan.length_ms, plan.nodes, world.endpoints.len());
     let count = faults.len();
-    let world = Arc::new(world);
-    let mut tasks = JoinSet::new();
-    let until = Instant::now() + Duration::from_millis(plan.length_ms);
-    for caller in 0..CALLERS {
-        let seed = plan.seed.wrapping_mul(CALLERS).wrapping_add(caller);
-        tasks.spawn(callers.clone().work(seed, until));
-    }
     for planned in faults {
         let world = Arc::clone(&world);
         tasks.spawn(async move { world.suffer(planned).await });
--- a/crates/soak/src/take_over.rs
+++ b/crates/soak/src/take_over.rs
@@ -1,15 +1,10 @@
 //! How long no task starts when the owner is lost.
 
 use {
-    crate::{
-        callers::Callers,
-        ledger::Ledger,
-        run::{CALLERS, SETTLE_MS, SoakPlan},
-        world::{CPU_MILLIS, MAX_DOWN, World, queues},
-    },
+    crate::{run::SoakPlan, scene::Scene},
     nix::sys::signal::Signal,
-    std::{fs, io, sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep},
+    std::{fs, io, time::Duration},
+    tokio::{task::JoinSet, time::sleep},
 };
 
 /// Time for which a node is lost, in milliseconds: beyond any silence that calls for a successor.
@@ -33,34 +28,27 @@
 ///
 /// Fails when stand-ins or nodes cannot be started.
 pub async fn measure_take_over(plan: &SoakPlan, loss: OwnerLoss) -> io::Result<Duration> {
-    fs::create_dir_all(&plan.folder)?;
-    let ledger = Arc::new(Ledger::new(CPU_MILLIS, MAX_DOWN));
-    let world = World::start(&plan.program, &plan.folder, plan.nodes, &ledger).await?;
-    sleep(Duration::from_millis(SETTLE_MS)).await;
-    let callers = Callers::new(&world.caller_addresses, &queues(), Arc::clone(&ledger));
+    let scene = Scene::start(plan).await?;
     let nodes = u64::try_from(plan.nodes).unwrap_or(u64::MAX);
-    let until = Instant::now() + Duration::from_millis((LOST_MS + REST_MS) * nodes + REST_MS);
-    for caller in 0..CALLERS {
-        let seed = plan.seed.wrapping_mul(CALLERS).wrapping_add(caller);
-        tokio::spawn(callers.clone().work(seed, until));
-    }
+    let mut tasks = JoinSet::new();
+    scene.call(plan.seed, (LOST_MS + REST_MS) * nodes + REST_MS, &mut tasks);
     let mut longest = Duration::ZERO;
-    for node in &world.nodes {
+    for node in &scene.world.nodes {
         sleep(Duration::from_millis(REST_MS)).await;
         // What came before the loss does not count.
-        let _ = ledger.take_longest_gap();
+        let _ = scene.ledger.take_longest_gap();
         node.signal(match loss {
             OwnerLoss::Kill => Signal::SIGKILL,
             OwnerLoss::Pause => Signal::SIGSTOP,
         });
         sleep(Duration::from_millis(LOST_MS)).await;
-        longest = longest.max(ledger.take_longest_gap());
+        longest = longest.max(scene.ledger.take_longest_gap());
         match loss {
             OwnerLoss::Kill => node.start()?,
             OwnerLoss::Pause => node.signal(Signal::SIGCONT),
         }
     }
-    drop(world);
+    drop(scene);
     fs::remove_dir_all(&plan.folder)?;
     Ok(longest)
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        callers::QueueKnown,
         faults::{Fault, LinkPlace, PlannedFault},
         ledger::Ledger,
         nodes::NodeProcess,
@@ -75,11 +74,11 @@
 }
 
 /// Returns the queues of every run.
-pub fn queues() -> Vec<QueueKnown> {
+pub fn queues() -> Vec<QueueSpec> {
     POOLS[..2]
         .iter()
         .zip([2, 3])
-        .map(|(pool, max_attempts)| QueueKnown {
+        .map(|(pool, max_attempts)| QueueSpec {
             path_prefix: format!("/{pool}/"),
             pool: (*pool).into(),
             max_attempts,
@@ -155,7 +154,7 @@
             ports: PORTS,
             store: store_link.address(),
             vms,
-            // The last one is small, so that others ask it to yield.
+            // The first one is small, so that others ask it to yield.
             cpu_share: if number == 0 { 0.1 } else { 0.5 },
         };
         let node = NodeProcess::new(program, folder, &settings)?;
@@ -171,15 +170,7 @@
     /// Puts the next configuration in force.
     fn configure(&self) {
         let version = self.version.fetch_add(3, Ordering::Relaxed) + 3;
-        let queues: Vec<QueueSpec> = queues()
-            .into_iter()
-            .map(|queue| QueueSpec {
-                path_prefix: queue.path_prefix,
-                pool: queue.pool,
-                max_attempts: queue.max_attempts,
-            })
-            .collect();
-        put_config(&self.store, version, &queues, &POOLS);
+        put_config(&self.store, version, &queues(), &POOLS);
     }
 
     /// Orders maintenance of every other VM.
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -114,11 +114,8 @@
         for template in templates {
             start_endpoint(&shared, template, address, &shutdown).await?;
         }
-        let handler = {
-            let shared = Arc::clone(&shared);
-            move |request| handle(request, Arc::clone(&shared))
-        };
-        tokio::spawn(server.serve(shutdown.clone(), handler));
+        let handler = |shared, request| handle(request, shared);
+        tokio::spawn(server.serve_with(shutdown.clone(), Arc::clone(&shared), handler));
         tokio::spawn(tick(Arc::clone(&shared), shutdown.clone()));
         Ok(Self {
             shared,
