Let VMs of an owner that is known to be over go at once

The rest keeps apart the orders of two owners of which the earlier may live; here its process is known to be over, as a later one at its address has the fleet. Ruled out: the take-over itself (27 ms), renewals that failed.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -96,6 +96,8 @@
     pub settings: PlatformSettings,
     /// Life of this process; no two share it.
     pub incarnation: u64,
+    /// When this process began, on the steady clock in milliseconds.
+    pub begun_ms: u64,
     /// Address at which it takes other nodes' requests.
     pub peer_address: SocketAddr,
     /// Store.
@@ -134,6 +136,7 @@
             .unwrap_or_else(|_| settings.callers.ip());
         Self {
             incarnation: rand::random(),
+            begun_ms: clock::steady_ms(),
             peer_address: SocketAddr::new(ip, settings.peer_ports.0),
             store: StoreClient::new(settings.store),
             peers: Clients::new(PEER_CONNECTIONS),
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -121,6 +121,8 @@
     pub read_to: u64,
     /// Whether the owner has given up.
     pub is_released: bool,
+    /// Owner before that one, unless it had given up.
+    pub predecessor: Option<OwnerId>,
     /// Most processor that a writer of the log had, in thousandths of a core.
     pub largest_cpu_millis: u32,
     /// What was stored by when, in the order heard.
@@ -153,6 +155,9 @@
         self.refusing_since_ms = None;
         self.is_unresponsive = false;
         self.note_stored(record.stored_end, now_ms);
+        if record.kind == OwnershipKind::Claim {
+            self.predecessor = self.owner;
+        }
         self.is_released = record.kind == OwnershipKind::Release;
         self.owner = (!self.is_released).then_some(OwnerId {
             epoch,
@@ -239,6 +244,15 @@
             .is_some_and(|owner| owner.address == address && owner.incarnation != incarnation)
     }
 
+    /// Returns the epoch of the owner before this one if its process is known to be over: a later
+    /// life at its address is the owner now.
+    #[must_use]
+    pub fn ended_epoch(&self) -> Option<u64> {
+        let (earlier, owner) = self.predecessor.zip(self.owner)?;
+        let is_over = earlier.address == owner.address && earlier.incarnation != owner.incarnation;
+        is_over.then_some(earlier.epoch)
+    }
+
     /// Returns how long a node lets larger ones claim first, in milliseconds.
     ///
     /// The owner does a good part of the fleet's work, and a small node that owns it falls behind
--- a/crates/controller/src/take_over.rs
+++ b/crates/controller/src/take_over.rs
@@ -93,7 +93,7 @@
     renewed_ms: Arc<AtomicU64>,
 ) -> Arc<OwnerHandle> {
     let now = clock::now();
-    let mut engine = Engine::new(node.engine_settings());
+    let mut engine = Engine::new(node.engine_settings()).with_epoch(epoch);
     let offsets: Vec<Option<u64>> = stored.iter().map(|record| record.offset).collect();
     let records: Vec<Record> = stored
         .into_iter()
@@ -167,6 +167,9 @@
             engine.bound_vm_rest(&record.key, by_ms + holder_ms);
         }
     }
+    if let Some(epoch) = view.ended_epoch() {
+        engine.end_vm_rests(epoch, node.begun_ms + VM_ORDER_MS);
+    }
 }
 
 async fn tick(owner: Arc<OwnerHandle>) {
--- a/crates/controller/tests/ownership.rs
+++ b/crates/controller/tests/ownership.rs
@@ -79,6 +79,21 @@
         assert!(!owned().is_predecessor(8, address(7_061)));
     };
 
+    /// After the loss of all nodes every VM rests for the sake of the earlier owner's orders, though a
+    /// later life at its address has the fleet, so that no such order can come any more.
+    successor_at_the_owners_address_ends_its_epoch: {
+        let mut view = owned();
+        assert_eq!(view.ended_epoch(), None);
+        view.apply(Some(&record(OwnershipKind::Claim, 0, 8)), 1_200);
+        assert_eq!(view.ended_epoch(), Some(1));
+        let elsewhere = OwnershipRecord {
+            address: address(7_061),
+            ..record(OwnershipKind::Claim, 0, 9)
+        };
+        view.apply(Some(&elsewhere), 1_300);
+        assert_eq!(view.ended_epoch(), None);
+    };
+
     /// A node with an eighth of a core claims the fleet beside nodes with half a core, and jobs wait
     /// for seconds whenever many come at once.
     larger_node_claims_first: {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,12 +13,11 @@
         event::{CallerAnswer, Effect, EndpointKey, Event, Now, ReplyToken, StartOrder},
         job::{JobId, JobSpec, JobState, TaskRef},
         note::Note,
-        pools::Vm,
+        pools::{RestingVm, Vm},
         state::{Job, Phase},
         stored::{Record, progress_drop, progress_record, spec_drop, spec_record},
         waves::Wave,
     },
-    compact_str::CompactString,
     std::sync::Arc,
 };
 
@@ -76,6 +75,8 @@
 #[derive(Debug)]
 pub struct Engine {
     pub(crate) settings: EngineSettings,
+    /// Epoch of this owner.
+    pub(crate) epoch: u64,
     pub(crate) config: Arc<FleetConfig>,
     /// Jobs in progress, sorted by id; boxed, so that inserting moves little.
     #[expect(
@@ -88,9 +89,8 @@
     pub(crate) endpoints: Endpoints,
     /// VMs sorted by name.
     pub(crate) vms: Vec<Vm>,
-    /// VMs for which an earlier owner ordered something lately, with the end of their rest, sorted
-    /// by name.
-    pub(crate) resting_vms: Vec<(CompactString, u64)>,
+    /// VMs for which an earlier owner ordered something lately, sorted by name.
+    pub(crate) resting_vms: Vec<RestingVm>,
     /// Waves sorted by number.
     pub(crate) waves: Vec<Wave>,
     pub(crate) forming: Vec<Effect>,
@@ -111,6 +111,7 @@
     pub fn new(settings: EngineSettings) -> Self {
         Self {
             settings,
+            epoch: 0,
             config: Arc::default(),
             jobs: Vec::new(),
             ended: Vec::new(),
@@ -129,6 +130,12 @@
         }
     }
 
+    /// Sets the owner's epoch, under which its orders for VMs are stored.
+    #[must_use]
+    pub fn with_epoch(self, epoch: u64) -> Self {
+        Self { epoch, ..self }
+    }
+
     /// Takes in an event.
     pub fn handle(&mut self, event: Event, now: Now) {
         match event {
@@ -337,7 +344,7 @@
                 }));
         }
         batch.records.extend(self.wave_records());
-        batch.records.extend(self.vm_records(now));
+        batch.records.extend(self.vm_records());
         batch.effects.append(&mut self.forming);
         batch
     }
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -56,6 +56,20 @@
     pub is_dirty: bool,
     /// Until when its maintenance lasts at least, on the steady clock.
     pub maintained_until_ms: u64,
+    /// When something was ordered for it last, as the time of day in milliseconds since 1970.
+    stored_order_ms: u64,
+}
+
+/// A VM for which an earlier owner ordered something lately.
+#[derive(Clone, Debug)]
+pub(crate) struct RestingVm {
+    name: CompactString,
+    /// Until when nothing is ordered for it, on the steady clock.
+    until_ms: u64,
+    /// Whether the outcome of that order is known.
+    is_settled: bool,
+    /// Epoch of that owner.
+    epoch: u64,
 }
 
 impl Engine {
@@ -86,6 +100,7 @@
                         ordered_ms: 0,
                         maintained_until_ms: 0,
                         is_dirty: false,
+                        stored_order_ms: 0,
                     },
                 ),
             }
@@ -138,6 +153,7 @@
         let endpoint = self.vms[place].ordered_endpoint;
         match outcome {
             VmOutcome::Done => {
+                self.vms[place].is_dirty = true;
                 let until_ms = now.steady_ms + self.settings.maintenance_ms + MAINTENANCE_SLACK_MS;
                 self.vms[place].begin_absence(&order, until_ms);
                 if let VmOrder::Maintain(wave) = order {
@@ -183,6 +199,7 @@
             },
         };
         vm.order = Some(order);
+        vm.stored_order_ms = now.wall_ms;
         vm.is_dirty = true;
         self.forming.push(effect);
         if let Some(key) = self.vms[place].ordered_endpoint {
@@ -190,12 +207,17 @@
         }
     }
 
-    /// Returns the records of the VMs for which something was ordered.
-    pub(crate) fn vm_records(&mut self, now: Now) -> Vec<Record> {
+    /// Returns the records of the VMs for which something was ordered, or whose order is settled.
+    pub(crate) fn vm_records(&mut self) -> Vec<Record> {
         let mut records = Vec::new();
         for vm in self.vms.iter_mut().filter(|vm| vm.is_dirty) {
             vm.is_dirty = false;
-            records.push(vm_record(&vm.entry.name, now.wall_ms));
+            let stored = StoredVm {
+                ordered_ms: vm.stored_order_ms,
+                is_settled: vm.order.is_none(),
+                epoch: self.epoch,
+            };
+            records.push(vm_record(&vm.entry.name, stored));
         }
         records
     }
@@ -203,11 +225,16 @@
     /// Takes in when an earlier owner ordered something for a VM.
     pub(crate) fn restore_vm(&mut self, name: &str, stored: StoredVm, now: Now) {
         let recent_ms = self.settings.vm_holder_ms + CLOCK_SPREAD_MS;
-        if now.wall_ms < stored.ordered_ms + recent_ms {
-            let until_ms = now.steady_ms + self.settings.vm_holder_ms;
-            if let Err(place) = self.resting_place(name) {
-                self.resting_vms.insert(place, (name.into(), until_ms));
-            }
+        if now.wall_ms < stored.ordered_ms + recent_ms
+            && let Err(place) = self.resting_place(name)
+        {
+            let resting = RestingVm {
+                name: name.into(),
+                until_ms: now.steady_ms + self.settings.vm_holder_ms,
+                is_settled: stored.is_settled,
+                epoch: stored.epoch,
+            };
+            self.resting_vms.insert(place, resting);
         }
     }
 
@@ -215,14 +242,31 @@
     /// clock, as the order of records in the log tells it.
     pub fn bound_vm_rest(&mut self, key: &str, until_ms: u64) {
         if let Ok(place) = self.resting_place(vm_name(key)) {
-            let rest_ms = &mut self.resting_vms[place].1;
-            *rest_ms = until_ms.min(*rest_ms);
+            let resting = &mut self.resting_vms[place];
+            resting.until_ms = until_ms.min(resting.until_ms);
+        }
+    }
+
+    /// Takes in that the process of an earlier owner is over, and by when the last of its calls has
+    /// been carried out, on the steady clock.
+    ///
+    /// Rests keep the orders of two owners apart, of which the earlier one may still live. One that
+    /// is known to be over orders nothing more, and what it had learnt the outcome of is settled:
+    /// with every VM at rest for 3 s after the loss of all nodes, the pool whose turn it was got no
+    /// VM, and two of three of its jobs were late.
+    pub fn end_vm_rests(&mut self, epoch: u64, calls_over_ms: u64) {
+        self.resting_vms
+            .retain(|resting| resting.epoch != epoch || !resting.is_settled);
+        for resting in &mut self.resting_vms {
+            if resting.epoch == epoch {
+                resting.until_ms = calls_over_ms.min(resting.until_ms);
+            }
         }
     }
 
     fn resting_place(&self, name: &str) -> Result<usize, usize> {
         self.resting_vms
-            .binary_search_by(|(known, _)| known.as_str().cmp(name))
+            .binary_search_by(|known| known.name.as_str().cmp(name))
     }
 
     /// Returns until when an earlier owner's order for a VM forbids another, on the steady clock.
@@ -231,7 +275,7 @@
     /// before it goes out, so a VM without a recent one is free at once.
     fn inherited_rest_ms(&self, name: &str) -> u64 {
         let place = self.resting_place(name);
-        place.map_or(0, |place| self.resting_vms[place].1)
+        place.map_or(0, |place| self.resting_vms[place].until_ms)
     }
 
     fn repeat_vm_orders(&mut self, now: Now) {
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -126,6 +126,12 @@
 pub struct StoredVm {
     /// Time of day of the order, in milliseconds since 1970.
     pub ordered_ms: u64,
+    /// Whether the outcome is known, so that the order cannot be carried out any more.
+    #[serde(default)]
+    pub is_settled: bool,
+    /// Epoch of the owner that gave it.
+    #[serde(default)]
+    pub epoch: u64,
 }
 
 /// Encodes a value; the types of this module always can be.
@@ -227,10 +233,10 @@
 
 /// Returns the record of a VM for which something is ordered.
 #[must_use]
-pub fn vm_record(name: &str, ordered_ms: u64) -> Record {
+pub fn vm_record(name: &str, stored: StoredVm) -> Record {
     Record {
         key: format!("{VM_PREFIX}/{name}"),
-        value: encode(&StoredVm { ordered_ms }),
+        value: encode(&stored),
     }
 }
 
--- /dev/null
+++ b/crates/engine/tests/vm_rests.rs
@@ -0,0 +1,105 @@
+//! How long VMs rest after a change of owners.
+
+mod common;
+
+use {
+    common::{Fleet, POOL, step},
+    lynxwheel_engine::{Effect, Event, JobSpec, Room, StepSpec, VmEntry, VmOutcome, VmState},
+};
+
+/// Epoch of the owner whose orders count; the tests' engines have none set.
+const EPOCH: u64 = 0;
+
+fn vm(name: &str, pool: &str) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        pool: pool.into(),
+        state: VmState::Up,
+        zone: "zone-1".into(),
+        labels: vec!["a".into(), "r1".into()],
+        capacity: Room {
+            cpu_millis: 16_000,
+            memory_mb: 64_000,
+            gpus: 0,
+        },
+        endpoint: "".into(),
+    }
+}
+
+fn moves(fleet: &Fleet) -> usize {
+    let is_move = |order: &&Effect| matches!(order, Effect::Move { pool, .. } if pool == POOL);
+    fleet.orders.iter().filter(is_move).count()
+}
+
+/// Returns a fleet whose owner was lost just after it had ordered a VM into the pool, with work
+/// that asks for that VM again.
+fn after_loss(is_answered: bool) -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.advance(200);
+    fleet.engine.allow_vm_orders(true);
+    fleet.handle(Event::Vms(vec![vm("vm-1", "spare")]));
+    let spec = JobSpec {
+        steps: vec![StepSpec {
+            estimated_ms: 5_000,
+            ..step(60)
+        }],
+        ..JobSpec::default()
+    };
+    fleet.submit_spec(1, spec);
+    fleet.advance(200);
+    assert_eq!(moves(&fleet), 1);
+    if is_answered {
+        fleet.handle(Event::VmAnswer {
+            vm: "vm-1".into(),
+            outcome: VmOutcome::Done,
+        });
+        fleet.settle();
+    }
+    fleet.orders.clear();
+    fleet.take_over();
+    fleet.settle();
+    fleet.engine.allow_vm_orders(true);
+    fleet
+}
+
+/// Offers the VM again, and returns whether it is ordered within a time.
+fn is_ordered_within(fleet: &mut Fleet, ms: u64) -> bool {
+    fleet.handle(Event::Vms(vec![vm("vm-1", "spare")]));
+    fleet.advance(ms);
+    moves(fleet) > 0
+}
+
+macro_rules! cases {
+    ($($(#[$story:meta])* $name:ident: $is_answered:expr, $prepare:expr, $within_ms:expr => $is_ordered:expr;)*) => {
+        $($(#[$story])* #[test] fn $name() {
+            let mut fleet = after_loss($is_answered);
+            let prepare: fn(&mut Fleet) = $prepare;
+            prepare(&mut fleet);
+            assert_eq!(is_ordered_within(&mut fleet, $within_ms), $is_ordered);
+        })*
+    };
+}
+
+cases! {
+    /// An owner that may still live gives an order for the same VM right after its successor's.
+    vm_of_an_owner_that_may_live_rests: true, |_| {}, 2_500 => false;
+
+    vm_of_an_owner_that_may_live_rests_no_longer_than_needed: true, |_| {}, 3_400 => true;
+
+    /// All nodes are lost in the turn of a pool and come back at once. Its jobs wait: every VM
+    /// rests for 3 s for fear of an owner whose process is known to be over.
+    vm_of_an_ended_owner_is_free_at_once:
+        true, |fleet| fleet.engine.end_vm_rests(EPOCH, fleet.now.steady_ms + 1_200), 200 => true;
+
+    /// The order of the ended owner may be on its way still; carried out after the successor's, it
+    /// would take the VM away from where that sent it.
+    vm_with_an_order_under_way_rests_until_that_is_over:
+        false, |fleet| fleet.engine.end_vm_rests(EPOCH, fleet.now.steady_ms + 1_200), 1_000 => false;
+
+    vm_with_an_order_under_way_rests_no_longer:
+        false, |fleet| fleet.engine.end_vm_rests(EPOCH, fleet.now.steady_ms + 1_200), 1_500 => true;
+
+    /// Two owners were lost within three seconds, and only the later one is known to be over.
+    vm_of_another_epoch_rests: true, |fleet| fleet.engine.end_vm_rests(EPOCH + 1, 0), 2_500 => false;
+}
