Ask endpoints more often where tasks come to an end

Cause: an answer to a renewal that is lost hides the ends at its endpoint for as long as the endpoint may wait, 1 s and the time limit.

--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -19,6 +19,10 @@
 /// is then told at once, without more calls.
 const RENEW_WAIT_MS: u64 = 1_000;
 
+/// Shorter wait where tasks run that come to an end, in milliseconds: an answer that is lost hides
+/// their ends for as long as the wait.
+const BUSY_WAIT_MS: u64 = 300;
+
 /// Shorter wait where filling tasks run beside serving ones, in milliseconds: tails are told only
 /// with an answer, and one over its bound must be found well within a second.
 const TAIL_WAIT_MS: u64 = 400;
@@ -199,6 +203,8 @@
             0
         } else if has_mixed_load(&endpoint.placed) {
             TAIL_WAIT_MS
+        } else if endpoint.placed.iter().any(|placed| !placed.lasts) {
+            BUSY_WAIT_MS
         } else {
             RENEW_WAIT_MS
         };
--- /dev/null
+++ b/crates/engine/tests/renewals.rs
@@ -0,0 +1,43 @@
+//! How long endpoints may keep the answers to renewals.
+
+mod common;
+
+use {
+    common::{Fleet, step},
+    lynxwheel_engine::{Effect, JobSpec, StepSpec},
+};
+
+/// Returns the wait of the newest renewal of an endpoint that runs one task of a step.
+fn wait_with(step: StepSpec) -> Option<u64> {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.advance(200);
+    let spec = JobSpec {
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    fleet.submit_spec(1, spec);
+    fleet.advance(2_500);
+    let waits = fleet.orders.iter().rev().filter_map(|order| match order {
+        Effect::Renew { wait_ms, .. } => Some(*wait_ms),
+        _ => None,
+    });
+    waits.into_iter().next()
+}
+
+macro_rules! cases {
+    ($($(#[$story:meta])* $name:ident: $step:expr => $wait_ms:expr;)*) => {
+        $($(#[$story])* #[test] fn $name() {
+            assert_eq!(wait_with($step), Some($wait_ms));
+        })*
+    };
+}
+
+cases! {
+    /// Callers wait for jobs whose tasks ended long ago. The answer that told of the ends was lost,
+    /// and the next one came only when the whole wait of the lost one was over.
+    task_that_comes_to_an_end_is_asked_about_often: step(1) => 300;
+
+    task_that_lasts_is_asked_about_at_leisure:
+        StepSpec { long_running: true, ..step(1) } => 1_000;
+}
