Log how pools stand when VMs are ordered, and once a second

The line for an order of a VM did not say what decided it. Each pool's room, use, demand and orders are now one line at each planning that orders something, and one a second otherwise, with gauges of its VMs.

--- a/crates/controller/src/notes.rs
+++ b/crates/controller/src/notes.rs
@@ -2,8 +2,8 @@
 
 use {
     log::info,
-    lynxwheel_engine::{EndKind, Note, RunEnd},
-    metrics::{counter, histogram},
+    lynxwheel_engine::{EndKind, Note, PoolPlan, RunEnd},
+    metrics::{counter, gauge, histogram},
     std::time::Duration,
 };
 
@@ -58,6 +58,7 @@
                 ""
                 );
             }
+            Note::PoolPlanned(plan) => log_plan(epoch, plan),
             Note::EndpointOver { endpoint, vm, runs } => info!(
                 event = "endpoint_over", epoch = epoch, endpoint = endpoint.as_str(),
                 vm = vm.as_str(), runs = runs;
@@ -66,3 +67,38 @@
         }
     }
 }
+
+/// Writes how a pool stands, and keeps it as gauges.
+fn log_plan(epoch: u64, plan: &PoolPlan) {
+    let PoolPlan {
+        pool,
+        members,
+        pinned,
+        arriving,
+        supply_cpu_millis,
+        used_cpu_millis,
+        used_memory_mb,
+        wanted_cpu_millis,
+        moved_in,
+        moved_out,
+    } = plan;
+    let gauges = [
+        ("members", count(*members)),
+        ("pinned", count(*pinned)),
+        ("arriving", count(*arriving)),
+    ];
+    for (what, value) in gauges {
+        gauge!("lynxwheel_pool_vms", "pool" => pool.to_string(), "what" => what).set(value);
+    }
+    info!(
+        event = "pool", epoch = epoch, pool = pool.as_str(), members = members, pinned = pinned,
+        arriving = arriving, supply_cpu_millis = supply_cpu_millis,
+        used_cpu_millis = used_cpu_millis, used_memory_mb = used_memory_mb,
+        wanted_cpu_millis = wanted_cpu_millis, moved_in = moved_in, moved_out = moved_out;
+        ""
+    );
+}
+
+fn count(number: usize) -> f64 {
+    u32::try_from(number).map_or(f64::INFINITY, f64::from)
+}
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -5,6 +5,7 @@
         engine::Engine,
         event::Now,
         job::{Room, StepSpec},
+        note::PoolPlan,
         pools::{Vm, VmOrder},
         reports::VmState,
     },
@@ -86,6 +87,8 @@
     waiting_apart: Room,
     /// Endpoints that take starts.
     members: usize,
+    /// Endpoints with long-running tasks.
+    pinned: usize,
     /// VMs on their way here.
     arriving_vms: usize,
     /// Endpoints that long-running tasks need, as only so many of a step may share one.
@@ -172,9 +175,34 @@
     room: Balance,
     /// The same for what only some VMs have, as far as waiting work asks for it.
     traits: Vec<(Trait, Balance)>,
+    /// VMs ordered into the pool at this planning.
+    moved_in: usize,
+    /// VMs ordered out of the pool at this planning.
+    moved_out: usize,
 }
 
 impl PoolLoad {
+    /// Tells whether something was ordered for the pool.
+    pub(crate) fn has_orders(&self) -> bool {
+        self.moved_in + self.moved_out > 0
+    }
+
+    /// Returns how the pool stands, for the log.
+    pub(crate) fn plan(&self) -> PoolPlan {
+        PoolPlan {
+            pool: self.name.clone(),
+            members: self.room.members,
+            pinned: self.room.pinned,
+            arriving: self.room.arriving_vms,
+            supply_cpu_millis: self.room.supply,
+            used_cpu_millis: self.room.used.cpu_millis,
+            used_memory_mb: self.room.used.memory_mb,
+            wanted_cpu_millis: self.room.wanted(),
+            moved_in: self.moved_in,
+            moved_out: self.moved_out,
+        }
+    }
+
     /// Returns what only some VMs have and is missed most, and how much of it is missed.
     ///
     /// A pool with room enough on other VMs asked for none, and its work waited for good.
@@ -226,8 +254,15 @@
         }
     }
 
+    /// Takes in that a VM was ordered here.
+    pub(crate) fn take_in(&mut self, vm: &Vm) {
+        self.moved_in += 1;
+        self.expect(vm);
+    }
+
     /// Takes in that a VM leaves.
     pub(crate) fn let_go(&mut self, vm: &Vm) {
+        self.moved_out += 1;
         let cpu = vm.entry.capacity.cpu_millis;
         self.room.supply = self.room.supply.saturating_sub(cpu);
         self.room.members = self.room.members.saturating_sub(1);
@@ -352,6 +387,9 @@
             let load = &mut loads[place];
             let takes_starts = endpoint.takes_starts(now.steady_ms);
             load.room.used.add(&endpoint.used);
+            if endpoint.placed.iter().any(|placed| placed.lasts) {
+                load.room.pinned += 1;
+            }
             if takes_starts {
                 load.room.supply += endpoint.capacity.cpu_millis;
                 load.room.members += 1;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -99,6 +99,8 @@
     /// What is known of steps whose endpoints another service chooses, sorted by step.
     pub(crate) advice: Vec<StepAdvice>,
     pub(crate) notes: Vec<Note>,
+    /// When the pools were noted last, on the steady clock.
+    pub(crate) plans_noted_ms: u64,
     /// Entries of endpoints that were seen being written.
     pub(crate) fresh_entries: u64,
     pub(crate) is_schedule_due: bool,
@@ -124,6 +126,7 @@
             drops: Vec::new(),
             advice: Vec::new(),
             notes: Vec::new(),
+            plans_noted_ms: 0,
             fresh_entries: 0,
             is_schedule_due: false,
             may_order_vms: false,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -53,7 +53,7 @@
         ReplyToken, StartOrder, VmOutcome,
     },
     job::{BadName, JobId, JobSpec, JobState, Room, StepSpec, TaskRef},
-    note::{Note, RunEnd},
+    note::{Note, PoolPlan, RunEnd},
     pacing::next_pace,
     reports::{
         EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -25,6 +25,31 @@
     LeaseOver,
 }
 
+/// How a pool stands at a planning of the pools.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PoolPlan {
+    /// Pool.
+    pub pool: CompactString,
+    /// Endpoints that take starts.
+    pub members: usize,
+    /// Endpoints with long-running tasks.
+    pub pinned: usize,
+    /// VMs on their way here.
+    pub arriving: usize,
+    /// Room of the endpoints that take starts, in thousandths of a core.
+    pub supply_cpu_millis: u64,
+    /// Room in use, in thousandths of a core.
+    pub used_cpu_millis: u64,
+    /// Memory in use, in MB.
+    pub used_memory_mb: u64,
+    /// Room that should be here, in thousandths of a core.
+    pub wanted_cpu_millis: u64,
+    /// VMs ordered into the pool.
+    pub moved_in: usize,
+    /// VMs ordered out of the pool.
+    pub moved_out: usize,
+}
+
 /// Something that was found out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
@@ -50,6 +75,8 @@
         /// Time since it was handed in, in milliseconds.
         after_ms: u64,
     },
+    /// How a pool stands: what it has, what it wants, and what was ordered for it.
+    PoolPlanned(PoolPlan),
     /// The life of an endpoint is over.
     EndpointOver {
         /// Endpoint.
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -5,6 +5,7 @@
         demand::{Need, PoolLoad, Trait, load_place, neediest},
         engine::Engine,
         event::{Effect, EndpointKey, Now, VmOutcome},
+        note::Note,
         reports::{VmEntry, VmState},
         stored::{Record, StoredVm, vm_name, vm_record},
     },
@@ -27,6 +28,10 @@
 /// How far the times of day of two nodes may be apart, in milliseconds, jumps included.
 const CLOCK_SPREAD_MS: u64 = 6_000;
 
+/// Time between two notes on how a pool stands while nothing is ordered for it, in milliseconds: a few
+/// lines a second for a busy fleet.
+const PLANS_NOTED_EVERY_MS: u64 = 1_000;
+
 /// Pause of a VM that refused an order, in milliseconds.
 const VM_REST_MS: u64 = 2_000;
 
@@ -309,11 +314,25 @@
                 continue;
             };
             self.note_departure(&mut loads, vm);
-            loads[need.place].expect(&self.vms[vm]);
+            loads[need.place].take_in(&self.vms[vm]);
             let pool = loads[need.place].name.clone();
             self.order_vm(vm, VmOrder::Move(pool), now);
         }
         self.switch_off_idle(&mut loads, &idle, now);
+        self.note_plans(&loads, now);
+    }
+
+    /// Notes how pools stand: one for which something was ordered, and each of them now and then.
+    fn note_plans(&mut self, loads: &[PoolLoad], now: Now) {
+        let is_due = now.steady_ms >= self.plans_noted_ms + PLANS_NOTED_EVERY_MS;
+        if is_due {
+            self.plans_noted_ms = now.steady_ms;
+        }
+        let plans = loads
+            .iter()
+            .filter(|load| !load.is_standby && (is_due || load.has_orders()))
+            .map(|load| Note::PoolPlanned(load.plan()));
+        self.notes.extend(plans);
     }
 
     fn note_departure(&self, loads: &mut [PoolLoad], vm: usize) {
