Store batches behind each other while the store is slow, and send an unanswered append again beside the first

And with one batch at a time what happened meanwhile waited for two answers. An append without answer is now sent again while the first call goes on, the first answer counts; another batch follows after 80 ms, four at most. Order is kept by the sequence at the store, and by releasing nothing before all earlier batches are stored.

--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -140,7 +140,7 @@
         let mut pause_ms = MIN_RETRY_MS;
         loop {
             let outcome = store
-                .append(STATE_TOPIC, records, None, Some(producer))
+                .append_in_sequence(STATE_TOPIC, records, producer)
                 .await;
             counter!("lynxwheel_appends_total", "outcome" => outcome_label(outcome)).increment(1);
             match outcome {
@@ -148,10 +148,15 @@
                     self.stored_end.fetch_max(end, Ordering::Relaxed);
                     return true;
                 }
-                // The epoch is ours alone, so the store can only be ahead by this very append.
-                AppendOutcome::OutOfSequence { expected } if expected == sequence + 1 => {
+                // The epoch is ours alone, so a store that is ahead has this append, and perhaps some
+                // that were sent after it.
+                AppendOutcome::OutOfSequence { expected } if expected > sequence => {
                     return true;
                 }
+                // One that was sent before this one is still under way.
+                AppendOutcome::OutOfSequence { expected } if expected < sequence => {
+                    sleep(Duration::from_millis(MIN_RETRY_MS)).await;
+                }
                 AppendOutcome::Fenced | AppendOutcome::OutOfSequence { .. } => {
                     warn!(event = "append_refused", epoch = self.epoch, outcome:? = outcome; "");
                     return false;
--- /dev/null
+++ b/crates/controller/src/in_flight.rs
@@ -0,0 +1,74 @@
+//! Batches that are being stored, in the order in which they were cut.
+
+use {lynxwheel_engine::Batch, std::collections::VecDeque};
+
+/// Age of the newest batch under way from which on another is sent after it, in milliseconds. A calm
+/// store answers within 10 ms, and load makes batches larger then; a slow one kept what had happened
+/// meanwhile for up to two of its answers, some 0.9 s at a hundredth of its speed.
+pub const FOLLOW_MS: u64 = 80;
+
+/// Batches under way at most: the store knows its answers to the last five appends of a writer, and
+/// what is sent again has to be among them.
+pub const MOST: usize = 4;
+
+/// A batch that is being stored.
+#[derive(Debug)]
+struct Sent {
+    number: u64,
+    batch: Batch,
+    sent_ms: u64,
+    is_stored: bool,
+}
+
+/// Batches that are being stored.
+#[derive(Debug, Default)]
+pub struct InFlight {
+    sent: VecDeque<Sent>,
+    last_number: u64,
+}
+
+impl InFlight {
+    /// Tells whether no batch is under way.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.sent.is_empty()
+    }
+
+    /// Tells whether another batch may be sent after those under way.
+    #[must_use]
+    pub fn takes_another(&self, now_ms: u64) -> bool {
+        let is_due = |newest: &Sent| now_ms >= newest.sent_ms + FOLLOW_MS;
+        self.sent.len() < MOST && self.sent.back().is_none_or(is_due)
+    }
+
+    /// Adds a batch, and returns its number.
+    pub fn add(&mut self, batch: Batch, now_ms: u64) -> u64 {
+        self.last_number += 1;
+        self.sent.push_back(Sent {
+            number: self.last_number,
+            batch,
+            sent_ms: now_ms,
+            is_stored: false,
+        });
+        self.last_number
+    }
+
+    /// Lets a batch without records wait for the newest one under way.
+    pub fn join(&mut self, batch: Batch) {
+        if let Some(newest) = self.sent.back_mut() {
+            newest.batch.join(batch);
+        }
+    }
+
+    /// Takes in that a batch is stored, and returns those that are so with all before them.
+    ///
+    /// An answer may overtake that to an earlier append. What a batch releases may rest on earlier
+    /// ones, so it waits for them.
+    pub fn stored(&mut self, number: u64) -> Vec<Batch> {
+        if let Some(sent) = self.sent.iter_mut().find(|sent| sent.number == number) {
+            sent.is_stored = true;
+        }
+        let count = self.sent.iter().take_while(|sent| sent.is_stored).count();
+        self.sent.drain(..count).map(|sent| sent.batch).collect()
+    }
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -23,6 +23,7 @@
 mod commit;
 mod dispatch;
 mod feeds;
+mod in_flight;
 mod ingress;
 mod node;
 mod notes;
@@ -35,6 +36,7 @@
 mod watcher;
 
 pub use {
+    in_flight::{FOLLOW_MS, InFlight, MOST},
     node::{MetricsPage, run},
     ownership::{
         FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS,
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -1,13 +1,14 @@
 //! The owner's duties: one actor with the engine.
 //!
-//! Every outcome, also silence, comes to the actor as an event. A batch is stored at a time; what
-//! happens meanwhile joins the next one.
+//! Every outcome, also silence, comes to the actor as an event. A batch is stored at a time, and what
+//! happens meanwhile joins the next one; while the store is slow, a few are under way at once.
 
 use {
     crate::{
         clock,
         commit::{Commit, Writer},
         dispatch::Dispatcher,
+        in_flight::InFlight,
         node::Node,
         notes,
         ownership::FRESH_MS,
@@ -20,7 +21,7 @@
         message::{Context, Message},
     },
     log::{info, warn},
-    lynxwheel_engine::{Batch, CallerAnswer, Effect, Engine, Event, JobId, Now, ReplyToken},
+    lynxwheel_engine::{CallerAnswer, Effect, Engine, Event, JobId, Now, ReplyToken},
     std::sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -35,8 +36,8 @@
     Event(Box<Event>),
     /// A caller's request.
     Ask(Ask, oneshot::Sender<OwnerAnswer>),
-    /// The batch under way is stored.
-    Stored,
+    /// The batch under way with this number is stored.
+    Stored(u64),
     /// A newer owner writes or gives orders.
     Deposed,
     /// The node is stopping: hand over.
@@ -118,7 +119,7 @@
     engine: Engine,
     writer: Writer,
     dispatcher: Dispatcher,
-    in_flight: Option<Batch>,
+    in_flight: InFlight,
     /// Callers that wait, sorted by token.
     waiting: Vec<(ReplyToken, oneshot::Sender<OwnerAnswer>)>,
     next_token: ReplyToken,
@@ -135,8 +136,8 @@
                 self.engine.handle(*event, now);
             }
             OwnerMessage::Ask(ask, reply) => self.ask(ask, reply, now),
-            OwnerMessage::Stored => {
-                if let Some(batch) = self.in_flight.take() {
+            OwnerMessage::Stored(number) => {
+                for batch in self.in_flight.stored(number) {
                     let effects = self.engine.committed(batch, now);
                     self.carry_out(effects, context);
                 }
@@ -181,7 +182,7 @@
             engine,
             writer,
             dispatcher,
-            in_flight: None,
+            in_flight: InFlight::default(),
             waiting: Vec::new(),
             next_token: 0,
         }
@@ -291,17 +292,22 @@
         }
     }
 
-    /// Stores what has changed, unless a batch is under way.
+    /// Stores what has changed, unless a batch is under way that will soon be stored.
     fn write(&mut self, now: Now, context: &mut Context<Self, ()>) {
-        if self.in_flight.is_some() {
+        if !self.in_flight.takes_another(now.steady_ms) {
             return;
         }
         loop {
             let batch = self.engine.cut_batch(now);
             if !batch.records.is_empty() {
                 let commit = self.writer.commit(&batch.records);
-                self.in_flight = Some(batch);
-                self.store(commit, context);
+                let number = self.in_flight.add(batch, now.steady_ms);
+                self.store(commit, number, context);
+                return;
+            }
+            // What a batch without records releases rests on those before it.
+            if !self.in_flight.is_empty() {
+                self.in_flight.join(batch);
                 return;
             }
             let effects = self.engine.committed(batch, now);
@@ -312,12 +318,12 @@
         }
     }
 
-    fn store(&self, commit: Commit, context: &Context<Self, ()>) {
+    fn store(&self, commit: Commit, number: u64, context: &Context<Self, ()>) {
         let store = self.node.store.clone();
         let actor = context.actor_ref().clone();
         tokio::spawn(async move {
             let message = if commit.store(&store).await {
-                OwnerMessage::Stored
+                OwnerMessage::Stored(number)
             } else {
                 OwnerMessage::Deposed
             };
--- /dev/null
+++ b/crates/controller/tests/in_flight.rs
@@ -0,0 +1,78 @@
+//! Which batches are under way at once, and when what they release may go out.
+
+use {
+    lynxwheel_controller::{FOLLOW_MS, InFlight, MOST},
+    lynxwheel_engine::{Batch, Record},
+};
+
+/// Returns a batch with one record of this key.
+fn batch(key: &str) -> Batch {
+    let mut batch = Batch::default();
+    batch.records.push(Record {
+        key: key.into(),
+        value: Vec::new(),
+    });
+    batch
+}
+
+fn keys(batches: &[Batch]) -> Vec<&str> {
+    let records = batches.iter().flat_map(|batch| &batch.records);
+    records.map(|record| record.key.as_str()).collect()
+}
+
+macro_rules! cases {
+    ($($(#[$story:meta])* $name:ident: $body:expr;)*) => {
+        $($(#[$story])* #[test] fn $name() { $body; })*
+    };
+}
+
+cases! {
+    /// A calm store answers within 10 ms: load makes batches larger, not more frequent.
+    calm_store_gets_one_batch_at_a_time: {
+        let mut in_flight = InFlight::default();
+        assert!(in_flight.takes_another(1_000));
+        let number = in_flight.add(batch("a"), 1_000);
+        assert!(!in_flight.takes_another(1_010));
+        in_flight.stored(number);
+        assert!(in_flight.takes_another(1_011));
+    };
+
+    /// Every answer of the store takes 400 ms. What happened right after a batch was cut waited for
+    /// two of them, so that a job of two steps lost a second of its slack at each.
+    slow_store_gets_the_next_batch_before_it_answers: {
+        let mut in_flight = InFlight::default();
+        in_flight.add(batch("a"), 1_000);
+        assert!(in_flight.takes_another(1_000 + FOLLOW_MS));
+    };
+
+    /// The store is away. It knows its answers to the last five appends only, so no more than these
+    /// may have to be sent again.
+    store_that_is_away_gets_a_few_batches: {
+        let mut in_flight = InFlight::default();
+        let mut now_ms = 1_000;
+        while in_flight.takes_another(now_ms) {
+            in_flight.add(batch("a"), now_ms);
+            now_ms += FOLLOW_MS;
+        }
+        assert!(!in_flight.takes_another(now_ms + 60_000));
+        assert_eq!(now_ms, 1_000 + FOLLOW_MS * u64::try_from(MOST).unwrap());
+    };
+
+    /// The answer to the first append is lost, that to the second arrives. A run that the second
+    /// batch starts may rest on what the first one says: nothing goes out before both are stored.
+    answer_that_overtakes_another_waits_for_it: {
+        let mut in_flight = InFlight::default();
+        let first = in_flight.add(batch("a"), 1_000);
+        let second = in_flight.add(batch("b"), 1_100);
+        assert_eq!(keys(&in_flight.stored(second)), [] as [&str; 0]);
+        assert_eq!(keys(&in_flight.stored(first)), ["a", "b"]);
+        assert!(in_flight.is_empty());
+    };
+
+    batch_without_records_waits_for_the_newest: {
+        let mut in_flight = InFlight::default();
+        let first = in_flight.add(batch("a"), 1_000);
+        in_flight.join(batch("joined"));
+        assert_eq!(keys(&in_flight.stored(first)), ["a", "joined"]);
+    };
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -72,6 +72,16 @@
     stored_ends: Vec<(EndpointKey, u64)>,
 }
 
+impl Batch {
+    /// Takes over what another batch without records releases.
+    pub fn join(&mut self, mut other: Self) {
+        self.records.append(&mut other.records);
+        self.effects.append(&mut other.effects);
+        self.shown.append(&mut other.shown);
+        self.stored_ends.append(&mut other.stored_ends);
+    }
+}
+
 /// State of the fleet in the hands of its owner.
 #[derive(Debug)]
 pub struct Engine {
