Let an owner that stops go on until it is succeeded

Cause: a node that stopped laid its duties down as it wrote its release. It now goes on until the successor shuts it out, but orders no VM and denies no job. A claimant no longer reads the log a second time before its claim, which is made on a condition.

--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -60,6 +60,7 @@
     actor: ActorRef<Owner>,
     renewed_ms: Arc<AtomicU64>,
     duties: Mutex<Vec<JoinHandle<()>>>,
+    renewals: Mutex<Option<JoinHandle<()>>>,
 }
 
 impl OwnerHandle {
@@ -88,6 +89,23 @@
             actor,
             renewed_ms,
             duties: Mutex::default(),
+            renewals: Mutex::default(),
+        }
+    }
+
+    /// Takes the task that renews the ownership.
+    pub(crate) fn renew_by(&self, renewals: JoinHandle<()>) {
+        let mut known = self.renewals.lock().unwrap_or_else(PoisonError::into_inner);
+        *known = Some(renewals);
+    }
+
+    /// Renews the ownership no more, and counts as not renewed from now on: another owner may be
+    /// there at any moment, so that this one gives no order for a VM and denies no job.
+    fn end_renewals(&self) {
+        self.renewed_ms.store(0, Ordering::Relaxed);
+        let mut known = self.renewals.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(renewals) = known.take() {
+            renewals.abort();
         }
     }
 
@@ -101,6 +119,8 @@
         for duty in duties.drain(..) {
             duty.abort();
         }
+        drop(duties);
+        self.end_renewals();
     }
 }
 
@@ -148,13 +168,16 @@
                 return;
             }
             OwnerMessage::Release => {
-                // What is under way is either stored before the successor shuts this owner out, or
-                // refused; callers that wait for it are asked about again at the successor.
+                // The duties go on until the successor shuts this owner out: a slow store lets it take
+                // seconds to come, in which nothing started and every caller waited. What is under
+                // way then is either stored before, or refused; callers that wait for it are asked
+                // about again at the successor.
+                if let Some(owner) = self.node.owner.load_full() {
+                    owner.end_renewals();
+                }
                 let node = Arc::clone(&self.node);
                 let epoch = self.epoch;
                 tokio::spawn(async move { watcher::release(&node, epoch).await });
-                self.end(context);
-                return;
             }
         }
         let effects = self.engine.take_at_once();
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -113,7 +113,7 @@
 /// What a node knows of ownership.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct OwnershipView {
-    /// Owner, if there is one.
+    /// Owner, if there is one; one that has given up goes on until it is succeeded.
     pub owner: Option<OwnerId>,
     /// Highest epoch heard of.
     pub epoch: u64,
@@ -158,8 +158,13 @@
         if record.kind == OwnershipKind::Claim {
             self.predecessor = self.owner;
         }
-        self.is_released = record.kind == OwnershipKind::Release;
-        self.owner = (!self.is_released).then_some(OwnerId {
+        self.is_released = match record.kind {
+            OwnershipKind::Claim => false,
+            // One that was under way when the owner gave up takes nothing back.
+            OwnershipKind::Renewal => self.is_released,
+            OwnershipKind::Release => true,
+        };
+        self.owner = Some(OwnerId {
             epoch,
             incarnation: record.incarnation,
             address: record.address,
--- a/crates/controller/src/take_over.rs
+++ b/crates/controller/src/take_over.rs
@@ -56,7 +56,7 @@
     match prepare(node, writer).await {
         Ok((writer, records)) => {
             let handle = start(node, epoch, begun_ms, writer, records, renewed_ms);
-            handle.add_duty(renewals);
+            handle.renew_by(renewals);
         }
         Err(reason) => {
             renewals.abort();
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -19,7 +19,7 @@
         },
         time::Duration,
     },
-    tokio::time::{Instant, sleep},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// Topic of the ownership records.
@@ -145,7 +145,9 @@
         // The numbers of its appends are gone with the duties that were laid down: a second life
         // under one epoch could take another append's answer for its own.
         (None, Some(mine)) if mine.epoch == node.taken_epoch.load(Ordering::Relaxed) => {
-            release(node, mine.epoch).await;
+            if !node.view.borrow().is_released {
+                release(node, mine.epoch).await;
+            }
         }
         (None, Some(mine)) if !node.stopping.has_begun() => {
             take_over::take_over(node, mine.epoch).await;
@@ -251,8 +253,11 @@
 async fn claim(node: &Node) {
     let size_ms = node.view.borrow().claim_delay_ms(node.settings.cpu_millis);
     let pause_ms = size_ms + rand::random_range(0..CLAIM_SPREAD_MS);
-    sleep(Duration::from_millis(pause_ms)).await;
-    if !read_on(node, 0).await || !may_claim(node) {
+    // Another's claim ends the wait. A slow store's answer is not waited for, as the claim is made on
+    // a condition.
+    let pause = Duration::from_millis(pause_ms);
+    let is_read = timeout(pause, read_on(node, pause_ms)).await;
+    if is_read == Ok(false) || !may_claim(node) {
         return;
     }
     let record = node.ownership_record(OwnershipKind::Claim, 0);
