Give VMs to work that can still be on time before work that is late

Cause: in shortage the pool that missed most room got every VM, whether its jobs could still be on time or not. Waiting work of late jobs now counts only once no pool misses room for other work. Seen failing: the test's VM went to the late pool.

--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -8,6 +8,7 @@
         note::PoolPlan,
         pools::{Vm, VmOrder},
         reports::VmState,
+        schedule::slack_ms,
     },
     compact_str::CompactString,
 };
@@ -88,6 +89,10 @@
     waiting: Room,
     /// Room that all of it takes at once.
     waiting_room: Room,
+    /// Work of jobs that are late, as far as it waits; it counts when no pool misses room for others.
+    late: Room,
+    /// Room that all of that takes at once.
+    late_room: Room,
     /// Work that waits of long-running tasks of which only so many of a step may share an endpoint.
     waiting_apart: Room,
     /// Endpoints that take starts.
@@ -160,21 +165,27 @@
     }
 
     /// Takes in work of waiting tasks.
-    fn add_work(&mut self, spec: &StepSpec, room: &Room, work_ms: u64, waiting: u64) {
-        self.waiting_room.cpu_millis += room.cpu_millis * waiting;
-        self.waiting_room.memory_mb += room.memory_mb * waiting;
-        let work = Room {
-            cpu_millis: room.cpu_millis * work_ms,
-            memory_mb: room.memory_mb * work_ms,
-            gpus: 0,
-        };
+    fn add_work(&mut self, spec: &StepSpec, room: &Room, work_ms: u64, waiting: Waiting) {
+        let work = room.times(work_ms * waiting.count);
+        let at_once = room.times(waiting.count);
         if needs_members(spec) {
             self.waiting_apart.add(&work);
+            self.waiting_room.add(&at_once);
+        } else if waiting.is_late {
+            self.late.add(&work);
+            self.late_room.add(&at_once);
         } else {
             self.waiting.add(&work);
+            self.waiting_room.add(&at_once);
         }
     }
 
+    /// Counts the work of late jobs from now on.
+    fn count_late(&mut self) {
+        self.waiting.add(&std::mem::take(&mut self.late));
+        self.waiting_room.add(&std::mem::take(&mut self.late_room));
+    }
+
     /// Takes in that a step, with tasks at work or not, needs so many endpoints.
     fn need_members(&mut self, spec: &StepSpec) {
         if needs_members(spec) {
@@ -184,6 +195,14 @@
     }
 }
 
+/// Tasks of a step that wait.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    count: u64,
+    /// Whether their job cannot be on time any more.
+    is_late: bool,
+}
+
 fn needs_members(spec: &StepSpec) -> bool {
     spec.long_running && spec.max_per_endpoint > 0
 }
@@ -289,16 +308,24 @@
         self.room.members = self.room.members.saturating_sub(1);
     }
 
-    fn add_step(&mut self, spec: &StepSpec, waiting: u64, vm: &Room) {
+    /// Counts the work of late jobs from now on.
+    pub(crate) fn count_late(&mut self) {
+        self.room.count_late();
+        for (_, balance) in &mut self.traits {
+            balance.count_late();
+        }
+    }
+
+    fn add_step(&mut self, spec: &StepSpec, waiting: Waiting, vm: &Room) {
         self.room.need_members(spec);
-        let work_ms = spec.estimated_ms.max(WORK_OFF_MS / 2) * waiting;
+        let work_ms = spec.estimated_ms.max(WORK_OFF_MS / 2);
         let charged = spec.charged();
         // What only some VMs can run is no reason for others: a pool that misses a kind of VM took
         // all the others in for nothing, and kept them.
         if !Trait::of_step(spec).any(|one| one.is_required()) {
             self.room.add_work(spec, &charged, work_ms, waiting);
         }
-        if waiting == 0 && !needs_members(spec) {
+        if waiting.count == 0 && !needs_members(spec) {
             return;
         }
         for one in Trait::of_step(spec) {
@@ -379,7 +406,7 @@
         for load in &mut loads {
             load.room.handed_in = self.arrivals.load(&load.name, now);
         }
-        self.add_waiting(&mut loads, &vm);
+        self.add_waiting(&mut loads, &vm, now);
         self.add_endpoints(&mut loads, now);
         for vm in &self.vms {
             let target = match (&vm.order, vm.entry.state) {
@@ -433,19 +460,21 @@
         }
     }
 
-    fn add_waiting(&self, loads: &mut [PoolLoad], vm: &Room) {
+    fn add_waiting(&self, loads: &mut [PoolLoad], vm: &Room, now: Now) {
         for job in self.jobs.iter().filter(|job| !job.state.is_final()) {
             let Some(place) = load_place(loads, &job.queue.pool) else {
                 continue;
             };
             let load = &mut loads[place];
-            for occurrence in &job.occurrences {
+            for (at, occurrence) in job.occurrences.iter().enumerate() {
+                let is_late = slack_ms(job, at, now) < 0;
                 for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
                     if !occurrence.is_open(spec) {
                         continue;
                     }
-                    let waiting = step.tasks.iter().filter(|task| task.is_waiting()).count();
-                    load.add_step(spec, u64::try_from(waiting).unwrap_or_default(), vm);
+                    let count = step.tasks.iter().filter(|task| task.is_waiting()).count();
+                    let count = u64::try_from(count).unwrap_or_default();
+                    load.add_step(spec, Waiting { count, is_late }, vm);
                 }
             }
         }
--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -123,6 +123,16 @@
         self.gpus += other.gpus;
     }
 
+    /// Returns so many times the amount.
+    #[must_use]
+    pub fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis * count,
+            memory_mb: self.memory_mb * count,
+            gpus: self.gpus * count,
+        }
+    }
+
     /// Returns what is left after `other` was taken, or nothing of an amount that does not suffice.
     #[must_use]
     pub fn less(&self, other: &Self) -> Self {
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -303,9 +303,21 @@
         self.repeat_vm_orders(now);
         let mut loads = self.pool_loads(now);
         let idle = self.idle_endpoints(now);
+        self.fetch_needed(&mut loads, &idle, now);
+        // What is late already takes no VM from what can still be on time.
+        for load in &mut loads {
+            load.count_late();
+        }
+        self.fetch_needed(&mut loads, &idle, now);
+        self.switch_off_idle(&mut loads, &idle, now);
+        self.note_plans(&loads, now);
+    }
+
+    /// Moves VMs to where work waits, as long as there are some.
+    fn fetch_needed(&mut self, loads: &mut [PoolLoad], idle: &[Option<EndpointKey>], now: Now) {
         let mut passed_over: Vec<(usize, Trait)> = Vec::new();
-        while let Some(need) = neediest(&loads, &passed_over) {
-            let Some(vm) = self.spare_vm(&loads, &need, &idle, now) else {
+        while let Some(need) = neediest(loads, &passed_over) {
+            let Some(vm) = self.spare_vm(loads, &need, idle, now) else {
                 // Nobody has what this pool asks for; others may still be helped.
                 let Some(required) = need.required else {
                     break;
@@ -313,13 +325,11 @@
                 passed_over.push((need.place, required));
                 continue;
             };
-            self.note_departure(&mut loads, vm);
+            self.note_departure(loads, vm);
             loads[need.place].take_in(&self.vms[vm]);
             let pool = loads[need.place].name.clone();
             self.order_vm(vm, VmOrder::Move(pool), now);
         }
-        self.switch_off_idle(&mut loads, &idle, now);
-        self.note_plans(&loads, now);
     }
 
     /// Notes how pools stand: one for which something was ordered, and each of them now and then.
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -181,14 +181,10 @@
 
 fn candidate(job: &Job, (place, at, number): (usize, usize, usize), now: Now) -> Candidate {
     let spec = &job.spec.steps[number];
-    let begun_ms = match job.spec.repeat_count {
-        0 => job.accepted_ms,
-        _ => job.spec.due_ms(job.occurrences[at].number),
-    };
-    let passed_ms = now.wall_ms.saturating_sub(begun_ms);
+    let passed_ms = passed_ms(job, at, now);
     let objective_ms = objective_ms(job);
     let left_ms = remaining_chain_ms(job, at);
-    let slack_ms = signed(objective_ms) - signed(passed_ms) - signed(left_ms);
+    let slack_ms = slack_ms(job, at, now);
     let urgency = if spec.long_running {
         Urgency::Lasting
     } else if slack_ms >= 0 {
@@ -208,6 +204,22 @@
     }
 }
 
+/// Returns how long an occurrence has been there, in milliseconds.
+fn passed_ms(job: &Job, occurrence: usize, now: Now) -> u64 {
+    let begun_ms = match job.spec.repeat_count {
+        0 => job.accepted_ms,
+        _ => job.spec.due_ms(job.occurrences[occurrence].number),
+    };
+    now.wall_ms.saturating_sub(begun_ms)
+}
+
+/// Returns how long an occurrence may wait and still be on time, in milliseconds; negative when it
+/// cannot be on time any more.
+pub(crate) fn slack_ms(job: &Job, occurrence: usize, now: Now) -> i64 {
+    let left_ms = remaining_chain_ms(job, occurrence);
+    signed(objective_ms(job)) - signed(passed_ms(job, occurrence, now)) - signed(left_ms)
+}
+
 /// Returns the time within which a job is on time, in milliseconds.
 fn objective_ms(job: &Job) -> u64 {
     let stretched = job.queue.stretch.max(1.0) * lossy(job.spec.chain_ms());
--- /dev/null
+++ b/crates/engine/tests/shortage.rs
@@ -0,0 +1,103 @@
+//! Who gets the VMs when there are too few for all that waits.
+
+mod common;
+
+use {
+    common::{Fleet, POOL, job_id, queue, step},
+    lynxwheel_engine::{
+        Effect, Event, FleetConfig, JobSpec, Pool, Queue, Room, StepSpec, VmEntry, VmState,
+    },
+};
+
+/// Another pool with a queue of its own.
+const OTHER: &str = "crews";
+
+fn other_queue() -> Queue {
+    Queue {
+        host: "crews.example".into(),
+        path_prefix: "/crews/".into(),
+        pool: OTHER.into(),
+        ..queue()
+    }
+}
+
+/// Returns a fleet with two pools without endpoints.
+fn two_pools() -> Fleet {
+    let mut fleet = Fleet::new();
+    let pool = |name: &str, is_standby| Pool {
+        name: name.into(),
+        is_standby,
+        checks_admission: false,
+    };
+    let config = FleetConfig {
+        version: 2,
+        queues: vec![queue(), other_queue()],
+        pools: vec![pool(OTHER, false), pool(POOL, false), pool("spare", true)],
+        ..FleetConfig::default()
+    };
+    fleet.handle(Event::Config(config.into()));
+    fleet.engine.allow_vm_orders(true);
+    fleet
+}
+
+fn spare(name: &str) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        pool: "spare".into(),
+        state: VmState::Up,
+        zone: "zone-1".into(),
+        labels: vec!["a".into(), "r1".into()],
+        capacity: Room {
+            cpu_millis: 16_000,
+            memory_mb: 64_000,
+            gpus: 0,
+        },
+        endpoint: "".into(),
+    }
+}
+
+fn submit(fleet: &mut Fleet, number: u64, queue: Queue, tasks: u16) {
+    let step: StepSpec = step(tasks);
+    fleet.handle(Event::Submit {
+        job: job_id(number),
+        queue,
+        spec: Box::new(JobSpec {
+            steps: vec![step],
+            ..JobSpec::default()
+        }),
+        token: number,
+    });
+}
+
+/// Returns the pools to which VMs were ordered, in that order.
+fn ordered(fleet: &Fleet) -> Vec<&str> {
+    let pools = fleet.orders.iter().filter_map(|order| match order {
+        Effect::Move { pool, .. } => Some(pool.as_str()),
+        _ => None,
+    });
+    pools.collect()
+}
+
+/// A pool has fallen behind: its jobs are late whatever is done, and there are many of them. It took
+/// every VM, so that the jobs of the pool whose turn came next were late, too.
+#[test]
+fn late_work_takes_no_vm_from_work_that_can_be_on_time() {
+    let mut fleet = two_pools();
+    submit(&mut fleet, 1, queue(), 60);
+    fleet.advance(4_000);
+    submit(&mut fleet, 2, other_queue(), 8);
+    fleet.handle(Event::Vms(vec![spare("vm-1")]));
+    fleet.advance(100);
+    assert_eq!(ordered(&fleet), [OTHER]);
+}
+
+#[test]
+fn late_work_gets_the_vms_that_are_left() {
+    let mut fleet = two_pools();
+    submit(&mut fleet, 1, queue(), 60);
+    fleet.advance(4_000);
+    submit(&mut fleet, 2, other_queue(), 8);
+    fleet.handle(Event::Vms(vec![spare("vm-1"), spare("vm-2")]));
+    fleet.advance(100);
+    assert_eq!(ordered(&fleet), [OTHER, POOL]);
+}
