Let a node whose processor has turned slow hand the fleet over

Each node now times a fixed piece of work every 400 ms; what is left of its processor goes into claims and renewals, where nodes that have much more ask the owner to yield, as they do of a small one.

--- a/crates/controller/src/in_flight.rs
+++ b/crates/controller/src/in_flight.rs
@@ -13,7 +13,7 @@
 
 /// A batch that is being stored.
 #[derive(Debug)]
-struct Sent {
+struct Pending {
     number: u64,
     batch: Batch,
     sent_ms: u64,
@@ -23,7 +23,7 @@
 /// Batches that are being stored.
 #[derive(Debug, Default)]
 pub struct InFlight {
-    sent: VecDeque<Sent>,
+    pending: VecDeque<Pending>,
     last_number: u64,
 }
 
@@ -31,20 +31,20 @@
     /// Tells whether no batch is under way.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.sent.is_empty()
+        self.pending.is_empty()
     }
 
     /// Tells whether another batch may be sent after those under way.
     #[must_use]
     pub fn takes_another(&self, now_ms: u64) -> bool {
-        let is_due = |newest: &Sent| now_ms >= newest.sent_ms + FOLLOW_MS;
-        self.sent.len() < MOST && self.sent.back().is_none_or(is_due)
+        let is_due = |newest: &Pending| now_ms >= newest.sent_ms + FOLLOW_MS;
+        self.pending.len() < MOST && self.pending.back().is_none_or(is_due)
     }
 
     /// Adds a batch, and returns its number.
     pub fn add(&mut self, batch: Batch, now_ms: u64) -> u64 {
         self.last_number += 1;
-        self.sent.push_back(Sent {
+        self.pending.push_back(Pending {
             number: self.last_number,
             batch,
             sent_ms: now_ms,
@@ -55,7 +55,7 @@
 
     /// Lets a batch without records wait for the newest one under way.
     pub fn join(&mut self, batch: Batch) {
-        if let Some(newest) = self.sent.back_mut() {
+        if let Some(newest) = self.pending.back_mut() {
             newest.batch.join(batch);
         }
     }
@@ -65,10 +65,21 @@
     /// An answer may overtake that to an earlier append. What a batch releases may rest on earlier
     /// ones, so it waits for them.
     pub fn stored(&mut self, number: u64) -> Vec<Batch> {
-        if let Some(sent) = self.sent.iter_mut().find(|sent| sent.number == number) {
-            sent.is_stored = true;
+        if let Some(pending) = self
+            .pending
+            .iter_mut()
+            .find(|pending| pending.number == number)
+        {
+            pending.is_stored = true;
         }
-        let count = self.sent.iter().take_while(|sent| sent.is_stored).count();
-        self.sent.drain(..count).map(|sent| sent.batch).collect()
+        let count = self
+            .pending
+            .iter()
+            .take_while(|pending| pending.is_stored)
+            .count();
+        self.pending
+            .drain(..count)
+            .map(|pending| pending.batch)
+            .collect()
     }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -32,6 +32,7 @@
 mod peer;
 mod peer_server;
 mod ready;
+mod speed;
 mod take_over;
 mod watcher;
 
@@ -42,4 +43,5 @@
         FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS,
         RENEW_EVERY_MS, SILENCE_MS, SMALL_NODE_DELAY_MS, SUSPECT_MS,
     },
+    speed::Speed,
 };
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -5,7 +5,9 @@
         clock, feeds, ingress,
         owner::{OwnerHandle, OwnerMessage},
         ownership::{OwnerId, OwnershipKind, OwnershipRecord, OwnershipView},
-        peer_server, ready, watcher,
+        peer_server, ready,
+        speed::{self, Speed},
+        watcher,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     log::info,
@@ -100,6 +102,8 @@
     pub begun_ms: u64,
     /// Address at which it takes other nodes' requests.
     pub peer_address: SocketAddr,
+    /// Speed of its processor.
+    pub speed: Mutex<Speed>,
     /// Store.
     pub store: StoreClient,
     /// Connections to other nodes.
@@ -137,6 +141,7 @@
         Self {
             incarnation: rand::random(),
             begun_ms: clock::steady_ms(),
+            speed: Mutex::default(),
             peer_address: SocketAddr::new(ip, settings.peer_ports.0),
             store: StoreClient::new(settings.store),
             peers: Clients::new(PEER_CONNECTIONS),
@@ -176,6 +181,18 @@
         (view.epoch, view.owner)
     }
 
+    fn note_speed(&self, took: Duration) {
+        let mut speed = self.speed.lock().unwrap_or_else(PoisonError::into_inner);
+        speed.note(took);
+    }
+
+    /// Returns the processor that the node has at the moment, in thousandths of a core.
+    #[must_use]
+    pub fn cpu_millis(&self) -> u32 {
+        let speed = self.speed.lock().unwrap_or_else(PoisonError::into_inner);
+        speed.left_of(self.settings.cpu_millis)
+    }
+
     /// Returns a record of this node for the ownership log.
     #[must_use]
     pub fn ownership_record(&self, kind: OwnershipKind, epoch: u64) -> OwnershipRecord {
@@ -184,7 +201,7 @@
             epoch,
             incarnation: self.incarnation,
             address: self.peer_address,
-            cpu_millis: self.settings.cpu_millis,
+            cpu_millis: self.cpu_millis(),
             stored_end: 0,
         }
     }
@@ -278,6 +295,7 @@
     tokio::spawn(feeds::follow_operator(Arc::clone(&node)));
     tokio::spawn(watcher::watch(Arc::clone(&node)));
     tokio::spawn(sum_up_metrics(node.metrics.clone()));
+    tokio::spawn(measure_speed(Arc::clone(&node)));
     let callers = tokio::spawn(ingress::serve(Arc::clone(&node), callers));
     tokio::spawn(peer_server::serve(Arc::clone(&node), peers));
     tokio::spawn(ready::serve(Arc::clone(&node), ready));
@@ -293,6 +311,23 @@
     Ok(())
 }
 
+/// Measures the processor's speed, and tells when the node turns slow or recovers.
+async fn measure_speed(node: Arc<Node>) {
+    let nominal_millis = node.settings.cpu_millis;
+    let mut was_slowed = false;
+    loop {
+        let took = speed::measure();
+        node.note_speed(took);
+        let cpu_millis = node.cpu_millis();
+        let is_slowed = cpu_millis < nominal_millis;
+        if is_slowed != was_slowed {
+            was_slowed = is_slowed;
+            info!(event = "speed", cpu_millis = cpu_millis, nominal_millis = nominal_millis; "");
+        }
+        tokio::time::sleep(Duration::from_millis(speed::MEASURE_EVERY_MS)).await;
+    }
+}
+
 async fn sum_up_metrics(metrics: MetricsPage) {
     loop {
         tokio::time::sleep(Duration::from_millis(METRICS_UPKEEP_MS)).await;
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -100,13 +100,16 @@
     }
 
     /// Renews the ownership no more, and counts as not renewed from now on: another owner may be
-    /// there at any moment, so that this one gives no order for a VM and denies no job.
-    fn end_renewals(&self) {
+    /// there at any moment, so that this one gives no order for a VM and denies no job. Tells whether
+    /// it was renewed until now.
+    fn end_renewals(&self) -> bool {
         self.renewed_ms.store(0, Ordering::Relaxed);
         let mut known = self.renewals.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(renewals) = known.take() {
+        let renewals = known.take();
+        if let Some(renewals) = &renewals {
             renewals.abort();
         }
+        renewals.is_some()
     }
 
     pub(crate) fn add_duty(&self, duty: JoinHandle<()>) {
@@ -172,8 +175,9 @@
                 // seconds to come, in which nothing started and every caller waited. What is under
                 // way then is either stored before, or refused; callers that wait for it are asked
                 // about again at the successor.
-                if let Some(owner) = self.node.owner.load_full() {
-                    owner.end_renewals();
+                let owner = self.node.owner.load_full();
+                if owner.is_some_and(|owner| !owner.end_renewals()) {
+                    return;
                 }
                 let node = Arc::clone(&self.node);
                 let epoch = self.epoch;
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -232,7 +232,7 @@
 }
 
 fn has_small_owner(node: &Node) -> bool {
-    !node.stopping.has_begun() && node.view.borrow().has_small_owner(node.settings.cpu_millis)
+    !node.stopping.has_begun() && node.view.borrow().has_small_owner(node.cpu_millis())
 }
 
 /// Asks a small owner to give up, so that a larger node follows it.
@@ -251,7 +251,7 @@
 }
 
 async fn claim(node: &Node) {
-    let size_ms = node.view.borrow().claim_delay_ms(node.settings.cpu_millis);
+    let size_ms = node.view.borrow().claim_delay_ms(node.cpu_millis());
     let pause_ms = size_ms + rand::random_range(0..CLAIM_SPREAD_MS);
     // Another's claim ends the wait. A slow store's answer is not waited for, as the claim is made on
     // a condition.
@@ -284,6 +284,7 @@
     let mut at = node.view.borrow().read_to;
     loop {
         record.stored_end = stored_end.load(Ordering::Relaxed);
+        record.cpu_millis = node.cpu_millis();
         at = at.max(node.view.borrow().read_to);
         let sent_ms = clock::steady_ms();
         let outcome = node
