--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -126,7 +126,11 @@
     let begun = Instant::now();
     let answer = ask_owner(node, ask, limit).await;
     count_request("submit", answer, begun);
-    info!(event = "submit", job = job.as_str(), outcome:? = answer, epoch = node.view.borrow().epoch; "");
+    info!(
+        event = "submit", job = job.as_str(), pool = queue.pool.as_str(), outcome:? = answer,
+        epoch = node.view.borrow().epoch;
+        ""
+    );
     match answer {
         OwnerAnswer::Accepted => error_answer(StatusCode::OK, ""),
         OwnerAnswer::Refused | OwnerAnswer::NotOwner => unavailable("not accepted; it never runs"),
--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        demand::Trait,
+        balance::Trait,
         event::Now,
         job::{JobSpec, Room},
     },
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -26,6 +26,7 @@
 mod advice;
 mod arrivals;
 mod attempts;
+mod balance;
 mod config;
 mod demand;
 mod endpoints;
@@ -38,6 +39,7 @@
 mod pools;
 mod reports;
 mod restore;
+mod rests;
 mod schedule;
 mod state;
 mod stored;
