Count no long-running task as late

Found by reading the change: a step that runs until it is cancelled was handed in long ago, so that its waiting tasks counted as late once all slack was over, and got VMs only when no quick job missed any. Seen failing without the guard: the VM went to the other pool.

--- a/crates/controller/src/in_flight.rs
+++ b/crates/controller/src/in_flight.rs
@@ -9,7 +9,7 @@
 
 /// Batches under way at most: the store knows its answers to the last five appends of a writer, and
 /// what is sent again has to be among them.
-pub const MOST: usize = 4;
+pub const MOST_UNDER_WAY: usize = 4;
 
 /// A batch that is being stored.
 #[derive(Debug)]
@@ -38,7 +38,7 @@
     #[must_use]
     pub fn takes_another(&self, now_ms: u64) -> bool {
         let is_due = |newest: &Pending| now_ms >= newest.sent_ms + FOLLOW_MS;
-        self.pending.len() < MOST && self.pending.back().is_none_or(is_due)
+        self.pending.len() < MOST_UNDER_WAY && self.pending.back().is_none_or(is_due)
     }
 
     /// Adds a batch, and returns its number.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -37,7 +37,7 @@
 mod watcher;
 
 pub use {
-    in_flight::{FOLLOW_MS, InFlight, MOST},
+    in_flight::{FOLLOW_MS, InFlight, MOST_UNDER_WAY},
     node::{MetricsPage, run},
     ownership::{
         FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS,
--- a/crates/controller/tests/in_flight.rs
+++ b/crates/controller/tests/in_flight.rs
@@ -1,7 +1,7 @@
 //! Which batches are under way at once, and when what they release may go out.
 
 use {
-    lynxwheel_controller::{FOLLOW_MS, InFlight, MOST},
+    lynxwheel_controller::{FOLLOW_MS, InFlight, MOST_UNDER_WAY},
     lynxwheel_engine::{Batch, Record},
 };
 
@@ -55,7 +55,7 @@
             now_ms += FOLLOW_MS;
         }
         assert!(!in_flight.takes_another(now_ms + 60_000));
-        assert_eq!(now_ms, 1_000 + FOLLOW_MS * u64::try_from(MOST).unwrap());
+        assert_eq!(now_ms, 1_000 + FOLLOW_MS * u64::try_from(MOST_UNDER_WAY).unwrap());
     };
 
     /// The answer to the first append is lost, that to the second arrives. A run that the second
--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -71,10 +71,10 @@
                 jobs += 1;
             }
         }
-        let share = |work: u64| work / WINDOW_MS * (jobs - 1) / jobs;
         if jobs < 2 {
             return Room::default();
         }
+        let share = |work: u64| work / WINDOW_MS * (jobs - 1) / jobs;
         Room {
             cpu_millis: share(work.cpu_millis),
             memory_mb: share(work.memory_mb),
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -278,13 +278,15 @@
             };
             let load = &mut loads[place];
             for (at, occurrence) in job.occurrences.iter().enumerate() {
-                let is_late = slack_ms(job, at, now) < 0;
+                let has_slack = slack_ms(job, at, now) >= 0;
                 for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
                     if !occurrence.is_open(spec) {
                         continue;
                     }
                     let count = step.tasks.iter().filter(|task| task.is_waiting()).count();
                     let count = u64::try_from(count).unwrap_or_default();
+                    // A long-running task is never late: every second away is lost.
+                    let is_late = !has_slack && !spec.long_running;
                     load.add_step(spec, Waiting { count, is_late }, vm);
                 }
             }
--- a/crates/engine/tests/shortage.rs
+++ b/crates/engine/tests/shortage.rs
@@ -57,7 +57,10 @@
 }
 
 fn submit(fleet: &mut Fleet, number: u64, queue: Queue, tasks: u16) {
-    let step: StepSpec = step(tasks);
+    submit_step(fleet, number, queue, step(tasks));
+}
+
+fn submit_step(fleet: &mut Fleet, number: u64, queue: Queue, step: StepSpec) {
     fleet.handle(Event::Submit {
         job: job_id(number),
         queue,
@@ -101,3 +104,20 @@
     fleet.advance(100);
     assert_eq!(ordered(&fleet), [OTHER, POOL]);
 }
+
+/// Long-running tasks have lost their VMs. They were handed in long ago, and counted as late they
+/// waited until no quick job was left.
+#[test]
+fn long_running_work_is_never_late() {
+    let mut fleet = two_pools();
+    let lasting = StepSpec {
+        long_running: true,
+        ..step(60)
+    };
+    submit_step(&mut fleet, 1, queue(), lasting);
+    fleet.advance(4_000);
+    submit(&mut fleet, 2, other_queue(), 8);
+    fleet.handle(Event::Vms(vec![spare("vm-1")]));
+    fleet.advance(100);
+    assert_eq!(ordered(&fleet), [POOL]);
+}
