Work out a job's timing once, and share the tests' VMs

Found by reading the change: the order of candidates worked out the chain of work left and the time passed twice for each waiting step, and demand did so in every tick for every job, also where nothing waits; a Timing now holds both, and demand asks for it only for tasks that wait. Fields of Balance and the view's predecessor are private where nothing else reads them; the comment on the predecessor said that one that had given up is left out, which is so no longer. Behaviour stays.

--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -121,8 +121,8 @@
     pub read_to: u64,
     /// Whether the owner has given up.
     pub is_released: bool,
-    /// Owner before that one, unless it had given up.
-    pub predecessor: Option<OwnerId>,
+    /// Owner before that one.
+    predecessor: Option<OwnerId>,
     /// Most processor that a writer of the log had, in thousandths of a core.
     pub largest_cpu_millis: u32,
     /// What was stored by when, in the order heard.
--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -24,6 +24,12 @@
     work: Room,
 }
 
+impl Arrival {
+    fn is_old(&self, now: Now) -> bool {
+        self.at_ms + WINDOW_MS < now.steady_ms
+    }
+}
+
 /// Work handed in within the window, in the order of time.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Arrivals {
@@ -38,9 +44,7 @@
             let is_plain = !step.long_running && !Trait::of_step(step).any(|one| one.is_required());
             if is_plain && spec.repeat_count == 0 {
                 let task_ms = step.estimated_ms * u64::from(step.count);
-                let room = step.charged();
-                work.cpu_millis += room.cpu_millis * task_ms;
-                work.memory_mb += room.memory_mb * task_ms;
+                work.add(&step.charged().times(task_ms));
             }
         }
         self.lately.push_back(Arrival {
@@ -52,8 +56,7 @@
     }
 
     fn forget_old(&mut self, now: Now) {
-        let is_old = |arrival: &Arrival| arrival.at_ms + WINDOW_MS < now.steady_ms;
-        while self.lately.front().is_some_and(is_old) {
+        while self.lately.front().is_some_and(|first| first.is_old(now)) {
             self.lately.pop_front();
         }
     }
@@ -66,7 +69,7 @@
         let mut work = Room::default();
         let mut jobs = 0;
         for arrival in &self.lately {
-            if arrival.pool == pool && arrival.at_ms + WINDOW_MS >= now.steady_ms {
+            if arrival.pool == pool && !arrival.is_old(now) {
                 work.add(&arrival.work);
                 jobs += 1;
             }
--- a/crates/engine/src/balance.rs
+++ b/crates/engine/src/balance.rs
@@ -74,15 +74,15 @@
     /// Room that the work takes that is handed in at the moment.
     pub(crate) handed_in: Room,
     /// Work that waits: room times milliseconds.
-    pub(crate) waiting: Room,
+    waiting: Room,
     /// Room that all of it takes at once.
-    pub(crate) waiting_room: Room,
+    waiting_room: Room,
     /// Work of jobs that are late, as far as it waits; it counts when no pool misses room for others.
-    pub(crate) late: Room,
+    late: Room,
     /// Room that all of that takes at once.
-    pub(crate) late_room: Room,
+    late_room: Room,
     /// Work that waits of long-running tasks of which only so many of a step may share an endpoint.
-    pub(crate) waiting_apart: Room,
+    waiting_apart: Room,
     /// Endpoints that take starts.
     pub(crate) members: usize,
     /// Endpoints with long-running tasks.
@@ -92,9 +92,9 @@
     /// Endpoints that long-running tasks need, as only so many of a step may share one.
     pub(crate) needed_members: usize,
     /// Processor of a VM, in thousandths of a core.
-    pub(crate) vm_cpu_millis: u64,
+    vm_cpu_millis: u64,
     /// Processor that a megabyte of a VM comes with, in millionths of a core.
-    pub(crate) cpu_micros_per_mb: u64,
+    cpu_micros_per_mb: u64,
 }
 
 impl Balance {
@@ -108,7 +108,7 @@
     }
 
     /// Returns how many endpoints there are too few for tasks that may not share one.
-    pub(crate) fn missing_members(&self) -> usize {
+    fn missing_members(&self) -> usize {
         self.needed_members
             .saturating_sub(self.members + self.arriving_vms)
     }
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -9,7 +9,7 @@
         note::PoolPlan,
         pools::{Vm, VmOrder},
         reports::VmState,
-        schedule::slack_ms,
+        schedule::Timing,
     },
     compact_str::CompactString,
 };
@@ -278,7 +278,6 @@
             };
             let load = &mut loads[place];
             for (at, occurrence) in job.occurrences.iter().enumerate() {
-                let has_slack = slack_ms(job, at, now) >= 0;
                 for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
                     if !occurrence.is_open(spec) {
                         continue;
@@ -286,7 +285,8 @@
                     let count = step.tasks.iter().filter(|task| task.is_waiting()).count();
                     let count = u64::try_from(count).unwrap_or_default();
                     // A long-running task is never late: every second away is lost.
-                    let is_late = !has_slack && !spec.long_running;
+                    let is_late =
+                        count > 0 && !spec.long_running && Timing::new(job, at, now).slack_ms() < 0;
                     load.add_step(spec, Waiting { count, is_late }, vm);
                 }
             }
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -181,15 +181,13 @@
 
 fn candidate(job: &Job, (place, at, number): (usize, usize, usize), now: Now) -> Candidate {
     let spec = &job.spec.steps[number];
-    let passed_ms = passed_ms(job, at, now);
-    let objective_ms = objective_ms(job);
-    let left_ms = remaining_chain_ms(job, at);
-    let slack_ms = slack_ms(job, at, now);
+    let timing = Timing::new(job, at, now);
+    let slack_ms = timing.slack_ms();
     let urgency = if spec.long_running {
         Urgency::Lasting
     } else if slack_ms >= 0 {
         Urgency::OnTime
-    } else if lossy(passed_ms + left_ms) < LATE_FACTOR * lossy(objective_ms) {
+    } else if lossy(timing.passed_ms + timing.left_ms) < LATE_FACTOR * lossy(timing.objective_ms) {
         Urgency::Late
     } else {
         Urgency::TooLate
@@ -204,20 +202,36 @@
     }
 }
 
-/// Returns how long an occurrence has been there, in milliseconds.
-fn passed_ms(job: &Job, occurrence: usize, now: Now) -> u64 {
-    let begun_ms = match job.spec.repeat_count {
-        0 => job.accepted_ms,
-        _ => job.spec.due_ms(job.occurrences[occurrence].number),
-    };
-    now.wall_ms.saturating_sub(begun_ms)
+/// How an occurrence stands against the time in which its job is on time.
+#[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+pub(crate) struct Timing {
+    /// Time within which it is on time, in milliseconds.
+    objective_ms: u64,
+    /// How long it has been there, in milliseconds.
+    passed_ms: u64,
+    /// Longest chain of estimated work that is not done, in milliseconds.
+    left_ms: u64,
 }
 
-/// Returns how long an occurrence may wait and still be on time, in milliseconds; negative when it
-/// cannot be on time any more.
-pub(crate) fn slack_ms(job: &Job, occurrence: usize, now: Now) -> i64 {
-    let left_ms = remaining_chain_ms(job, occurrence);
-    signed(objective_ms(job)) - signed(passed_ms(job, occurrence, now)) - signed(left_ms)
+impl Timing {
+    pub(crate) fn new(job: &Job, occurrence: usize, now: Now) -> Self {
+        let begun_ms = match job.spec.repeat_count {
+            0 => job.accepted_ms,
+            _ => job.spec.due_ms(job.occurrences[occurrence].number),
+        };
+        Self {
+            objective_ms: objective_ms(job),
+            passed_ms: now.wall_ms.saturating_sub(begun_ms),
+            left_ms: remaining_chain_ms(job, occurrence),
+        }
+    }
+
+    /// Returns how long the occurrence may wait and still be on time, in milliseconds; negative when
+    /// it cannot be on time any more.
+    pub(crate) fn slack_ms(&self) -> i64 {
+        signed(self.objective_ms) - signed(self.passed_ms) - signed(self.left_ms)
+    }
 }
 
 /// Returns the time within which a job is on time, in milliseconds.
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -79,6 +79,32 @@
     }
 }
 
+/// Returns a pool that checks nothing by itself.
+pub fn pool(name: &str, is_standby: bool) -> Pool {
+    Pool {
+        name: name.into(),
+        is_standby,
+        checks_admission: false,
+    }
+}
+
+/// Returns a VM of 16 cores that is switched off.
+pub fn spare(name: &str) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        pool: "spare".into(),
+        state: VmState::Up,
+        zone: "zone-1".into(),
+        labels: vec!["a".into(), "r1".into()],
+        capacity: Room {
+            cpu_millis: 16_000,
+            memory_mb: 64_000,
+            gpus: 0,
+        },
+        endpoint: "".into(),
+    }
+}
+
 /// Returns the event of a list with one VM.
 pub fn vms_with(name: &str, endpoint: &str) -> Event {
     Event::Vms(vec![VmEntry {
@@ -130,11 +156,6 @@
     }
 
     fn configure(&mut self) {
-        let pool = |name: &str, is_standby| Pool {
-            name: name.into(),
-            is_standby,
-            checks_admission: false,
-        };
         let config = FleetConfig {
             version: 1,
             queues: vec![queue()],
@@ -182,9 +203,13 @@
     }
 
     pub fn submit_spec(&mut self, number: u64, spec: JobSpec) {
+        self.submit_to(queue(), number, spec);
+    }
+
+    pub fn submit_to(&mut self, queue: Queue, number: u64, spec: JobSpec) {
         self.handle(Event::Submit {
             job: job_id(number),
-            queue: queue(),
+            queue,
             spec: Box::new(spec),
             token: number,
         });
@@ -401,6 +426,15 @@
         }
     }
 
+    /// Returns the VMs that were ordered to move and their pools, in that order.
+    pub fn moves(&self) -> Vec<(&str, &str)> {
+        let moves = self.orders.iter().filter_map(|order| match order {
+            Effect::Move { vm, pool } => Some((vm.as_str(), pool.as_str())),
+            _ => None,
+        });
+        moves.collect()
+    }
+
     /// Counts the starts of a task over all endpoints.
     pub fn starts(&self, task: &str) -> usize {
         let task: TaskRef = task.parse().expect("a task's name");
--- a/crates/engine/tests/demand.rs
+++ b/crates/engine/tests/demand.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Fleet, POOL, step},
-    lynxwheel_engine::{Effect, Event, JobSpec, Room, StepSpec, VmEntry, VmState},
+    lynxwheel_engine::{Event, JobSpec, Room, StepSpec, VmEntry},
 };
 
 /// Room of every VM: 16 cores, as the pools of today have them.
@@ -12,21 +12,30 @@
 
 /// Returns a VM that is switched off.
 fn spare(name: &str, label: &str, rack: &str, gpus: u64) -> VmEntry {
+    let vm = common::spare(name);
     VmEntry {
-        name: name.into(),
-        pool: "spare".into(),
-        state: VmState::Up,
-        zone: "zone-1".into(),
         labels: vec![label.into(), rack.into()],
         capacity: Room {
-            cpu_millis: CPU_MILLIS,
-            memory_mb: 64_000,
             gpus,
+            ..vm.capacity
         },
-        endpoint: "".into(),
+        ..vm
     }
 }
 
+/// Returns the VMs that were ordered into the pool, each once, sorted by name.
+fn moved_in(fleet: &Fleet) -> Vec<String> {
+    let mut names: Vec<String> = fleet
+        .moves()
+        .into_iter()
+        .filter(|(_, pool)| *pool == POOL)
+        .map(|(vm, _)| vm.to_string())
+        .collect();
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
 /// Hands in one step, and returns the VMs that are moved into the pool for it.
 fn moved_for(step: StepSpec, spares: Vec<VmEntry>) -> Vec<String> {
     let mut fleet = Fleet::new();
@@ -42,14 +51,7 @@
         },
     );
     fleet.advance(200);
-    let names = fleet.orders.iter().filter_map(|order| match order {
-        Effect::Move { vm, pool } if pool == POOL => Some(vm.to_string()),
-        _ => None,
-    });
-    let mut moved: Vec<String> = names.collect();
-    moved.sort_unstable();
-    moved.dedup();
-    moved
+    moved_in(&fleet)
 }
 
 /// Hands in jobs of four tasks with one core for a second each, and returns how many VMs of 16 cores
@@ -68,16 +70,7 @@
     }
     let left_ms = (begun_ms + within_ms).saturating_sub(fleet.now.steady_ms);
     fleet.advance(left_ms);
-    let is_move = |order: &&Effect| matches!(order, Effect::Move { pool, .. } if pool == POOL);
-    let mut names: Vec<String> = fleet
-        .orders
-        .iter()
-        .filter(is_move)
-        .map(|order| format!("{order:?}"))
-        .collect();
-    names.sort_unstable();
-    names.dedup();
-    names.len()
+    moved_in(&fleet).len()
 }
 
 macro_rules! loads {
--- a/crates/engine/tests/shortage.rs
+++ b/crates/engine/tests/shortage.rs
@@ -3,10 +3,8 @@
 mod common;
 
 use {
-    common::{Fleet, POOL, job_id, queue, step},
-    lynxwheel_engine::{
-        Effect, Event, FleetConfig, JobSpec, Pool, Queue, Room, StepSpec, VmEntry, VmState,
-    },
+    common::{Fleet, POOL, pool, queue, spare, step},
+    lynxwheel_engine::{Event, FleetConfig, JobSpec, Queue, StepSpec},
 };
 
 /// Another pool with a queue of its own.
@@ -24,11 +22,6 @@
 /// Returns a fleet with two pools without endpoints.
 fn two_pools() -> Fleet {
     let mut fleet = Fleet::new();
-    let pool = |name: &str, is_standby| Pool {
-        name: name.into(),
-        is_standby,
-        checks_admission: false,
-    };
     let config = FleetConfig {
         version: 2,
         queues: vec![queue(), other_queue()],
@@ -40,45 +33,21 @@
     fleet
 }
 
-fn spare(name: &str) -> VmEntry {
-    VmEntry {
-        name: name.into(),
-        pool: "spare".into(),
-        state: VmState::Up,
-        zone: "zone-1".into(),
-        labels: vec!["a".into(), "r1".into()],
-        capacity: Room {
-            cpu_millis: 16_000,
-            memory_mb: 64_000,
-            gpus: 0,
-        },
-        endpoint: "".into(),
-    }
-}
-
 fn submit(fleet: &mut Fleet, number: u64, queue: Queue, tasks: u16) {
     submit_step(fleet, number, queue, step(tasks));
 }
 
 fn submit_step(fleet: &mut Fleet, number: u64, queue: Queue, step: StepSpec) {
-    fleet.handle(Event::Submit {
-        job: job_id(number),
-        queue,
-        spec: Box::new(JobSpec {
-            steps: vec![step],
-            ..JobSpec::default()
-        }),
-        token: number,
-    });
+    let spec = JobSpec {
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    fleet.submit_to(queue, number, spec);
 }
 
 /// Returns the pools to which VMs were ordered, in that order.
 fn ordered(fleet: &Fleet) -> Vec<&str> {
-    let pools = fleet.orders.iter().filter_map(|order| match order {
-        Effect::Move { pool, .. } => Some(pool.as_str()),
-        _ => None,
-    });
-    pools.collect()
+    fleet.moves().into_iter().map(|(_, pool)| pool).collect()
 }
 
 /// A pool has fallen behind: its jobs are late whatever is done, and there are many of them. It took
--- a/crates/engine/tests/vm_rests.rs
+++ b/crates/engine/tests/vm_rests.rs
@@ -3,32 +3,17 @@
 mod common;
 
 use {
-    common::{Fleet, POOL, step},
-    lynxwheel_engine::{Effect, Event, JobSpec, Room, StepSpec, VmEntry, VmOutcome, VmState},
+    common::{Fleet, POOL, spare, step},
+    lynxwheel_engine::{Event, JobSpec, StepSpec, VmOutcome},
 };
 
 /// Epoch of the owner whose orders count; the tests' engines have none set.
 const EPOCH: u64 = 0;
 
-fn vm(name: &str, pool: &str) -> VmEntry {
-    VmEntry {
-        name: name.into(),
-        pool: pool.into(),
-        state: VmState::Up,
-        zone: "zone-1".into(),
-        labels: vec!["a".into(), "r1".into()],
-        capacity: Room {
-            cpu_millis: 16_000,
-            memory_mb: 64_000,
-            gpus: 0,
-        },
-        endpoint: "".into(),
-    }
-}
-
+/// Counts the orders that move a VM into the pool.
 fn moves(fleet: &Fleet) -> usize {
-    let is_move = |order: &&Effect| matches!(order, Effect::Move { pool, .. } if pool == POOL);
-    fleet.orders.iter().filter(is_move).count()
+    let moves = fleet.moves();
+    moves.iter().filter(|(_, pool)| *pool == POOL).count()
 }
 
 /// Returns a fleet whose owner was lost just after it had ordered a VM into the pool, with work
@@ -38,7 +23,7 @@
     fleet.list_endpoint("i-1", 16_000);
     fleet.advance(200);
     fleet.engine.allow_vm_orders(true);
-    fleet.handle(Event::Vms(vec![vm("vm-1", "spare")]));
+    fleet.handle(Event::Vms(vec![spare("vm-1")]));
     let spec = JobSpec {
         steps: vec![StepSpec {
             estimated_ms: 5_000,
@@ -65,7 +50,7 @@
 
 /// Offers the VM again, and returns whether it is ordered within a time.
 fn is_ordered_within(fleet: &mut Fleet, ms: u64) -> bool {
-    fleet.handle(Event::Vms(vec![vm("vm-1", "spare")]));
+    fleet.handle(Event::Vms(vec![spare("vm-1")]));
     fleet.advance(ms);
     moves(fleet) > 0
 }
