--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -54,7 +54,7 @@
             let endpoint = endpoints.get(key);
             EndpointAddress {
                 id: endpoint.id.clone(),
-                address: endpoint.address,
+                address: endpoint.address(),
             }
         };
         let to = match &effect {
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -228,6 +228,7 @@
             retention_ms: bounds.retention_ms + RETENTION_SLACK_MS,
             maintenance_ms: bounds.maintenance_ms,
             vm_holder_ms: bounds.vm_holder_ms,
+            vm_orders_per_s: self.settings.vm_orders_per_s,
         }
     }
 
--- a/crates/engine/src/advice.rs
+++ b/crates/engine/src/advice.rs
@@ -153,10 +153,8 @@
     /// Forgets what is known of the steps of jobs that have ended.
     pub(crate) fn forget_advice(&mut self) {
         let jobs = &self.jobs;
-        self.advice.retain(|advice| {
-            jobs.binary_search_by_key(&advice.step.job, |job| job.id)
-                .is_ok()
-        });
+        self.advice
+            .retain(|advice| jobs.search(advice.step.job).is_ok());
     }
 }
 
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -136,13 +136,12 @@
             }
             CallOutcome::Unknown => {
                 self.call_failed(key, now);
-                if let Ok(place) = self.search(task.job)
-                    && let Some(attempt) = find_attempt(&mut self.jobs[place], task, run)
-                {
+                if let Some(attempt) = self.attempt_mut(task, run) {
                     attempt.may_start_late = true;
                     if attempt.phase == Phase::Ordered {
                         attempt.phase = Phase::Unanswered;
                         attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
+                        self.await_answer(task, run);
                     }
                 }
             }
@@ -171,15 +170,13 @@
     /// Takes back a start that was refused, or asks again when an earlier order of the same run
     /// may still be carried out.
     fn start_failed(&mut self, task: &TaskRef, run: u32, now: Now) {
-        let Ok(place) = self.search(task.job) else {
-            return;
-        };
-        let Some(attempt) = find_attempt(&mut self.jobs[place], task, run) else {
+        let Some(attempt) = self.attempt_mut(task, run) else {
             return;
         };
         if attempt.may_start_late {
             attempt.phase = Phase::Unanswered;
             attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
+            self.await_answer(task, run);
         } else if matches!(attempt.phase, Phase::Ordered | Phase::Unanswered) {
             self.remove_attempt(task, run, RunEnd::Refused, now);
         }
@@ -191,7 +188,7 @@
         let Ok(place) = self.search(task.job) else {
             return;
         };
-        let job = &mut self.jobs[place];
+        let job = self.jobs.quiet_mut(place);
         let Some(attempt) = find_attempt(job, task, run) else {
             return;
         };
@@ -234,9 +231,7 @@
                 }
                 // From now on that run cannot begin there, and a report sent later tells its end.
                 let renewals = self.endpoints.get(key).renewals;
-                if let Ok(place) = self.search(task.job)
-                    && let Some(attempt) = find_attempt(&mut self.jobs[place], task, run)
-                {
+                if let Some(attempt) = self.attempt_mut(task, run) {
                     attempt.phase = Phase::Confirmed;
                     attempt.confirmed_at_renewal = renewals;
                     attempt.retry_at_ms = u64::MAX;
@@ -252,32 +247,7 @@
 
     /// Repeats orders without answer; a start names the same run, so it happens once.
     pub(crate) fn repeat_orders(&mut self, now: Now) {
-        let mut due: Vec<(TaskRef, u32, EndpointKey, bool)> = Vec::new();
-        for job in &mut self.jobs {
-            let names: Vec<TaskRef> = job
-                .tasks()
-                .filter(|(_, task)| {
-                    task.attempts
-                        .iter()
-                        .any(|attempt| needs_repeat(attempt, now))
-                })
-                .map(|(name, _)| name)
-                .collect();
-            for name in names {
-                let Some(task) = job.task_mut(&name) else {
-                    continue;
-                };
-                for attempt in task
-                    .attempts
-                    .iter_mut()
-                    .filter(|attempt| needs_repeat(attempt, now))
-                {
-                    attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
-                    due.push((name, attempt.run, attempt.endpoint, attempt.is_stop_stored));
-                }
-            }
-        }
-        for (task, run, key, is_stop) in due {
+        for (task, run, key, is_stop) in self.due_orders(now) {
             let endpoint = self.endpoints.get_mut(key);
             if endpoint.silent_calls >= SUSPECT_AFTER || !endpoint.is_reachable() {
                 continue;
@@ -298,6 +268,33 @@
         }
     }
 
+    /// Notes that an order for a run may have to be repeated.
+    pub(crate) fn await_answer(&mut self, task: &TaskRef, run: u32) {
+        if let Err(place) = self.unanswered.binary_search(&(*task, run)) {
+            self.unanswered.insert(place, (*task, run));
+        }
+    }
+
+    /// Returns the orders to repeat now: task, run, endpoint, and whether it is a stop.
+    fn due_orders(&mut self, now: Now) -> Vec<(TaskRef, u32, EndpointKey, bool)> {
+        let mut due = Vec::new();
+        let jobs = &mut self.jobs;
+        self.unanswered.retain(|(task, run)| {
+            let Ok(place) = jobs.search(task.job) else {
+                return false;
+            };
+            let Some(attempt) = find_attempt(jobs.quiet_mut(place), task, *run) else {
+                return false;
+            };
+            if needs_repeat(attempt, now) {
+                attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
+                due.push((*task, *run, attempt.endpoint, attempt.is_stop_stored));
+            }
+            attempt.phase == Phase::Unanswered || attempt.is_stop_stored
+        });
+        due
+    }
+
     /// Takes in that a run has ended.
     pub(crate) fn run_ended(&mut self, key: EndpointKey, ended: &EndedTask, now: Now) {
         let Ok(place) = self.search(ended.task.job) else {
@@ -434,21 +431,30 @@
         attempt.is_stopping = may_stop;
         attempt.is_stop_stored = may_stop;
         job.is_dirty |= !may_stop;
+        if may_stop {
+            self.await_answer(task, run);
+        }
         may_stop
     }
 
     /// Tells whether the endpoint of a run is leaving, so that the run ends there in any case.
     fn is_leaving(&self, task: &TaskRef, run: u32) -> bool {
-        let Ok(place) = self.search(task.job) else {
-            return false;
-        };
-        let attempts = self.jobs[place].task(task).map(|known| &known.attempts);
-        attempts.is_some_and(|attempts| {
-            attempts
-                .iter()
-                .filter(|attempt| attempt.run == run)
-                .any(|attempt| self.endpoints.get(attempt.endpoint).is_draining)
-        })
+        self.attempt(task, run)
+            .is_some_and(|attempt| self.endpoints.get(attempt.endpoint).is_draining)
+    }
+}
+
+impl Engine {
+    /// Returns a run of a task.
+    pub(crate) fn attempt(&self, task: &TaskRef, run: u32) -> Option<&Attempt> {
+        let attempts = &self.jobs.get(task.job)?.task(task)?.attempts;
+        attempts.iter().find(|attempt| attempt.run == run)
+    }
+
+    /// Returns a run of a task for a change that needs not be stored.
+    fn attempt_mut(&mut self, task: &TaskRef, run: u32) -> Option<&mut Attempt> {
+        let place = self.search(task.job).ok()?;
+        find_attempt(self.jobs.quiet_mut(place), task, run)
     }
 }
 
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -9,7 +9,6 @@
         note::PoolPlan,
         pools::{Vm, VmOrder},
         reports::VmState,
-        schedule::Timing,
     },
     compact_str::CompactString,
 };
@@ -83,6 +82,11 @@
             })
     }
 
+    /// Tells whether something waits here that only some VMs serve, or serve better.
+    pub(crate) fn has_traits(&self) -> bool {
+        !self.traits.is_empty()
+    }
+
     /// Says how much of what waits here a VM serves better than any other would.
     pub(crate) fn suits(&self, vm: &Vm) -> u64 {
         self.traits
@@ -249,10 +253,8 @@
             let load = &mut loads[place];
             let takes_starts = endpoint.takes_starts(now.steady_ms);
             load.room.used.add(&endpoint.used);
-            for placed in endpoint.placed.iter().filter(|placed| placed.lasts) {
-                load.room.used_lasting.add(&placed.room);
-            }
-            if endpoint.placed.iter().any(|placed| placed.lasts) {
+            load.room.used_lasting.add(&endpoint.used_lasting);
+            if endpoint.lasting_runs > 0 {
                 load.room.pinned += 1;
             }
             if takes_starts {
@@ -272,23 +274,17 @@
     }
 
     fn add_waiting(&self, loads: &mut [PoolLoad], vm: &Room, now: Now) {
-        for job in self.jobs.iter().filter(|job| !job.state.is_final()) {
-            let Some(place) = load_place(loads, &job.queue.pool) else {
+        for step in self.open_steps.iter() {
+            let Some(job) = self.jobs.get(step.first.job) else {
                 continue;
             };
-            let load = &mut loads[place];
-            for (at, occurrence) in job.occurrences.iter().enumerate() {
-                for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
-                    if !occurrence.is_open(spec) {
-                        continue;
-                    }
-                    let count = step.tasks.iter().filter(|task| task.is_waiting()).count();
-                    let count = u64::try_from(count).unwrap_or_default();
-                    // A long-running task is never late: every second away is lost.
-                    let is_late =
-                        count > 0 && !spec.long_running && Timing::new(job, at, now).slack_ms() < 0;
-                    load.add_step(spec, Waiting { count, is_late }, vm);
-                }
+            let place = load_place(loads, &job.queue.pool);
+            if let Some((place, spec)) = place.zip(job.step_spec(&step.first)) {
+                let waiting = Waiting {
+                    count: step.waiting,
+                    is_late: step.waiting > 0 && step.is_late(now),
+                };
+                loads[place].add_step(spec, waiting, vm);
             }
         }
     }
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -4,6 +4,7 @@
     crate::{
         event::{EndpointKey, Now},
         job::{Room, StepSpec, TaskRef},
+        places::Places,
         reports::EndpointEntry,
     },
     compact_str::CompactString,
@@ -78,13 +79,13 @@
     /// Id of this life.
     pub id: CompactString,
     /// Address for orders.
-    pub address: SocketAddr,
+    address: SocketAddr,
     /// Pool.
     pub pool: CompactString,
     /// Availability zone.
     pub zone: CompactString,
     /// VM on which it runs; empty while it is not known.
-    pub vm: CompactString,
+    vm: CompactString,
     /// Room in all.
     pub capacity: Room,
     /// Labels, the rack among them.
@@ -113,6 +114,10 @@
     pub rests_until_ms: u64,
     /// Room taken by runs that may be under way.
     pub used: Room,
+    /// Part of it that long-running tasks take.
+    pub used_lasting: Room,
+    /// Long-running tasks that may be under way.
+    pub lasting_runs: usize,
     /// Those runs.
     pub placed: Vec<Placed>,
     /// Renewals sent.
@@ -134,6 +139,8 @@
     clock: Option<ClockReading>,
     lease_until_clock_ms: u64,
     over_at_ms: Option<u64>,
+    /// Whether it was handed out to be changed since that was looked at last.
+    is_changed: bool,
 }
 
 impl Endpoint {
@@ -159,6 +166,8 @@
             failed_runs: 0,
             rests_until_ms: 0,
             used: Room::default(),
+            used_lasting: Room::default(),
+            lasting_runs: 0,
             placed: Vec::new(),
             renewals: 0,
             is_renewing: false,
@@ -171,9 +180,22 @@
             clock: None,
             lease_until_clock_ms: 0,
             over_at_ms: None,
+            is_changed: false,
         }
     }
 
+    /// Returns the address for orders.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the VM on which it runs; empty while it is not known.
+    #[must_use]
+    pub fn vm(&self) -> &CompactString {
+        &self.vm
+    }
+
     /// Creates what stands for a life that has been forgotten.
     fn gone() -> Self {
         Self {
@@ -182,9 +204,8 @@
         }
     }
 
-    /// Takes over what the registry says.
-    pub fn update(&mut self, entry: &EndpointEntry) {
-        self.address = entry.address;
+    /// Takes over what the registry says, but for where the endpoint is.
+    fn update(&mut self, entry: &EndpointEntry) {
         self.pool.clone_from(&entry.pool);
         self.zone.clone_from(&entry.zone);
         self.capacity = entry.capacity;
@@ -192,9 +213,6 @@
         self.is_draining = entry.is_draining;
         self.is_listed = true;
         self.has_entry = true;
-        if let Some(vm) = &entry.vm {
-            self.vm.clone_from(vm);
-        }
     }
 
     /// Tells whether calls go to it.
@@ -203,6 +221,16 @@
         !self.is_over && self.address.port() != 0
     }
 
+    /// Tells whether its lease is to be renewed, or its report asked for, now.
+    #[must_use]
+    pub fn is_renewal_due(&self, now: Now) -> bool {
+        let is_needed = !self.placed.is_empty()
+            || !self.strays.is_empty()
+            || self.stored_seen > self.acknowledged
+            || (!self.is_reconciled && self.is_listed);
+        is_needed && !self.is_renewing && now.steady_ms >= self.renew_at_ms && self.is_reachable()
+    }
+
     /// Tells whether something new may start there.
     #[must_use]
     pub fn takes_starts(&self, now_ms: u64) -> bool {
@@ -236,13 +264,6 @@
         self.silent_calls = 0;
     }
 
-    /// Tells whether the endpoint answered within the last `age_ms`.
-    #[must_use]
-    pub fn has_reported_since(&self, now: Now, age_ms: u64) -> bool {
-        self.clock
-            .is_some_and(|reading| now.steady_ms < reading.at_ms + age_ms)
-    }
-
     /// Grants a lease that begins now; returns its end on the endpoint's clock.
     #[must_use]
     pub fn grant(&mut self, now: Now, lease_ms: u64) -> Option<u64> {
@@ -290,6 +311,10 @@
     /// Takes room for a run.
     pub fn place(&mut self, placed: Placed) {
         self.used.add(&placed.room);
+        if placed.lasts {
+            self.used_lasting.add(&placed.room);
+            self.lasting_runs += 1;
+        }
         self.placed.push(placed);
     }
 
@@ -302,6 +327,10 @@
         if let Some(place) = place {
             let placed = self.placed.swap_remove(place);
             self.used = self.used.less(&placed.room);
+            if placed.lasts {
+                self.used_lasting = self.used_lasting.less(&placed.room);
+                self.lasting_runs -= 1;
+            }
             if self.placed.is_empty() {
                 self.empty_since_ms = now_ms;
             }
@@ -310,12 +339,19 @@
 }
 
 /// Every endpoint's life that this owner has heard of, but for those that ended long ago.
+///
+/// A life that is handed out to be changed counts as changed until that is looked at, so that what
+/// follows from a change need not be looked for among all of them.
 #[derive(Clone, Debug)]
 pub struct Endpoints {
     /// Lives sorted by key.
     lives: Vec<Endpoint>,
+    /// Their keys, in the same order: a search touches no life.
+    keys: Vec<EndpointKey>,
     /// Keys sorted by id.
     by_id: Vec<EndpointKey>,
+    places: Places,
+    changed: Vec<EndpointKey>,
     next_key: EndpointKey,
     /// Stands for every life that has been forgotten: late answers may still name one.
     gone: Endpoint,
@@ -325,7 +361,10 @@
     fn default() -> Self {
         Self {
             lives: Vec::new(),
+            keys: Vec::new(),
             by_id: Vec::new(),
+            places: Places::default(),
+            changed: Vec::new(),
             next_key: 0,
             gone: Endpoint::gone(),
         }
@@ -345,14 +384,77 @@
     /// Returns an endpoint to change; changes of a forgotten one are lost.
     pub fn get_mut(&mut self, key: EndpointKey) -> &mut Endpoint {
         if let Ok(place) = self.place(key) {
-            return &mut self.lives[place];
+            let life = &mut self.lives[place];
+            if !life.is_changed {
+                life.is_changed = true;
+                self.changed.push(key);
+            }
+            return life;
         }
         self.gone = Endpoint::gone();
         &mut self.gone
     }
 
     fn place(&self, key: EndpointKey) -> Result<usize, usize> {
-        self.lives.binary_search_by_key(&key, |life| life.key)
+        self.keys.binary_search(&key)
+    }
+
+    /// Returns the keys of lives changed since the last time.
+    pub(crate) fn take_changed(&mut self) -> Vec<EndpointKey> {
+        let changed = std::mem::take(&mut self.changed);
+        for &key in &changed {
+            if let Ok(place) = self.place(key) {
+                self.lives[place].is_changed = false;
+            }
+        }
+        changed
+    }
+
+    /// Takes over what the registry says of a life.
+    pub(crate) fn update(&mut self, key: EndpointKey, entry: &EndpointEntry) {
+        self.get_mut(key).update(entry);
+        self.set_address(key, entry.address);
+        if let Some(vm) = &entry.vm {
+            self.set_vm(key, vm);
+        }
+    }
+
+    /// Takes in at which address a life is.
+    pub(crate) fn set_address(&mut self, key: EndpointKey, address: SocketAddr) {
+        if let Ok(place) = self.place(key) {
+            let known = std::mem::replace(&mut self.lives[place].address, address);
+            self.places.change_address(key, known, address);
+        }
+    }
+
+    /// Takes in on which VM a life is.
+    pub(crate) fn set_vm(&mut self, key: EndpointKey, vm: &CompactString) {
+        if let Ok(place) = self.place(key)
+            && self.lives[place].vm != *vm
+        {
+            let known = std::mem::replace(&mut self.lives[place].vm, vm.clone());
+            self.places.change_vm(key, &known, vm);
+        }
+    }
+
+    /// Returns the latest life on a VM that is not known to be over.
+    pub(crate) fn on_vm(&self, vm: &str) -> Option<EndpointKey> {
+        let mut lives = self.places.on_vm(vm).rev();
+        lives.find(|&key| !self.get(key).is_over)
+    }
+
+    /// Returns other lives, not known to be over, at the address or on the VM of one.
+    pub(crate) fn others_in_place(&self, key: EndpointKey) -> Vec<EndpointKey> {
+        let one = self.get(key);
+        let at_address = self.places.at_address(one.address);
+        let on_vm = (!one.vm.is_empty()).then(|| self.places.on_vm(&one.vm));
+        let mut others: Vec<EndpointKey> = at_address
+            .chain(on_vm.into_iter().flatten())
+            .filter(|&other| other != key && !self.get(other).is_over)
+            .collect();
+        others.sort_unstable();
+        others.dedup();
+        others
     }
 
     /// Forgets lives that ended before a time and of which nothing is left.
@@ -368,9 +470,11 @@
         if self.lives.len() == known {
             return;
         }
-        let lives = &self.lives;
-        self.by_id
-            .retain(|key| lives.binary_search_by_key(key, |life| life.key).is_ok());
+        self.keys = self.lives.iter().map(|life| life.key).collect();
+        let keys = &self.keys;
+        let is_known = |key: EndpointKey| keys.binary_search(&key).is_ok();
+        self.by_id.retain(|&key| is_known(key));
+        self.places.retain(is_known);
     }
 
     fn search(&self, id: &str) -> Result<usize, usize> {
@@ -392,6 +496,7 @@
                 let key = self.next_key;
                 self.next_key += 1;
                 self.lives.push(Endpoint::new(key, id.clone(), now_ms));
+                self.keys.push(key);
                 self.by_id.insert(place, key);
                 key
             }
@@ -405,7 +510,7 @@
 
     /// Returns the keys of all endpoints.
     #[must_use]
-    pub fn keys(&self) -> Vec<EndpointKey> {
-        self.lives.iter().map(|life| life.key).collect()
+    pub fn keys(&self) -> &[EndpointKey] {
+        &self.keys
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -12,12 +12,16 @@
         config::{FleetConfig, Queue},
         endpoints::Endpoints,
         event::{CallerAnswer, Effect, EndpointKey, Event, Now, ReplyToken, StartOrder},
+        free_room::FreeRoom,
         job::{JobId, JobSpec, JobState, TaskRef},
+        job_table::JobTable,
         note::Note,
+        order_rate::OrderRate,
         pools::Vm,
         rests::RestingVm,
         state::{Job, Phase},
         stored::{Record, progress_drop, progress_record, spec_drop, spec_record},
+        waiting::OpenSteps,
         waves::Wave,
     },
     std::sync::Arc,
@@ -41,6 +45,8 @@
     pub maintenance_ms: u64,
     /// Time in which orders for one VM may not come from two owners, in milliseconds.
     pub vm_holder_ms: u64,
+    /// Orders for VMs that the platform takes, a second.
+    pub vm_orders_per_s: u64,
 }
 
 impl Default for EngineSettings {
@@ -51,6 +57,7 @@
             retention_ms: 150_000,
             maintenance_ms: 2_000,
             vm_holder_ms: 3_000,
+            vm_orders_per_s: 64,
         }
     }
 }
@@ -90,17 +97,25 @@
     /// Epoch of this owner.
     pub(crate) epoch: u64,
     pub(crate) config: Arc<FleetConfig>,
-    /// Jobs in progress, sorted by id; boxed, so that inserting moves little.
-    #[expect(
-        clippy::vec_box,
-        reason = "inserting in the middle moves pointers only"
-    )]
-    pub(crate) jobs: Vec<Box<Job>>,
+    pub(crate) jobs: JobTable,
+    /// Jobs that may have to be stored; some may be named twice.
+    pub(crate) unstored_jobs: Vec<JobId>,
+    /// Jobs that have occurrences to come, sorted by id.
+    pub(crate) timed_jobs: Vec<JobId>,
+    pub(crate) open_steps: OpenSteps,
     /// Jobs that have ended, sorted by id.
     pub(crate) ended: Vec<EndedJob>,
     pub(crate) endpoints: Endpoints,
+    pub(crate) free_room: FreeRoom,
+    /// Endpoints at which nothing starts until a time on the steady clock, sorted by that time.
+    pub(crate) resting_endpoints: Vec<(u64, EndpointKey)>,
+    /// Endpoints of which ends were taken into account that are not in a batch yet.
+    pub(crate) unstored_ends: Vec<EndpointKey>,
+    /// Runs whose order may have to be repeated, sorted.
+    pub(crate) unanswered: Vec<(TaskRef, u32)>,
     /// VMs sorted by name.
     pub(crate) vms: Vec<Vm>,
+    pub(crate) vm_order_rate: OrderRate,
     /// VMs for which an earlier owner ordered something lately, sorted by name.
     pub(crate) resting_vms: Vec<RestingVm>,
     /// Waves sorted by number.
@@ -129,10 +144,18 @@
             settings,
             epoch: 0,
             config: Arc::default(),
-            jobs: Vec::new(),
+            jobs: JobTable::default(),
+            unstored_jobs: Vec::new(),
+            timed_jobs: Vec::new(),
+            open_steps: OpenSteps::default(),
             ended: Vec::new(),
             endpoints: Endpoints::default(),
+            free_room: FreeRoom::default(),
+            resting_endpoints: Vec::new(),
+            unstored_ends: Vec::new(),
+            unanswered: Vec::new(),
             vms: Vec::new(),
+            vm_order_rate: OrderRate::new(settings.vm_orders_per_s),
             resting_vms: Vec::new(),
             waves: Vec::new(),
             forming: Vec::new(),
@@ -215,17 +238,27 @@
                 }
             }
             Err(_) if self.find_ended(id).is_some() => self.at_once.push(accepted),
-            Err(place) => {
+            Err(_) => {
                 self.arrivals.note(&queue.pool, &spec, now);
                 let mut job = Box::new(Job::new(id, queue, spec, now.wall_ms));
                 job.waiting.push(token);
                 job.begin_due(now.wall_ms);
-                self.jobs.insert(place, job);
+                self.add_job(job);
                 self.is_schedule_due = true;
             }
         }
     }
 
+    /// Adds a job, and notes if it has occurrences to come.
+    pub(crate) fn add_job(&mut self, job: Box<Job>) {
+        if job.has_occurrences_to_come()
+            && let Err(place) = self.timed_jobs.binary_search(&job.id)
+        {
+            self.timed_jobs.insert(place, job.id);
+        }
+        self.jobs.add(job);
+    }
+
     fn cancel(&mut self, id: JobId, token: ReplyToken, now: Now) {
         let answer = |answer| Effect::Reply { token, answer };
         if let Ok(place) = self.search(id) {
@@ -262,11 +295,13 @@
     }
 
     fn set_config(&mut self, config: Arc<FleetConfig>) {
-        for job in &mut self.jobs {
-            let queue = config.queues.iter().find(|queue| queue.is_same(&job.queue));
+        for place in 0..self.jobs.len() {
+            let known = &self.jobs[place].queue;
+            let queue = config.queues.iter().find(|queue| queue.is_same(known));
             if let Some(queue) = queue
-                && *queue != job.queue
+                && *queue != *known
             {
+                let job = &mut self.jobs[place];
                 job.queue = queue.clone();
                 // Written again with the next change, so that a later owner starts from it.
                 job.is_spec_stored = false;
@@ -278,7 +313,7 @@
     }
 
     pub(crate) fn search(&self, id: JobId) -> Result<usize, usize> {
-        self.jobs.binary_search_by_key(&id, |job| job.id)
+        self.jobs.search(id)
     }
 
     fn find_ended(&self, id: JobId) -> Option<&EndedJob> {
@@ -313,7 +348,7 @@
 
     /// Returns the jobs in progress.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.iter().map(AsRef::as_ref)
+        self.jobs.iter()
     }
 
     /// Returns the endpoints.
@@ -334,6 +369,7 @@
 
     /// Cuts a batch: places what can start, and gathers what has changed.
     pub fn cut_batch(&mut self, now: Now) -> Batch {
+        self.refresh_open_steps();
         if self.is_schedule_due {
             self.is_schedule_due = false;
             self.schedule(now);
@@ -344,7 +380,24 @@
             shown: Vec::new(),
             stored_ends: self.unacknowledged(),
         };
-        for job in &mut self.jobs {
+        self.add_dirty_jobs(&mut batch);
+        batch.records.extend(self.wave_records());
+        batch.records.extend(self.vm_records());
+        batch.effects.append(&mut self.forming);
+        batch
+    }
+
+    /// Adds the records of the jobs that differ from what is stored, and what waits for them.
+    fn add_dirty_jobs(&mut self, batch: &mut Batch) {
+        let mut ids = std::mem::take(&mut self.unstored_jobs);
+        ids.extend(self.jobs.changed());
+        ids.sort_unstable();
+        ids.dedup();
+        for id in ids {
+            let Ok(place) = self.search(id) else {
+                continue;
+            };
+            let job = self.jobs.quiet_mut(place);
             if !job.is_dirty {
                 continue;
             }
@@ -362,17 +415,13 @@
                     answer: CallerAnswer::Accepted,
                 }));
         }
-        batch.records.extend(self.wave_records());
-        batch.records.extend(self.vm_records());
-        batch.effects.append(&mut self.forming);
-        batch
     }
 
     /// Takes in that a batch is stored, and returns what it releases.
     pub fn committed(&mut self, batch: Batch, now: Now) -> Vec<Effect> {
         for (id, state) in batch.shown {
             if let Ok(place) = self.search(id) {
-                let job = &mut self.jobs[place];
+                let job = self.jobs.quiet_mut(place);
                 job.shown = Some(state);
                 if state.is_final() && !job.has_attempts() && !job.is_dirty {
                     self.forget_details(place);
@@ -401,7 +450,7 @@
     /// A start whose run was given up in the meantime was never sent, and so never will be.
     fn release_start(&mut self, mut order: StartOrder, now: Now) -> Option<Effect> {
         let place = self.search(order.task.job).ok()?;
-        let task = self.jobs[place].task_mut(&order.task)?;
+        let task = self.jobs.quiet_mut(place).task_mut(&order.task)?;
         let attempt = task
             .attempts
             .iter_mut()
@@ -434,22 +483,30 @@
         self.begin_occurrences(now);
         self.expire_leases(now);
         self.repeat_orders(now);
-        self.stop_stuck_runs(now);
         self.renew_leases(now);
         self.forget_old(now);
         self.endpoints
             .forget_over(now.steady_ms.saturating_sub(FORGET_LIFE_MS));
         self.forget_advice();
+        self.vm_order_rate.refill(now);
         self.plan_waves(now);
+        self.refresh_open_steps();
         self.plan_pools(now);
         // Rests and delays end without an event of their own.
         self.is_schedule_due = true;
     }
 
     fn begin_occurrences(&mut self, now: Now) {
-        for job in &mut self.jobs {
-            if !job.state.is_final() {
-                job.begin_due(now.wall_ms);
+        for at in (0..self.timed_jobs.len()).rev() {
+            let Ok(place) = self.search(self.timed_jobs[at]) else {
+                self.timed_jobs.remove(at);
+                continue;
+            };
+            let known = &self.jobs[place];
+            if known.state.is_final() || !known.has_occurrences_to_come() {
+                self.timed_jobs.remove(at);
+            } else if known.is_next_due(now.wall_ms) {
+                self.jobs[place].begin_due(now.wall_ms);
             }
         }
     }
@@ -467,11 +524,12 @@
     }
 
     /// Returns the ends taken into account since the last batch.
-    fn unacknowledged(&self) -> Vec<(EndpointKey, u64)> {
-        self.endpoints
-            .iter()
-            .filter(|(_, endpoint)| endpoint.seen > endpoint.stored_seen)
-            .map(|(key, endpoint)| (key, endpoint.seen))
+    fn unacknowledged(&mut self) -> Vec<(EndpointKey, u64)> {
+        let mut keys = std::mem::take(&mut self.unstored_ends);
+        keys.sort_unstable();
+        keys.dedup();
+        keys.into_iter()
+            .map(|key| (key, self.endpoints.get(key).seen))
             .collect()
     }
 }
--- /dev/null
+++ b/crates/engine/src/free_room.rs
@@ -0,0 +1,127 @@
+//! Free room of the endpoints that take starts, by pool, the fullest first.
+
+use {crate::event::EndpointKey, compact_str::CompactString};
+
+/// Number of a pool; it stays the same for as long as the index lives.
+pub(crate) type PoolNumber = usize;
+
+/// Processor that is free at an endpoint, in thousandths of a core, and the endpoint.
+pub(crate) type FreeSlot = (u64, EndpointKey);
+
+#[derive(Clone, Debug)]
+struct PoolRoom {
+    name: CompactString,
+    /// Sorted.
+    slots: Vec<FreeSlot>,
+}
+
+/// What the index says of an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Indexed {
+    key: EndpointKey,
+    pool: PoolNumber,
+    free_cpu_millis: u64,
+}
+
+/// Endpoints that take starts, by pool and by the processor that is free there.
+///
+/// The fullest endpoint that still holds a task is found without looking at those that are fuller,
+/// nor, for a task without further needs, at those that are emptier.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FreeRoom {
+    pools: Vec<PoolRoom>,
+    /// Sorted by key.
+    indexed: Vec<Indexed>,
+}
+
+impl FreeRoom {
+    /// Returns the number of a pool.
+    pub(crate) fn pool_number(&mut self, name: &CompactString) -> PoolNumber {
+        let known = self.pools.iter().position(|pool| pool.name == *name);
+        known.unwrap_or_else(|| {
+            self.pools.push(PoolRoom {
+                name: name.clone(),
+                slots: Vec::new(),
+            });
+            self.pools.len() - 1
+        })
+    }
+
+    fn search(&self, key: EndpointKey) -> Result<usize, usize> {
+        self.indexed.binary_search_by_key(&key, |entry| entry.key)
+    }
+
+    /// Takes in that an endpoint takes starts, and how much processor is free there.
+    pub(crate) fn set(&mut self, key: EndpointKey, pool: &CompactString, free_cpu_millis: u64) {
+        match self.search(key) {
+            Ok(place) => {
+                let entry = self.indexed[place];
+                let pool = if self.pools[entry.pool].name == *pool {
+                    entry.pool
+                } else {
+                    self.pool_number(pool)
+                };
+                if (entry.pool, entry.free_cpu_millis) == (pool, free_cpu_millis) {
+                    return;
+                }
+                self.take_slot(entry);
+                self.indexed[place].pool = pool;
+                self.indexed[place].free_cpu_millis = free_cpu_millis;
+                self.add_slot(pool, (free_cpu_millis, key));
+            }
+            Err(place) => {
+                let pool = self.pool_number(pool);
+                let entry = Indexed {
+                    key,
+                    pool,
+                    free_cpu_millis,
+                };
+                self.indexed.insert(place, entry);
+                self.add_slot(pool, (free_cpu_millis, key));
+            }
+        }
+    }
+
+    /// Takes in that an endpoint takes no starts.
+    pub(crate) fn remove(&mut self, key: EndpointKey) {
+        if let Ok(place) = self.search(key) {
+            let entry = self.indexed.remove(place);
+            self.take_slot(entry);
+        }
+    }
+
+    fn add_slot(&mut self, pool: PoolNumber, slot: FreeSlot) {
+        let slots = &mut self.pools[pool].slots;
+        if let Err(place) = slots.binary_search(&slot) {
+            slots.insert(place, slot);
+        }
+    }
+
+    fn take_slot(&mut self, entry: Indexed) {
+        let slots = &mut self.pools[entry.pool].slots;
+        if let Ok(place) = slots.binary_search(&(entry.free_cpu_millis, entry.key)) {
+            slots.remove(place);
+        }
+    }
+
+    /// Returns the endpoints of a pool with so much processor free or more, the fullest first.
+    pub(crate) fn with(&self, pool: PoolNumber, cpu_millis: u64) -> &[FreeSlot] {
+        let slots = &self.pools[pool].slots;
+        let begin = slots.partition_point(|(free, _)| *free < cpu_millis);
+        &slots[begin..]
+    }
+
+    /// Tells whether some endpoint of a pool has so much processor free.
+    pub(crate) fn has(&self, pool: PoolNumber, cpu_millis: u64) -> bool {
+        let slots = &self.pools[pool].slots;
+        slots.last().is_some_and(|(free, _)| *free >= cpu_millis)
+    }
+
+    /// Returns the endpoints of a pool, sorted.
+    pub(crate) fn members(&self, pool: PoolNumber) -> Vec<EndpointKey> {
+        let slots = &self.pools[pool].slots;
+        let mut keys: Vec<EndpointKey> = slots.iter().map(|(_, key)| *key).collect();
+        keys.sort_unstable();
+        keys
+    }
+}
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -1,7 +1,6 @@
 //! Endpoints' lives and leases: who is listed, what each reports, when a lease is over.
 
 use crate::{
-    attempts::find_attempt,
     endpoints::{Placed, SUSPECT_AFTER},
     engine::Engine,
     event::{CallOutcome, Effect, EndpointKey, Now},
@@ -47,16 +46,17 @@
 impl Engine {
     pub(crate) fn endpoint_listed(&mut self, entry: &EndpointEntry, is_fresh: bool, now: Now) {
         let key = self.endpoints.find_or_add(&entry.id, now.steady_ms);
-        let endpoint = self.endpoints.get_mut(key);
-        if endpoint.is_over {
+        if self.endpoints.get(key).is_over {
             return;
         }
+        let endpoint = self.endpoints.get_mut(key);
         if is_fresh && !endpoint.has_entry {
             self.fresh_entries += 1;
             endpoint.entry_order = self.fresh_entries;
         }
         let began_draining = entry.is_draining && !endpoint.is_draining;
-        endpoint.update(entry);
+        self.endpoints.update(key, entry);
+        let endpoint = self.endpoints.get_mut(key);
         if !endpoint.is_reconciled && !endpoint.is_renewing {
             endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
         }
@@ -75,24 +75,11 @@
     /// seconds late, when its life is over. Taking the later entry for the later life ended sound
     /// ones, and their runs were started a second time elsewhere.
     fn end_others_at(&mut self, key: EndpointKey, now: Now) {
-        for other in self.others_in_place(key) {
+        for other in self.endpoints.others_in_place(key) {
             self.endpoint_over(other, now);
         }
     }
 
-    /// Returns other lives, not known to be over, at the address or on the VM of one.
-    fn others_in_place(&self, key: EndpointKey) -> Vec<EndpointKey> {
-        let one = self.endpoints.get(key);
-        self.endpoints
-            .iter()
-            .filter(|&(other, endpoint)| {
-                let is_same_vm = !one.vm.is_empty() && endpoint.vm == one.vm;
-                other != key && !endpoint.is_over && (endpoint.address == one.address || is_same_vm)
-            })
-            .map(|(other, _)| other)
-            .collect()
-    }
-
     /// Stops the long-running tasks of an endpoint that is leaving, so that they go on elsewhere.
     fn leave_draining(&mut self, key: EndpointKey, now: Now) {
         let lasting: Vec<(TaskRef, u32)> = self
@@ -124,7 +111,7 @@
         if !endpoint.is_over {
             self.notes.push(Note::EndpointOver {
                 endpoint: endpoint.id.clone(),
-                vm: endpoint.vm.clone(),
+                vm: endpoint.vm().clone(),
                 runs: endpoint.placed.len(),
             });
         }
@@ -175,22 +162,24 @@
 
     /// Sends the renewals that are due.
     pub(crate) fn renew_leases(&mut self, now: Now) {
-        for key in self.endpoints.keys() {
+        for key in self.due_renewals(now) {
             self.renew_lease(key, now);
         }
     }
 
+    fn due_renewals(&self, now: Now) -> Vec<EndpointKey> {
+        let due = self.endpoints.iter();
+        due.filter(|(_, endpoint)| endpoint.is_renewal_due(now))
+            .map(|(key, _)| key)
+            .collect()
+    }
+
     /// Sends an endpoint's renewal if it is due.
     pub(crate) fn renew_lease(&mut self, key: EndpointKey, now: Now) {
-        let endpoint = self.endpoints.get_mut(key);
-        let is_needed = !endpoint.placed.is_empty()
-            || !endpoint.strays.is_empty()
-            || endpoint.stored_seen > endpoint.acknowledged
-            || (!endpoint.is_reconciled && endpoint.is_listed);
-        let is_due = now.steady_ms >= endpoint.renew_at_ms;
-        if !endpoint.is_reachable() || endpoint.is_renewing || !is_needed || !is_due {
+        if !self.endpoints.get(key).is_renewal_due(now) {
             return;
         }
+        let endpoint = self.endpoints.get_mut(key);
         endpoint.is_renewing = true;
         endpoint.renewals += 1;
         let is_trusted = endpoint.silent_calls < SUSPECT_AFTER && endpoint.is_reconciled;
@@ -203,7 +192,7 @@
             0
         } else if has_mixed_load(&endpoint.placed) {
             TAIL_WAIT_MS
-        } else if endpoint.placed.iter().any(|placed| !placed.lasts) {
+        } else if endpoint.placed.len() > endpoint.lasting_runs {
             BUSY_WAIT_MS
         } else {
             RENEW_WAIT_MS
@@ -265,13 +254,15 @@
         if let Some(last) = report.ended.last() {
             let endpoint = self.endpoints.get_mut(key);
             endpoint.seen = endpoint.seen.max(last.number);
+            self.unstored_ends.push(key);
         }
         for running in &report.running {
-            self.take_running(key, running, now);
+            self.take_running(key, running, report.clock_ms, now);
         }
         if !report.is_partial {
             self.drop_missing(key, report, renewal, now);
         }
+        self.stop_stuck_runs(key, report.clock_ms, now);
         self.adjust_pace(key);
         let endpoint = self.endpoints.get_mut(key);
         let pause_ms = if !report.ended.is_empty() {
@@ -285,41 +276,14 @@
         self.is_schedule_due = true;
     }
 
-    fn take_running(&mut self, key: EndpointKey, running: &RunningTask, now: Now) {
+    fn take_running(&mut self, key: EndpointKey, running: &RunningTask, clock_ms: u64, now: Now) {
         let RunningTask { task, run, .. } = running;
-        let is_ours = self.search(task.job).is_ok_and(|place| {
-            find_attempt(&mut self.jobs[place], task, *run)
-                .is_some_and(|attempt| attempt.endpoint == key)
-        });
-        if !is_ours {
+        let Some(is_new) = self.note_progress(key, running, clock_ms) else {
             self.stop_stray(key, task, *run, now);
             return;
-        }
-        self.confirm_running(key, running, now);
-    }
-
-    fn confirm_running(&mut self, key: EndpointKey, running: &RunningTask, now: Now) {
-        let Ok(place) = self.search(running.task.job) else {
-            return;
-        };
-        let is_new = {
-            let job = &mut self.jobs[place];
-            if let Some(task) = job.task_mut(&running.task)
-                && !running.checkpoint.is_empty()
-            {
-                task.checkpoint.clone_from(&running.checkpoint);
-            }
-            let Some(attempt) = find_attempt(job, &running.task, running.run) else {
-                return;
-            };
-            if attempt.percent != running.percent || attempt.phase != Phase::Confirmed {
-                attempt.progress_ms = now.steady_ms;
-            }
-            attempt.percent = running.percent;
-            attempt.phase != Phase::Confirmed
         };
         if is_new {
-            self.confirm(key, &running.task, running.run, now);
+            self.confirm(key, task, *run, now);
         }
         let endpoint = self.endpoints.get_mut(key);
         let placed = endpoint
@@ -331,6 +295,31 @@
         }
     }
 
+    /// Takes in how far a run is; tells whether it was not known to be there, or nothing for a run that
+    /// was not placed there.
+    fn note_progress(
+        &mut self,
+        key: EndpointKey,
+        running: &RunningTask,
+        clock_ms: u64,
+    ) -> Option<bool> {
+        let place = self.search(running.task.job).ok()?;
+        let task = self.jobs.quiet_mut(place).task_mut(&running.task)?;
+        let attempt = task
+            .attempts
+            .iter_mut()
+            .find(|attempt| attempt.run == running.run && attempt.endpoint == key)?;
+        if !running.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&running.checkpoint);
+        }
+        let is_new = attempt.phase != Phase::Confirmed;
+        if is_new || attempt.percent != running.percent || attempt.progress_clock_ms.is_none() {
+            attempt.progress_clock_ms = Some(clock_ms);
+        }
+        attempt.percent = running.percent;
+        Some(is_new)
+    }
+
     /// Stops a run that nobody here ordered, such as one of a cancelled job that began late.
     fn stop_stray(&mut self, key: EndpointKey, task: &TaskRef, run: u32, now: Now) {
         let endpoint = self.endpoints.get_mut(key);
@@ -370,14 +359,11 @@
             .map(|placed| (placed.task, placed.run))
             .collect();
         for (task, run) in unlisted {
-            let is_over = self.search(task.job).is_ok_and(|place| {
-                find_attempt(&mut self.jobs[place], &task, run).is_some_and(|attempt| match attempt
-                    .phase
-                {
-                    Phase::Inherited => true,
-                    Phase::Confirmed => renewal > attempt.confirmed_at_renewal,
-                    Phase::Placed | Phase::Ordered | Phase::Unanswered => false,
-                })
+            let attempt = self.attempt(&task, run);
+            let is_over = attempt.is_some_and(|attempt| match attempt.phase {
+                Phase::Inherited => true,
+                Phase::Confirmed => renewal > attempt.confirmed_at_renewal,
+                Phase::Placed | Phase::Ordered | Phase::Unanswered => false,
             });
             if is_over {
                 self.remove_attempt(&task, run, RunEnd::Missing, now);
@@ -387,7 +373,8 @@
 
     /// Takes room for the runs of an earlier owner, and says when they are over at the latest.
     pub(crate) fn charge_inherited(&mut self, now: Now) {
-        for job in &self.jobs {
+        let mut unanswered = Vec::new();
+        for job in self.jobs.iter() {
             for (name, task) in job.tasks() {
                 let Some(spec) = job.step_spec(&name) else {
                     continue;
@@ -395,12 +382,17 @@
                 for attempt in &task.attempts {
                     let placed = Placed::new(name, attempt.run, spec);
                     self.endpoints.get_mut(attempt.endpoint).place(placed);
+                    if attempt.is_stop_stored {
+                        unanswered.push((name, attempt.run));
+                    }
                 }
             }
         }
+        unanswered.sort_unstable();
+        self.unanswered = unanswered;
         let lease_ms = self.settings.lease_ms * SLOW_CLOCK_PERCENT / 100;
         let bound_ms = now.steady_ms + lease_ms + DEPOSED_MS;
-        for key in self.endpoints.keys() {
+        for key in self.endpoints.keys().to_vec() {
             self.endpoints.get_mut(key).bound_unknown_leases(bound_ms);
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -32,18 +32,25 @@
 mod endpoints;
 mod engine;
 mod event;
+mod free_room;
 mod job;
+mod job_table;
 mod leases;
 mod note;
+mod order_rate;
 mod pacing;
+mod places;
 mod pools;
 mod reports;
 mod restore;
 mod rests;
 mod schedule;
+mod spares;
 mod state;
 mod stored;
 mod stragglers;
+mod timing;
+mod waiting;
 mod waves;
 
 pub use {
--- /dev/null
+++ b/crates/engine/src/places.rs
@@ -0,0 +1,68 @@
+//! Where lives of endpoints are: which share a VM or an address.
+
+use {crate::event::EndpointKey, compact_str::CompactString, std::net::SocketAddr};
+
+/// Lives by VM and by address, each sorted; a life that is over stays until it is forgotten.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Places {
+    by_vm: Vec<(CompactString, EndpointKey)>,
+    by_address: Vec<(SocketAddr, EndpointKey)>,
+}
+
+impl Places {
+    /// Takes in that a life is on another VM than before; an empty name stands for none.
+    pub(crate) fn change_vm(&mut self, key: EndpointKey, from: &str, to: &CompactString) {
+        if let Ok(place) = self.vm_place(from, key) {
+            self.by_vm.remove(place);
+        }
+        if !to.is_empty()
+            && let Err(place) = self.vm_place(to, key)
+        {
+            self.by_vm.insert(place, (to.clone(), key));
+        }
+    }
+
+    /// Takes in that a life is at another address than before.
+    pub(crate) fn change_address(&mut self, key: EndpointKey, from: SocketAddr, to: SocketAddr) {
+        if let Ok(place) = self.by_address.binary_search(&(from, key)) {
+            self.by_address.remove(place);
+        }
+        if let Err(place) = self.by_address.binary_search(&(to, key)) {
+            self.by_address.insert(place, (to, key));
+        }
+    }
+
+    fn vm_place(&self, vm: &str, key: EndpointKey) -> Result<usize, usize> {
+        self.by_vm
+            .binary_search_by(|(known, other)| (known.as_str(), *other).cmp(&(vm, key)))
+    }
+
+    /// Returns the lives on a VM, the latest last.
+    pub(crate) fn on_vm(&self, vm: &str) -> impl DoubleEndedIterator<Item = EndpointKey> {
+        let begin = self.by_vm.partition_point(|(known, _)| known.as_str() < vm);
+        let length = self.by_vm[begin..].partition_point(|(known, _)| known.as_str() == vm);
+        self.by_vm[begin..begin + length]
+            .iter()
+            .map(|(_, key)| *key)
+    }
+
+    /// Returns the lives at an address, the latest last.
+    pub(crate) fn at_address(
+        &self,
+        address: SocketAddr,
+    ) -> impl DoubleEndedIterator<Item = EndpointKey> {
+        let begin = self
+            .by_address
+            .partition_point(|(known, _)| *known < address);
+        let length = self.by_address[begin..].partition_point(|(known, _)| *known == address);
+        self.by_address[begin..begin + length]
+            .iter()
+            .map(|(_, key)| *key)
+    }
+
+    /// Forgets lives.
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(EndpointKey) -> bool) {
+        self.by_vm.retain(|(_, key)| is_kept(*key));
+        self.by_address.retain(|(_, key)| is_kept(*key));
+    }
+}
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -8,10 +8,10 @@
         event::{Effect, EndpointKey, Now, VmOutcome},
         note::Note,
         reports::{VmEntry, VmState},
+        spares::Spares,
         stored::{Record, StoredVm, vm_record},
     },
     compact_str::CompactString,
-    std::cmp::Reverse,
 };
 
 /// Time that a VM has to be empty before it is switched off, in milliseconds. Two moves cost about as
@@ -52,6 +52,10 @@
     pub ordered_endpoint: Option<EndpointKey>,
     /// When that order was given, on the steady clock.
     pub ordered_ms: u64,
+    /// Whether a call for that order is under way.
+    is_asked: bool,
+    /// Whether a call for that order got no answer, so that it may be carried out yet.
+    may_be_done: bool,
     /// Until when nothing is ordered for it, on the steady clock.
     pub rests_until_ms: u64,
     /// Whether an order for it is still to be stored.
@@ -70,13 +74,18 @@
 
     /// Takes in the platform's list of VMs.
     pub(crate) fn vms_listed(&mut self, entries: Vec<VmEntry>, now: Now) {
-        let is_gone = |vm: &Vm| !entries.iter().any(|entry| entry.name == vm.entry.name);
-        self.vms.retain(|vm| !is_gone(vm));
+        let mut entries = entries;
+        entries.sort_unstable_by(|one, other| one.name.cmp(&other.name));
+        let is_listed = |vm: &Vm| {
+            let place = entries.binary_search_by(|entry| entry.name.cmp(&vm.entry.name));
+            place.is_ok()
+        };
+        self.vms.retain(is_listed);
         for entry in entries {
             if !entry.endpoint.is_empty()
                 && let Some(key) = self.endpoints.find(&entry.endpoint)
             {
-                self.endpoints.get_mut(key).vm.clone_from(&entry.name);
+                self.endpoints.set_vm(key, &entry.name);
             }
             match self.vm_place(&entry.name) {
                 Ok(place) => self.vms[place].refresh(entry, now),
@@ -87,6 +96,8 @@
                         entry,
                         order: None,
                         ordered_endpoint: None,
+                        is_asked: false,
+                        may_be_done: false,
                         ordered_ms: 0,
                         maintained_until_ms: 0,
                         is_dirty: false,
@@ -105,11 +116,12 @@
             .iter()
             .filter(|(_, endpoint)| {
                 !endpoint.is_over
-                    && !endpoint.vm.is_empty()
-                    && self.vm_place(&endpoint.vm).is_ok_and(|place| {
+                    && !endpoint.vm().is_empty()
+                    && self.vm_place(endpoint.vm()).is_ok_and(|place| {
                         let current = &self.vms[place].entry.endpoint;
+                        let other = (*current != endpoint.id).then(|| self.endpoints.find(current));
                         // A list may be older than the registry: only a later life counts.
-                        self.endpoints.find(current).is_some_and(|other| {
+                        other.flatten().is_some_and(|other| {
                             let other = self.endpoints.get(other);
                             other.is_reconciled && other.entry_order > endpoint.entry_order
                         })
@@ -123,11 +135,7 @@
     }
 
     pub(crate) fn endpoint_of_vm(&self, name: &str) -> Option<EndpointKey> {
-        self.endpoints
-            .iter()
-            .filter(|(_, endpoint)| endpoint.vm == name && !endpoint.is_over)
-            .map(|(key, _)| key)
-            .last()
+        self.endpoints.on_vm(name)
     }
 
     /// Takes in the answer to an order for a VM.
@@ -135,6 +143,7 @@
         let Ok(place) = self.vm_place(name) else {
             return;
         };
+        self.vms[place].is_asked = false;
         let Some(order) = self.vms[place].order.clone() else {
             return;
         };
@@ -153,6 +162,11 @@
                     self.endpoint_over(key, now);
                 }
             }
+            // An earlier call of the order may be carried out yet, or has been: given back now, the VM
+            // would take work that ends with it. The order is repeated until its outcome is known.
+            VmOutcome::Busy | VmOutcome::Refused if self.vms[place].may_be_done => {
+                self.vms[place].ordered_ms = now.steady_ms;
+            }
             VmOutcome::Busy | VmOutcome::Refused => {
                 let vm = &mut self.vms[place];
                 vm.order = None;
@@ -165,7 +179,7 @@
                 }
             }
             // Repeated later: both orders do nothing when they were carried out before.
-            VmOutcome::Unknown => {}
+            VmOutcome::Unknown => self.vms[place].may_be_done = true,
         }
     }
 
@@ -176,7 +190,10 @@
         let vm = &mut self.vms[place];
         if vm.order.as_ref() != Some(&order) {
             vm.ordered_endpoint = current;
+            vm.may_be_done = false;
         }
+        vm.is_asked = true;
+        self.vm_order_rate.note_order();
         vm.ordered_ms = now.steady_ms;
         let effect = match &order {
             VmOrder::Move(pool) => Effect::Move {
@@ -215,7 +232,9 @@
     fn repeat_vm_orders(&mut self, now: Now) {
         for place in 0..self.vms.len() {
             let vm = &self.vms[place];
-            let is_due = now.steady_ms >= vm.ordered_ms + VM_ORDER_RETRY_MS;
+            let is_due = !vm.is_asked
+                && now.steady_ms >= vm.ordered_ms + VM_ORDER_RETRY_MS
+                && self.vm_order_rate.allows_order();
             if let Some(order) = vm.order.clone()
                 && is_due
             {
@@ -231,22 +250,25 @@
         }
         self.repeat_vm_orders(now);
         let mut loads = self.pool_loads(now);
-        let idle = self.idle_endpoints(now);
-        self.fetch_needed(&mut loads, &idle, now);
+        let idle = self.idle_vms(now);
+        let mut spares = self.spares(&loads, &idle, now);
+        self.fetch_needed(&mut loads, &mut spares, now);
         // What is late already takes no VM from what can still be on time.
         for load in &mut loads {
             load.count_late();
         }
-        self.fetch_needed(&mut loads, &idle, now);
+        self.fetch_needed(&mut loads, &mut spares, now);
         self.switch_off_idle(&mut loads, &idle, now);
         self.note_plans(&loads, now);
     }
 
     /// Moves VMs to where work waits, as long as there are some.
-    fn fetch_needed(&mut self, loads: &mut [PoolLoad], idle: &[Option<EndpointKey>], now: Now) {
+    fn fetch_needed(&mut self, loads: &mut [PoolLoad], spares: &mut Spares, now: Now) {
         let mut passed_over: Vec<(usize, Trait)> = Vec::new();
-        while let Some(need) = neediest(loads, &passed_over) {
-            let Some(vm) = self.spare_vm(loads, &need, idle, now) else {
+        while self.vm_order_rate.allows_order()
+            && let Some(need) = neediest(loads, &passed_over)
+        {
+            let Some(vm) = self.take_spare(loads, &need, spares) else {
                 // Nobody has what this pool asks for; others may still be helped.
                 let Some(required) = need.required else {
                     break;
@@ -281,67 +303,62 @@
         }
     }
 
-    /// Returns a VM that can leave its pool for a needier one: from standby first, then an empty
-    /// one of a pool that has more than it wants; among these the one that suits the work best.
-    fn spare_vm(
-        &self,
-        loads: &[PoolLoad],
-        need: &Need,
-        idle: &[Option<EndpointKey>],
-        now: Now,
-    ) -> Option<usize> {
-        let load = &loads[need.place];
-        let is_standby = |vm: &Vm| {
-            load_place(loads, &vm.entry.pool).is_some_and(|place| loads[place].is_standby)
+    /// Returns the VMs that are free to be ordered elsewhere.
+    fn spares(&self, loads: &[PoolLoad], idle: &[(usize, EndpointKey)], now: Now) -> Spares {
+        let is_free = |place: &usize| {
+            let vm = &self.vms[*place];
+            vm.is_free(now) && !self.awaits_maintenance(&vm.entry.name)
         };
-        let is_free = |vm: &Vm| {
-            vm.order.is_none()
-                && vm.entry.state == VmState::Up
-                && now.steady_ms >= vm.rests_until_ms
-                && vm.entry.pool != load.name
-                && need.is_met_by(vm)
-                && !self.awaits_maintenance(&vm.entry.name)
+        let is_standby = |place: &usize| {
+            let pool = load_place(loads, &self.vms[*place].entry.pool);
+            pool.is_some_and(|pool| loads[pool].is_standby)
         };
-        let best = |may_go: &dyn Fn(usize) -> bool| {
-            let places =
-                (0..self.vms.len()).filter(|&place| may_go(place) && is_free(&self.vms[place]));
-            // The first of those that suit alike.
-            places.min_by_key(|&place| Reverse(load.suits(&self.vms[place])))
+        let standby = (0..self.vms.len()).filter(is_standby).filter(is_free);
+        let idle = idle.iter().map(|(place, _)| *place);
+        Spares {
+            standby: standby.collect(),
+            idle: idle.filter(is_free).collect(),
+        }
+    }
+
+    /// Takes the VM that suits a needy pool's work best.
+    fn take_spare(&self, loads: &[PoolLoad], need: &Need, spares: &mut Spares) -> Option<usize> {
+        let load = &loads[need.place];
+        let is_of_use = |place: usize| {
+            let vm = &self.vms[place];
+            vm.entry.pool != load.name && need.is_met_by(vm)
         };
-        best(&|place| is_standby(&self.vms[place]))
-            .or_else(|| best(&|place| idle[place].is_some() && can_leave(loads, &self.vms[place])))
+        let suits = |place: usize| load.suits(&self.vms[place]);
+        let suits: Option<&dyn Fn(usize) -> u64> = load.has_traits().then_some(&suits);
+        spares.take(is_of_use, suits, |place| can_leave(loads, &self.vms[place]))
     }
 
-    /// Returns for each VM the endpoint on it, if that is there and runs nothing.
-    fn idle_endpoints(&self, now: Now) -> Vec<Option<EndpointKey>> {
-        let mut found = vec![None; self.vms.len()];
-        for (key, endpoint) in self.endpoints.iter() {
-            if endpoint.is_over {
-                continue;
-            }
-            if let Ok(place) = self.vm_place(&endpoint.vm) {
-                // The last life on a VM counts.
-                let is_idle = endpoint.placed.is_empty() && endpoint.takes_starts(now.steady_ms);
-                found[place] = is_idle.then_some(key);
-            }
-        }
-        found
+    /// Returns the VMs whose endpoint takes starts and runs nothing, in order, with that endpoint.
+    fn idle_vms(&self, now: Now) -> Vec<(usize, EndpointKey)> {
+        let mut idle: Vec<(usize, EndpointKey)> = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| {
+                endpoint.placed.is_empty() && endpoint.takes_starts(now.steady_ms)
+            })
+            // The last life on a VM counts.
+            .filter(|(key, endpoint)| self.endpoints.on_vm(endpoint.vm()) == Some(*key))
+            .filter_map(|(key, endpoint)| Some((self.vm_place(endpoint.vm()).ok()?, key)))
+            .collect();
+        idle.sort_unstable();
+        idle
     }
 
-    fn switch_off_idle(&mut self, loads: &mut [PoolLoad], idle: &[Option<EndpointKey>], now: Now) {
+    fn switch_off_idle(&mut self, loads: &mut [PoolLoad], idle: &[(usize, EndpointKey)], now: Now) {
         let Some(standby) = loads.iter().find(|load| load.is_standby) else {
             return;
         };
         let standby = standby.name.clone();
-        for (place, key) in idle.iter().enumerate() {
+        for &(place, key) in idle {
             let vm = &self.vms[place];
-            let is_candidate = vm.order.is_none()
-                && vm.entry.state == VmState::Up
-                && vm.entry.pool != standby
-                && now.steady_ms >= vm.rests_until_ms;
-            let Some(key) = key.filter(|_| is_candidate) else {
+            if !vm.is_free(now) || vm.entry.pool == standby || !self.vm_order_rate.allows_order() {
                 continue;
-            };
+            }
             let has_idled = now.steady_ms >= self.endpoints.get(key).empty_since_ms + IDLE_MS;
             if has_idled && can_leave(loads, vm) {
                 self.note_departure(loads, place);
@@ -374,6 +391,16 @@
         }
     }
 
+    /// Tells whether something may be ordered for the VM.
+    ///
+    /// While a call is under way, its answer would be taken for that to another order.
+    pub(crate) fn is_free(&self, now: Now) -> bool {
+        self.order.is_none()
+            && !self.is_asked
+            && self.entry.state == VmState::Up
+            && now.steady_ms >= self.rests_until_ms
+    }
+
     /// Tells whether the VM is down for maintenance, or may be.
     pub fn is_in_maintenance(&self) -> bool {
         self.entry.state == VmState::Maintenance
--- a/crates/engine/src/restore.rs
+++ b/crates/engine/src/restore.rs
@@ -43,7 +43,6 @@
                 unread.push(record.key.as_str());
             }
         }
-        self.jobs.sort_unstable_by_key(|job| job.id);
         self.ended.sort_unstable_by_key(|job| job.id);
         self.charge_inherited(now);
         self.is_schedule_due = true;
@@ -76,12 +75,12 @@
         let mut job = restore_job(id, spec, progress, |name, address| {
             let key = endpoints.find_or_add(name, now.steady_ms);
             // It is asked there even when its entry has lapsed.
-            endpoints.get_mut(key).address = address;
+            endpoints.set_address(key, address);
             key
         });
         // When it ended by an earlier owner's clock means nothing here: it is kept from now on.
         job.ended_ms = now.steady_ms;
-        self.jobs.push(Box::new(job));
+        self.add_job(Box::new(job));
         true
     }
 }
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -2,44 +2,19 @@
 
 use {
     crate::{
+        attempts::start_order,
         endpoints::{Endpoint, Endpoints, Placed},
         engine::Engine,
         event::{Effect, EndpointKey, Now},
+        free_room::FreeSlot,
         job::{Room, StepSpec, TaskRef},
         state::{Attempt, Job},
+        waiting::OpenStep,
     },
     compact_str::CompactString,
 };
 
-/// Multiple of its objective after which a job earns nothing more by being early.
-const LATE_FACTOR: f64 = 3.0;
-
-/// Rank of what waits for a start; the lowest starts first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Urgency {
-    /// Long-running: every second away is lost.
-    Lasting,
-    /// Can still be on time.
-    OnTime,
-    /// Can still be of some use.
-    Late,
-    /// Too late to be of more use sooner.
-    TooLate,
-}
-
-/// A step with tasks that wait.
-#[derive(Clone, Copy, Debug)]
-struct Candidate {
-    urgency: Urgency,
-    priority: u32,
-    /// Time that may pass until it has to start, in milliseconds; negative when it is over.
-    slack_ms: i64,
-    job: usize,
-    occurrence: usize,
-    step: usize,
-}
-
-/// An endpoint with the room that is left while a step is placed.
+/// An endpoint with the room that is left while a gang is placed.
 #[derive(Clone, Debug)]
 struct Slot {
     key: EndpointKey,
@@ -47,241 +22,241 @@
     siblings: u16,
 }
 
-/// Endpoints of a pool that take starts.
-#[derive(Debug)]
-struct Members {
-    pool: CompactString,
-    keys: Vec<EndpointKey>,
-}
+/// How badly an endpoint suits a task; the lowest is taken, and among alike ones the fullest.
+///
+/// Tight packing comes last: it leaves whole VMs empty, which can then be moved or switched off.
+type Misfit = (bool, bool, usize);
+
+/// Misfit of an endpoint with nothing against it.
+const NO_MISFIT: Misfit = (false, false, 0);
 
 impl Engine {
     /// Starts what can start, the most urgent first.
     pub(crate) fn schedule(&mut self, now: Now) {
-        let members = self.members(now);
-        let mut candidates = self.candidates(now);
-        candidates.sort_unstable_by_key(|candidate| {
-            let Candidate {
-                urgency,
-                priority,
-                slack_ms,
-                ..
-            } = *candidate;
-            (urgency, priority, slack_ms)
-        });
-        for candidate in candidates {
-            let pool = &self.jobs[candidate.job].queue.pool;
-            let place = members.binary_search_by(|known| known.pool.cmp(pool));
-            if let Ok(place) = place {
-                self.place_step(&candidate, &members[place].keys, now);
+        self.refresh_free_room(now);
+        self.open_steps.sort(now);
+        let steps: Vec<OpenStep> = self
+            .open_steps
+            .iter()
+            .take_while(|step| step.waiting > 0)
+            .filter(|step| self.free_room.has(step.pool, step.room.cpu_millis))
+            .cloned()
+            .collect();
+        for step in steps {
+            if self.free_room.has(step.pool, step.room.cpu_millis) {
+                self.place_step(&step, now);
             }
         }
     }
 
-    fn members(&self, now: Now) -> Vec<Members> {
-        let mut members: Vec<Members> = Vec::new();
-        for (key, endpoint) in self.endpoints.iter() {
-            if !endpoint.takes_starts(now.steady_ms) {
-                continue;
-            }
-            match members.binary_search_by(|known| known.pool.cmp(&endpoint.pool)) {
-                Ok(place) => members[place].keys.push(key),
-                Err(place) => members.insert(
-                    place,
-                    Members {
-                        pool: endpoint.pool.clone(),
-                        keys: vec![key],
-                    },
-                ),
+    /// Takes in what has changed about the jobs' steps.
+    pub(crate) fn refresh_open_steps(&mut self) {
+        let changed = self.jobs.take_changed();
+        if changed.is_empty() {
+            return;
+        }
+        self.open_steps.forget(&changed);
+        for &id in &changed {
+            if let Some(job) = self.jobs.get(id) {
+                let pool = self.free_room.pool_number(&job.queue.pool);
+                self.open_steps.add(job, pool);
             }
         }
-        members
+        self.unstored_jobs.extend(changed);
     }
 
-    fn candidates(&self, now: Now) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        for (place, job) in self.jobs.iter().enumerate() {
-            if job.state.is_final() {
+    /// Takes in what has changed about the endpoints' room, and whose rest is over.
+    pub(crate) fn refresh_free_room(&mut self, now: Now) {
+        let resting = &mut self.resting_endpoints;
+        let rested = resting.partition_point(|(until_ms, _)| *until_ms <= now.steady_ms);
+        let rested: Vec<EndpointKey> = resting.drain(..rested).map(|(_, key)| key).collect();
+        for key in self.endpoints.take_changed().into_iter().chain(rested) {
+            let endpoint = self.endpoints.get(key);
+            if endpoint.takes_starts(now.steady_ms) {
+                let free_cpu_millis = endpoint.free().cpu_millis;
+                self.free_room.set(key, &endpoint.pool, free_cpu_millis);
                 continue;
             }
-            for (at, occurrence) in job.occurrences.iter().enumerate() {
-                for (number, (step, spec)) in
-                    occurrence.steps.iter().zip(&job.spec.steps).enumerate()
-                {
-                    let is_waiting = step
-                        .tasks
-                        .iter()
-                        .any(|task| task.is_waiting() && now.steady_ms >= task.not_before_ms);
-                    if is_waiting && occurrence.is_open(spec) {
-                        candidates.push(candidate(job, (place, at, number), now));
-                    }
+            let resting = (endpoint.rests_until_ms, key);
+            if !endpoint.is_over && resting.0 > now.steady_ms {
+                if let Err(place) = self.resting_endpoints.binary_search(&resting) {
+                    self.resting_endpoints.insert(place, resting);
                 }
             }
+            self.free_room.remove(key);
+        }
+    }
+
+    fn place_step(&mut self, step: &OpenStep, now: Now) {
+        let Some(job) = self.jobs.get(step.first.job) else {
+            return;
+        };
+        let Some(spec) = job.step_spec(&step.first).cloned() else {
+            return;
+        };
+        if spec.gang || job.queue.advised {
+            self.place_chosen(step, &spec, now);
+            return;
+        }
+        for index in waiting(job, &step.first, now) {
+            let task = TaskRef {
+                index,
+                ..step.first
+            };
+            let avoid = self.task_avoids(&task);
+            let slots = self.free_room.with(step.pool, step.room.cpu_millis);
+            let Some(key) = best_fit(&self.endpoints, slots, &task, &spec, avoid) else {
+                break;
+            };
+            self.place_task(&task, key, &spec, None, now);
         }
-        candidates
     }
 
-    fn place_step(&mut self, candidate: &Candidate, members: &[EndpointKey], now: Now) {
-        let job = &self.jobs[candidate.job];
-        let spec = job.spec.steps[candidate.step].clone();
-        let name = TaskRef {
-            job: job.id,
-            occurrence: job.occurrences[candidate.occurrence].number,
-            step: u16::try_from(candidate.step).unwrap_or(u16::MAX),
-            index: 0,
+    fn task_avoids(&self, task: &TaskRef) -> Option<EndpointKey> {
+        self.jobs.get(task.job)?.task(task)?.avoid
+    }
+
+    /// Places a gang, or tasks whose endpoints another service chooses.
+    fn place_chosen(&mut self, step: &OpenStep, spec: &StepSpec, now: Now) {
+        let name = step.first;
+        let members = self.free_room.members(step.pool);
+        let mut slots = slots(&self.endpoints, &members, &name, spec);
+        let Some(job) = self.jobs.get(name.job) else {
+            return;
         };
-        let waiting = waiting(job, candidate, now);
-        let is_advised = job.queue.advised;
-        let mut slots = slots(&self.endpoints, members, &name, &spec);
-        if is_advised {
+        if job.queue.advised {
             let with_room: Vec<EndpointKey> = slots.iter().map(|slot| slot.key).collect();
             let usable = self.advised_members(&name, &with_room, now);
             slots.retain(|slot| usable.contains(&slot.key));
         }
-        let job = &self.jobs[candidate.job];
+        let Some(job) = self.jobs.get(name.job) else {
+            return;
+        };
         let chosen = if spec.gang {
-            let step = &job.occurrences[candidate.occurrence].steps[candidate.step];
-            let is_whole = step
-                .tasks
-                .iter()
-                .all(|task| task.attempts.is_empty() && !task.is_done);
-            if !is_whole {
+            if !is_whole(job, &name) {
                 return;
             }
-            choose_gang(&self.endpoints, &mut slots, job, &name, &spec)
+            choose_gang(&self.endpoints, &mut slots, job, &name, spec)
         } else {
-            choose_each(&self.endpoints, &mut slots, job, &name, &spec, &waiting)
+            let waiting = waiting(job, &name, now);
+            choose_each(&self.endpoints, &mut slots, job, &name, spec, &waiting)
         };
-        let gang_run = spec
-            .gang
-            .then(|| {
-                chosen
-                    .iter()
-                    .filter_map(|(task, _)| job.task(task))
-                    .map(|t| t.run)
-                    .max()
-            })
-            .flatten();
+        let runs = chosen.iter().filter_map(|(task, _)| job.task(task));
+        let highest_run = runs.map(|task| task.run).max();
+        let gang_run = highest_run.filter(|_| spec.gang);
         for (task, key) in chosen {
-            let job = &mut self.jobs[candidate.job];
-            let Some(known) = job.task_mut(&task) else {
-                continue;
-            };
-            known.run = gang_run.unwrap_or(known.run) + 1;
-            let run = known.run;
-            known.attempts.push(Attempt::new(run, key, now.steady_ms));
-            job.is_dirty = true;
-            let order = crate::attempts::start_order(job, key, &task, run, 0);
-            self.forming.push(Effect::Start(Box::new(order)));
-            self.endpoints
-                .get_mut(key)
-                .place(Placed::new(task, run, &spec));
+            self.place_task(&task, key, spec, gang_run, now);
         }
     }
-}
-
-fn candidate(job: &Job, (place, at, number): (usize, usize, usize), now: Now) -> Candidate {
-    let spec = &job.spec.steps[number];
-    let timing = Timing::new(job, at, now);
-    let slack_ms = timing.slack_ms();
-    let urgency = if spec.long_running {
-        Urgency::Lasting
-    } else if slack_ms >= 0 {
-        Urgency::OnTime
-    } else if lossy(timing.passed_ms + timing.left_ms) < LATE_FACTOR * lossy(timing.objective_ms) {
-        Urgency::Late
-    } else {
-        Urgency::TooLate
-    };
-    Candidate {
-        urgency,
-        priority: job.queue.priority,
-        slack_ms,
-        job: place,
-        occurrence: at,
-        step: number,
-    }
-}
-
-/// How an occurrence stands against the time in which its job is on time.
-#[derive(Clone, Copy, Debug)]
-#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
-pub(crate) struct Timing {
-    /// Time within which it is on time, in milliseconds.
-    objective_ms: u64,
-    /// How long it has been there, in milliseconds.
-    passed_ms: u64,
-    /// Longest chain of estimated work that is not done, in milliseconds.
-    left_ms: u64,
-}
 
-impl Timing {
-    pub(crate) fn new(job: &Job, occurrence: usize, now: Now) -> Self {
-        let begun_ms = match job.spec.repeat_count {
-            0 => job.accepted_ms,
-            _ => job.spec.due_ms(job.occurrences[occurrence].number),
+    /// Decides on a start; members of a gang share the number of the run.
+    fn place_task(
+        &mut self,
+        task: &TaskRef,
+        key: EndpointKey,
+        spec: &StepSpec,
+        gang_run: Option<u32>,
+        now: Now,
+    ) {
+        let Ok(place) = self.jobs.search(task.job) else {
+            return;
         };
-        Self {
-            objective_ms: objective_ms(job),
-            passed_ms: now.wall_ms.saturating_sub(begun_ms),
-            left_ms: remaining_chain_ms(job, occurrence),
-        }
-    }
-
-    /// Returns how long the occurrence may wait and still be on time, in milliseconds; negative when
-    /// it cannot be on time any more.
-    pub(crate) fn slack_ms(&self) -> i64 {
-        signed(self.objective_ms) - signed(self.passed_ms) - signed(self.left_ms)
+        let job = &mut self.jobs[place];
+        let Some(known) = job.task_mut(task) else {
+            return;
+        };
+        known.run = gang_run.unwrap_or(known.run) + 1;
+        let run = known.run;
+        known.attempts.push(Attempt::new(run, key, now.steady_ms));
+        job.is_dirty = true;
+        let order = start_order(job, key, task, run, 0);
+        self.forming.push(Effect::Start(Box::new(order)));
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.place(Placed::new(*task, run, spec));
+        let free_cpu_millis = endpoint.free().cpu_millis;
+        self.free_room.set(key, &endpoint.pool, free_cpu_millis);
     }
 }
 
-/// Returns the time within which a job is on time, in milliseconds.
-fn objective_ms(job: &Job) -> u64 {
-    let stretched = job.queue.stretch.max(1.0) * lossy(job.spec.chain_ms());
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "milliseconds of a job, far below the bounds, and never negative"
-    )]
-    let stretched_ms = stretched as u64;
-    stretched_ms + job.queue.target_latency_ms
+/// Returns the tasks of a step that wait and may start now.
+fn waiting(job: &Job, name: &TaskRef, now: Now) -> Vec<u16> {
+    let Some(step) = job.step(name) else {
+        return Vec::new();
+    };
+    step.tasks
+        .iter()
+        .zip(0_u16..)
+        .filter(|(task, _)| task.is_waiting() && now.steady_ms >= task.not_before_ms)
+        .map(|(_, index)| index)
+        .collect()
 }
 
-/// Returns the longest chain of estimated work that is not done, in milliseconds.
-fn remaining_chain_ms(job: &Job, occurrence: usize) -> u64 {
-    let steps = &job.occurrences[occurrence].steps;
-    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
-    for (step, spec) in steps.iter().zip(&job.spec.steps) {
-        let start = spec
-            .after
+/// Tells whether no task of a step runs or is done.
+fn is_whole(job: &Job, name: &TaskRef) -> bool {
+    job.step(name).is_some_and(|step| {
+        step.tasks
             .iter()
-            .filter_map(|&before| ends.get(usize::from(before)))
-            .max();
-        let own_ms = if step.is_done() { 0 } else { spec.estimated_ms };
-        ends.push(start.copied().unwrap_or_default() + own_ms);
-    }
-    ends.into_iter().max().unwrap_or_default()
+            .all(|task| task.attempts.is_empty() && !task.is_done)
+    })
 }
 
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "milliseconds of a day fit exactly"
-)]
-fn lossy(ms: u64) -> f64 {
-    ms as f64
+fn has_required_label(endpoint: &Endpoint, spec: &StepSpec) -> bool {
+    spec.required_label.is_empty() || endpoint.has_label(&spec.required_label)
 }
 
-fn signed(ms: u64) -> i64 {
-    i64::try_from(ms).unwrap_or(i64::MAX)
+fn siblings(endpoint: &Endpoint, name: &TaskRef) -> u16 {
+    let count = endpoint
+        .placed
+        .iter()
+        .filter(|placed| placed.task.is_sibling(name))
+        .count();
+    u16::try_from(count).unwrap_or(u16::MAX)
 }
 
-fn waiting(job: &Job, candidate: &Candidate, now: Now) -> Vec<u16> {
-    let step = &job.occurrences[candidate.occurrence].steps[candidate.step];
-    step.tasks
-        .iter()
-        .zip(0_u16..)
-        .filter(|(task, _)| task.is_waiting() && now.steady_ms >= task.not_before_ms)
-        .map(|(_, index)| index)
-        .collect()
+/// Returns the endpoint that suits a task best, of `slots` with enough processor free, the fullest
+/// first.
+pub(crate) fn best_fit(
+    endpoints: &Endpoints,
+    slots: &[FreeSlot],
+    task: &TaskRef,
+    spec: &StepSpec,
+    avoid: Option<EndpointKey>,
+) -> Option<EndpointKey> {
+    let needed = spec.charged();
+    let mut best: Option<(Misfit, EndpointKey)> = None;
+    for &(_, key) in slots {
+        let endpoint = endpoints.get(key);
+        let may_share =
+            spec.max_per_endpoint == 0 || siblings(endpoint, task) < spec.max_per_endpoint;
+        if !may_share || !endpoint.free().holds(&needed) || !has_required_label(endpoint, spec) {
+            continue;
+        }
+        let misfit = misfit(endpoint, spec, avoid);
+        if misfit == NO_MISFIT {
+            return Some(key);
+        }
+        if best.is_none_or(|(least, _)| misfit < least) {
+            best = Some((misfit, key));
+        }
+    }
+    best.map(|(_, key)| key)
+}
+
+fn misfit(endpoint: &Endpoint, spec: &StepSpec, avoid: Option<EndpointKey>) -> Misfit {
+    let is_suspect = endpoint.failed_runs > 0 || avoid == Some(endpoint.key);
+    let is_remote = !spec.data_rack.is_empty() && !endpoint.has_label(&spec.data_rack);
+    let disturbed = if spec.fills {
+        endpoint
+            .placed
+            .iter()
+            .filter(|placed| placed.serves)
+            .count()
+    } else if spec.serves() {
+        endpoint.placed.iter().filter(|placed| placed.fills).count()
+    } else {
+        0
+    };
+    (is_suspect, is_remote, disturbed)
 }
 
 fn slots(
@@ -294,9 +269,7 @@
     members
         .iter()
         .map(|&key| (key, endpoints.get(key)))
-        .filter(|(_, endpoint)| {
-            spec.required_label.is_empty() || endpoint.has_label(&spec.required_label)
-        })
+        .filter(|(_, endpoint)| has_required_label(endpoint, spec))
         .filter(|(_, endpoint)| endpoint.free().holds(&needed))
         .map(|(key, endpoint)| Slot {
             key,
@@ -306,15 +279,6 @@
         .collect()
 }
 
-fn siblings(endpoint: &Endpoint, name: &TaskRef) -> u16 {
-    let count = endpoint
-        .placed
-        .iter()
-        .filter(|placed| placed.task.is_sibling(name))
-        .count();
-    u16::try_from(count).unwrap_or(u16::MAX)
-}
-
 /// Chooses an endpoint for each task that fits.
 fn choose_each(
     endpoints: &Endpoints,
@@ -387,32 +351,10 @@
         .iter_mut()
         .filter(|slot| slot.free.holds(&needed))
         .filter(|slot| spec.max_per_endpoint == 0 || slot.siblings < spec.max_per_endpoint)
-        .min_by_key(|slot| fit(endpoints.get(slot.key), slot, spec, avoid))
-}
-
-/// Says how badly a slot suits a task; the lowest is taken.
-///
-/// Tight packing comes last: it leaves whole VMs empty, which can then be moved or switched off.
-fn fit(
-    endpoint: &Endpoint,
-    slot: &Slot,
-    spec: &StepSpec,
-    avoid: Option<EndpointKey>,
-) -> (bool, bool, usize, u64) {
-    let is_suspect = endpoint.failed_runs > 0 || avoid == Some(slot.key);
-    let is_remote = !spec.data_rack.is_empty() && !endpoint.has_label(&spec.data_rack);
-    let disturbed = if spec.fills {
-        endpoint
-            .placed
-            .iter()
-            .filter(|placed| placed.serves)
-            .count()
-    } else if spec.serves() {
-        endpoint.placed.iter().filter(|placed| placed.fills).count()
-    } else {
-        0
-    };
-    (is_suspect, is_remote, disturbed, slot.free.cpu_millis)
+        .min_by_key(|slot| {
+            let misfit = misfit(endpoints.get(slot.key), spec, avoid);
+            (misfit, slot.free.cpu_millis)
+        })
 }
 
 fn take(slot: &mut Slot, spec: &StepSpec) {
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -48,8 +48,8 @@
     pub since_ms: u64,
     /// How much is done, or 100 for a long-running task at work.
     pub percent: u32,
-    /// When it showed progress last, on the steady clock.
-    pub progress_ms: u64,
+    /// When it showed progress last, on the endpoint's clock; nothing before the first report.
+    pub progress_clock_ms: Option<u64>,
     /// Share of its speed that was asked for.
     pub pace: u8,
 }
@@ -69,7 +69,7 @@
             retry_at_ms: 0,
             since_ms,
             percent: 0,
-            progress_ms: since_ms,
+            progress_clock_ms: None,
             pace: 100,
         }
     }
@@ -202,12 +202,22 @@
         }
     }
 
+    /// Tells whether some occurrence has not begun.
+    #[must_use]
+    pub fn has_occurrences_to_come(&self) -> bool {
+        self.next_occurrence < self.spec.occurrences()
+    }
+
+    /// Tells whether the next occurrence is due.
+    #[must_use]
+    pub fn is_next_due(&self, wall_ms: u64) -> bool {
+        self.has_occurrences_to_come() && self.spec.due_ms(self.next_occurrence) <= wall_ms
+    }
+
     /// Begins the occurrences that are due; returns whether there were any.
     pub fn begin_due(&mut self, wall_ms: u64) -> bool {
         let mut begun = false;
-        while self.next_occurrence < self.spec.occurrences()
-            && self.spec.due_ms(self.next_occurrence) <= wall_ms
-        {
+        while self.is_next_due(wall_ms) {
             self.occurrences
                 .push(Occurrence::new(self.next_occurrence, &self.spec));
             self.next_occurrence += 1;
@@ -217,15 +227,20 @@
         begun
     }
 
-    /// Returns a task.
+    /// Returns the step of a task.
     #[must_use]
-    pub fn task(&self, task: &TaskRef) -> Option<&Task> {
+    pub fn step(&self, task: &TaskRef) -> Option<&StepRun> {
         let occurrence = self
             .occurrences
             .iter()
             .find(|occurrence| occurrence.number == task.occurrence)?;
-        let step = occurrence.steps.get(usize::from(task.step))?;
-        step.tasks.get(usize::from(task.index))
+        occurrence.steps.get(usize::from(task.step))
+    }
+
+    /// Returns a task.
+    #[must_use]
+    pub fn task(&self, task: &TaskRef) -> Option<&Task> {
+        self.step(task)?.tasks.get(usize::from(task.index))
     }
 
     /// Returns a task to change.
@@ -287,7 +302,7 @@
                 .all(|task| task.attempts.is_empty());
             !(is_done && is_idle)
         });
-        let is_begun = self.next_occurrence >= self.spec.occurrences();
+        let is_begun = !self.has_occurrences_to_come();
         let is_done = self
             .occurrences
             .iter()
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -187,7 +187,7 @@
         let place = place.unwrap_or_else(|| {
             keys.push(key);
             let endpoint = endpoints.get(key);
-            names.push((endpoint.id.clone(), endpoint.address));
+            names.push((endpoint.id.clone(), endpoint.address()));
             keys.len() - 1
         });
         u32::try_from(place).unwrap_or(u32::MAX)
--- a/crates/engine/src/stragglers.rs
+++ b/crates/engine/src/stragglers.rs
@@ -8,8 +8,8 @@
     state::{Attempt, Phase},
 };
 
-/// Time without progress of any run on an endpoint after which they are stopped, in milliseconds.
-/// Progress is told once a second, so this spans at least two reports.
+/// Time without progress of any run on an endpoint after which they are stopped, in milliseconds of
+/// the endpoint's clock. Progress is told once a second, so this spans at least two reports.
 const ALL_STUCK_MS: u64 = 2_200;
 
 /// Time without progress of a single run after which it is stopped, in milliseconds: others go on
@@ -20,9 +20,6 @@
 /// percent.
 const ESTIMATE_PART: u64 = 20;
 
-/// Age of an endpoint's last report up to which a lack of progress counts, in milliseconds.
-const REPORT_AGE_MS: u64 = 1_500;
-
 /// Rest of an endpoint whose runs stand still, in milliseconds.
 const REST_MS: u64 = 4_000;
 
@@ -35,48 +32,41 @@
 }
 
 impl Engine {
-    /// Stops runs that stand still on endpoints that go on reporting.
-    pub(crate) fn stop_stuck_runs(&mut self, now: Now) {
-        for key in self.endpoints.keys() {
-            let endpoint = self.endpoints.get(key);
-            if endpoint.placed.is_empty() || !endpoint.has_reported_since(now, REPORT_AGE_MS) {
-                continue;
-            }
-            let suspects = self.suspects(key, now);
-            let is_all_stuck = !suspects.is_empty()
-                && suspects
-                    .iter()
-                    .all(|suspect| suspect.still_ms >= ALL_STUCK_MS.max(suspect.limit_ms));
-            let stuck: Vec<(TaskRef, u32)> = suspects
+    /// Stops the runs of an endpoint that stand still, when it has reported.
+    ///
+    /// The time is told by the endpoint's own clock. By the owner's, one that read reports seconds
+    /// late saw no progress between two of the same moment, and stopped sound runs by the hundred.
+    pub(crate) fn stop_stuck_runs(&mut self, key: EndpointKey, clock_ms: u64, now: Now) {
+        let suspects = self.suspects(key, clock_ms);
+        let is_all_stuck = !suspects.is_empty()
+            && suspects
                 .iter()
-                .filter(|suspect| {
-                    is_all_stuck || suspect.still_ms >= ONE_STUCK_MS.max(suspect.limit_ms)
-                })
-                .map(|suspect| (suspect.task, suspect.run))
-                .collect();
-            if stuck.is_empty() {
-                continue;
-            }
-            if is_all_stuck {
-                let endpoint = self.endpoints.get_mut(key);
-                endpoint.failed_runs += 1;
-                endpoint.rests_until_ms = endpoint.rests_until_ms.max(now.steady_ms + REST_MS);
-            }
-            for (task, run) in stuck {
-                self.stop_run(&task, run, now);
-            }
+                .all(|suspect| suspect.still_ms >= ALL_STUCK_MS.max(suspect.limit_ms));
+        let stuck: Vec<(TaskRef, u32)> = suspects
+            .iter()
+            .filter(|suspect| {
+                is_all_stuck || suspect.still_ms >= ONE_STUCK_MS.max(suspect.limit_ms)
+            })
+            .map(|suspect| (suspect.task, suspect.run))
+            .collect();
+        if is_all_stuck {
+            let endpoint = self.endpoints.get_mut(key);
+            endpoint.failed_runs += 1;
+            endpoint.rests_until_ms = endpoint.rests_until_ms.max(now.steady_ms + REST_MS);
+        }
+        for (task, run) in stuck {
+            self.stop_run(&task, run, now);
         }
     }
 
-    fn suspects(&self, key: EndpointKey, now: Now) -> Vec<Suspect> {
+    fn suspects(&self, key: EndpointKey, clock_ms: u64) -> Vec<Suspect> {
         let endpoint: &Endpoint = self.endpoints.get(key);
         endpoint
             .placed
             .iter()
             .filter(|placed| !placed.lasts && !placed.fills)
             .filter_map(|placed| {
-                let place = self.search(placed.task.job).ok()?;
-                let job = &self.jobs[place];
+                let job = self.jobs.get(placed.task.job)?;
                 let spec = job.step_spec(&placed.task)?;
                 let task = job.task(&placed.task)?;
                 let attempt = task
@@ -85,10 +75,11 @@
                     .find(|attempt| attempt.run == placed.run)?;
                 // Members of a gang wait for each other; a run at its end has nothing to show.
                 let counts = !spec.gang && counts_as_working(attempt);
-                counts.then(|| Suspect {
+                let progress_clock_ms = attempt.progress_clock_ms.filter(|_| counts)?;
+                Some(Suspect {
                     task: placed.task,
                     run: placed.run,
-                    still_ms: now.steady_ms.saturating_sub(attempt.progress_ms),
+                    still_ms: clock_ms.saturating_sub(progress_clock_ms),
                     limit_ms: spec.estimated_ms / ESTIMATE_PART,
                 })
             })
--- /dev/null
+++ b/crates/engine/src/timing.rs
@@ -0,0 +1,107 @@
+//! How a job stands against the time in which it is on time.
+
+use crate::{event::Now, state::Job};
+
+/// Multiple of its objective after which a job earns nothing more by being early.
+const LATE_FACTOR: f64 = 3.0;
+
+/// Rank of what waits for a start; the lowest starts first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Urgency {
+    /// Long-running: every second away is lost.
+    Lasting,
+    /// Can still be on time.
+    OnTime,
+    /// Can still be of some use.
+    Late,
+    /// Too late to be of more use sooner.
+    TooLate,
+}
+
+/// How an occurrence stands against the time in which its job is on time.
+#[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+pub(crate) struct Timing {
+    /// Time of day at which it could begin, in milliseconds since 1970.
+    begun_ms: u64,
+    /// Time within which it is on time, in milliseconds.
+    objective_ms: u64,
+    /// Longest chain of estimated work that is not done, in milliseconds.
+    left_ms: u64,
+}
+
+impl Timing {
+    pub(crate) fn new(job: &Job, occurrence: usize) -> Self {
+        let begun_ms = match job.spec.repeat_count {
+            0 => job.accepted_ms,
+            _ => job.spec.due_ms(job.occurrences[occurrence].number),
+        };
+        Self {
+            begun_ms,
+            objective_ms: objective_ms(job),
+            left_ms: remaining_chain_ms(job, occurrence),
+        }
+    }
+
+    fn passed_ms(&self, now: Now) -> u64 {
+        now.wall_ms.saturating_sub(self.begun_ms)
+    }
+
+    /// Returns how long the occurrence may wait and still be on time, in milliseconds; negative when
+    /// it cannot be on time any more.
+    pub(crate) fn slack_ms(&self, now: Now) -> i64 {
+        signed(self.objective_ms) - signed(self.passed_ms(now)) - signed(self.left_ms)
+    }
+
+    /// Returns how urgent its tasks are that come to an end.
+    pub(crate) fn urgency(&self, now: Now) -> Urgency {
+        if self.slack_ms(now) >= 0 {
+            Urgency::OnTime
+        } else if lossy(self.passed_ms(now) + self.left_ms) < LATE_FACTOR * lossy(self.objective_ms)
+        {
+            Urgency::Late
+        } else {
+            Urgency::TooLate
+        }
+    }
+}
+
+/// Returns the time within which a job is on time, in milliseconds.
+fn objective_ms(job: &Job) -> u64 {
+    let stretched = job.queue.stretch.max(1.0) * lossy(job.spec.chain_ms());
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "milliseconds of a job, far below the bounds, and never negative"
+    )]
+    let stretched_ms = stretched as u64;
+    stretched_ms + job.queue.target_latency_ms
+}
+
+/// Returns the longest chain of estimated work that is not done, in milliseconds.
+fn remaining_chain_ms(job: &Job, occurrence: usize) -> u64 {
+    let steps = &job.occurrences[occurrence].steps;
+    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+    for (step, spec) in steps.iter().zip(&job.spec.steps) {
+        let start = spec
+            .after
+            .iter()
+            .filter_map(|&before| ends.get(usize::from(before)))
+            .max();
+        let own_ms = if step.is_done() { 0 } else { spec.estimated_ms };
+        ends.push(start.copied().unwrap_or_default() + own_ms);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "milliseconds of a day fit exactly"
+)]
+fn lossy(ms: u64) -> f64 {
+    ms as f64
+}
+
+fn signed(ms: u64) -> i64 {
+    i64::try_from(ms).unwrap_or(i64::MAX)
+}
--- a/crates/engine/src/waves.rs
+++ b/crates/engine/src/waves.rs
@@ -6,7 +6,7 @@
         event::{Effect, Now},
         job::TaskRef,
         pools::VmOrder,
-        reports::{VmState, WaveOrder},
+        reports::WaveOrder,
         stored::{Record, StoredWave, wave_record},
     },
     compact_str::CompactString,
@@ -68,6 +68,7 @@
     /// Order, once it was read.
     order: Option<WaveOrder>,
     stored: StoredWave,
+    /// VMs that are being emptied, sorted by name.
     emptying: Vec<Emptying>,
     given_back: Vec<GivenBack>,
     is_dirty: bool,
@@ -88,11 +89,24 @@
     }
 
     fn is_emptying(&self, vm: &str) -> bool {
-        self.emptying.iter().any(|known| known.vm == vm)
+        self.emptying_place(vm).is_ok()
+    }
+
+    fn emptying_place(&self, vm: &str) -> Result<usize, usize> {
+        self.emptying
+            .binary_search_by(|known| known.vm.as_str().cmp(vm))
+    }
+
+    fn empty(&mut self, emptying: Emptying) {
+        if let Err(place) = self.emptying_place(&emptying.vm) {
+            self.emptying.insert(place, emptying);
+        }
     }
 
     fn stop_emptying(&mut self, vm: &str) {
-        self.emptying.retain(|known| known.vm != vm);
+        if let Ok(place) = self.emptying_place(vm) {
+            self.emptying.remove(place);
+        }
     }
 
     /// Tells whether a VM may be chosen to be emptied.
@@ -250,7 +264,7 @@
         for name in left {
             let wave = &mut self.waves[place];
             if wave.is_ordered(name) && !wave.is_emptying(name) {
-                wave.emptying.push(Emptying::new(name.clone(), 0, now));
+                wave.empty(Emptying::new(name.clone(), 0, now));
             }
             if wave.is_emptying(name)
                 && let Some(key) = self.endpoint_of_vm(name)
@@ -293,7 +307,10 @@
             // One that was ordered before counts as down already; only repeating the order brings
             // its outcome.
             let is_counted = self.waves[place].is_ordered(name);
-            if (*budget == 0 && !is_counted) || !self.can_begin(name, now) {
+            if (*budget == 0 && !is_counted)
+                || !self.vm_order_rate.allows_order()
+                || !self.can_begin(name, now)
+            {
                 continue;
             }
             let Ok(vm) = self.vm_place(name) else {
@@ -314,9 +331,6 @@
         let Ok(vm) = self.vm_place(name).map(|place| &self.vms[place]) else {
             return false;
         };
-        let is_quiet = vm.order.is_none()
-            && vm.entry.state == VmState::Up
-            && now.steady_ms >= vm.rests_until_ms;
         let is_empty = match self.endpoint_of_vm(name) {
             Some(key) => {
                 let endpoint = self.endpoints.get(key);
@@ -325,7 +339,7 @@
             // A VM of the standby pool has no endpoint.
             None => vm.entry.endpoint.is_empty(),
         };
-        is_quiet && is_empty
+        vm.is_free(now) && is_empty
     }
 
     /// Keeps new work from as many VMs as can be maintained next.
@@ -340,7 +354,7 @@
             .filter(|name| self.waves[place].may_empty(name, now))
             .filter_map(|name| {
                 let endpoint = self.endpoints.get(self.endpoint_of_vm(name)?);
-                let lasting = endpoint.placed.iter().filter(|run| run.lasts).count();
+                let lasting = endpoint.lasting_runs;
                 let is_open = !endpoint.is_held_back && !endpoint.is_draining;
                 is_open.then(|| (lasting, endpoint.used.cpu_millis, name.clone()))
             })
@@ -350,9 +364,7 @@
             if let Some(key) = self.endpoint_of_vm(&name) {
                 self.endpoints.get_mut(key).is_held_back = true;
             }
-            self.waves[place]
-                .emptying
-                .push(Emptying::new(name, lasting, now));
+            self.waves[place].empty(Emptying::new(name, lasting, now));
         }
     }
 
@@ -424,7 +436,7 @@
                 continue;
             };
             let endpoint = self.endpoints.get_mut(key);
-            let lasting = endpoint.placed.iter().filter(|run| run.lasts).count();
+            let lasting = endpoint.lasting_runs;
             let known = &mut self.waves[place].emptying[at];
             if known.lasting != lasting {
                 known.lasting = lasting;
