--- a/crates/controller/src/carriers.rs
+++ b/crates/controller/src/carriers.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        calls::{CallResult, CallSubject, EndpointCall},
+        calls::{CallResult, EndpointCall},
         carried::{CARRY_PATH, CallNumber, CarriedCall, CarryAnswer, CarryRequest},
         members::Member,
         owner::{Owner, OwnerMessage},
+        pending::PendingCalls,
         shares::Shares,
     },
     kameo::actor::ActorRef,
@@ -27,15 +28,6 @@
 /// endpoint for half a second at most, and a slow one takes a few tenths to tell of it.
 const RESULT_MS: u64 = 1_500;
 
-/// A call whose result is to come.
-#[derive(Debug)]
-struct Pending {
-    number: CallNumber,
-    endpoint: EndpointKey,
-    subject: CallSubject,
-    due_ms: u64,
-}
-
 /// Calls on their way to one node.
 #[derive(Debug, Default)]
 struct Outbox {
@@ -62,8 +54,7 @@
 struct Row {
     address: SocketAddr,
     outbox: Arc<Outbox>,
-    /// Sorted by number.
-    pending: Vec<Pending>,
+    pending: PendingCalls,
 }
 
 /// Nodes that call for this owner, and the calls whose results are to come.
@@ -116,14 +107,10 @@
         };
         self.next_number += 1;
         let number = self.next_number;
-        let pending = Pending {
-            number,
-            endpoint,
-            subject: call.subject(),
-            due_ms: now_ms + call.wait_ms() + RESULT_MS,
-        };
+        let subject = call.subject();
+        let due_ms = now_ms + call.wait_ms() + RESULT_MS;
         let row = self.row(address);
-        row.pending.push(pending);
+        row.pending.add(number, endpoint, subject, due_ms);
         row.outbox.add(CarriedCall { number, to, call });
         None
     }
@@ -142,7 +129,7 @@
             let row = Row {
                 address,
                 outbox,
-                pending: Vec::new(),
+                pending: PendingCalls::default(),
             };
             self.rows.insert(place, row);
             place
@@ -156,19 +143,15 @@
         address: SocketAddr,
         results: Vec<(CallNumber, CallResult)>,
     ) -> Vec<Event> {
-        let Ok(place) = self.rows.binary_search_by_key(&address, |row| row.address) else {
-            return Vec::new();
-        };
-        let pending = &mut self.rows[place].pending;
-        results
-            .into_iter()
-            .filter_map(|(number, result)| {
-                // What was given up already is told again by the endpoint's next report.
-                let place = pending.binary_search_by_key(&number, |known| known.number);
-                let known = pending.remove(place.ok()?);
-                known.subject.event(known.endpoint, result)
-            })
-            .collect()
+        match self.known_row(address) {
+            Some(row) => row.pending.take_results(results),
+            None => Vec::new(),
+        }
+    }
+
+    fn known_row(&mut self, address: SocketAddr) -> Option<&mut Row> {
+        let place = self.rows.binary_search_by_key(&address, |row| row.address);
+        place.ok().map(|place| &mut self.rows[place])
     }
 
     /// Takes in that a node took none of these calls. Returns those to be made here, and what the
@@ -180,13 +163,10 @@
         now_ms: u64,
     ) -> (Vec<(EndpointKey, CarriedCall)>, Vec<Event>) {
         let mut own = Vec::with_capacity(calls.len());
-        if let Ok(place) = self.rows.binary_search_by_key(&address, |row| row.address) {
-            let pending = &mut self.rows[place].pending;
+        if let Some(row) = self.known_row(address) {
             for call in calls {
-                // One that is not pending any more was given up already.
-                if let Ok(place) = pending.binary_search_by_key(&call.number, |known| known.number)
-                {
-                    own.push((pending.remove(place).endpoint, call));
+                if let Some(endpoint) = row.pending.take_back(call.number) {
+                    own.push((endpoint, call));
                 }
             }
         }
@@ -196,14 +176,13 @@
     /// Takes in that a node is not to be relied on: nobody knows what came of the calls that it took.
     pub fn lose(&mut self, address: SocketAddr, now_ms: u64) -> Vec<Event> {
         self.shares.lose(address, now_ms);
-        let Ok(place) = self.rows.binary_search_by_key(&address, |row| row.address) else {
+        let epoch = self.epoch;
+        let Some(row) = self.known_row(address) else {
             return Vec::new();
         };
-        let pending = std::mem::take(&mut self.rows[place].pending);
-        drop(self.rows[place].outbox.take());
-        warn!(event = "carrier_lost", epoch = self.epoch, peer:% = address, calls = pending.len(); "");
-        let unknown = |known: Pending| known.subject.unknown(known.endpoint);
-        pending.into_iter().filter_map(unknown).collect()
+        drop(row.outbox.take());
+        warn!(event = "carrier_lost", epoch = epoch, peer:% = address, calls = row.pending.count(); "");
+        row.pending.give_up()
     }
 
     /// Takes in which nodes are there and which endpoints are called, and gives up nodes from which a
@@ -216,15 +195,17 @@
     ) -> Vec<Event> {
         self.shares.retain(is_called);
         self.shares.set_members(members);
-        let is_late = |row: &&Row| row.pending.iter().any(|known| known.due_ms <= now_ms);
-        let late: Vec<SocketAddr> = self
+        let overdue: Vec<SocketAddr> = self
             .rows
             .iter()
-            .filter(is_late)
+            .filter(|row| row.pending.is_overdue(now_ms))
             .map(|row| row.address)
             .collect();
-        let lost = late.into_iter().map(|address| self.lose(address, now_ms));
-        lost.collect::<Vec<_>>().into_iter().flatten().collect()
+        let mut events = Vec::new();
+        for address in overdue {
+            events.extend(self.lose(address, now_ms));
+        }
+        events
     }
 
     /// Returns how many endpoints other nodes call, and how many nodes do.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -37,6 +37,7 @@
 mod ownership;
 mod peer;
 mod peer_server;
+mod pending;
 mod ready;
 mod shares;
 mod speed;
@@ -44,6 +45,7 @@
 mod watcher;
 
 pub use {
+    calls::{CallResult, CallSubject, EndpointCall},
     in_flight::{FOLLOW_MS, InFlight, MOST_UNDER_WAY},
     members::{HEARD_MS, Member, Members},
     node::{MetricsPage, run},
@@ -51,6 +53,7 @@
         FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS,
         RENEW_EVERY_MS, SILENCE_MS, SMALL_NODE_DELAY_MS, SUSPECT_MS,
     },
+    pending::PendingCalls,
     shares::Shares,
     speed::Speed,
 };
--- a/crates/controller/src/load.rs
+++ b/crates/controller/src/load.rs
@@ -16,7 +16,6 @@
     messages: u32,
     batches: u32,
     busy: Duration,
-    behind_ms: u64,
     most_behind_ms: u64,
 }
 
@@ -34,17 +33,9 @@
 
     /// Takes in for how long a message waited in the mailbox.
     pub fn note_wait(&mut self, waited_ms: u64) {
-        self.behind_ms = waited_ms;
         self.most_behind_ms = self.most_behind_ms.max(waited_ms);
     }
 
-    /// Returns how far the owner is behind, in milliseconds: the wait of the last message whose wait
-    /// is known.
-    #[must_use]
-    pub fn behind_ms(&self) -> u64 {
-        self.behind_ms
-    }
-
     /// Writes a line when one is due, and keeps the wait as a gauge; tells whether it was due.
     ///
     /// `carried` is the number of endpoints that other nodes call, and of these nodes.
@@ -63,7 +54,6 @@
         );
         *self = Self {
             since_ms: now_ms,
-            behind_ms: self.behind_ms,
             ..Self::default()
         };
         true
--- /dev/null
+++ b/crates/controller/tests/pending.rs
@@ -0,0 +1,88 @@
+//! Calls that other nodes make for an owner: each has one result.
+
+use {
+    lynxwheel_controller::{CallResult, CallSubject, PendingCalls},
+    lynxwheel_engine::{CallOutcome, Event, Refusal, TaskRef},
+};
+
+fn task() -> TaskRef {
+    "5c0e7a21d94b36f8.0.0.1".parse().expect("a task's name")
+}
+
+/// Returns two calls: the start of a run on endpoint 7, and the renewal of endpoint 8.
+fn calls() -> PendingCalls {
+    let mut calls = PendingCalls::default();
+    calls.add(1, 7, CallSubject::Start(task(), 1), 1_500);
+    calls.add(2, 8, CallSubject::Renew, 2_500);
+    calls
+}
+
+fn refused() -> CallResult {
+    CallResult::Ordered(CallOutcome::Refused(Refusal::NoRoom))
+}
+
+#[test]
+fn result_is_told_of_the_call_that_it_names() {
+    let events = calls().take_results(vec![(1, refused())]);
+    assert!(matches!(
+        events[..],
+        [Event::Started {
+            endpoint: 7,
+            run: 1,
+            outcome: CallOutcome::Refused(Refusal::NoRoom),
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn result_told_twice_counts_once() {
+    let mut calls = calls();
+    assert_eq!(calls.take_results(vec![(1, refused())]).len(), 1);
+    assert!(calls.take_results(vec![(1, refused())]).is_empty());
+}
+
+/// A task would run twice. The node that was to start it did not tell in time, so the start counts as
+/// unknown and is repeated; then the first, refused one is told, and taken for that of the repeat.
+#[test]
+fn result_of_a_call_that_was_given_up_is_passed_over() {
+    let mut calls = calls();
+    let events = calls.give_up();
+    let is_unknown = |event: &Event| {
+        matches!(
+            event,
+            Event::Started {
+                outcome: CallOutcome::Unknown,
+                ..
+            } | Event::Renewed {
+                outcome: CallOutcome::Unknown,
+                ..
+            }
+        )
+    };
+    assert_eq!(events.iter().filter(|event| is_unknown(event)).count(), 2);
+    calls.add(3, 7, CallSubject::Start(task(), 1), 3_000);
+    assert!(calls.take_results(vec![(1, refused())]).is_empty());
+    assert_eq!(calls.count(), 1);
+}
+
+#[test]
+fn call_that_was_not_taken_is_made_elsewhere_once() {
+    let mut calls = calls();
+    assert_eq!(calls.take_back(1), Some(7));
+    assert_eq!(calls.take_back(1), None);
+    assert_eq!(calls.count(), 1);
+}
+
+#[test]
+fn result_of_another_kind_of_call_is_none() {
+    let result = CallResult::Paced(true);
+    assert!(calls().take_results(vec![(2, result)]).is_empty());
+}
+
+#[test]
+fn node_that_does_not_tell_is_noticed() {
+    let calls = calls();
+    assert!(!calls.is_overdue(1_499));
+    assert!(calls.is_overdue(1_500));
+}
--- /dev/null
+++ b/crates/controller/tests/shares.rs
@@ -0,0 +1,137 @@
+//! Which node calls which endpoint for an owner.
+
+use {
+    lynxwheel_controller::{HEARD_MS, Member, Members, Shares},
+    std::net::SocketAddr,
+};
+
+/// A node with half a core on a fast link: 200 endpoints for others, 120 as the owner.
+const LARGE: (u32, u32) = (500, 200);
+
+/// A node whose processor would carry more than its link.
+const NARROW: (u32, u32) = (500, 2);
+
+fn address(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7_060).into()
+}
+
+fn member(number: u8, zone: &str, (cpu_millis, link_mbps): (u32, u32)) -> Member {
+    Member {
+        address: address(number),
+        zone: zone.into(),
+        cpu_millis,
+        link_mbps,
+    }
+}
+
+/// Shares `endpoints` in zone `a` out, and returns how many each node gets, the owner first.
+fn shared_out(shares: &mut Shares, endpoints: u32, nodes: u8) -> Vec<usize> {
+    let mut counts = vec![0; usize::from(nodes) + 1];
+    for key in 0..endpoints {
+        let node = shares.node_for(key, "a", 0);
+        let place = (1..=nodes).find(|&number| node == Some(address(number)));
+        counts[place.map_or(0, usize::from)] += 1;
+    }
+    counts
+}
+
+macro_rules! cases {
+    ($($(#[$story:meta])* $name:ident: $owner:expr, $members:expr, $endpoints:expr => $counts:expr;)*) => {
+        $($(#[$story])* #[test] fn $name() {
+            let (cpu_millis, link_mbps) = $owner;
+            let members: Vec<Member> = $members;
+            let mut shares = Shares::new(cpu_millis, link_mbps);
+            shares.set_members(&members);
+            let nodes = u8::try_from(members.len()).expect("few nodes");
+            assert_eq!(shared_out(&mut shares, $endpoints, nodes), $counts);
+        })*
+    };
+}
+
+cases! {
+    owner_of_a_small_fleet_calls_all_of_it:
+        (250, 1_000), vec![member(1, "a", LARGE)], 50 => [50, 0];
+
+    /// Starts wait for seconds in every turn: one small node decides for a thousand endpoints, and
+    /// cannot call all of them.
+    owner_of_a_large_fleet_has_most_of_it_called_by_others:
+        LARGE, vec![member(1, "a", LARGE), member(2, "a", LARGE)], 500 => [120, 180, 200];
+
+    nodes_in_the_zone_of_the_endpoints_come_first:
+        LARGE, vec![member(1, "b", LARGE), member(2, "a", LARGE)], 300 => [120, 0, 180];
+
+    /// The owner's renewals get no answers and it is succeeded every second: its link is full of calls,
+    /// while its processor is idle.
+    link_bounds_what_a_node_calls:
+        NARROW, vec![member(1, "a", NARROW), member(2, "a", NARROW)], 50 => [20, 10, 20];
+
+    owner_calls_what_nobody_else_has_room_for:
+        NARROW, vec![member(1, "a", NARROW)], 60 => [40, 20];
+
+    owner_that_knows_of_nobody_calls_everything: LARGE, Vec::new(), 400 => [400];
+}
+
+fn large_shares() -> Shares {
+    let mut shares = Shares::new(LARGE.0, LARGE.1);
+    shares.set_members(&[member(1, "a", LARGE), member(2, "a", LARGE)]);
+    shared_out(&mut shares, 300, 2);
+    shares
+}
+
+/// A node that calls endpoints loses power; its share must go on at once, and not come back to it.
+#[test]
+fn share_of_a_lost_node_goes_to_others() {
+    let mut shares = large_shares();
+    let lost = shares.node_for(200, "a", 0).expect("a node");
+    shares.lose(lost, 0);
+    let next = shares.node_for(200, "a", 0).expect("a node");
+    assert_ne!(next, lost);
+}
+
+#[test]
+fn lost_node_is_asked_again_later() {
+    let mut shares = Shares::new(0, 0);
+    shares.set_members(&[member(1, "a", LARGE)]);
+    shares.lose(address(1), 0);
+    assert_eq!(shares.node_for(1, "a", 2_900), None);
+    assert_eq!(shares.node_for(1, "a", 3_000), Some(address(1)));
+}
+
+#[test]
+fn endpoint_stays_with_its_node() {
+    let mut shares = large_shares();
+    let nodes: Vec<_> = (0..300).map(|key| shares.node_for(key, "a", 0)).collect();
+    shares.set_members(&[
+        member(1, "a", LARGE),
+        member(2, "a", LARGE),
+        member(3, "a", LARGE),
+    ]);
+    let later: Vec<_> = (0..300).map(|key| shares.node_for(key, "a", 0)).collect();
+    assert_eq!(nodes, later);
+}
+
+#[test]
+fn node_that_turns_slow_gives_up_what_it_cannot_carry() {
+    let mut shares = large_shares();
+    assert_eq!(shares.carried(), (180, 1));
+    shares.set_members(&[member(1, "a", (50, 200)), member(2, "a", (50, 200))]);
+    assert_eq!(shares.carried(), (20, 1));
+}
+
+#[test]
+fn endpoints_that_are_gone_make_room() {
+    let mut shares = large_shares();
+    shares.retain(|key| key >= 200);
+    assert_eq!(shares.carried(), (100, 1));
+    assert_eq!(shares.node_for(1_000, "a", 0), None, "the owner has room");
+}
+
+#[test]
+fn node_that_is_heard_of_no_more_is_gone() {
+    let mut members = Members::default();
+    members.note(member(1, "a", LARGE), 0);
+    members.note(member(2, "a", LARGE), 2_000);
+    members.note(member(2, "a", NARROW), 3_000);
+    assert_eq!(members.present(HEARD_MS).len(), 1);
+    assert_eq!(members.present(HEARD_MS)[0], member(2, "a", NARROW));
+}
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -78,10 +78,9 @@
                 continue;
             }
             let resting = (endpoint.rests_until_ms, key);
-            if !endpoint.is_over && resting.0 > now.steady_ms {
-                if let Err(place) = self.resting_endpoints.binary_search(&resting) {
-                    self.resting_endpoints.insert(place, resting);
-                }
+            let rests = !endpoint.is_over && endpoint.rests_until_ms > now.steady_ms;
+            if rests && let Err(place) = self.resting_endpoints.binary_search(&resting) {
+                self.resting_endpoints.insert(place, resting);
             }
             self.free_room.remove(key);
         }
