Spread the nodes' asks whether the owner is there, and let small nodes claim last

Small nodes now ask over 0.9 s, not at all when the owner has just answered them, and claim 0.7 s later.

--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -237,7 +237,12 @@
     request.sender = Some(node.member());
     let client = node.peers.get(owner.address);
     match client.exchange(OWNER_PATH, &request, limit).await {
-        Ok(answer) => answer,
+        Ok(answer) => {
+            if answer != OwnerAnswer::NotOwner {
+                node.note_owner_heard();
+            }
+            answer
+        }
         Err(error) => {
             info!(
                 event = "forward_failed", peer:% = owner.address, epoch = owner.epoch,
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -126,6 +126,8 @@
     pub owner: ArcSwapOption<OwnerHandle>,
     /// Epoch under which this process has written; it is never taken up twice.
     pub taken_epoch: AtomicU64,
+    /// When the owner answered a request of this node last, on the steady clock in milliseconds.
+    pub owner_heard_ms: AtomicU64,
     /// When the store was reached last, on the steady clock in milliseconds.
     pub contact_ms: AtomicU64,
     /// Renders the metrics as text.
@@ -160,6 +162,7 @@
             owner_refused: Notify::new(),
             metrics,
             taken_epoch: AtomicU64::new(0),
+            owner_heard_ms: AtomicU64::new(0),
             contact_ms: AtomicU64::new(0),
             stopping: Shutdown::new(),
             closing: Shutdown::new(),
@@ -176,6 +179,18 @@
         now_ms < self.contact_ms.load(Ordering::Relaxed) + age_ms
     }
 
+    /// Notes that the owner answered a request of this node.
+    pub fn note_owner_heard(&self) {
+        self.owner_heard_ms
+            .store(clock::steady_ms(), Ordering::Relaxed);
+    }
+
+    /// Tells whether the owner answered within the last `age_ms`.
+    #[must_use]
+    pub fn has_heard_of_owner_within(&self, now_ms: u64, age_ms: u64) -> bool {
+        now_ms < self.owner_heard_ms.load(Ordering::Relaxed) + age_ms
+    }
+
     /// Tells whether the store was reached within one poll.
     #[must_use]
     pub fn is_in_contact(&self, now_ms: u64) -> bool {
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -35,9 +35,20 @@
 /// longer than any order of an earlier owner matters.
 const STORED_BY_KEPT: usize = 16;
 
-/// Time for which a small node lets larger ones claim first, in milliseconds: two of the pauses
-/// over which claims are spread.
-pub const SMALL_NODE_DELAY_MS: u64 = 240;
+/// Time for which a small node lets larger ones claim first, in milliseconds: they may find out half a
+/// second later, and a small owner of a large fleet falls behind at once.
+pub const SMALL_NODE_DELAY_MS: u64 = 700;
+
+/// Time over which nodes spread their asks whether the owner is there, in milliseconds: where all ask
+/// in the same moment, its queue of new connections overflows, and a sound owner seems not to answer.
+const ASK_SPREAD_MS: u64 = 60;
+
+/// The same for small nodes, of which there may be hundreds and which would claim last.
+const SMALL_NODE_ASK_SPREAD_MS: u64 = 900;
+
+/// Milliseconds that a node waits with the very first claim, for each thousandth that it lacks of a core:
+/// a large node is ahead of a small one by more than [`SMALL_NODE_DELAY_MS`].
+const FIRST_CLAIM_FACTOR: u64 = 2;
 
 /// A whole core, in thousandths of one.
 const WHOLE_CORE_MILLIS: u32 = 1_000;
@@ -266,15 +277,31 @@
     #[must_use]
     pub fn claim_delay_ms(&self, cpu_millis: u32) -> u64 {
         if self.largest_cpu_millis == 0 {
-            return u64::from(WHOLE_CORE_MILLIS.saturating_sub(cpu_millis));
+            return u64::from(WHOLE_CORE_MILLIS.saturating_sub(cpu_millis)) * FIRST_CLAIM_FACTOR;
         }
-        if is_much_less(cpu_millis, self.largest_cpu_millis) {
+        if self.is_small(cpu_millis) {
             SMALL_NODE_DELAY_MS
         } else {
             0
         }
     }
 
+    /// Returns the time over which a node spreads its ask whether the owner is there, in milliseconds.
+    #[must_use]
+    pub fn ask_spread_ms(&self, cpu_millis: u32) -> u64 {
+        if self.is_small(cpu_millis) {
+            SMALL_NODE_ASK_SPREAD_MS
+        } else {
+            ASK_SPREAD_MS
+        }
+    }
+
+    /// Tells whether a node is much smaller than the largest that has owned the fleet.
+    #[must_use]
+    pub fn is_small(&self, cpu_millis: u32) -> bool {
+        is_much_less(cpu_millis, self.largest_cpu_millis)
+    }
+
     /// Tells whether the owner is so small that a node of this size should ask to succeed it.
     #[must_use]
     pub fn has_small_owner(&self, cpu_millis: u32) -> bool {
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -5,7 +5,9 @@
         clock,
         node::Node,
         owner::OwnerMessage,
-        ownership::{OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS, RENEW_EVERY_MS},
+        ownership::{
+            OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS, RENEW_EVERY_MS, SUSPECT_MS,
+        },
         peer::{OWNERSHIP_PATH, OwnershipAnswer, OwnershipAsk, OwnershipRequest},
         take_over,
     },
@@ -171,7 +173,13 @@
         let unsuspected_ms = node.view.borrow().unsuspected_ms(clock::steady_ms());
         match unsuspected_ms {
             Some(0) if !node.stopping.has_begun() && node.owner.load().is_none() => {
-                if !is_owner_alive(node).await {
+                if is_heard_of(node) {
+                    sleep(Duration::from_millis(RETRY_MS)).await;
+                    continue;
+                }
+                let spread_ms = node.view.borrow().ask_spread_ms(node.settings.cpu_millis);
+                sleep(Duration::from_millis(rand::random_range(0..spread_ms))).await;
+                if is_suspected(node) && !is_owner_alive(node).await {
                     return;
                 }
             }
@@ -182,6 +190,18 @@
     }
 }
 
+fn is_suspected(node: &Node) -> bool {
+    node.view.borrow().unsuspected_ms(clock::steady_ms()) == Some(0)
+}
+
+/// Tells whether a small node need not ask, as the owner has just answered some request of it.
+///
+/// Larger nodes ask all the same: an owner that is cut off from the store goes on answering.
+fn is_heard_of(node: &Node) -> bool {
+    let is_small = node.view.borrow().is_small(node.settings.cpu_millis);
+    is_small && node.has_heard_of_owner_within(clock::steady_ms(), SUSPECT_MS)
+}
+
 /// Asks the owner whether it is there, and notes when it does not answer.
 async fn is_owner_alive(node: &Node) -> bool {
     let (epoch, owner) = node.known_owner();
--- a/crates/controller/tests/ownership.rs
+++ b/crates/controller/tests/ownership.rs
@@ -55,6 +55,17 @@
         assert!(view.needs_owner(20_001 + SILENCE_MS));
     };
 
+    /// A sound owner of a large fleet is succeeded by a small node. The store was slow, a hundred and
+    /// fifty nodes asked in the same moment whether the owner was there, and most got no connection.
+    small_nodes_spread_their_asks: {
+        let mut view = owned();
+        let mut claim = record(OwnershipKind::Claim, 0, 8);
+        claim.cpu_millis = 500;
+        view.apply(Some(&claim), 2_000);
+        assert!(view.ask_spread_ms(120) >= 10 * view.ask_spread_ms(500));
+        assert!(view.ask_spread_ms(120) > SMALL_NODE_DELAY_MS);
+    };
+
     release_asks_for_another_owner_at_once: {
         let mut view = owned();
         view.apply(Some(&record(OwnershipKind::Release, 1, 7)), 1_100);
