Refuse jobs at once of which nothing was sent to a store that is away

Cause: a caller's hand-in was held until its deadline while the store was away, and answered as "not known"; a caller may not hand a job in again after that. A first criterion (oldest batch 0.7 s old) took slow spells for outages.

--- a/crates/controller/src/in_flight.rs
+++ b/crates/controller/src/in_flight.rs
@@ -7,6 +7,9 @@
 /// meanwhile for up to two of its answers, some 0.9 s at a hundredth of its speed.
 pub const FOLLOW_MS: u64 = 80;
 
+/// Time in which no batch under way is stored after which the store counts as away, in milliseconds.
+pub const STORE_AWAY_MS: u64 = 900;
+
 /// Batches under way at most: the store knows its answers to the last five appends of a writer, and
 /// what is sent again has to be among them.
 pub const MOST_UNDER_WAY: usize = 4;
@@ -25,6 +28,7 @@
 pub struct InFlight {
     pending: VecDeque<Pending>,
     last_number: u64,
+    last_stored_ms: u64,
 }
 
 impl InFlight {
@@ -41,6 +45,19 @@
         self.pending.len() < MOST_UNDER_WAY && self.pending.back().is_none_or(is_due)
     }
 
+    /// Tells whether the store is away: for so long it has stored nothing of what was sent.
+    ///
+    /// One slowed to a hundredth stores a batch each half a second, though each of several that are
+    /// under way at once waits for longer.
+    #[must_use]
+    pub fn is_store_away(&self, now_ms: u64) -> bool {
+        let is_late = |oldest: &Pending| {
+            let since_ms = oldest.sent_ms.max(self.last_stored_ms);
+            now_ms >= since_ms + STORE_AWAY_MS
+        };
+        self.pending.front().is_some_and(is_late)
+    }
+
     /// Adds a batch, and returns its number.
     pub fn add(&mut self, batch: Batch, now_ms: u64) -> u64 {
         self.last_number += 1;
@@ -64,7 +81,8 @@
     ///
     /// An answer may overtake that to an earlier append. What a batch releases may rest on earlier
     /// ones, so it waits for them.
-    pub fn stored(&mut self, number: u64) -> Vec<Batch> {
+    pub fn stored(&mut self, number: u64, now_ms: u64) -> Vec<Batch> {
+        self.last_stored_ms = now_ms;
         if let Some(pending) = self
             .pending
             .iter_mut()
--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -204,6 +204,8 @@
         match ask_once(node, ask.clone(), attempt).await {
             OwnerAnswer::Unclear => is_unclear = true,
             OwnerAnswer::NotOwner => {}
+            // An earlier ask may still arrive, and be accepted.
+            OwnerAnswer::Refused if is_unclear => {}
             answer => return answer,
         }
         let end = if is_unclear { limit } else { patience };
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -46,7 +46,7 @@
 
 pub use {
     calls::{CallResult, CallSubject, EndpointCall},
-    in_flight::{FOLLOW_MS, InFlight, MOST_UNDER_WAY},
+    in_flight::{FOLLOW_MS, InFlight, MOST_UNDER_WAY, STORE_AWAY_MS},
     members::{HEARD_MS, Member, Members},
     node::{MetricsPage, run},
     ownership::{
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -159,6 +159,7 @@
     dispatcher: Dispatcher,
     in_flight: InFlight,
     load: OwnerLoad,
+    is_store_away: bool,
     /// Callers that wait, sorted by token.
     waiting: Vec<(ReplyToken, oneshot::Sender<OwnerAnswer>)>,
     next_token: ReplyToken,
@@ -174,6 +175,7 @@
             OwnerMessage::Event(event) => self.engine.handle(*event, now),
             OwnerMessage::Tick(sent_ms) => {
                 self.load.note_wait(now.steady_ms.saturating_sub(sent_ms));
+                self.watch_store(now);
                 // Only while nobody else can believe to be the owner.
                 self.engine.allow_vm_orders(self.is_fresh(now));
                 self.engine.handle(Event::Tick, now);
@@ -190,7 +192,7 @@
             }
             OwnerMessage::Ask(ask, reply) => self.ask(ask, reply, now),
             OwnerMessage::Stored(number) => {
-                for batch in self.in_flight.stored(number) {
+                for batch in self.in_flight.stored(number, now.steady_ms) {
                     let effects = self.engine.committed(batch, now);
                     self.carry_out(effects, now, context);
                 }
@@ -242,11 +244,23 @@
             dispatcher,
             in_flight: InFlight::default(),
             load: OwnerLoad::default(),
+            is_store_away: false,
             waiting: Vec::new(),
             next_token: 0,
         }
     }
 
+    /// Notices when the store goes away and when it is back.
+    fn watch_store(&mut self, now: Now) {
+        let is_away = self.in_flight.is_store_away(now.steady_ms);
+        if is_away != self.is_store_away {
+            self.is_store_away = is_away;
+            let event = if is_away { "store_away" } else { "store_back" };
+            warn!(event = event, epoch = self.epoch; "");
+        }
+        self.engine.set_store_away(is_away);
+    }
+
     fn handle_all(&mut self, events: Vec<Event>, now: Now) {
         for event in events {
             self.engine.handle(event, now);
@@ -371,6 +385,7 @@
                 CallerAnswer::Accepted => OwnerAnswer::Accepted,
                 CallerAnswer::Cancelled => OwnerAnswer::Cancelled,
                 CallerAnswer::Unknown => OwnerAnswer::Unknown,
+                CallerAnswer::Refused => OwnerAnswer::Refused,
             };
             answer_now(reply, answer);
         }
--- a/crates/controller/tests/in_flight.rs
+++ b/crates/controller/tests/in_flight.rs
@@ -1,7 +1,7 @@
 //! Which batches are under way at once, and when what they release may go out.
 
 use {
-    lynxwheel_controller::{FOLLOW_MS, InFlight, MOST_UNDER_WAY},
+    lynxwheel_controller::{FOLLOW_MS, InFlight, MOST_UNDER_WAY, STORE_AWAY_MS},
     lynxwheel_engine::{Batch, Record},
 };
 
@@ -27,13 +27,26 @@
 }
 
 cases! {
+    /// Answers of a slowed store take half a second; one that answers nothing for longer is away.
+    store_that_answers_nothing_is_away: {
+        let mut in_flight = InFlight::default();
+        assert!(!in_flight.is_store_away(1_000));
+        let first = in_flight.add(batch("a"), 1_000);
+        in_flight.add(batch("b"), 1_400);
+        assert!(!in_flight.is_store_away(1_000 + STORE_AWAY_MS - 1));
+        assert!(in_flight.is_store_away(1_000 + STORE_AWAY_MS));
+        in_flight.stored(first, 1_500);
+        assert!(!in_flight.is_store_away(1_499 + STORE_AWAY_MS));
+        assert!(in_flight.is_store_away(1_500 + STORE_AWAY_MS));
+    };
+
     /// A calm store answers within 10 ms: load makes batches larger, not more frequent.
     calm_store_gets_one_batch_at_a_time: {
         let mut in_flight = InFlight::default();
         assert!(in_flight.takes_another(1_000));
         let number = in_flight.add(batch("a"), 1_000);
         assert!(!in_flight.takes_another(1_010));
-        in_flight.stored(number);
+        in_flight.stored(number, 1_500);
         assert!(in_flight.takes_another(1_011));
     };
 
@@ -64,8 +77,8 @@
         let mut in_flight = InFlight::default();
         let first = in_flight.add(batch("a"), 1_000);
         let second = in_flight.add(batch("b"), 1_100);
-        assert_eq!(keys(&in_flight.stored(second)), [] as [&str; 0]);
-        assert_eq!(keys(&in_flight.stored(first)), ["a", "b"]);
+        assert_eq!(keys(&in_flight.stored(second, 1_500)), [] as [&str; 0]);
+        assert_eq!(keys(&in_flight.stored(first, 1_500)), ["a", "b"]);
         assert!(in_flight.is_empty());
     };
 
@@ -73,6 +86,6 @@
         let mut in_flight = InFlight::default();
         let first = in_flight.add(batch("a"), 1_000);
         in_flight.join(batch("joined"));
-        assert_eq!(keys(&in_flight.stored(first)), ["a", "joined"]);
+        assert_eq!(keys(&in_flight.stored(first, 1_500)), ["a", "joined"]);
     };
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -134,6 +134,8 @@
     pub(crate) fresh_entries: u64,
     pub(crate) is_schedule_due: bool,
     pub(crate) may_order_vms: bool,
+    /// Whether nothing can be stored at the moment.
+    is_store_away: bool,
 }
 
 impl Engine {
@@ -168,6 +170,7 @@
             fresh_entries: 0,
             is_schedule_due: false,
             may_order_vms: false,
+            is_store_away: false,
         }
     }
 
@@ -223,6 +226,38 @@
         self.may_order_vms = is_allowed;
     }
 
+    /// Takes in whether the store is away, and refuses the jobs of which nothing was sent to it.
+    ///
+    /// Kept until their callers' deadline, they would end as "not known", after which a caller may not
+    /// hand its job in again: half of the jobs of an outage were lost so. One that is refused at once
+    /// comes back when the store does.
+    pub fn set_store_away(&mut self, is_away: bool) {
+        self.is_store_away = is_away;
+        if !is_away {
+            return;
+        }
+        let unsent: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|job| job.is_unsent())
+            .map(|job| job.id)
+            .collect();
+        for id in unsent {
+            if let Ok(place) = self.search(id) {
+                let job = self.jobs.remove(place);
+                self.refuse(&job.waiting);
+            }
+        }
+    }
+
+    fn refuse(&mut self, tokens: &[ReplyToken]) {
+        let replies = tokens.iter().map(|&token| Effect::Reply {
+            token,
+            answer: CallerAnswer::Refused,
+        });
+        self.at_once.extend(replies);
+    }
+
     fn submit(&mut self, id: JobId, queue: Queue, spec: JobSpec, token: ReplyToken, now: Now) {
         let accepted = Effect::Reply {
             token,
@@ -238,6 +273,7 @@
                 }
             }
             Err(_) if self.find_ended(id).is_some() => self.at_once.push(accepted),
+            Err(_) if self.is_store_away => self.refuse(&[token]),
             Err(_) => {
                 self.arrivals.note(&queue.pool, &spec, now);
                 let mut job = Box::new(Job::new(id, queue, spec, now.wall_ms));
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -180,6 +180,8 @@
     Cancelled,
     /// No such job.
     Unknown,
+    /// Nothing was stored of the job, and nothing will be.
+    Refused,
 }
 
 /// What the engine asks for.
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -202,6 +202,12 @@
         }
     }
 
+    /// Tells whether nothing of the job was ever sent to the store.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        self.shown.is_none() && !self.is_spec_stored
+    }
+
     /// Tells whether some occurrence has not begun.
     #[must_use]
     pub fn has_occurrences_to_come(&self) -> bool {
--- /dev/null
+++ b/crates/engine/tests/store_away.rs
@@ -0,0 +1,86 @@
+//! Jobs that are handed in while nothing can be stored.
+
+mod common;
+
+use {
+    common::Fleet,
+    lynxwheel_engine::{CallerAnswer, JobState},
+};
+
+fn answers(fleet: &Fleet, token: u64) -> Vec<CallerAnswer> {
+    let replies = fleet.replies.iter().filter(|(known, _)| *known == token);
+    replies.map(|(_, answer)| *answer).collect()
+}
+
+/// Returns a fleet whose store went away with the batch of job 1 under way.
+fn fleet_without_store() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.advance(200);
+    fleet.submit(1, 1);
+    let batch = fleet.engine.cut_batch(fleet.now);
+    fleet.put_in_flight(batch);
+    fleet.is_store_down = true;
+    fleet
+}
+
+fn learn(fleet: &mut Fleet, is_store_away: bool) {
+    fleet.engine.set_store_away(is_store_away);
+    fleet.advance(100);
+}
+
+/// A shop's order is lost: its caller was kept until its deadline while the store was away, was told
+/// that the outcome is not known, and may not hand the order in a second time.
+#[test]
+fn job_of_which_nothing_was_sent_is_refused_when_the_store_is_away() {
+    let mut fleet = fleet_without_store();
+    fleet.submit(2, 1);
+    learn(&mut fleet, true);
+    assert_eq!(answers(&fleet, 2), [CallerAnswer::Refused]);
+    fleet.submit(3, 1);
+    fleet.advance(100);
+    assert_eq!(answers(&fleet, 3), [CallerAnswer::Refused]);
+}
+
+/// A refused job must never run: one that may be stored already is not refused.
+#[test]
+fn job_that_may_be_stored_is_not_refused() {
+    let mut fleet = fleet_without_store();
+    learn(&mut fleet, true);
+    assert_eq!(answers(&fleet, 1), []);
+    fleet.is_store_down = false;
+    learn(&mut fleet, false);
+    assert_eq!(answers(&fleet, 1), [CallerAnswer::Accepted]);
+}
+
+#[test]
+fn refused_job_does_not_run_and_may_come_back() {
+    let mut fleet = fleet_without_store();
+    fleet.submit(2, 1);
+    learn(&mut fleet, true);
+    fleet.is_store_down = false;
+    learn(&mut fleet, false);
+    assert_eq!(fleet.shown(2), None);
+    assert_eq!(fleet.endpoints[0].running.len(), 1);
+    fleet.submit(2, 1);
+    fleet.advance(100);
+    assert_eq!(
+        answers(&fleet, 2),
+        [CallerAnswer::Refused, CallerAnswer::Accepted]
+    );
+    assert_eq!(fleet.shown(2), Some(JobState::Running));
+}
+
+#[test]
+fn job_handed_in_again_while_the_store_is_away_stays_accepted() {
+    let mut fleet = fleet_without_store();
+    fleet.is_store_down = false;
+    fleet.advance(100);
+    learn(&mut fleet, true);
+    fleet.submit(1, 1);
+    fleet.advance(100);
+    assert_eq!(
+        answers(&fleet, 1),
+        [CallerAnswer::Accepted, CallerAnswer::Accepted]
+    );
+}
