--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -121,6 +121,13 @@
 }
 
 impl Commit {
+    /// Returns the bytes of the records.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let records = self.appends.iter().flat_map(|(_, records)| records);
+        records.map(Vec::len).sum()
+    }
+
     /// Stores the batch, however long the store is away; tells whether this owner may go on.
     pub async fn store(&self, store: &StoreClient) -> bool {
         for (sequence, records) in &self.appends {
--- a/crates/controller/src/load.rs
+++ b/crates/controller/src/load.rs
@@ -15,6 +15,7 @@
     since_ms: u64,
     messages: u32,
     batches: u32,
+    stored_bytes: usize,
     busy: Duration,
     most_behind_ms: u64,
 }
@@ -27,8 +28,9 @@
     }
 
     /// Counts a batch that goes to the store.
-    pub fn note_batch(&mut self) {
+    pub fn note_batch(&mut self, bytes: usize) {
         self.batches += 1;
+        self.stored_bytes += bytes;
     }
 
     /// Takes in for how long a message waited in the mailbox.
@@ -48,7 +50,7 @@
         gauge!("lynxwheel_owner_behind_ms").set(f64::from(behind));
         info!(
             event = "owner_load", epoch = epoch, messages = self.messages, batches = self.batches,
-            busy_us = busy_us, behind_ms = self.most_behind_ms, carried_endpoints = carried.0,
+            stored_bytes = self.stored_bytes, busy_us = busy_us, behind_ms = self.most_behind_ms, carried_endpoints = carried.0,
             carriers = carried.1;
             ""
         );
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -124,6 +124,8 @@
     pub owner_refused: Notify,
     /// The owner's duties while this node is the owner.
     pub owner: ArcSwapOption<OwnerHandle>,
+    /// Epoch that this node is taking over at the moment; 0 for none.
+    pub taking_over: AtomicU64,
     /// Epoch under which this process has written; it is never taken up twice.
     pub taken_epoch: AtomicU64,
     /// When the owner answered a request of this node last, on the steady clock in milliseconds.
@@ -161,6 +163,7 @@
             carrier: CarrierDuty::default(),
             owner_refused: Notify::new(),
             metrics,
+            taking_over: AtomicU64::new(0),
             taken_epoch: AtomicU64::new(0),
             owner_heard_ms: AtomicU64::new(0),
             contact_ms: AtomicU64::new(0),
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -400,7 +400,7 @@
             let batch = self.engine.cut_batch(now);
             if !batch.records.is_empty() {
                 let commit = self.writer.commit(&batch.records);
-                self.load.note_batch();
+                self.load.note_batch(commit.bytes());
                 let number = self.in_flight.add(batch, now.steady_ms);
                 self.store(commit, number, context);
                 return;
--- a/crates/controller/src/peer_server.rs
+++ b/crates/controller/src/peer_server.rs
@@ -17,7 +17,10 @@
     lynxwheel_protocol::{MAX_MESSAGE_BYTES, decode_message},
     lynxwheel_transport::{Body, Server, collect_body, error_answer, message_answer},
     serde::de::DeserializeOwned,
-    std::{io, sync::Arc},
+    std::{
+        io,
+        sync::{Arc, atomic::Ordering},
+    },
 };
 
 /// Path of the metrics, in the text format of Prometheus.
@@ -107,7 +110,15 @@
 
 fn ask_ownership(node: &Node, request: &OwnershipRequest) -> OwnershipAnswer {
     let Some(owner) = owner_here(node, request.epoch) else {
-        return OwnershipAnswer::NotOwner;
+        // Reading what is stored of a large fleet takes a while. Taken for one that is gone meanwhile, a
+        // new owner was succeeded by the next before it had begun, and that one in the same way.
+        let is_taking_over = request.ask == OwnershipAsk::Alive
+            && node.taking_over.load(Ordering::Relaxed) == request.epoch;
+        return if is_taking_over {
+            OwnershipAnswer::Alive
+        } else {
+            OwnershipAnswer::NotOwner
+        };
     };
     match request.ask {
         OwnershipAsk::Yield => {
--- a/crates/controller/src/take_over.rs
+++ b/crates/controller/src/take_over.rs
@@ -55,7 +55,9 @@
         Arc::clone(&renewed_ms),
         writer.stored_end(),
     ));
-    match prepare(node, writer).await {
+    node.taking_over.store(epoch, Ordering::Relaxed);
+    let prepared = prepare(node, writer).await;
+    match prepared {
         Ok((writer, records)) => {
             let handle = start(node, epoch, begun_ms, writer, records, renewed_ms);
             handle.renew_by(renewals);
@@ -65,6 +67,7 @@
             warn!(event = "take_over_failed", epoch = epoch, reason = reason.as_str(); "");
         }
     }
+    node.taking_over.store(0, Ordering::Relaxed);
 }
 
 /// Shuts earlier owners out of the store, and reads what they stored.
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -6,7 +6,7 @@
         counted::CountedStream,
         error::{Step, TransportError},
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Limited},
     hyper::{
@@ -230,6 +230,38 @@
             .await
     }
 
+    /// Gets a large answer, which may take as long as it goes on coming.
+    ///
+    /// A limit on the whole time gives up what a narrow link would bring in the end, and what is tried
+    /// again fills that link once more.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Client::call`] does, when nothing comes for `stall`.
+    pub async fn download(&self, path: &str, stall: Duration) -> Result<Answer, TransportError> {
+        let peer = self.inner.peer;
+        let request = self.build(&ClientRequest::new(Method::GET, path))?;
+        let response = self.send(request, Instant::now() + stall).await?;
+        let (parts, body) = response.into_parts();
+        let mut body = Limited::new(body, MAX_MESSAGE_BYTES);
+        let mut bytes = BytesMut::new();
+        let broken = |reason: String| TransportError::sent(Step::ReadBody, peer, reason);
+        while let Some(frame) = timeout_at(Instant::now() + stall, body.frame())
+            .await
+            .map_err(|_| broken("timeout".into()))?
+        {
+            let frame = frame.map_err(|error| broken(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: bytes.freeze(),
+        })
+    }
+
     /// Posts a message and decodes the answer.
     ///
     /// # Errors
