Fetch payloads from the nodes where jobs came in

Cause: each start carries its job's payload (1.2 kB and more), so an owner whose calls other nodes make sent it to each of them for each task: 295 kB in the second in which work began on a link that carries 250; renewals then came late, and owners followed each other every second. Measured by the bytes sent as a client; ruled out: records (55 kB a second), the list of VMs and the registry (72 kB a second, inbound).

--- a/crates/controller/src/carried.rs
+++ b/crates/controller/src/carried.rs
@@ -13,6 +13,9 @@
 /// Path at which an owner takes what came of them.
 pub const CARRIED_PATH: &str = "/carried";
 
+/// Path at which a node gives the payload of a job that came in there; the job's id follows.
+pub const PAYLOAD_PATH: &str = "/payload/";
+
 /// Number of a call within one ownership.
 pub type CallNumber = u64;
 
--- a/crates/controller/src/carrier.rs
+++ b/crates/controller/src/carrier.rs
@@ -5,13 +5,17 @@
 
 use {
     crate::{
-        calls::CallResult,
+        calls::{CallResult, EndpointCall},
         carried::{
             CARRIED_PATH, CallNumber, CarriedCall, CarriedRequest, CarryAnswer, CarryRequest,
+            PAYLOAD_PATH,
         },
         node::Node,
     },
+    compact_str::CompactString,
+    http::StatusCode,
     log::info,
+    lynxwheel_engine::{CallOutcome, JobId, StartOrder},
     lynxwheel_platform::EndpointCalls,
     std::{
         net::SocketAddr,
@@ -33,6 +37,9 @@
 /// Time for which results are gathered before they are sent, in milliseconds.
 const GATHER_MS: u64 = 4;
 
+/// Time for another node's answer with a payload, in milliseconds.
+const PAYLOAD_MS: u64 = 250;
+
 /// Time for the owner's answer to results, in milliseconds.
 const RESULTS_MS: u64 = 500;
 
@@ -111,12 +118,10 @@
             carrying.under_way.fetch_sub(count, Ordering::Relaxed);
             return CarryAnswer::NotTaken;
         }
-        for CarriedCall { number, to, call } in request.calls {
+        for call in request.calls {
+            let node = Arc::clone(node);
             let carrying = Arc::clone(&carrying);
-            tokio::spawn(async move {
-                let result = call.make(&carrying.calls, &to).await;
-                carrying.add_result(number, result);
-            });
+            tokio::spawn(async move { make(&node, &carrying, call).await });
         }
         CarryAnswer::Taken
     }
@@ -141,6 +146,69 @@
     }
 }
 
+/// Makes a call, and keeps its result for the owner.
+async fn make(node: &Node, carrying: &Carrying, carried: CarriedCall) {
+    let CarriedCall {
+        number,
+        to,
+        mut call,
+    } = carried;
+    let has_payload = match &mut call {
+        EndpointCall::Start(order) => add_payload(node, order).await,
+        _ => true,
+    };
+    let result = if has_payload {
+        call.make(&carrying.calls, &to).await
+    } else {
+        CallResult::Ordered(CallOutcome::Unsent)
+    };
+    carrying.add_result(number, result);
+}
+
+/// Adds the payload that the owner left out of a start; tells whether it is there.
+async fn add_payload(node: &Node, order: &mut StartOrder) -> bool {
+    let Some(origin) = order.origin else {
+        return true;
+    };
+    let job = order.task.job;
+    let cell = node.payloads.cell(job);
+    let fetched = cell
+        .get_or_try_init(|| fetch_payload(node, origin, job))
+        .await;
+    match fetched {
+        Ok(payload) => {
+            order.payload.clone_from(payload);
+            true
+        }
+        Err(reason) => {
+            info!(
+                event = "payload_missing", job = job.as_str(), peer:% = origin,
+                reason = reason.as_str();
+                ""
+            );
+            false
+        }
+    }
+}
+
+async fn fetch_payload(
+    node: &Node,
+    origin: SocketAddr,
+    job: JobId,
+) -> Result<CompactString, String> {
+    let path = format!("{PAYLOAD_PATH}{job}");
+    let client = node.peers.get(origin);
+    let limit = Duration::from_millis(PAYLOAD_MS);
+    let answer = client.get(&path, limit).await;
+    let answer = answer.map_err(|error| error.reason)?;
+    if answer.status != StatusCode::OK {
+        return Err(format!("status {}", answer.status.as_u16()));
+    }
+    let payload = CompactString::from_utf8(&answer.body).map_err(|error| error.to_string())?;
+    node.payloads.note_fetched(&payload);
+    Ok(payload)
+}
+
 /// Sends results to the owner until its epoch is over.
 async fn send_results(node: Arc<Node>, carrying: Arc<Carrying>) {
     let prune_every = Duration::from_millis(PRUNE_EVERY_MS);
--- a/crates/controller/src/carriers.rs
+++ b/crates/controller/src/carriers.rs
@@ -9,6 +9,7 @@
         pending::PendingCalls,
         shares::Shares,
     },
+    compact_str::CompactString,
     kameo::actor::ActorRef,
     log::{info, warn},
     lynxwheel_engine::{EndpointAddress, EndpointKey, Event},
@@ -99,12 +100,17 @@
         endpoint: EndpointKey,
         zone: &str,
         to: EndpointAddress,
-        call: EndpointCall,
+        mut call: EndpointCall,
         now_ms: u64,
     ) -> Option<(EndpointAddress, EndpointCall)> {
         let Some(address) = self.shares.node_for(endpoint, zone, now_ms) else {
             return Some((to, call));
         };
+        if let EndpointCall::Start(order) = &mut call
+            && order.origin.is_some()
+        {
+            order.payload = CompactString::default();
+        }
         self.next_number += 1;
         let number = self.next_number;
         let subject = call.subject();
--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -118,10 +118,13 @@
         Ok(spec) => Box::new(spec),
         Err(mistake) => return error_answer(StatusCode::BAD_REQUEST, &mistake),
     };
+    // Before the owner is asked: the first start may follow before its answer.
+    node.payloads.keep(job, &spec.payload);
     let ask = Ask::Submit {
         job: job.to_string(),
         queue: queue.clone(),
         spec,
+        origin: Some(node.peer_address),
     };
     let begun = Instant::now();
     let answer = ask_owner(node, ask, limit).await;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -35,6 +35,7 @@
 mod notes;
 mod owner;
 mod ownership;
+mod payloads;
 mod peer;
 mod peer_server;
 mod pending;
@@ -53,6 +54,7 @@
         FRESH_MS, OwnerId, OwnershipKind, OwnershipRecord, OwnershipView, REFUSING_MS,
         RENEW_EVERY_MS, SILENCE_MS, SMALL_NODE_DELAY_MS, SUSPECT_MS,
     },
+    payloads::Payloads,
     pending::PendingCalls,
     shares::Shares,
     speed::Speed,
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -7,6 +7,7 @@
         members::{Member, Members},
         owner::{OwnerHandle, OwnerMessage},
         ownership::{OwnerId, OwnershipKind, OwnershipRecord, OwnershipView},
+        payloads::Payloads,
         peer_server, ready,
         speed::{self, Speed},
         watcher,
@@ -118,6 +119,8 @@
     pub view: tokio::sync::watch::Sender<OwnershipView>,
     /// Nodes that passed requests on to this one lately.
     pub members: Mutex<Members>,
+    /// Payloads of jobs that came in here, or that were fetched for calls.
+    pub payloads: Payloads,
     /// Calls made here for owners on other nodes.
     pub carrier: CarrierDuty,
     /// Given when nothing listens at the owner's address.
@@ -160,6 +163,7 @@
             view: tokio::sync::watch::Sender::default(),
             owner: ArcSwapOption::empty(),
             members: Mutex::default(),
+            payloads: Payloads::default(),
             carrier: CarrierDuty::default(),
             owner_refused: Notify::new(),
             metrics,
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        calls::CallResult,
+        calls::{CallResult, EndpointCall},
         carried::{CallNumber, CarriedCall},
         clock,
         commit::{Commit, Writer},
@@ -271,7 +271,12 @@
     fn call_here(&mut self, address: SocketAddr, calls: Vec<CarriedCall>, now: Now) {
         let carriers = &mut self.dispatcher.carriers;
         let (own, events) = carriers.not_taken(address, calls, now.steady_ms);
-        for (key, CarriedCall { to, call, .. }) in own {
+        for (key, CarriedCall { to, mut call, .. }) in own {
+            if let EndpointCall::Start(order) = &mut call {
+                // Left out on the way to the other node.
+                let payload = self.engine.payload(order.task.job);
+                order.payload = payload.cloned().unwrap_or_default();
+            }
             self.dispatcher.call_here(key, to, call);
         }
         self.handle_all(events, now);
@@ -293,7 +298,12 @@
 
     fn ask(&mut self, ask: Ask, reply: oneshot::Sender<OwnerAnswer>, now: Now) {
         let answer = match ask {
-            Ask::Submit { job, queue, spec } => {
+            Ask::Submit {
+                job,
+                queue,
+                spec,
+                origin,
+            } => {
                 let Ok(job) = job.parse::<JobId>() else {
                     return answer_now(reply, OwnerAnswer::Refused);
                 };
@@ -302,6 +312,7 @@
                     job,
                     queue,
                     spec,
+                    origin,
                     token,
                 };
                 return self.engine.handle(event, now);
--- a/crates/controller/src/peer.rs
+++ b/crates/controller/src/peer.rs
@@ -4,6 +4,7 @@
     crate::members::Member,
     lynxwheel_engine::{JobSpec, JobState, Queue},
     serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
 };
 
 /// Path at which a node takes other nodes' requests.
@@ -32,6 +33,9 @@
         queue: Queue,
         /// What the caller sent.
         spec: Box<JobSpec>,
+        /// Node that took the job from its caller and keeps its payload.
+        #[serde(default)]
+        origin: Option<SocketAddr>,
     },
     /// Cancel a job.
     Cancel {
--- a/crates/controller/src/peer_server.rs
+++ b/crates/controller/src/peer_server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        carried::{CARRIED_PATH, CARRY_PATH, CarriedRequest, CarryAnswer},
+        carried::{CARRIED_PATH, CARRY_PATH, CarriedRequest, CarryAnswer, PAYLOAD_PATH},
         clock,
         node::Node,
         owner::{OwnerHandle, OwnerMessage, ask_owner},
@@ -15,7 +15,7 @@
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
     lynxwheel_protocol::{MAX_MESSAGE_BYTES, decode_message},
-    lynxwheel_transport::{Body, Server, collect_body, error_answer, message_answer},
+    lynxwheel_transport::{Body, Server, collect_body, error_answer, full_body, message_answer},
     serde::de::DeserializeOwned,
     std::{
         io,
@@ -66,7 +66,10 @@
             Ok(request) => message_answer(&take_results(node, request).await),
             Err(answer) => answer,
         },
-        _ => error_answer(StatusCode::NOT_FOUND, "no such path"),
+        path => match path.strip_prefix(PAYLOAD_PATH) {
+            Some(job) => payload(node, job),
+            None => error_answer(StatusCode::NOT_FOUND, "no such path"),
+        },
     }
 }
 
@@ -96,6 +99,15 @@
     }
 }
 
+/// Returns the payload of a job that came in here a while ago.
+fn payload(node: &Node, job: &str) -> Response<Body> {
+    let payload = job.parse().ok().and_then(|job| node.payloads.get(job));
+    match payload {
+        Some(payload) => Response::new(full_body(payload.to_string())),
+        None => error_answer(StatusCode::NOT_FOUND, "no such payload"),
+    }
+}
+
 /// Takes what came of calls that another node made for this node's owner duties.
 async fn take_results(node: &Node, request: CarriedRequest) -> CarryAnswer {
     match owner_here(node, request.epoch) {
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -131,7 +131,9 @@
                 self.start_failed(task, run, now);
             }
             CallOutcome::Unsent => {
-                self.call_failed(key, now);
+                if !self.forget_origin(task) {
+                    self.call_failed(key, now);
+                }
                 self.start_failed(task, run, now);
             }
             CallOutcome::Unknown => {
@@ -150,6 +152,17 @@
         }
     }
 
+    /// Lets later starts of a job carry its payload; tells whether they did not until now.
+    ///
+    /// A start that was not sent may have lacked the payload, as the node that kept it is gone. The
+    /// endpoint is blamed only when it cannot be reached with the payload at hand.
+    fn forget_origin(&mut self, task: &TaskRef) -> bool {
+        let Ok(place) = self.search(task.job) else {
+            return false;
+        };
+        self.jobs.quiet_mut(place).origin.take().is_some()
+    }
+
     fn rest_after_refusal(&mut self, key: EndpointKey, refusal: Refusal, now: Now) {
         let endpoint = self.endpoints.get_mut(key);
         endpoint.rests_until_ms = now.steady_ms + REFUSAL_REST_MS;
@@ -487,6 +500,7 @@
         task: *task,
         run,
         payload: job.spec.payload.clone(),
+        origin: job.origin,
         deadline_ms,
         checkpoint,
         ticket: CompactString::default(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,7 +13,7 @@
         endpoints::Endpoints,
         event::{CallerAnswer, Effect, EndpointKey, Event, Now, ReplyToken, StartOrder},
         free_room::FreeRoom,
-        job::{JobId, JobSpec, JobState, TaskRef},
+        job::{JobId, JobState, TaskRef},
         job_table::JobTable,
         note::Note,
         order_rate::OrderRate,
@@ -24,6 +24,7 @@
         waiting::OpenSteps,
         waves::Wave,
     },
+    compact_str::CompactString,
     std::sync::Arc,
 };
 
@@ -187,8 +188,13 @@
                 job,
                 queue,
                 spec,
+                origin,
                 token,
-            } => self.submit(job, queue, *spec, token, now),
+            } => {
+                let mut job = Job::new(job, queue, *spec, now.wall_ms);
+                job.origin = origin;
+                self.submit(job, token, now);
+            }
             Event::Cancel { job, token } => self.cancel(job, token, now),
             Event::Config(config) => self.set_config(config),
             Event::Listed { entry, is_fresh } => self.endpoint_listed(&entry, is_fresh, now),
@@ -258,28 +264,28 @@
         self.at_once.extend(replies);
     }
 
-    fn submit(&mut self, id: JobId, queue: Queue, spec: JobSpec, token: ReplyToken, now: Now) {
+    fn submit(&mut self, mut job: Job, token: ReplyToken, now: Now) {
+        let id = job.id;
         let accepted = Effect::Reply {
             token,
             answer: CallerAnswer::Accepted,
         };
         match self.search(id) {
             Ok(place) => {
-                let job = &mut self.jobs[place];
-                if job.shown.is_some() {
+                let known = &mut self.jobs[place];
+                if known.shown.is_some() {
                     self.at_once.push(accepted);
                 } else {
-                    job.waiting.push(token);
+                    known.waiting.push(token);
                 }
             }
             Err(_) if self.find_ended(id).is_some() => self.at_once.push(accepted),
             Err(_) if self.is_store_away => self.refuse(&[token]),
             Err(_) => {
-                self.arrivals.note(&queue.pool, &spec, now);
-                let mut job = Box::new(Job::new(id, queue, spec, now.wall_ms));
+                self.arrivals.note(&job.queue.pool, &job.spec, now);
                 job.waiting.push(token);
                 job.begin_due(now.wall_ms);
-                self.add_job(job);
+                self.add_job(Box::new(job));
                 self.is_schedule_due = true;
             }
         }
@@ -382,6 +388,12 @@
             .count()
     }
 
+    /// Returns the text that endpoints get with each task of a job in progress.
+    #[must_use]
+    pub fn payload(&self, job: JobId) -> Option<&CompactString> {
+        self.jobs.get(job).map(|job| &job.spec.payload)
+    }
+
     /// Returns the jobs in progress.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
         self.jobs.iter()
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -86,6 +86,8 @@
         queue: Queue,
         /// What the caller sent.
         spec: Box<JobSpec>,
+        /// Node that took the job from its caller and keeps its payload for a while, if it is known.
+        origin: Option<SocketAddr>,
         /// Request that waits.
         token: ReplyToken,
     },
@@ -270,6 +272,8 @@
     pub run: u32,
     /// Text of the job.
     pub payload: CompactString,
+    /// Node that keeps that text for a while, if one is known to.
+    pub origin: Option<SocketAddr>,
     /// End of the lease on the endpoint's clock, in milliseconds.
     pub deadline_ms: u64,
     /// Checkpoint from which to go on; empty for none.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,7 +12,7 @@
 //! let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
 //! let now = Now { steady_ms: 1_000, wall_ms: 1_000 };
 //! engine.handle(
-//!     Event::Submit { job: id, queue: Queue::default(), spec: Box::new(spec), token: 1 },
+//!     Event::Submit { job: id, queue: Queue::default(), spec: Box::new(spec), origin: None, token: 1 },
 //!     now,
 //! );
 //! assert_eq!(engine.shown(id), None);
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -7,6 +7,7 @@
         job::{JobId, JobSpec, JobState, StepSpec, TaskRef},
     },
     compact_str::CompactString,
+    std::net::SocketAddr,
 };
 
 /// What is known of a run's start.
@@ -176,6 +177,8 @@
     pub is_dirty: bool,
     /// Whether what the caller sent is stored.
     pub is_spec_stored: bool,
+    /// Node that keeps the payload for a while, if one is known to.
+    pub origin: Option<SocketAddr>,
     /// Callers that wait for the hand-in to be stored.
     pub waiting: Vec<ReplyToken>,
     /// When it ended, on the steady clock.
@@ -197,6 +200,7 @@
             next_occurrence: 0,
             is_dirty: true,
             is_spec_stored: false,
+            origin: None,
             waiting: Vec::new(),
             ended_ms: 0,
         }
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -211,6 +211,7 @@
             job: job_id(number),
             queue,
             spec: Box::new(spec),
+            origin: None,
             token: number,
         });
     }
--- a/crates/engine/tests/delays.rs
+++ b/crates/engine/tests/delays.rs
@@ -269,6 +269,7 @@
                     steps: vec![first, second],
                     ..JobSpec::default()
                 }),
+                origin: None,
                 token: self.jobs,
             };
             self.mailbox.push_back(event);
