--- /dev/null
+++ b/crates/engine/benches/events.rs
@@ -0,0 +1,255 @@
+//! Cost of an event and of a tick, by endpoints and by tasks that wait.
+
+use {
+    divan::{Bencher, black_box},
+    lynxwheel_engine::{
+        CallOutcome, EndKind, EndedTask, EndpointEntry, EndpointReport, Engine, EngineSettings,
+        Event, FleetConfig, JobId, JobSpec, Now, Pool, Queue, Room, RunningTask, StepSpec, TaskRef,
+        VmEntry, VmState,
+    },
+};
+
+/// Endpoints, and tasks that wait because every endpoint is full.
+const SIZES: [(u16, u64); 8] = [
+    (50, 0),
+    (350, 0),
+    (1_100, 0),
+    (1_400, 0),
+    (1_400, 300),
+    (1_400, 3_000),
+    (1_400, 30_000),
+    (5_600, 3_000),
+];
+
+const POOL: &str = "maps";
+
+/// Processor of an endpoint, in thousandths of a core.
+const CPU_MILLIS: u64 = 16_000;
+
+/// Tasks of a job.
+const TASKS: u16 = 10;
+
+fn main() {
+    divan::main();
+}
+
+fn now(ms: u64) -> Now {
+    Now {
+        steady_ms: 1_000_000 + ms,
+        wall_ms: 1_000_000 + ms,
+    }
+}
+
+fn job_id(number: u64) -> JobId {
+    format!("{number:016x}").parse().expect("16 digits")
+}
+
+fn queue() -> Queue {
+    Queue {
+        host: "maps.example".into(),
+        path_prefix: "/maps/".into(),
+        pool: POOL.into(),
+        max_attempts: 3,
+        stretch: 1.6,
+        target_latency_ms: 600,
+        ..Queue::default()
+    }
+}
+
+fn submit(engine: &mut Engine, number: u64, cpu_millis: u64) {
+    let step = StepSpec {
+        count: TASKS,
+        room: Room {
+            cpu_millis,
+            memory_mb: 100,
+            gpus: 0,
+        },
+        estimated_ms: 1_000,
+        ..StepSpec::default()
+    };
+    let event = Event::Submit {
+        job: job_id(number),
+        queue: queue(),
+        spec: Box::new(JobSpec {
+            steps: vec![step],
+            ..JobSpec::default()
+        }),
+        origin: None,
+        token: number,
+    };
+    engine.handle(event, now(0));
+}
+
+/// Stores a batch at once.
+fn store(engine: &mut Engine, ms: u64) {
+    let batch = engine.cut_batch(now(ms));
+    black_box(engine.committed(batch, now(ms)));
+    black_box(engine.take_at_once());
+    black_box(engine.take_notes());
+}
+
+/// Returns an engine with endpoints that are full, four tasks on each, and tasks that wait.
+fn busy(endpoints: u16, waiting: u64) -> Engine {
+    let mut engine = Engine::new(EngineSettings::default());
+    let pool = |name: &str, is_standby| Pool {
+        name: name.into(),
+        is_standby,
+        checks_admission: false,
+    };
+    let config = FleetConfig {
+        version: 1,
+        queues: vec![queue()],
+        pools: vec![pool(POOL, false), pool("spare", true)],
+        ..FleetConfig::default()
+    };
+    engine.handle(Event::Config(config.into()), now(0));
+    let capacity = Room {
+        cpu_millis: CPU_MILLIS,
+        memory_mb: 32_000,
+        gpus: 0,
+    };
+    let mut vms = Vec::new();
+    for number in 0..endpoints {
+        let entry = EndpointEntry {
+            id: format!("i-{number:05}").into(),
+            address: ([10, 0, 0, 1], 10_000 + number).into(),
+            pool: POOL.into(),
+            zone: "zone-1".into(),
+            capacity,
+            labels: vec!["a".into(), format!("r-{}", number / 20).into()],
+            is_draining: false,
+            remaining_ms: None,
+            vm: Some(format!("vm-{number:05}").into()),
+        };
+        vms.push(VmEntry {
+            name: format!("vm-{number:05}").into(),
+            pool: POOL.into(),
+            state: VmState::Up,
+            zone: "zone-1".into(),
+            labels: entry.labels.clone(),
+            capacity,
+            endpoint: entry.id.clone(),
+        });
+        let listed = Event::Listed {
+            entry: Box::new(entry),
+            is_fresh: true,
+        };
+        engine.handle(listed, now(0));
+        renewed(&mut engine, u32::from(number), EndpointReport::default());
+    }
+    engine.allow_vm_orders(true);
+    engine.handle(Event::Vms(vms), now(0));
+    let filling = u64::from(endpoints) * 4 / u64::from(TASKS);
+    for number in 0..filling {
+        submit(&mut engine, number, CPU_MILLIS / 4);
+    }
+    store(&mut engine, 0);
+    for number in 0..waiting / u64::from(TASKS) {
+        submit(&mut engine, 1_000_000 + number, CPU_MILLIS / 4);
+    }
+    store(&mut engine, 0);
+    engine.handle(Event::Tick, now(0));
+    store(&mut engine, 0);
+    engine
+}
+
+fn renewed(engine: &mut Engine, endpoint: u32, report: EndpointReport) {
+    let outcome = CallOutcome::Done(report);
+    engine.handle(Event::Renewed { endpoint, outcome }, now(0));
+}
+
+/// Returns the runs on an endpoint.
+fn running(engine: &Engine, endpoint: u32) -> Vec<(TaskRef, u32)> {
+    let placed = &engine.endpoints().get(endpoint).placed;
+    placed
+        .iter()
+        .map(|placed| (placed.task, placed.run))
+        .collect()
+}
+
+/// An endpoint tells of its runs, none of which has ended.
+#[divan::bench(args = SIZES, sample_count = 60)]
+fn report(bencher: Bencher, (endpoints, waiting): (u16, u64)) {
+    let mut engine = busy(endpoints, waiting);
+    let mut next = 0;
+    bencher.bench_local(|| {
+        next = (next + 1) % u32::from(endpoints);
+        let running = running(&engine, next).into_iter();
+        let running = running.map(|(task, run)| RunningTask {
+            task,
+            run,
+            checkpoint: "".into(),
+            percent: 10,
+            usage: None,
+        });
+        let report = EndpointReport {
+            clock_ms: 1_000,
+            running: running.collect(),
+            ..EndpointReport::default()
+        };
+        renewed(&mut engine, next, report);
+        store(&mut engine, 0);
+    });
+}
+
+/// A run ends as done; a task that waits takes its room.
+#[divan::bench(args = SIZES, sample_count = 60)]
+fn end(bencher: Bencher, (endpoints, waiting): (u16, u64)) {
+    let mut engine = busy(endpoints, waiting);
+    let mut next = 0;
+    let mut number = 0;
+    bencher.bench_local(|| {
+        next = (next + 1) % u32::from(endpoints);
+        number += 1;
+        let runs = running(&engine, next);
+        let Some(&(task, run)) = runs.first() else {
+            return;
+        };
+        let ended = EndedTask {
+            number,
+            task,
+            run,
+            kind: EndKind::Done,
+            checkpoint: "".into(),
+        };
+        let running = runs[1..].iter().map(|&(task, run)| RunningTask {
+            task,
+            run,
+            checkpoint: "".into(),
+            percent: 10,
+            usage: None,
+        });
+        let report = EndpointReport {
+            clock_ms: 1_000,
+            running: running.collect(),
+            ended: vec![ended],
+            is_partial: false,
+        };
+        renewed(&mut engine, next, report);
+        store(&mut engine, 0);
+    });
+}
+
+/// A job is handed in and has to wait.
+#[divan::bench(args = SIZES, sample_count = 60)]
+fn hand_in(bencher: Bencher, (endpoints, waiting): (u16, u64)) {
+    let mut engine = busy(endpoints, waiting);
+    let mut number = 2_000_000;
+    bencher.bench_local(|| {
+        number += 1;
+        submit(&mut engine, number, CPU_MILLIS / 4);
+        store(&mut engine, 0);
+    });
+}
+
+/// Time passes.
+#[divan::bench(args = SIZES, sample_count = 60)]
+fn tick(bencher: Bencher, (endpoints, waiting): (u16, u64)) {
+    let mut engine = busy(endpoints, waiting);
+    let mut ms = 0;
+    bencher.bench_local(|| {
+        ms += 100;
+        engine.handle(Event::Tick, now(ms));
+        store(&mut engine, ms);
+    });
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -35,6 +35,9 @@
 /// the last late answers have come long before.
 const FORGET_LIFE_MS: u64 = 30_000;
 
+/// Time between two looks for lives to forget, in milliseconds.
+const FORGET_EVERY_MS: u64 = 1_000;
+
 /// Bounds that the platform sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineSettings {
@@ -133,6 +136,8 @@
     pub(crate) plans_noted_ms: u64,
     /// Entries of endpoints that were seen being written.
     pub(crate) fresh_entries: u64,
+    /// When lives were forgotten last, on the steady clock.
+    lives_forgotten_ms: u64,
     pub(crate) is_schedule_due: bool,
     pub(crate) may_order_vms: bool,
     /// Whether nothing can be stored at the moment.
@@ -169,6 +174,7 @@
             notes: Vec::new(),
             plans_noted_ms: 0,
             fresh_entries: 0,
+            lives_forgotten_ms: 0,
             is_schedule_due: false,
             may_order_vms: false,
             is_store_away: false,
@@ -533,8 +539,11 @@
         self.repeat_orders(now);
         self.renew_leases(now);
         self.forget_old(now);
-        self.endpoints
-            .forget_over(now.steady_ms.saturating_sub(FORGET_LIFE_MS));
+        if now.steady_ms >= self.lives_forgotten_ms + FORGET_EVERY_MS {
+            self.lives_forgotten_ms = now.steady_ms;
+            let before_ms = now.steady_ms.saturating_sub(FORGET_LIFE_MS);
+            self.endpoints.forget_over(before_ms);
+        }
         self.forget_advice();
         self.vm_order_rate.refill(now);
         self.plan_waves(now);
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -35,15 +35,11 @@
     pub(crate) fn schedule(&mut self, now: Now) {
         self.refresh_free_room(now);
         self.open_steps.sort(now);
-        let steps: Vec<OpenStep> = self
-            .open_steps
-            .iter()
-            .take_while(|step| step.waiting > 0)
-            .filter(|step| self.free_room.has(step.pool, step.room.cpu_millis))
-            .cloned()
-            .collect();
-        for step in steps {
+        let mut place = 0;
+        while let Some(step) = self.open_steps.waiting_at(place) {
+            place += 1;
             if self.free_room.has(step.pool, step.room.cpu_millis) {
+                let step = step.clone();
                 self.place_step(&step, now);
             }
         }
--- a/crates/engine/src/waiting.rs
+++ b/crates/engine/src/waiting.rs
@@ -104,6 +104,11 @@
         self.steps.sort_by_key(|step| step.rank(now));
     }
 
+    /// Returns the step at a place in the order of starts; nothing from where no tasks wait on.
+    pub(crate) fn waiting_at(&self, place: usize) -> Option<&OpenStep> {
+        self.steps.get(place).filter(|step| step.waiting > 0)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &OpenStep> {
         self.steps.iter()
     }
