--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -46,9 +46,12 @@
 /// The same for small nodes, of which there may be hundreds and which would claim last.
 const SMALL_NODE_ASK_SPREAD_MS: u64 = 900;
 
-/// Milliseconds that a node waits with the very first claim, for each thousandth that it lacks of a core:
-/// a large node is ahead of a small one by more than [`SMALL_NODE_DELAY_MS`].
-const FIRST_CLAIM_FACTOR: u64 = 2;
+/// Time that a node waits with the very first claim each time that its processor is halved, from a whole
+/// core on, in milliseconds: one of half a core is ahead of one of an eighth by [`SMALL_NODE_DELAY_MS`].
+const FIRST_CLAIM_HALVING_MS: f64 = 360.0;
+
+/// Longest of these waits, in milliseconds: tiny nodes that are alike gain nothing by waiting.
+const FIRST_CLAIM_MOST_MS: f64 = 1_200.0;
 
 /// A whole core, in thousandths of one.
 const WHOLE_CORE_MILLIS: u32 = 1_000;
@@ -81,6 +84,17 @@
     pub stored_end: u64,
 }
 
+/// Returns how long a node waits with the very first claim, in milliseconds.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "within the longest wait"
+)]
+fn first_claim_delay_ms(cpu_millis: u32) -> u64 {
+    let halvings = (f64::from(WHOLE_CORE_MILLIS) / f64::from(cpu_millis.max(1))).log2();
+    (halvings * FIRST_CLAIM_HALVING_MS).clamp(0.0, FIRST_CLAIM_MOST_MS) as u64
+}
+
 /// Tells whether a node is so much smaller than another that the other should own the fleet.
 /// Three quarters leave alike nodes alone, whatever their figures are rounded to.
 fn is_much_less(cpu_millis: u32, other_millis: u32) -> bool {
@@ -273,11 +287,12 @@
     ///
     /// The owner does a good part of the fleet's work, and a small node that owns it falls behind
     /// in bursts: jobs then start seconds late. While nobody has ever owned the fleet the sizes of
-    /// the others are not known, so a node waits by its own; nothing hangs on that second.
+    /// the others are not known, so a node waits by its own, from the start of its process on: after a
+    /// while of failed tries nothing is gained by more of it.
     #[must_use]
-    pub fn claim_delay_ms(&self, cpu_millis: u32) -> u64 {
+    pub fn claim_delay_ms(&self, cpu_millis: u32, lived_ms: u64) -> u64 {
         if self.largest_cpu_millis == 0 {
-            return u64::from(WHOLE_CORE_MILLIS.saturating_sub(cpu_millis)) * FIRST_CLAIM_FACTOR;
+            return first_claim_delay_ms(cpu_millis).saturating_sub(lived_ms);
         }
         if self.is_small(cpu_millis) {
             SMALL_NODE_DELAY_MS
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -289,7 +289,11 @@
 }
 
 async fn claim(node: &Node) {
-    let size_ms = node.view.borrow().claim_delay_ms(node.cpu_millis());
+    let lived_ms = clock::steady_ms().saturating_sub(node.begun_ms);
+    let size_ms = node
+        .view
+        .borrow()
+        .claim_delay_ms(node.cpu_millis(), lived_ms);
     let pause_ms = size_ms + rand::random_range(0..CLAIM_SPREAD_MS);
     // Another's claim ends the wait. A slow store's answer is not waited for, as the claim is made on
     // a condition.
--- a/crates/controller/tests/ownership.rs
+++ b/crates/controller/tests/ownership.rs
@@ -55,6 +55,14 @@
         assert!(view.needs_owner(20_001 + SILENCE_MS));
     };
 
+    /// Nobody accepts jobs for seconds more: the store was away when the nodes started, and each of them
+    /// waited once more for larger ones when it came back.
+    node_that_has_lived_for_a_while_waits_no_more_for_larger_ones: {
+        let nobody = OwnershipView::default();
+        assert!(nobody.claim_delay_ms(120, 0) > 0);
+        assert_eq!(nobody.claim_delay_ms(120, 2_000), 0);
+    };
+
     /// A sound owner of a large fleet is succeeded by a small node. The store was slow, a hundred and
     /// fifty nodes asked in the same moment whether the owner was there, and most got no connection.
     small_nodes_spread_their_asks: {
@@ -128,9 +136,9 @@
     /// for seconds whenever many come at once.
     larger_node_claims_first: {
         let nobody = OwnershipView::default();
-        assert!(nobody.claim_delay_ms(500) + SMALL_NODE_DELAY_MS < nobody.claim_delay_ms(120));
-        assert_eq!(owned().claim_delay_ms(120), SMALL_NODE_DELAY_MS);
-        assert_eq!(owned().claim_delay_ms(250), 0);
+        assert!(nobody.claim_delay_ms(500, 0) + SMALL_NODE_DELAY_MS < nobody.claim_delay_ms(120, 0));
+        assert_eq!(owned().claim_delay_ms(120, 60_000), SMALL_NODE_DELAY_MS);
+        assert_eq!(owned().claim_delay_ms(250, 0), 0);
     };
 
     small_owner_is_asked_to_yield: {
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -24,6 +24,9 @@
     /// Nodes of each run.
     #[arg(long, default_value_t = 3)]
     nodes: usize,
+    /// Let each node call so few endpoints that the owner needs the others.
+    #[arg(long)]
+    small_nodes: bool,
     /// Length of traffic and faults, in milliseconds.
     #[arg(long, default_value_t = 10_000)]
     length_ms: u64,
@@ -37,9 +40,10 @@
         count,
         jobs,
         nodes,
+        small_nodes,
         length_ms,
     } = Arguments::parse();
-    let plan = |seed| SoakPlan::new(&program, seed, length_ms, nodes);
+    let plan = |seed| SoakPlan::new(&program, seed, length_ms, nodes).with_small_nodes(small_nodes);
     let run = |seed| {
         let plan = plan(seed);
         async move { run_soak(&plan).await }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -38,6 +38,8 @@
     pub length_ms: u64,
     /// Nodes.
     pub nodes: usize,
+    /// Whether each node calls so few endpoints that the owner needs the others.
+    pub are_nodes_small: bool,
     /// Folder for settings and logs of the nodes; kept when a promise is broken.
     pub folder: PathBuf,
 }
@@ -52,9 +54,19 @@
             seed,
             length_ms,
             nodes,
+            are_nodes_small: false,
             folder: std::env::temp_dir().join(name),
         }
     }
+
+    /// Lets every node be so small that the owner needs the others to call its endpoints.
+    #[must_use]
+    pub fn with_small_nodes(self, are_nodes_small: bool) -> Self {
+        Self {
+            are_nodes_small,
+            ..self
+        }
+    }
 }
 
 /// What a run has shown.
--- a/crates/soak/src/scene.rs
+++ b/crates/soak/src/scene.rs
@@ -33,7 +33,7 @@
     pub async fn start(plan: &SoakPlan) -> io::Result<Self> {
         fs::create_dir_all(&plan.folder)?;
         let ledger = Arc::new(Ledger::new(CPU_MILLIS, MAX_DOWN));
-        let world = World::start(&plan.program, &plan.folder, plan.nodes, &ledger).await?;
+        let world = World::start(plan, &ledger).await?;
         sleep(Duration::from_millis(SETTLE_MS)).await;
         let callers = Callers::new(&world.caller_addresses, &queues(), Arc::clone(&ledger));
         Ok(Self {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -6,6 +6,7 @@
         ledger::Ledger,
         nodes::NodeProcess,
         proxy::{LinkTrouble, Proxy},
+        run::SoakPlan,
     },
     lynxwheel_platform_standin::{
         EndpointSpec, EndpointStandIn, EndpointTrouble, NodeSettings, Observer, QueueSpec,
@@ -15,7 +16,6 @@
     std::{
         io,
         net::{IpAddr, Ipv4Addr, SocketAddr},
-        path::Path,
         process,
         sync::{
             Arc,
@@ -44,6 +44,9 @@
 /// Ports of every node, each on an address of its own: callers, asks whether it is ready, peers.
 const PORTS: (u16, u16, u16) = (7_801, 7_802, 7_803);
 
+/// Share of a processor with which an owner calls two endpoints itself, and another node four.
+const SMALL_CPU_SHARE: f64 = 0.012;
+
 /// Longest time for a node to stop when it is told to, in milliseconds: its grace and a little.
 pub const GRACE_MS: u64 = 7_000;
 
@@ -73,6 +76,16 @@
     ))
 }
 
+/// Returns the share of a processor that a node is told to have.
+fn cpu_share(plan: &SoakPlan, number: usize) -> f64 {
+    match number {
+        _ if plan.are_nodes_small => SMALL_CPU_SHARE,
+        // So that others ask it to yield.
+        0 => 0.1,
+        _ => 0.5,
+    }
+}
+
 /// Returns the queues of every run.
 pub fn queues() -> Vec<QueueSpec> {
     POOLS[..2]
@@ -88,12 +101,7 @@
 
 impl World {
     /// Starts stand-ins, proxies and nodes, and puts the first configuration in force.
-    pub async fn start(
-        program: &Path,
-        folder: &Path,
-        nodes: usize,
-        ledger: &Arc<Ledger>,
-    ) -> io::Result<Self> {
+    pub async fn start(plan: &SoakPlan, ledger: &Arc<Ledger>) -> io::Result<Self> {
         static RUNS: AtomicU32 = AtomicU32::new(0);
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let observer: Observer = {
@@ -130,19 +138,16 @@
             waves: AtomicU64::new(0),
         };
         world.configure();
-        for number in 0..nodes {
+        for number in 0..plan.nodes {
             let ip = node_ip(run, number);
-            world
-                .add_node(program, folder, number, ip, vms.address())
-                .await?;
+            world.add_node(plan, number, ip, vms.address()).await?;
         }
         Ok(world)
     }
 
     async fn add_node(
         &mut self,
-        program: &Path,
-        folder: &Path,
+        plan: &SoakPlan,
         number: usize,
         ip: IpAddr,
         vms: SocketAddr,
@@ -154,10 +159,9 @@
             ports: PORTS,
             store: store_link.address(),
             vms,
-            // The first one is small, so that others ask it to yield.
-            cpu_share: if number == 0 { 0.1 } else { 0.5 },
+            cpu_share: cpu_share(plan, number),
         };
-        let node = NodeProcess::new(program, folder, &settings)?;
+        let node = NodeProcess::new(&plan.program, &plan.folder, &settings)?;
         node.start()?;
         let caller_link = Proxy::start(SocketAddr::new(ip, PORTS.0)).await?;
         self.caller_addresses.push(caller_link.address());
