--- a/crates/engine/src/advice.rs
+++ b/crates/engine/src/advice.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        endpoints::Endpoints,
+        endpoint_table::Endpoints,
         engine::Engine,
         event::{Effect, EndpointKey, Now},
         job::TaskRef,
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        endpoints::SUSPECT_AFTER,
         engine::{Engine, ORDER_RETRY_MS},
         event::{CallOutcome, Effect, EndpointKey, Now, Refusal, StartOrder},
         job::{JobState, TaskRef},
@@ -258,56 +257,6 @@
         }
     }
 
-    /// Repeats orders without answer; a start names the same run, so it happens once.
-    pub(crate) fn repeat_orders(&mut self, now: Now) {
-        for (task, run, key, is_stop) in self.due_orders(now) {
-            let endpoint = self.endpoints.get_mut(key);
-            if endpoint.silent_calls >= SUSPECT_AFTER || !endpoint.is_reachable() {
-                continue;
-            }
-            if is_stop {
-                self.at_once.push(Effect::Stop {
-                    endpoint: key,
-                    task,
-                    run,
-                });
-            } else if let Some(deadline_ms) = endpoint.grant(now, self.settings.lease_ms)
-                && let Ok(place) = self.search(task.job)
-            {
-                let mut order = start_order(&self.jobs[place], key, &task, run, deadline_ms);
-                order.ticket = self.ticket_for(&task, key, now);
-                self.at_once.push(Effect::Start(Box::new(order)));
-            }
-        }
-    }
-
-    /// Notes that an order for a run may have to be repeated.
-    pub(crate) fn await_answer(&mut self, task: &TaskRef, run: u32) {
-        if let Err(place) = self.unanswered.binary_search(&(*task, run)) {
-            self.unanswered.insert(place, (*task, run));
-        }
-    }
-
-    /// Returns the orders to repeat now: task, run, endpoint, and whether it is a stop.
-    fn due_orders(&mut self, now: Now) -> Vec<(TaskRef, u32, EndpointKey, bool)> {
-        let mut due = Vec::new();
-        let jobs = &mut self.jobs;
-        self.unanswered.retain(|(task, run)| {
-            let Ok(place) = jobs.search(task.job) else {
-                return false;
-            };
-            let Some(attempt) = find_attempt(jobs.quiet_mut(place), task, *run) else {
-                return false;
-            };
-            if needs_repeat(attempt, now) {
-                attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
-                due.push((*task, *run, attempt.endpoint, attempt.is_stop_stored));
-            }
-            attempt.phase == Phase::Unanswered || attempt.is_stop_stored
-        });
-        due
-    }
-
     /// Takes in that a run has ended.
     pub(crate) fn run_ended(&mut self, key: EndpointKey, ended: &EndedTask, now: Now) {
         let Ok(place) = self.search(ended.task.job) else {
@@ -418,12 +367,6 @@
     }
 }
 
-fn needs_repeat(attempt: &Attempt, now: Now) -> bool {
-    let is_waiting = attempt.phase == Phase::Unanswered
-        || (attempt.is_stop_stored && attempt.phase != Phase::Inherited);
-    is_waiting && now.steady_ms >= attempt.retry_at_ms
-}
-
 impl Engine {
     /// Notes that the decision to stop a run is stored; tells whether the order may go out.
     ///
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -7,8 +7,8 @@
         event::Now,
         job::{Room, StepSpec},
         note::PoolPlan,
-        pools::{Vm, VmOrder},
         reports::VmState,
+        vms::{Vm, VmOrder},
     },
     compact_str::CompactString,
 };
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -1,10 +1,9 @@
-//! Endpoints: their lives, leases and room.
+//! One life of an endpoint: its leases and its room.
 
 use {
     crate::{
         event::{EndpointKey, Now},
         job::{Room, StepSpec, TaskRef},
-        places::Places,
         reports::EndpointEntry,
     },
     compact_str::CompactString,
@@ -79,13 +78,13 @@
     /// Id of this life.
     pub id: CompactString,
     /// Address for orders.
-    address: SocketAddr,
+    pub(crate) address: SocketAddr,
     /// Pool.
     pub pool: CompactString,
     /// Availability zone.
     pub zone: CompactString,
     /// VM on which it runs; empty while it is not known.
-    vm: CompactString,
+    pub(crate) vm: CompactString,
     /// Room in all.
     pub capacity: Room,
     /// Labels, the rack among them.
@@ -140,11 +139,11 @@
     lease_until_clock_ms: u64,
     over_at_ms: Option<u64>,
     /// Whether it was handed out to be changed since that was looked at last.
-    is_changed: bool,
+    pub(crate) is_changed: bool,
 }
 
 impl Endpoint {
-    fn new(key: EndpointKey, id: CompactString, now_ms: u64) -> Self {
+    pub(crate) fn new(key: EndpointKey, id: CompactString, now_ms: u64) -> Self {
         Self {
             key,
             id,
@@ -197,7 +196,7 @@
     }
 
     /// Creates what stands for a life that has been forgotten.
-    fn gone() -> Self {
+    pub(crate) fn gone() -> Self {
         Self {
             is_over: true,
             ..Self::new(EndpointKey::MAX, CompactString::default(), 0)
@@ -205,7 +204,7 @@
     }
 
     /// Takes over what the registry says, but for where the endpoint is.
-    fn update(&mut self, entry: &EndpointEntry) {
+    pub(crate) fn update(&mut self, entry: &EndpointEntry) {
         self.pool.clone_from(&entry.pool);
         self.zone.clone_from(&entry.zone);
         self.capacity = entry.capacity;
@@ -337,180 +336,3 @@
         }
     }
 }
-
-/// Every endpoint's life that this owner has heard of, but for those that ended long ago.
-///
-/// A life that is handed out to be changed counts as changed until that is looked at, so that what
-/// follows from a change need not be looked for among all of them.
-#[derive(Clone, Debug)]
-pub struct Endpoints {
-    /// Lives sorted by key.
-    lives: Vec<Endpoint>,
-    /// Their keys, in the same order: a search touches no life.
-    keys: Vec<EndpointKey>,
-    /// Keys sorted by id.
-    by_id: Vec<EndpointKey>,
-    places: Places,
-    changed: Vec<EndpointKey>,
-    next_key: EndpointKey,
-    /// Stands for every life that has been forgotten: late answers may still name one.
-    gone: Endpoint,
-}
-
-impl Default for Endpoints {
-    fn default() -> Self {
-        Self {
-            lives: Vec::new(),
-            keys: Vec::new(),
-            by_id: Vec::new(),
-            places: Places::default(),
-            changed: Vec::new(),
-            next_key: 0,
-            gone: Endpoint::gone(),
-        }
-    }
-}
-
-impl Endpoints {
-    /// Returns an endpoint.
-    #[must_use]
-    pub fn get(&self, key: EndpointKey) -> &Endpoint {
-        match self.place(key) {
-            Ok(place) => &self.lives[place],
-            Err(_) => &self.gone,
-        }
-    }
-
-    /// Returns an endpoint to change; changes of a forgotten one are lost.
-    pub fn get_mut(&mut self, key: EndpointKey) -> &mut Endpoint {
-        if let Ok(place) = self.place(key) {
-            let life = &mut self.lives[place];
-            if !life.is_changed {
-                life.is_changed = true;
-                self.changed.push(key);
-            }
-            return life;
-        }
-        self.gone = Endpoint::gone();
-        &mut self.gone
-    }
-
-    fn place(&self, key: EndpointKey) -> Result<usize, usize> {
-        self.keys.binary_search(&key)
-    }
-
-    /// Returns the keys of lives changed since the last time.
-    pub(crate) fn take_changed(&mut self) -> Vec<EndpointKey> {
-        let changed = std::mem::take(&mut self.changed);
-        for &key in &changed {
-            if let Ok(place) = self.place(key) {
-                self.lives[place].is_changed = false;
-            }
-        }
-        changed
-    }
-
-    /// Takes over what the registry says of a life.
-    pub(crate) fn update(&mut self, key: EndpointKey, entry: &EndpointEntry) {
-        self.get_mut(key).update(entry);
-        self.set_address(key, entry.address);
-        if let Some(vm) = &entry.vm {
-            self.set_vm(key, vm);
-        }
-    }
-
-    /// Takes in at which address a life is.
-    pub(crate) fn set_address(&mut self, key: EndpointKey, address: SocketAddr) {
-        if let Ok(place) = self.place(key) {
-            let known = std::mem::replace(&mut self.lives[place].address, address);
-            self.places.change_address(key, known, address);
-        }
-    }
-
-    /// Takes in on which VM a life is.
-    pub(crate) fn set_vm(&mut self, key: EndpointKey, vm: &CompactString) {
-        if let Ok(place) = self.place(key)
-            && self.lives[place].vm != *vm
-        {
-            let known = std::mem::replace(&mut self.lives[place].vm, vm.clone());
-            self.places.change_vm(key, &known, vm);
-        }
-    }
-
-    /// Returns the latest life on a VM that is not known to be over.
-    pub(crate) fn on_vm(&self, vm: &str) -> Option<EndpointKey> {
-        let mut lives = self.places.on_vm(vm).rev();
-        lives.find(|&key| !self.get(key).is_over)
-    }
-
-    /// Returns other lives, not known to be over, at the address or on the VM of one.
-    pub(crate) fn others_in_place(&self, key: EndpointKey) -> Vec<EndpointKey> {
-        let one = self.get(key);
-        let at_address = self.places.at_address(one.address);
-        let on_vm = (!one.vm.is_empty()).then(|| self.places.on_vm(&one.vm));
-        let mut others: Vec<EndpointKey> = at_address
-            .chain(on_vm.into_iter().flatten())
-            .filter(|&other| other != key && !self.get(other).is_over)
-            .collect();
-        others.sort_unstable();
-        others.dedup();
-        others
-    }
-
-    /// Forgets lives that ended before a time and of which nothing is left.
-    ///
-    /// Each move of a VM ends a life and begins another. Kept for good, a busy day's lives outnumbered
-    /// the endpoints by far, in memory and in every look at all of them.
-    pub fn forget_over(&mut self, before_ms: u64) {
-        let is_kept = |life: &Endpoint| {
-            !life.is_over || !life.placed.is_empty() || life.over_since_ms >= before_ms
-        };
-        let known = self.lives.len();
-        self.lives.retain(is_kept);
-        if self.lives.len() == known {
-            return;
-        }
-        self.keys = self.lives.iter().map(|life| life.key).collect();
-        let keys = &self.keys;
-        let is_known = |key: EndpointKey| keys.binary_search(&key).is_ok();
-        self.by_id.retain(|&key| is_known(key));
-        self.places.retain(is_known);
-    }
-
-    fn search(&self, id: &str) -> Result<usize, usize> {
-        self.by_id
-            .binary_search_by(|&key| self.get(key).id.as_str().cmp(id))
-    }
-
-    /// Returns the key of an id.
-    #[must_use]
-    pub fn find(&self, id: &str) -> Option<EndpointKey> {
-        self.search(id).ok().map(|place| self.by_id[place])
-    }
-
-    /// Returns the key of an id, and adds the endpoint when it is new.
-    pub fn find_or_add(&mut self, id: &CompactString, now_ms: u64) -> EndpointKey {
-        match self.search(id) {
-            Ok(place) => self.by_id[place],
-            Err(place) => {
-                let key = self.next_key;
-                self.next_key += 1;
-                self.lives.push(Endpoint::new(key, id.clone(), now_ms));
-                self.keys.push(key);
-                self.by_id.insert(place, key);
-                key
-            }
-        }
-    }
-
-    /// Returns every endpoint with its key.
-    pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
-        self.lives.iter().map(|life| (life.key, life))
-    }
-
-    /// Returns the keys of all endpoints.
-    #[must_use]
-    pub fn keys(&self) -> &[EndpointKey] {
-        &self.keys
-    }
-}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -10,17 +10,17 @@
         advice::StepAdvice,
         arrivals::Arrivals,
         config::{FleetConfig, Queue},
-        endpoints::Endpoints,
-        event::{CallerAnswer, Effect, EndpointKey, Event, Now, ReplyToken, StartOrder},
+        endpoint_table::Endpoints,
+        event::{CallerAnswer, Effect, EndpointKey, Event, Now, ReplyToken},
         free_room::FreeRoom,
         job::{JobId, JobState, TaskRef},
         job_table::JobTable,
         note::Note,
         order_rate::OrderRate,
-        pools::Vm,
         rests::RestingVm,
-        state::{Job, Phase},
-        stored::{Record, progress_drop, progress_record, spec_drop, spec_record},
+        state::Job,
+        stored::{Record, progress_drop, spec_drop},
+        vms::Vm,
         waiting::OpenSteps,
         waves::Wave,
     },
@@ -74,26 +74,6 @@
     pub(crate) at_ms: u64,
 }
 
-/// Records to store together, and what is released when they are.
-#[derive(Debug, Default)]
-pub struct Batch {
-    /// Records.
-    pub records: Vec<Record>,
-    effects: Vec<Effect>,
-    shown: Vec<(JobId, JobState)>,
-    stored_ends: Vec<(EndpointKey, u64)>,
-}
-
-impl Batch {
-    /// Takes over what another batch without records releases.
-    pub fn join(&mut self, mut other: Self) {
-        self.records.append(&mut other.records);
-        self.effects.append(&mut other.effects);
-        self.shown.append(&mut other.shown);
-        self.stored_ends.append(&mut other.stored_ends);
-    }
-}
-
 /// State of the fleet in the hands of its owner.
 #[derive(Debug)]
 pub struct Engine {
@@ -421,104 +401,6 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// Cuts a batch: places what can start, and gathers what has changed.
-    pub fn cut_batch(&mut self, now: Now) -> Batch {
-        self.refresh_open_steps();
-        if self.is_schedule_due {
-            self.is_schedule_due = false;
-            self.schedule(now);
-        }
-        let mut batch = Batch {
-            records: std::mem::take(&mut self.drops),
-            effects: Vec::new(),
-            shown: Vec::new(),
-            stored_ends: self.unacknowledged(),
-        };
-        self.add_dirty_jobs(&mut batch);
-        batch.records.extend(self.wave_records());
-        batch.records.extend(self.vm_records());
-        batch.effects.append(&mut self.forming);
-        batch
-    }
-
-    /// Adds the records of the jobs that differ from what is stored, and what waits for them.
-    fn add_dirty_jobs(&mut self, batch: &mut Batch) {
-        let mut ids = std::mem::take(&mut self.unstored_jobs);
-        ids.extend(self.jobs.changed());
-        ids.sort_unstable();
-        ids.dedup();
-        for id in ids {
-            let Ok(place) = self.search(id) else {
-                continue;
-            };
-            let job = self.jobs.quiet_mut(place);
-            if !job.is_dirty {
-                continue;
-            }
-            job.is_dirty = false;
-            if !job.is_spec_stored {
-                job.is_spec_stored = true;
-                batch.records.push(spec_record(job));
-            }
-            batch.records.push(progress_record(job, &self.endpoints));
-            batch.shown.push((job.id, job.state));
-            batch
-                .effects
-                .extend(job.waiting.drain(..).map(|token| Effect::Reply {
-                    token,
-                    answer: CallerAnswer::Accepted,
-                }));
-        }
-    }
-
-    /// Takes in that a batch is stored, and returns what it releases.
-    pub fn committed(&mut self, batch: Batch, now: Now) -> Vec<Effect> {
-        for (id, state) in batch.shown {
-            if let Ok(place) = self.search(id) {
-                let job = self.jobs.quiet_mut(place);
-                job.shown = Some(state);
-                if state.is_final() && !job.has_attempts() && !job.is_dirty {
-                    self.forget_details(place);
-                }
-            }
-        }
-        for (key, number) in batch.stored_ends {
-            let endpoint = self.endpoints.get_mut(key);
-            endpoint.stored_seen = endpoint.stored_seen.max(number);
-        }
-        let mut released = Vec::with_capacity(batch.effects.len());
-        for effect in batch.effects {
-            match effect {
-                Effect::Start(order) => {
-                    released.extend(self.release_start(*order, now));
-                }
-                Effect::Stop { task, run, .. } if !self.stop_stored(&task, run) => {}
-                other => released.push(other),
-            }
-        }
-        released
-    }
-
-    /// Fills in a start's lease when its decision is stored.
-    ///
-    /// A start whose run was given up in the meantime was never sent, and so never will be.
-    fn release_start(&mut self, mut order: StartOrder, now: Now) -> Option<Effect> {
-        let place = self.search(order.task.job).ok()?;
-        let task = self.jobs.quiet_mut(place).task_mut(&order.task)?;
-        let attempt = task
-            .attempts
-            .iter_mut()
-            .find(|attempt| attempt.run == order.run)?;
-        let endpoint = self.endpoints.get_mut(order.endpoint);
-        if attempt.is_stopping || endpoint.is_over {
-            return None;
-        }
-        order.deadline_ms = endpoint.grant(now, self.settings.lease_ms)?;
-        attempt.phase = Phase::Ordered;
-        order.ticket = self.ticket_for(&order.task, order.endpoint, now);
-        Some(Effect::Start(Box::new(order)))
-    }
-
     /// Keeps only the state of a job that has ended.
     pub(crate) fn forget_details(&mut self, place: usize) {
         let job = self.jobs.remove(place);
@@ -579,14 +461,4 @@
             is_kept
         });
     }
-
-    /// Returns the ends taken into account since the last batch.
-    fn unacknowledged(&mut self) -> Vec<(EndpointKey, u64)> {
-        let mut keys = std::mem::take(&mut self.unstored_ends);
-        keys.sort_unstable();
-        keys.dedup();
-        keys.into_iter()
-            .map(|key| (key, self.endpoints.get(key).seen))
-            .collect()
-    }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -27,8 +27,10 @@
 mod arrivals;
 mod attempts;
 mod balance;
+mod batch;
 mod config;
 mod demand;
+mod endpoint_table;
 mod endpoints;
 mod engine;
 mod event;
@@ -41,6 +43,7 @@
 mod pacing;
 mod places;
 mod pools;
+mod repeats;
 mod reports;
 mod restore;
 mod rests;
@@ -50,14 +53,17 @@
 mod stored;
 mod stragglers;
 mod timing;
+mod vms;
 mod waiting;
 mod waves;
 
 pub use {
     advice::Ticket,
+    batch::Batch,
     config::{CallerLimits, FleetConfig, Pool, Queue},
-    endpoints::{Endpoint, Endpoints, Placed},
-    engine::{Batch, Engine, EngineSettings},
+    endpoint_table::Endpoints,
+    endpoints::{Endpoint, Placed},
+    engine::{Engine, EngineSettings},
     event::{
         CallOutcome, CallerAnswer, Effect, EndpointAddress, EndpointKey, Event, Now, Refusal,
         ReplyToken, StartOrder, VmOutcome,
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         attempts::start_order,
-        endpoints::{Endpoint, Endpoints, Placed},
+        endpoint_table::Endpoints,
+        endpoints::{Endpoint, Placed},
         engine::Engine,
         event::{Effect, EndpointKey, Now},
         free_room::FreeSlot,
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         config::Queue,
-        endpoints::Endpoints,
+        endpoint_table::Endpoints,
         event::EndpointKey,
         job::{JobId, JobSpec, JobState},
         state::{Attempt, Job, Occurrence, Phase, StepRun, Task},
--- a/crates/engine/src/waves.rs
+++ b/crates/engine/src/waves.rs
@@ -5,9 +5,9 @@
         engine::Engine,
         event::{Effect, Now},
         job::TaskRef,
-        pools::VmOrder,
         reports::WaveOrder,
         stored::{Record, StoredWave, wave_record},
+        vms::VmOrder,
     },
     compact_str::CompactString,
 };
