--- a/crates/controller/src/speed.rs
+++ b/crates/controller/src/speed.rs
@@ -14,14 +14,14 @@
 /// thousandth of the processor.
 pub const MEASURE_EVERY_MS: u64 = 400;
 
-/// Steps of the piece of work: some 100 us on a whole core of today, far above the grain of the clock.
+/// Steps of the piece of work: long enough to stand far above the grain of the clock.
 const WORK_STEPS: u64 = 50_000;
 
 /// Factor of Knuth's linear congruential generator, as a step that cannot be left out.
 const WORK_FACTOR: u64 = 6_364_136_223_846_793_005;
 
-/// Times as long as usual from which on the node counts as slowed, in percent. Among nodes that share a
-/// busy host, those of sound ones were seen at up to 200.
+/// Times as long as usual from which on the node counts as slowed, in percent: sound nodes that share a
+/// busy host vary by less.
 const SLOWED_PERCENT: u64 = 250;
 
 /// Measurements of which the shortest counts: a single one may have been interrupted.
--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -11,8 +11,8 @@
 };
 
 /// Time over which work that is handed in is summed up, in milliseconds: half of the time that a VM
-/// takes to come, and long enough for some ten jobs of a busy queue. With 500 ms the demand jumped
-/// about and more VMs were moved for as many jobs in time.
+/// takes to come, and long enough for some ten jobs of a busy queue, so that the demand does not jump
+/// about.
 const WINDOW_MS: u64 = 800;
 
 /// Work of one job.
--- a/crates/engine/src/balance.rs
+++ b/crates/engine/src/balance.rs
@@ -116,9 +116,8 @@
     /// Returns the room that should be here, in thousandths of a core: by processor or by memory,
     /// whichever asks for more VMs.
     ///
-    /// Waiting tasks want to run at once and no more than that. Asking for room by their work alone
-    /// brought four times the VMs for tasks of 1.7 s, kept from other pools or moved for nothing; it
-    /// hid that nothing was asked for what would come next, which the work handed in lately tells.
+    /// Waiting tasks want to run at once and no more than that: room for their work alone would keep
+    /// VMs from other pools. What comes next is asked for by the work handed in lately.
     ///
     /// Tasks that may not share an endpoint ask for endpoints first. Counted as work, they asked
     /// for ever more room where there were too few endpoints for them, and every other pool starved.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -221,8 +221,7 @@
     /// Takes in whether the store is away, and refuses the jobs of which nothing was sent to it.
     ///
     /// Kept until their callers' deadline, they would end as "not known", after which a caller may not
-    /// hand its job in again: half of the jobs of an outage were lost so. One that is refused at once
-    /// comes back when the store does.
+    /// hand its job in again. One that is refused at once comes back when the store does.
     pub fn set_store_away(&mut self, is_away: bool) {
         self.is_store_away = is_away;
         if !is_away {
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -10,9 +10,8 @@
     vms::{Vm, VmOrder},
 };
 
-/// Time that a VM has to be empty before it is switched off, in milliseconds. Two moves cost about as
-/// much as keeping it for 2.3 s, and a burst often follows within one: with 500 ms and with 1,400 ms
-/// fewer jobs were in time for the price.
+/// Time that a VM has to be empty before it is switched off, in milliseconds: switched off and fetched
+/// again it costs more than it does while it is kept, and a burst often follows soon.
 const IDLE_MS: u64 = 900;
 
 /// Time between two notes on how a pool stands while nothing is ordered for it, in milliseconds: a few
--- a/crates/engine/src/rests.rs
+++ b/crates/engine/src/rests.rs
@@ -54,9 +54,8 @@
     /// been carried out, on the steady clock.
     ///
     /// Rests keep the orders of two owners apart, of which the earlier one may still live. One that
-    /// is known to be over orders nothing more, and what it had learnt the outcome of is settled:
-    /// with every VM at rest for 3 s after the loss of all nodes, the pool whose turn it was got no
-    /// VM, and two of three of its jobs were late.
+    /// is known to be over orders nothing more, and what it had learnt the outcome of is settled: with
+    /// every VM at rest after the loss of all nodes, the pool whose turn it is would get none.
     pub fn end_vm_rests(&mut self, epoch: u64, calls_over_ms: u64) {
         self.resting_vms
             .retain(|resting| resting.epoch != epoch || !resting.is_settled);
