--- a/crates/controller/src/shares.rs
+++ b/crates/controller/src/shares.rs
@@ -16,6 +16,10 @@
 /// of it, which leaves three quarters to what else the node does.
 const ENDPOINTS_PER_MBPS: u32 = 10;
 
+/// Endpoints that an owner calls by itself, for each megabit a second of its link: what it stores, and what
+/// it tells other nodes, takes the greater part.
+const OWN_ENDPOINTS_PER_MBPS: u32 = 2;
+
 /// Thousandths of a core in a whole one.
 const WHOLE_CORE_MILLIS: u32 = 1_000;
 
@@ -32,9 +36,9 @@
 }
 
 /// Returns how many endpoints a node can call.
-fn capacity(cpu_millis: u32, link_mbps: u32, per_core: u32) -> usize {
+fn capacity(cpu_millis: u32, link_mbps: u32, (per_core, per_mbps): (u32, u32)) -> usize {
     let by_processor = cpu_millis.saturating_mul(per_core) / WHOLE_CORE_MILLIS;
-    let by_link = link_mbps.saturating_mul(ENDPOINTS_PER_MBPS);
+    let by_link = link_mbps.saturating_mul(per_mbps);
     usize::try_from(by_processor.min(by_link)).unwrap_or(usize::MAX)
 }
 
@@ -54,7 +58,11 @@
     #[must_use]
     pub fn new(cpu_millis: u32, link_mbps: u32) -> Self {
         Self {
-            own_capacity: capacity(cpu_millis, link_mbps, OWN_ENDPOINTS_PER_CORE),
+            own_capacity: capacity(
+                cpu_millis,
+                link_mbps,
+                (OWN_ENDPOINTS_PER_CORE, OWN_ENDPOINTS_PER_MBPS),
+            ),
             own_endpoints: 0,
             carriers: Vec::new(),
             rows: Vec::new(),
@@ -66,7 +74,11 @@
         let mut carriers: Vec<Carrier> = members
             .iter()
             .map(|member| Carrier {
-                capacity: capacity(member.cpu_millis, member.link_mbps, ENDPOINTS_PER_CORE),
+                capacity: capacity(
+                    member.cpu_millis,
+                    member.link_mbps,
+                    (ENDPOINTS_PER_CORE, ENDPOINTS_PER_MBPS),
+                ),
                 member: member.clone(),
                 endpoints: 0,
                 lost_until_ms: 0,
