--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -272,16 +272,28 @@
         let carriers = &mut self.dispatcher.carriers;
         let (own, events) = carriers.not_taken(address, calls, now.steady_ms);
         for (key, CarriedCall { to, mut call, .. }) in own {
-            if let EndpointCall::Start(order) = &mut call {
-                // Left out on the way to the other node.
-                let payload = self.engine.payload(order.task.job);
-                order.payload = payload.cloned().unwrap_or_default();
+            if self.add_payload(&mut call) {
+                self.dispatcher.call_here(key, to, call);
+            } else if let Some(event) = call.subject().unknown(key) {
+                self.engine.handle(event, now);
             }
-            self.dispatcher.call_here(key, to, call);
         }
         self.handle_all(events, now);
     }
 
+    /// Adds the payload that is left out of a start on its way to another node; tells whether the call
+    /// is whole. A start without its payload would run something else than the caller sent.
+    fn add_payload(&self, call: &mut EndpointCall) -> bool {
+        let EndpointCall::Start(order) = call else {
+            return true;
+        };
+        let payload = self.engine.payload(order.task.job);
+        payload.is_some_and(|payload| {
+            order.payload.clone_from(payload);
+            true
+        })
+    }
+
     /// Looks after the nodes that make calls for this owner.
     fn tick_carriers(&mut self, now: Now) {
         let members = self.node.present_members(now.steady_ms);
