--- /dev/null
+++ b/crates/controller/tests/payloads.rs
@@ -0,0 +1,79 @@
+//! Payloads of jobs that a node keeps for a while.
+
+use {
+    compact_str::CompactString,
+    lynxwheel_controller::Payloads,
+    lynxwheel_engine::JobId,
+    std::sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    tokio::runtime::Builder,
+};
+
+fn job(number: u64) -> JobId {
+    format!("{number:016x}").parse().expect("16 digits")
+}
+
+fn payload(bytes: usize) -> CompactString {
+    "x".repeat(bytes).into()
+}
+
+#[test]
+fn payload_that_came_in_is_kept() {
+    let payloads = Payloads::default();
+    payloads.keep(job(1), &payload(1_200));
+    assert_eq!(payloads.get(job(1)), Some(payload(1_200)));
+    assert_eq!(payloads.get(job(2)), None);
+}
+
+/// A small node takes hundreds of jobs a second for hours; what it keeps must not grow with them.
+#[test]
+fn oldest_payloads_are_forgotten() {
+    let payloads = Payloads::default();
+    for number in 0..5_000 {
+        payloads.keep(job(number), &payload(1_000));
+    }
+    let kept = (0..5_000).filter(|&number| payloads.get(job(number)).is_some());
+    assert!(kept.count() <= 2_098);
+    assert!(payloads.get(job(4_999)).is_some());
+}
+
+#[test]
+fn payload_handed_in_twice_is_kept_once() {
+    let payloads = Payloads::default();
+    for _ in 0..10 {
+        payloads.keep(job(1), &payload(1_000_000));
+    }
+    payloads.keep(job(2), &payload(1_000_000));
+    assert!(payloads.get(job(1)).is_some());
+}
+
+/// A link is filled by payloads: eight tasks of a job begin on a node in one moment, and each of them
+/// fetched the payload by itself.
+#[test]
+fn payload_is_fetched_once_for_starts_at_once() {
+    let payloads = Payloads::default();
+    let fetched = Arc::new(AtomicU32::new(0));
+    let runtime = Builder::new_current_thread().build().expect("a runtime");
+    runtime.block_on(async {
+        let starts: Vec<_> = (0..8)
+            .map(|_| {
+                let cell = payloads.cell(job(1));
+                let fetched = Arc::clone(&fetched);
+                tokio::spawn(async move {
+                    let fetch = || async {
+                        fetched.fetch_add(1, Ordering::Relaxed);
+                        tokio::task::yield_now().await;
+                        Ok::<_, String>(payload(10))
+                    };
+                    cell.get_or_try_init(fetch).await.cloned()
+                })
+            })
+            .collect();
+        for start in starts {
+            assert_eq!(start.await.expect("a task"), Ok(payload(10)));
+        }
+    });
+    assert_eq!(fetched.load(Ordering::Relaxed), 1);
+}
--- /dev/null
+++ b/crates/engine/tests/origins.rs
@@ -0,0 +1,89 @@
+//! Payloads that are kept where their job came in.
+
+mod common;
+
+use {
+    common::{Fleet, job_id, queue, step},
+    lynxwheel_engine::{CallOutcome, Effect, EndpointKey, Event, JobSpec, StartOrder, TaskRef},
+    std::net::SocketAddr,
+};
+
+fn origin() -> SocketAddr {
+    ([10, 0, 0, 7], 7_060).into()
+}
+
+/// Returns the starts that the engine orders now.
+fn starts(fleet: &mut Fleet) -> Vec<StartOrder> {
+    fleet.handle(Event::Tick);
+    let batch = fleet.engine.cut_batch(fleet.now);
+    let effects = fleet.engine.committed(batch, fleet.now);
+    let starts = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Start(order) => Some(*order),
+        _ => None,
+    });
+    starts.collect()
+}
+
+fn unsent(fleet: &mut Fleet, endpoint: EndpointKey, task: TaskRef) {
+    fleet.handle(Event::Started {
+        endpoint,
+        task,
+        run: 1,
+        outcome: CallOutcome::Unsent,
+    });
+}
+
+/// Returns a fleet with the first start of a job that came in at another node.
+fn fleet_with_a_start() -> (Fleet, StartOrder) {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.advance(300);
+    fleet.handle(Event::Submit {
+        job: job_id(1),
+        queue: queue(),
+        spec: Box::new(JobSpec {
+            payload: "tile 7".into(),
+            steps: vec![step(1)],
+            ..JobSpec::default()
+        }),
+        origin: Some(origin()),
+        token: 1,
+    });
+    let start = starts(&mut fleet).remove(0);
+    (fleet, start)
+}
+
+#[test]
+fn start_names_the_node_that_keeps_the_payload() {
+    let (_, start) = fleet_with_a_start();
+    assert_eq!(start.origin, Some(origin()));
+    assert_eq!(start.payload, "tile 7");
+}
+
+/// Tasks of a job never start. The node that took the job is gone with its payload, and a sound endpoint
+/// is blamed for each start that could not be sent.
+#[test]
+fn start_that_lacked_its_payload_carries_it_the_next_time() {
+    let (mut fleet, start) = fleet_with_a_start();
+    unsent(&mut fleet, start.endpoint, start.task);
+    let endpoint = fleet.engine.endpoints().get(start.endpoint);
+    assert_eq!(endpoint.silent_calls, 0);
+    let again = starts(&mut fleet);
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].origin, None);
+}
+
+#[test]
+fn endpoint_that_cannot_be_reached_is_blamed_with_the_payload_at_hand() {
+    let (mut fleet, start) = fleet_with_a_start();
+    unsent(&mut fleet, start.endpoint, start.task);
+    let again = starts(&mut fleet).remove(0);
+    fleet.handle(Event::Started {
+        endpoint: again.endpoint,
+        task: again.task,
+        run: again.run,
+        outcome: CallOutcome::Unsent,
+    });
+    let endpoint = fleet.engine.endpoints().get(again.endpoint);
+    assert_eq!(endpoint.silent_calls, 1);
+}
