--- a/crates/controller/src/feeds.rs
+++ b/crates/controller/src/feeds.rs
@@ -8,8 +8,8 @@
     log::{info, warn},
     lynxwheel_engine::Event,
     lynxwheel_platform::{
-        KeyedRecord, OPERATOR_TOPIC, OperatorRecord, Read, SERVERS_TOPIC, VmCalls, decode_endpoint,
-        decode_operator_record,
+        AccountMistake, KeyedRecord, OPERATOR_TOPIC, OperatorRecord, Read, SERVERS_TOPIC, VmCalls,
+        decode_endpoint, decode_operator_record,
     },
     std::{sync::Arc, time::Duration},
     tokio::time::sleep,
@@ -114,11 +114,23 @@
         let (records, _) = follower.next(&node, OPERATOR_WAIT_MS).await;
         for record in records {
             match decode_operator_record(&record) {
-                Some(OperatorRecord::Config(config)) => node.put_config(config),
+                Some(OperatorRecord::Config(config, mistakes)) => {
+                    for AccountMistake { account, field } in mistakes {
+                        warn!(
+                            event = "account_left_out", version = config.version,
+                            account = account.as_str(), field = field.as_str();
+                            ""
+                        );
+                    }
+                    node.put_config(config);
+                }
                 Some(OperatorRecord::Wave(order)) => node.put_wave(order),
                 None => warn!(event = "operator_record_unread", key = record.key.as_str(); ""),
             }
         }
+        if !follower.is_lost {
+            node.note_config_read();
+        }
     }
 }
 
--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -2,6 +2,8 @@
 
 use {
     crate::{
+        access::{Access, Credentials, Denial, judge},
+        config_sync,
         node::Node,
         peer::{Ask, OWNER_PATH, OwnerAnswer, OwnerRequest},
         peer_server::ask_here,
@@ -9,8 +11,8 @@
     http::{HeaderValue, Method, Request, Response, StatusCode, header},
     hyper::body::Incoming,
     log::info,
-    lynxwheel_engine::{JobId, Queue},
-    lynxwheel_platform::{caller_deadline_ms, decode_job, pending_body, state_body},
+    lynxwheel_engine::JobId,
+    lynxwheel_platform::{caller_deadline_ms, caller_key, decode_job, pending_body, state_body},
     lynxwheel_transport::{Body, Server, collect_body, error_answer, full_body},
     metrics::{counter, histogram},
     std::{io, sync::Arc, time::Duration},
@@ -38,6 +40,9 @@
 /// and whole seconds are all that the header can say.
 const RETRY_AFTER_S: &str = "1";
 
+/// Bytes of a refused request's path that are logged at most.
+const LOGGED_PATH_BYTES: usize = 80;
+
 /// Binds the callers' address.
 ///
 /// # Errors
@@ -55,35 +60,78 @@
 }
 
 async fn answer(node: &Node, request: Request<Incoming>) -> Response<Body> {
-    let config = node.config.load_full();
-    if config.version == 0 {
-        return unavailable("no configuration yet");
-    }
-    let path = request.uri().path();
-    let host = host_of(&request);
-    let Some(queue) = config.queue_for(&host, path) else {
-        return error_answer(StatusCode::NOT_FOUND, "no such queue");
+    let credentials = credentials(&request);
+    let access = match may_call(node, &credentials).await {
+        Ok(access) => access,
+        Err(denial) => return denied(denial, &credentials),
     };
-    let rest = path[queue.path_prefix.len()..].to_string();
-    if rest.is_empty() {
+    let caller = Caller {
+        credentials,
+        access,
+        limit: deadline(&request),
+    };
+    let Some(job) = caller.access.job else {
         return match *request.method() {
-            Method::GET => count(node, queue).await,
+            Method::GET => count(node, caller).await,
             _ => not_allowed("GET"),
         };
+    };
+    match *request.method() {
+        Method::POST => submit(node, job, caller, request).await,
+        Method::GET => state(node, job, caller).await,
+        Method::DELETE => cancel(node, job, caller).await,
+        _ => not_allowed("GET, POST, DELETE"),
+    }
+}
+
+/// A request that may be made.
+struct Caller {
+    credentials: Credentials,
+    access: Access,
+    /// Time that the caller waits.
+    limit: Duration,
+}
+
+fn credentials(request: &Request<Incoming>) -> Credentials {
+    Credentials {
+        host: host_of(request),
+        path: request.uri().path().to_string(),
+        key: caller_key(request.headers()),
+    }
+}
+
+/// Decides whether a request may be made. A node that may have missed a configuration asks the owner for
+/// it before it denies anything.
+async fn may_call(node: &Node, credentials: &Credentials) -> Result<Access, Denial> {
+    let judged = judge(&node.config.load(), credentials);
+    if judged.is_ok() || !config_sync::may_be_behind(node) {
+        return judged;
     }
-    let Ok(job) = rest.parse::<JobId>() else {
-        return error_answer(
+    config_sync::fetch_from_owner(node).await;
+    judge(&node.config.load(), credentials)
+}
+
+/// Answers a request that may not be made. Nothing was done for it.
+fn denied(denial: Denial, credentials: &Credentials) -> Response<Body> {
+    let (status, reason) = match denial {
+        Denial::NoConfig => return unavailable("no configuration yet"),
+        Denial::NoQueue => (StatusCode::NOT_FOUND, "no such queue".to_string()),
+        Denial::NoJobId => (
             StatusCode::NOT_FOUND,
-            "no id of a job: 16 hexadecimal digits",
-        );
+            "no id of a job: 16 hexadecimal digits".to_string(),
+        ),
+        Denial::UnknownKey => (StatusCode::UNAUTHORIZED, "unknown key".to_string()),
+        Denial::BadKey(mistake) => (StatusCode::UNAUTHORIZED, mistake.to_string()),
     };
-    let method = request.method().clone();
-    match method {
-        Method::POST => submit(node, job, queue, config.limits.max_body_bytes, request).await,
-        Method::GET => state(node, job, &request).await,
-        Method::DELETE => cancel(node, job, &request).await,
-        _ => not_allowed("GET, POST, DELETE"),
+    if status == StatusCode::UNAUTHORIZED {
+        counter!("lynxwheel_unauthorized_total").increment(1);
+        info!(
+            event = "unauthorized", path = shortened(&credentials.path), reason = reason.as_str(),
+            key:? = credentials.key.ok();
+            ""
+        );
     }
+    error_answer(status, &reason)
 }
 
 fn host_of(request: &Request<Incoming>) -> String {
@@ -105,11 +153,10 @@
 async fn submit(
     node: &Node,
     job: JobId,
-    queue: &Queue,
-    max_body_bytes: usize,
+    caller: Caller,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let limit = deadline(&request);
+    let max_body_bytes = node.config.load().limits.max_body_bytes;
     let body = match collect_body(request.into_body(), max_body_bytes).await {
         Ok(body) => body,
         Err(answer) => return answer,
@@ -120,115 +167,188 @@
     };
     // Before the owner is asked: the first start may follow before its answer.
     node.payloads.keep(job, &spec.payload);
-    let ask = Ask::Submit {
+    let ask = |access: &Access| Ask::Submit {
         job: job.to_string(),
-        queue: queue.clone(),
-        spec,
+        queue: access.queue.clone(),
+        spec: spec.clone(),
+        account: access.account.clone(),
         origin: Some(node.peer_address),
     };
-    let begun = Instant::now();
-    let answer = ask_owner(node, ask, limit).await;
-    count_request("submit", answer, begun);
-    info!(
-        event = "submit", job = job.as_str(), pool = queue.pool.as_str(), outcome:? = answer,
-        epoch = node.view.borrow().epoch;
-        ""
-    );
+    let answer = ask_owner(node, "submit", caller, ask).await;
     match answer {
-        OwnerAnswer::Accepted => error_answer(StatusCode::OK, ""),
-        OwnerAnswer::Refused | OwnerAnswer::NotOwner => unavailable("not accepted; it never runs"),
-        _ => error_answer(
+        Ok(OwnerAnswer::Accepted) => error_answer(StatusCode::OK, ""),
+        Ok(OwnerAnswer::Refused | OwnerAnswer::NotOwner) => {
+            unavailable("not accepted; it never runs")
+        }
+        Ok(OwnerAnswer::OverQuota) => error_answer(
+            StatusCode::TOO_MANY_REQUESTS,
+            "not accepted; it never runs: a task or gang takes more than the account may have running",
+        ),
+        Ok(OwnerAnswer::OtherAccount) => other_account(),
+        Ok(_) => error_answer(
             StatusCode::GATEWAY_TIMEOUT,
             "whether it was accepted is not known",
         ),
+        Err(denied) => denied,
     }
 }
 
-async fn state(node: &Node, job: JobId, request: &Request<Incoming>) -> Response<Body> {
-    let ask = Ask::State {
+async fn state(node: &Node, job: JobId, caller: Caller) -> Response<Body> {
+    let ask = |access: &Access| Ask::State {
         job: job.to_string(),
+        account: access.account.clone(),
     };
-    let begun = Instant::now();
-    let answer = ask_owner(node, ask, deadline(request)).await;
-    count_request("state", answer, begun);
-    match answer {
-        OwnerAnswer::State(state) => json(state_body(state)),
-        OwnerAnswer::Unknown => {
-            info!(event = "state", job = job.as_str(), outcome = "unknown"; "");
-            error_answer(StatusCode::GONE, "no such job")
-        }
-        _ => unavailable("no owner to ask"),
+    match ask_owner(node, "state", caller, ask).await {
+        Ok(OwnerAnswer::State(state)) => json(state_body(state)),
+        Ok(OwnerAnswer::Unknown) => error_answer(StatusCode::GONE, "no such job"),
+        Ok(OwnerAnswer::OtherAccount) => other_account(),
+        Ok(_) => unavailable("no owner to ask"),
+        Err(denied) => denied,
     }
 }
 
-async fn cancel(node: &Node, job: JobId, request: &Request<Incoming>) -> Response<Body> {
-    let ask = Ask::Cancel {
+async fn cancel(node: &Node, job: JobId, caller: Caller) -> Response<Body> {
+    let ask = |access: &Access| Ask::Cancel {
         job: job.to_string(),
+        account: access.account.clone(),
     };
-    let begun = Instant::now();
-    let answer = ask_owner(node, ask, deadline(request)).await;
-    count_request("cancel", answer, begun);
-    info!(event = "cancel", job = job.as_str(), outcome:? = answer; "");
-    match answer {
-        OwnerAnswer::Cancelled => error_answer(StatusCode::OK, ""),
-        OwnerAnswer::Unknown => error_answer(StatusCode::GONE, "no such job"),
-        OwnerAnswer::Refused | OwnerAnswer::NotOwner => unavailable("no owner to ask"),
-        _ => error_answer(
+    match ask_owner(node, "cancel", caller, ask).await {
+        Ok(OwnerAnswer::Cancelled) => error_answer(StatusCode::OK, ""),
+        Ok(OwnerAnswer::Unknown) => error_answer(StatusCode::GONE, "no such job"),
+        Ok(OwnerAnswer::OtherAccount) => other_account(),
+        Ok(OwnerAnswer::Refused | OwnerAnswer::NotOwner) => unavailable("no owner to ask"),
+        Ok(_) => error_answer(
             StatusCode::GATEWAY_TIMEOUT,
             "whether it was cancelled is not known",
         ),
+        Err(denied) => denied,
     }
 }
 
-async fn count(node: &Node, queue: &Queue) -> Response<Body> {
-    let ask = Ask::Pending {
-        queue: queue.clone(),
+async fn count(node: &Node, caller: Caller) -> Response<Body> {
+    let ask = |access: &Access| Ask::Pending {
+        queue: access.queue.clone(),
     };
-    let limit = Duration::from_millis(DEFAULT_DEADLINE_MS - WAY_BACK_MS);
-    match ask_owner(node, ask, limit).await {
-        OwnerAnswer::Pending(count) => json(pending_body(count)),
-        _ => unavailable("no owner to ask"),
+    match ask_owner(node, "count", caller, ask).await {
+        Ok(OwnerAnswer::Pending(count)) => json(pending_body(count)),
+        Ok(_) => unavailable("no owner to ask"),
+        Err(denied) => denied,
     }
 }
 
+fn other_account() -> Response<Body> {
+    error_answer(
+        StatusCode::FORBIDDEN,
+        "the job belongs to another account; nothing was done",
+    )
+}
+
+/// Asks the owner, counts the request and logs its outcome.
+///
+/// # Errors
+///
+/// Returns the answer to a caller who may not call by a newer configuration.
+async fn ask_owner(
+    node: &Node,
+    kind: &'static str,
+    caller: Caller,
+    ask: impl Fn(&Access) -> Ask,
+) -> Result<OwnerAnswer, Response<Body>> {
+    let begun = Instant::now();
+    let key = caller.credentials.key;
+    let asked = ask_until_clear(node, &caller, ask).await;
+    let Asked { answer, access } = match asked {
+        Ok(asked) => asked,
+        Err(denial) => return Err(denied(denial, &caller.credentials)),
+    };
+    count_request(kind, answer, begun);
+    // States are asked for all the time.
+    if kind != "state" || !matches!(answer, OwnerAnswer::State(_)) {
+        info!(
+            event = kind, job:? = access.job.as_ref().map(JobId::as_str), pool = access.queue.pool.as_str(),
+            account = access.account.as_str(), key:? = key.ok(), outcome:? = answer,
+            config_version = access.version, epoch = node.view.borrow().epoch;
+            ""
+        );
+    }
+    Ok(answer)
+}
+
+/// Returns the beginning of a path, for the log.
+fn shortened(path: &str) -> &str {
+    let mut end = path.len().min(LOGGED_PATH_BYTES);
+    while !path.is_char_boundary(end) {
+        end -= 1;
+    }
+    &path[..end]
+}
+
+/// The owner's answer, and by what the request was judged.
+struct Asked {
+    answer: OwnerAnswer,
+    access: Access,
+}
+
 /// Asks the owner, and asks again while there is a new one to come or the outcome is not known.
 ///
 /// Every ask may be repeated: a job's id makes a second hand-in the same job. A caller that is told
 /// "not known" cannot safely come back with a request that must not run twice, so the node finds
 /// out itself as long as the caller waits. One that has certainly not been heard is kept only as
 /// long as a take-over lasts, and then refused.
-async fn ask_owner(node: &Node, ask: Ask, limit: Duration) -> OwnerAnswer {
+///
+/// Where the owner has a newer configuration, the request is judged again by that.
+async fn ask_until_clear(
+    node: &Node,
+    caller: &Caller,
+    ask: impl Fn(&Access) -> Ask,
+) -> Result<Asked, Denial> {
     let begun = Instant::now();
-    let patience = limit.min(Duration::from_millis(TAKE_OVER_MS));
+    let patience = caller.limit.min(Duration::from_millis(TAKE_OVER_MS));
+    let mut access = caller.access.clone();
     let mut is_unclear = false;
     loop {
-        let left = limit.saturating_sub(begun.elapsed());
+        let left = caller.limit.saturating_sub(begun.elapsed());
         let attempt = left.min(Duration::from_millis(ATTEMPT_MS));
-        match ask_once(node, ask.clone(), attempt).await {
+        match ask_once(node, ask(&access), access.version, attempt).await {
             OwnerAnswer::Unclear => is_unclear = true,
             OwnerAnswer::NotOwner => {}
+            OwnerAnswer::NewerConfig => {
+                let known = access.version;
+                config_sync::fetch_from_owner(node).await;
+                match judge(&node.config.load(), &caller.credentials) {
+                    Ok(newer) => access = newer,
+                    // An earlier ask may have been accepted by the older one.
+                    Err(_) if is_unclear => break,
+                    Err(denial) => return Err(denial),
+                }
+                if access.version > known {
+                    continue;
+                }
+            }
             // An earlier ask may still arrive, and be accepted.
             OwnerAnswer::Refused if is_unclear => {}
-            answer => return answer,
+            answer => return Ok(Asked { answer, access }),
         }
-        let end = if is_unclear { limit } else { patience };
+        let end = if is_unclear { caller.limit } else { patience };
         if begun.elapsed() + Duration::from_millis(ASK_PAUSE_MS) >= end {
             break;
         }
         sleep(Duration::from_millis(ASK_PAUSE_MS)).await;
     }
-    if is_unclear {
+    let answer = if is_unclear {
         OwnerAnswer::Unclear
     } else {
         OwnerAnswer::NotOwner
-    }
+    };
+    Ok(Asked { answer, access })
 }
 
 /// Asks the owner once, here or at another node.
-async fn ask_once(node: &Node, ask: Ask, limit: Duration) -> OwnerAnswer {
+async fn ask_once(node: &Node, ask: Ask, config_version: u64, limit: Duration) -> OwnerAnswer {
     let (epoch, owner) = node.known_owner();
     let mut request = OwnerRequest {
         epoch,
+        config_version,
         ask,
         sender: None,
     };
@@ -277,7 +397,9 @@
         | OwnerAnswer::State(_)
         | OwnerAnswer::Pending(_) => "answered",
         OwnerAnswer::Unknown => "no_such_job",
-        OwnerAnswer::Refused | OwnerAnswer::NotOwner => "refused",
+        OwnerAnswer::Refused | OwnerAnswer::NotOwner | OwnerAnswer::NewerConfig => "refused",
+        OwnerAnswer::OverQuota => "over_quota",
+        OwnerAnswer::OtherAccount => "other_account",
         OwnerAnswer::Unclear => "unclear",
     };
     counter!("lynxwheel_requests_total", "kind" => kind, "outcome" => outcome).increment(1);
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -19,12 +19,14 @@
 //! assert_eq!(view.owner.unwrap().epoch, 1);
 //! ```
 
+mod access;
 mod calls;
 mod carried;
 mod carrier;
 mod carriers;
 mod clock;
 mod commit;
+mod config_sync;
 mod dispatch;
 mod feeds;
 mod in_flight;
@@ -46,6 +48,7 @@
 mod watcher;
 
 pub use {
+    access::{Access, Credentials, Denial, judge},
     calls::{CallResult, CallSubject, EndpointCall},
     in_flight::{FOLLOW_MS, InFlight, MOST_UNDER_WAY, STORE_AWAY_MS},
     members::{HEARD_MS, Member, Members},
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -13,7 +13,7 @@
         watcher,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
-    log::info,
+    log::{info, warn},
     lynxwheel_engine::{EngineSettings, FleetConfig, WaveOrder},
     lynxwheel_platform::{PlatformSettings, StoreClient},
     lynxwheel_transport::{Clients, Shutdown},
@@ -113,6 +113,10 @@
     pub peers: Arc<Clients>,
     /// Configuration in force here.
     pub config: ArcSwap<FleetConfig>,
+    /// When what operators write was read last, on the steady clock in milliseconds.
+    pub config_read_ms: AtomicU64,
+    /// Held while another node's configuration is fetched.
+    pub config_fetch: tokio::sync::Mutex<()>,
     /// Orders of maintenance that were read.
     pub waves: Mutex<Vec<WaveOrder>>,
     /// What is known of ownership.
@@ -161,6 +165,8 @@
             store: StoreClient::new(settings.store),
             peers: Arc::new(Clients::new(PEER_CONNECTIONS)),
             config: ArcSwap::default(),
+            config_read_ms: AtomicU64::new(0),
+            config_fetch: tokio::sync::Mutex::default(),
             waves: Mutex::default(),
             view: tokio::sync::watch::Sender::default(),
             owner: ArcSwapOption::empty(),
@@ -185,6 +191,12 @@
         self.contact_ms.store(clock::steady_ms(), Ordering::Relaxed);
     }
 
+    /// Notes that what operators write was read.
+    pub fn note_config_read(&self) {
+        let now_ms = clock::steady_ms();
+        self.config_read_ms.store(now_ms, Ordering::Relaxed);
+    }
+
     fn has_contact_within(&self, now_ms: u64, age_ms: u64) -> bool {
         now_ms < self.contact_ms.load(Ordering::Relaxed) + age_ms
     }
@@ -304,9 +316,16 @@
         }
         info!(
             event = "config", version = config.version, queues = config.queues.len(),
-            pools = config.pools.len();
+            pools = config.pools.len(), accounts = config.accounts.len();
             ""
         );
+        for shared in config.accounts.shared_keys() {
+            warn!(
+                event = "key_shared", version = config.version, key:% = shared.key,
+                account = shared.holder.as_str(), passed_over = shared.passed_over.as_str();
+                ""
+            );
+        }
         let config = Arc::new(config);
         self.config.store(Arc::clone(&config));
         if let Some(owner) = self.owner.load_full() {
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -176,6 +176,7 @@
             OwnerMessage::Tick(sent_ms) => {
                 self.load.note_wait(now.steady_ms.saturating_sub(sent_ms));
                 self.watch_store(now);
+                self.take_config(now);
                 // Only while nobody else can believe to be the owner.
                 self.engine.allow_vm_orders(self.is_fresh(now));
                 self.engine.handle(Event::Tick, now);
@@ -250,6 +251,14 @@
         }
     }
 
+    /// Hands the engine a configuration whose event was lost, or came before this owner was there.
+    fn take_config(&mut self, now: Now) {
+        let config = self.node.config.load();
+        if config.version > self.engine.config_version() {
+            self.engine.handle(Event::Config(Arc::clone(&config)), now);
+        }
+    }
+
     /// Notices when the store goes away and when it is back.
     fn watch_store(&mut self, now: Now) {
         let is_away = self.in_flight.is_store_away(now.steady_ms);
@@ -314,6 +323,7 @@
                 job,
                 queue,
                 spec,
+                account,
                 origin,
             } => {
                 let Ok(job) = job.parse::<JobId>() else {
@@ -324,12 +334,13 @@
                     job,
                     queue,
                     spec,
+                    account,
                     origin,
                     token,
                 };
                 return self.engine.handle(event, now);
             }
-            Ask::Cancel { job } => {
+            Ask::Cancel { job, account } => {
                 let Ok(job) = job.parse::<JobId>() else {
                     return answer_now(reply, OwnerAnswer::Unknown);
                 };
@@ -337,19 +348,27 @@
                     return answer_now(reply, OwnerAnswer::Unclear);
                 }
                 let token = self.wait(reply);
-                return self.engine.handle(Event::Cancel { job, token }, now);
+                let event = Event::Cancel {
+                    job,
+                    account,
+                    token,
+                };
+                return self.engine.handle(event, now);
             }
-            Ask::State { job } => self.state(&job, now),
+            Ask::State { job, account } => self.state(&job, &account, now),
             Ask::Pending { queue } => OwnerAnswer::Pending(self.engine.pending(&queue)),
         };
         answer_now(reply, answer);
     }
 
     /// Tells a job's state.
-    fn state(&self, job: &str, now: Now) -> OwnerAnswer {
+    fn state(&self, job: &str, account: &str, now: Now) -> OwnerAnswer {
         let Ok(job) = job.parse::<JobId>() else {
             return OwnerAnswer::Unknown;
         };
+        if !self.engine.is_open_to(job, account) {
+            return OwnerAnswer::OtherAccount;
+        }
         if let Some(state) = self.engine.shown(job) {
             return OwnerAnswer::State(state);
         }
@@ -409,6 +428,8 @@
                 CallerAnswer::Cancelled => OwnerAnswer::Cancelled,
                 CallerAnswer::Unknown => OwnerAnswer::Unknown,
                 CallerAnswer::Refused => OwnerAnswer::Refused,
+                CallerAnswer::OverQuota => OwnerAnswer::OverQuota,
+                CallerAnswer::OtherAccount => OwnerAnswer::OtherAccount,
             };
             answer_now(reply, answer);
         }
--- a/crates/controller/src/peer.rs
+++ b/crates/controller/src/peer.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::members::Member,
+    compact_str::CompactString,
     lynxwheel_engine::{JobSpec, JobState, Queue},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -10,11 +11,23 @@
 /// Path at which a node takes other nodes' requests.
 pub const OWNER_PATH: &str = "/owner";
 
+/// Path at which a node gives its configuration to one that has an older one.
+pub const CONFIG_PATH: &str = "/config";
+
+/// Asks for a newer configuration than this version.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct ConfigRequest {
+    /// Version that the sender has.
+    pub version: u64,
+}
+
 /// A caller's request for the owner.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct OwnerRequest {
     /// Highest epoch that the sender has heard of; an owner of a lower one learns that it is over.
     pub epoch: u64,
+    /// Version of the configuration by which the sender has judged the request.
+    pub config_version: u64,
     /// What is asked for.
     pub ask: Ask,
     /// Node that passes the request on; nothing where it is the owner itself.
@@ -33,6 +46,8 @@
         queue: Queue,
         /// What the caller sent.
         spec: Box<JobSpec>,
+        /// Client account of the caller; empty for a queue that needs no key.
+        account: CompactString,
         /// Node that took the job from its caller and keeps its payload.
         #[serde(default)]
         origin: Option<SocketAddr>,
@@ -41,11 +56,15 @@
     Cancel {
         /// Id of the job.
         job: String,
+        /// Client account of the caller; empty for a queue that needs no key.
+        account: CompactString,
     },
     /// Tell a job's state.
     State {
         /// Id of the job.
         job: String,
+        /// Client account of the caller; empty for a queue that needs no key.
+        account: CompactString,
     },
     /// Count the jobs of a queue of which no task has started.
     Pending {
@@ -69,6 +88,13 @@
     Unknown,
     /// Nothing was done, and it does not run.
     Refused,
+    /// A task or a gang takes more than its account may ever have running; nothing was done.
+    OverQuota,
+    /// The job belongs to another client account; nothing was done.
+    OtherAccount,
+    /// The owner has a newer configuration than the one by which the request was judged; nothing was
+    /// done.
+    NewerConfig,
     /// The asked node is not the owner; nothing was done.
     NotOwner,
     /// Whether it was done is not known.
--- a/crates/controller/src/peer_server.rs
+++ b/crates/controller/src/peer_server.rs
@@ -3,22 +3,24 @@
 use {
     crate::{
         carried::{CARRIED_PATH, CARRY_PATH, CarriedRequest, CarryAnswer, PAYLOAD_PATH},
-        clock,
+        clock, config_sync,
         node::Node,
         owner::{OwnerHandle, OwnerMessage, ask_owner},
         ownership::SUSPECT_MS,
         peer::{
-            OWNER_PATH, OWNERSHIP_PATH, OwnerAnswer, OwnerRequest, OwnershipAnswer, OwnershipAsk,
-            OwnershipRequest,
+            CONFIG_PATH, ConfigRequest, OWNER_PATH, OWNERSHIP_PATH, OwnerAnswer, OwnerRequest,
+            OwnershipAnswer, OwnershipAsk, OwnershipRequest,
         },
     },
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
+    lynxwheel_engine::FleetConfig,
     lynxwheel_protocol::{MAX_MESSAGE_BYTES, decode_message},
     lynxwheel_transport::{Body, Server, collect_body, error_answer, full_body, message_answer},
     serde::de::DeserializeOwned,
     std::{
         io,
+        net::SocketAddr,
         sync::{Arc, atomic::Ordering},
     },
 };
@@ -48,12 +50,17 @@
         OWNER_PATH => match read::<OwnerRequest>(request).await {
             Ok(mut request) => {
                 if let Some(sender) = request.sender.take() {
+                    catch_up(node, &request, sender.address).await;
                     node.note_member(sender);
                 }
                 message_answer(&ask_here(node, request).await)
             }
             Err(answer) => answer,
         },
+        CONFIG_PATH => match read::<ConfigRequest>(request).await {
+            Ok(request) => message_answer(&newer_config(node, request.version)),
+            Err(answer) => answer,
+        },
         OWNERSHIP_PATH => match read(request).await {
             Ok(request) => message_answer(&ask_ownership(node, &request)),
             Err(answer) => answer,
@@ -94,11 +101,26 @@
 /// Asks this node's owner duties, if it has them.
 pub async fn ask_here(node: &Node, request: OwnerRequest) -> OwnerAnswer {
     match owner_here(node, request.epoch) {
+        Some(_) if request.config_version < node.config.load().version => OwnerAnswer::NewerConfig,
         Some(owner) => ask_owner(&owner, request.ask).await,
         None => OwnerAnswer::NotOwner,
     }
 }
 
+/// Takes over the configuration by which another node has judged a request, if that is newer.
+async fn catch_up(node: &Node, request: &OwnerRequest, sender: SocketAddr) {
+    let version = request.config_version;
+    if node.owner.load().is_some() && version > node.config.load().version {
+        config_sync::fetch_from(node, sender, version).await;
+    }
+}
+
+/// Returns this node's configuration if it is newer than a version.
+fn newer_config(node: &Node, version: u64) -> Option<FleetConfig> {
+    let config = node.config.load();
+    (config.version > version).then(|| FleetConfig::clone(&config))
+}
+
 /// Returns the payload of a job that came in here a while ago.
 fn payload(node: &Node, job: &str) -> Response<Body> {
     let payload = job.parse().ok().and_then(|job| node.payloads.get(job));
--- a/crates/engine/benches/events.rs
+++ b/crates/engine/benches/events.rs
@@ -74,6 +74,7 @@
             steps: vec![step],
             ..JobSpec::default()
         }),
+        account: "".into(),
         origin: None,
         token: number,
     };
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -70,6 +70,9 @@
         };
         let attempt = known.attempts.remove(at);
         job.is_dirty = true;
+        if let Some(spec) = job.step_spec(task) {
+            self.quotas.release(job.account_number, &spec.room);
+        }
         let endpoint = self.endpoints.get_mut(attempt.endpoint);
         endpoint.release(task, run, now.steady_ms);
         self.notes.push(Note::RunOver {
--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -4,6 +4,7 @@
     engine::Engine,
     event::{CallerAnswer, Effect, EndpointKey, Now, StartOrder},
     job::{JobId, JobState},
+    note::RunEnd,
     state::Phase,
     stored::{Record, progress_record, spec_record},
 };
@@ -109,9 +110,11 @@
 
     /// Fills in a start's lease when its decision is stored.
     ///
-    /// A start whose run was given up in the meantime was never sent, and so never will be.
+    /// A start whose run was given up in the meantime was never sent, and so never will be. One whose
+    /// account's quota was cut in the meantime is given up here.
     fn release_start(&mut self, mut order: StartOrder, now: Now) -> Option<Effect> {
         let place = self.search(order.task.job).ok()?;
+        let account = self.jobs[place].account_number;
         let task = self.jobs.quiet_mut(place).task_mut(&order.task)?;
         let attempt = task
             .attempts
@@ -121,6 +124,10 @@
         if attempt.is_stopping || endpoint.is_over {
             return None;
         }
+        if self.quotas.is_exceeded(account) {
+            self.remove_attempt(&order.task, order.run, RunEnd::NeverOrdered, now);
+            return None;
+        }
         order.deadline_ms = endpoint.grant(now, self.settings.lease_ms)?;
         attempt.phase = Phase::Ordered;
         order.ticket = self.ticket_for(&order.task, order.endpoint, now);
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -1,6 +1,7 @@
 //! What the operator has put in force: queues, pools and limits.
 
 use {
+    crate::accounts::ClientAccounts,
     compact_str::CompactString,
     serde::{Deserialize, Serialize},
 };
@@ -24,6 +25,8 @@
     pub target_latency_ms: u64,
     /// Whether another service tells which endpoints may run a step.
     pub advised: bool,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 impl Queue {
@@ -35,7 +38,7 @@
 }
 
 /// Pool of VMs.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Pool {
     /// Name.
     pub name: CompactString,
@@ -46,7 +49,7 @@
 }
 
 /// Bounds for callers' requests.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// Bytes of a body at most.
     pub max_body_bytes: usize,
@@ -68,7 +71,7 @@
 }
 
 /// Configuration in force.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct FleetConfig {
     /// Version; a node never goes back to a lower one.
     pub version: u64,
@@ -78,6 +81,8 @@
     pub pools: Vec<Pool>,
     /// Bounds for callers' requests.
     pub limits: CallerLimits,
+    /// Client accounts.
+    pub accounts: ClientAccounts,
 }
 
 impl FleetConfig {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,10 +13,11 @@
         endpoint_table::Endpoints,
         event::{CallerAnswer, Effect, EndpointKey, Event, Now, ReplyToken},
         free_room::FreeRoom,
-        job::{JobId, JobState, TaskRef},
+        job::{JobId, JobState, Room, TaskRef},
         job_table::JobTable,
         note::Note,
         order_rate::OrderRate,
+        quota::QuotaLedger,
         rests::RestingVm,
         state::Job,
         stored::{Record, progress_drop, spec_drop},
@@ -67,10 +68,11 @@
 }
 
 /// A job that has ended and of which only the state is kept.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct EndedJob {
     pub(crate) id: JobId,
     pub(crate) state: JobState,
+    pub(crate) account: CompactString,
     pub(crate) at_ms: u64,
 }
 
@@ -87,6 +89,7 @@
     /// Jobs that have occurrences to come, sorted by id.
     pub(crate) timed_jobs: Vec<JobId>,
     pub(crate) open_steps: OpenSteps,
+    pub(crate) quotas: QuotaLedger,
     /// Jobs that have ended, sorted by id.
     pub(crate) ended: Vec<EndedJob>,
     pub(crate) endpoints: Endpoints,
@@ -136,6 +139,7 @@
             unstored_jobs: Vec::new(),
             timed_jobs: Vec::new(),
             open_steps: OpenSteps::default(),
+            quotas: QuotaLedger::default(),
             ended: Vec::new(),
             endpoints: Endpoints::default(),
             free_room: FreeRoom::default(),
@@ -174,14 +178,19 @@
                 job,
                 queue,
                 spec,
+                account,
                 origin,
                 token,
             } => {
-                let mut job = Job::new(job, queue, *spec, now.wall_ms);
+                let mut job = Job::new(job, queue, *spec, now.wall_ms).with_account(account);
                 job.origin = origin;
                 self.submit(job, token, now);
             }
-            Event::Cancel { job, token } => self.cancel(job, token, now),
+            Event::Cancel {
+                job,
+                account,
+                token,
+            } => self.cancel(job, &account, token, now),
             Event::Config(config) => self.set_config(config),
             Event::Listed { entry, is_fresh } => self.endpoint_listed(&entry, is_fresh, now),
             Event::Unlisted(id) => self.endpoint_unlisted(&id, now),
@@ -236,36 +245,43 @@
         for id in unsent {
             if let Ok(place) = self.search(id) {
                 let job = self.jobs.remove(place);
+                self.quotas.remove_job(job.account_number);
                 self.refuse(&job.waiting);
             }
         }
     }
 
     fn refuse(&mut self, tokens: &[ReplyToken]) {
-        let replies = tokens.iter().map(|&token| Effect::Reply {
-            token,
-            answer: CallerAnswer::Refused,
-        });
-        self.at_once.extend(replies);
+        for &token in tokens {
+            self.answer_at_once(token, CallerAnswer::Refused);
+        }
+    }
+
+    fn answer_at_once(&mut self, token: ReplyToken, answer: CallerAnswer) {
+        self.at_once.push(Effect::Reply { token, answer });
     }
 
     fn submit(&mut self, mut job: Job, token: ReplyToken, now: Now) {
         let id = job.id;
-        let accepted = Effect::Reply {
-            token,
-            answer: CallerAnswer::Accepted,
-        };
+        if !self.is_open_to(id, &job.account) {
+            return self.answer_at_once(token, CallerAnswer::OtherAccount);
+        }
         match self.search(id) {
             Ok(place) => {
                 let known = &mut self.jobs[place];
                 if known.shown.is_some() {
-                    self.at_once.push(accepted);
+                    self.answer_at_once(token, CallerAnswer::Accepted);
                 } else {
                     known.waiting.push(token);
                 }
             }
-            Err(_) if self.find_ended(id).is_some() => self.at_once.push(accepted),
+            Err(_) if self.find_ended(id).is_some() => {
+                self.answer_at_once(token, CallerAnswer::Accepted);
+            }
             Err(_) if self.is_store_away => self.refuse(&[token]),
+            Err(_) if !self.may_ever_run(&job) => {
+                self.answer_at_once(token, CallerAnswer::OverQuota);
+            }
             Err(_) => {
                 self.arrivals.note(&job.queue.pool, &job.spec, now);
                 job.waiting.push(token);
@@ -277,7 +293,9 @@
     }
 
     /// Adds a job, and notes if it has occurrences to come.
-    pub(crate) fn add_job(&mut self, job: Box<Job>) {
+    pub(crate) fn add_job(&mut self, mut job: Box<Job>) {
+        job.account_number = self.quotas.number(&job.account);
+        self.quotas.add_job(job.account_number);
         if job.has_occurrences_to_come()
             && let Err(place) = self.timed_jobs.binary_search(&job.id)
         {
@@ -286,9 +304,33 @@
         self.jobs.add(job);
     }
 
-    fn cancel(&mut self, id: JobId, token: ReplyToken, now: Now) {
+    /// Tells whether every task and gang of a job fits into its account's quota.
+    fn may_ever_run(&self, job: &Job) -> bool {
+        let account = self.config.accounts.named(&job.account);
+        account.is_none_or(|account| {
+            job.spec.steps.iter().all(|step| {
+                let together = if step.gang { u64::from(step.count) } else { 1 };
+                account.may_ever_run(&step.room.times(together))
+            })
+        })
+    }
+
+    /// Tells whether a caller of an account may ask for a job, hand it in again or cancel it; a job
+    /// that is not known is open to everybody.
+    #[must_use]
+    pub fn is_open_to(&self, id: JobId, account: &str) -> bool {
+        let holder = match self.search(id) {
+            Ok(place) => Some(&self.jobs[place].account),
+            Err(_) => self.find_ended(id).map(|job| &job.account),
+        };
+        holder.is_none_or(|holder| holder.is_empty() || holder == account)
+    }
+
+    fn cancel(&mut self, id: JobId, account: &str, token: ReplyToken, now: Now) {
         let answer = |answer| Effect::Reply { token, answer };
-        if let Ok(place) = self.search(id) {
+        if !self.is_open_to(id, account) {
+            self.at_once.push(answer(CallerAnswer::OtherAccount));
+        } else if let Ok(place) = self.search(id) {
             if !self.jobs[place].state.is_final() {
                 self.end_job(place, JobState::Cancelled, now);
             }
@@ -321,7 +363,22 @@
         }
     }
 
+    /// Returns what an account has running, as far as that is known; unknown outcomes count.
+    #[must_use]
+    pub fn running_of(&self, account: &str) -> Room {
+        self.quotas.running_of(account)
+    }
+
+    /// Returns the version of the configuration in force here.
+    #[must_use]
+    pub fn config_version(&self) -> u64 {
+        self.config.version
+    }
+
     fn set_config(&mut self, config: Arc<FleetConfig>) {
+        if config.version < self.config.version {
+            return;
+        }
         for place in 0..self.jobs.len() {
             let known = &self.jobs[place].queue;
             let queue = config.queues.iter().find(|queue| queue.is_same(known));
@@ -335,6 +392,7 @@
                 job.is_dirty = true;
             }
         }
+        self.quotas.configure(&config.accounts);
         self.config = config;
         self.is_schedule_due = true;
     }
@@ -403,11 +461,13 @@
     /// Keeps only the state of a job that has ended.
     pub(crate) fn forget_details(&mut self, place: usize) {
         let job = self.jobs.remove(place);
+        self.quotas.remove_job(job.account_number);
         self.drops.push(spec_drop(job.id));
         if let Err(place) = self.ended.binary_search_by_key(&job.id, |ended| ended.id) {
             let ended = EndedJob {
                 id: job.id,
                 state: job.state,
+                account: job.account,
                 at_ms: job.ended_ms,
             };
             self.ended.insert(place, ended);
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -86,6 +86,8 @@
         queue: Queue,
         /// What the caller sent.
         spec: Box<JobSpec>,
+        /// Client account that hands it in; empty for a queue that needs no key.
+        account: CompactString,
         /// Node that took the job from its caller and keeps its payload for a while, if it is known.
         origin: Option<SocketAddr>,
         /// Request that waits.
@@ -95,6 +97,8 @@
     Cancel {
         /// Id of the job.
         job: JobId,
+        /// Client account that cancels; empty for a queue that needs no key.
+        account: CompactString,
         /// Request that waits.
         token: ReplyToken,
     },
@@ -184,6 +188,11 @@
     Unknown,
     /// Nothing was stored of the job, and nothing will be.
     Refused,
+    /// A task or a gang of the job takes more than its account may ever have running; nothing was
+    /// stored, and nothing will be.
+    OverQuota,
+    /// The job belongs to another client account; nothing was done.
+    OtherAccount,
 }
 
 /// What the engine asks for.
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -382,6 +382,7 @@
                 for attempt in &task.attempts {
                     let placed = Placed::new(name, attempt.run, spec);
                     self.endpoints.get_mut(attempt.endpoint).place(placed);
+                    self.quotas.charge(job.account_number, &spec.room);
                     if attempt.is_stop_stored {
                         unanswered.push((name, attempt.run));
                     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,7 +12,7 @@
 //! let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
 //! let now = Now { steady_ms: 1_000, wall_ms: 1_000 };
 //! engine.handle(
-//!     Event::Submit { job: id, queue: Queue::default(), spec: Box::new(spec), origin: None, token: 1 },
+//!     Event::Submit { job: id, queue: Queue::default(), spec: Box::new(spec), account: "".into(), origin: None, token: 1 },
 //!     now,
 //! );
 //! assert_eq!(engine.shown(id), None);
@@ -23,6 +23,7 @@
 //! assert!(engine.shown(id).is_some());
 //! ```
 
+mod accounts;
 mod advice;
 mod arrivals;
 mod attempts;
@@ -43,6 +44,7 @@
 mod pacing;
 mod places;
 mod pools;
+mod quota;
 mod repeats;
 mod reports;
 mod restore;
@@ -58,6 +60,7 @@
 mod waves;
 
 pub use {
+    accounts::{ClientAccount, ClientAccounts, KeyDigest, KeyMistake, SharedKey},
     advice::Ticket,
     batch::Batch,
     config::{CallerLimits, FleetConfig, Pool, Queue},
@@ -71,6 +74,7 @@
     job::{BadName, JobId, JobSpec, JobState, Room, StepSpec, TaskRef},
     note::{Note, PoolPlan, RunEnd},
     pacing::next_pace,
+    quota::{AccountNumber, QuotaLedger},
     reports::{
         EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
     },
--- /dev/null
+++ b/crates/engine/src/quota.rs
@@ -0,0 +1,206 @@
+//! What each client account has running, against its quota.
+//!
+//! A run counts from the decision to start it until its end is known, so orders under way, orders
+//! without answer and runs that are being stopped count as running.
+
+use {
+    crate::{accounts::ClientAccounts, job::Room},
+    compact_str::CompactString,
+};
+
+/// Number of a client account within one engine.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct AccountNumber(u32);
+
+/// What one account may have running, and has.
+#[derive(Clone, Debug, Default)]
+struct AccountUse {
+    name: CompactString,
+    /// Most that may run at once; 0 is no limit.
+    quota: Room,
+    running: Room,
+    /// Jobs in progress.
+    jobs: usize,
+    is_configured: bool,
+}
+
+impl AccountUse {
+    fn is_forgettable(&self) -> bool {
+        !self.is_configured && self.jobs == 0 && self.running == Room::default()
+    }
+}
+
+/// What every account has running.
+///
+/// Jobs without an account share number 0, which has no limit.
+#[derive(Clone, Debug)]
+pub struct QuotaLedger {
+    rows: Vec<AccountUse>,
+    /// Numbers in use, sorted by name; number 0 is not among them.
+    by_name: Vec<AccountNumber>,
+    unused: Vec<AccountNumber>,
+}
+
+impl Default for QuotaLedger {
+    fn default() -> Self {
+        Self {
+            rows: vec![AccountUse::default()],
+            by_name: Vec::new(),
+            unused: Vec::new(),
+        }
+    }
+}
+
+impl QuotaLedger {
+    /// Takes over the quotas of a configuration.
+    ///
+    /// An account that is no longer configured has no limit while its accepted jobs go on.
+    pub fn configure(&mut self, accounts: &ClientAccounts) {
+        for row in &mut self.rows[1..] {
+            row.is_configured = false;
+            row.quota = Room::default();
+        }
+        for account in accounts.iter() {
+            let number = self.number(&account.name);
+            let row = self.row_mut(number);
+            row.is_configured = true;
+            row.quota = account.quota;
+        }
+        let numbers = self.by_name.clone();
+        for number in numbers {
+            self.forget_if_unused(number);
+        }
+    }
+
+    /// Returns the number of an account, and adds the account when it is new. An empty name stands for
+    /// no account.
+    pub fn number(&mut self, name: &str) -> AccountNumber {
+        if name.is_empty() {
+            return AccountNumber::default();
+        }
+        match self.search(name) {
+            Ok(place) => self.by_name[place],
+            Err(place) => {
+                let number = self.unused.pop().unwrap_or_else(|| {
+                    self.rows.push(AccountUse::default());
+                    AccountNumber(u32::try_from(self.rows.len() - 1).unwrap_or_default())
+                });
+                self.row_mut(number).name = name.into();
+                self.by_name.insert(place, number);
+                number
+            }
+        }
+    }
+
+    /// Counts a job in progress.
+    pub fn add_job(&mut self, number: AccountNumber) {
+        self.row_mut(number).jobs += 1;
+    }
+
+    /// Counts a job no more.
+    pub fn remove_job(&mut self, number: AccountNumber) {
+        let row = self.row_mut(number);
+        row.jobs = row.jobs.saturating_sub(1);
+        self.forget_if_unused(number);
+    }
+
+    /// Counts a run from its decision on.
+    pub fn charge(&mut self, number: AccountNumber, room: &Room) {
+        self.row_mut(number).running.add(room);
+    }
+
+    /// Counts a run no more, as its end is known.
+    pub fn release(&mut self, number: AccountNumber, room: &Room) {
+        let row = self.row_mut(number);
+        row.running = row.running.less(room);
+    }
+
+    /// Returns how many runs of this room the account may start now.
+    #[must_use]
+    pub fn startable(&self, number: AccountNumber, room: &Room) -> u64 {
+        let AccountUse { quota, running, .. } = self.row(number);
+        let dimensions = [
+            (quota.cpu_millis, running.cpu_millis, room.cpu_millis),
+            (quota.memory_mb, running.memory_mb, room.memory_mb),
+            (quota.gpus, running.gpus, room.gpus),
+        ];
+        dimensions
+            .into_iter()
+            .filter(|(quota, _, _)| *quota > 0)
+            .filter_map(|(quota, running, room)| quota.saturating_sub(running).checked_div(room))
+            .min()
+            .unwrap_or(u64::MAX)
+    }
+
+    /// Tells whether an account has more running than its quota, as after a cut of it.
+    #[must_use]
+    pub fn is_exceeded(&self, number: AccountNumber) -> bool {
+        let AccountUse { quota, running, .. } = self.row(number);
+        let exceeds = |running: u64, quota: u64| quota > 0 && running > quota;
+        exceeds(running.cpu_millis, quota.cpu_millis)
+            || exceeds(running.memory_mb, quota.memory_mb)
+            || exceeds(running.gpus, quota.gpus)
+    }
+
+    /// Returns the name of an account; empty for none.
+    #[must_use]
+    pub fn name(&self, number: AccountNumber) -> &CompactString {
+        &self.row(number).name
+    }
+
+    /// Returns the quota of an account; 0 is no limit.
+    #[must_use]
+    pub fn quota(&self, number: AccountNumber) -> Room {
+        self.row(number).quota
+    }
+
+    /// Returns what an account has running.
+    #[must_use]
+    pub fn running(&self, number: AccountNumber) -> Room {
+        self.row(number).running
+    }
+
+    /// Returns what the account with a name has running.
+    #[must_use]
+    pub fn running_of(&self, name: &str) -> Room {
+        let place = self.search(name);
+        place.map_or_else(
+            |_| Room::default(),
+            |place| self.running(self.by_name[place]),
+        )
+    }
+
+    /// Returns the numbers of the accounts that are known, sorted by name.
+    #[must_use]
+    pub fn numbers(&self) -> &[AccountNumber] {
+        &self.by_name
+    }
+
+    fn search(&self, name: &str) -> Result<usize, usize> {
+        self.by_name
+            .binary_search_by(|&number| self.row(number).name.as_str().cmp(name))
+    }
+
+    fn forget_if_unused(&mut self, number: AccountNumber) {
+        if number == AccountNumber::default() || !self.row(number).is_forgettable() {
+            return;
+        }
+        if let Ok(place) = self.search(&self.row(number).name) {
+            self.by_name.remove(place);
+            *self.row_mut(number) = AccountUse::default();
+            self.unused.push(number);
+        }
+    }
+
+    fn row(&self, number: AccountNumber) -> &AccountUse {
+        &self.rows[place(number)]
+    }
+
+    fn row_mut(&mut self, number: AccountNumber) -> &mut AccountUse {
+        &mut self.rows[place(number)]
+    }
+}
+
+fn place(number: AccountNumber) -> usize {
+    usize::try_from(number.0).unwrap_or_default()
+}
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -10,7 +10,8 @@
 };
 
 impl Engine {
-    /// Repeats orders without answer; a start names the same run, so it happens once.
+    /// Repeats orders without answer; a start names the same run, so it happens once. Starts of an
+    /// account that is above its quota wait.
     pub(crate) fn repeat_orders(&mut self, now: Now) {
         for (task, run, key, is_stop) in self.due_orders(now) {
             let endpoint = self.endpoints.get_mut(key);
@@ -23,8 +24,9 @@
                     task,
                     run,
                 });
-            } else if let Some(deadline_ms) = endpoint.grant(now, self.settings.lease_ms)
-                && let Ok(place) = self.search(task.job)
+            } else if let Ok(place) = self.jobs.search(task.job)
+                && !self.quotas.is_exceeded(self.jobs[place].account_number)
+                && let Some(deadline_ms) = endpoint.grant(now, self.settings.lease_ms)
             {
                 let mut order = start_order(&self.jobs[place], key, &task, run, deadline_ms);
                 order.ticket = self.ticket_for(&task, key, now);
--- a/crates/engine/src/restore.rs
+++ b/crates/engine/src/restore.rs
@@ -62,10 +62,12 @@
         };
         let Some(spec) = spec else {
             let state = progress.state();
+            let account = progress.account().clone();
             if state.is_final() {
                 self.ended.push(EndedJob {
                     id,
                     state,
+                    account,
                     at_ms: now.steady_ms,
                 });
             }
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -35,11 +35,16 @@
     /// Starts what can start, the most urgent first.
     pub(crate) fn schedule(&mut self, now: Now) {
         self.refresh_free_room(now);
+        // Without a configuration no account's quota is known.
+        if self.config.version == 0 {
+            return;
+        }
         self.open_steps.sort(now);
         let mut place = 0;
         while let Some(step) = self.open_steps.waiting_at(place) {
             place += 1;
-            if self.free_room.has(step.pool, step.room.cpu_millis) {
+            let startable = self.quotas.startable(step.account, &step.quota_room);
+            if startable > 0 && self.free_room.has(step.pool, step.room.cpu_millis) {
                 let step = step.clone();
                 self.place_step(&step, now);
             }
@@ -94,7 +99,8 @@
             self.place_chosen(step, &spec, now);
             return;
         }
-        for index in waiting(job, &step.first, now) {
+        let startable = self.startable(step);
+        for index in waiting(job, &step.first, now).into_iter().take(startable) {
             let task = TaskRef {
                 index,
                 ..step.first
@@ -108,6 +114,12 @@
         }
     }
 
+    /// Returns how many tasks of a step its account's quota lets start now.
+    fn startable(&self, step: &OpenStep) -> usize {
+        let startable = self.quotas.startable(step.account, &step.quota_room);
+        usize::try_from(startable).unwrap_or(usize::MAX)
+    }
+
     fn task_avoids(&self, task: &TaskRef) -> Option<EndpointKey> {
         self.jobs.get(task.job)?.task(task)?.avoid
     }
@@ -128,13 +140,15 @@
         let Some(job) = self.jobs.get(name.job) else {
             return;
         };
+        let startable = self.startable(step);
         let chosen = if spec.gang {
-            if !is_whole(job, &name) {
+            if !is_whole(job, &name) || startable < usize::from(spec.count) {
                 return;
             }
             choose_gang(&self.endpoints, &mut slots, job, &name, spec)
         } else {
-            let waiting = waiting(job, &name, now);
+            let mut waiting = waiting(job, &name, now);
+            waiting.truncate(startable);
             choose_each(&self.endpoints, &mut slots, job, &name, spec, &waiting)
         };
         let runs = chosen.iter().filter_map(|(task, _)| job.task(task));
@@ -165,6 +179,7 @@
         let run = known.run;
         known.attempts.push(Attempt::new(run, key, now.steady_ms));
         job.is_dirty = true;
+        self.quotas.charge(job.account_number, &spec.room);
         let order = start_order(job, key, task, run, 0);
         self.forming.push(Effect::Start(Box::new(order)));
         let endpoint = self.endpoints.get_mut(key);
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -5,6 +5,7 @@
         config::Queue,
         event::{EndpointKey, ReplyToken},
         job::{JobId, JobSpec, JobState, StepSpec, TaskRef},
+        quota::AccountNumber,
     },
     compact_str::CompactString,
     std::net::SocketAddr,
@@ -163,6 +164,10 @@
     pub queue: Queue,
     /// What the caller sent.
     pub spec: JobSpec,
+    /// Client account that handed it in; empty for none.
+    pub account: CompactString,
+    /// Its number in the quotas' ledger.
+    pub account_number: AccountNumber,
     /// Time of day of the hand-in, in milliseconds since 1970.
     pub accepted_ms: u64,
     /// State.
@@ -193,6 +198,8 @@
             id,
             queue,
             spec,
+            account: CompactString::default(),
+            account_number: AccountNumber::default(),
             accepted_ms,
             state: JobState::Queued,
             shown: None,
@@ -206,6 +213,13 @@
         }
     }
 
+    /// Sets the client account that handed the job in.
+    #[must_use]
+    pub fn with_account(mut self, account: CompactString) -> Self {
+        self.account = account;
+        self
+    }
+
     /// Tells whether nothing of the job was ever sent to the store.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -86,6 +86,8 @@
     next_occurrence: u32,
     endpoints: Vec<(CompactString, SocketAddr)>,
     occurrences: Vec<StoredOccurrence>,
+    #[serde(default)]
+    account: CompactString,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -105,6 +107,12 @@
     pub fn state(&self) -> JobState {
         self.state
     }
+
+    /// Returns the client account; empty for none.
+    #[must_use]
+    pub fn account(&self) -> &CompactString {
+        &self.account
+    }
 }
 
 /// A wave, as it is stored: the VMs for which maintenance was ordered.
@@ -215,6 +223,7 @@
         next_occurrence: job.next_occurrence,
         endpoints: names,
         occurrences,
+        account: job.account.clone(),
     };
     Record {
         key: format!("{PROGRESS_PREFIX}/{}", job.id),
@@ -261,6 +270,7 @@
         next_occurrence,
         endpoints,
         occurrences,
+        account,
     } = progress;
     let keys: Vec<EndpointKey> = endpoints
         .iter()
@@ -294,7 +304,7 @@
                 .collect(),
         })
         .collect();
-    let mut job = Job::new(id, spec.queue, spec.spec, spec.accepted_ms);
+    let mut job = Job::new(id, spec.queue, spec.spec, spec.accepted_ms).with_account(account);
     job.state = state;
     job.shown = Some(state);
     job.occurrences = occurrences;
--- a/crates/engine/src/waiting.rs
+++ b/crates/engine/src/waiting.rs
@@ -6,6 +6,7 @@
         event::Now,
         free_room::PoolNumber,
         job::{JobId, Room, StepSpec, TaskRef},
+        quota::AccountNumber,
         state::{Job, StepRun},
         timing::{Timing, Urgency},
     },
@@ -20,8 +21,11 @@
     pub(crate) pool: PoolNumber,
     /// Tasks that wait.
     pub(crate) waiting: u64,
-    /// Room that each of them takes.
+    /// Room that each of them takes of an endpoint.
     pub(crate) room: Room,
+    /// Room that each of them takes of its account's quota.
+    pub(crate) quota_room: Room,
+    pub(crate) account: AccountNumber,
     priority: u32,
     is_lasting: bool,
     timing: Timing,
@@ -41,6 +45,8 @@
             pool,
             waiting: waiting_tasks(&run.steps[step]),
             room: spec.charged(),
+            quota_room: spec.room,
+            account: job.account_number,
             priority: job.queue.priority,
             is_lasting: spec.long_running,
             timing: Timing::new(job, occurrence),
--- a/crates/engine/tests/advice.rs
+++ b/crates/engine/tests/advice.rs
@@ -20,6 +20,7 @@
         job: job_id(1),
         queue,
         spec: Box::new(spec),
+        account: "".into(),
         origin: None,
         token: 1,
     });
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -2,9 +2,10 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use lynxwheel_engine::{
-    Batch, CallOutcome, CallerAnswer, Effect, EndKind, EndedTask, EndpointEntry, EndpointReport,
-    Engine, EngineSettings, Event, FleetConfig, JobId, JobSpec, JobState, Now, Pool, Queue, Record,
-    Room, RunningTask, StartOrder, StepSpec, TaskRef, VmEntry, VmState,
+    Batch, CallOutcome, CallerAnswer, ClientAccount, ClientAccounts, Effect, EndKind, EndedTask,
+    EndpointEntry, EndpointReport, Engine, EngineSettings, Event, FleetConfig, JobId, JobSpec,
+    JobState, KeyDigest, Now, Pool, Queue, Record, Room, RunningTask, StartOrder, StepSpec,
+    TaskRef, VmEntry, VmState,
 };
 
 /// Time that every step of the clock takes at the start, in milliseconds: far from zero, as a real
@@ -35,6 +36,7 @@
         stretch: 1.6,
         target_latency_ms: 600,
         advised: false,
+        is_public: true,
     }
 }
 
@@ -52,6 +54,19 @@
     }
 }
 
+/// Returns an account that may have so many cores running at once; 0 is no limit.
+pub fn account(name: &str, cores: u64) -> ClientAccount {
+    ClientAccount {
+        name: name.into(),
+        keys: vec![KeyDigest::new(name.as_bytes())],
+        weight: 1.0,
+        quota: Room {
+            cpu_millis: cores * 1_000,
+            ..Room::default()
+        },
+    }
+}
+
 /// What an endpoint of the tests does with its runs.
 #[derive(Clone, Debug, Default)]
 pub struct FakeEndpoint {
@@ -128,6 +143,8 @@
     pub orders: Vec<Effect>,
     pub now: Now,
     pub is_store_down: bool,
+    pub version: u64,
+    pub accounts: Vec<ClientAccount>,
     /// Renewals that wait at an endpoint: when they are due, endpoint, end acknowledged.
     waiting: Vec<(u64, u32, u64)>,
     in_flight: Option<Batch>,
@@ -148,6 +165,8 @@
             orders: Vec::new(),
             now,
             is_store_down: false,
+            version: 1,
+            accounts: Vec::new(),
             waiting: Vec::new(),
             in_flight: None,
         };
@@ -157,14 +176,28 @@
 
     fn configure(&mut self) {
         let config = FleetConfig {
-            version: 1,
+            version: self.version,
             queues: vec![queue()],
             pools: vec![pool(POOL, false), pool("spare", true)],
+            accounts: ClientAccounts::new(self.accounts.clone()),
             ..FleetConfig::default()
         };
         self.handle(Event::Config(config.into()));
     }
 
+    /// Puts a new configuration with these accounts in force.
+    pub fn configure_accounts(&mut self, accounts: &[ClientAccount]) {
+        self.version += 1;
+        self.accounts = accounts.to_vec();
+        self.configure();
+    }
+
+    /// Returns the cores in use on all endpoints by the jobs for which `is_counted` says so.
+    pub fn running_cores(&self, is_counted: impl Fn(JobId) -> bool) -> usize {
+        let running = self.endpoints.iter().flat_map(|endpoint| &endpoint.running);
+        running.filter(|(task, _)| is_counted(task.job)).count()
+    }
+
     pub fn handle(&mut self, event: Event) {
         self.engine.handle(event, self.now);
     }
@@ -207,10 +240,24 @@
     }
 
     pub fn submit_to(&mut self, queue: Queue, number: u64, spec: JobSpec) {
+        self.submit_for("", queue, number, spec);
+    }
+
+    /// Hands a job of one step in for an account.
+    pub fn submit_as(&mut self, account: &str, number: u64, step: StepSpec) {
+        let spec = JobSpec {
+            steps: vec![step],
+            ..JobSpec::default()
+        };
+        self.submit_for(account, queue(), number, spec);
+    }
+
+    pub fn submit_for(&mut self, account: &str, queue: Queue, number: u64, spec: JobSpec) {
         self.handle(Event::Submit {
             job: job_id(number),
             queue,
             spec: Box::new(spec),
+            account: account.into(),
             origin: None,
             token: number,
         });
--- a/crates/engine/tests/delays.rs
+++ b/crates/engine/tests/delays.rs
@@ -3,16 +3,16 @@
 //! An order may arrive seconds after its caller was told that it got no answer, answers overtake each
 //! other, and the owner falls seconds behind its mailbox while endpoints go on. Whatever it believes
 //! meanwhile, no task has two runs under way at once, nothing starts after an end of it was taken note
-//! of, room is not overdrawn, and every job comes to its end.
+//! of, neither room nor an account's quota is overdrawn, and every job comes to its end.
 
 mod common;
 
 use {
-    common::{POOL, job_id, listed, pool, queue, step},
+    common::{POOL, account, job_id, listed, pool, queue, step},
     lynxwheel_engine::{
-        Batch, CallOutcome, Effect, EndKind, EndedTask, EndpointEntry, EndpointReport, Engine,
-        EngineSettings, Event, FleetConfig, JobSpec, JobState, Now, Record, Refusal, Room,
-        RunningTask, StartOrder, StepSpec, TaskRef,
+        Batch, CallOutcome, ClientAccounts, Effect, EndKind, EndedTask, EndpointEntry,
+        EndpointReport, Engine, EngineSettings, Event, FleetConfig, JobId, JobSpec, JobState, Now,
+        Record, Refusal, Room, RunningTask, StartOrder, StepSpec, TaskRef,
     },
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -25,6 +25,10 @@
 
 const CORES: u64 = 4;
 
+/// Client accounts with the cores that each may have running at once; 0 is no limit. Jobs are theirs by
+/// turns.
+const ACCOUNTS: [(&str, u64); 3] = [("", 0), ("maps", 4), ("post", 7)];
+
 /// Time in which work is handed in, in milliseconds.
 const BUSY_MS: u64 = 20_000;
 
@@ -136,6 +140,12 @@
             version: 1,
             queues: vec![queue()],
             pools: vec![pool(POOL, false)],
+            accounts: ClientAccounts::new(
+                ACCOUNTS[1..]
+                    .iter()
+                    .map(|(name, cores)| account(name, *cores))
+                    .collect(),
+            ),
             ..FleetConfig::default()
         };
         world
@@ -269,6 +279,7 @@
                     steps: vec![first, second],
                     ..JobSpec::default()
                 }),
+                account: account_of(job_id(self.jobs)).0.into(),
                 origin: None,
                 token: self.jobs,
             };
@@ -280,7 +291,11 @@
         }
         if is_busy && self.jobs > 0 && self.random.random_range(0..40) == 0 {
             let job = job_id(self.random.random_range(1..=self.jobs));
-            self.mailbox.push_back(Event::Cancel { job, token: 0 });
+            self.mailbox.push_back(Event::Cancel {
+                job,
+                account: account_of(job).0.into(),
+                token: 0,
+            });
         }
     }
 
@@ -443,6 +458,14 @@
             used < CORES,
             "endpoint {place} is overdrawn by {task} {run}"
         );
+        let (name, cores) = account_of(task.job);
+        let running = self.endpoints.iter().flat_map(|endpoint| &endpoint.running);
+        let of_account = running.filter(|known| account_of(known.task.job).0 == name);
+        let used = u64::try_from(of_account.count()).expect("few runs");
+        assert!(
+            cores == 0 || used < cores,
+            "{name} is above its quota by {task} {run}"
+        );
         assert!(
             !self.done.contains(&task),
             "{task} {run} starts after it was done"
@@ -505,6 +528,12 @@
     }
 }
 
+/// Returns the account of a job, and its quota.
+fn account_of(job: JobId) -> (&'static str, u64) {
+    let number = u64::from_str_radix(job.as_str(), 16).expect("hexadecimal digits");
+    ACCOUNTS[usize::try_from(number).expect("few jobs") % ACCOUNTS.len()]
+}
+
 /// Returns the endpoint that an effect calls, and for how long that may wait.
 fn endpoint_of(effect: &Effect) -> Option<(u32, u64)> {
     match effect {
--- a/crates/engine/tests/histories.rs
+++ b/crates/engine/tests/histories.rs
@@ -1,15 +1,16 @@
 //! Random histories of owners, endpoints and the store, checked after each step.
 //!
 //! Endpoints fall silent and come back, in their old life or a new one; the store goes away; owners
-//! are lost and replaced, with what they had stored; runs end in every way. Whatever happens, a
-//! task has no two runs under way on endpoints that are up, nothing starts after it is done, room
-//! is never overdrawn, and a job that was accepted stays known.
+//! are lost and replaced, with what they had stored; runs end in every way; quotas are raised and cut.
+//! Whatever happens, a task has no two runs under way on endpoints that are up, nothing starts after it
+//! is done, room is never overdrawn, nothing starts for an account above its quota, and a job that was
+//! accepted stays known.
 
 mod common;
 
 use {
-    common::{Fleet, job_id, listed, step},
-    lynxwheel_engine::{CallerAnswer, EndKind, JobSpec, StepSpec, TaskRef},
+    common::{Fleet, account, job_id, listed, queue, step},
+    lynxwheel_engine::{CallerAnswer, EndKind, JobId, JobSpec, StepSpec, TaskRef},
     rand::{Rng, RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
 };
@@ -21,8 +22,18 @@
 /// Room of each endpoint in runs of one core.
 const CORES: u64 = 4;
 
+/// Client accounts; jobs are theirs by turns, and the first stands for none.
+const ACCOUNTS: [&str; 3] = ["", "maps", "post"];
+
+/// Cores that an account may have running at most.
+const QUOTAS: std::ops::Range<u64> = 1..9;
+
 struct History {
     fleet: Fleet,
+    /// Cores that each account may have running; 0 is no limit.
+    quotas: [u64; 3],
+    /// Runs that were under way at the last check.
+    running: Vec<(TaskRef, u32)>,
     random: ChaCha8Rng,
     jobs: u64,
     lives: usize,
@@ -35,8 +46,11 @@
         for number in 0..ENDPOINTS {
             fleet.list_endpoint(&format!("i-{number}"), CORES * 1_000);
         }
+        fleet.configure_accounts(&[account("maps", 3), account("post", 6)]);
         Self {
             fleet,
+            quotas: [0, 3, 6],
+            running: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             jobs: 0,
             lives: ENDPOINTS,
@@ -64,10 +78,35 @@
             16 => self.fleet.is_store_down ^= true,
             17 => self.take_over(),
             18 => self.cancel(),
-            _ => {}
+            _ => self.change_quotas(),
         }
     }
 
+    fn change_quotas(&mut self) {
+        for place in 1..ACCOUNTS.len() {
+            self.quotas[place] = self.random.random_range(QUOTAS);
+        }
+        let accounts: Vec<_> = (1..ACCOUNTS.len())
+            .map(|place| account(ACCOUNTS[place], self.quotas[place]))
+            .collect();
+        self.fleet.configure_accounts(&accounts);
+    }
+
+    fn check_quotas(&mut self) {
+        let endpoints = self.fleet.endpoints.iter();
+        let running: Vec<(TaskRef, u32)> = endpoints.flat_map(|one| one.running.clone()).collect();
+        for (task, run) in &running {
+            let place = account_of(task.job);
+            let count = self.fleet.running_cores(|job| account_of(job) == place);
+            let quota = usize::try_from(self.quotas[place]).expect("few cores");
+            assert!(
+                quota == 0 || count <= quota || self.running.contains(&(*task, *run)),
+                "{task} {run} starts above a quota of {quota}: {count} run"
+            );
+        }
+        self.running = running;
+    }
+
     fn submit(&mut self) {
         self.jobs += 1;
         let first = step(self.random.random_range(1..5));
@@ -80,7 +119,8 @@
             steps: vec![first, second],
             ..JobSpec::default()
         };
-        self.fleet.submit_spec(self.jobs, spec);
+        let name = ACCOUNTS[account_of(job_id(self.jobs))];
+        self.fleet.submit_for(name, queue(), self.jobs, spec);
         self.fleet.settle();
     }
 
@@ -129,13 +169,17 @@
     fn cancel(&mut self) {
         if self.jobs > 0 && self.random.next_u32().is_multiple_of(4) {
             let job = job_id(self.random.random_range(1..=self.jobs));
-            self.fleet
-                .handle(lynxwheel_engine::Event::Cancel { job, token: 0 });
+            self.fleet.handle(lynxwheel_engine::Event::Cancel {
+                job,
+                account: ACCOUNTS[account_of(job)].into(),
+                token: 0,
+            });
             self.fleet.settle();
         }
     }
 
     fn check(&mut self) {
+        self.check_quotas();
         for endpoint in &mut self.fleet.endpoints {
             for task in endpoint.exempt.drain(..) {
                 self.done.retain(|done| *done != task);
@@ -189,6 +233,12 @@
     }
 }
 
+/// Returns the place of a job's account.
+fn account_of(job: JobId) -> usize {
+    let number = u64::from_str_radix(job.as_str(), 16).expect("hexadecimal digits");
+    usize::try_from(number).expect("few jobs") % ACCOUNTS.len()
+}
+
 macro_rules! histories {
     ($($name:ident: $seeds:expr;)*) => {
         $(#[test] fn $name() {
--- a/crates/engine/tests/origins.rs
+++ b/crates/engine/tests/origins.rs
@@ -46,6 +46,7 @@
             steps: vec![step(1)],
             ..JobSpec::default()
         }),
+        account: "".into(),
         origin: Some(origin()),
         token: 1,
     });
--- a/crates/engine/tests/placement.rs
+++ b/crates/engine/tests/placement.rs
@@ -224,7 +224,11 @@
         }
         if jobs > 0 && random.random_range(0..6) == 0 {
             let job = job_id(random.random_range(1..=jobs));
-            fleet.handle(lynxwheel_engine::Event::Cancel { job, token: 0 });
+            fleet.handle(lynxwheel_engine::Event::Cancel {
+                job,
+                account: "".into(),
+                token: 0,
+            });
         }
         let mut expected = expected(&fleet.engine, fleet.now.steady_ms);
         expected.sort_unstable();
--- /dev/null
+++ b/crates/engine/tests/quotas.rs
@@ -0,0 +1,299 @@
+//! Quotas of client accounts, as endpoints and callers see them.
+
+mod common;
+
+use {
+    common::{Fleet, account, job_id, step},
+    lynxwheel_engine::{
+        CallerAnswer, ClientAccount, ClientAccounts, EndKind, Event, JobState, KeyDigest,
+        QuotaLedger, Room, StepSpec,
+    },
+};
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident: $body:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { $body; })*
+    };
+}
+
+/// Returns a fleet of 32 cores with these accounts.
+fn fleet_with(accounts: &[ClientAccount]) -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.configure_accounts(accounts);
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.list_endpoint("i-2", 16_000);
+    fleet.advance(300);
+    fleet
+}
+
+fn all(fleet: &Fleet) -> usize {
+    fleet.running_cores(|_| true)
+}
+
+fn answer(fleet: &Fleet, token: u64) -> Option<CallerAnswer> {
+    let reply = fleet.replies.iter().find(|(known, _)| *known == token);
+    reply.map(|(_, answer)| *answer)
+}
+
+/// Returns a fleet in which an account of three cores has handed in a step of eight tasks.
+fn fleet_at_the_quota() -> Fleet {
+    let mut fleet = fleet_with(&[account("maps", 3)]);
+    fleet.submit_as("maps", 1, step(8));
+    fleet.settle();
+    fleet
+}
+
+cases! {
+    /// Guards against a step wider than its account's quota being started whole.
+    a_wide_step_runs_in_waves: {
+        let mut fleet = fleet_at_the_quota();
+        for expected in [3, 3, 2] {
+            assert_eq!(all(&fleet), expected);
+            fleet.end_all_done();
+            fleet.settle();
+        }
+        assert_eq!(fleet.shown(1), Some(JobState::Completed));
+    };
+
+    /// Guards against runs whose end is not known being counted as over.
+    runs_on_a_silent_endpoint_count: {
+        let mut fleet = fleet_at_the_quota();
+        for endpoint in &mut fleet.endpoints {
+            endpoint.is_silent = true;
+        }
+        fleet.list_endpoint("i-3", 16_000);
+        fleet.advance(3_000);
+        assert_eq!(all(&fleet), 3);
+    };
+
+    /// Guards against a new owner that starts a quota's worth beside the runs of the one before.
+    a_new_owner_counts_what_the_earlier_one_started: {
+        let mut fleet = fleet_at_the_quota();
+        for endpoint in &mut fleet.endpoints {
+            endpoint.is_silent = true;
+        }
+        fleet.take_over();
+        fleet.list_endpoint("i-3", 16_000);
+        fleet.advance(2_000);
+        assert_eq!(all(&fleet), 3);
+        assert_eq!(fleet.engine.running_of("maps").cpu_millis, 3_000);
+    };
+
+    /// Guards against a new owner that starts tasks before it knows any quota.
+    nothing_starts_before_a_configuration_is_known: {
+        let mut fleet = Fleet::new();
+        fleet.engine = lynxwheel_engine::Engine::new(lynxwheel_engine::EngineSettings::default());
+        fleet.list_endpoint("i-1", 16_000);
+        fleet.submit_as("maps", 1, step(2));
+        fleet.advance(500);
+        assert_eq!(all(&fleet), 0);
+        fleet.configure_accounts(&[account("maps", 1)]);
+        fleet.advance(500);
+        assert_eq!(all(&fleet), 1);
+    };
+
+    /// Guards against a cut that stops runs, and against starts above the cut quota.
+    a_cut_quota_stops_nothing_and_starts_nothing: {
+        let mut fleet = fleet_at_the_quota();
+        fleet.configure_accounts(&[account("maps", 1)]);
+        fleet.advance(1_000);
+        assert_eq!(all(&fleet), 3);
+        fleet.end_all_done();
+        fleet.advance(100);
+        assert_eq!(all(&fleet), 1);
+    };
+
+    /// Guards against orders that were decided by the higher quota and go out after the cut.
+    decisions_that_are_not_stored_when_the_quota_is_cut_are_taken_back: {
+        let mut fleet = fleet_with(&[account("maps", 6)]);
+        fleet.submit_as("maps", 1, step(6));
+        let batch = fleet.engine.cut_batch(fleet.now);
+        fleet.put_in_flight(batch);
+        fleet.configure_accounts(&[account("maps", 2)]);
+        fleet.settle();
+        assert_eq!(all(&fleet), 2);
+    };
+
+    /// Guards against an order without answer that is repeated, and first carried out, after the cut.
+    orders_without_answer_are_not_repeated_above_the_quota: {
+        let mut fleet = fleet_with(&[account("maps", 3)]);
+        fleet.submit_as("maps", 1, step(2));
+        fleet.settle();
+        for endpoint in &mut fleet.endpoints {
+            endpoint.is_silent = true;
+        }
+        fleet.submit_as("maps", 2, step(1));
+        fleet.settle();
+        fleet.configure_accounts(&[account("maps", 2)]);
+        for endpoint in &mut fleet.endpoints {
+            endpoint.is_silent = false;
+        }
+        fleet.advance(1_500);
+        assert_eq!(all(&fleet), 2);
+        fleet.end_all_done();
+        fleet.advance(1_500);
+        assert_eq!(all(&fleet), 1);
+    };
+
+    /// Guards against tasks that are placed beyond the quota and taken back with every batch.
+    no_more_is_placed_than_the_quota_allows: {
+        let mut fleet = fleet_with(&[account("maps", 3)]);
+        fleet.submit_as("maps", 1, step(8));
+        let batch = fleet.engine.cut_batch(fleet.now);
+        assert_eq!(fleet.engine.running_of("maps").cpu_millis, 3_000);
+        fleet.put_in_flight(batch);
+        fleet.submit_as("maps", 2, StepSpec { gang: true, ..step(2) });
+        drop(fleet.engine.cut_batch(fleet.now));
+        assert_eq!(fleet.engine.running_of("maps").cpu_millis, 3_000);
+    };
+
+    /// Guards against a job that waits for good, as no quota lets it run.
+    what_can_never_fit_is_refused_at_once: {
+        let mut fleet = fleet_with(&[account("maps", 3)]);
+        let wide = |gang| StepSpec { gang, ..step(4) };
+        fleet.submit_as("maps", 1, wide(true));
+        fleet.submit_as("maps", 2, wide(false));
+        let large = Room { cpu_millis: 3_001, memory_mb: 1, gpus: 0 };
+        fleet.submit_as("maps", 3, StepSpec { room: large, ..step(1) });
+        fleet.settle();
+        assert_eq!(answer(&fleet, 1), Some(CallerAnswer::OverQuota));
+        assert_eq!(answer(&fleet, 2), Some(CallerAnswer::Accepted));
+        assert_eq!(answer(&fleet, 3), Some(CallerAnswer::OverQuota));
+        assert_eq!(fleet.shown(1), None);
+    };
+
+    /// Guards against a gang of which only a part fits into the quota being started.
+    a_gang_waits_until_all_of_it_fits: {
+        let mut fleet = fleet_with(&[account("maps", 5)]);
+        fleet.submit_as("maps", 1, step(3));
+        fleet.settle();
+        fleet.submit_as("maps", 2, StepSpec { gang: true, ..step(4) });
+        fleet.settle();
+        assert_eq!(all(&fleet), 3);
+        fleet.end_all_done();
+        fleet.settle();
+        assert_eq!(all(&fleet), 4);
+    };
+
+    /// Guards against filling tasks, which take no room of an endpoint, passing the quota.
+    filling_and_long_running_tasks_count: {
+        let mut fleet = fleet_with(&[account("maps", 3)]);
+        fleet.submit_as("maps", 1, StepSpec { fills: true, long_running: true, ..step(5) });
+        fleet.settle();
+        assert_eq!(all(&fleet), 3);
+    };
+
+    /// Guards against a run that is being stopped making room before it has ended.
+    runs_that_are_being_stopped_count: {
+        let mut fleet = fleet_at_the_quota();
+        for endpoint in &mut fleet.endpoints {
+            endpoint.is_silent = true;
+        }
+        fleet.handle(Event::Cancel { job: job_id(1), account: "maps".into(), token: 9 });
+        fleet.list_endpoint("i-3", 16_000);
+        fleet.submit_as("maps", 2, step(2));
+        fleet.advance(1_000);
+        assert_eq!(all(&fleet), 3);
+        assert_eq!(fleet.shown(1), Some(JobState::Cancelled));
+    };
+
+    /// Guards against an account at its quota holding up the work of others.
+    others_run_beside_an_account_at_its_quota: {
+        let mut fleet = fleet_with(&[account("maps", 3), account("post", 0)]);
+        fleet.submit_as("maps", 1, step(40));
+        fleet.submit_as("post", 2, step(9));
+        fleet.settle();
+        assert_eq!(fleet.running_cores(|job| job == job_id(1)), 3);
+        assert_eq!(fleet.running_cores(|job| job == job_id(2)), 9);
+    };
+
+    /// Guards against a stranger that reads, cancels or hands in again the job of another account.
+    a_job_is_closed_to_other_accounts: {
+        let mut fleet = fleet_at_the_quota();
+        let cancel = |account: &str, token| Event::Cancel {
+            job: job_id(1),
+            account: account.into(),
+            token,
+        };
+        for take_over in [false, true] {
+            if take_over {
+                fleet.take_over();
+            }
+            assert!(fleet.engine.is_open_to(job_id(1), "maps"));
+            assert!(!fleet.engine.is_open_to(job_id(1), "post"));
+            assert!(!fleet.engine.is_open_to(job_id(1), ""));
+            fleet.replies.clear();
+            fleet.handle(cancel("post", 7));
+            fleet.submit_as("post", 1, step(1));
+            fleet.settle();
+            assert_eq!(answer(&fleet, 7), Some(CallerAnswer::OtherAccount));
+            assert_eq!(answer(&fleet, 1), Some(CallerAnswer::OtherAccount));
+        }
+        fleet.handle(cancel("maps", 8));
+        fleet.settle();
+        assert_eq!(answer(&fleet, 8), Some(CallerAnswer::Cancelled));
+        // Also when only the end of the job is remembered.
+        fleet.end_all(EndKind::Stopped);
+        fleet.advance(2_000);
+        fleet.take_over();
+        assert!(!fleet.engine.is_open_to(job_id(1), "post"));
+        assert_eq!(fleet.shown(1), Some(JobState::Cancelled));
+    };
+
+    /// Guards against state that grows with every account that ever was.
+    accounts_that_are_gone_are_forgotten: {
+        let mut ledger = QuotaLedger::default();
+        for round in 0..100 {
+            let name = format!("account-{round}");
+            ledger.configure(&ClientAccounts::new(vec![account(&name, 4)]));
+            assert_eq!(ledger.numbers().len(), 1);
+        }
+        let busy = ledger.number("account-99");
+        ledger.add_job(busy);
+        ledger.configure(&ClientAccounts::default());
+        assert_eq!(ledger.numbers(), [busy]);
+        ledger.remove_job(busy);
+        assert_eq!(ledger.numbers(), []);
+    };
+
+    /// Guards against nodes that give one key to different accounts.
+    a_key_of_two_accounts_stands_for_the_first_by_name: {
+        let key = KeyDigest::new(b"shared");
+        let holding = |name| ClientAccount { keys: vec![key], ..account(name, 0) };
+        for accounts in [["post", "maps"], ["maps", "post"]] {
+            let accounts = ClientAccounts::new(accounts.map(holding).to_vec());
+            assert_eq!(accounts.holder_of(&key).expect("a holder").name, "maps");
+            let shared = accounts.shared_keys();
+            assert_eq!(shared.len(), 1);
+            assert_eq!((shared[0].holder.as_str(), shared[0].passed_over.as_str()), ("maps", "post"));
+        }
+    };
+
+    /// Guards against keys in logs: only a fingerprint is printed.
+    a_key_is_printed_as_its_fingerprint: {
+        let key = KeyDigest::new(b"pqk8bdk9eevyxq2yyaza");
+        assert_eq!(format!("{key:?}"), format!("KeyDigest({key})"));
+        assert_eq!(key.to_string().len(), 8);
+    };
+}
+
+#[test]
+fn unlimited_dimensions_are_not_limits() {
+    let mut ledger = QuotaLedger::default();
+    ledger.configure(&ClientAccounts::new(vec![account("maps", 2)]));
+    let number = ledger.number("maps");
+    let room = |cpu_millis, memory_mb| Room {
+        cpu_millis,
+        memory_mb,
+        gpus: 1,
+    };
+    assert_eq!(ledger.startable(number, &room(500, 1 << 40)), 4);
+    ledger.charge(number, &room(1_800, 7));
+    assert_eq!(ledger.startable(number, &room(500, 7)), 0);
+    assert_eq!(ledger.startable(number, &room(0, 7)), u64::MAX);
+    assert!(!ledger.is_exceeded(number));
+    assert_eq!(
+        ledger.startable(ledger.clone().number(""), &room(500, 7)),
+        u64::MAX
+    );
+}
