Soak with client accounts; a note and a log line where tasks wait for a quota

The stand-in's configuration holds accounts; callers use keys that change with each configuration, ask for other accounts' jobs and with keys that nobody holds; the ledger adds up what endpoints run for each account.

--- a/crates/controller/src/notes.rs
+++ b/crates/controller/src/notes.rs
@@ -2,7 +2,7 @@
 
 use {
     log::info,
-    lynxwheel_engine::{EndKind, Note, PoolPlan, RunEnd},
+    lynxwheel_engine::{EndKind, Note, PoolPlan, QuotaWait, RunEnd},
     metrics::{counter, gauge, histogram},
     std::time::Duration,
 };
@@ -58,6 +58,7 @@
                 ""
                 );
             }
+            Note::QuotaReached(wait) => log_quota_wait(epoch, wait),
             Note::PoolPlanned(plan) => log_plan(epoch, plan),
             Note::EndpointOver { endpoint, vm, runs } => info!(
                 event = "endpoint_over", epoch = epoch, endpoint = endpoint.as_str(),
@@ -68,6 +69,26 @@
     }
 }
 
+/// Writes that tasks wait for their account's quota.
+fn log_quota_wait(epoch: u64, wait: &QuotaWait) {
+    let QuotaWait {
+        account,
+        job,
+        wanted,
+        running,
+        quota,
+    } = wait;
+    counter!("lynxwheel_quota_waits_total").increment(1);
+    info!(
+        event = "quota_reached", epoch = epoch, account = account.as_str(), job = job.as_str(),
+        wanted_cpu_millis = wanted.cpu_millis, wanted_memory_mb = wanted.memory_mb,
+        running_cpu_millis = running.cpu_millis, running_memory_mb = running.memory_mb,
+        running_gpus = running.gpus, quota_cpu_millis = quota.cpu_millis,
+        quota_memory_mb = quota.memory_mb, quota_gpus = quota.gpus;
+        ""
+    );
+}
+
 /// Writes how a pool stands, and keeps it as gauges.
 fn log_plan(epoch: u64, plan: &PoolPlan) {
     let PoolPlan {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -72,7 +72,7 @@
         ReplyToken, StartOrder, VmOutcome,
     },
     job::{BadName, JobId, JobSpec, JobState, Room, StepSpec, TaskRef},
-    note::{Note, PoolPlan, RunEnd},
+    note::{Note, PoolPlan, QuotaWait, RunEnd},
     pacing::next_pace,
     quota::{AccountNumber, QuotaLedger},
     reports::{
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        job::{JobId, JobState, TaskRef},
+        job::{JobId, JobState, Room, TaskRef},
         reports::EndKind,
     },
     compact_str::CompactString,
@@ -50,6 +50,21 @@
     pub moved_out: usize,
 }
 
+/// Tasks that wait for their account's quota.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QuotaWait {
+    /// Account.
+    pub account: CompactString,
+    /// First job that waits.
+    pub job: JobId,
+    /// Room that each of its waiting tasks takes.
+    pub wanted: Room,
+    /// What the account has running.
+    pub running: Room,
+    /// Most that it may have running; 0 is no limit.
+    pub quota: Room,
+}
+
 /// Something that was found out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
@@ -75,6 +90,8 @@
         /// Time since it was handed in, in milliseconds.
         after_ms: u64,
     },
+    /// Tasks wait for their account's quota.
+    QuotaReached(QuotaWait),
     /// How a pool stands: what it has, what it wants, and what was ordered for it.
     PoolPlanned(PoolPlan),
     /// The life of an endpoint is over.
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -4,10 +4,13 @@
 //! without answer and runs that are being stopped count as running.
 
 use {
-    crate::{accounts::ClientAccounts, job::Room},
+    crate::{accounts::ClientAccounts, event::Now, job::Room},
     compact_str::CompactString,
 };
 
+/// Time between two notes that tasks wait for the quota of one account, in milliseconds.
+const NOTE_WAIT_EVERY_MS: u64 = 1_000;
+
 /// Number of a client account within one engine.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct AccountNumber(u32);
@@ -21,6 +24,8 @@
     running: Room,
     /// Jobs in progress.
     jobs: usize,
+    /// When it was noted last that tasks wait for the quota, on the steady clock.
+    wait_noted_ms: Option<u64>,
     is_configured: bool,
 }
 
@@ -132,6 +137,16 @@
             .unwrap_or(u64::MAX)
     }
 
+    /// Tells whether it is to be noted that tasks wait for an account's quota: not too often.
+    pub fn is_wait_news(&mut self, number: AccountNumber, now: Now) -> bool {
+        let noted_ms = &mut self.row_mut(number).wait_noted_ms;
+        let is_news = noted_ms.is_none_or(|ms| now.steady_ms >= ms + NOTE_WAIT_EVERY_MS);
+        if is_news {
+            *noted_ms = Some(now.steady_ms);
+        }
+        is_news
+    }
+
     /// Tells whether an account has more running than its quota, as after a cut of it.
     #[must_use]
     pub fn is_exceeded(&self, number: AccountNumber) -> bool {
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -9,6 +9,7 @@
         event::{Effect, EndpointKey, Now},
         free_room::FreeSlot,
         job::{Room, StepSpec, TaskRef},
+        note::{Note, QuotaWait},
         state::{Attempt, Job},
         waiting::OpenStep,
     },
@@ -43,14 +44,28 @@
         let mut place = 0;
         while let Some(step) = self.open_steps.waiting_at(place) {
             place += 1;
-            let startable = self.quotas.startable(step.account, &step.quota_room);
-            if startable > 0 && self.free_room.has(step.pool, step.room.cpu_millis) {
+            if self.quotas.startable(step.account, &step.quota_room) == 0 {
+                let step = step.clone();
+                self.note_quota_wait(&step, now);
+            } else if self.free_room.has(step.pool, step.room.cpu_millis) {
                 let step = step.clone();
                 self.place_step(&step, now);
             }
         }
     }
 
+    fn note_quota_wait(&mut self, step: &OpenStep, now: Now) {
+        if self.quotas.is_wait_news(step.account, now) {
+            self.notes.push(Note::QuotaReached(QuotaWait {
+                account: self.quotas.name(step.account).clone(),
+                job: step.first.job,
+                wanted: step.quota_room,
+                running: self.quotas.running(step.account),
+                quota: self.quotas.quota(step.account),
+            }));
+        }
+    }
+
     /// Takes in what has changed about the jobs' steps.
     pub(crate) fn refresh_open_steps(&mut self) {
         let changed = self.jobs.take_changed();
--- a/crates/engine/tests/quotas.rs
+++ b/crates/engine/tests/quotas.rs
@@ -5,7 +5,7 @@
 use {
     common::{Fleet, account, job_id, step},
     lynxwheel_engine::{
-        CallerAnswer, ClientAccount, ClientAccounts, EndKind, Event, JobState, KeyDigest,
+        CallerAnswer, ClientAccount, ClientAccounts, EndKind, Event, JobState, KeyDigest, Note,
         QuotaLedger, Room, StepSpec,
     },
 };
@@ -197,6 +197,21 @@
         assert_eq!(fleet.shown(1), Some(JobState::Cancelled));
     };
 
+    /// Guards against a job that waits without a word: the log has to say for what.
+    waiting_for_a_quota_is_noted_with_its_figures: {
+        let mut fleet = fleet_at_the_quota();
+        fleet.advance(900);
+        let notes = fleet.engine.take_notes();
+        let waits: Vec<_> = notes.iter().filter_map(|note| match note {
+            Note::QuotaReached(wait) => Some(wait),
+            _ => None,
+        }).collect();
+        assert_eq!(waits.len(), 1, "not with every decision");
+        assert_eq!(waits[0].account, "maps");
+        assert_eq!(waits[0].running.cpu_millis, 3_000);
+        assert_eq!(waits[0].quota.cpu_millis, 3_000);
+    };
+
     /// Guards against an account at its quota holding up the work of others.
     others_run_beside_an_account_at_its_quota: {
         let mut fleet = fleet_with(&[account("maps", 3), account("post", 0)]);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,11 +1,14 @@
 //! Callers: they hand jobs in, ask for them, cancel some, and come back as real ones do.
 
 use {
-    crate::ledger::Ledger,
+    crate::{
+        accounts::{ACCOUNT_COUNT, AccountPlace, Accounts, STRANGE_KEY},
+        ledger::Ledger,
+    },
     http::{Method, StatusCode},
     lynxwheel_engine::{JobId, JobSpec, Room, StepSpec},
     lynxwheel_platform_standin::{
-        LASTING_PAYLOAD, QueueSpec, is_count, job_body, read_state, wait_header,
+        LASTING_PAYLOAD, QueueSpec, is_count, job_body, key_header, read_state, wait_header,
     },
     lynxwheel_transport::{Answer, ClientRequest, Clients},
     rand::{RngExt, SeedableRng},
@@ -29,11 +32,20 @@
 /// Connections of all callers to a node.
 const CONNECTIONS: usize = 16;
 
+/// A job that was handed in, and how to ask for it.
+#[derive(Clone, Copy, Debug)]
+struct HandedIn {
+    job: JobId,
+    queue: usize,
+    account: AccountPlace,
+}
+
 /// What all callers share.
 #[derive(Clone, Debug)]
 pub struct Callers {
     nodes: Arc<[SocketAddr]>,
     queues: Arc<[QueueSpec]>,
+    accounts: Arc<Accounts>,
     ledger: Arc<Ledger>,
     clients: Arc<Clients>,
 }
@@ -41,10 +53,16 @@
 impl Callers {
     /// Creates callers of these nodes.
     #[must_use]
-    pub fn new(nodes: &[SocketAddr], queues: &[QueueSpec], ledger: Arc<Ledger>) -> Self {
+    pub fn new(
+        nodes: &[SocketAddr],
+        queues: &[QueueSpec],
+        accounts: Arc<Accounts>,
+        ledger: Arc<Ledger>,
+    ) -> Self {
         Self {
             nodes: nodes.into(),
             queues: queues.into(),
+            accounts,
             ledger,
             clients: Arc::new(Clients::new(CONNECTIONS)),
         }
@@ -53,14 +71,15 @@
     /// Lets one caller work until a time.
     pub async fn work(self, seed: u64, until: Instant) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let mut handed_in: Vec<(JobId, usize)> = Vec::new();
+        let mut handed_in: Vec<HandedIn> = Vec::new();
         while Instant::now() < until {
             sleep(Duration::from_millis(random.random_range(PAUSES_MS))).await;
             let known = random.random_range(0..handed_in.len().max(1));
             match (random.random_range(0..12), handed_in.get(known).copied()) {
-                (0..7, Some((job, queue))) => self.ask_state(&mut random, job, queue).await,
-                (7, Some((job, queue))) => self.cancel(&mut random, job, queue).await,
+                (0..7, Some(known)) => self.ask_state(&mut random, known).await,
+                (7, Some(known)) => self.cancel(&mut random, known).await,
                 (8, _) => self.count(&mut random).await,
+                (9, Some(known)) => self.ask_as_stranger(&mut random, known).await,
                 _ => handed_in.push(self.hand_in(&mut random).await),
             }
         }
@@ -72,10 +91,18 @@
         client.call(request, limit).await.ok()
     }
 
-    fn request(&self, method: Method, queue: usize, id: &str) -> ClientRequest {
+    fn request(&self, method: Method, queue: usize, id: &str, key: &str) -> ClientRequest {
         let path = format!("{}{id}", self.queues[queue].path_prefix);
         let (name, value) = wait_header(WAIT_MS);
-        ClientRequest::new(method, path).with_header(name, value)
+        let (key_name, key) = key_header(key);
+        ClientRequest::new(method, path)
+            .with_header(name, value)
+            .with_header(key_name, key)
+    }
+
+    fn request_for(&self, method: Method, known: HandedIn) -> ClientRequest {
+        let key = self.accounts.key(known.account);
+        self.request(method, known.queue, known.job.as_str(), &key)
     }
 
     fn any_node(&self, random: &mut ChaCha8Rng) -> usize {
@@ -83,19 +110,25 @@
     }
 
     /// Hands a job in, again at another node while the answer is not clear.
-    async fn hand_in(&self, random: &mut ChaCha8Rng) -> (JobId, usize) {
+    async fn hand_in(&self, random: &mut ChaCha8Rng) -> HandedIn {
         let queue = random.random_range(0..self.queues.len());
+        let account = random.random_range(0..ACCOUNT_COUNT);
         let spec = draw_job(random);
         let id = draw_id(random);
         let QueueSpec {
             pool, max_attempts, ..
         } = &self.queues[queue];
-        self.ledger.hand_in(id, &spec, pool, *max_attempts);
-        let request = self
-            .request(Method::POST, queue, id.as_str())
-            .with_header("Content-Type", "application/json")
-            .with_body(job_body(&spec));
+        self.ledger.hand_in(id, account, &spec, pool, *max_attempts);
+        let known = HandedIn {
+            job: id,
+            queue,
+            account,
+        };
         for _ in 0..RETRIES {
+            let request = self
+                .request_for(Method::POST, known)
+                .with_header("Content-Type", "application/json")
+                .with_body(job_body(&spec));
             let answer = self.call(self.any_node(random), &request).await;
             match answer.map(|answer| answer.status.as_u16()) {
                 Some(200..=299) => {
@@ -106,8 +139,9 @@
                     }
                 }
                 // Told that it never runs: some give it up, others come back.
-                Some(429 | 503) if random.random_range(0..2) == 0 => break,
-                Some(429 | 503) => {}
+                Some(401 | 429 | 503) if random.random_range(0..2) == 0 => break,
+                // A node that has not read the newest configuration may not know the key yet.
+                Some(401 | 429 | 503) => {}
                 None | Some(502 | 504) => self.ledger.unclear(id),
                 Some(status) => {
                     let text = format!("{id}: a hand-in was answered with {status}");
@@ -117,17 +151,33 @@
             }
             sleep(Duration::from_millis(random.random_range(50..700))).await;
         }
-        (id, queue)
+        known
     }
 
-    async fn ask_state(&self, random: &mut ChaCha8Rng, job: JobId, queue: usize) {
+    async fn ask_state(&self, random: &mut ChaCha8Rng, known: HandedIn) {
         let node = self.any_node(random);
-        self.ask_state_at(node, job, queue).await;
+        self.ask_state_at(node, known).await;
+    }
+
+    /// Asks for a job with the key of another account, or with none that is known.
+    async fn ask_as_stranger(&self, random: &mut ChaCha8Rng, known: HandedIn) {
+        let other = (known.account + 1) % ACCOUNT_COUNT;
+        let key = match random.random_range(0..2) {
+            0 => self.accounts.key(other),
+            _ => STRANGE_KEY.into(),
+        };
+        let request = self.request(Method::GET, known.queue, known.job.as_str(), &key);
+        let answer = self.call(self.any_node(random), &request).await;
+        if answer.is_some_and(|answer| answer.status.is_success()) {
+            let text = format!("{}: its state was told to a stranger", known.job);
+            self.ledger.breaks(&text);
+        }
     }
 
     /// Asks a node for the state of a job; tells whether it was told a final one.
-    async fn ask_state_at(&self, node: usize, job: JobId, queue: usize) -> bool {
-        let request = self.request(Method::GET, queue, job.as_str());
+    async fn ask_state_at(&self, node: usize, known: HandedIn) -> bool {
+        let HandedIn { job, .. } = known;
+        let request = self.request_for(Method::GET, known);
         let Some(answer) = self.call(node, &request).await else {
             return false;
         };
@@ -147,12 +197,13 @@
         false
     }
 
-    async fn cancel(&self, random: &mut ChaCha8Rng, job: JobId, queue: usize) {
+    async fn cancel(&self, random: &mut ChaCha8Rng, known: HandedIn) {
+        let HandedIn { job, .. } = known;
         if random.random_range(0..3) != 0 {
             return;
         }
         self.ledger.cancel_sent(job);
-        let request = self.request(Method::DELETE, queue, job.as_str());
+        let request = self.request_for(Method::DELETE, known);
         let answer = self.call(self.any_node(random), &request).await;
         if answer.is_some_and(|answer| answer.status.is_success()) {
             self.ledger.cancelled(job);
@@ -161,22 +212,42 @@
 
     async fn count(&self, random: &mut ChaCha8Rng) {
         let queue = random.random_range(0..self.queues.len());
-        let request = self.request(Method::GET, queue, "");
+        let is_strange = random.random_range(0..3) == 0;
+        let key = if is_strange {
+            STRANGE_KEY.into()
+        } else {
+            self.accounts.key(random.random_range(0..ACCOUNT_COUNT))
+        };
+        let request = self.request(Method::GET, queue, "", &key);
         let answer = self.call(self.any_node(random), &request).await;
+        if is_strange {
+            if answer.is_some_and(|answer| answer.status.is_success()) {
+                self.ledger.breaks("a stranger was told a queue's count");
+            }
+            return;
+        }
         if answer.is_some_and(|answer| answer.status == StatusCode::OK && !is_count(&answer.body)) {
             self.ledger.breaks("a queue's count is not whole");
         }
     }
 
     /// Asks until a job that was owed has come to its end; tells whether it has.
-    pub async fn settles(&self, job: JobId, pool: &str, until: Instant) -> bool {
+    pub async fn settles(
+        &self,
+        job: JobId,
+        account: AccountPlace,
+        pool: &str,
+        until: Instant,
+    ) -> bool {
         let queue = self.queues.iter().position(|queue| queue.pool == pool);
+        let known = HandedIn {
+            job,
+            queue: queue.unwrap_or_default(),
+            account,
+        };
         let mut node = 0;
         while Instant::now() < until {
-            if self
-                .ask_state_at(node, job, queue.unwrap_or_default())
-                .await
-            {
+            if self.ask_state_at(node, known).await {
                 return true;
             }
             node = (node + 1) % self.nodes.len();
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -1,7 +1,10 @@
 //! What callers and endpoints have seen, and what it breaks.
 
 use {
-    crate::lock,
+    crate::{
+        accounts::{AccountPlace, highest_quota},
+        lock,
+    },
     compact_str::CompactString,
     lynxwheel_engine::{JobId, JobSpec, JobState, TaskRef},
     lynxwheel_platform_standin::{EndSeen, Seen},
@@ -39,6 +42,7 @@
 #[derive(Clone, Debug)]
 struct JobBook {
     id: JobId,
+    account: AccountPlace,
     spec: JobSpec,
     pool: CompactString,
     max_attempts: u32,
@@ -86,6 +90,19 @@
         place.ok().map(|place| &mut self.jobs[place])
     }
 
+    /// Returns what an account has running, in thousandths of a core.
+    fn running_cpu_millis(&self, account: AccountPlace) -> u64 {
+        let jobs = self.jobs.iter().filter(|job| job.account == account);
+        let tasks =
+            jobs.flat_map(|job| job.tasks.iter().map(move |(task, book)| (job, task, book)));
+        tasks
+            .map(|(job, task, book)| {
+                let runs = u64::try_from(book.live.len()).unwrap_or_default();
+                runs * job.cpu_millis(task)
+            })
+            .sum()
+    }
+
     fn breaks(&mut self, text: String) {
         self.broken.push(text);
     }
@@ -108,6 +125,19 @@
     }
 }
 
+/// A job that was accepted and not cancelled.
+#[derive(Clone, Debug)]
+pub struct Owed {
+    /// Job.
+    pub job: JobId,
+    /// Account that handed it in.
+    pub account: AccountPlace,
+    /// Pool.
+    pub pool: CompactString,
+    /// Whether its tasks run until they are stopped.
+    pub is_lasting: bool,
+}
+
 /// Everything seen so far, and the promises that were broken.
 #[derive(Debug)]
 pub struct Ledger {
@@ -160,7 +190,14 @@
     }
 
     /// Notes a job before it is handed in.
-    pub fn hand_in(&self, id: JobId, spec: &JobSpec, pool: &str, max_attempts: u32) {
+    pub fn hand_in(
+        &self,
+        id: JobId,
+        account: AccountPlace,
+        spec: &JobSpec,
+        pool: &str,
+        max_attempts: u32,
+    ) {
         let mut book = lock(&self.book);
         let mut tasks = Vec::new();
         for (step, spec) in (0..).zip(&spec.steps) {
@@ -176,6 +213,7 @@
         }
         let job = JobBook {
             id,
+            account,
             spec: spec.clone(),
             pool: pool.into(),
             max_attempts,
@@ -247,7 +285,7 @@
 
     /// Returns the accepted jobs that nobody cancelled.
     #[must_use]
-    pub fn owed(&self) -> Vec<(JobId, CompactString, bool)> {
+    pub fn owed(&self) -> Vec<Owed> {
         let book = lock(&self.book);
         let owed = book
             .jobs
@@ -255,7 +293,12 @@
             .filter(|job| job.hand_in.is_accepted && !job.is_cancel_sent);
         owed.map(|job| {
             let is_lasting = job.spec.steps.iter().any(|step| step.long_running);
-            (job.id, job.pool.clone(), is_lasting)
+            Owed {
+                job: job.id,
+                account: job.account,
+                pool: job.pool.clone(),
+                is_lasting,
+            }
         })
         .collect()
     }
@@ -377,6 +420,11 @@
             known.starts_after_last_failure += 1;
         }
         known.live.push((life.clone(), run));
+        let account = job.account;
+        let running = book.running_cpu_millis(account);
+        if highest_quota(account).is_some_and(|most| running > most) {
+            mistakes.push(format!("{name}: its account has {running} running"));
+        }
         let used = book.take_room(life, i64::try_from(cpu_millis).unwrap_or_default());
         if used > self.cpu_millis {
             mistakes.push(format!("{name}: {used} of {} is in use", self.cpu_millis));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(plan_faults(7, 5_000, 3, 8), plan_faults(7, 5_000, 3, 8));
 //! ```
 
+mod accounts;
 mod callers;
 mod faults;
 mod ledger;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,7 @@
     crate::{
         callers::Callers,
         faults::plan_faults,
-        ledger::Ledger,
+        ledger::{Ledger, Owed},
         scene::{SETTLE_MS, Scene},
         world::{GRACE_MS, World},
     },
@@ -128,14 +128,15 @@
 async fn check_calm(callers: &Callers, ledger: &Arc<Ledger>) {
     let until = Instant::now() + Duration::from_millis(CALM_MS);
     let mut checks = JoinSet::new();
-    for (job, pool, is_lasting) in ledger.owed() {
+    for owed in ledger.owed() {
+        let Owed { job, account, .. } = owed;
         let callers = callers.clone();
         let ledger = Arc::clone(ledger);
         checks.spawn(async move {
-            let is_well = if is_lasting {
+            let is_well = if owed.is_lasting {
                 are_at_work(&ledger, job, until).await
             } else {
-                callers.settles(job, &pool, until).await
+                callers.settles(job, account, &owed.pool, until).await
             };
             if !is_well {
                 let (live, all) = ledger.at_work(job);
--- a/crates/soak/src/scene.rs
+++ b/crates/soak/src/scene.rs
@@ -35,7 +35,12 @@
         let ledger = Arc::new(Ledger::new(CPU_MILLIS, MAX_DOWN));
         let world = World::start(plan, &ledger).await?;
         sleep(Duration::from_millis(SETTLE_MS)).await;
-        let callers = Callers::new(&world.caller_addresses, &queues(), Arc::clone(&ledger));
+        let callers = Callers::new(
+            &world.caller_addresses,
+            &queues(),
+            world.accounts(),
+            Arc::clone(&ledger),
+        );
         Ok(Self {
             ledger,
             world: Arc::new(world),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        accounts::Accounts,
         faults::{Fault, LinkPlace, PlannedFault},
         ledger::Ledger,
         nodes::NodeProcess,
@@ -9,8 +10,8 @@
         run::SoakPlan,
     },
     lynxwheel_platform_standin::{
-        EndpointSpec, EndpointStandIn, EndpointTrouble, NodeSettings, Observer, QueueSpec,
-        StoreStandIn, StoreTrouble, VmsStandIn, forget_written, put_config, put_wave,
+        AccountSpec, EndpointSpec, EndpointStandIn, EndpointTrouble, NodeSettings, Observer,
+        QueueSpec, StoreStandIn, StoreTrouble, VmsStandIn, forget_written, put_config, put_wave,
     },
     nix::sys::signal::Signal,
     std::{
@@ -61,6 +62,7 @@
     caller_links: Vec<Proxy>,
     endpoint_links: Vec<Proxy>,
     version: AtomicU64,
+    accounts: Arc<Accounts>,
     waves: AtomicU64,
 }
 
@@ -135,9 +137,10 @@
             caller_links: Vec::new(),
             endpoint_links,
             version: AtomicU64::new(0),
+            accounts: Arc::default(),
             waves: AtomicU64::new(0),
         };
-        world.configure();
+        world.configure(&world.accounts.next_round());
         for number in 0..plan.nodes {
             let ip = node_ip(run, number);
             world.add_node(plan, number, ip, vms.address()).await?;
@@ -145,6 +148,11 @@
         Ok(world)
     }
 
+    /// Returns the accounts of the configurations.
+    pub fn accounts(&self) -> Arc<Accounts> {
+        Arc::clone(&self.accounts)
+    }
+
     async fn add_node(
         &mut self,
         plan: &SoakPlan,
@@ -171,10 +179,10 @@
         Ok(())
     }
 
-    /// Puts the next configuration in force.
-    fn configure(&self) {
+    /// Puts a configuration with these accounts in force.
+    fn configure(&self, accounts: &[AccountSpec]) {
         let version = self.version.fetch_add(3, Ordering::Relaxed) + 3;
-        put_config(&self.store, version, &queues(), &POOLS);
+        put_config(&self.store, version, &queues(), &POOLS, accounts);
     }
 
     /// Orders maintenance of every other VM.
@@ -220,7 +228,7 @@
             Fault::Endpoint(endpoint, trouble) => self.endpoints[endpoint].set_trouble(trouble),
             Fault::EndLife(endpoint) => self.endpoints[endpoint].end_life(),
             Fault::Drain(endpoint) => self.endpoints[endpoint].drain(),
-            Fault::Configure => self.configure(),
+            Fault::Configure => self.configure(&self.accounts.next_round()),
             Fault::Maintain => self.maintain(),
         }
     }
@@ -270,5 +278,6 @@
             self.nodes[number].signal(Signal::SIGCONT);
             self.restart(number);
         }
+        self.configure(&self.accounts.last_round());
     }
 }
