Hold accounts that flood to their fair share while there is not room for all

Cause: order by slack alone lets an account that sends eight times its usual take the room of a full pool as its jobs come, and the others wait behind them.

No room is kept idle; a line says share_reached with the figures. Weighted virtual time over jobs was not built.

--- a/crates/controller/src/notes.rs
+++ b/crates/controller/src/notes.rs
@@ -58,6 +58,15 @@
                 ""
                 );
             }
+            Note::ShareReached(wait) => {
+                counter!("lynxwheel_share_waits_total").increment(1);
+                info!(
+                    event = "share_reached", epoch = epoch, account = wait.account.as_str(),
+                    job = wait.job.as_str(), running_cpu_millis = wait.running.cpu_millis,
+                    share_cpu_millis = wait.share_cpu_millis;
+                    ""
+                );
+            }
             Note::QuotaReached(wait) => log_quota_wait(epoch, wait),
             Note::PoolPlanned(plan) => log_plan(epoch, plan),
             Note::EndpointOver { endpoint, vm, runs } => info!(
--- a/crates/engine/src/free_room.rs
+++ b/crates/engine/src/free_room.rs
@@ -13,6 +13,8 @@
     name: CompactString,
     /// Sorted.
     slots: Vec<FreeSlot>,
+    /// Processor that is free at all of them, in thousandths of a core.
+    free_cpu_millis: u64,
 }
 
 /// What the index says of an endpoint.
@@ -42,6 +44,7 @@
             self.pools.push(PoolRoom {
                 name: name.clone(),
                 slots: Vec::new(),
+                free_cpu_millis: 0,
             });
             self.pools.len() - 1
         })
@@ -91,16 +94,19 @@
     }
 
     fn add_slot(&mut self, pool: PoolNumber, slot: FreeSlot) {
-        let slots = &mut self.pools[pool].slots;
-        if let Err(place) = slots.binary_search(&slot) {
-            slots.insert(place, slot);
+        let room = &mut self.pools[pool];
+        if let Err(place) = room.slots.binary_search(&slot) {
+            room.slots.insert(place, slot);
+            room.free_cpu_millis += slot.0;
         }
     }
 
     fn take_slot(&mut self, entry: Indexed) {
-        let slots = &mut self.pools[entry.pool].slots;
-        if let Ok(place) = slots.binary_search(&(entry.free_cpu_millis, entry.key)) {
-            slots.remove(place);
+        let room = &mut self.pools[entry.pool];
+        let slot = (entry.free_cpu_millis, entry.key);
+        if let Ok(place) = room.slots.binary_search(&slot) {
+            room.slots.remove(place);
+            room.free_cpu_millis -= slot.0;
         }
     }
 
@@ -111,6 +117,11 @@
         &slots[begin..]
     }
 
+    /// Returns the processor that is free at a pool's endpoints, in thousandths of a core.
+    pub(crate) fn free_cpu_millis(&self, pool: PoolNumber) -> u64 {
+        self.pools[pool].free_cpu_millis
+    }
+
     /// Tells whether some endpoint of a pool has so much processor free.
     pub(crate) fn has(&self, pool: PoolNumber, cpu_millis: u64) -> bool {
         let slots = &self.pools[pool].slots;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -35,6 +35,7 @@
 mod endpoints;
 mod engine;
 mod event;
+mod fair_share;
 mod free_room;
 mod job;
 mod job_table;
@@ -71,8 +72,9 @@
         CallOutcome, CallerAnswer, Effect, EndpointAddress, EndpointKey, Event, Now, Refusal,
         ReplyToken, StartOrder, VmOutcome,
     },
+    fair_share::{Claim, fair_level},
     job::{BadName, JobId, JobSpec, JobState, Room, StepSpec, TaskRef},
-    note::{Note, PoolPlan, QuotaWait, RunEnd},
+    note::{Note, PoolPlan, QuotaWait, RunEnd, ShareWait},
     pacing::next_pace,
     quota::{AccountNumber, QuotaLedger},
     reports::{
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -65,6 +65,19 @@
     pub quota: Room,
 }
 
+/// Tasks that wait as their account has its share of what there is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShareWait {
+    /// Account.
+    pub account: CompactString,
+    /// First job that waits.
+    pub job: JobId,
+    /// What the account has running.
+    pub running: Room,
+    /// Its share of all processors, in thousandths of a core.
+    pub share_cpu_millis: f64,
+}
+
 /// Something that was found out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
@@ -92,6 +105,8 @@
     },
     /// Tasks wait for their account's quota.
     QuotaReached(QuotaWait),
+    /// Tasks wait for those of other accounts, as theirs has had its share.
+    ShareReached(ShareWait),
     /// How a pool stands: what it has, what it wants, and what was ordered for it.
     PoolPlanned(PoolPlan),
     /// The life of an endpoint is over.
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -4,11 +4,16 @@
 //! without answer and runs that are being stopped count as running.
 
 use {
-    crate::{accounts::ClientAccounts, event::Now, job::Room},
+    crate::{
+        accounts::ClientAccounts,
+        event::Now,
+        fair_share::{Claim, fair_level},
+        job::Room,
+    },
     compact_str::CompactString,
 };
 
-/// Time between two notes that tasks wait for the quota of one account, in milliseconds.
+/// Time between two notes that tasks of one account wait for the same reason, in milliseconds.
 const NOTE_WAIT_EVERY_MS: u64 = 1_000;
 
 /// Number of a client account within one engine.
@@ -22,14 +27,28 @@
     /// Most that may run at once; 0 is no limit.
     quota: Room,
     running: Room,
+    /// Its part of the room when there is not enough for all.
+    weight: f64,
     /// Jobs in progress.
     jobs: usize,
     /// When it was noted last that tasks wait for the quota, on the steady clock.
-    wait_noted_ms: Option<u64>,
+    quota_noted_ms: Option<u64>,
+    /// When it was noted last that tasks wait as the share is reached, on the steady clock.
+    share_noted_ms: Option<u64>,
     is_configured: bool,
 }
 
 impl AccountUse {
+    /// Returns what the account has of all processors, in thousandths of a core.
+    fn claim(&self) -> Claim {
+        let held = millis(self.running.cpu_millis);
+        Claim {
+            weight: self.weight,
+            held,
+            wanted: held,
+        }
+    }
+
     fn is_forgettable(&self) -> bool {
         !self.is_configured && self.jobs == 0 && self.running == Room::default()
     }
@@ -70,6 +89,7 @@
             let row = self.row_mut(number);
             row.is_configured = true;
             row.quota = account.quota;
+            row.weight = account.weight;
         }
         let numbers = self.by_name.clone();
         for number in numbers {
@@ -138,13 +158,13 @@
     }
 
     /// Tells whether it is to be noted that tasks wait for an account's quota: not too often.
-    pub fn is_wait_news(&mut self, number: AccountNumber, now: Now) -> bool {
-        let noted_ms = &mut self.row_mut(number).wait_noted_ms;
-        let is_news = noted_ms.is_none_or(|ms| now.steady_ms >= ms + NOTE_WAIT_EVERY_MS);
-        if is_news {
-            *noted_ms = Some(now.steady_ms);
-        }
-        is_news
+    pub fn is_quota_news(&mut self, number: AccountNumber, now: Now) -> bool {
+        is_news(&mut self.row_mut(number).quota_noted_ms, now)
+    }
+
+    /// Tells whether it is to be noted that tasks wait as an account has its share: not too often.
+    pub fn is_share_news(&mut self, number: AccountNumber, now: Now) -> bool {
+        is_news(&mut self.row_mut(number).share_noted_ms, now)
     }
 
     /// Tells whether an account has more running than its quota, as after a cut of it.
@@ -157,6 +177,34 @@
             || exceeds(running.gpus, quota.gpus)
     }
 
+    /// Returns the accounts that want far more than their share, sorted, with the share of each in
+    /// thousandths of a core; `waiting` is what waits of each account, and `free` what is free for it.
+    #[must_use]
+    pub fn flooding_shares(
+        &self,
+        waiting: &[(AccountNumber, u64)],
+        free_cpu_millis: u64,
+    ) -> Vec<(AccountNumber, f64)> {
+        let mut claims: Vec<Claim> = self.rows.iter().map(AccountUse::claim).collect();
+        for &(number, cpu_millis) in waiting {
+            claims[place(number)].wanted += millis(cpu_millis);
+        }
+        let level = fair_level(&claims, millis(free_cpu_millis));
+        (0..)
+            .map(AccountNumber)
+            .zip(claims)
+            .skip(1)
+            .filter(|(_, claim)| claim.floods(level))
+            .map(|(number, claim)| (number, claim.share(level)))
+            .collect()
+    }
+
+    /// Tells whether an account has so much running, in thousandths of a core.
+    #[must_use]
+    pub fn has_running(&self, number: AccountNumber, cpu_millis: f64) -> bool {
+        millis(self.running(number).cpu_millis) >= cpu_millis
+    }
+
     /// Returns the name of an account; empty for none.
     #[must_use]
     pub fn name(&self, number: AccountNumber) -> &CompactString {
@@ -216,6 +264,19 @@
     }
 }
 
+fn is_news(noted_ms: &mut Option<u64>, now: Now) -> bool {
+    let is_news = noted_ms.is_none_or(|ms| now.steady_ms >= ms + NOTE_WAIT_EVERY_MS);
+    if is_news {
+        *noted_ms = Some(now.steady_ms);
+    }
+    is_news
+}
+
+#[expect(clippy::cast_precision_loss, reason = "far below what fits exactly")]
+fn millis(cpu_millis: u64) -> f64 {
+    cpu_millis as f64
+}
+
 fn place(number: AccountNumber) -> usize {
     usize::try_from(number.0).unwrap_or_default()
 }
--- /dev/null
+++ b/crates/engine/tests/fair_shares.rs
@@ -0,0 +1,127 @@
+//! One account that floods the fleet beside others that send their usual: who waits, and who starts.
+
+mod common;
+
+use {
+    common::{Fleet, account, job_id, step},
+    lynxwheel_engine::{Claim, ClientAccount, Note, fair_level},
+};
+
+/// Cores of the fleet.
+const CORES: usize = 32;
+
+fn claim(weight: f64, held: f64, wanted: f64) -> Claim {
+    Claim {
+        weight,
+        held,
+        wanted,
+    }
+}
+
+fn weighted(name: &str, weight: f64) -> ClientAccount {
+    ClientAccount {
+        weight,
+        ..account(name, 0)
+    }
+}
+
+/// Returns an empty fleet of two accounts.
+fn fleet_of_two() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.configure_accounts(&[weighted("hot", 1.0), weighted("usual", 1.0)]);
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.list_endpoint("i-2", 16_000);
+    fleet.advance(300);
+    fleet
+}
+
+/// Returns a full fleet of two accounts, of which the first has handed in far more than its usual.
+fn flooded_fleet() -> Fleet {
+    let mut fleet = fleet_of_two();
+    for number in 1..=10 {
+        fleet.submit_as("hot", number, step(8));
+    }
+    fleet.settle();
+    fleet
+}
+
+macro_rules! levels {
+    ($($name:ident: $claims:expr, $free:expr => $level:expr;)*) => {
+        $(#[test] fn $name() {
+            let level = fair_level(&$claims, $free);
+            let expected: f64 = $level;
+            assert_eq!(level.to_bits(), expected.to_bits(), "{level}");
+        })*
+    };
+}
+
+levels! {
+    nobody_waits: [claim(1.0, 5.0, 5.0), claim(2.0, 3.0, 3.0)], 0.0 => f64::INFINITY;
+    what_is_free_suffices: [claim(1.0, 5.0, 7.0), claim(2.0, 3.0, 4.0)], 3.0 => f64::INFINITY;
+    alike_accounts_get_the_same: [claim(1.0, 9.0, 20.0), claim(1.0, 1.0, 20.0)], 0.0 => 5.0;
+    what_one_leaves_goes_to_the_others:
+        [claim(1.0, 2.0, 2.0), claim(1.0, 8.0, 30.0), claim(1.0, 2.0, 30.0)], 0.0 => 5.0;
+    weight_counts: [claim(3.0, 6.0, 100.0), claim(1.0, 6.0, 100.0)], 4.0 => 4.0;
+    an_account_without_weight_gets_nothing: [claim(0.0, 4.0, 9.0), claim(1.0, 4.0, 9.0)], 0.0 => 4.0;
+}
+
+/// Guards against demand that varies being taken for demand that floods.
+#[test]
+fn an_account_floods_by_twice_its_share() {
+    assert!(!claim(1.0, 4.0, 7.9).floods(4.0));
+    assert!(claim(1.0, 4.0, 8.0).floods(4.0));
+    assert!(!claim(1.0, 4.0, 8.0).floods(f64::INFINITY));
+}
+
+/// Guards against an account whose jobs came first keeping all room that becomes free.
+#[test]
+fn room_that_becomes_free_goes_to_the_account_below_its_share() {
+    let mut fleet = flooded_fleet();
+    assert_eq!(fleet.running_cores(|_| true), CORES);
+    fleet.advance(100);
+    fleet.submit_as("usual", 90, step(8));
+    fleet.settle();
+    assert_eq!(fleet.running_cores(|job| job == job_id(90)), 0);
+    fleet.end_all_done();
+    fleet.settle();
+    assert_eq!(fleet.running_cores(|job| job == job_id(90)), 8);
+}
+
+/// Guards against an account whose demand rises a little being held back for others.
+#[test]
+fn demand_that_varies_starts_in_its_usual_order() {
+    let mut fleet = fleet_of_two();
+    for number in 1..=3 {
+        fleet.submit_as("hot", number, step(8));
+    }
+    fleet.submit_as("usual", 90, step(16));
+    fleet.settle();
+    assert_eq!(fleet.running_cores(|job| job == job_id(90)), CORES - 24);
+}
+
+/// Guards against room kept idle for accounts that do not want it.
+#[test]
+fn room_is_never_kept_from_the_flooding_account() {
+    let mut fleet = flooded_fleet();
+    fleet.end_all_done();
+    fleet.settle();
+    assert_eq!(fleet.running_cores(|_| true), CORES);
+}
+
+/// Guards against a job that waits behind others without a word in the log.
+#[test]
+fn waiting_behind_others_is_noted() {
+    let mut fleet = flooded_fleet();
+    fleet.engine.take_notes();
+    fleet.submit_as("usual", 90, step(14));
+    fleet.end_all_done();
+    fleet.settle();
+    fleet.advance(1_500);
+    let notes = fleet.engine.take_notes();
+    let waits = notes.iter().filter_map(|note| match note {
+        Note::ShareReached(wait) => Some(wait),
+        _ => None,
+    });
+    let accounts: Vec<_> = waits.map(|wait| wait.account.as_str()).collect();
+    assert_eq!(accounts, ["hot"]);
+}
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -78,6 +78,7 @@
     /// Highest fencing token and its holder, by VM.
     orders: Vec<(CompactString, u64, CompactString)>,
     broken: Vec<String>,
+    are_quotas_lifted: bool,
     starts: usize,
     /// Last start, and the longest time without one since it was asked for.
     last_start: Option<Instant>,
@@ -179,6 +180,11 @@
         std::mem::take(&mut lock(&self.book).longest_gap)
     }
 
+    /// Takes no account to have a quota from now on.
+    pub fn lift_quotas(&self) {
+        lock(&self.book).are_quotas_lifted = true;
+    }
+
     /// Notes a broken promise.
     pub fn breaks(&self, text: &str) {
         let text = self.stamped(text);
@@ -422,7 +428,8 @@
         known.live.push((life.clone(), run));
         let account = job.account;
         let running = book.running_cpu_millis(account);
-        if highest_quota(account).is_some_and(|most| running > most) {
+        let quota = highest_quota(account).filter(|_| !book.are_quotas_lifted);
+        if quota.is_some_and(|most| running > most) {
             mistakes.push(format!("{name}: its account has {running} running"));
         }
         let used = book.take_room(life, i64::try_from(cpu_millis).unwrap_or_default());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -103,6 +103,7 @@
         tasks.spawn(async move { world.suffer(planned).await });
     }
     while tasks.join_next().await.is_some() {}
+    ledger.lift_quotas();
     world.heal();
     sleep(Duration::from_millis(SETTLE_MS)).await;
     check_calm(&callers, &ledger).await;
