--- a/crates/engine/src/arrivals.rs
+++ b/crates/engine/src/arrivals.rs
@@ -5,6 +5,7 @@
         balance::Trait,
         event::Now,
         job::{JobSpec, Room},
+        quota::AccountNumber,
     },
     compact_str::CompactString,
     std::collections::VecDeque,
@@ -20,6 +21,7 @@
 struct Arrival {
     at_ms: u64,
     pool: CompactString,
+    account: AccountNumber,
     /// Room times milliseconds.
     work: Room,
 }
@@ -38,7 +40,13 @@
 
 impl Arrivals {
     /// Takes in a job. Work that only some VMs can do, or that lasts, is counted by itself.
-    pub(crate) fn note(&mut self, pool: &CompactString, spec: &JobSpec, now: Now) {
+    pub(crate) fn note(
+        &mut self,
+        pool: &CompactString,
+        account: AccountNumber,
+        spec: &JobSpec,
+        now: Now,
+    ) {
         let mut work = Room::default();
         for step in &spec.steps {
             let is_plain = !step.long_running && !Trait::of_step(step).any(|one| one.is_required());
@@ -50,6 +58,7 @@
         self.lately.push_back(Arrival {
             at_ms: now.steady_ms,
             pool: pool.clone(),
+            account,
             work,
         });
         self.forget_old(now);
@@ -64,24 +73,39 @@
     /// Returns the room that a pool's work takes if as much goes on being handed in.
     ///
     /// The first job only begins the count: one by itself, however large, says nothing of more to
-    /// come.
-    pub(crate) fn load(&self, pool: &str, now: Now) -> Room {
-        let mut work = Room::default();
+    /// come. An account's work counts as far as its quota, 0 for none, lets it run at once.
+    pub(crate) fn load(
+        &self,
+        pool: &str,
+        now: Now,
+        quota_of: impl Fn(AccountNumber) -> Room,
+    ) -> Room {
+        let mut works: Vec<(AccountNumber, Room)> = Vec::new();
         let mut jobs = 0;
         for arrival in &self.lately {
-            if arrival.pool == pool && !arrival.is_old(now) {
-                work.add(&arrival.work);
-                jobs += 1;
+            if arrival.pool != pool || arrival.is_old(now) {
+                continue;
+            }
+            jobs += 1;
+            match works.binary_search_by_key(&arrival.account, |(account, _)| *account) {
+                Ok(place) => works[place].1.add(&arrival.work),
+                Err(place) => works.insert(place, (arrival.account, arrival.work)),
             }
         }
         if jobs < 2 {
             return Room::default();
         }
         let share = |work: u64| work / WINDOW_MS * (jobs - 1) / jobs;
-        Room {
-            cpu_millis: share(work.cpu_millis),
-            memory_mb: share(work.memory_mb),
-            gpus: 0,
+        let capped = |room: u64, quota: u64| if quota == 0 { room } else { room.min(quota) };
+        let mut load = Room::default();
+        for (account, work) in works {
+            let quota = quota_of(account);
+            load.add(&Room {
+                cpu_millis: capped(share(work.cpu_millis), quota.cpu_millis),
+                memory_mb: capped(share(work.memory_mb), quota.memory_mb),
+                gpus: 0,
+            });
         }
+        load
     }
 }
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -219,7 +219,9 @@
             })
             .collect();
         for load in &mut loads {
-            load.room.handed_in = self.arrivals.load(&load.name, now);
+            load.room.handed_in = self
+                .arrivals
+                .load(&load.name, now, |account| self.quotas.quota(account));
         }
         self.add_waiting(&mut loads, &vm, now);
         self.add_endpoints(&mut loads, now);
@@ -273,7 +275,10 @@
         }
     }
 
+    /// Counts waiting tasks as far as their accounts' quotas let them start: VMs for more would come for
+    /// nothing.
     fn add_waiting(&self, loads: &mut [PoolLoad], vm: &Room, now: Now) {
+        let mut left = self.quotas.left();
         for step in self.open_steps.iter() {
             let Some(job) = self.jobs.get(step.first.job) else {
                 continue;
@@ -281,7 +286,7 @@
             let place = load_place(loads, &job.queue.pool);
             if let Some((place, spec)) = place.zip(job.step_spec(&step.first)) {
                 let waiting = Waiting {
-                    count: step.waiting,
+                    count: left.take(step.account, &step.quota_room, step.waiting),
                     is_late: step.waiting > 0 && step.is_late(now),
                 };
                 loads[place].add_step(spec, waiting, vm);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -283,7 +283,8 @@
                 self.answer_at_once(token, CallerAnswer::OverQuota);
             }
             Err(_) => {
-                self.arrivals.note(&job.queue.pool, &job.spec, now);
+                let account = self.quotas.number(&job.account);
+                self.arrivals.note(&job.queue.pool, account, &job.spec, now);
                 job.waiting.push(token);
                 job.begin_due(now.wall_ms);
                 self.add_job(Box::new(job));
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -76,7 +76,7 @@
     job::{BadName, JobId, JobSpec, JobState, Room, StepSpec, TaskRef},
     note::{Note, PoolPlan, QuotaWait, RunEnd, ShareWait},
     pacing::next_pace,
-    quota::{AccountNumber, QuotaLedger},
+    quota::{AccountNumber, QuotaLedger, QuotasLeft},
     reports::{
         EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
     },
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -38,7 +38,64 @@
     is_configured: bool,
 }
 
+/// What is left of a quota; nothing for a dimension without a limit.
+#[derive(Clone, Copy, Debug)]
+struct QuotaLeft {
+    cpu_millis: Option<u64>,
+    memory_mb: Option<u64>,
+    gpus: Option<u64>,
+}
+
+impl QuotaLeft {
+    fn startable(&self, room: &Room) -> u64 {
+        let dimensions = [
+            (self.cpu_millis, room.cpu_millis),
+            (self.memory_mb, room.memory_mb),
+            (self.gpus, room.gpus),
+        ];
+        dimensions
+            .into_iter()
+            .filter_map(|(left, room)| left?.checked_div(room))
+            .min()
+            .unwrap_or(u64::MAX)
+    }
+
+    fn take(&mut self, room: &Room) {
+        let less =
+            |left: &mut Option<u64>, room| *left = left.map(|left| left.saturating_sub(room));
+        less(&mut self.cpu_millis, room.cpu_millis);
+        less(&mut self.memory_mb, room.memory_mb);
+        less(&mut self.gpus, room.gpus);
+    }
+}
+
+/// What is left of every quota while work that waits is counted.
+#[derive(Clone, Debug)]
+pub struct QuotasLeft {
+    rows: Vec<QuotaLeft>,
+}
+
+impl QuotasLeft {
+    /// Takes runs of this room as far as the quota lets them start, at most `count`; returns how many.
+    pub fn take(&mut self, number: AccountNumber, room: &Room, count: u64) -> u64 {
+        let left = &mut self.rows[place(number)];
+        let taken = left.startable(room).min(count);
+        left.take(&room.times(taken));
+        taken
+    }
+}
+
 impl AccountUse {
+    fn left(&self) -> QuotaLeft {
+        let Self { quota, running, .. } = self;
+        let left = |quota: u64, running| (quota > 0).then(|| quota.saturating_sub(running));
+        QuotaLeft {
+            cpu_millis: left(quota.cpu_millis, running.cpu_millis),
+            memory_mb: left(quota.memory_mb, running.memory_mb),
+            gpus: left(quota.gpus, running.gpus),
+        }
+    }
+
     /// Returns what the account has of all processors, in thousandths of a core.
     fn claim(&self) -> Claim {
         let held = millis(self.running.cpu_millis);
@@ -143,18 +200,15 @@
     /// Returns how many runs of this room the account may start now.
     #[must_use]
     pub fn startable(&self, number: AccountNumber, room: &Room) -> u64 {
-        let AccountUse { quota, running, .. } = self.row(number);
-        let dimensions = [
-            (quota.cpu_millis, running.cpu_millis, room.cpu_millis),
-            (quota.memory_mb, running.memory_mb, room.memory_mb),
-            (quota.gpus, running.gpus, room.gpus),
-        ];
-        dimensions
-            .into_iter()
-            .filter(|(quota, _, _)| *quota > 0)
-            .filter_map(|(quota, running, room)| quota.saturating_sub(running).checked_div(room))
-            .min()
-            .unwrap_or(u64::MAX)
+        self.row(number).left().startable(room)
+    }
+
+    /// Returns what is left of every quota.
+    #[must_use]
+    pub fn left(&self) -> QuotasLeft {
+        QuotasLeft {
+            rows: self.rows.iter().map(AccountUse::left).collect(),
+        }
     }
 
     /// Tells whether it is to be noted that tasks wait for an account's quota: not too often.
--- a/crates/engine/tests/demand.rs
+++ b/crates/engine/tests/demand.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Fleet, POOL, step},
+    common::{Fleet, POOL, account, step},
     lynxwheel_engine::{Event, JobSpec, Room, StepSpec, VmEntry},
 };
 
@@ -141,3 +141,23 @@
         (1..8).map(|number| spare(&format!("vm-{number}"), "a", "r1", 0)).collect()
             => ["vm-1", "vm-2"];
 }
+
+/// Guards against VMs that are fetched for tasks which their account's quota keeps from starting.
+#[test]
+fn tasks_that_wait_for_a_quota_bring_no_vms() {
+    for (cores, wanted) in [(16, 0), (0, 1)] {
+        let mut fleet = Fleet::new();
+        fleet.configure_accounts(&[account("hot", cores)]);
+        fleet.list_endpoint("i-1", 16_000);
+        fleet.list_endpoint("i-2", 16_000);
+        fleet.engine.allow_vm_orders(true);
+        let spares = vec![spare("vm-1", "a", "r1", 0), spare("vm-2", "a", "r1", 0)];
+        fleet.handle(Event::Vms(spares));
+        fleet.advance(300);
+        for number in 1..=8 {
+            fleet.submit_as("hot", number, step(8));
+        }
+        fleet.advance(1_000);
+        assert_eq!(fleet.moves().len().min(1), wanted, "quota of {cores}");
+    }
+}
