--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -17,7 +17,7 @@
         job_table::JobTable,
         note::Note,
         order_rate::OrderRate,
-        quota::QuotaLedger,
+        quota::{AccountNumber, QuotaLedger},
         rests::RestingVm,
         state::Job,
         stored::{Record, progress_drop, spec_drop},
@@ -90,6 +90,8 @@
     pub(crate) timed_jobs: Vec<JobId>,
     pub(crate) open_steps: OpenSteps,
     pub(crate) quotas: QuotaLedger,
+    /// Accounts that flood, sorted, with the share of each in thousandths of a core.
+    pub(crate) flooding: Vec<(AccountNumber, f64)>,
     /// Jobs that have ended, sorted by id.
     pub(crate) ended: Vec<EndedJob>,
     pub(crate) endpoints: Endpoints,
@@ -140,6 +142,7 @@
             timed_jobs: Vec::new(),
             open_steps: OpenSteps::default(),
             quotas: QuotaLedger::default(),
+            flooding: Vec::new(),
             ended: Vec::new(),
             endpoints: Endpoints::default(),
             free_room: FreeRoom::default(),
@@ -490,6 +493,7 @@
         self.vm_order_rate.refill(now);
         self.plan_waves(now);
         self.refresh_open_steps();
+        self.find_flooding();
         self.plan_pools(now);
         // Rests and delays end without an event of their own.
         self.is_schedule_due = true;
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -8,7 +8,7 @@
         engine::Engine,
         event::{Effect, EndpointKey, Now},
         free_room::FreeSlot,
-        job::{JobId, Room, StepSpec, TaskRef},
+        job::{Room, StepSpec, TaskRef},
         note::{Note, QuotaWait, ShareWait},
         quota::AccountNumber,
         state::{Attempt, Job},
@@ -43,42 +43,38 @@
             return;
         }
         self.open_steps.sort(now);
-        let shares = self.flooding_shares();
         let mut beyond_share = Vec::new();
         let mut place = 0;
         while let Some(step) = self.open_steps.waiting_at(place) {
             place += 1;
-            if self.has_share(step.account, &shares) {
+            if self.has_share(step.account) {
                 beyond_share.push(step.clone());
-            } else if self.may_place(step) {
+            } else if self.free_room.has(step.pool, step.room.cpu_millis) {
                 let step = step.clone();
-                self.place_step(&step, now);
-            } else {
-                let account = step.account;
-                let (job, wanted) = (step.first.job, step.quota_room);
-                self.note_quota_wait(account, job, wanted, now);
+                self.place_within_quota(&step, now);
             }
         }
         for step in beyond_share {
-            if self.may_place(&step) {
-                self.place_step(&step, now);
+            if self.free_room.has(step.pool, step.room.cpu_millis) {
+                self.place_within_quota(&step, now);
             }
-            self.note_quota_wait(step.account, step.first.job, step.quota_room, now);
-            self.note_share_wait(&step, &shares, now);
+            self.note_share_wait(&step, now);
         }
     }
 
-    /// Tells whether a task of a step may find room, by its pool and its account's quota.
-    fn may_place(&self, step: &OpenStep) -> bool {
-        self.free_room.has(step.pool, step.room.cpu_millis)
-            && self.quotas.startable(step.account, &step.quota_room) > 0
+    fn place_within_quota(&mut self, step: &OpenStep, now: Now) {
+        if self.quotas.startable(step.account, &step.quota_room) > 0 {
+            self.place_step(step, now);
+        } else {
+            self.note_quota_wait(step, now);
+        }
     }
 
-    /// Returns the accounts that flood while there is not room for all, sorted, with the share of each in
-    /// thousandths of a core.
-    fn flooding_shares(&self) -> Vec<(AccountNumber, f64)> {
+    /// Finds the accounts that flood while there is not room for all, and the share of each.
+    pub(crate) fn find_flooding(&mut self) {
+        self.flooding.clear();
         if self.quotas.numbers().is_empty() {
-            return Vec::new();
+            return;
         }
         let mut waiting = Vec::new();
         let mut pools = Vec::new();
@@ -91,44 +87,51 @@
         let free = pools
             .iter()
             .map(|&pool| self.free_room.free_cpu_millis(pool));
-        self.quotas.flooding_shares(&waiting, free.sum())
+        self.flooding = self.quotas.flooding_shares(&waiting, free.sum());
+    }
+
+    /// Returns the share of an account that floods, in thousandths of a core.
+    fn flooding_share(&self, account: AccountNumber) -> Option<f64> {
+        let place = self
+            .flooding
+            .binary_search_by_key(&account, |(known, _)| *known);
+        place.ok().map(|place| self.flooding[place].1)
     }
 
     /// Tells whether an account floods and has its share.
-    fn has_share(&self, account: AccountNumber, shares: &[(AccountNumber, f64)]) -> bool {
-        let place = shares.binary_search_by_key(&account, |(known, _)| *known);
-        place.is_ok_and(|place| self.quotas.has_running(account, shares[place].1))
+    fn has_share(&self, account: AccountNumber) -> bool {
+        self.flooding_share(account)
+            .is_some_and(|share| self.quotas.has_running(account, share))
     }
 
-    /// Notes that tasks wait for their account's quota, if they do.
-    fn note_quota_wait(&mut self, account: AccountNumber, job: JobId, wanted: Room, now: Now) {
-        if self.quotas.startable(account, &wanted) == 0 && self.quotas.is_quota_news(account, now) {
+    /// Notes that tasks wait for their account's quota.
+    fn note_quota_wait(&mut self, step: &OpenStep, now: Now) {
+        if self.quotas.is_quota_news(step.account, now) {
             self.notes.push(Note::QuotaReached(QuotaWait {
-                account: self.quotas.name(account).clone(),
-                job,
-                wanted,
-                running: self.quotas.running(account),
-                quota: self.quotas.quota(account),
+                account: self.quotas.name(step.account).clone(),
+                job: step.first.job,
+                wanted: step.quota_room,
+                running: self.quotas.running(step.account),
+                quota: self.quotas.quota(step.account),
             }));
         }
     }
 
     /// Notes that tasks wait for others, as their account has had its share, if they do.
-    fn note_share_wait(&mut self, step: &OpenStep, shares: &[(AccountNumber, f64)], now: Now) {
+    fn note_share_wait(&mut self, step: &OpenStep, now: Now) {
         let is_waiting = self
             .jobs
             .get(step.first.job)
             .is_some_and(|job| !waiting(job, &step.first, now).is_empty());
-        let share = shares.binary_search_by_key(&step.account, |(known, _)| *known);
-        if let Ok(place) = share
-            && is_waiting
+        if is_waiting
+            && let Some(share_cpu_millis) = self.flooding_share(step.account)
             && self.quotas.is_share_news(step.account, now)
         {
             self.notes.push(Note::ShareReached(ShareWait {
                 account: self.quotas.name(step.account).clone(),
                 job: step.first.job,
                 running: self.quotas.running(step.account),
-                share_cpu_millis: shares[place].1,
+                share_cpu_millis,
             }));
         }
     }
