Test that nodes cut off the store learn keys from the owner

Real nodes as processes, each cut off the store in turn while every key that it knows is taken away.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -210,6 +210,12 @@
         }
     }
 
+    /// Asks a node for the count of the first queue with a key; returns the status of its answer.
+    pub async fn count_at(&self, node: usize, key: &str) -> Option<StatusCode> {
+        let request = self.request(Method::GET, 0, "", key);
+        self.call(node, &request).await.map(|answer| answer.status)
+    }
+
     async fn count(&self, random: &mut ChaCha8Rng) {
         let queue = random.random_range(0..self.queues.len());
         let is_strange = random.random_range(0..3) == 0;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod accounts;
 mod callers;
+mod cut_off;
 mod faults;
 mod ledger;
 mod nodes;
@@ -24,6 +25,7 @@
 mod world;
 
 pub use {
+    cut_off::nodes_with_newest_keys,
     faults::{Fault, LinkPlace, PlannedFault, plan_faults},
     ledger::Ledger,
     proxy::{LinkTrouble, Proxy},
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -213,7 +213,8 @@
         self.end(planned.fault).await;
     }
 
-    fn begin(&self, fault: Fault) {
+    /// Lets a fault begin.
+    pub fn begin(&self, fault: Fault) {
         match fault {
             Fault::KillNode(node) => self.nodes[node].signal(Signal::SIGKILL),
             Fault::KillAll => self.nodes.iter().for_each(|n| n.signal(Signal::SIGKILL)),
@@ -233,7 +234,8 @@
         }
     }
 
-    async fn end(&self, fault: Fault) {
+    /// Ends a fault.
+    pub async fn end(&self, fault: Fault) {
         match fault {
             Fault::KillNode(node) => self.restart(node),
             Fault::KillAll => (0..self.nodes.len()).for_each(|node| self.restart(node)),
