--- a/crates/controller/src/config_sync.rs
+++ b/crates/controller/src/config_sync.rs
@@ -1,7 +1,7 @@
 //! Configurations that one node takes over from another.
 //!
-//! Every node reads configurations from the store. One that the store turns away learns of a newer one
-//! from the owner, and an owner that is behind from the node that sends it a request.
+//! Every node reads configurations from the store. One that the store turns away takes a newer one over
+//! from the owner, and an owner from the node that sends it a request, or from nodes heard of lately.
 
 use {
     crate::{
@@ -13,6 +13,7 @@
     lynxwheel_engine::FleetConfig,
     rand::seq::SliceRandom,
     std::{net::SocketAddr, sync::atomic::Ordering, time::Duration},
+    tokio::time::timeout,
 };
 
 /// Time for another node's configuration, in milliseconds.
@@ -31,16 +32,17 @@
 /// Takes over the configuration of another node if that is newer; tells whether this node's is as new
 /// as `version` then.
 pub async fn fetch_from(node: &Node, peer: SocketAddr, version: u64) -> bool {
-    // Requests that come meanwhile wait for the same answer.
-    let fetching = node.config_fetch.lock().await;
-    if node.config.load().version >= version {
-        return true;
+    let limit = Duration::from_millis(FETCH_MS);
+    // Requests that come meanwhile wait for the same answer, but not in a long row for peers that give
+    // none: their callers' deadlines would pass.
+    let fetching = timeout(limit, node.config_fetch.lock()).await;
+    if fetching.is_err() || node.config.load().version >= version {
+        return node.config.load().version >= version;
     }
     let request = ConfigRequest {
         version: node.config.load().version,
     };
     let client = node.peers.get(peer);
-    let limit = Duration::from_millis(FETCH_MS);
     let fetched: Result<Option<FleetConfig>, _> =
         client.exchange(CONFIG_PATH, &request, limit).await;
     match fetched {
