Pass over a late report of a replaced incarnation

Cause: a report of an endpoint's earlier incarnation that came after the answer of the one in its place was taken like any other, and ended that one; its runs were started a second time elsewhere. The test failed before the change.

--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -214,6 +214,8 @@
     ) {
         self.endpoints.get_mut(key).is_renewing = false;
         match outcome {
+            // An answer may come after that of the incarnation that has taken the place of its own.
+            CallOutcome::Done(_) if self.endpoints.get(key).is_over => return,
             CallOutcome::Done(report) => self.take_report(key, &report, now),
             CallOutcome::OtherLife => self.endpoint_over(key, now),
             CallOutcome::Fenced => self.at_once.push(Effect::Resign),
--- a/crates/engine/tests/lives.rs
+++ b/crates/engine/tests/lives.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Fleet, job_id, listed},
-    lynxwheel_engine::{CallOutcome, Event, JobState, TaskRef},
+    lynxwheel_engine::{CallOutcome, EndpointReport, Event, JobState, TaskRef},
 };
 
 /// Lists a new life in the place of the newest one.
@@ -67,3 +67,25 @@
     fleet.settle();
     assert_eq!(fleet.shown(1), Some(JobState::Completed));
 }
+
+/// Guards against a report of a replaced incarnation that comes late and ends the one in its place, whose
+/// runs then start a second time elsewhere.
+#[test]
+fn late_report_of_a_replaced_incarnation_ends_no_other() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-0", 16_000);
+    let replaced = fleet.engine.endpoints().keys()[0];
+    fleet.advance(1_000);
+    replace(&mut fleet, "i-1");
+    fleet.submit(1, 1);
+    fleet.advance(500);
+    assert_eq!(fleet.running_cores(|_| true), 1);
+    fleet.handle(Event::Renewed {
+        endpoint: replaced,
+        outcome: CallOutcome::Done(EndpointReport::default()),
+    });
+    fleet.settle();
+    let current = fleet.engine.endpoints().find("i-1").expect("a listed one");
+    assert!(!fleet.engine.endpoints().get(current).is_over);
+    assert_eq!(fleet.starts(&format!("{}.0.0.0", job_id(1))), 1);
+}
