--- a/crates/controller/src/config_sync.rs
+++ b/crates/controller/src/config_sync.rs
@@ -86,12 +86,10 @@
         return false;
     }
     let now_ms = clock::steady_ms();
-    let asked_ms = node.config_asked_ms.swap(now_ms, Ordering::Relaxed);
-    let is_due = now_ms >= asked_ms + ASK_EVERY_MS;
-    if !is_due {
-        node.config_asked_ms.store(asked_ms, Ordering::Relaxed);
-    }
-    is_due
+    let asked_now = |asked_ms| (now_ms >= asked_ms + ASK_EVERY_MS).then_some(now_ms);
+    node.config_asked_ms
+        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, asked_now)
+        .is_ok()
 }
 
 /// Tells whether a newer configuration may be active that this node has not read.
--- a/crates/engine/src/accounts.rs
+++ b/crates/engine/src/accounts.rs
@@ -88,13 +88,18 @@
     /// Tells whether runs that take this room together fit into the quota.
     #[must_use]
     pub fn may_ever_run(&self, room: &Room) -> bool {
-        let fits = |quota: u64, room: u64| quota == 0 || room <= quota;
-        fits(self.quota.cpu_millis, room.cpu_millis)
-            && fits(self.quota.memory_mb, room.memory_mb)
-            && fits(self.quota.gpus, room.gpus)
+        !exceeds_quota(room, &self.quota)
     }
 }
 
+/// Tells whether a room is larger than a quota, of which 0 is no limit.
+pub(crate) fn exceeds_quota(room: &Room, quota: &Room) -> bool {
+    let exceeds = |room: u64, quota: u64| quota > 0 && room > quota;
+    exceeds(room.cpu_millis, quota.cpu_millis)
+        || exceeds(room.memory_mb, quota.memory_mb)
+        || exceeds(room.gpus, quota.gpus)
+}
+
 /// A key that two accounts hold.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SharedKey {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -331,19 +331,21 @@
     }
 
     fn cancel(&mut self, id: JobId, account: &str, token: ReplyToken, now: Now) {
-        let answer = |answer| Effect::Reply { token, answer };
         if !self.is_open_to(id, account) {
-            self.at_once.push(answer(CallerAnswer::OtherAccount));
+            self.answer_at_once(token, CallerAnswer::OtherAccount);
         } else if let Ok(place) = self.search(id) {
             if !self.jobs[place].state.is_final() {
                 self.end_job(place, JobState::Cancelled, now);
             }
             // The answer waits for the batch, as the end may not be stored yet.
-            self.forming.push(answer(CallerAnswer::Cancelled));
+            self.forming.push(Effect::Reply {
+                token,
+                answer: CallerAnswer::Cancelled,
+            });
         } else if self.find_ended(id).is_some() {
-            self.at_once.push(answer(CallerAnswer::Cancelled));
+            self.answer_at_once(token, CallerAnswer::Cancelled);
         } else {
-            self.at_once.push(answer(CallerAnswer::Unknown));
+            self.answer_at_once(token, CallerAnswer::Unknown);
         }
     }
 
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        accounts::ClientAccounts,
+        accounts::{ClientAccounts, exceeds_quota},
         event::Now,
         fair_share::{Claim, fair_level},
         job::Room,
@@ -225,10 +225,7 @@
     #[must_use]
     pub fn is_exceeded(&self, number: AccountNumber) -> bool {
         let AccountUse { quota, running, .. } = self.row(number);
-        let exceeds = |running: u64, quota: u64| quota > 0 && running > quota;
-        exceeds(running.cpu_millis, quota.cpu_millis)
-            || exceeds(running.memory_mb, quota.memory_mb)
-            || exceeds(running.gpus, quota.gpus)
+        exceeds_quota(running, quota)
     }
 
     /// Returns the accounts that want far more than their share, sorted, with the share of each in
