Log the fence of a takeover and appends out of sequence

Two answers of the store left no line: the outcome of the append that fences earlier owners, and the number that the store expects instead of an append's. Without them the hypotheses of the incident in docs/incidents/first-commit-overtaken.md cannot be told apart.

--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -1,7 +1,7 @@
 //! Ordered and fenced appends of the engine's records.
 
 use {
-    log::warn,
+    log::{info, warn},
     lynxwheel_engine::Record,
     lynxwheel_platform::{
         AppendOutcome, PlatformSettings, Producer, StoreClient, encode_keyed_record,
@@ -85,7 +85,12 @@
             epoch: self.epoch,
             sequence: self.sequence,
         };
-        match store.append(STATE_TOPIC, &[], None, Some(producer)).await {
+        let outcome = store.append(STATE_TOPIC, &[], None, Some(producer)).await;
+        info!(
+            event = "fence_sent", epoch = self.epoch, sequence = self.sequence, outcome:? = outcome;
+            "append that fences earlier owners sent"
+        );
+        match outcome {
             AppendOutcome::Stored { .. } | AppendOutcome::OutOfSequence { .. } => {
                 self.sequence += 1;
                 Some(true)
@@ -140,6 +145,14 @@
         true
     }
 
+    fn log_out_of_sequence(&self, sequence: u64, expected: u64) {
+        info!(
+            event = "append_out_of_sequence", epoch = self.epoch, sequence = sequence,
+            expected = expected;
+            "store expects another append"
+        );
+    }
+
     async fn append(&self, store: &StoreClient, sequence: u64, records: &[Vec<u8>]) -> bool {
         let producer = Producer {
             name: PRODUCER_NAME,
@@ -160,10 +173,12 @@
                 // Only this writer uses the epoch, so the store already has this append and perhaps
                 // later ones.
                 AppendOutcome::OutOfSequence { expected } if expected > sequence => {
+                    self.log_out_of_sequence(sequence, expected);
                     return true;
                 }
                 // An earlier append is still in flight.
                 AppendOutcome::OutOfSequence { expected } if expected < sequence => {
+                    self.log_out_of_sequence(sequence, expected);
                     sleep(Duration::from_millis(MIN_RETRY_DELAY_MS)).await;
                 }
                 AppendOutcome::Fenced | AppendOutcome::OutOfSequence { .. } => {
