--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -3,9 +3,7 @@
 use {
     log::{info, warn},
     lynxwheel_engine::Record,
-    lynxwheel_platform::{
-        AppendOutcome, PlatformSettings, Producer, StoreClient, encode_keyed_record,
-    },
+    lynxwheel_platform::{AppendOutcome, Producer, StoreClient, encode_keyed_record},
     metrics::counter,
     std::{
         sync::{
@@ -59,13 +57,14 @@
 }
 
 impl Writer {
-    /// Creates the writer of an epoch.
+    /// Creates the writer of an epoch. Only a record that alone is larger makes an append larger
+    /// than `max_request_bytes`.
     #[must_use]
-    pub fn new(epoch: u64, settings: &PlatformSettings) -> Self {
+    pub fn new(epoch: u64, max_request_bytes: usize) -> Self {
         Self {
             epoch,
             sequence: 0,
-            max_request_bytes: settings.max_append_bytes / 2,
+            max_request_bytes,
             stored_end: Arc::default(),
         }
     }
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -47,7 +47,7 @@
 pub async fn take_over(node: &Arc<Node>, epoch: u64) {
     let started_ms = clock::steady_ms();
     let renewed_ms = Arc::new(AtomicU64::new(0));
-    let writer = Writer::new(epoch, &node.settings);
+    let writer = Writer::new(epoch, node.settings.max_append_bytes / 2);
     let renewal_task = tokio::spawn(watcher::renew(
         Arc::clone(node),
         epoch,
