Begin each epoch of the state log with a record

What callers saw: tasks whose runs had ended as done, and whose ends were acknowledged, ran again under the next owner; accepted jobs were answered as unknown after a change of owners.

Cause: an owner fenced its predecessors with an append without records, which sets the epoch but no sequence, and a new epoch may start at any sequence. If the first commit's call got no response, the second one followed 80 ms later and was stored as the epoch's first. The first one was then answered with a higher expected number. The owner takes that for stored, as it does in the middle of an epoch, releases the effects (answers, starts, acknowledged ends), and the records never exist. The next owner restores what was stored before.

Change: the fencing append contains a record, one without a value, which the store does not keep. The epoch's first append is thus known to be stored before the first commit is sent, and the store accepts no append before its predecessor. Late copies of the fence are repeats of a numbered append and change nothing. A fence that finds other appends of its own epoch is no longer taken for successful, as the writer would use their sequence numbers again. What an outcome says about an append is a pure function.

--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -21,6 +21,12 @@
 /// Producer name shared by all owners.
 const PRODUCER_NAME: &str = "owner";
 
+/// Sequence number of the append that fences lower epochs.
+const FENCE_SEQUENCE: u64 = 0;
+
+/// Key of the record that begins an epoch. The record has no value, so the store does not keep it.
+const EPOCH_KEY: &str = "epoch";
+
 /// Bounds of the exponential backoff between attempts, in milliseconds.
 const MIN_RETRY_DELAY_MS: u64 = 40;
 const MAX_RETRY_DELAY_MS: u64 = 400;
@@ -38,11 +44,61 @@
     }
 }
 
+/// What an append's outcome says about its records.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AppendVerdict {
+    /// The store accepts no appends of this writer any more.
+    Rejected,
+    /// They may not be stored; the append is to be repeated.
+    Repeat,
+    /// They are stored.
+    Stored,
+    /// They are not stored, and neither is an earlier append.
+    Waiting,
+}
+
+impl AppendVerdict {
+    /// Judges the outcome of the append with a sequence number.
+    ///
+    /// Only one writer uses an epoch, and its appends are stored without a gap. The store therefore
+    /// has every append below the one that it expects.
+    #[must_use]
+    pub fn new(outcome: AppendOutcome, sequence: u64) -> Self {
+        match outcome {
+            AppendOutcome::Stored { .. } => Self::Stored,
+            AppendOutcome::OutOfSequence { expected } if expected > sequence => Self::Stored,
+            AppendOutcome::OutOfSequence { expected } if expected < sequence => Self::Waiting,
+            AppendOutcome::Fenced | AppendOutcome::OutOfSequence { .. } => Self::Rejected,
+            AppendOutcome::Moved { .. } | AppendOutcome::NothingDone | AppendOutcome::Unknown => {
+                Self::Repeat
+            }
+        }
+    }
+}
+
+/// Append with its sequence number.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Append {
+    /// Sequence number within the epoch.
+    pub sequence: u64,
+    /// Encoded records.
+    pub records: Vec<Vec<u8>>,
+}
+
+impl Append {
+    fn new(sequence: u64) -> Self {
+        Self {
+            sequence,
+            records: Vec::new(),
+        }
+    }
+}
+
 /// Assigns sequence numbers to the appends of one epoch.
 #[derive(Clone, Debug)]
 pub struct Writer {
     epoch: u64,
-    sequence: u64,
+    next_sequence: u64,
     max_request_bytes: usize,
     /// Offset below which records are known to be stored.
     stored_end: Arc<AtomicU64>,
@@ -53,7 +109,7 @@
 pub struct Commit {
     epoch: u64,
     stored_end: Arc<AtomicU64>,
-    appends: Vec<(u64, Vec<Vec<u8>>)>,
+    appends: Vec<Append>,
 }
 
 impl Writer {
@@ -63,7 +119,7 @@
     pub fn new(epoch: u64, max_request_bytes: usize) -> Self {
         Self {
             epoch,
-            sequence: 0,
+            next_sequence: FENCE_SEQUENCE + 1,
             max_request_bytes,
             stored_end: Arc::default(),
         }
@@ -75,47 +131,61 @@
         Arc::clone(&self.stored_end)
     }
 
-    /// Fences lower epochs with an empty append.
+    /// Returns the append that fences lower epochs.
+    ///
+    /// It contains a record because the first append with records may have any sequence number:
+    /// without one, the second commit of an epoch could be stored in place of the first.
+    #[must_use]
+    pub fn fence_append() -> Append {
+        Append {
+            sequence: FENCE_SEQUENCE,
+            records: vec![encode_keyed_record(EPOCH_KEY, &[])],
+        }
+    }
+
+    /// Fences lower epochs. Must succeed before the first commit is stored.
     ///
     /// Returns whether the epoch is active; `None` if the outcome is unknown.
-    pub async fn fence(&mut self, store: &StoreClient) -> Option<bool> {
+    pub async fn fence(&self, store: &StoreClient) -> Option<bool> {
+        let Append { sequence, records } = Self::fence_append();
         let producer = Producer {
             name: PRODUCER_NAME,
             epoch: self.epoch,
-            sequence: self.sequence,
+            sequence,
         };
-        let outcome = store.append(STATE_TOPIC, &[], None, Some(producer)).await;
+        let outcome = store
+            .append(STATE_TOPIC, &records, None, Some(producer))
+            .await;
         info!(
-            event = "fence_sent", epoch = self.epoch, sequence = self.sequence, outcome:? = outcome;
+            event = "fence_sent", epoch = self.epoch, sequence = sequence, outcome:? = outcome;
             "append that fences earlier owners sent"
         );
         match outcome {
-            AppendOutcome::Stored { .. } | AppendOutcome::OutOfSequence { .. } => {
-                self.sequence += 1;
-                Some(true)
-            }
-            AppendOutcome::Fenced => Some(false),
-            AppendOutcome::Moved { .. } | AppendOutcome::NothingDone | AppendOutcome::Unknown => {
-                None
-            }
+            // Another writer has used the epoch, and this one would repeat its sequence numbers.
+            AppendOutcome::OutOfSequence { .. } => Some(false),
+            outcome => match AppendVerdict::new(outcome, sequence) {
+                AppendVerdict::Stored => Some(true),
+                AppendVerdict::Rejected => Some(false),
+                AppendVerdict::Repeat | AppendVerdict::Waiting => None,
+            },
         }
     }
 
     /// Encodes records into numbered appends of limited size.
     pub fn commit(&mut self, records: &[Record]) -> Commit {
-        let mut appends: Vec<(u64, Vec<Vec<u8>>)> = Vec::new();
+        let mut appends: Vec<Append> = Vec::new();
         let mut bytes = usize::MAX;
         for record in records {
             let encoded = encode_keyed_record(&record.key, &record.value);
             let size = encoded.len() + FRAME_OVERHEAD_BYTES;
             if bytes.saturating_add(size) > self.max_request_bytes {
-                appends.push((self.sequence, Vec::new()));
-                self.sequence += 1;
+                appends.push(Append::new(self.next_sequence));
+                self.next_sequence += 1;
                 bytes = 0;
             }
             bytes += size;
-            if let Some((_, group)) = appends.last_mut() {
-                group.push(encoded);
+            if let Some(append) = appends.last_mut() {
+                append.records.push(encoded);
             }
         }
         Commit {
@@ -127,32 +197,34 @@
 }
 
 impl Commit {
+    /// Returns the appends in the order in which they are to be stored.
+    #[must_use]
+    pub fn appends(&self) -> &[Append] {
+        &self.appends
+    }
+
     /// Returns the total size of the records, in bytes.
     #[must_use]
     pub fn bytes(&self) -> usize {
-        let records = self.appends.iter().flat_map(|(_, records)| records);
+        let records = self.appends.iter().flat_map(|append| &append.records);
         records.map(Vec::len).sum()
     }
 
     /// Stores the batch, retrying until it succeeds. Returns `false` if a newer epoch is active.
     pub async fn store(&self, store: &StoreClient) -> bool {
-        for (sequence, records) in &self.appends {
-            if !self.append(store, *sequence, records).await {
+        for append in &self.appends {
+            if !self.store_append(store, append).await {
                 return false;
             }
         }
         true
     }
 
-    fn log_out_of_sequence(&self, sequence: u64, expected: u64) {
-        info!(
-            event = "append_out_of_sequence", epoch = self.epoch, sequence = sequence,
-            expected = expected;
-            "store expects another append"
-        );
-    }
-
-    async fn append(&self, store: &StoreClient, sequence: u64, records: &[Vec<u8>]) -> bool {
+    async fn store_append(&self, store: &StoreClient, append: &Append) -> bool {
+        let &Append {
+            sequence,
+            ref records,
+        } = append;
         let producer = Producer {
             name: PRODUCER_NAME,
             epoch: self.epoch,
@@ -164,32 +236,23 @@
                 .append_in_sequence(STATE_TOPIC, records, producer)
                 .await;
             counter!("lynxwheel_appends_total", "outcome" => outcome_label(outcome)).increment(1);
-            match outcome {
-                AppendOutcome::Stored { end, .. } => {
-                    self.stored_end.fetch_max(end, Ordering::Relaxed);
-                    return true;
-                }
-                // Only this writer uses the epoch, so the store already has this append and perhaps
-                // later ones.
-                AppendOutcome::OutOfSequence { expected } if expected > sequence => {
-                    self.log_out_of_sequence(sequence, expected);
-                    return true;
-                }
-                // An earlier append is still in flight.
-                AppendOutcome::OutOfSequence { expected } if expected < sequence => {
-                    self.log_out_of_sequence(sequence, expected);
-                    sleep(Duration::from_millis(MIN_RETRY_DELAY_MS)).await;
-                }
-                AppendOutcome::Fenced | AppendOutcome::OutOfSequence { .. } => {
+            if let AppendOutcome::Stored { end, .. } = outcome {
+                self.stored_end.fetch_max(end, Ordering::Relaxed);
+            }
+            if let AppendOutcome::OutOfSequence { expected } = outcome {
+                self.log_out_of_sequence(sequence, expected);
+            }
+            match AppendVerdict::new(outcome, sequence) {
+                AppendVerdict::Stored => return true,
+                AppendVerdict::Waiting => sleep(Duration::from_millis(MIN_RETRY_DELAY_MS)).await,
+                AppendVerdict::Rejected => {
                     warn!(
                         event = "append_refused", epoch = self.epoch, outcome:? = outcome;
                         "append rejected, stopping the owner"
                     );
                     return false;
                 }
-                AppendOutcome::Moved { .. }
-                | AppendOutcome::NothingDone
-                | AppendOutcome::Unknown => {
+                AppendVerdict::Repeat => {
                     warn!(
                         event = "append_repeated", epoch = self.epoch, sequence = sequence,
                         outcome:? = outcome, pause_ms = pause_ms;
@@ -204,4 +267,12 @@
             }
         }
     }
+
+    fn log_out_of_sequence(&self, sequence: u64, expected: u64) {
+        info!(
+            event = "append_out_of_sequence", epoch = self.epoch, sequence = sequence,
+            expected = expected;
+            "store expects another append"
+        );
+    }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -53,7 +53,7 @@
     access::{Access, Credentials, Denial, authorize},
     assignments::EndpointAssignments,
     calls::{CallResult, CallSubject, EndpointCall},
-    commit::{Commit, STATE_TOPIC, Writer},
+    commit::{Append, AppendVerdict, Commit, STATE_TOPIC, Writer},
     delegate_messages::{
         CallNumber, DelegateReply, DelegateRequest, DelegateResults, DelegatedCall,
     },
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -73,10 +73,7 @@
 }
 
 /// Fences earlier owners and loads the stored records.
-async fn fence_and_load(
-    node: &Node,
-    mut writer: Writer,
-) -> Result<(Writer, Vec<KeyedRecord>), String> {
+async fn fence_and_load(node: &Node, writer: Writer) -> Result<(Writer, Vec<KeyedRecord>), String> {
     let mut retries = 0;
     loop {
         match writer.fence(&node.store).await {
--- a/crates/controller/tests/commits.rs
+++ b/crates/controller/tests/commits.rs
@@ -45,7 +45,7 @@
     runtime.block_on(async {
         let store = StoreStandIn::start().await.expect("a store");
         let client = StoreClient::new(store.address());
-        let mut writer = Writer::new(7, MAX_APPEND_BYTES);
+        let writer = Writer::new(7, MAX_APPEND_BYTES);
         assert_eq!(writer.fence(&client).await, Some(true));
         action(store, writer).await
     })
