--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -27,6 +27,9 @@
     /// Limits each node to so few endpoint calls that the owner depends on delegates.
     #[arg(long)]
     small_nodes: bool,
+    /// Makes the store execute many appends late.
+    #[arg(long)]
+    late_appends: bool,
     /// Duration of the traffic and the faults, in milliseconds.
     #[arg(long, default_value_t = 10_000)]
     length_ms: u64,
@@ -41,9 +44,14 @@
         jobs,
         nodes,
         small_nodes,
+        late_appends,
         length_ms,
     } = Arguments::parse();
-    let plan = |seed| SoakPlan::new(&program, seed, length_ms, nodes).with_small_nodes(small_nodes);
+    let plan = |seed| {
+        SoakPlan::new(&program, seed, length_ms, nodes)
+            .with_small_nodes(small_nodes)
+            .with_late_appends(late_appends)
+    };
     let run = |seed| {
         let plan = plan(seed);
         async move { run_soak(&plan).await }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -17,6 +17,12 @@
 /// which another node takes over.
 const DURATIONS_MS: std::ops::Range<u64> = 150..3_500;
 
+/// Delay of late appends, in milliseconds: from less than a takeover to longer than several.
+const LATE_APPEND_DELAYS_MS: std::ops::Range<u64> = 200..4_000;
+
+/// Random stream of late appends.
+const LATE_APPENDS_STREAM: u64 = 1;
+
 /// Identifies a link that a proxy can disturb.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkId {
@@ -92,6 +98,29 @@
     planned
 }
 
+/// Returns times at which the store executes appends late, in the order of their starts.
+///
+/// They have a random stream of their own, so that they leave the other faults of a seed as they
+/// are.
+#[must_use]
+pub fn plan_late_appends(seed: u64, traffic_ms: u64) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(LATE_APPENDS_STREAM);
+    let mut planned = Vec::new();
+    let mut start_ms = FIRST_FAULT_MS;
+    while start_ms < traffic_ms {
+        let duration_ms = random.random_range(DURATIONS_MS);
+        let delay_ms = random.random_range(LATE_APPEND_DELAYS_MS);
+        planned.push(PlannedFault {
+            start_ms,
+            duration_ms,
+            fault: Fault::Store(StoreFault::LateAppends(delay_ms)),
+        });
+        start_ms += duration_ms + random.random_range(PAUSES_MS);
+    }
+    planned
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, nodes: usize, endpoints: usize) -> Fault {
     let node = random.random_range(0..nodes);
     let endpoint = random.random_range(0..endpoints);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,7 @@
         callers::Callers,
         checker::{Checker, ExpectedJob},
         cluster::{Cluster, SHUTDOWN_MS},
-        faults::plan_faults,
+        faults::{plan_faults, plan_late_appends},
         harness::{Harness, STARTUP_MS},
     },
     lynxwheel_engine::JobId,
@@ -40,6 +40,8 @@
     pub nodes: usize,
     /// Whether each node can call so few endpoints that the owner depends on delegates.
     pub has_small_nodes: bool,
+    /// Whether the store executes many appends late.
+    pub has_late_appends: bool,
     /// Directory for settings and logs of the nodes, kept when an invariant is violated.
     pub directory: PathBuf,
 }
@@ -55,6 +57,7 @@
             traffic_ms,
             nodes,
             has_small_nodes: false,
+            has_late_appends: false,
             directory: std::env::temp_dir().join(name),
         }
     }
@@ -67,6 +70,15 @@
             ..self
         }
     }
+
+    /// Sets whether the store executes many appends late.
+    #[must_use]
+    pub fn with_late_appends(self, has_late_appends: bool) -> Self {
+        Self {
+            has_late_appends,
+            ..self
+        }
+    }
 }
 
 /// Result of a run.
@@ -96,12 +108,15 @@
         cluster,
         callers,
     } = harness;
-    let faults = plan_faults(
+    let mut faults = plan_faults(
         plan.seed,
         plan.traffic_ms,
         plan.nodes,
         cluster.endpoints.len(),
     );
+    if plan.has_late_appends {
+        faults.extend(plan_late_appends(plan.seed, plan.traffic_ms));
+    }
     let fault_count = faults.len();
     for planned in faults {
         let cluster = Arc::clone(&cluster);
