Refuse no job whose records are on their way to the store

What callers would see: a task that runs twice at once, or an accepted job that is answered as unknown.

Cause: while the store is unavailable, jobs of which nothing was sent to it are refused. 'Nothing was sent' was inferred from the flag that the description needs no writing, and a configuration that changes a job's queue clears that flag. A job in flight was then refused and forgotten although its batch, with a start, could still be stored. Submitted again, it was placed again as run 1, and as the release of a start compared only run numbers, both starts were sent.

Change: a job remembers that a record of it was sent; the release of a start also compares the endpoint.

job_in_flight_with_a_changed_queue_is_not_refused and job_resubmitted_while_in_flight_starts_once failed before:

left: None right: Some(Running) left: 2 right: 1

--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -65,6 +65,7 @@
                 continue;
             }
             job.is_dirty = false;
+            job.was_sent = true;
             if !job.is_spec_stored {
                 job.is_spec_stored = true;
                 batch.records.push(spec_record(job));
@@ -119,7 +120,7 @@
         let attempt = task
             .attempts
             .iter_mut()
-            .find(|attempt| attempt.run == order.run)?;
+            .find(|attempt| attempt.run == order.run && attempt.endpoint == order.endpoint)?;
         let endpoint = self.endpoints.get_mut(order.endpoint);
         if attempt.is_stopping || endpoint.has_ended {
             return None;
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -180,8 +180,10 @@
     pub next_occurrence: u32,
     /// Whether the job differs from its stored record.
     pub is_dirty: bool,
-    /// Whether the job description is stored.
+    /// Whether the current job description is stored or on its way to the store.
     pub is_spec_stored: bool,
+    /// Whether any record of the job was sent to the store.
+    pub was_sent: bool,
     /// Node that keeps the payload for a while, if known.
     pub origin: Option<SocketAddr>,
     /// Callers that wait for the job to be stored.
@@ -207,6 +209,7 @@
             next_occurrence: 0,
             is_dirty: true,
             is_spec_stored: false,
+            was_sent: false,
             origin: None,
             waiting_callers: Vec::new(),
             ended_ms: 0,
@@ -223,7 +226,7 @@
     /// Returns whether no record of the job was ever sent to the store.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
-        self.visible_state.is_none() && !self.is_spec_stored
+        !self.was_sent
     }
 
     /// Returns whether any occurrence has not started.
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -319,5 +319,6 @@
     // Writing an ended job again causes its description to be deleted.
     job.is_dirty = state.is_final();
     job.is_spec_stored = true;
+    job.was_sent = true;
     job
 }
--- a/crates/engine/tests/store_unavailable.rs
+++ b/crates/engine/tests/store_unavailable.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use {
-    common::Fleet,
-    lynxwheel_engine::{CallerResponse, JobState},
+    common::{Fleet, POOL, pool, queue},
+    lynxwheel_engine::{CallerResponse, Event, FleetConfig, JobState, Queue},
 };
 
 fn responses(fleet: &Fleet, token: u64) -> Vec<CallerResponse> {
@@ -84,3 +84,60 @@
         [CallerResponse::Accepted, CallerResponse::Accepted]
     );
 }
+
+/// Changes the queue of all jobs.
+fn change_queue(fleet: &mut Fleet) {
+    fleet.version += 1;
+    let queue = Queue {
+        target_latency_ms: 700,
+        ..queue()
+    };
+    let config = FleetConfig {
+        version: fleet.version,
+        queues: vec![queue],
+        pools: vec![pool(POOL, false), pool("spare", true)],
+        ..FleetConfig::default()
+    };
+    fleet.handle(Event::ConfigChanged(config.into()));
+}
+
+/// Guards against forgetting a job in flight to the store whose queue is changed meanwhile.
+#[test]
+fn job_in_flight_with_a_changed_queue_is_not_refused() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.advance(200);
+    fleet.submit(1, 1);
+    let batch = fleet.engine.take_batch(fleet.now);
+    change_queue(&mut fleet);
+    fleet.engine.set_store_unavailable(true);
+    fleet.put_in_flight(batch);
+    set_store_unavailable(&mut fleet, false);
+    assert_eq!(responses(&fleet, 1), [CallerResponse::Accepted]);
+    assert_eq!(fleet.job_state(1), Some(JobState::Running));
+}
+
+/// Guards against two runs of a task that is submitted again while its records are in flight.
+#[test]
+fn job_resubmitted_while_in_flight_starts_once() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 1_000);
+    fleet.list_endpoint("i-2", 1_000);
+    fleet.advance(200);
+    fleet.submit(1, 1);
+    let first = fleet.engine.take_batch(fleet.now);
+    change_queue(&mut fleet);
+    fleet.engine.set_store_unavailable(true);
+    fleet.engine.set_store_unavailable(false);
+    fleet.submit(1, 1);
+    let second = fleet.engine.take_batch(fleet.now);
+    for batch in [first, second] {
+        fleet.put_in_flight(batch);
+        fleet.settle();
+    }
+    let runs = fleet
+        .endpoints
+        .iter()
+        .flat_map(|endpoint| &endpoint.running);
+    assert_eq!(runs.count(), 1);
+}
