Call an idle endpoint again after a lost response

What callers would see: endpoints without work that no job starts on any more, until the owner changes; ends that are never acknowledged.

Cause: a call without a response bars an endpoint from starts until it has answered, but a renewal was due only for endpoints with runs, orphans or ends to acknowledge. The number of the last acknowledged end is raised when the renewal is sent, so when just that renewal is lost, nothing calls the endpoint again.

Change: a registered endpoint with a failed call is due for a renewal.

idle_endpoint_is_called_again_after_a_lost_response failed before (left: 0, right: 1); the engine's tests pass.

--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -226,7 +226,7 @@
         let is_needed = !self.placed_runs.is_empty()
             || !self.orphans.is_empty()
             || self.last_stored_end > self.last_acknowledged_end
-            || (!self.is_reconciled && self.is_registered);
+            || (self.is_registered && (!self.is_reconciled || self.failed_calls > 0));
         is_needed && !self.is_renewing && now.steady_ms >= self.renew_at_ms && self.is_reachable()
     }
 
--- a/crates/engine/tests/renewals.rs
+++ b/crates/engine/tests/renewals.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use {
-    common::{Fleet, step},
-    lynxwheel_engine::{Effect, JobSpec, StepSpec},
+    common::{Fleet, job_id, step},
+    lynxwheel_engine::{Effect, EndKind, JobSpec, StepSpec},
 };
 
 /// Returns the hold time of the latest renewal for an endpoint that runs one task of a step.
@@ -40,3 +40,22 @@
     long_running_task_has_a_long_hold_time:
         StepSpec { long_running: true, ..step(1) } => 1_000;
 }
+
+/// Guards against an idle endpoint that takes no starts any more after one renewal without a
+/// response, and whose last end is never acknowledged.
+#[test]
+fn idle_endpoint_is_called_again_after_a_lost_response() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.submit(1, 1);
+    fleet.settle();
+    fleet.end_all(EndKind::Done);
+    fleet.endpoints[0].is_unresponsive = true;
+    fleet.advance(300);
+    assert_eq!(fleet.engine.endpoints().get(0).failed_calls, 1);
+    fleet.endpoints[0].is_unresponsive = false;
+    fleet.advance(1_000);
+    fleet.submit(2, 1);
+    fleet.settle();
+    assert_eq!(fleet.starts(&format!("{}.0.0.0", job_id(2))), 1);
+}
