Give each epoch of the state log its own sequence numbers

Every epoch numbered its appends from 0.

Change: the numbers of an epoch begin at epoch x 2^32.

A test shows that an epoch with commits cannot be fenced by a second writer.

--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -21,8 +21,9 @@
 /// Producer name shared by all owners.
 const PRODUCER_NAME: &str = "owner";
 
-/// Sequence number of the append that fences lower epochs.
-const FENCE_SEQUENCE: u64 = 0;
+/// Sequence numbers of an epoch, so that no two epochs use the same ones. The store may answer an
+/// append with the response to an earlier epoch's append of the same number.
+const SEQUENCES_PER_EPOCH: u64 = 1 << 32;
 
 /// Key of the record that begins an epoch. The record has no value, so the store does not keep it.
 const EPOCH_KEY: &str = "epoch";
@@ -47,7 +48,7 @@
 /// What an append's outcome says about its records.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AppendVerdict {
-    /// The store accepts no appends of this writer any more.
+    /// A newer epoch is active, or the store does not know the writer's sequence.
     Rejected,
     /// They may not be stored; the append is to be repeated.
     Repeat,
@@ -119,7 +120,7 @@
     pub fn new(epoch: u64, max_request_bytes: usize) -> Self {
         Self {
             epoch,
-            next_sequence: FENCE_SEQUENCE + 1,
+            next_sequence: epoch * SEQUENCES_PER_EPOCH + 1,
             max_request_bytes,
             stored_end: Arc::default(),
         }
@@ -136,18 +137,18 @@
     /// It contains a record because the first append with records may have any sequence number:
     /// without one, the second commit of an epoch could be stored in place of the first.
     #[must_use]
-    pub fn fence_append() -> Append {
+    pub fn fence_append(&self) -> Append {
         Append {
-            sequence: FENCE_SEQUENCE,
+            sequence: self.epoch * SEQUENCES_PER_EPOCH,
             records: vec![encode_keyed_record(EPOCH_KEY, &[])],
         }
     }
 
-    /// Fences lower epochs. Must succeed before the first commit is stored.
+    /// Fences lower epochs. Must succeed before the first commit is sent.
     ///
     /// Returns whether the epoch is active; `None` if the outcome is unknown.
     pub async fn fence(&self, store: &StoreClient) -> Option<bool> {
-        let Append { sequence, records } = Self::fence_append();
+        let Append { sequence, records } = self.fence_append();
         let producer = Producer {
             name: PRODUCER_NAME,
             epoch: self.epoch,
@@ -221,10 +222,8 @@
     }
 
     async fn store_append(&self, store: &StoreClient, append: &Append) -> bool {
-        let &Append {
-            sequence,
-            ref records,
-        } = append;
+        let Append { sequence, records } = append;
+        let sequence = *sequence;
         let producer = Producer {
             name: PRODUCER_NAME,
             epoch: self.epoch,
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -78,7 +78,7 @@
     loop {
         match writer.fence(&node.store).await {
             Some(true) => break,
-            Some(false) => return Err("a newer epoch is active".into()),
+            Some(false) => return Err("the epoch is fenced or already in use".into()),
             None if retries < MAX_FENCE_RETRIES => {
                 retries += 1;
                 sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
--- a/crates/controller/tests/commits.rs
+++ b/crates/controller/tests/commits.rs
@@ -70,3 +70,16 @@
         assert_eq!(stored, [(true, true); 2]);
     });
 }
+
+/// Guards against a second writer of an epoch, whose commits would be taken for those of the first.
+#[test]
+fn epoch_with_commits_cannot_be_fenced_again() {
+    with_fenced_writer(async |store, mut writer| {
+        let client = StoreClient::new(store.address());
+        for _ in 0..6 {
+            assert!(writer.commit(&[record("any")]).store(&client).await);
+        }
+        let second = Writer::new(7, MAX_APPEND_BYTES);
+        assert_eq!(second.fence(&client).await, Some(false));
+    });
+}
