Say why a stored record is not used

What callers saw: accepted jobs were answered as unknown after a change of owners. The log had one line for a description that was gone, bytes that cannot be decoded and a key of no known kind, with the key alone, so the cause could not be read from it.

Change: restoring returns each unused record with its key, its index and a typed cause. The line record_unread has the epoch of the reader, the offset of the record and its cause, and lynxwheel_records_unread_total counts by cause. A damaged description is one line of its own, and the job's progress another one as without a description.

Tests: four cases in crates/engine/tests/restore.rs, which also check that two other jobs stay known. They did not compile before:

error[E0432]: unresolved imports `lynxwheel_engine::UnreadCause`, `lynxwheel_engine::UnreadRecord`

The line and the counter themselves have no test.

--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -15,7 +15,7 @@
     },
     kameo::{actor::Spawn, mailbox},
     log::{error, info, warn},
-    lynxwheel_engine::{Engine, Event, Record, RecordKind, record_kind},
+    lynxwheel_engine::{Engine, Event, Record, RecordKind, UnreadCause, UnreadRecord, record_kind},
     lynxwheel_platform::{AdviceClient, EndpointClient, KeyedRecord, VmClient},
     metrics::{counter, histogram},
     std::{
@@ -106,8 +106,14 @@
         .into_iter()
         .map(|KeyedRecord { key, value, .. }| Record { key, value })
         .collect();
-    for key in engine.restore(&records, now) {
-        error!(event = "record_unread", key = key; "stored record cannot be decoded");
+    for UnreadRecord { key, index, cause } in engine.restore(&records, now) {
+        let cause = cause_label(cause);
+        counter!("lynxwheel_records_unread_total", "cause" => cause).increment(1);
+        error!(
+            event = "record_unread", epoch = epoch, key = key, offset:? = offsets[index],
+            cause = cause;
+            "stored record is not used"
+        );
     }
     limit_vm_cooldowns(node, &mut engine, &records, &offsets);
     engine.handle(Event::ConfigChanged(node.config.load_full()), now);
@@ -171,6 +177,14 @@
     handle
 }
 
+fn cause_label(cause: UnreadCause) -> &'static str {
+    match cause {
+        UnreadCause::MissingSpec => "missing_description",
+        UnreadCause::Undecodable => "undecodable",
+        UnreadCause::UnknownKey => "unknown_key",
+    }
+}
+
 /// Tells the engine the latest time at which earlier owners' VM orders can have been stored.
 ///
 /// Orders of two owners for the same VM must not follow each other closely. Wall clock times cannot
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -82,6 +82,7 @@
     reports::{
         EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
     },
+    restore::{UnreadCause, UnreadRecord},
     state::{Attempt, Job, Occurrence, Phase, StepRun, Task},
     stored::{Record, RecordKind, StoredWave, record_kind},
 };
--- a/crates/engine/src/restore.rs
+++ b/crates/engine/src/restore.rs
@@ -1,77 +1,112 @@
 //! Recovery of the state from the records of previous owners.
 
-use crate::{
-    engine::{EndedJob, Engine},
-    event::Now,
-    job::JobId,
-    stored::{
-        Record, RecordKind, StoredProgress, StoredSpec, StoredVm, StoredWave, decode, record_kind,
-        restore_job, vm_name,
+use {
+    crate::{
+        engine::{EndedJob, Engine},
+        event::Now,
+        job::JobId,
+        stored::{
+            Record, RecordKind, StoredProgress, StoredSpec, StoredVm, StoredWave, decode,
+            record_kind, restore_job, vm_name,
+        },
     },
+    serde::Deserialize,
 };
 
+/// Why a stored record is not used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UnreadCause {
+    /// Progress of a job that has not ended, without a readable description.
+    MissingSpec,
+    /// The value cannot be decoded.
+    Undecodable,
+    /// The key is of no known kind.
+    UnknownKey,
+}
+
+/// A stored record that is not used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UnreadRecord<'a> {
+    /// Key.
+    pub key: &'a str,
+    /// Index among the records that were read.
+    pub index: usize,
+    /// Why it is not used.
+    pub cause: UnreadCause,
+}
+
 impl Engine {
     /// Restores the state from the latest record of each key.
     ///
-    /// Returns the keys of unreadable records, which are ignored.
-    pub fn restore<'a>(&mut self, records: &'a [Record], now: Now) -> Vec<&'a str> {
-        let mut unreadable = Vec::new();
-        let mut specs: Vec<(JobId, StoredSpec)> = Vec::new();
-        for record in records {
-            if let Some(RecordKind::Spec(id)) = record_kind(&record.key) {
-                match decode(&record.value) {
-                    Some(spec) => specs.push((id, spec)),
-                    None => unreadable.push(record.key.as_str()),
-                }
-            }
-        }
+    /// Returns the records that are not used, in the order in which they were read.
+    pub fn restore<'a>(&mut self, records: &'a [Record], now: Now) -> Vec<UnreadRecord<'a>> {
+        let mut specs: Vec<(JobId, Option<StoredSpec>)> = records
+            .iter()
+            .filter_map(|record| match record_kind(&record.key) {
+                Some(RecordKind::Spec(id)) => Some((id, decode(&record.value))),
+                _ => None,
+            })
+            .collect();
         specs.sort_unstable_by_key(|(id, _)| *id);
-        for record in records {
-            let is_readable = match record_kind(&record.key) {
-                Some(RecordKind::Progress(id)) => decode(&record.value)
-                    .is_some_and(|progress| self.restore_job_record(id, progress, &specs, now)),
-                Some(RecordKind::Wave(wave)) => decode::<StoredWave>(&record.value)
-                    .map(|stored| self.restore_wave(wave, stored))
-                    .is_some(),
-                Some(RecordKind::Vm) => decode::<StoredVm>(&record.value)
-                    .map(|stored| self.restore_vm(vm_name(&record.key), stored, now))
-                    .is_some(),
-                Some(RecordKind::Spec(_)) => true,
-                None => false,
-            };
-            if !is_readable {
-                unreadable.push(record.key.as_str());
+        let mut unread = Vec::new();
+        for (index, record) in records.iter().enumerate() {
+            if let Err(cause) = self.restore_record(record, &specs, now) {
+                let key = record.key.as_str();
+                unread.push(UnreadRecord { key, index, cause });
             }
         }
         self.ended_jobs.sort_unstable_by_key(|job| job.id);
         self.charge_inherited_runs(now);
         self.is_schedule_due = true;
-        unreadable
+        unread
+    }
+
+    fn restore_record(
+        &mut self,
+        record: &Record,
+        specs: &[(JobId, Option<StoredSpec>)],
+        now: Now,
+    ) -> Result<(), UnreadCause> {
+        let Record { key, value } = record;
+        match record_kind(key).ok_or(UnreadCause::UnknownKey)? {
+            RecordKind::Spec(id) => find_spec(specs, id)
+                .map(drop)
+                .ok_or(UnreadCause::Undecodable),
+            RecordKind::Progress(id) => {
+                let progress = decode_value(value)?;
+                self.restore_job_record(id, progress, find_spec(specs, id), now)
+            }
+            RecordKind::Wave(wave) => {
+                self.restore_wave(wave, decode_value::<StoredWave>(value)?);
+                Ok(())
+            }
+            RecordKind::Vm => {
+                self.restore_vm(vm_name(key), decode_value::<StoredVm>(value)?, now);
+                Ok(())
+            }
+        }
     }
 
     fn restore_job_record(
         &mut self,
         id: JobId,
         progress: StoredProgress,
-        specs: &[(JobId, StoredSpec)],
+        spec: Option<&StoredSpec>,
         now: Now,
-    ) -> bool {
-        let spec = match specs.binary_search_by_key(&id, |(known, _)| *known) {
-            Ok(index) => Some(specs[index].1.clone()),
-            Err(_) => None,
-        };
-        let Some(spec) = spec else {
+    ) -> Result<(), UnreadCause> {
+        let Some(spec) = spec.cloned() else {
             let state = progress.state();
             let account = progress.account().clone();
-            if state.is_final() {
-                self.ended_jobs.push(EndedJob {
-                    id,
-                    state,
-                    account,
-                    at_ms: now.steady_ms,
-                });
+            if !state.is_final() {
+                return Err(UnreadCause::MissingSpec);
             }
-            return state.is_final();
+            self.ended_jobs.push(EndedJob {
+                id,
+                state,
+                account,
+                at_ms: now.steady_ms,
+            });
+            return Ok(());
         };
         let endpoints = &mut self.endpoints;
         let mut job = restore_job(id, spec, progress, |name, address| {
@@ -83,6 +118,16 @@
         // The previous owner's clock is not comparable, so the retention time starts again.
         job.ended_ms = now.steady_ms;
         self.add_job(Box::new(job));
-        true
+        Ok(())
     }
 }
+
+/// Returns the description of a job, if it is stored and readable.
+fn find_spec(specs: &[(JobId, Option<StoredSpec>)], id: JobId) -> Option<&StoredSpec> {
+    let index = specs.binary_search_by_key(&id, |(known, _)| *known).ok()?;
+    specs[index].1.as_ref()
+}
+
+fn decode_value<'a, T: Deserialize<'a>>(value: &'a [u8]) -> Result<T, UnreadCause> {
+    decode(value).ok_or(UnreadCause::Undecodable)
+}
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -5,7 +5,7 @@
     Batch, CallOutcome, CallerResponse, ClientAccount, ClientAccounts, Effect, EndKind, EndedTask,
     EndpointEntry, EndpointReport, Engine, EngineSettings, Event, FleetConfig, JobId, JobSpec,
     JobState, KeyDigest, Now, Pool, Queue, Record, Resources, RunningTask, StartOrder, StepSpec,
-    TaskRef, VmEntry, VmState,
+    TaskRef, UnreadRecord, VmEntry, VmState,
 };
 
 /// Start of the clock in milliseconds, which is far from zero as on a real system.
@@ -470,7 +470,10 @@
         self.now.steady_ms += 10;
         self.now.wall_ms += 10;
         let mut engine = Engine::new(EngineSettings::default());
-        assert_eq!(engine.restore(&self.stored, self.now), Vec::<&str>::new());
+        assert_eq!(
+            engine.restore(&self.stored, self.now),
+            Vec::<UnreadRecord<'_>>::new()
+        );
         self.engine = engine;
         self.configure();
         for entry in self.entries.clone() {
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -9,7 +9,7 @@
         CallOutcome, CallerLimits, ClientAccount, ClientAccounts, Effect, EndKind, EndedTask,
         EndpointAddress, EndpointReport, Engine, EngineSettings, Event, FleetConfig, Job, JobSpec,
         JobState, KeyDigest, Now, Pool, Queue, Record, Refusal, Resources, RunningTask, StartOrder,
-        StepSpec, TaskRef, VmOutcome, WaveOrder,
+        StepSpec, TaskRef, UnreadRecord, VmOutcome, WaveOrder,
     },
     serde::{Serialize, de::DeserializeOwned},
     std::{fmt::Debug, net::SocketAddr},
@@ -346,7 +346,7 @@
 /// Returns an engine restored from records.
 fn restored(records: &[Record], now: Now) -> Engine {
     let mut engine = Engine::new(EngineSettings::default()).with_epoch(EPOCH);
-    assert_eq!(engine.restore(records, now), Vec::<&str>::new());
+    assert_eq!(engine.restore(records, now), Vec::<UnreadRecord<'_>>::new());
     engine
 }
 
--- a/crates/engine/tests/restore.rs
+++ b/crates/engine/tests/restore.rs
@@ -4,9 +4,82 @@
 
 use {
     common::{Fleet, job_id, listed, vms_with},
-    lynxwheel_engine::JobState,
+    lynxwheel_engine::{Engine, EngineSettings, JobState, Record, UnreadCause, UnreadRecord},
 };
 
+/// Names a test that changes the records of three jobs in progress and checks which records a new
+/// owner does not use, and that it still knows the other two jobs.
+macro_rules! unread_records {
+    ($(#[doc = $doc:literal] $name:ident: $change:expr => $expected:expr;)+) => {
+        $(
+            #[doc = $doc]
+            #[test]
+            fn $name() {
+                check_unread($change, &$expected);
+            }
+        )+
+    };
+}
+
+fn check_unread(change: fn(&mut Vec<Record>), expected: &[(String, UnreadCause)]) {
+    let mut fleet = fleet_with_three_jobs();
+    change(&mut fleet.stored);
+    let mut engine = Engine::new(EngineSettings::default());
+    let unread = engine.restore(&fleet.stored, fleet.now);
+    let found: Vec<(String, UnreadCause)> = unread
+        .iter()
+        .map(|&UnreadRecord { key, cause, .. }| (key.to_string(), cause))
+        .collect();
+    assert_eq!(found, expected);
+    let mut records = unread.iter().map(|one| (one, &fleet.stored[one.index]));
+    assert!(records.all(|(one, record)| record.key == one.key));
+    // A job becomes running without a record of it.
+    assert_eq!(engine.job_state(job_id(1)), Some(JobState::Queued));
+    assert_eq!(engine.job_state(job_id(3)), Some(JobState::Queued));
+}
+
+fn fleet_with_three_jobs() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    for number in 1..=3 {
+        fleet.submit(number, 1);
+    }
+    fleet.settle();
+    fleet
+}
+
+fn key_of(kind: char) -> String {
+    format!("{kind}/{}", job_id(2))
+}
+
+fn spoil(records: &mut [Record], key: &str) {
+    for record in records.iter_mut().filter(|record| record.key == key) {
+        record.value = vec![0xc1];
+    }
+}
+
+unread_records! {
+    /// Guards against taking a job whose description is gone for one with damaged bytes.
+    progress_without_a_description:
+        |records| records.retain(|record| record.key != key_of('j'))
+        => [(key_of('s'), UnreadCause::MissingSpec)];
+    /// Guards against damaged progress of one job costing another one.
+    undecodable_progress:
+        |records| spoil(records, &key_of('s'))
+        => [(key_of('s'), UnreadCause::Undecodable)];
+    /// Guards against taking a damaged description for a missing one.
+    undecodable_description:
+        |records| spoil(records, &key_of('j'))
+        => [
+            (key_of('j'), UnreadCause::Undecodable),
+            (key_of('s'), UnreadCause::MissingSpec),
+        ];
+    /// Guards against taking the record of a later release for damaged bytes.
+    key_of_no_known_kind:
+        |records| records.push(Record { key: key_of('x'), value: vec![1] })
+        => [(key_of('x'), UnreadCause::UnknownKey)];
+}
+
 /// Guards against forgetting a job that ended just before the owner was lost.
 #[test]
 fn job_that_ended_before_a_takeover_stays_known() {
