Read the stored records again if a description is missing

What callers saw: a job whose progress was read without its description was unknown to the owner from then on, and to those who asked for it.

Change: a takeover that finds progress of a job in progress without its description reads all records again, up to four times in all, 50 ms apart, and logs records_read_again. Whether to do so is a pure function of the unread records and the number of reads. Damaged values and unknown keys are no reason to read again. A description that stays away delays each takeover by 150 ms and three reads.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -72,4 +72,5 @@
     },
     pending::PendingCalls,
     speed::CpuSpeed,
+    takeover::{LoadedState, is_read_again_due},
 };
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -15,8 +15,12 @@
     },
     kameo::{actor::Spawn, mailbox},
     log::{error, info, warn},
-    lynxwheel_engine::{Engine, Event, Record, RecordKind, UnreadCause, UnreadRecord, record_kind},
-    lynxwheel_platform::{AdviceClient, EndpointClient, KeyedRecord, VmClient},
+    lynxwheel_engine::{
+        Engine, EngineSettings, Event, Record, RecordKind, UnreadCause, UnreadRecord, record_kind,
+    },
+    lynxwheel_platform::{
+        AdviceClient, EndpointClient, KeyedRecord, PlatformError, StoreClient, VmClient,
+    },
     metrics::{counter, histogram},
     std::{
         sync::{
@@ -43,6 +47,72 @@
 /// Delay before a fencing attempt is repeated, in milliseconds.
 const RETRY_DELAY_MS: u64 = 100;
 
+/// Maximum number of reads of the stored records in one takeover.
+const MAX_READS: u32 = 4;
+
+/// Delay before the stored records are read again, in milliseconds.
+const READ_AGAIN_DELAY_MS: u64 = 50;
+
+/// State restored from the stored records.
+#[derive(Debug)]
+pub struct LoadedState {
+    /// Engine with the restored state.
+    pub engine: Engine,
+    records: Vec<Record>,
+    /// Offsets of the records, as far as the store states them.
+    offsets: Vec<Option<u64>>,
+}
+
+impl LoadedState {
+    /// Reads the stored records, again if a job's description is missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store cannot be read.
+    pub async fn load(
+        store: &StoreClient,
+        settings: EngineSettings,
+        epoch: u64,
+    ) -> Result<Self, PlatformError> {
+        let mut reads = 0;
+        loop {
+            let (stored, _) = store.latest_records(STATE_TOPIC).await?;
+            reads += 1;
+            let offsets: Vec<Option<u64>> = stored.iter().map(|record| record.offset).collect();
+            let records: Vec<Record> = stored
+                .into_iter()
+                .map(|KeyedRecord { key, value, .. }| Record { key, value })
+                .collect();
+            let mut engine = Engine::new(settings).with_epoch(epoch);
+            let unread = engine.restore(&records, clock::now());
+            if is_read_again_due(&unread, reads) {
+                info!(
+                    event = "records_read_again", epoch = epoch, reads = reads;
+                    "descriptions of jobs are missing"
+                );
+                sleep(Duration::from_millis(READ_AGAIN_DELAY_MS)).await;
+                continue;
+            }
+            log_unread(epoch, &unread, &offsets);
+            return Ok(Self {
+                engine,
+                records,
+                offsets,
+            });
+        }
+    }
+}
+
+/// Returns whether the stored records are to be read again after a number of reads.
+///
+/// Pages of the records form no snapshot, so a record may be missing from one read only. Other
+/// unread records are the same in each read.
+#[must_use]
+pub fn is_read_again_due(unread: &[UnreadRecord<'_>], reads: u32) -> bool {
+    let mut causes = unread.iter().map(|record| record.cause);
+    reads < MAX_READS && causes.any(|cause| cause == UnreadCause::MissingSpec)
+}
+
 /// Fences earlier owners, loads the stored state, and starts the owner actor and its feeds.
 pub async fn take_over(node: &Arc<Node>, epoch: u64) {
     let started_ms = clock::steady_ms();
@@ -55,10 +125,10 @@
         writer.stored_end(),
     ));
     node.takeover_epoch.store(epoch, Ordering::Relaxed);
-    let prepared = fence_and_load(node, writer).await;
+    let prepared = fence_and_load(node, epoch, &writer).await;
     match prepared {
-        Ok((writer, records)) => {
-            let handle = start_owner(node, epoch, started_ms, writer, records, renewed_ms);
+        Ok(loaded) => {
+            let handle = start_owner(node, epoch, started_ms, writer, loaded, renewed_ms);
             handle.set_renewal_task(renewal_task);
         }
         Err(reason) => {
@@ -72,8 +142,8 @@
     node.takeover_epoch.store(0, Ordering::Relaxed);
 }
 
-/// Fences earlier owners and loads the stored records.
-async fn fence_and_load(node: &Node, writer: Writer) -> Result<(Writer, Vec<KeyedRecord>), String> {
+/// Fences earlier owners and loads the stored state.
+async fn fence_and_load(node: &Node, epoch: u64, writer: &Writer) -> Result<LoadedState, String> {
     let mut retries = 0;
     loop {
         match writer.fence(&node.store).await {
@@ -86,9 +156,8 @@
             None => return Err("store unreachable".into()),
         }
     }
-    let newest = node.store.latest_records(STATE_TOPIC).await;
-    let (records, _) = newest.map_err(|error| error.to_string())?;
-    Ok((writer, records))
+    let loaded = LoadedState::load(&node.store, node.engine_settings(), epoch).await;
+    loaded.map_err(|error| error.to_string())
 }
 
 fn start_owner(
@@ -96,25 +165,15 @@
     epoch: u64,
     started_ms: u64,
     writer: Writer,
-    stored: Vec<KeyedRecord>,
+    loaded: LoadedState,
     renewed_ms: Arc<AtomicU64>,
 ) -> Arc<OwnerHandle> {
     let now = clock::now();
-    let mut engine = Engine::new(node.engine_settings()).with_epoch(epoch);
-    let offsets: Vec<Option<u64>> = stored.iter().map(|record| record.offset).collect();
-    let records: Vec<Record> = stored
-        .into_iter()
-        .map(|KeyedRecord { key, value, .. }| Record { key, value })
-        .collect();
-    for UnreadRecord { key, index, cause } in engine.restore(&records, now) {
-        let cause = cause_label(cause);
-        counter!("lynxwheel_records_unread_total", "cause" => cause).increment(1);
-        error!(
-            event = "record_unread", epoch = epoch, key = key, offset:? = offsets[index],
-            cause = cause;
-            "stored record is not used"
-        );
-    }
+    let LoadedState {
+        mut engine,
+        records,
+        offsets,
+    } = loaded;
     limit_vm_cooldowns(node, &mut engine, &records, &offsets);
     engine.handle(Event::ConfigChanged(node.config.load_full()), now);
     let waves = node
@@ -177,6 +236,19 @@
     handle
 }
 
+/// Logs and counts the stored records that are not used.
+fn log_unread(epoch: u64, unread: &[UnreadRecord<'_>], offsets: &[Option<u64>]) {
+    for &UnreadRecord { key, index, cause } in unread {
+        let cause = cause_label(cause);
+        counter!("lynxwheel_records_unread_total", "cause" => cause).increment(1);
+        error!(
+            event = "record_unread", epoch = epoch, key = key, offset:? = offsets[index],
+            cause = cause;
+            "stored record is not used"
+        );
+    }
+}
+
 fn cause_label(cause: UnreadCause) -> &'static str {
     match cause {
         UnreadCause::MissingSpec => "missing_description",
