Keep the runs and the state of a job without a description

What callers saw: after a change of owners a job whose description was missing was answered as unknown. Its runs were stopped as ones that nobody had ordered, the room that they took was given to other tasks, and a second submission started the job again.

Cause: a takeover dropped the progress of such a job and went on as if the job had never existed.

Change: the job is restored from its progress, without steps. Its state is answered from the record, none of its tasks start, and its runs are reservations of unknown size: their endpoints take no starts until the runs are over by the endpoint's reports, its end or its leases. Ends are stored in the progress, so that a task that was done stays done should the description be found later. Failed runs end nothing, as the number of attempts is unknown. A second submission is answered as accepted, which is true of the first one: progress is stored only behind its description. The job can be cancelled. It is not completed, since further occurrences may be due, and no empty description is stored for it.

Limits: the job's tasks that wait do not run until a takeover finds the description; its runs do not count against the quota of its account; a job whose progress cannot be decoded is still forgotten, with its runs.

Tests: seven in crates/engine/tests/restore.rs. Five failed before:

runs_without_a_description_keep_their_room left: 0 (cores of the job still in use), right: 2 job_without_a_description_stays_accepted left: None, right: Some(Queued) ends_without_a_description_are_stored left: 4 (starts of two tasks), right: 2 job_without_a_description_can_be_cancelled left: Some((9, Unknown)), right: Some((9, Cancelled)) failed_run_without_a_description_ends_nothing_else index out of bounds (no run left)

no_description_is_stored_in_place_of_a_missing_one fails without the check in set_config. room_of_runs_without_a_description_is_free_after_their_leases passed before and guards the release.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -288,10 +288,10 @@
     fn run_done(&mut self, index: usize, task_ref: &TaskRef, run: u32, now: Now) {
         let job = &mut self.jobs[index];
         job.is_dirty = true;
-        let Some(spec) = job.step_spec(task_ref) else {
-            return;
-        };
-        let (is_long_running, is_gang) = (spec.long_running, spec.gang);
+        // Without a description a task counts as one that ends once.
+        let spec = job.step_spec(task_ref);
+        let is_long_running = spec.is_some_and(|spec| spec.long_running);
+        let is_gang = spec.is_some_and(|spec| spec.gang);
         if is_long_running {
             self.remove_attempt(task_ref, run, RunEnd::Reported(EndKind::Done), now);
             return;
@@ -328,7 +328,8 @@
     /// Completes a job when every task is done.
     fn complete_job_if_done(&mut self, index: usize, now: Now) {
         let job = &mut self.jobs[index];
-        if job.drop_done_occurrences() && !job.state.is_final() {
+        // Without a description it is unknown whether further occurrences follow.
+        if job.has_spec() && job.drop_done_occurrences() && !job.state.is_final() {
             job.state = JobState::Completed;
             job.is_dirty = true;
             job.ended_ms = now.steady_ms;
@@ -351,6 +352,7 @@
         endpoint.cooldown_until_ms = endpoint.cooldown_until_ms.max(now.steady_ms + cooldown_ms);
         let max_attempts = self.jobs[index].queue.max_attempts;
         let job = &mut self.jobs[index];
+        let has_spec = job.has_spec();
         let is_long_running = job
             .step_spec(&ended.task)
             .is_some_and(|spec| spec.long_running);
@@ -358,7 +360,8 @@
         if let Some(task) = job.task_mut(&ended.task) {
             task.failed_runs += 1;
             task.avoided_endpoint = Some(key);
-            has_exhausted_attempts = !is_long_running && task.failed_runs >= max_attempts;
+            has_exhausted_attempts =
+                has_spec && !is_long_running && task.failed_runs >= max_attempts;
         }
         self.remove_attempt(
             &ended.task,
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -35,8 +35,8 @@
     pub task: TaskRef,
     /// Run number.
     pub run: u32,
-    /// Reserved resources.
-    pub resources: Resources,
+    /// Reserved resources; `None` if unknown.
+    pub resources: Option<Resources>,
     /// Whether the task serves requests under a latency target.
     pub is_serving: bool,
     /// Whether the task uses only idle processor time.
@@ -56,7 +56,7 @@
         Self {
             task,
             run,
-            resources: spec.reserved_resources(),
+            resources: Some(spec.reserved_resources()),
             is_serving: spec.is_serving(),
             is_filler: spec.filler,
             is_long_running: spec.long_running,
@@ -64,6 +64,15 @@
             tail_latency_ms: 0,
         }
     }
+
+    /// Creates the reservation of a run whose job has no known description.
+    #[must_use]
+    pub fn new_unsized(task: TaskRef, run: u32) -> Self {
+        Self {
+            resources: None,
+            ..Self::new(task, run, &StepSpec::default())
+        }
+    }
 }
 
 /// One incarnation of an endpoint.
@@ -117,6 +126,8 @@
     pub used_long_running: Resources,
     /// Number of long-running tasks that may be active.
     pub long_running_runs: usize,
+    /// Number of runs of unknown size that may be active; nothing starts beside them.
+    pub unsized_runs: usize,
     /// Runs that may be active.
     pub placed_runs: Vec<PlacedRun>,
     /// Number of renewals sent.
@@ -167,6 +178,7 @@
             used: Resources::default(),
             used_long_running: Resources::default(),
             long_running_runs: 0,
+            unsized_runs: 0,
             placed_runs: Vec::new(),
             renewals: 0,
             is_renewing: false,
@@ -239,6 +251,7 @@
             && !self.is_cordoned
             && self.is_reconciled
             && self.failed_calls == 0
+            && self.unsized_runs == 0
             && now_ms >= self.cooldown_until_ms
     }
 
@@ -308,11 +321,13 @@
 
     /// Reserves the resources of a run.
     pub fn add_run(&mut self, placed: PlacedRun) {
-        self.used.add(&placed.resources);
+        let resources = placed.resources.unwrap_or_default();
+        self.used.add(&resources);
         if placed.is_long_running {
-            self.used_long_running.add(&placed.resources);
+            self.used_long_running.add(&resources);
             self.long_running_runs += 1;
         }
+        self.unsized_runs += usize::from(placed.resources.is_none());
         self.placed_runs.push(placed);
     }
 
@@ -324,11 +339,13 @@
             .position(|placed| placed.task == *task && placed.run == run);
         if let Some(index) = index {
             let placed = self.placed_runs.swap_remove(index);
-            self.used = self.used.saturating_sub(&placed.resources);
+            let resources = placed.resources.unwrap_or_default();
+            self.used = self.used.saturating_sub(&resources);
             if placed.is_long_running {
-                self.used_long_running = self.used_long_running.saturating_sub(&placed.resources);
+                self.used_long_running = self.used_long_running.saturating_sub(&resources);
                 self.long_running_runs -= 1;
             }
+            self.unsized_runs -= usize::from(placed.resources.is_none());
             if self.placed_runs.is_empty() {
                 self.empty_since_ms = now_ms;
             }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -394,6 +394,7 @@
                 .find(|queue| queue.has_same_route(known));
             if let Some(queue) = queue
                 && *queue != *known
+                && self.jobs[index].has_spec()
             {
                 let job = &mut self.jobs[index];
                 job.queue = queue.clone();
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -395,13 +395,15 @@
         let mut unanswered = Vec::new();
         for job in self.jobs.iter() {
             for (task_ref, task) in job.tasks() {
-                let Some(spec) = job.step_spec(&task_ref) else {
-                    continue;
-                };
                 for attempt in &task.attempts {
-                    let placed = PlacedRun::new(task_ref, attempt.run, spec);
+                    let placed = match job.step_spec(&task_ref) {
+                        Some(spec) => {
+                            self.quotas.charge(job.account_number, &spec.resources);
+                            PlacedRun::new(task_ref, attempt.run, spec)
+                        }
+                        None => PlacedRun::new_unsized(task_ref, attempt.run),
+                    };
                     self.endpoints.get_mut(attempt.endpoint).add_run(placed);
-                    self.quotas.charge(job.account_number, &spec.resources);
                     if attempt.is_stop_stored {
                         unanswered.push((task_ref, attempt.run));
                     }
--- a/crates/engine/src/restore.rs
+++ b/crates/engine/src/restore.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
+        config::Queue,
         engine::{EndedJob, Engine},
         event::Now,
-        job::JobId,
+        job::{JobId, JobSpec},
         stored::{
             Record, RecordKind, StoredProgress, StoredSpec, StoredVm, StoredWave, decode,
             record_kind, restore_job, vm_name,
@@ -16,7 +17,8 @@
 /// Why a stored record is not used.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UnreadCause {
-    /// Progress of a job that has not ended, without a readable description.
+    /// Progress of a job that has not ended, without a readable description. Its tasks do not start
+    /// but its runs keep their room.
     MissingSpec,
     /// The value cannot be decoded.
     Undecodable,
@@ -24,7 +26,7 @@
     UnknownKey,
 }
 
-/// A stored record that is not used.
+/// A stored record that is not used, except for the runs of a job without a description.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct UnreadRecord<'a> {
     /// Key.
@@ -94,22 +96,24 @@
         spec: Option<&StoredSpec>,
         now: Now,
     ) -> Result<(), UnreadCause> {
-        let Some(spec) = spec.cloned() else {
-            let state = progress.state();
-            let account = progress.account().clone();
-            if !state.is_final() {
-                return Err(UnreadCause::MissingSpec);
-            }
+        let state = progress.state();
+        if spec.is_none() && state.is_final() {
             self.ended_jobs.push(EndedJob {
                 id,
                 state,
-                account,
+                account: progress.account().clone(),
                 at_ms: now.steady_ms,
             });
             return Ok(());
-        };
+        }
+        // The job is kept without steps, so that it stays known and its runs keep their room.
+        let known_spec = spec.cloned().unwrap_or_else(|| StoredSpec {
+            queue: Queue::default(),
+            spec: JobSpec::default(),
+            accepted_ms: now.wall_ms,
+        });
         let endpoints = &mut self.endpoints;
-        let mut job = restore_job(id, spec, progress, |name, address| {
+        let mut job = restore_job(id, known_spec, progress, |name, address| {
             let key = endpoints.find_or_insert(name, now.steady_ms);
             // The endpoint is called at this address even if its registry entry has expired.
             endpoints.set_address(key, address);
@@ -118,7 +122,7 @@
         // The previous owner's clock is not comparable, so the retention time starts again.
         job.ended_ms = now.steady_ms;
         self.add_job(Box::new(job));
-        Ok(())
+        spec.map(drop).ok_or(UnreadCause::MissingSpec)
     }
 }
 
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -226,10 +226,16 @@
         self.visible_state.is_none() && !self.is_spec_stored
     }
 
+    /// Returns whether the description is known; an owner may have found only the progress.
+    #[must_use]
+    pub fn has_spec(&self) -> bool {
+        !self.spec.steps.is_empty()
+    }
+
     /// Returns whether any occurrence has not started.
     #[must_use]
     pub fn has_future_occurrences(&self) -> bool {
-        self.next_occurrence < self.spec.occurrences()
+        self.has_spec() && self.next_occurrence < self.spec.occurrences()
     }
 
     /// Returns whether the next occurrence is due.
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -5,7 +5,7 @@
     Batch, CallOutcome, CallerResponse, ClientAccount, ClientAccounts, Effect, EndKind, EndedTask,
     EndpointEntry, EndpointReport, Engine, EngineSettings, Event, FleetConfig, JobId, JobSpec,
     JobState, KeyDigest, Now, Pool, Queue, Record, Resources, RunningTask, StartOrder, StepSpec,
-    TaskRef, UnreadRecord, VmEntry, VmState,
+    TaskRef, UnreadCause, VmEntry, VmState,
 };
 
 /// Start of the clock in milliseconds, which is far from zero as on a real system.
@@ -465,20 +465,24 @@
 
     /// Replaces the owner by one that restores its state from the stored records.
     pub fn take_over(&mut self) {
+        assert_eq!(self.take_over_incomplete(), []);
+    }
+
+    /// Replaces the owner like [`Self::take_over`], and returns why records were not used.
+    pub fn take_over_incomplete(&mut self) -> Vec<UnreadCause> {
         self.in_flight = None;
         self.waiting.clear();
         self.now.steady_ms += 10;
         self.now.wall_ms += 10;
         let mut engine = Engine::new(EngineSettings::default());
-        assert_eq!(
-            engine.restore(&self.stored, self.now),
-            Vec::<UnreadRecord<'_>>::new()
-        );
+        let unread = engine.restore(&self.stored, self.now);
+        let causes = unread.iter().map(|record| record.cause).collect();
         self.engine = engine;
         self.configure();
         for entry in self.entries.clone() {
             self.handle(listed(entry, false));
         }
+        causes
     }
 
     /// Returns the ordered VM moves as pairs of VM and pool, in order.
--- a/crates/engine/tests/restore.rs
+++ b/crates/engine/tests/restore.rs
@@ -4,7 +4,10 @@
 
 use {
     common::{Fleet, job_id, listed, vms_with},
-    lynxwheel_engine::{Engine, EngineSettings, JobState, Record, UnreadCause, UnreadRecord},
+    lynxwheel_engine::{
+        CallerResponse, EndKind, Engine, EngineSettings, Event, FleetConfig, JobState, Queue,
+        Record, UnreadCause, UnreadRecord,
+    },
 };
 
 /// Names a test that changes the records of three jobs in progress and checks which records a new
@@ -80,6 +83,149 @@
         => [(key_of('x'), UnreadCause::UnknownKey)];
 }
 
+/// Number of tasks of the job without a description.
+const TASKS: u16 = 2;
+
+/// Returns a fleet with one endpoint and a job in progress, whose description is gone at a takeover,
+/// and that description.
+fn fleet_without_description() -> (Fleet, Record) {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.submit(1, TASKS);
+    fleet.settle();
+    assert_eq!(job_starts(&fleet, 1, TASKS), usize::from(TASKS));
+    let spec_key = format!("j/{}", job_id(1));
+    let index = fleet.stored.iter().position(|one| one.key == spec_key);
+    let spec = fleet.stored.remove(index.expect("a description"));
+    assert_eq!(fleet.take_over_incomplete(), [UnreadCause::MissingSpec]);
+    fleet.settle();
+    fleet.advance(1_000);
+    (fleet, spec)
+}
+
+/// Returns the number of starts of all tasks of a job with one step.
+fn job_starts(fleet: &Fleet, number: u64, tasks: u16) -> usize {
+    let starts = (0..tasks).map(|index| fleet.starts(&format!("{}.0.0.{index}", job_id(number))));
+    starts.sum()
+}
+
+/// Guards against stopping the runs of a job without a description as unknown ones, and against
+/// giving away the room that they take.
+#[test]
+fn runs_without_a_description_keep_their_room() {
+    let (mut fleet, _) = fleet_without_description();
+    assert_eq!(
+        fleet.running_cores(|job| job == job_id(1)),
+        usize::from(TASKS)
+    );
+    fleet.submit(2, 1);
+    fleet.advance(1_000);
+    assert_eq!(job_starts(&fleet, 2, 1), 0);
+    fleet.end_all_done();
+    fleet.advance(1_000);
+    assert_eq!(job_starts(&fleet, 2, 1), 1);
+}
+
+/// Guards against an endpoint that never takes starts again although the runs without a
+/// description on it are over.
+#[test]
+fn room_of_runs_without_a_description_is_free_after_their_leases() {
+    let (mut fleet, _) = fleet_without_description();
+    fleet.endpoints[0].is_unresponsive = true;
+    fleet.submit(2, 1);
+    fleet.advance(12_000);
+    assert_eq!(job_starts(&fleet, 2, 1), 0);
+    assert!(
+        fleet
+            .engine
+            .endpoints()
+            .iter()
+            .all(|(_, one)| one.unsized_runs == 0)
+    );
+    fleet.endpoints[0].is_unresponsive = false;
+    fleet.advance(2_000);
+    assert_eq!(job_starts(&fleet, 2, 1), 1);
+    assert_eq!(job_starts(&fleet, 1, TASKS), usize::from(TASKS));
+}
+
+/// Guards against answering an accepted job as unknown, and against running it a second time when
+/// it is submitted again.
+#[test]
+fn job_without_a_description_stays_accepted() {
+    let (mut fleet, _) = fleet_without_description();
+    assert_eq!(fleet.job_state(1), Some(JobState::Running));
+    fleet.replies.clear();
+    fleet.submit(1, TASKS);
+    fleet.end_all_done();
+    fleet.advance(1_000);
+    assert_eq!(fleet.replies, [(1, CallerResponse::Accepted)]);
+    assert_eq!(job_starts(&fleet, 1, TASKS), usize::from(TASKS));
+    assert!(fleet.job_state(1).is_some_and(|state| !state.is_final()));
+}
+
+/// Guards against running tasks again that ended as done while the description was missing.
+#[test]
+fn ends_without_a_description_are_stored() {
+    let (mut fleet, spec) = fleet_without_description();
+    fleet.end_all_done();
+    fleet.advance(1_000);
+    assert!(fleet.stored.iter().all(|record| record.key != spec.key));
+    fleet.stored.push(spec);
+    fleet.take_over();
+    fleet.settle();
+    fleet.advance(1_000);
+    assert_eq!(job_starts(&fleet, 1, TASKS), usize::from(TASKS));
+}
+
+/// Guards against a job without a description failing, and its other runs being stopped, because
+/// the number of its attempts is unknown.
+#[test]
+fn failed_run_without_a_description_ends_nothing_else() {
+    let (mut fleet, _) = fleet_without_description();
+    let (task, run) = fleet.endpoints[0].running[0];
+    fleet.endpoints[0].end(&task, run, EndKind::Failed);
+    fleet.advance(1_000);
+    assert_eq!(fleet.job_state(1), Some(JobState::Running));
+    assert_eq!(
+        fleet.running_cores(|job| job == job_id(1)),
+        usize::from(TASKS) - 1
+    );
+}
+
+/// Guards against a job without a description that cannot be cancelled.
+#[test]
+fn job_without_a_description_can_be_cancelled() {
+    let (mut fleet, _) = fleet_without_description();
+    fleet.handle(Event::Cancel {
+        job: job_id(1),
+        account: "".into(),
+        token: 9,
+    });
+    fleet.advance(1_000);
+    assert_eq!(fleet.replies.last(), Some(&(9, CallerResponse::Cancelled)));
+    assert_eq!(fleet.running_cores(|job| job == job_id(1)), 0);
+    assert_eq!(fleet.job_state(1), Some(JobState::Cancelled));
+}
+
+/// Guards against storing an empty description for a job whose own is missing.
+#[test]
+fn no_description_is_stored_in_place_of_a_missing_one() {
+    let (mut fleet, spec) = fleet_without_description();
+    let queue = Queue {
+        priority: 1,
+        ..Queue::default()
+    };
+    let config = FleetConfig {
+        version: 9,
+        queues: vec![queue],
+        ..FleetConfig::default()
+    };
+    fleet.handle(Event::ConfigChanged(config.into()));
+    fleet.end_all_done();
+    fleet.advance(1_000);
+    assert!(fleet.stored.iter().all(|record| record.key != spec.key));
+}
+
 /// Guards against forgetting a job that ended just before the owner was lost.
 #[test]
 fn job_that_ended_before_a_takeover_stays_known() {
