Publish the status of waves in order, under the owner's epoch

What callers saw, or would see: a wave that was completed could be reported to operators as running again, for good.

Cause: each status was appended without a producer and by a task of its own. A 'running' whose call was carried out late, or repeated after its answer was lost, could be stored behind the 'completed' of the same owner or of its successor.

Change: one task per owner publishes the statuses one after the other, with the writer that numbers the records of the state, now for any topic. Each status is known to be stored before the next is sent, so no other append can take the place of the epoch's first.

--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -1,4 +1,4 @@
-//! Ordered and fenced appends of the engine's records.
+//! Ordered and fenced appends of an owner's records.
 
 use {
     log::{info, warn},
@@ -94,9 +94,10 @@
     }
 }
 
-/// Assigns sequence numbers to the appends of one epoch.
+/// Assigns sequence numbers to the appends of one epoch to one topic.
 #[derive(Clone, Debug)]
 pub struct Writer {
+    topic: &'static str,
     epoch: u64,
     next_sequence: u64,
     max_request_bytes: usize,
@@ -107,17 +108,19 @@
 /// Appends that store one batch, in order.
 #[derive(Debug)]
 pub struct Commit {
+    topic: &'static str,
     epoch: u64,
     stored_end: Arc<AtomicU64>,
     appends: Vec<Append>,
 }
 
 impl Writer {
-    /// Creates the writer of an epoch. Only a record that alone is larger makes an append larger
+    /// Creates the writer of an epoch to the topic of the engine's records. Only a record that alone is larger makes an append larger
     /// than `max_request_bytes`.
     #[must_use]
     pub fn new(epoch: u64, max_request_bytes: usize) -> Self {
         Self {
+            topic: STATE_TOPIC,
             epoch,
             next_sequence: FENCE_SEQUENCE + 1,
             max_request_bytes,
@@ -125,6 +128,12 @@
         }
     }
 
+    /// Sets the topic. The store numbers the appends of a producer separately in each topic.
+    #[must_use]
+    pub fn with_topic(self, topic: &'static str) -> Self {
+        Self { topic, ..self }
+    }
+
     /// Returns the shared offset below which records are known to be stored.
     #[must_use]
     pub fn stored_end(&self) -> Arc<AtomicU64> {
@@ -154,7 +163,7 @@
             sequence,
         };
         let outcome = store
-            .append(STATE_TOPIC, &records, None, Some(producer))
+            .append(self.topic, &records, None, Some(producer))
             .await;
         info!(
             event = "fence_sent", epoch = self.epoch, sequence = sequence, outcome:? = outcome;
@@ -189,6 +198,7 @@
             }
         }
         Commit {
+            topic: self.topic,
             epoch: self.epoch,
             stored_end: Arc::clone(&self.stored_end),
             appends,
@@ -233,7 +243,7 @@
         let mut pause_ms = MIN_RETRY_DELAY_MS;
         loop {
             let outcome = store
-                .append_in_sequence(STATE_TOPIC, records, producer)
+                .append_in_sequence(self.topic, records, producer)
                 .await;
             counter!("lynxwheel_appends_total", "outcome" => outcome_label(outcome)).increment(1);
             if let AppendOutcome::Stored { end, .. } = outcome {
@@ -247,14 +257,15 @@
                 AppendVerdict::Waiting => sleep(Duration::from_millis(MIN_RETRY_DELAY_MS)).await,
                 AppendVerdict::Rejected => {
                     warn!(
-                        event = "append_refused", epoch = self.epoch, outcome:? = outcome;
-                        "append rejected, stopping the owner"
+                        event = "append_refused", topic = self.topic, epoch = self.epoch,
+                        outcome:? = outcome;
+                        "append rejected"
                     );
                     return false;
                 }
                 AppendVerdict::Repeat => {
                     warn!(
-                        event = "append_repeated", epoch = self.epoch, sequence = sequence,
+                        event = "append_repeated", topic = self.topic, epoch = self.epoch, sequence = sequence,
                         outcome:? = outcome, pause_ms = pause_ms;
                         "append failed, retrying"
                     );
@@ -270,7 +281,7 @@
 
     fn log_out_of_sequence(&self, sequence: u64, expected: u64) {
         info!(
-            event = "append_out_of_sequence", epoch = self.epoch, sequence = sequence,
+            event = "append_out_of_sequence", topic = self.topic, epoch = self.epoch, sequence = sequence,
             expected = expected;
             "store expects another append"
         );
--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -6,28 +6,22 @@
         calls::EndpointCall,
         delegate_pool::DelegatePool,
         owner::{OwnerActor, OwnerMessage},
+        publisher::StatusPublisher,
     },
     compact_str::CompactString,
     kameo::actor::ActorRef,
     log::info,
     lynxwheel_engine::{Effect, EndpointAddress, EndpointKey, EndpointTable, Event, Now, TaskRef},
-    lynxwheel_platform::{
-        AdviceClient, AppendOutcome, EndpointClient, STATUS_TOPIC, StoreClient, VmClient,
-        encode_keyed_record, encode_wave_status,
-    },
-    std::time::Duration,
-    tokio::time::sleep,
+    lynxwheel_platform::{AdviceClient, EndpointClient, VmClient},
 };
 
-/// Delay before publishing a wave's status is retried, in milliseconds.
-const PUBLISH_RETRY_DELAY_MS: u64 = 250;
-
 /// Executes the effects of one owner.
 #[derive(Debug)]
 pub struct Dispatcher {
     /// Nodes that call endpoints for this owner.
     pub(crate) delegates: DelegatePool,
     calls: LocalCalls,
+    publisher: StatusPublisher,
 }
 
 /// Calls executed by the owner's own node.
@@ -37,14 +31,17 @@
     endpoints: EndpointClient,
     vms: Option<VmClient>,
     advice: Option<AdviceClient>,
-    store: StoreClient,
 }
 
 impl Dispatcher {
     /// Creates the dispatcher of an owner.
     #[must_use]
-    pub fn new(delegates: DelegatePool, calls: LocalCalls) -> Self {
-        Self { delegates, calls }
+    pub fn new(delegates: DelegatePool, calls: LocalCalls, publisher: StatusPublisher) -> Self {
+        Self {
+            delegates,
+            calls,
+            publisher,
+        }
     }
 
     /// Starts executing an effect without waiting for its outcome.
@@ -75,6 +72,9 @@
                 run,
                 percent,
             } => (endpoint, EndpointCall::Pace(task, run, percent)),
+            Effect::PublishWave { wave, is_completed } => {
+                return self.publisher.publish(wave, is_completed);
+            }
             other => {
                 let calls = self.calls.clone();
                 tokio::spawn(async move { calls.execute_platform_effect(other).await });
@@ -117,14 +117,12 @@
         endpoints: EndpointClient,
         vms: Option<VmClient>,
         advice: Option<AdviceClient>,
-        store: StoreClient,
     ) -> Self {
         Self {
             actor,
             endpoints,
             vms,
             advice,
-            store,
         }
     }
 
@@ -155,7 +153,6 @@
                 self.send_event(Event::VmOrderAnswered { vm, outcome })
                     .await;
             }
-            Effect::PublishWave { wave, is_completed } => self.publish(wave, is_completed).await,
             // Replies and resignation are handled by the actor.
             _ => {}
         }
@@ -180,22 +177,4 @@
         // Fails only after the actor has stopped; the successor queries the endpoints itself.
         drop(self.actor.tell(OwnerMessage::event(event)).send().await);
     }
-
-    async fn publish(&self, wave: u64, is_completed: bool) {
-        let (key, value) = encode_wave_status(wave, is_completed);
-        let record = encode_keyed_record(&key, &value);
-        loop {
-            let records = std::slice::from_ref(&record);
-            let outcome = self.store.append(STATUS_TOPIC, records, None, None).await;
-            info!(
-                event = "wave_status", wave = wave, is_completed = is_completed,
-                outcome:? = outcome;
-                "wave status sent"
-            );
-            if matches!(outcome, AppendOutcome::Stored { .. }) {
-                return;
-            }
-            sleep(Duration::from_millis(PUBLISH_RETRY_DELAY_MS)).await;
-        }
-    }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -44,6 +44,7 @@
 mod peer;
 mod peer_server;
 mod pending;
+mod publisher;
 mod ready;
 mod speed;
 mod takeover;
@@ -71,6 +72,7 @@
         OwnershipRequest, OwnershipResponse,
     },
     pending::PendingCalls,
+    publisher::StatusPublisher,
     speed::CpuSpeed,
     takeover::{LoadedState, is_read_again_due},
 };
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -11,6 +11,7 @@
         feeds,
         node::Node,
         owner::{OwnerActor, OwnerHandle, OwnerMessage},
+        publisher::StatusPublisher,
         watcher,
     },
     kameo::{actor::Spawn, mailbox},
@@ -206,9 +207,9 @@
         endpoint_client,
         vm_client.clone(),
         node.settings.advice_service_address.map(AdviceClient::new),
-        node.store.clone(),
     );
-    let dispatcher = Dispatcher::new(delegates, calls);
+    let publisher = StatusPublisher::start(node.store.clone(), epoch);
+    let dispatcher = Dispatcher::new(delegates, calls, publisher);
     let owner = OwnerActor::new(Arc::clone(node), epoch, engine, writer, dispatcher);
     let handle = Arc::new(OwnerHandle::new(epoch, actor, renewed_ms));
     node.last_owned_epoch.store(epoch, Ordering::Relaxed);
