--- a/crates/controller/tests/takeover.rs
+++ b/crates/controller/tests/takeover.rs
@@ -97,3 +97,19 @@
     let steps: Vec<usize> = engine.jobs().map(|job| job.spec.steps.len()).collect();
     assert_eq!(steps, [1]);
 }
+
+/// Guards against missing records on later pages, whose cursor is a key with reserved bytes.
+#[tokio::test]
+async fn records_of_all_pages_are_read() {
+    let store = StoreStandIn::start().await.expect("a store");
+    let keys: Vec<String> = (1_000..3_000)
+        .map(|number| format!("v/a&b %+{number}"))
+        .collect();
+    for key in &keys {
+        store.put(STATE_TOPIC, key, b"value");
+    }
+    let client = StoreClient::new(store.address());
+    let (records, _) = client.latest_records(STATE_TOPIC).await.expect("records");
+    let found: Vec<String> = records.into_iter().map(|record| record.key).collect();
+    assert_eq!(found, keys);
+}
