--- a/crates/engine/tests/restore.rs
+++ b/crates/engine/tests/restore.rs
@@ -83,6 +83,33 @@
         => [(key_of('x'), UnreadCause::UnknownKey)];
 }
 
+/// Guards against progress that is stored without its description when a batch is stored in parts.
+#[test]
+fn description_is_stored_before_the_progress() {
+    let mut fleet = Fleet::new();
+    fleet.submit(2, 1);
+    let batch = fleet.engine.take_batch(fleet.now);
+    let keys: Vec<String> = batch.records.into_iter().map(|record| record.key).collect();
+    assert_eq!(keys, [key_of('j'), key_of('s')]);
+}
+
+/// Guards against progress of a job in progress without its description when a batch that ends the
+/// job is stored in parts or not at all.
+#[test]
+fn description_is_deleted_after_the_end_is_stored() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.submit(2, 1);
+    fleet.settle();
+    fleet.end_all_done();
+    let end = fleet.engine.take_batch(fleet.now);
+    assert!(end.records.iter().all(|record| record.key != key_of('j')));
+    fleet.put_in_flight(end);
+    fleet.settle();
+    assert!(fleet.stored.iter().all(|record| record.key != key_of('j')));
+    assert!(fleet.stored.iter().any(|record| record.key == key_of('s')));
+}
+
 /// Number of tasks of the job without a description.
 const TASKS: u16 = 2;
 
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -140,6 +140,31 @@
     );
 }
 
+/// Guards against a successor reporting a completed wave as running again.
+#[test]
+fn completed_wave_is_reported_as_completed_by_a_successor() {
+    let (mut fleet, vms) = three_vms();
+    fleet.handle(wave(&["vm-unknown"], 1));
+    fleet.advance(200);
+    assert_eq!(reported(&fleet), [false, true]);
+    fleet.orders.clear();
+    fleet.take_over();
+    fleet.handle(wave(&["vm-unknown"], 1));
+    fleet.handle(Event::VmsListed(vms));
+    fleet.engine.allow_vm_orders(true);
+    fleet.advance(200);
+    assert_eq!(reported(&fleet), [true]);
+}
+
+/// Returns whether each reported status of the wave is completed.
+fn reported(fleet: &Fleet) -> Vec<bool> {
+    let statuses = fleet.orders.iter().filter_map(|order| match order {
+        Effect::PublishWave { is_completed, .. } => Some(*is_completed),
+        _ => None,
+    });
+    statuses.collect()
+}
+
 /// Guards against two owners ordering the same VM within seconds, and against delaying other VMs.
 #[test]
 fn successor_waits_only_for_recently_ordered_vms() {
