Add crashing tasks and changing capacities to the soak

Tasks may crash every endpoint that starts them, and the capacity of an endpoint may shrink and grow while it runs. Neither the stand-in of the endpoint nor the soak knew of it.

The checker counts the starts of a task after it crashed three endpoints (two at most), and checks starts against the highest capacity shown in the last 3.3 s, unless a fault of the store, of a link to it or a paused node may have hidden it. A task under which two endpoints have ended may be given up, and a job whose task crashes can only end as failed, since it never completes.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -27,6 +27,9 @@
     /// Limits each node to so few endpoint calls that the owner depends on delegates.
     #[arg(long)]
     small_nodes: bool,
+    /// Adds tasks that crash their endpoints, and changes the capacity of endpoints.
+    #[arg(long)]
+    unstable_endpoints: bool,
     /// Duration of the traffic and the faults, in milliseconds.
     #[arg(long, default_value_t = 10_000)]
     length_ms: u64,
@@ -41,9 +44,14 @@
         jobs,
         nodes,
         small_nodes,
+        unstable_endpoints,
         length_ms,
     } = Arguments::parse();
-    let plan = |seed| SoakPlan::new(&program, seed, length_ms, nodes).with_small_nodes(small_nodes);
+    let plan = |seed| {
+        SoakPlan::new(&program, seed, length_ms, nodes)
+            .with_small_nodes(small_nodes)
+            .with_unstable_endpoints(unstable_endpoints)
+    };
     let run = |seed| {
         let plan = plan(seed);
         async move { run_soak(&plan).await }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,8 +8,8 @@
     http::{Method, StatusCode},
     lynxwheel_engine::{JobId, JobSpec, Resources, StepSpec},
     lynxwheel_platform_standin::{
-        LONG_RUNNING_PAYLOAD, QueueSpec, api_key_header, decode_job_state, encode_job, is_count,
-        timeout_header,
+        CRASHING_PAYLOAD, LONG_RUNNING_PAYLOAD, QueueSpec, api_key_header, decode_job_state,
+        encode_job, is_count, timeout_header,
     },
     lynxwheel_transport::{ClientPool, ClientRequest, ClientResponse},
     rand::{RngExt, SeedableRng},
@@ -27,6 +27,12 @@
 /// Pause between two requests of a caller, in milliseconds.
 const PAUSES_MS: std::ops::Range<u64> = 20..160;
 
+/// Pause between two jobs whose tasks crash their endpoints, in milliseconds.
+const CRASHING_PAUSES_MS: std::ops::Range<u64> = 1_000..3_000;
+
+/// Random stream of the caller that submits these jobs.
+const CRASHING_STREAM: u64 = 1;
+
 /// Maximum number of times that a caller submits the same job.
 const MAX_SUBMISSIONS: u32 = 6;
 
@@ -89,6 +95,22 @@
         }
     }
 
+    /// Submits jobs whose tasks crash their endpoints until `until`.
+    pub async fn run_crashing(self, seed: u64, until: Instant) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(CRASHING_STREAM);
+        while Instant::now() < until {
+            let queue = random.random_range(0..self.queues.len());
+            let account = random.random_range(0..ACCOUNT_COUNT);
+            let spec = draw_crashing_job(&mut random);
+            self.submit_spec(&mut random, queue, account, &spec).await;
+            sleep(Duration::from_millis(
+                random.random_range(CRASHING_PAUSES_MS),
+            ))
+            .await;
+        }
+    }
+
     async fn call(&self, node: usize, request: &ClientRequest) -> Option<ClientResponse> {
         let timeout = Duration::from_millis(TIMEOUT_MS + TIMEOUT_MARGIN_MS);
         let client = self.clients.get(self.nodes[node]);
@@ -113,17 +135,27 @@
         random.random_range(0..self.nodes.len())
     }
 
-    /// Submits a job, and submits it again to a random node while its outcome is unknown.
     async fn submit(&self, random: &mut ChaCha8Rng) -> SubmittedJob {
         let queue = random.random_range(0..self.queues.len());
         let account = random.random_range(0..ACCOUNT_COUNT);
         let spec = draw_job(random);
+        self.submit_spec(random, queue, account, &spec).await
+    }
+
+    /// Submits a job, and submits it again to a random node while its outcome is unknown.
+    async fn submit_spec(
+        &self,
+        random: &mut ChaCha8Rng,
+        queue: usize,
+        account: AccountIndex,
+        spec: &JobSpec,
+    ) -> SubmittedJob {
         let id = draw_id(random);
         let QueueSpec {
             pool, max_attempts, ..
         } = &self.queues[queue];
         self.checker
-            .record_submission(id, account, &spec, pool, *max_attempts);
+            .record_submission(id, account, spec, pool, *max_attempts);
         let submitted = SubmittedJob {
             job: id,
             queue,
@@ -133,7 +165,7 @@
             let request = self
                 .request_for(Method::POST, submitted)
                 .with_header("Content-Type", "application/json")
-                .with_body(encode_job(&spec));
+                .with_body(encode_job(spec));
             let response = self.call(self.draw_node(random), &request).await;
             match response.map(|response| response.status.as_u16()) {
                 Some(200..=299) => {
@@ -319,3 +351,22 @@
         ..JobSpec::default()
     }
 }
+
+/// Returns a job with one task that crashes its endpoints.
+fn draw_crashing_job(random: &mut ChaCha8Rng) -> JobSpec {
+    let step = StepSpec {
+        count: 1,
+        resources: Resources {
+            cpu_millis: random.random_range(200..1_000),
+            memory_mb: 64,
+            gpus: 0,
+        },
+        estimated_ms: 300,
+        ..StepSpec::default()
+    };
+    JobSpec {
+        payload: format!("{CRASHING_PAYLOAD} {:08x}", random.random::<u32>()).into(),
+        steps: vec![step],
+        ..JobSpec::default()
+    }
+}
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -18,6 +18,19 @@
 /// covers the longest delay of an order at an endpoint and a takeover.
 const CANCEL_GRACE_MS: u128 = 8_000;
 
+/// Time after a change of an endpoint's capacity in which starts may exceed the new one, in
+/// milliseconds: the time in which nodes must notice, and one heartbeat.
+const CAPACITY_GRACE: Duration = Duration::from_millis(3_300);
+
+/// Number of crashed endpoints after which starts of the task are counted.
+const COUNTED_AFTER_CRASHES: u32 = 3;
+
+/// Maximum number of starts of a task after that.
+const MAX_STARTS_AFTER_CRASHES: u32 = 2;
+
+/// Number of crashed endpoints from which a task may be given up.
+const GIVEN_UP_AFTER_CRASHES: u32 = 2;
+
 /// What callers know about the submission of a job.
 #[derive(Clone, Copy, Debug, Default)]
 struct SubmissionOutcome {
@@ -37,6 +50,29 @@
     failures: u32,
     failures_acknowledged: u32,
     starts_after_last_failure: u32,
+    /// Endpoints that ended under the task, whatever the cause.
+    lost_endpoints: u32,
+    /// Endpoints that the task has crashed.
+    crashes: u32,
+    starts_after_crashes: u32,
+}
+
+/// Capacities that the registry entry of an incarnation has shown, and since when.
+#[derive(Clone, Debug)]
+struct ShownCapacities {
+    incarnation: CompactString,
+    /// The earliest first.
+    cpu_millis: Vec<(Instant, u64)>,
+}
+
+impl ShownCapacities {
+    /// Returns the highest capacity shown between `since` and now.
+    fn highest_since(&self, since: Instant) -> u64 {
+        let later = self.cpu_millis.partition_point(|(at, _)| *at <= since);
+        let relevant = &self.cpu_millis[later.saturating_sub(1)..];
+        let shown = relevant.iter().map(|(_, cpu_millis)| *cpu_millis);
+        shown.max().unwrap_or_default()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -75,6 +111,11 @@
     jobs: Vec<JobRecord>,
     /// CPU in use by incarnation of an endpoint, in thousandths of a core.
     cpu_in_use: Vec<(CompactString, u64)>,
+    capacities: Vec<ShownCapacities>,
+    /// Number of active faults that may hide capacities from nodes.
+    hiding_faults: usize,
+    /// End of the last such fault.
+    shown_since: Option<Instant>,
     /// VM, its highest fencing token and the holder of that token.
     orders: Vec<(CompactString, u64, CompactString)>,
     violations: Vec<String>,
@@ -104,6 +145,30 @@
             .sum()
     }
 
+    fn record_capacity(&mut self, incarnation: CompactString, shown: u64) {
+        let change = (Instant::now(), shown);
+        let mut known = self.capacities.iter_mut();
+        match known.find(|known| known.incarnation == incarnation) {
+            Some(known) => known.cpu_millis.push(change),
+            None => self.capacities.push(ShownCapacities {
+                incarnation,
+                cpu_millis: vec![change],
+            }),
+        }
+    }
+
+    /// Returns the CPU that starts on an incarnation must not exceed now, or `None` if nodes may
+    /// not know its latest capacity.
+    fn capacity_limit(&self, incarnation: &CompactString, now: Instant) -> Option<u64> {
+        let since = now.checked_sub(CAPACITY_GRACE)?;
+        if self.hiding_faults > 0 || self.shown_since.is_some_and(|end| end > since) {
+            return None;
+        }
+        let mut known = self.capacities.iter();
+        let known = known.find(|known| known.incarnation == *incarnation)?;
+        Some(known.highest_since(since))
+    }
+
     fn record_violation(&mut self, text: String) {
         self.violations.push(text);
     }
@@ -189,6 +254,18 @@
         lock(&self.state).are_quotas_lifted = true;
     }
 
+    /// Records that a fault begins that may hide the capacities of endpoints from nodes.
+    pub fn begin_hiding_capacities(&self) {
+        lock(&self.state).hiding_faults += 1;
+    }
+
+    /// Records that such a fault has ended.
+    pub fn end_hiding_capacities(&self) {
+        let mut state = lock(&self.state);
+        state.hiding_faults = state.hiding_faults.saturating_sub(1);
+        state.shown_since = Some(Instant::now());
+    }
+
     /// Records a violation.
     pub fn record_violation(&self, text: &str) {
         let text = self.timestamped(text);
@@ -274,10 +351,9 @@
         };
         let is_complete = job.tasks.iter().all(|(_, task)| task.has_completed);
         let max_attempts = job.max_attempts;
-        let may_fail = job
-            .tasks
-            .iter()
-            .any(|(_, task)| task.failures >= max_attempts);
+        let may_fail = job.tasks.iter().any(|(_, task)| {
+            task.failures >= max_attempts || task.lost_endpoints >= GIVEN_UP_AFTER_CRASHES
+        });
         let violation = match reported {
             None if job.outcome.is_accepted => Some("an accepted job is unknown"),
             Some(JobState::Completed) if !is_complete => Some("reported as completed too early"),
@@ -368,6 +444,13 @@
                 forget_unacknowledged(&mut state, &incarnation);
                 Vec::new()
             }
+            Observation::CapacityShown {
+                incarnation,
+                cpu_millis,
+            } => {
+                state.record_capacity(incarnation, cpu_millis);
+                Vec::new()
+            }
             Observation::VmOrder {
                 vm,
                 holder,
@@ -455,6 +538,15 @@
         } else if !is_long_running && known.failures >= max_attempts {
             known.starts_after_last_failure += 1;
         }
+        if known.crashes >= COUNTED_AFTER_CRASHES {
+            known.starts_after_crashes += 1;
+            if known.starts_after_crashes > MAX_STARTS_AFTER_CRASHES {
+                violations.push(format!(
+                    "{name}: start {} after the task crashed {COUNTED_AFTER_CRASHES} endpoints",
+                    known.starts_after_crashes
+                ));
+            }
+        }
         known.running.push((incarnation.clone(), run));
         let account = job.account;
         let running = state.running_cpu_millis(account);
@@ -471,6 +563,12 @@
                 "{name}: {used} of {} millicores are in use on the endpoint",
                 self.cpu_millis
             ));
+        } else if let Some(limit) = state.capacity_limit(incarnation, Instant::now())
+            && used > limit
+        {
+            violations.push(format!(
+                "{name}: {used} millicores are in use on the endpoint, which last showed {limit}"
+            ));
         }
         violations
     }
@@ -497,7 +595,12 @@
                 known.has_completed = true;
             }
             ObservedEnd::Failed => known.failures += 1,
-            ObservedEnd::Stopped | ObservedEnd::Lapsed | ObservedEnd::Lost => {}
+            ObservedEnd::Lost => known.lost_endpoints += 1,
+            ObservedEnd::Crashed => {
+                known.lost_endpoints += 1;
+                known.crashes += 1;
+            }
+            ObservedEnd::Stopped | ObservedEnd::Lapsed => {}
         }
     }
     state.adjust_cpu_in_use(incarnation, -i64::try_from(cpu_millis).unwrap_or_default());
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -64,6 +64,7 @@
     endpoint_links: Vec<Proxy>,
     config_version: AtomicU64,
     accounts: Arc<Accounts>,
+    checker: Arc<Checker>,
     last_wave: AtomicU64,
 }
 
@@ -139,6 +140,7 @@
             endpoint_links,
             config_version: AtomicU64::new(0),
             accounts: Arc::default(),
+            checker: Arc::clone(checker),
             last_wave: AtomicU64::new(0),
         };
         cluster.apply_config(&cluster.accounts.next_round());
@@ -216,6 +218,9 @@
 
     /// Starts a fault.
     pub fn start_fault(&self, fault: Fault) {
+        if fault.hides_capacities() {
+            self.checker.begin_hiding_capacities();
+        }
         match fault {
             Fault::KillNode(node) => self.nodes[node].signal(Signal::SIGKILL),
             Fault::KillAll => self.nodes.iter().for_each(|n| n.signal(Signal::SIGKILL)),
@@ -230,6 +235,9 @@
             Fault::Endpoint(endpoint, fault) => self.endpoints[endpoint].set_fault(fault),
             Fault::EndIncarnation(endpoint) => self.endpoints[endpoint].end_incarnation(),
             Fault::Drain(endpoint) => self.endpoints[endpoint].drain(),
+            Fault::ChangeCapacity(endpoint, cpu_millis) => {
+                self.endpoints[endpoint].set_cpu_millis(cpu_millis);
+            }
             Fault::ChangeConfig => self.apply_config(&self.accounts.next_round()),
             Fault::OrderMaintenance => self.order_maintenance(),
         }
@@ -255,11 +263,17 @@
                 self.endpoints[endpoint].end_incarnation();
                 self.endpoints[endpoint].start_incarnation();
             }
+            Fault::ChangeCapacity(endpoint, _) => {
+                self.endpoints[endpoint].set_cpu_millis(ENDPOINT_CPU_MILLIS);
+            }
             Fault::ReloadSettings(_)
             | Fault::TrimTopics
             | Fault::ChangeConfig
             | Fault::OrderMaintenance => {}
         }
+        if fault.hides_capacities() {
+            self.checker.end_hiding_capacities();
+        }
     }
 
     fn restart(&self, node: usize) {
@@ -278,6 +292,7 @@
         }
         for endpoint in &self.endpoints {
             endpoint.set_fault(EndpointFault::None);
+            endpoint.set_cpu_millis(ENDPOINT_CPU_MILLIS);
             endpoint.start_incarnation();
         }
         for number in 0..self.nodes.len() {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -17,6 +17,13 @@
 /// which another node takes over.
 const DURATIONS_MS: std::ops::Range<u64> = 150..3_500;
 
+/// Duration of a capacity change, in milliseconds: up to well beyond the time after which starts
+/// must respect it.
+const CAPACITY_DURATIONS_MS: std::ops::Range<u64> = 500..8_000;
+
+/// Random stream of the capacity changes.
+const CAPACITY_STREAM: u64 = 1;
+
 /// Identifies a link that a proxy can disturb.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkId {
@@ -53,12 +60,26 @@
     EndIncarnation(usize),
     /// Drains an endpoint, and restarts it with a new incarnation at the end.
     Drain(usize),
+    /// Sets the CPU capacity of an endpoint in thousandths of a core, and restores it at the end.
+    ChangeCapacity(usize, u64),
     /// Writes a new configuration.
     ChangeConfig,
     /// Orders maintenance of half of the VMs.
     OrderMaintenance,
 }
 
+impl Fault {
+    /// Returns whether nodes may be unable to read the capacities of endpoints from the store, or
+    /// to act on them.
+    #[must_use]
+    pub fn hides_capacities(self) -> bool {
+        matches!(
+            self,
+            Self::PauseNode(_) | Self::Store(_) | Self::Link(LinkId::Store(_), _)
+        )
+    }
+}
+
 /// A fault with its start and duration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PlannedFault {
@@ -92,6 +113,32 @@
     planned
 }
 
+/// Returns the capacity changes of a run, in the order of their starts. They are independent of the
+/// other faults.
+#[must_use]
+pub fn plan_capacity_changes(
+    seed: u64,
+    traffic_ms: u64,
+    endpoints: usize,
+    cpu_millis: u64,
+) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(CAPACITY_STREAM);
+    let mut planned = Vec::new();
+    let mut start_ms = FIRST_FAULT_MS;
+    while start_ms < traffic_ms {
+        let endpoint = random.random_range(0..endpoints);
+        let remaining = random.random_range(0..=cpu_millis / 2);
+        planned.push(PlannedFault {
+            start_ms,
+            duration_ms: random.random_range(CAPACITY_DURATIONS_MS),
+            fault: Fault::ChangeCapacity(endpoint, remaining),
+        });
+        start_ms += random.random_range(PAUSES_MS);
+    }
+    planned
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, nodes: usize, endpoints: usize) -> Fault {
     let node = random.random_range(0..nodes);
     let endpoint = random.random_range(0..endpoints);
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -56,4 +56,10 @@
             tasks.spawn(self.callers.clone().run(seed, until));
         }
     }
+
+    /// Starts a caller that submits jobs whose tasks crash their endpoints, for `traffic_ms`.
+    pub fn start_crashing_caller(&self, seed: u64, traffic_ms: u64, tasks: &mut JoinSet<()>) {
+        let until = Instant::now() + Duration::from_millis(traffic_ms);
+        tasks.spawn(self.callers.clone().run_crashing(seed, until));
+    }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,8 +4,8 @@
     crate::{
         callers::Callers,
         checker::{Checker, ExpectedJob},
-        cluster::{Cluster, SHUTDOWN_MS},
-        faults::plan_faults,
+        cluster::{Cluster, ENDPOINT_CPU_MILLIS, SHUTDOWN_MS},
+        faults::{plan_capacity_changes, plan_faults},
         harness::{Harness, STARTUP_MS},
     },
     lynxwheel_engine::JobId,
@@ -40,6 +40,8 @@
     pub nodes: usize,
     /// Whether each node can call so few endpoints that the owner depends on delegates.
     pub has_small_nodes: bool,
+    /// Whether some tasks crash their endpoints, and whether the capacity of endpoints changes.
+    pub has_unstable_endpoints: bool,
     /// Directory for settings and logs of the nodes, kept when an invariant is violated.
     pub directory: PathBuf,
 }
@@ -55,6 +57,7 @@
             traffic_ms,
             nodes,
             has_small_nodes: false,
+            has_unstable_endpoints: false,
             directory: std::env::temp_dir().join(name),
         }
     }
@@ -67,6 +70,15 @@
             ..self
         }
     }
+
+    /// Sets whether some tasks crash their endpoints, and whether the capacity of endpoints changes.
+    #[must_use]
+    pub fn with_unstable_endpoints(self, has_unstable_endpoints: bool) -> Self {
+        Self {
+            has_unstable_endpoints,
+            ..self
+        }
+    }
 }
 
 /// Result of a run.
@@ -91,17 +103,24 @@
     let harness = Harness::start(plan).await?;
     let mut tasks = JoinSet::new();
     harness.start_callers(plan.seed, plan.traffic_ms, &mut tasks);
+    if plan.has_unstable_endpoints {
+        harness.start_crashing_caller(plan.seed, plan.traffic_ms, &mut tasks);
+    }
     let Harness {
         checker,
         cluster,
         callers,
     } = harness;
-    let faults = plan_faults(
-        plan.seed,
-        plan.traffic_ms,
-        plan.nodes,
-        cluster.endpoints.len(),
-    );
+    let endpoints = cluster.endpoints.len();
+    let mut faults = plan_faults(plan.seed, plan.traffic_ms, plan.nodes, endpoints);
+    if plan.has_unstable_endpoints {
+        faults.extend(plan_capacity_changes(
+            plan.seed,
+            plan.traffic_ms,
+            endpoints,
+            ENDPOINT_CPU_MILLIS,
+        ));
+    }
     let fault_count = faults.len();
     for planned in faults {
         let cluster = Arc::clone(&cluster);
