Check the capacity again before a start is sent

An endpoint whose capacity shrank while a start was being stored, or while one was unanswered, got the start all the same and was brought over its capacity.

Placement compares a task with the capacity known at that time. Neither the release of a stored start nor the retry of an unanswered one looked at it again, and both may follow seconds later while the store or the endpoint is slow.

An unanswered start that no longer fits is stopped instead of repeated, as it may have taken effect. A start that fits in the resources that it uses itself is sent, whatever others exceed.

Not covered: a start that a delegate has been given and not sent yet, and the time until the owner has read the registry entry.

--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -248,6 +248,19 @@
         self.capacity.saturating_sub(&self.used)
     }
 
+    /// Returns whether a placed run fits beside all others, which it may not after the capacity has
+    /// shrunk.
+    #[must_use]
+    pub fn has_room_for(&self, task: &TaskRef, run: u32) -> bool {
+        let mut placed_runs = self.placed_runs.iter();
+        let placed = placed_runs.find(|placed| placed.task == *task && placed.run == run);
+        placed.is_none_or(|placed| {
+            let others = self.used.saturating_sub(&placed.resources);
+            let free = self.capacity.saturating_sub(&others);
+            free.can_fit(&placed.resources)
+        })
+    }
+
     /// Returns whether the endpoint has a label.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -11,7 +11,7 @@
 
 impl Engine {
     /// Retries unanswered orders. A start keeps its run number and is therefore idempotent; starts
-    /// of an account above its quota wait.
+    /// of an account above its quota wait, and those that no longer fit are stopped.
     pub(crate) fn retry_orders(&mut self, now: Now) {
         for (task, run, key, is_stop) in self.due_retries(now) {
             let endpoint = self.endpoints.get_mut(key);
@@ -24,6 +24,8 @@
                     task,
                     run,
                 });
+            } else if !endpoint.has_room_for(&task, run) {
+                self.stop_run(&task, run, now);
             } else if let Ok(index) = self.jobs.search(task.job)
                 && !self.quotas.is_exceeded(self.jobs[index].account_number)
                 && let Some(deadline_ms) = endpoint.grant_lease(now, self.settings.lease_ms)
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -74,6 +74,8 @@
     pub ended: Vec<EndedTask>,
     pub fence: u64,
     pub is_unresponsive: bool,
+    /// Executes orders, but the answers are lost.
+    pub loses_answers: bool,
     /// Number of ended runs.
     pub ends: u64,
     /// End of the lease on the endpoint's clock.
@@ -226,6 +228,39 @@
         self.handle(listed(entry, true));
     }
 
+    /// Ends the incarnation of an endpoint with its runs; the VM is silent until it restarts.
+    pub fn crash(&mut self, index: usize) {
+        let endpoint = &mut self.endpoints[index];
+        endpoint.running.clear();
+        endpoint.ended.clear();
+        endpoint.is_unresponsive = true;
+    }
+
+    /// Replaces the incarnation of an endpoint by a new one at the same address.
+    pub fn restart(&mut self, index: usize) {
+        let known = &mut self.endpoints[index];
+        let started = std::mem::take(&mut known.started);
+        let id = format!("{}+", known.id);
+        *known = FakeEndpoint {
+            id: id.clone(),
+            started,
+            ..FakeEndpoint::default()
+        };
+        let entry = &mut self.entries[index];
+        entry.id = id.into();
+        entry.is_draining = false;
+        let entry = entry.clone();
+        self.handle(listed(entry, true));
+        self.settle();
+    }
+
+    /// Changes the capacity in the registry entry of an endpoint.
+    pub fn set_cpu_millis(&mut self, index: usize, cpu_millis: u64) {
+        self.entries[index].capacity.cpu_millis = cpu_millis;
+        let entry = self.entries[index].clone();
+        self.handle(listed(entry, true));
+    }
+
     pub fn submit(&mut self, number: u64, tasks: u16) {
         let spec = JobSpec {
             steps: vec![step(tasks)],
@@ -353,6 +388,9 @@
             return CallOutcome::Unknown;
         }
         act(endpoint);
+        if endpoint.loses_answers {
+            return CallOutcome::Unknown;
+        }
         CallOutcome::Done(clock_ms(self.now))
     }
 
