Bound the starts of tasks that crash their endpoints

The other runs on these endpoints were lost each time.

The end of an incarnation removed its runs, and their tasks waited again as if nothing had happened. Only ends that an endpoint reports as failed count as attempts, and one that has crashed reports nothing.

Each task now has a count of the endpoints that crashed under it, stored with the progress of its job. An incarnation has crashed if its end was neither announced by draining nor caused by a VM order; the own orders of an owner only go to endpoints without runs, so only unsettled ones of a previous owner are looked up. Charged are the runs whose start was sent. A run whose lease ran out before is kept as lost on the endpoint, stored as well, and charged or dropped when its next incarnation or it itself responds. A start that another incarnation answers never began there.

After one crash a task avoids endpoints with other suspects, and takes an empty one if there is one, unless it is long-running. After two it starts only on an empty endpoint, before other waiting tasks, and nothing starts beside it for 5 s; if no endpoint is empty within 1 s it starts beside others. A run that had lasted 5 s is not charged if a younger suspect was there. At the third crash the job fails if the run was confirmed and no other job is charged with it, and at the fourth in any case, which leaves one start after the third where every crash is known before the next start, and two where leases run out first. A run of 60 s clears the count, so that unrelated crashes in a long life do not add up. Members of a gang are isolated together.

Empty endpoints are indexed by free processor, and at most 32 endpoints with suspects are passed over in a search.

The new field of a task's record is written only if it is not empty, so records of tasks without crashes are as before and earlier ones decode. A build without it cannot read the records of jobs after a crash.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -58,6 +58,24 @@
                     "job ended"
                 );
             }
+            LogEvent::CrashCharged {
+                task,
+                endpoint,
+                crashes,
+                was_alone,
+            } => {
+                counter!("lynxwheel_crashes_total").increment(1);
+                info!(
+                    event = "crash_charged", epoch = epoch, task:% = task,
+                    endpoint = endpoint.as_str(), crashes = crashes, was_alone = was_alone;
+                    "endpoint crashed under a task"
+                );
+            }
+            LogEvent::JobGivenUp { task, crashes } => info!(
+                event = "job_given_up", epoch = epoch, job = task.job.as_str(), task:% = task,
+                crashes = crashes;
+                "job fails because endpoints crash under its task"
+            ),
             LogEvent::ShareReached(wait) => {
                 counter!("lynxwheel_share_waits_total").increment(1);
                 info!(
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -150,7 +150,10 @@
                     }
                 }
             }
-            CallOutcome::OtherLife => self.endpoint_ended(key, now),
+            CallOutcome::OtherLife => {
+                self.start_failed(task, run, now);
+                self.endpoint_ended(key, now);
+            }
             CallOutcome::Fenced => self.immediate_effects.push(Effect::StepDown),
         }
     }
@@ -211,6 +214,7 @@
         if attempt.phase != Phase::Confirmed {
             attempt.phase = Phase::Confirmed;
             attempt.confirmed_at_renewal = renewals;
+            attempt.confirmed_at_ms = Some(now.steady_ms);
         }
         let is_stopping = attempt.is_stop_stored;
         if job.state == JobState::Queued {
@@ -293,6 +297,7 @@
         };
         let (is_long_running, is_gang) = (spec.long_running, spec.gang);
         if is_long_running {
+            self.clear_crashes(task_ref);
             self.remove_attempt(task_ref, run, RunEnd::Reported(EndKind::Done), now);
             return;
         }
--- /dev/null
+++ b/crates/engine/src/crashes.rs
@@ -0,0 +1,251 @@
+//! Tasks under which endpoints crash: how many crashes are charged, how such tasks are isolated, and
+//! when their jobs are given up.
+
+use crate::{
+    engine::Engine,
+    event::{EndpointKey, Now},
+    job::{JobState, StepSpec, TaskRef},
+    log_event::LogEvent,
+    state::{Attempt, Phase, Task},
+};
+
+/// Crashes after which a task starts only on an empty endpoint, so that it shows whether it is at
+/// fault.
+const ISOLATED_AFTER_CRASHES: u32 = 2;
+
+/// Crashes after which a job is given up if its task was alone on the last endpoint.
+const MAX_CRASHES: u32 = 3;
+
+/// Crashes after which a job is given up in any case.
+const MAX_SHARED_CRASHES: u32 = 4;
+
+/// Maximum number of endpoints of a task that may have crashed; earlier ones are forgotten.
+const MAX_LOST_ENDPOINTS: usize = 4;
+
+/// Time for which a task waits for an empty endpoint after a crash, in milliseconds. In a pool
+/// without one it starts beside others then.
+const ISOLATION_WAIT_MS: u64 = 1_000;
+
+/// Time for which a run remains alone on its endpoint, in milliseconds. Tasks that crash their
+/// endpoints do so soon after their start.
+const ISOLATION_MS: u64 = 5_000;
+
+/// Duration of a run that clears the crashes of its task, in milliseconds. A long-running task
+/// would otherwise be given up for unrelated crashes in the course of its life.
+const CLEARED_AFTER_MS: u64 = 60_000;
+
+/// How far a task is suspected of crashing its endpoints.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Suspicion {
+    /// No endpoint has crashed under it.
+    None,
+    /// It avoids endpoints with other suspects, and prefers empty ones unless it is long-running.
+    Suspect,
+    /// It is alone on its endpoint.
+    Isolated,
+}
+
+impl Suspicion {
+    pub(crate) fn of(task: &Task) -> Self {
+        if task.crashes >= ISOLATED_AFTER_CRASHES {
+            Self::Isolated
+        } else if task.crashes > 0 {
+            Self::Suspect
+        } else {
+            Self::None
+        }
+    }
+
+    /// Returns whether a task takes an empty endpoint if there is one. Long-running tasks would keep
+    /// its VM from being moved.
+    pub(crate) fn prefers_empty_endpoint(self, spec: &StepSpec) -> bool {
+        self == Self::Isolated || (self == Self::Suspect && !spec.long_running)
+    }
+}
+
+/// A task with a run on an endpoint that has crashed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CrashedTask {
+    task: TaskRef,
+    /// Whether its run was confirmed and no task of another job is charged.
+    was_alone: bool,
+}
+
+/// A run whose start was sent.
+#[derive(Clone, Copy, Debug)]
+struct ActiveRun {
+    task: TaskRef,
+    is_confirmed: bool,
+    is_suspect: bool,
+    /// Whether it has lasted long enough to show that its start crashes no endpoint.
+    has_lasted: bool,
+}
+
+fn is_given_up(crashes: u32, was_alone: bool) -> bool {
+    crashes >= MAX_SHARED_CRASHES || (crashes >= MAX_CRASHES && was_alone)
+}
+
+impl Engine {
+    /// Returns the tasks to charge if an incarnation has ended now; none if its end was announced or
+    /// ordered. Own orders are given only for endpoints without runs.
+    pub(crate) fn crashed_tasks(&self, key: EndpointKey, now: Now) -> Vec<CrashedTask> {
+        let endpoint = self.endpoints.get(key);
+        let is_inherited = endpoint.registration_order == 0;
+        let is_expected = endpoint.is_draining
+            || (is_inherited && self.may_inherited_order_end(endpoint.vm(), now));
+        if is_expected {
+            return Vec::new();
+        }
+        let active = self.active_runs(key);
+        let has_young_suspect = active.iter().any(|run| run.is_suspect && !run.has_lasted);
+        // A run that has lasted is not at fault if the endpoint crashes soon after the start of a
+        // suspect.
+        let charged: Vec<&ActiveRun> = active
+            .iter()
+            .filter(|run| !(run.has_lasted && has_young_suspect))
+            .collect();
+        let is_one_job = charged
+            .iter()
+            .all(|run| run.task.job == charged[0].task.job);
+        let mut tasks: Vec<CrashedTask> = charged
+            .iter()
+            .map(|run| CrashedTask {
+                task: run.task,
+                was_alone: is_one_job && run.is_confirmed,
+            })
+            .collect();
+        for &task in &endpoint.lost_tasks {
+            let is_active = active.iter().any(|run| run.task == task);
+            let known = self.jobs.get(task.job).and_then(|job| job.task(&task));
+            let is_lost = known.is_some_and(|known| known.lost_on.contains(&key));
+            if is_lost && !is_active {
+                tasks.push(CrashedTask {
+                    task,
+                    was_alone: false,
+                });
+            }
+        }
+        tasks
+    }
+
+    /// Returns the runs on an endpoint whose starts were sent.
+    fn active_runs(&self, key: EndpointKey) -> Vec<ActiveRun> {
+        let placed_runs = self.endpoints.get(key).placed_runs.iter();
+        let active = placed_runs.filter_map(|placed| {
+            let task = self.jobs.get(placed.task.job)?.task(&placed.task)?;
+            let mut attempts = task.attempts.iter();
+            let attempt = attempts.find(|attempt| attempt.run == placed.run)?;
+            (attempt.phase != Phase::Placed).then(|| ActiveRun {
+                task: placed.task,
+                is_confirmed: attempt.phase == Phase::Confirmed,
+                is_suspect: Suspicion::of(task) >= Suspicion::Suspect,
+                has_lasted: attempt.running_ms() >= ISOLATION_MS,
+            })
+        });
+        active.collect()
+    }
+
+    /// Charges a crash of an endpoint to a task, and gives its job up if there were too many.
+    pub(crate) fn charge_crash(&mut self, key: EndpointKey, charged: CrashedTask, now: Now) {
+        let CrashedTask { task, was_alone } = charged;
+        let Ok(index) = self.search(task.job) else {
+            return;
+        };
+        let job = &mut self.jobs[index];
+        if job.state.is_final() {
+            return;
+        }
+        let Some(known) = job.task_mut(&task).filter(|known| !known.is_done) else {
+            return;
+        };
+        known.crashes += 1;
+        known.isolate_until_ms = now.steady_ms + ISOLATION_WAIT_MS;
+        let crashes = known.crashes;
+        job.is_dirty = true;
+        self.log_events.push(LogEvent::CrashCharged {
+            task,
+            endpoint: self.endpoints.get(key).id.clone(),
+            crashes,
+            was_alone,
+        });
+        if is_given_up(crashes, was_alone) {
+            self.log_events.push(LogEvent::JobGivenUp { task, crashes });
+            self.end_job(index, JobState::Failed, now);
+        }
+    }
+
+    /// Records the tasks on an endpoint whose leases have expired. Whether it has crashed is known
+    /// only when it or its next incarnation responds.
+    pub(crate) fn record_lost_tasks(&mut self, key: EndpointKey) {
+        for ActiveRun { task, .. } in self.active_runs(key) {
+            let Ok(index) = self.search(task.job) else {
+                continue;
+            };
+            let job = &mut self.jobs[index];
+            if let Some(known) = job.task_mut(&task).filter(|known| !known.is_done)
+                && !known.lost_on.contains(&key)
+            {
+                if known.lost_on.len() == MAX_LOST_ENDPOINTS {
+                    known.lost_on.remove(0);
+                }
+                known.lost_on.push(key);
+                job.is_dirty = true;
+                self.endpoints.get_mut(key).add_lost_task(task);
+            }
+        }
+    }
+
+    /// Forgets the tasks that an endpoint may have crashed under, as its fate is known.
+    pub(crate) fn forget_lost_tasks(&mut self, key: EndpointKey) {
+        if self.endpoints.get(key).lost_tasks.is_empty() {
+            return;
+        }
+        for task in std::mem::take(&mut self.endpoints.get_mut(key).lost_tasks) {
+            let Ok(index) = self.search(task.job) else {
+                continue;
+            };
+            let job = &mut self.jobs[index];
+            if let Some(known) = job.task_mut(&task) {
+                known.lost_on.retain(|lost| *lost != key);
+                job.is_dirty = true;
+            }
+        }
+    }
+
+    /// Forgets the crashes of a task that has shown that it is not at fault.
+    pub(crate) fn clear_crashes(&mut self, task: &TaskRef) {
+        let Ok(index) = self.search(task.job) else {
+            return;
+        };
+        let job = &mut self.jobs[index];
+        if let Some(known) = job.task_mut(task) {
+            known.crashes = 0;
+            known.lost_on.clear();
+            job.is_dirty = true;
+        }
+    }
+
+    /// Ends the isolation of a run that has lasted long enough, and later the suspicion.
+    pub(crate) fn suspect_is_running(&mut self, key: EndpointKey, task: &TaskRef, run: u32) {
+        let attempt = self.attempt(task, run);
+        let running_ms = attempt.map_or(0, Attempt::running_ms);
+        let endpoint = self.endpoints.get_mut(key);
+        if running_ms >= CLEARED_AFTER_MS {
+            endpoint.set_suspicion(task, run, Suspicion::None);
+            self.clear_crashes(task);
+        } else if running_ms >= ISOLATION_MS && endpoint.isolated_runs > 0 {
+            endpoint.set_suspicion(task, run, Suspicion::Suspect);
+        }
+    }
+
+    pub(crate) fn suspicion(&self, task: &TaskRef) -> Suspicion {
+        let known = self.jobs.get(task.job).and_then(|job| job.task(task));
+        known.map_or(Suspicion::None, Suspicion::of)
+    }
+
+    /// Returns whether a task waits for an empty endpoint rather than starting beside others.
+    pub(crate) fn waits_for_empty_endpoint(&self, task: &TaskRef, now: Now) -> bool {
+        let known = self.jobs.get(task.job).and_then(|job| job.task(task));
+        known.is_some_and(|known| now.steady_ms < known.isolate_until_ms)
+    }
+}
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        crashes::Suspicion,
         event::{EndpointKey, Now},
         job::{Resources, StepSpec, TaskRef},
         reports::EndpointEntry,
@@ -43,6 +44,8 @@
     pub is_filler: bool,
     /// Whether the task runs until it is stopped.
     pub is_long_running: bool,
+    /// Whether the task may crash the endpoint, and whether other runs may start beside it.
+    pub(crate) suspicion: Suspicion,
     /// Limit of a serving task's tail latency, in milliseconds; 0 for none.
     pub target_ms: u64,
     /// Last reported tail latency of a serving task, in milliseconds.
@@ -60,10 +63,25 @@
             is_serving: spec.is_serving(),
             is_filler: spec.filler,
             is_long_running: spec.long_running,
+            suspicion: Suspicion::None,
             target_ms: spec.target_ms,
             tail_latency_ms: 0,
         }
     }
+
+    /// Sets whether the task may crash the endpoint, and whether others may start beside it.
+    #[must_use]
+    pub(crate) fn with_suspicion(self, suspicion: Suspicion) -> Self {
+        Self { suspicion, ..self }
+    }
+
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.suspicion >= Suspicion::Suspect
+    }
+
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.suspicion == Suspicion::Isolated
+    }
 }
 
 /// One incarnation of an endpoint.
@@ -117,8 +135,15 @@
     pub used_long_running: Resources,
     /// Number of long-running tasks that may be active.
     pub long_running_runs: usize,
+    /// Number of runs that may crash the endpoint.
+    pub suspect_runs: usize,
+    /// Number of runs beside which no other may start.
+    pub isolated_runs: usize,
     /// Runs that may be active.
     pub placed_runs: Vec<PlacedRun>,
+    /// Tasks whose runs were removed when the lease expired, sorted. They are charged if the
+    /// incarnation turns out to have crashed.
+    pub(crate) lost_tasks: Vec<TaskRef>,
     /// Number of renewals sent.
     pub renewals: u64,
     /// Whether a renewal is in flight.
@@ -167,7 +192,10 @@
             used: Resources::default(),
             used_long_running: Resources::default(),
             long_running_runs: 0,
+            suspect_runs: 0,
+            isolated_runs: 0,
             placed_runs: Vec::new(),
+            lost_tasks: Vec::new(),
             renewals: 0,
             is_renewing: false,
             renew_at_ms: 0,
@@ -326,9 +354,31 @@
             self.used_long_running.add(&placed.resources);
             self.long_running_runs += 1;
         }
+        self.suspect_runs += usize::from(placed.is_suspect());
+        self.isolated_runs += usize::from(placed.is_isolated());
         self.placed_runs.push(placed);
     }
 
+    /// Changes whether a placed run may crash the endpoint, and whether others may start beside it.
+    pub(crate) fn set_suspicion(&mut self, task: &TaskRef, run: u32, suspicion: Suspicion) {
+        let mut placed_runs = self.placed_runs.iter_mut();
+        let placed = placed_runs.find(|placed| placed.task == *task && placed.run == run);
+        if let Some(placed) = placed {
+            self.suspect_runs -= usize::from(placed.is_suspect());
+            self.isolated_runs -= usize::from(placed.is_isolated());
+            placed.suspicion = suspicion;
+            self.suspect_runs += usize::from(placed.is_suspect());
+            self.isolated_runs += usize::from(placed.is_isolated());
+        }
+    }
+
+    /// Adds a task whose run was removed when the lease expired.
+    pub(crate) fn add_lost_task(&mut self, task: TaskRef) {
+        if let Err(index) = self.lost_tasks.binary_search(&task) {
+            self.lost_tasks.insert(index, task);
+        }
+    }
+
     /// Releases the resources of a run.
     pub fn remove_run(&mut self, task: &TaskRef, run: u32, now_ms: u64) {
         let index = self
@@ -342,6 +392,8 @@
                 self.used_long_running = self.used_long_running.saturating_sub(&placed.resources);
                 self.long_running_runs -= 1;
             }
+            self.suspect_runs -= usize::from(placed.is_suspect());
+            self.isolated_runs -= usize::from(placed.is_isolated());
             if self.placed_runs.is_empty() {
                 self.empty_since_ms = now_ms;
             }
--- a/crates/engine/src/free_capacity.rs
+++ b/crates/engine/src/free_capacity.rs
@@ -1,6 +1,9 @@
 //! Index of endpoints that accept starts, by pool and free processor.
 
-use {crate::event::EndpointKey, compact_str::CompactString};
+use {
+    crate::{endpoints::Endpoint, event::EndpointKey},
+    compact_str::CompactString,
+};
 
 /// Number of a pool, stable for the lifetime of the index.
 pub(crate) type PoolNumber = usize;
@@ -13,16 +16,19 @@
     name: CompactString,
     /// Sorted by free processor.
     slots: Vec<FreeSlot>,
+    /// Those of endpoints without runs, sorted by free processor.
+    empty_slots: Vec<FreeSlot>,
     /// Sum over all slots, in thousandths of a core.
     free_cpu_millis: u64,
 }
 
 /// Indexed values of an endpoint.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Indexed {
     key: EndpointKey,
     pool: PoolNumber,
     free_cpu_millis: u64,
+    is_empty: bool,
 }
 
 /// Endpoints that accept starts, by pool and free processor.
@@ -44,6 +50,7 @@
             self.pools.push(PoolCapacity {
                 name: name.clone(),
                 slots: Vec::new(),
+                empty_slots: Vec::new(),
                 free_cpu_millis: 0,
             });
             self.pools.len() - 1
@@ -55,34 +62,28 @@
     }
 
     /// Adds or updates an endpoint.
-    pub(crate) fn set(&mut self, key: EndpointKey, pool: &CompactString, free_cpu_millis: u64) {
-        match self.search(key) {
+    pub(crate) fn set(&mut self, endpoint: &Endpoint) {
+        let index = self.search(endpoint.key);
+        let known = index.ok().map(|index| self.indexed[index]);
+        let pool = match known {
+            Some(known) if self.pools[known.pool].name == endpoint.pool => known.pool,
+            _ => self.pool_number(&endpoint.pool),
+        };
+        let entry = Indexed {
+            key: endpoint.key,
+            pool,
+            free_cpu_millis: endpoint.free().cpu_millis,
+            is_empty: endpoint.placed_runs.is_empty(),
+        };
+        match index {
+            Ok(_) if known == Some(entry) => return,
             Ok(index) => {
-                let entry = self.indexed[index];
-                let pool = if self.pools[entry.pool].name == *pool {
-                    entry.pool
-                } else {
-                    self.pool_number(pool)
-                };
-                if (entry.pool, entry.free_cpu_millis) == (pool, free_cpu_millis) {
-                    return;
-                }
-                self.remove_slot(entry);
-                self.indexed[index].pool = pool;
-                self.indexed[index].free_cpu_millis = free_cpu_millis;
-                self.add_slot(pool, (free_cpu_millis, key));
-            }
-            Err(index) => {
-                let pool = self.pool_number(pool);
-                let entry = Indexed {
-                    key,
-                    pool,
-                    free_cpu_millis,
-                };
-                self.indexed.insert(index, entry);
-                self.add_slot(pool, (free_cpu_millis, key));
+                self.remove_slot(self.indexed[index]);
+                self.indexed[index] = entry;
             }
+            Err(index) => self.indexed.insert(index, entry),
         }
+        self.add_slot(entry);
     }
 
     /// Removes an endpoint.
@@ -93,12 +94,18 @@
         }
     }
 
-    fn add_slot(&mut self, pool: PoolNumber, slot: FreeSlot) {
-        let capacity = &mut self.pools[pool];
+    fn add_slot(&mut self, entry: Indexed) {
+        let capacity = &mut self.pools[entry.pool];
+        let slot = (entry.free_cpu_millis, entry.key);
         if let Err(index) = capacity.slots.binary_search(&slot) {
             capacity.slots.insert(index, slot);
             capacity.free_cpu_millis += slot.0;
         }
+        if entry.is_empty
+            && let Err(index) = capacity.empty_slots.binary_search(&slot)
+        {
+            capacity.empty_slots.insert(index, slot);
+        }
     }
 
     fn remove_slot(&mut self, entry: Indexed) {
@@ -108,13 +115,21 @@
             capacity.slots.remove(index);
             capacity.free_cpu_millis -= slot.0;
         }
+        if entry.is_empty
+            && let Ok(index) = capacity.empty_slots.binary_search(&slot)
+        {
+            capacity.empty_slots.remove(index);
+        }
     }
 
     /// Returns the endpoints of a pool with at least `cpu_millis` free, the fullest first.
     pub(crate) fn slots_with(&self, pool: PoolNumber, cpu_millis: u64) -> &[FreeSlot] {
-        let slots = &self.pools[pool].slots;
-        let begin = slots.partition_point(|(free, _)| *free < cpu_millis);
-        &slots[begin..]
+        with_free(&self.pools[pool].slots, cpu_millis)
+    }
+
+    /// Returns those of them that have no runs.
+    pub(crate) fn empty_slots_with(&self, pool: PoolNumber, cpu_millis: u64) -> &[FreeSlot] {
+        with_free(&self.pools[pool].empty_slots, cpu_millis)
     }
 
     /// Returns the total free processor of a pool, in thousandths of a core.
@@ -136,3 +151,8 @@
         keys
     }
 }
+
+fn with_free(slots: &[FreeSlot], cpu_millis: u64) -> &[FreeSlot] {
+    let begin = slots.partition_point(|(free, _)| *free < cpu_millis);
+    &slots[begin..]
+}
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -1,6 +1,7 @@
 //! Registration, leases and reports of endpoints.
 
 use crate::{
+    crashes::Suspicion,
     endpoints::{PlacedRun, SUSPECT_AFTER_FAILED_CALLS},
     engine::Engine,
     event::{CallOutcome, Effect, EndpointKey, Now},
@@ -104,6 +105,7 @@
 
     /// Records that an incarnation has ended, so that nothing runs there any more.
     pub(crate) fn endpoint_ended(&mut self, key: EndpointKey, now: Now) {
+        let crashed_tasks = self.crashed_tasks(key, now);
         let endpoint = self.endpoints.get_mut(key);
         if !endpoint.has_ended {
             self.log_events.push(LogEvent::EndpointEnded {
@@ -118,6 +120,10 @@
         endpoint.has_ended = true;
         endpoint.is_registered = false;
         self.remove_runs(key, RunEnd::EndpointOver, now);
+        self.forget_lost_tasks(key);
+        for crashed in crashed_tasks {
+            self.charge_crash(key, crashed, now);
+        }
     }
 
     fn remove_runs(&mut self, key: EndpointKey, end: RunEnd, now: Now) {
@@ -156,6 +162,7 @@
             .collect();
         for key in expired {
             self.endpoints.get_mut(key).is_reconciled = false;
+            self.record_lost_tasks(key);
             self.remove_runs(key, RunEnd::LeaseOver, now);
         }
     }
@@ -250,6 +257,7 @@
         let renewal = endpoint.renewals;
         let last_processed_end = endpoint.last_processed_end;
         self.end_replaced_incarnations(key, now);
+        self.forget_lost_tasks(key);
         for ended in report
             .ended
             .iter()
@@ -290,7 +298,7 @@
         now: Now,
     ) {
         let RunningTask { task, run, .. } = running;
-        let Some(is_new) = self.record_progress(key, running, clock_ms) else {
+        let Some(is_new) = self.record_progress(key, running, clock_ms, now) else {
             self.stop_orphan(key, task, *run, now);
             return;
         };
@@ -304,6 +312,9 @@
             .find(|placed| placed.task == running.task && placed.run == running.run);
         if let Some(placed) = placed {
             placed.tail_latency_ms = running.usage.unwrap_or_default();
+            if placed.is_suspect() {
+                self.suspect_is_running(key, task, *run);
+            }
         }
     }
 
@@ -314,6 +325,7 @@
         key: EndpointKey,
         running: &RunningTask,
         clock_ms: u64,
+        now: Now,
     ) -> Option<bool> {
         let index = self.search(running.task.job).ok()?;
         let task = self.jobs.get_mut_untracked(index).task_mut(&running.task)?;
@@ -329,6 +341,7 @@
             attempt.progress_clock_ms = Some(clock_ms);
         }
         attempt.percent = running.percent;
+        attempt.reported_at_ms = now.steady_ms;
         Some(is_new)
     }
 
@@ -398,8 +411,12 @@
                 let Some(spec) = job.step_spec(&task_ref) else {
                     continue;
                 };
+                for &key in &task.lost_on {
+                    self.endpoints.get_mut(key).add_lost_task(task_ref);
+                }
                 for attempt in &task.attempts {
-                    let placed = PlacedRun::new(task_ref, attempt.run, spec);
+                    let placed = PlacedRun::new(task_ref, attempt.run, spec)
+                        .with_suspicion(Suspicion::of(task));
                     self.endpoints.get_mut(attempt.endpoint).add_run(placed);
                     self.quotas.charge(job.account_number, &spec.resources);
                     if attempt.is_stop_stored {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -32,6 +32,7 @@
 mod balance;
 mod batch;
 mod config;
+mod crashes;
 mod demand;
 mod endpoint_locations;
 mod endpoint_table;
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -103,6 +103,24 @@
         /// Time since the job was submitted, in milliseconds.
         after_ms: u64,
     },
+    /// An endpoint crashed under a run of a task.
+    CrashCharged {
+        /// Task.
+        task: TaskRef,
+        /// Endpoint.
+        endpoint: CompactString,
+        /// Number of endpoints that have crashed under the task.
+        crashes: u32,
+        /// Whether its run was confirmed and no task of another job is charged.
+        was_alone: bool,
+    },
+    /// A job fails because endpoints crash under one of its tasks.
+    JobGivenUp {
+        /// Task.
+        task: TaskRef,
+        /// Number of endpoints that have crashed under it.
+        crashes: u32,
+    },
     /// Tasks wait for the quota of their account.
     QuotaReached(QuotaWait),
     /// Tasks wait for those of other accounts because their account has reached its fair share.
--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         balance::needs_members,
+        crashes::Suspicion,
         event::Now,
         free_capacity::PoolNumber,
         job::{JobId, Resources, StepSpec, TaskRef},
@@ -21,6 +22,8 @@
     pub(crate) pool: PoolNumber,
     /// Number of waiting tasks.
     pub(crate) waiting: u64,
+    /// Whether one of them has to be alone on its endpoint.
+    pub(crate) has_isolated: bool,
     /// Resources that each task reserves on its endpoint.
     pub(crate) reserved: Resources,
     /// Resources that each task takes from its account's quota.
@@ -44,6 +47,10 @@
             },
             pool,
             waiting: waiting_tasks(&run.steps[step]),
+            has_isolated: run.steps[step]
+                .tasks
+                .iter()
+                .any(|task| task.is_waiting() && Suspicion::of(task) == Suspicion::Isolated),
             reserved: spec.reserved_resources(),
             requested: spec.resources,
             account: job.account_number,
@@ -86,13 +93,19 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OpenSteps {
     steps: Vec<OpenStep>,
+    /// Number of steps with a waiting task that has to be alone on its endpoint.
+    isolated_count: usize,
 }
 
 impl OpenSteps {
     /// Removes the steps of jobs, whose ids are sorted.
     pub(crate) fn forget(&mut self, jobs: &[JobId]) {
-        self.steps
-            .retain(|step| jobs.binary_search(&step.first_task.job).is_err());
+        let isolated_count = &mut self.isolated_count;
+        self.steps.retain(|step| {
+            let is_kept = jobs.binary_search(&step.first_task.job).is_err();
+            *isolated_count -= usize::from(step.has_isolated && !is_kept);
+            is_kept
+        });
     }
 
     /// Adds the open steps of a job.
@@ -104,7 +117,9 @@
             let steps = occurrence.steps.iter().zip(&job.spec.steps).enumerate();
             for (number, (step, spec)) in steps {
                 if is_relevant(step, spec) && occurrence.is_open(spec) {
-                    self.steps.push(OpenStep::new(job, pool, at, number));
+                    let step = OpenStep::new(job, pool, at, number);
+                    self.isolated_count += usize::from(step.has_isolated);
+                    self.steps.push(step);
                 }
             }
         }
@@ -120,6 +135,12 @@
         self.steps.get(index).filter(|step| step.waiting > 0)
     }
 
+    /// Returns the steps with a waiting task that has to be alone on its endpoint.
+    pub(crate) fn isolated(&self) -> impl Iterator<Item = &OpenStep> {
+        let steps = self.steps.iter().filter(|step| step.has_isolated);
+        steps.take(self.isolated_count)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &OpenStep> {
         self.steps.iter()
     }
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         attempts::start_order,
+        crashes::Suspicion,
         endpoint_table::EndpointTable,
         endpoints::{Endpoint, PlacedRun},
         engine::Engine,
@@ -12,7 +13,7 @@
         log_event::{LogEvent, QuotaWait, ShareWait},
         open_steps::OpenStep,
         quota::AccountNumber,
-        state::{Attempt, Job},
+        state::{Attempt, Job, Task},
     },
     compact_str::CompactString,
 };
@@ -23,15 +24,47 @@
     key: EndpointKey,
     free: Resources,
     siblings: u16,
+    is_empty: bool,
+}
+
+/// A task with the endpoint chosen for it.
+#[derive(Clone, Copy, Debug)]
+struct Choice {
+    task: TaskRef,
+    key: EndpointKey,
+    /// How the run is placed, which may be weaker than what the task requires.
+    suspicion: Suspicion,
 }
 
 /// Reasons against an endpoint for a task, compared lexicographically. The lowest value wins, and
 /// among equals the fullest endpoint.
 ///
 /// Packing tasks tightly leaves whole VMs empty, which can then be moved or switched off.
-type Mismatch = (bool, bool, usize);
+type Mismatch = (bool, bool, bool, usize);
+
+const NO_MISMATCH: Mismatch = (false, false, false, 0);
 
-const NO_MISMATCH: Mismatch = (false, false, 0);
+/// Maximum number of endpoints with suspects that are passed over for a suspect, which bounds the
+/// search after many endpoints have crashed at once.
+const MAX_PASSED_OVER: usize = 32;
+
+/// What a task avoids beyond the requirements of its step.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Avoidance {
+    /// Endpoint on which it last failed.
+    pub(crate) endpoint: Option<EndpointKey>,
+    /// Whether it avoids endpoints that other tasks may crash.
+    pub(crate) avoids_suspects: bool,
+}
+
+impl Avoidance {
+    fn of(task: &Task) -> Self {
+        Self {
+            endpoint: task.avoided_endpoint,
+            avoids_suspects: Suspicion::of(task) >= Suspicion::Suspect,
+        }
+    }
+}
 
 impl Engine {
     /// Starts waiting tasks by urgency. Tasks of accounts that have excess demand and have reached
@@ -43,6 +76,7 @@
             return;
         }
         self.open_steps.sort(now);
+        self.place_isolated_tasks(now);
         let mut over_share = Vec::new();
         let mut index = 0;
         while let Some(step) = self.open_steps.waiting_at(index) {
@@ -68,6 +102,56 @@
         }
     }
 
+    /// Starts tasks that have to be alone on their endpoints, before others take the empty ones.
+    fn place_isolated_tasks(&mut self, now: Now) {
+        let steps = self.open_steps.isolated().filter(|step| {
+            let cpu_millis = step.reserved.cpu_millis;
+            let empty_slots = self.free_capacity.empty_slots_with(step.pool, cpu_millis);
+            !empty_slots.is_empty()
+        });
+        for step in steps.cloned().collect::<Vec<_>>() {
+            self.place_on_empty_endpoints(&step, now);
+        }
+    }
+
+    fn place_on_empty_endpoints(&mut self, step: &OpenStep, now: Now) {
+        let Some(job) = self.jobs.get(step.first_task.job) else {
+            return;
+        };
+        let Some(spec) = job.step_spec(&step.first_task).cloned() else {
+            return;
+        };
+        if spec.gang || job.queue.advised {
+            return;
+        }
+        let startable = self.startable_runs(step);
+        let isolated = waiting(job, &step.first_task, now).into_iter();
+        let isolated = isolated.map(|index| TaskRef {
+            index,
+            ..step.first_task
+        });
+        let isolated: Vec<TaskRef> = isolated
+            .filter(|task| self.suspicion(task) == Suspicion::Isolated)
+            .take(startable)
+            .collect();
+        for task in isolated {
+            if let Some(key) = self.best_empty_fit(step, &task, &spec) {
+                self.place_task(&task, key, &spec, None, Suspicion::Isolated, now);
+            }
+        }
+    }
+
+    fn best_empty_fit(
+        &self,
+        step: &OpenStep,
+        task: &TaskRef,
+        spec: &StepSpec,
+    ) -> Option<EndpointKey> {
+        let cpu_millis = step.reserved.cpu_millis;
+        let slots = self.free_capacity.empty_slots_with(step.pool, cpu_millis);
+        best_fit(&self.endpoints, slots, task, spec, self.avoidance(task))
+    }
+
     fn place_within_quota(&mut self, step: &OpenStep, now: Now) {
         if self.quotas.startable_runs(step.account, &step.requested) > 0 {
             self.place_step(step, now);
@@ -164,9 +248,8 @@
         let expired: Vec<EndpointKey> = cooldown.drain(..expired).map(|(_, key)| key).collect();
         for key in self.endpoints.take_changed().into_iter().chain(expired) {
             let endpoint = self.endpoints.get(key);
-            if endpoint.accepts_starts(now.steady_ms) {
-                let free_cpu_millis = endpoint.free().cpu_millis;
-                self.free_capacity.set(key, &endpoint.pool, free_cpu_millis);
+            if endpoint.accepts_starts(now.steady_ms) && endpoint.isolated_runs == 0 {
+                self.free_capacity.set(endpoint);
                 continue;
             }
             let cooldown = (endpoint.cooldown_until_ms, key);
@@ -198,14 +281,25 @@
                 index,
                 ..step.first_task
             };
-            let avoided = self.avoided_endpoint(&task);
+            let suspicion = self.suspicion(&task);
+            if suspicion.prefers_empty_endpoint(&spec)
+                && let Some(key) = self.best_empty_fit(step, &task, &spec)
+            {
+                self.place_task(&task, key, &spec, None, suspicion, now);
+                continue;
+            }
+            if suspicion == Suspicion::Isolated && self.waits_for_empty_endpoint(&task, now) {
+                continue;
+            }
             let slots = self
                 .free_capacity
                 .slots_with(step.pool, step.reserved.cpu_millis);
-            let Some(key) = best_fit(&self.endpoints, slots, &task, &spec, avoided) else {
+            let avoidance = self.avoidance(&task);
+            let Some(key) = best_fit(&self.endpoints, slots, &task, &spec, avoidance) else {
                 break;
             };
-            self.place_task(&task, key, &spec, None, now);
+            let suspicion = suspicion.min(Suspicion::Suspect);
+            self.place_task(&task, key, &spec, None, suspicion, now);
         }
     }
 
@@ -215,8 +309,9 @@
         usize::try_from(startable).unwrap_or(usize::MAX)
     }
 
-    fn avoided_endpoint(&self, task: &TaskRef) -> Option<EndpointKey> {
-        self.jobs.get(task.job)?.task(task)?.avoided_endpoint
+    fn avoidance(&self, task: &TaskRef) -> Avoidance {
+        let known = self.jobs.get(task.job).and_then(|job| job.task(task));
+        known.map(Avoidance::of).unwrap_or_default()
     }
 
     /// Places a gang, or tasks whose endpoints are chosen by the advice service.
@@ -240,17 +335,30 @@
             if !is_unstarted(job, &step_ref) || startable < usize::from(spec.count) {
                 return;
             }
-            choose_gang(&self.endpoints, &mut slots, job, &step_ref, spec)
+            choose_gang(&self.endpoints, &slots, job, &step_ref, spec, now)
         } else {
             let mut waiting = waiting(job, &step_ref, now);
             waiting.truncate(startable);
-            choose_each(&self.endpoints, &mut slots, job, &step_ref, spec, &waiting)
+            choose_each(
+                &self.endpoints,
+                &mut slots,
+                job,
+                &step_ref,
+                spec,
+                &waiting,
+                now,
+            )
         };
-        let runs = chosen.iter().filter_map(|(task, _)| job.task(task));
+        let runs = chosen.iter().filter_map(|choice| job.task(&choice.task));
         let highest_run = runs.map(|task| task.run).max();
         let gang_run = highest_run.filter(|_| spec.gang);
-        for (task, key) in chosen {
-            self.place_task(&task, key, spec, gang_run, now);
+        for Choice {
+            task,
+            key,
+            suspicion,
+        } in chosen
+        {
+            self.place_task(&task, key, spec, gang_run, suspicion, now);
         }
     }
 
@@ -261,6 +369,7 @@
         key: EndpointKey,
         spec: &StepSpec,
         gang_run: Option<u32>,
+        suspicion: Suspicion,
         now: Now,
     ) {
         let Ok(index) = self.jobs.search(task.job) else {
@@ -278,9 +387,12 @@
         let order = start_order(job, key, task, run, 0);
         self.pending_effects.push(Effect::Start(Box::new(order)));
         let endpoint = self.endpoints.get_mut(key);
-        endpoint.add_run(PlacedRun::new(*task, run, spec));
-        let free_cpu_millis = endpoint.free().cpu_millis;
-        self.free_capacity.set(key, &endpoint.pool, free_cpu_millis);
+        endpoint.add_run(PlacedRun::new(*task, run, spec).with_suspicion(suspicion));
+        if endpoint.isolated_runs == 0 {
+            self.free_capacity.set(endpoint);
+        } else {
+            self.free_capacity.remove(key);
+        }
     }
 }
 
@@ -326,10 +438,11 @@
     slots: &[FreeSlot],
     task: &TaskRef,
     spec: &StepSpec,
-    avoided: Option<EndpointKey>,
+    avoidance: Avoidance,
 ) -> Option<EndpointKey> {
     let needed = spec.reserved_resources();
     let mut best: Option<(Mismatch, EndpointKey)> = None;
+    let mut passed_over = 0;
     for &(_, key) in slots {
         let endpoint = endpoints.get(key);
         let may_share =
@@ -337,19 +450,24 @@
         if !may_share || !endpoint.free().can_fit(&needed) || !has_required_label(endpoint, spec) {
             continue;
         }
-        let mismatch = mismatch(endpoint, spec, avoided);
+        let mismatch = mismatch(endpoint, spec, avoidance);
         if mismatch == NO_MISMATCH {
             return Some(key);
         }
         if best.is_none_or(|(least, _)| mismatch < least) {
             best = Some((mismatch, key));
         }
+        passed_over += usize::from(mismatch.0);
+        if passed_over == MAX_PASSED_OVER {
+            break;
+        }
     }
     best.map(|(_, key)| key)
 }
 
-fn mismatch(endpoint: &Endpoint, spec: &StepSpec, avoided: Option<EndpointKey>) -> Mismatch {
-    let is_suspect = endpoint.failed_runs > 0 || avoided == Some(endpoint.key);
+fn mismatch(endpoint: &Endpoint, spec: &StepSpec, avoidance: Avoidance) -> Mismatch {
+    let has_suspects = avoidance.avoids_suspects && endpoint.suspect_runs > 0;
+    let is_faulty = endpoint.failed_runs > 0 || avoidance.endpoint == Some(endpoint.key);
     let is_remote = !spec.data_rack.is_empty() && !endpoint.has_label(&spec.data_rack);
     let conflicts = if spec.filler {
         endpoint
@@ -366,7 +484,7 @@
     } else {
         0
     };
-    (is_suspect, is_remote, conflicts)
+    (has_suspects, is_faulty, is_remote, conflicts)
 }
 
 fn slots(
@@ -385,6 +503,7 @@
             key,
             free: endpoint.free(),
             siblings: siblings(endpoint, step_ref),
+            is_empty: endpoint.placed_runs.is_empty(),
         })
         .collect()
 }
@@ -392,52 +511,108 @@
 /// Chooses an endpoint for each task, until one does not fit.
 fn choose_each(
     endpoints: &EndpointTable,
-    slots: &mut [Slot],
+    slots: &mut Vec<Slot>,
     job: &Job,
     step_ref: &TaskRef,
     spec: &StepSpec,
     waiting: &[u16],
-) -> Vec<(TaskRef, EndpointKey)> {
+    now: Now,
+) -> Vec<Choice> {
     let mut chosen = Vec::new();
     for &index in waiting {
         let task = TaskRef { index, ..*step_ref };
-        let avoided = job.task(&task).and_then(|task| task.avoided_endpoint);
-        let Some(slot) = best_slot(endpoints, slots, spec, avoided) else {
+        let Some(known) = job.task(&task) else {
+            break;
+        };
+        let suspicion = Suspicion::of(known);
+        let avoidance = Avoidance::of(known);
+        if suspicion.prefers_empty_endpoint(spec) && !spec.gang {
+            let mut empty: Vec<Slot> = slots.iter().filter(|slot| slot.is_empty).cloned().collect();
+            if let Some(&mut Slot { key, .. }) = best_slot(endpoints, &mut empty, spec, avoidance) {
+                // A run that is only suspect lets others start beside it, but not in this round.
+                slots.retain(|slot| slot.key != key);
+                chosen.push(Choice {
+                    task,
+                    key,
+                    suspicion,
+                });
+                continue;
+            }
+            if suspicion == Suspicion::Isolated && now.steady_ms < known.isolate_until_ms {
+                continue;
+            }
+        }
+        let Some(slot) = best_slot(endpoints, slots, spec, avoidance) else {
             break;
         };
         reserve(slot, spec);
-        chosen.push((task, slot.key));
+        chosen.push(Choice {
+            task,
+            key: slot.key,
+            suspicion: suspicion.min(Suspicion::Suspect),
+        });
     }
     chosen
 }
 
-/// Chooses endpoints for all tasks of a gang or for none, within one rack where the step prefers
-/// it.
+/// Chooses endpoints for all tasks of a gang or for none. If endpoints crashed under one of them,
+/// empty endpoints are preferred for all.
 fn choose_gang(
     endpoints: &EndpointTable,
-    slots: &mut [Slot],
+    slots: &[Slot],
+    job: &Job,
+    step_ref: &TaskRef,
+    spec: &StepSpec,
+    now: Now,
+) -> Vec<Choice> {
+    let tasks = job.step(step_ref).map_or(&[][..], |step| &step.tasks);
+    let suspicion = tasks.iter().map(Suspicion::of).max();
+    let suspicion = suspicion.unwrap_or(Suspicion::None);
+    if suspicion.prefers_empty_endpoint(spec) {
+        let empty: Vec<Slot> = slots.iter().filter(|slot| slot.is_empty).cloned().collect();
+        let mut chosen = choose_members(endpoints, &empty, job, step_ref, spec, now);
+        for choice in &mut chosen {
+            choice.suspicion = suspicion;
+        }
+        let is_waiting = suspicion == Suspicion::Isolated
+            && tasks
+                .iter()
+                .any(|task| now.steady_ms < task.isolate_until_ms);
+        if is_waiting || !chosen.is_empty() {
+            return chosen;
+        }
+    }
+    choose_members(endpoints, slots, job, step_ref, spec, now)
+}
+
+/// Chooses among endpoints for all tasks of a gang or for none, within one rack where the step
+/// prefers it.
+fn choose_members(
+    endpoints: &EndpointTable,
+    slots: &[Slot],
     job: &Job,
     step_ref: &TaskRef,
     spec: &StepSpec,
-) -> Vec<(TaskRef, EndpointKey)> {
+    now: Now,
+) -> Vec<Choice> {
     let all: Vec<u16> = (0..spec.count).collect();
-    let complete = |chosen: Vec<(TaskRef, EndpointKey)>| {
+    let choose = |mut slots: Vec<Slot>| {
+        let chosen = choose_each(endpoints, &mut slots, job, step_ref, spec, &all, now);
         (chosen.len() == usize::from(spec.count)).then_some(chosen)
     };
     if spec.same_rack {
         for rack in racks(endpoints, slots) {
-            let mut in_rack: Vec<Slot> = slots
+            let in_rack = slots
                 .iter()
                 .filter(|slot| endpoints.get(slot.key).has_label(&rack))
                 .cloned()
                 .collect();
-            let chosen = choose_each(endpoints, &mut in_rack, job, step_ref, spec, &all);
-            if let Some(chosen) = complete(chosen) {
+            if let Some(chosen) = choose(in_rack) {
                 return chosen;
             }
         }
     }
-    complete(choose_each(endpoints, slots, job, step_ref, spec, &all)).unwrap_or_default()
+    choose(slots.to_vec()).unwrap_or_default()
 }
 
 /// Returns the rack labels: every label except the first, which is the kind of VM.
@@ -455,7 +630,7 @@
     endpoints: &EndpointTable,
     slots: &'a mut [Slot],
     spec: &StepSpec,
-    avoided: Option<EndpointKey>,
+    avoidance: Avoidance,
 ) -> Option<&'a mut Slot> {
     let needed = spec.reserved_resources();
     slots
@@ -463,7 +638,7 @@
         .filter(|slot| slot.free.can_fit(&needed))
         .filter(|slot| spec.max_per_endpoint == 0 || slot.siblings < spec.max_per_endpoint)
         .min_by_key(|slot| {
-            let mismatch = mismatch(endpoints.get(slot.key), spec, avoided);
+            let mismatch = mismatch(endpoints.get(slot.key), spec, avoidance);
             (mismatch, slot.free.cpu_millis)
         })
 }
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -48,6 +48,10 @@
     pub retry_at_ms: u64,
     /// When the start was decided, on the monotonic clock.
     pub decided_at_ms: u64,
+    /// When the endpoint confirmed the run to this owner, on the monotonic clock.
+    pub confirmed_at_ms: Option<u64>,
+    /// When a report last contained the run, on the monotonic clock.
+    pub reported_at_ms: u64,
     /// Progress in percent; 100 for a long-running task that is working.
     pub percent: u32,
     /// When progress was last observed, on the endpoint's clock; `None` before the first report.
@@ -70,6 +74,8 @@
             is_stop_stored: false,
             retry_at_ms: 0,
             decided_at_ms,
+            confirmed_at_ms: None,
+            reported_at_ms: 0,
             percent: 0,
             progress_clock_ms: None,
             pace: 100,
@@ -77,6 +83,15 @@
     }
 }
 
+impl Attempt {
+    /// Returns for how long reports to this owner show the run as active, in milliseconds.
+    #[must_use]
+    pub fn running_ms(&self) -> u64 {
+        let confirmed_at_ms = self.confirmed_at_ms.unwrap_or(u64::MAX);
+        self.reported_at_ms.saturating_sub(confirmed_at_ms)
+    }
+}
+
 /// One task of a step.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Task {
@@ -94,6 +109,12 @@
     pub not_before_ms: u64,
     /// Endpoint on which the task last failed.
     pub avoided_endpoint: Option<EndpointKey>,
+    /// Number of endpoints that crashed under its runs.
+    pub crashes: u32,
+    /// Endpoints whose leases expired under its runs and that may have crashed, the latest last.
+    pub lost_on: Vec<EndpointKey>,
+    /// Time until which it waits for an empty endpoint after crashes, on the monotonic clock.
+    pub isolate_until_ms: u64,
 }
 
 impl Task {
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -93,9 +93,26 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct StoredOccurrence(u32, Vec<Vec<StoredTask>>);
 
-/// Run number, failed runs, whether done, checkpoint, attempts.
+/// Run number, failed runs, whether done, checkpoint, attempts, crashes.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct StoredTask(u32, u32, bool, CompactString, Vec<StoredAttempt>);
+struct StoredTask(
+    u32,
+    u32,
+    bool,
+    CompactString,
+    Vec<StoredAttempt>,
+    #[serde(default, skip_serializing_if = "StoredCrashes::is_empty")] StoredCrashes,
+);
+
+/// Number of crashed endpoints, indexes of those that may have crashed.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+struct StoredCrashes(u32, Vec<u32>);
+
+impl StoredCrashes {
+    fn is_empty(&self) -> bool {
+        self.0 == 0 && self.1.is_empty()
+    }
+}
 
 /// Run number, index of the endpoint in the list, whether it is to be stopped.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -211,6 +228,8 @@
                         StoredAttempt(attempt.run, index_of(attempt.endpoint), attempt.is_stopping)
                     });
                     let attempts = attempts.collect();
+                    let lost_on = task.lost_on.iter().map(|&key| index_of(key));
+                    let crashes = StoredCrashes(task.crashes, lost_on.collect());
                     let checkpoint = task.checkpoint.clone();
                     StoredTask(
                         task.run,
@@ -218,6 +237,7 @@
                         task.is_done,
                         checkpoint,
                         attempts,
+                        crashes,
                     )
                 });
                 tasks.collect()
@@ -283,21 +303,28 @@
         .iter()
         .map(|(id, address)| key_of(id, *address))
         .collect();
+    let key_at = |index: u32| keys.get(usize::try_from(index).ok()?).copied();
     let restore_attempt = |StoredAttempt(run, index, is_stopping): StoredAttempt| {
-        let endpoint = *keys.get(usize::try_from(index).ok()?)?;
+        let endpoint = key_at(index)?;
         let mut attempt = Attempt::new(run, endpoint, 0);
         attempt.phase = Phase::Inherited;
         attempt.is_stopping = is_stopping;
         attempt.is_stop_stored = is_stopping;
         Some(attempt)
     };
-    let restore_task = |StoredTask(run, failed, is_done, checkpoint, attempts): StoredTask| Task {
-        run,
-        failed_runs: failed,
-        is_done,
-        checkpoint,
-        attempts: attempts.into_iter().filter_map(restore_attempt).collect(),
-        ..Task::default()
+    let restore_task = |stored: StoredTask| {
+        let StoredTask(run, failed, is_done, checkpoint, attempts, crashes) = stored;
+        let StoredCrashes(crashes, lost_on) = crashes;
+        Task {
+            run,
+            failed_runs: failed,
+            is_done,
+            checkpoint,
+            attempts: attempts.into_iter().filter_map(restore_attempt).collect(),
+            crashes,
+            lost_on: lost_on.into_iter().filter_map(key_at).collect(),
+            ..Task::default()
+        }
     };
     let occurrences = occurrences
         .into_iter()
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -504,6 +504,50 @@
     01cd23289292009292950100c3a090950201c2a468616c6691930200c391950000c2a09092019292950100c2a0\
     91930101c3950100c2a091930101c391950000c2a090a96163636f756e742d31";
 
+/// Guards against a count of crashes that the next owner does not know of, or that leads it to
+/// the wrong endpoint.
+#[test]
+fn job_after_crashes() {
+    let mut fleet = fleet(2);
+    fleet.submit_for("account-1", queue(), 1, due_once());
+    fleet.settle();
+    let index = running_on(&fleet);
+    fleet.crash(index);
+    fleet.advance(500);
+    fleet.restart(index);
+    fleet.advance(500);
+    let index = running_on(&fleet);
+    fleet.crash(index);
+    fleet.advance(9_000);
+    let task = job(&fleet).tasks().next().expect("a task").1;
+    assert_eq!((task.crashes, task.lost_on.len()), (1, 1));
+    check_job(&fleet, 1, &queue(), SPEC_DUE_ONCE, PROGRESS_AFTER_CRASHES);
+}
+
+/// Returns the endpoint with runs.
+fn running_on(fleet: &Fleet) -> usize {
+    let mut endpoints = fleet.endpoints.iter();
+    let index = endpoints.position(|endpoint| !endpoint.running.is_empty());
+    index.expect("a running task")
+}
+
+/// Returns a job of one task.
+fn due_once() -> JobSpec {
+    JobSpec {
+        payload: "z=7".into(),
+        steps: vec![step(1)],
+        ..JobSpec::default()
+    }
+}
+
+const SPEC_DUE_ONCE: &str = "\
+    9399ac6d6170732e6578616d706c65a62f6d6170732fa46d6170730002cb3ff999999999999acd0258c2c395a3\
+    7a3d3791dc00100193cd03e86400cd03e890c2c2c2a0a000c2c2a000c200000000ce004c4b40";
+
+const PROGRESS_AFTER_CRASHES: &str = "\
+    95a752756e6e696e67019292a4692d312b81a2563492947f000001cd232892a3692d3281a2563492947f000001\
+    cd23299192009191960300c2a091930300c292019101a96163636f756e742d31";
+
 /// Returns a fleet with an ended job of one task.
 fn fleet_after(kind: EndKind) -> Fleet {
     let mut fleet = fleet(1);
--- a/crates/lynxwheel/tests/soak.rs
+++ b/crates/lynxwheel/tests/soak.rs
@@ -6,19 +6,29 @@
     tokio::runtime::Runtime,
 };
 
+/// What a run has beyond the usual faults.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Variant {
+    Plain,
+    SmallNodes,
+    UnstableEndpoints,
+}
+
 /// Runs a seed with three nodes and returns the violated guarantees.
-fn run_seed(seed: u64, length_ms: u64, are_nodes_small: bool) -> Vec<String> {
+fn run_seed(seed: u64, length_ms: u64, variant: Variant) -> Vec<String> {
     let program = Path::new(env!("CARGO_BIN_EXE_lynxwheel"));
-    let plan = SoakPlan::new(program, seed, length_ms, 3).with_small_nodes(are_nodes_small);
+    let plan = SoakPlan::new(program, seed, length_ms, 3)
+        .with_small_nodes(variant == Variant::SmallNodes)
+        .with_unstable_endpoints(variant == Variant::UnstableEndpoints);
     let runtime = Runtime::new().expect("a runtime");
     let report = runtime.block_on(run_soak(&plan)).expect("a run");
     report.violations
 }
 
 macro_rules! seeds {
-    ($($(#[$doc:meta])* $name:ident: $seed:literal, $length_ms:literal, $are_nodes_small:literal;)*) => {
+    ($($(#[$doc:meta])* $name:ident: $seed:literal, $length_ms:literal, $variant:ident;)*) => {
         $($(#[$doc])* #[test] fn $name() {
-            let violations = run_seed($seed, $length_ms, $are_nodes_small);
+            let violations = run_seed($seed, $length_ms, Variant::$variant);
             assert_eq!(violations, Vec::<String>::new());
         })*
     };
@@ -27,11 +37,15 @@
 seeds! {
     /// Guards against guarantees that overlapping faults of nodes, links and endpoints violate, and
     /// against accepted jobs that never end.
-    overlapping_faults_violate_no_guarantee: 1, 4_000, false;
+    overlapping_faults_violate_no_guarantee: 1, 4_000, Plain;
 
     /// Guards against tasks that run twice and lost results when the delegates that call endpoints
     /// for the owner fail, too.
-    delegate_faults_violate_no_guarantee: 2, 4_000, true;
+    delegate_faults_violate_no_guarantee: 2, 4_000, SmallNodes;
+
+    /// Guards against tasks that crash endpoints without end, and against starts beyond a capacity
+    /// that has shrunk.
+    unstable_endpoints_violate_no_guarantee: 5, 4_000, UnstableEndpoints;
 }
 
 /// Guards against nodes without access to the store that accept revoked keys or reject new ones.
