--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        crashes::Suspicion,
         event::{EndpointKey, Now},
         job::{Resources, StepSpec, TaskRef},
         reports::EndpointEntry,
@@ -43,6 +44,8 @@
     pub is_filler: bool,
     /// Whether the task runs until it is stopped.
     pub is_long_running: bool,
+    /// Whether the task may crash the endpoint, and whether other runs may start beside it.
+    pub(crate) suspicion: Suspicion,
     /// Limit of a serving task's tail latency, in milliseconds; 0 for none.
     pub target_ms: u64,
     /// Last reported tail latency of a serving task, in milliseconds.
@@ -60,6 +63,7 @@
             is_serving: spec.is_serving(),
             is_filler: spec.filler,
             is_long_running: spec.long_running,
+            suspicion: Suspicion::None,
             target_ms: spec.target_ms,
             tail_latency_ms: 0,
         }
@@ -73,6 +77,20 @@
             ..Self::new(task, run, &StepSpec::default())
         }
     }
+
+    /// Sets whether the task may crash the endpoint, and whether others may start beside it.
+    #[must_use]
+    pub(crate) fn with_suspicion(self, suspicion: Suspicion) -> Self {
+        Self { suspicion, ..self }
+    }
+
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.suspicion >= Suspicion::Suspect
+    }
+
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.suspicion == Suspicion::Isolated
+    }
 }
 
 /// One incarnation of an endpoint.
@@ -128,8 +146,15 @@
     pub long_running_runs: usize,
     /// Number of runs of unknown size that may be active; nothing starts beside them.
     pub unsized_runs: usize,
+    /// Number of runs that may crash the endpoint.
+    pub suspect_runs: usize,
+    /// Number of runs beside which no other may start.
+    pub isolated_runs: usize,
     /// Runs that may be active.
     pub placed_runs: Vec<PlacedRun>,
+    /// Tasks whose runs were removed when the lease expired, sorted. They are charged if the
+    /// incarnation turns out to have crashed.
+    pub(crate) lost_tasks: Vec<TaskRef>,
     /// Number of renewals sent.
     pub renewals: u64,
     /// Whether a renewal is in flight.
@@ -179,7 +204,10 @@
             used_long_running: Resources::default(),
             long_running_runs: 0,
             unsized_runs: 0,
+            suspect_runs: 0,
+            isolated_runs: 0,
             placed_runs: Vec::new(),
+            lost_tasks: Vec::new(),
             renewals: 0,
             is_renewing: false,
             renew_at_ms: 0,
@@ -261,6 +289,21 @@
         self.capacity.saturating_sub(&self.used)
     }
 
+    /// Returns whether a placed run fits beside all others, which it may not after the capacity has
+    /// shrunk.
+    #[must_use]
+    pub fn has_room_for(&self, task: &TaskRef, run: u32) -> bool {
+        let mut placed_runs = self.placed_runs.iter();
+        let placed = placed_runs.find(|placed| placed.task == *task && placed.run == run);
+        placed
+            .and_then(|placed| placed.resources)
+            .is_none_or(|resources| {
+                let others = self.used.saturating_sub(&resources);
+                let free = self.capacity.saturating_sub(&others);
+                free.can_fit(&resources)
+            })
+    }
+
     /// Returns whether the endpoint has a label.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
@@ -328,9 +371,31 @@
             self.long_running_runs += 1;
         }
         self.unsized_runs += usize::from(placed.resources.is_none());
+        self.suspect_runs += usize::from(placed.is_suspect());
+        self.isolated_runs += usize::from(placed.is_isolated());
         self.placed_runs.push(placed);
     }
 
+    /// Changes whether a placed run may crash the endpoint, and whether others may start beside it.
+    pub(crate) fn set_suspicion(&mut self, task: &TaskRef, run: u32, suspicion: Suspicion) {
+        let mut placed_runs = self.placed_runs.iter_mut();
+        let placed = placed_runs.find(|placed| placed.task == *task && placed.run == run);
+        if let Some(placed) = placed {
+            self.suspect_runs -= usize::from(placed.is_suspect());
+            self.isolated_runs -= usize::from(placed.is_isolated());
+            placed.suspicion = suspicion;
+            self.suspect_runs += usize::from(placed.is_suspect());
+            self.isolated_runs += usize::from(placed.is_isolated());
+        }
+    }
+
+    /// Adds a task whose run was removed when the lease expired.
+    pub(crate) fn add_lost_task(&mut self, task: TaskRef) {
+        if let Err(index) = self.lost_tasks.binary_search(&task) {
+            self.lost_tasks.insert(index, task);
+        }
+    }
+
     /// Releases the resources of a run.
     pub fn remove_run(&mut self, task: &TaskRef, run: u32, now_ms: u64) {
         let index = self
@@ -346,6 +411,8 @@
                 self.long_running_runs -= 1;
             }
             self.unsized_runs -= usize::from(placed.resources.is_none());
+            self.suspect_runs -= usize::from(placed.is_suspect());
+            self.isolated_runs -= usize::from(placed.is_isolated());
             if self.placed_runs.is_empty() {
                 self.empty_since_ms = now_ms;
             }
--- a/crates/lynxwheel/tests/soak.rs
+++ b/crates/lynxwheel/tests/soak.rs
@@ -35,6 +35,10 @@
 
     /// Guards against acknowledged ends that the next owner does not know.
     late_appends_violate_no_guarantee: 4, 8_000, |plan| plan.with_late_appends(true);
+
+    /// Guards against tasks that crash endpoints without end, and against starts beyond a capacity
+    /// that has shrunk.
+    unstable_endpoints_violate_no_guarantee: 5, 4_000, |plan| plan.with_unstable_endpoints(true);
 }
 
 /// Guards against nodes without access to the store that accept revoked keys or reject new ones.
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -30,6 +30,9 @@
     /// Makes the store execute many appends late.
     #[arg(long)]
     late_appends: bool,
+    /// Adds tasks that crash their endpoints, and changes the capacity of endpoints.
+    #[arg(long)]
+    unstable_endpoints: bool,
     /// Duration of the traffic and the faults, in milliseconds.
     #[arg(long, default_value_t = 10_000)]
     length_ms: u64,
@@ -45,12 +48,14 @@
         nodes,
         small_nodes,
         late_appends,
+        unstable_endpoints,
         length_ms,
     } = Arguments::parse();
     let plan = |seed| {
         SoakPlan::new(&program, seed, length_ms, nodes)
             .with_small_nodes(small_nodes)
             .with_late_appends(late_appends)
+            .with_unstable_endpoints(unstable_endpoints)
     };
     let run = |seed| {
         let plan = plan(seed);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,8 +4,8 @@
     crate::{
         callers::Callers,
         checker::{Checker, ExpectedJob},
-        cluster::{Cluster, SHUTDOWN_MS},
-        faults::{plan_faults, plan_late_appends},
+        cluster::{Cluster, ENDPOINT_CPU_MILLIS, SHUTDOWN_MS},
+        faults::{plan_capacity_changes, plan_faults, plan_late_appends},
         harness::{Harness, STARTUP_MS},
     },
     lynxwheel_engine::JobId,
@@ -42,6 +42,8 @@
     pub has_small_nodes: bool,
     /// Whether the store executes many appends late.
     pub has_late_appends: bool,
+    /// Whether some tasks crash their endpoints, and whether the capacity of endpoints changes.
+    pub has_unstable_endpoints: bool,
     /// Directory for settings and logs of the nodes, kept when an invariant is violated.
     pub directory: PathBuf,
 }
@@ -58,6 +60,7 @@
             nodes,
             has_small_nodes: false,
             has_late_appends: false,
+            has_unstable_endpoints: false,
             directory: std::env::temp_dir().join(name),
         }
     }
@@ -79,6 +82,15 @@
             ..self
         }
     }
+
+    /// Sets whether some tasks crash their endpoints, and whether the capacity of endpoints changes.
+    #[must_use]
+    pub fn with_unstable_endpoints(self, has_unstable_endpoints: bool) -> Self {
+        Self {
+            has_unstable_endpoints,
+            ..self
+        }
+    }
 }
 
 /// Result of a run.
@@ -103,20 +115,27 @@
     let harness = Harness::start(plan).await?;
     let mut tasks = JoinSet::new();
     harness.start_callers(plan.seed, plan.traffic_ms, &mut tasks);
+    if plan.has_unstable_endpoints {
+        harness.start_crashing_caller(plan.seed, plan.traffic_ms, &mut tasks);
+    }
     let Harness {
         checker,
         cluster,
         callers,
     } = harness;
-    let mut faults = plan_faults(
-        plan.seed,
-        plan.traffic_ms,
-        plan.nodes,
-        cluster.endpoints.len(),
-    );
+    let endpoints = cluster.endpoints.len();
+    let mut faults = plan_faults(plan.seed, plan.traffic_ms, plan.nodes, endpoints);
     if plan.has_late_appends {
         faults.extend(plan_late_appends(plan.seed, plan.traffic_ms));
     }
+    if plan.has_unstable_endpoints {
+        faults.extend(plan_capacity_changes(
+            plan.seed,
+            plan.traffic_ms,
+            endpoints,
+            ENDPOINT_CPU_MILLIS,
+        ));
+    }
     let fault_count = faults.len();
     for planned in faults {
         let cluster = Arc::clone(&cluster);
