Charge no run that has lasted beside younger ones

What callers would see: a long-running job that is given up although it never crashed an endpoint.

Cause: a run of 5 s was spared only if a task that was charged before had started beside it, so the first crash of each crashing task was charged to all its neighbours.

Change: it is spared whenever a younger run is there.

only_young_runs_are_charged_beside_older_ones failed before, with two charges of job 1 beside that of job 2.

--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -75,7 +75,6 @@
 #[derive(Clone, Copy, Debug)]
 struct ActiveRun {
     task: TaskRef,
-    is_suspect: bool,
     /// Whether it has lasted long enough to show that its start crashes no endpoint.
     has_lasted: bool,
 }
@@ -95,12 +94,11 @@
             return Vec::new();
         }
         let active = self.active_runs(key);
-        let has_young_suspect = active.iter().any(|run| run.is_suspect && !run.has_lasted);
-        // A run that has lasted is not at fault if the endpoint crashes soon after the start of a
-        // suspect.
+        // A run that has lasted is not at fault if the endpoint crashes soon after another start.
+        let has_young_run = active.iter().any(|run| !run.has_lasted);
         let charged = active
             .iter()
-            .filter(|run| !(run.has_lasted && has_young_suspect))
+            .filter(|run| !(run.has_lasted && has_young_run))
             .map(|run| run.task);
         let lost = endpoint.lost_tasks.iter().copied().filter(|task| {
             let known = self.jobs.get(task.job).and_then(|job| job.task(task));
@@ -124,7 +122,6 @@
             let attempt = attempts.find(|attempt| attempt.run == placed.run)?;
             (attempt.phase != Phase::Placed).then(|| ActiveRun {
                 task: placed.task,
-                is_suspect: Suspicion::of(task) >= Suspicion::Suspect,
                 has_lasted: attempt.running_ms() >= ISOLATION_MS,
             })
         });
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -744,6 +744,25 @@
     assert_eq!(fleet.job_state(2), Some(JobState::Completed));
 }
 
+/// Guards against charging a run that has lasted with a crash soon after the start of another.
+#[test]
+fn only_young_runs_are_charged_beside_older_ones() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.submit_spec(1, long_running(2));
+    fleet.advance(6_000);
+    fleet.submit(2, 1);
+    fleet.advance(100);
+    assert_eq!(fleet.endpoints[0].running.len(), 3);
+    crash_and_restart(&mut fleet, 0, RESTART_MS);
+    let events = fleet.engine.take_log_events().into_iter();
+    let charged = events.filter_map(|event| match event {
+        LogEvent::CrashCharged { task, .. } => Some(task.job),
+        _ => None,
+    });
+    assert_eq!(charged.collect::<Vec<_>>(), [job_id(2)]);
+}
+
 /// Guards against decisions that the log does not explain.
 #[test]
 fn crashes_and_their_consequence_are_logged() {
