Check the budget before a stop of a previous owner is sent

What callers would see: more long-running tasks of a step away at once than it allows.

Cause: the budget is checked when the decision to stop is stored. A successor took a stored decision for a checked one and sent the stop at once, although other tasks of the step may have been lost since.

Change: a stop is sent, by whichever owner and at each retry, only if the job is over, the endpoint drains, or the step's budget allows it.

inherited_stop_waits_while_a_sibling_is_unavailable and inherited_stop_waits_for_a_sibling_that_leaves_a_draining_endpoint failed before (left: [3], right: []; both stops at once).

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -227,7 +227,7 @@
         // An idle endpoint is renewed rarely; now a run may end at any time.
         let endpoint = self.endpoints.get_mut(key);
         endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
-        if is_stopping {
+        if is_stopping && self.may_send_stop(task, run) {
             self.immediate_effects.push(Effect::Stop {
                 endpoint: key,
                 task: *task,
@@ -390,8 +390,7 @@
         let Ok(index) = self.search(task.job) else {
             return false;
         };
-        let is_required = self.jobs[index].state.is_final() || self.is_endpoint_draining(task, run);
-        let may_stop = is_required || self.can_interrupt(task);
+        let may_stop = self.may_send_stop(task, run);
         let job = &mut self.jobs[index];
         let Some(attempt) = find_attempt(job, task, run) else {
             return false;
@@ -405,6 +404,15 @@
         may_stop
     }
 
+    /// Returns whether the order to stop a run may be sent now, within its step's budget unless the
+    /// run ends in any case.
+    pub(crate) fn may_send_stop(&self, task: &TaskRef, run: u32) -> bool {
+        let job = self.jobs.get(task.job);
+        job.is_some_and(|job| job.state.is_final())
+            || self.is_endpoint_draining(task, run)
+            || self.can_interrupt(task)
+    }
+
     /// Returns whether the endpoint of a run is draining, which ends the run in any case.
     fn is_endpoint_draining(&self, task: &TaskRef, run: u32) -> bool {
         self.attempt(task, run)
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -11,7 +11,9 @@
 
 impl Engine {
     /// Retries unanswered orders. A start keeps its run number and is therefore idempotent; starts
-    /// of an account above its quota wait, and those that no longer fit are stopped.
+    /// of an account above its quota wait, and those that no longer fit are stopped. Stops beyond the
+    /// budget of their step wait: a previous owner may have decided on them before other tasks of the
+    /// step were lost.
     pub(crate) fn retry_orders(&mut self, now: Now) {
         for (task, run, key, is_stop) in self.due_retries(now) {
             let endpoint = self.endpoints.get_mut(key);
@@ -19,11 +21,13 @@
                 continue;
             }
             if is_stop {
-                self.immediate_effects.push(Effect::Stop {
-                    endpoint: key,
-                    task,
-                    run,
-                });
+                if self.may_send_stop(&task, run) {
+                    self.immediate_effects.push(Effect::Stop {
+                        endpoint: key,
+                        task,
+                        run,
+                    });
+                }
             } else if !endpoint.has_room_for(&task, run) {
                 self.stop_run(&task, run, now);
             } else if let Ok(index) = self.jobs.search(task.job)
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -254,6 +254,73 @@
     assert_eq!(fleet.orders.iter().filter(is_stop).count(), 0);
 }
 
+/// Returns a fleet in which a stop for maintenance is stored and not sent.
+fn fleet_with_stored_stop() -> Fleet {
+    let (mut fleet, _) = three_vms();
+    submit_long_running(&mut fleet, 2, 1);
+    fleet.settle();
+    fleet.advance(1_500);
+    fleet.is_store_down = true;
+    fleet.handle(wave(&["vm-1"], 1));
+    fleet.advance(100);
+    fleet.settle_without_cleaning();
+    fleet
+}
+
+fn take_over_with_store(fleet: &mut Fleet) {
+    fleet.take_over();
+    fleet.is_store_down = false;
+    fleet.orders.clear();
+    fleet.advance(3_000);
+}
+
+/// Returns the positions of the stops among the orders.
+fn stops(fleet: &Fleet) -> Vec<usize> {
+    let is_stop = |order: &Effect| matches!(order, Effect::Stop { .. });
+    let orders = fleet.orders.iter().enumerate();
+    orders
+        .filter(|(_, order)| is_stop(order))
+        .map(|(at, _)| at)
+        .collect()
+}
+
+/// Guards against a successor that never sends a stop of its predecessor.
+#[test]
+fn inherited_stop_is_sent_within_the_budget() {
+    let mut fleet = fleet_with_stored_stop();
+    take_over_with_store(&mut fleet);
+    assert_eq!(stops(&fleet).len(), 1);
+}
+
+/// Guards against a successor sending a stop after a sibling was lost.
+#[test]
+fn inherited_stop_waits_while_a_sibling_is_unavailable() {
+    let mut fleet = fleet_with_stored_stop();
+    fleet.endpoints[1].is_unresponsive = true;
+    take_over_with_store(&mut fleet);
+    assert_eq!(stops(&fleet), Vec::<usize>::new());
+}
+
+/// Guards against a successor sending a stop together with that of a sibling whose endpoint drains.
+#[test]
+fn inherited_stop_waits_for_a_sibling_that_leaves_a_draining_endpoint() {
+    let mut fleet = fleet_with_stored_stop();
+    fleet.entries[1].is_draining = true;
+    let entry = fleet.entries[1].clone();
+    fleet.handle(listed(entry, true));
+    fleet.settle_without_cleaning();
+    take_over_with_store(&mut fleet);
+    let is_start = |order: &Effect| matches!(order, Effect::Start(_));
+    let first_start = fleet.orders.iter().position(is_start);
+    let stops = stops(&fleet);
+    assert_eq!(stops.len(), 2);
+    assert!(
+        first_start.is_some_and(|at| stops[0] < at && at < stops[1]),
+        "{:?}",
+        fleet.orders
+    );
+}
+
 /// Guards against a VM that stays cordoned because its long-running tasks can run nowhere else.
 #[test]
 fn drain_without_progress_is_aborted() {
