--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -47,7 +47,7 @@
 pub async fn take_over(node: &Arc<Node>, epoch: u64) {
     let started_ms = clock::steady_ms();
     let renewed_ms = Arc::new(AtomicU64::new(0));
-    let writer = Writer::new(epoch, &node.settings);
+    let writer = Writer::new(epoch, node.settings.max_append_bytes / 2);
     let renewal_task = tokio::spawn(watcher::renew(
         Arc::clone(node),
         epoch,
@@ -73,15 +73,12 @@
 }
 
 /// Fences earlier owners and loads the stored records.
-async fn fence_and_load(
-    node: &Node,
-    mut writer: Writer,
-) -> Result<(Writer, Vec<KeyedRecord>), String> {
+async fn fence_and_load(node: &Node, writer: Writer) -> Result<(Writer, Vec<KeyedRecord>), String> {
     let mut retries = 0;
     loop {
         match writer.fence(&node.store).await {
             Some(true) => break,
-            Some(false) => return Err("a newer epoch is active".into()),
+            Some(false) => return Err("the epoch is fenced or already in use".into()),
             None if retries < MAX_FENCE_RETRIES => {
                 retries += 1;
                 sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
