--- a/crates/controller/src/in_flight.rs
+++ b/crates/controller/src/in_flight.rs
@@ -10,8 +10,8 @@
 /// Time without any batch stored after which the store counts as unavailable, in milliseconds.
 pub const STORE_UNAVAILABLE_MS: u64 = 900;
 
-/// Maximum number of batches in flight. The store remembers its responses to the last five appends
-/// of a writer, and a repeated append must be among them.
+/// Maximum number of batches in flight. The store answers a repeat of one of the last five appends
+/// of a writer with the first response.
 pub const MAX_IN_FLIGHT_BATCHES: usize = 4;
 
 /// Batch in flight.
