Stop unanswered starts without room whatever the budget of their step

What callers would see: long-running tasks that run nowhere although an endpoint is empty. Found by a reviewer.

Cause: a start without an answer on an endpoint whose capacity has shrunk is stopped instead of repeated, and the stop was held to the step's budget. Two such starts of a step that lets one be away each counted the other as away, and stayed.

Change: the stop of a start that is unanswered and has no room needs no budget; an endpoint that answers would have shown it running.

unanswered_starts_beyond_the_interruption_budget_move_on takes the place of unanswered_start_beyond_the_interruption_budget_is_not_repeated, which ended while both tasks were stuck.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -405,14 +405,23 @@
     }
 
     /// Returns whether the order to stop a run may be sent now, within its step's budget unless the
-    /// run ends in any case.
+    /// run ends in any case or has no room to start in.
     pub(crate) fn may_send_stop(&self, task: &TaskRef, run: u32) -> bool {
         let job = self.jobs.get(task.job);
         job.is_some_and(|job| job.state.is_final())
             || self.is_endpoint_draining(task, run)
+            || self.is_start_without_room(task, run)
             || self.can_interrupt(task)
     }
 
+    /// Returns whether a start is unanswered and no longer fits its endpoint.
+    fn is_start_without_room(&self, task: &TaskRef, run: u32) -> bool {
+        self.attempt(task, run).is_some_and(|attempt| {
+            let endpoint = self.endpoints.get(attempt.endpoint);
+            attempt.phase == Phase::Unanswered && !endpoint.has_room_for(task, run)
+        })
+    }
+
     /// Returns whether the endpoint of a run is draining, which ends the run in any case.
     fn is_endpoint_draining(&self, task: &TaskRef, run: u32) -> bool {
         self.attempt(task, run)
--- a/crates/engine/tests/capacity_changes.rs
+++ b/crates/engine/tests/capacity_changes.rs
@@ -87,10 +87,10 @@
     assert_eq!(fleet.running_cores(|_| true), 1);
 }
 
-/// Guards against an unanswered start of a long-running task being repeated because no other task
-/// of its step may be stopped.
+/// Guards against unanswered starts of a long-running step being repeated, or staying where they
+/// have no room, because no other task of the step may be stopped.
 #[test]
-fn unanswered_start_beyond_the_interruption_budget_is_not_repeated() {
+fn unanswered_starts_beyond_the_interruption_budget_move_on() {
     let mut fleet = fleet_of_one();
     fleet.endpoints[0].is_unresponsive = true;
     let spec = StepSpec {
@@ -113,6 +113,9 @@
     fleet.advance(2_000);
     assert_eq!(orders(&fleet, 1).0, 2);
     assert_eq!(fleet.running_cores(|_| true), 0);
+    fleet.list_endpoint("i-2", 16_000);
+    fleet.advance(2_000);
+    assert_eq!(fleet.running_cores(|_| true), 2);
 }
 
 /// Guards against starting beside runs that are being stopped, which still use their resources.
