Limit the endpoints that tasks bar by running alone

What callers would see: jobs that wait 5 s and more with most of their pool free.

Cause: each task after two crashes took an empty endpoint for itself, for 5 s or to its end, without a limit on how many were barred at once.

Change: one in four endpoints of a pool, and at least one, may be barred; further tasks wait for a second and then start beside others. Runs that have lasted beside younger ones are not kept as lost either when a lease runs out.

runs_alone_do_not_bar_a_pool failed before (left: 0, right: 1). Shorter isolation was tried first: with 1 s the same test passed, and a long-running job in a full pool was given up beside a crashing task (crashing_task_in_a_full_pool_is_given_up), so it was taken back.

--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -13,7 +13,7 @@
 /// fault.
 const ISOLATED_AFTER_CRASHES: u32 = 2;
 
-/// Crashes after which a job is given up if its task was alone on the last endpoint.
+/// Crashes after which a job is given up if no other job's task is charged with the last one.
 const MAX_CRASHES: u32 = 3;
 
 /// Crashes after which a job is given up in any case.
@@ -27,9 +27,13 @@
 const ISOLATION_WAIT_MS: u64 = 1_000;
 
 /// Time for which a run remains alone on its endpoint, in milliseconds. Tasks that crash their
-/// endpoints do so soon after their start.
+/// endpoints do so soon after their start, and the endpoint is barred for others meanwhile.
 const ISOLATION_MS: u64 = 5_000;
 
+/// One in this many endpoints of a pool, and at least one, may be barred for others by a run that is
+/// alone on it.
+const MIN_ENDPOINTS_PER_ISOLATED: usize = 4;
+
 /// Duration of a run that clears the crashes of its task, in milliseconds. A long-running task
 /// would otherwise be given up for unrelated crashes in the course of its life.
 const CLEARED_AFTER_MS: u64 = 60_000;
@@ -79,6 +83,17 @@
     has_lasted: bool,
 }
 
+/// Returns the tasks of runs that may have crashed their endpoint. One that has lasted is not at
+/// fault if the endpoint crashes soon after another start.
+fn suspected_tasks(active: &[ActiveRun]) -> Vec<TaskRef> {
+    let has_young_run = active.iter().any(|run| !run.has_lasted);
+    active
+        .iter()
+        .filter(|run| !(run.has_lasted && has_young_run))
+        .map(|run| run.task)
+        .collect()
+}
+
 fn is_given_up(crashes: u32, was_alone: bool) -> bool {
     crashes >= MAX_SHARED_CRASHES || (crashes >= MAX_CRASHES && was_alone)
 }
@@ -86,26 +101,20 @@
 impl Engine {
     /// Returns the tasks to charge if an incarnation has ended now; none if its end was announced.
     ///
-    /// Own VM orders are given only for endpoints without runs. A late order of a previous owner is
-    /// charged like a crash, since nothing tells them apart.
+    /// A late order of a previous owner is charged like a crash, since nothing tells them apart.
     pub(crate) fn crashed_tasks(&self, key: EndpointKey) -> Vec<CrashedTask> {
         let endpoint = self.endpoints.get(key);
         if endpoint.is_draining {
             return Vec::new();
         }
         let active = self.active_runs(key);
-        // A run that has lasted is not at fault if the endpoint crashes soon after another start.
-        let has_young_run = active.iter().any(|run| !run.has_lasted);
-        let charged = active
-            .iter()
-            .filter(|run| !(run.has_lasted && has_young_run))
-            .map(|run| run.task);
+        let charged = suspected_tasks(&active);
         let lost = endpoint.lost_tasks.iter().copied().filter(|task| {
             let known = self.jobs.get(task.job).and_then(|job| job.task(task));
             let is_lost = known.is_some_and(|known| known.lost_on.contains(&key));
             is_lost && active.iter().all(|run| run.task != *task)
         });
-        let tasks: Vec<TaskRef> = charged.chain(lost).collect();
+        let tasks: Vec<TaskRef> = charged.into_iter().chain(lost).collect();
         let was_alone = tasks.iter().all(|task| task.job == tasks[0].job);
         tasks
             .into_iter()
@@ -160,7 +169,7 @@
     /// Records the tasks on an endpoint whose leases have expired. Whether it has crashed is known
     /// only when it or its next incarnation responds.
     pub(crate) fn record_lost_tasks(&mut self, key: EndpointKey) {
-        for ActiveRun { task, .. } in self.active_runs(key) {
+        for task in suspected_tasks(&self.active_runs(key)) {
             let Ok(index) = self.search(task.job) else {
                 continue;
             };
@@ -226,6 +235,21 @@
         known.map_or(Suspicion::None, Suspicion::of)
     }
 
+    /// Returns whether a task may bar a further endpoint of its pool by running alone on it.
+    pub(crate) fn may_isolate(&self, task: &TaskRef) -> bool {
+        let Some(job) = self.jobs.get(task.job) else {
+            return false;
+        };
+        let pool = &job.queue.pool;
+        let members = self.endpoints.iter().map(|(_, endpoint)| endpoint);
+        let members = members.filter(|endpoint| endpoint.is_registered && endpoint.pool == *pool);
+        let (count, barred) = members.fold((0, 0), |(count, barred), endpoint| {
+            let is_barred = endpoint.isolated_runs > 0;
+            (count + 1, barred + usize::from(is_barred))
+        });
+        barred < (count / MIN_ENDPOINTS_PER_ISOLATED).max(1)
+    }
+
     /// Returns whether a task waits for an empty endpoint rather than starting beside others.
     pub(crate) fn waits_for_empty_endpoint(&self, task: &TaskRef, now: Now) -> bool {
         let known = self.jobs.get(task.job).and_then(|job| job.task(task));
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -135,7 +135,9 @@
             .take(startable)
             .collect();
         for task in isolated {
-            if let Some(key) = self.best_empty_fit(step, &task, &spec) {
+            if self.may_isolate(&task)
+                && let Some(key) = self.best_empty_fit(step, &task, &spec)
+            {
                 self.place_task(&task, key, &spec, None, Suspicion::Isolated, now);
             }
         }
@@ -282,7 +284,9 @@
                 ..step.first_task
             };
             let suspicion = self.suspicion(&task);
-            if suspicion.prefers_empty_endpoint(&spec)
+            let may_be_alone = suspicion < Suspicion::Isolated || self.may_isolate(&task);
+            if may_be_alone
+                && suspicion.prefers_empty_endpoint(&spec)
                 && let Some(key) = self.best_empty_fit(step, &task, &spec)
             {
                 self.place_task(&task, key, &spec, None, suspicion, now);
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -763,6 +763,33 @@
     assert_eq!(charged.collect::<Vec<_>>(), [job_id(2)]);
 }
 
+/// Guards against tasks that run alone keeping others from starting although most room is free.
+#[test]
+fn runs_alone_do_not_bar_a_pool() {
+    let mut fleet = Fleet::new();
+    for number in 1..=3 {
+        fleet.list_endpoint(&format!("i-{number}"), 16_000);
+    }
+    fleet.engine.allow_vm_orders(false);
+    fleet.submit(1, 12);
+    fleet.settle();
+    for _ in 0..2 {
+        let is_used = |index: &usize| !fleet.endpoints[*index].running.is_empty();
+        let used: Vec<usize> = (0..3).filter(is_used).collect();
+        for &index in &used {
+            fleet.crash(index);
+        }
+        fleet.advance(RESTART_MS);
+        for &index in &used {
+            fleet.restart(index);
+        }
+        fleet.advance(300);
+    }
+    fleet.submit_spec(2, long_running(1));
+    fleet.advance(2_500);
+    assert_eq!(fleet.running_cores(|job| job == job_id(2)), 1);
+}
+
 /// Guards against decisions that the log does not explain.
 #[test]
 fn crashes_and_their_consequence_are_logged() {
