--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -62,12 +62,12 @@
                 task,
                 endpoint,
                 crashes,
-                was_alone,
+                is_one_job,
             } => {
                 counter!("lynxwheel_crashes_total").increment(1);
                 info!(
                     event = "crash_charged", epoch = epoch, task:% = task,
-                    endpoint = endpoint.as_str(), crashes = crashes, was_alone = was_alone;
+                    endpoint = endpoint.as_str(), crashes = crashes, is_one_job = is_one_job;
                     "endpoint crashed under a task"
                 );
             }
--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -41,11 +41,11 @@
 /// How far a task is suspected of crashing its endpoints.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Suspicion {
-    /// No endpoint has crashed under it.
+    /// No crash is charged to it.
     None,
     /// It avoids endpoints with other suspects, and prefers empty ones unless it is long-running.
     Suspect,
-    /// It is alone on its endpoint.
+    /// It starts alone on its endpoint, unless none is empty for a while.
     Isolated,
 }
 
@@ -67,12 +67,12 @@
     }
 }
 
-/// A task with a run on an endpoint that has crashed.
+/// A task to which the crash of an endpoint is charged.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct CrashedTask {
+pub(crate) struct ChargedTask {
     task: TaskRef,
-    /// Whether no task of another job is charged.
-    was_alone: bool,
+    /// Whether only tasks of one job are charged.
+    is_one_job: bool,
 }
 
 /// A run whose start was sent.
@@ -94,15 +94,15 @@
         .collect()
 }
 
-fn is_given_up(crashes: u32, was_alone: bool) -> bool {
-    crashes >= MAX_SHARED_CRASHES || (crashes >= MAX_CRASHES && was_alone)
+fn is_given_up(crashes: u32, is_one_job: bool) -> bool {
+    crashes >= MAX_SHARED_CRASHES || (crashes >= MAX_CRASHES && is_one_job)
 }
 
 impl Engine {
     /// Returns the tasks to charge if an incarnation has ended now; none if its end was announced.
     ///
     /// A late order of a previous owner is charged like a crash, since nothing tells them apart.
-    pub(crate) fn crashed_tasks(&self, key: EndpointKey) -> Vec<CrashedTask> {
+    pub(crate) fn tasks_to_charge(&self, key: EndpointKey) -> Vec<ChargedTask> {
         let endpoint = self.endpoints.get(key);
         if endpoint.is_draining {
             return Vec::new();
@@ -115,10 +115,10 @@
             is_lost && active.iter().all(|run| run.task != *task)
         });
         let tasks: Vec<TaskRef> = charged.into_iter().chain(lost).collect();
-        let was_alone = tasks.iter().all(|task| task.job == tasks[0].job);
+        let is_one_job = tasks.iter().all(|task| task.job == tasks[0].job);
         tasks
             .into_iter()
-            .map(|task| CrashedTask { task, was_alone })
+            .map(|task| ChargedTask { task, is_one_job })
             .collect()
     }
 
@@ -138,8 +138,8 @@
     }
 
     /// Charges a crash of an endpoint to a task, and gives its job up if there were too many.
-    pub(crate) fn charge_crash(&mut self, key: EndpointKey, charged: CrashedTask, now: Now) {
-        let CrashedTask { task, was_alone } = charged;
+    pub(crate) fn charge_crash(&mut self, key: EndpointKey, charged: ChargedTask, now: Now) {
+        let ChargedTask { task, is_one_job } = charged;
         let Ok(index) = self.search(task.job) else {
             return;
         };
@@ -158,9 +158,9 @@
             task,
             endpoint: self.endpoints.get(key).id.clone(),
             crashes,
-            was_alone,
+            is_one_job,
         });
-        if is_given_up(crashes, was_alone) {
+        if is_given_up(crashes, is_one_job) {
             self.log_events.push(LogEvent::JobGivenUp { task, crashes });
             self.end_job(index, JobState::Failed, now);
         }
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -105,7 +105,7 @@
 
     /// Records that an incarnation has ended, so that nothing runs there any more.
     pub(crate) fn endpoint_ended(&mut self, key: EndpointKey, now: Now) {
-        let crashed_tasks = self.crashed_tasks(key);
+        let tasks_to_charge = self.tasks_to_charge(key);
         let endpoint = self.endpoints.get_mut(key);
         if !endpoint.has_ended {
             self.log_events.push(LogEvent::EndpointEnded {
@@ -121,7 +121,7 @@
         endpoint.is_registered = false;
         self.remove_runs(key, RunEnd::EndpointOver, now);
         self.forget_lost_tasks(key);
-        for crashed in crashed_tasks {
+        for crashed in tasks_to_charge {
             self.charge_crash(key, crashed, now);
         }
     }
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -111,8 +111,8 @@
         endpoint: CompactString,
         /// Number of endpoints that have crashed under the task.
         crashes: u32,
-        /// Whether no task of another job is charged.
-        was_alone: bool,
+        /// Whether only tasks of one job are charged.
+        is_one_job: bool,
     },
     /// A job fails because endpoints crash under one of its tasks.
     JobGivenUp {
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -81,9 +81,7 @@
             pace: 100,
         }
     }
-}
 
-impl Attempt {
     /// Returns for how long reports to this owner show the run as active, in milliseconds.
     #[must_use]
     pub fn running_ms(&self) -> u64 {
