--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -50,7 +50,7 @@
     failures: u32,
     failures_acknowledged: u32,
     starts_after_last_failure: u32,
-    /// Endpoints that ended under the task, whatever the cause.
+    /// Endpoints that ended under the task without notice or an order for their VM.
     lost_endpoints: u32,
     /// Endpoints that the task has crashed.
     crashes: u32,
