Log each VM order with the list that decided it

The list of VMs had no line, and neither had the decision for an order: a move decided twice from an old list could not be told from a retry. Each list read now has one (vms, took_ms), each order its entry in the list, the age of that list, the endpoint and its runs, and whether it is a retry; answers carry the fencing token. No decision changes.

--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -135,7 +135,8 @@
                 };
                 let outcome = client.move_to_pool(&vm, &pool).await;
                 info!(
-                    event = "vm_move", vm = vm.as_str(), pool = pool.as_str(), outcome:? = outcome;
+                    event = "vm_move", vm = vm.as_str(), pool = pool.as_str(),
+                    fencing_token = client.fencing_token(), outcome:? = outcome;
                     "VM move ordered"
                 );
                 self.send_event(Event::VmOrderAnswered { vm, outcome })
@@ -147,7 +148,8 @@
                 };
                 let outcome = client.start_maintenance(&vm, wave).await;
                 info!(
-                    event = "vm_maintenance", vm = vm.as_str(), wave = wave, outcome:? = outcome;
+                    event = "vm_maintenance", vm = vm.as_str(), wave = wave,
+                    fencing_token = client.fencing_token(), outcome:? = outcome;
                     "VM maintenance ordered"
                 );
                 self.send_event(Event::VmOrderAnswered { vm, outcome })
--- a/crates/controller/src/feeds.rs
+++ b/crates/controller/src/feeds.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        clock,
         node::Node,
         owner::{OwnerHandle, OwnerMessage},
     },
@@ -187,13 +188,17 @@
 pub async fn follow_vms(client: VmClient, owner: Arc<OwnerHandle>) {
     let mut is_lost = false;
     loop {
+        let requested_ms = clock::steady_ms();
         match client.list().await {
             Ok(vms) => {
+                let took_ms = clock::steady_ms().saturating_sub(requested_ms);
+                info!(event = "vm_list", vms = vms.len(), took_ms = took_ms; "VMs listed");
                 if is_lost {
                     info!(event = "vm_list_regained"; "reading the list of VMs succeeded again");
                 }
                 is_lost = false;
-                owner.send(OwnerMessage::event(Event::VmsListed(vms))).await;
+                let event = Event::VmsListed { vms, requested_ms };
+                owner.send(OwnerMessage::event(event)).await;
             }
             Err(error) => {
                 if !is_lost {
--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -87,6 +87,21 @@
             }
             LogEvent::QuotaReached(wait) => log_quota_wait(epoch, wait),
             LogEvent::PoolPlanned(plan) => log_pool_plan(epoch, plan),
+            LogEvent::VmOrdered {
+                vm,
+                order,
+                is_retry,
+                listed,
+                list_age_ms,
+                endpoint,
+                runs,
+            } => info!(
+                event = "vm_ordered", epoch = epoch, vm = vm.as_str(), order:? = order,
+                is_retry = is_retry, list_age_ms = list_age_ms, listed_state:? = listed.state,
+                listed_pool = listed.pool.as_str(), listed_endpoint = listed.endpoint.as_str(),
+                endpoint = endpoint.as_str(), runs = runs;
+                "VM order decided"
+            ),
             LogEvent::EndpointEnded { endpoint, vm, runs } => info!(
                 event = "endpoint_over", epoch = epoch, endpoint = endpoint.as_str(),
                 vm = vm.as_str(), runs = runs;
--- a/crates/engine/benches/events.rs
+++ b/crates/engine/benches/events.rs
@@ -172,7 +172,11 @@
         renewed(&mut engine, u32::from(number), EndpointReport::default());
     }
     engine.allow_vm_orders(true);
-    engine.handle(Event::VmsListed(vms), now(0));
+    let listed = Event::VmsListed {
+        vms,
+        requested_ms: now(0).steady_ms,
+    };
+    engine.handle(listed, now(0));
     let filling = u64::from(endpoints) * 4 / u64::from(TASKS);
     for number in 0..filling {
         submit(&mut engine, number, accounts);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -196,7 +196,7 @@
             Event::ConfigChanged(config) => self.set_config(config),
             Event::Registered { entry, is_fresh } => self.register_endpoint(&entry, is_fresh, now),
             Event::Deregistered(id) => self.deregister_endpoint(&id, now),
-            Event::VmsListed(vms) => self.update_vms(vms, now),
+            Event::VmsListed { vms, requested_ms } => self.update_vms(vms, requested_ms, now),
             Event::WaveOrdered(order) => self.wave_ordered(order, now),
             Event::Started {
                 endpoint,
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -114,7 +114,12 @@
     /// An endpoint's registry entry was removed.
     Deregistered(CompactString),
     /// The platform returned its complete list of VMs.
-    VmsListed(Vec<VmEntry>),
+    VmsListed {
+        /// All VMs.
+        vms: Vec<VmEntry>,
+        /// When the list was requested, on the monotonic clock, in milliseconds.
+        requested_ms: u64,
+    },
     /// An operator ordered maintenance.
     WaveOrdered(WaveOrder),
     /// A call with a start has ended.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -86,4 +86,5 @@
     restore::{UnreadCause, UnreadRecord},
     state::{Attempt, Job, Occurrence, Phase, StepRun, Task},
     stored::{Record, RecordKind, StoredWave, record_kind},
+    vms::VmOrder,
 };
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         job::{JobId, JobState, Resources, TaskRef},
-        reports::EndKind,
+        reports::{EndKind, VmEntry},
+        vms::VmOrder,
     },
     compact_str::CompactString,
 };
@@ -127,6 +128,23 @@
     ShareReached(ShareWait),
     /// Pools were planned.
     PoolPlanned(PoolPlan),
+    /// A VM order was decided or is retried.
+    VmOrdered {
+        /// VM.
+        vm: CompactString,
+        /// Order.
+        order: VmOrder,
+        /// Whether an earlier call with the order got no clear response.
+        is_retry: bool,
+        /// Entry of the VM in the list that the decision is based on.
+        listed: VmEntry,
+        /// Time since that list was requested, in milliseconds.
+        list_age_ms: u64,
+        /// Endpoint on the VM; empty if none is known.
+        endpoint: CompactString,
+        /// Number of runs that may be active there.
+        runs: usize,
+    },
     /// An endpoint incarnation has ended.
     EndpointEnded {
         /// Endpoint.
--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -4,6 +4,7 @@
     crate::{
         engine::Engine,
         event::{Effect, EndpointKey, Now, VmOutcome},
+        log_event::LogEvent,
         reports::{VmEntry, VmState},
         stored::{Record, StoredVm, vm_record},
     },
@@ -33,6 +34,8 @@
 pub struct Vm {
     /// Latest entry in the platform's list.
     pub entry: VmEntry,
+    /// When the list with the entry was requested, on the monotonic clock.
+    listed_ms: u64,
     /// Order with an unknown outcome.
     pub order: Option<VmOrder>,
     /// Endpoint on the VM when the order was first given.
@@ -60,7 +63,7 @@
     }
 
     /// Applies the platform's list of VMs.
-    pub(crate) fn update_vms(&mut self, entries: Vec<VmEntry>, now: Now) {
+    pub(crate) fn update_vms(&mut self, entries: Vec<VmEntry>, requested_ms: u64, now: Now) {
         let mut entries = entries;
         entries.sort_unstable_by(|one, other| one.name.cmp(&other.name));
         let is_listed = |vm: &Vm| {
@@ -75,12 +78,13 @@
                 self.endpoints.set_vm(key, &entry.name);
             }
             match self.vm_index(&entry.name) {
-                Ok(index) => self.vms[index].update(entry, now),
+                Ok(index) => self.vms[index].update(entry, requested_ms, now),
                 Err(index) => self.vms.insert(
                     index,
                     Vm {
                         cooldown_until_ms: self.inherited_cooldown_ms(&entry.name),
                         entry,
+                        listed_ms: requested_ms,
                         order: None,
                         ordered_endpoint: None,
                         is_call_pending: false,
@@ -176,6 +180,16 @@
     pub(crate) fn order_vm(&mut self, index: usize, order: VmOrder, now: Now) {
         let name = self.vms[index].entry.name.clone();
         let current = self.endpoint_of_vm(&name);
+        let endpoint = current.map(|key| self.endpoints.get(key));
+        self.log_events.push(LogEvent::VmOrdered {
+            vm: name.clone(),
+            order: order.clone(),
+            is_retry: self.vms[index].order.as_ref() == Some(&order),
+            listed: self.vms[index].entry.clone(),
+            list_age_ms: now.steady_ms.saturating_sub(self.vms[index].listed_ms),
+            endpoint: endpoint.map_or_else(CompactString::default, |known| known.id.clone()),
+            runs: endpoint.map_or(0, |known| known.placed_runs.len()),
+        });
         let vm = &mut self.vms[index];
         if vm.order.as_ref() != Some(&order) {
             vm.ordered_endpoint = current;
@@ -235,7 +249,7 @@
 }
 
 impl Vm {
-    fn update(&mut self, entry: VmEntry, now: Now) {
+    fn update(&mut self, entry: VmEntry, requested_ms: u64, now: Now) {
         let is_ordered_move = match &self.order {
             Some(VmOrder::Move(pool)) => entry.pool == *pool,
             _ => false,
@@ -245,6 +259,7 @@
         }
         let is_maintained = now.steady_ms < self.maintained_until_ms;
         self.entry = entry;
+        self.listed_ms = requested_ms;
         // A list requested before the maintenance began still shows the VM as up. Trusting it would
         // allow one VM too many to be down.
         if is_maintained {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -121,9 +121,9 @@
     }
 }
 
-/// Returns the event for a list with one VM.
-pub fn vms_with(name: &str, endpoint: &str) -> Event {
-    Event::VmsListed(vec![VmEntry {
+/// Returns a list with one VM.
+pub fn vms_with(name: &str, endpoint: &str) -> Vec<VmEntry> {
+    vec![VmEntry {
         name: name.into(),
         pool: POOL.into(),
         state: VmState::Up,
@@ -131,7 +131,7 @@
         labels: Vec::new(),
         capacity: Resources::default(),
         endpoint: endpoint.into(),
-    }])
+    }]
 }
 
 /// An engine with its simulated environment.
@@ -203,6 +203,12 @@
         self.engine.handle(event, self.now);
     }
 
+    /// Delivers a list of VMs that was requested just now.
+    pub fn list_vms(&mut self, vms: Vec<VmEntry>) {
+        let requested_ms = self.now.steady_ms;
+        self.handle(Event::VmsListed { vms, requested_ms });
+    }
+
     pub fn list_endpoint(&mut self, id: &str, cpu_millis: u64) {
         let port = 9_000 + u16::try_from(self.endpoints.len()).expect("few endpoints");
         let entry = EndpointEntry {
--- a/crates/engine/tests/demand.rs
+++ b/crates/engine/tests/demand.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Fleet, POOL, account, step},
-    lynxwheel_engine::{Event, JobSpec, Resources, StepSpec, VmEntry},
+    lynxwheel_engine::{JobSpec, Resources, StepSpec, VmEntry},
 };
 
 /// Processor of each VM, in thousandths of a core.
@@ -42,7 +42,7 @@
     fleet.list_endpoint("i-1", CPU_MILLIS);
     fleet.advance(200);
     fleet.engine.allow_vm_orders(true);
-    fleet.handle(Event::VmsListed(standby_vms));
+    fleet.list_vms(standby_vms);
     fleet.submit_spec(
         1,
         JobSpec {
@@ -62,7 +62,7 @@
     fleet.advance(200);
     fleet.engine.allow_vm_orders(true);
     let standby_vms = (1..20).map(|number| standby_vm(&format!("vm-{number:02}"), "a", "r1", 0));
-    fleet.handle(Event::VmsListed(standby_vms.collect()));
+    fleet.list_vms(standby_vms.collect());
     let begun_ms = fleet.now.steady_ms;
     for number in 1..=jobs {
         fleet.submit(number, 4);
@@ -152,7 +152,7 @@
             standby_vm("vm-1", "a", "r1", 0),
             standby_vm("vm-2", "a", "r1", 0),
         ];
-        fleet.handle(Event::VmsListed(standby_vms));
+        fleet.list_vms(standby_vms);
         fleet.advance(300);
         for number in 1..=8 {
             fleet.submit_as("hot", number, step(8));
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -604,10 +604,7 @@
 
 /// Lists two VMs that are switched off, and allows VM orders.
 fn list_vms(fleet: &mut Fleet) {
-    fleet.handle(Event::VmsListed(vec![
-        standby_vm("vm-1"),
-        standby_vm("vm-2"),
-    ]));
+    fleet.list_vms(vec![standby_vm("vm-1"), standby_vm("vm-2")]);
     fleet.engine.allow_vm_orders(true);
 }
 
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -165,7 +165,7 @@
 /// Maintains the VM of an endpoint.
 fn maintain(fleet: &mut Fleet, index: usize) {
     let vms = vms_of(fleet);
-    fleet.handle(Event::VmsListed(vms));
+    fleet.list_vms(vms);
     fleet.engine.allow_vm_orders(true);
     fleet.handle(Event::WaveOrdered(WaveOrder {
         wave: fleet.now.steady_ms,
@@ -725,7 +725,7 @@
     fleet.advance(300);
     fleet.engine.allow_vm_orders(true);
     let vms = vms_of(&fleet);
-    fleet.handle(Event::VmsListed(vms));
+    fleet.list_vms(vms);
     fleet.advance(1_500);
     let vm = fleet.moves().first().expect("a move").0.to_string();
     let index: usize = vm[3..].parse().expect("a number");
--- a/crates/engine/tests/restore.rs
+++ b/crates/engine/tests/restore.rs
@@ -284,7 +284,7 @@
     fleet.take_over();
     fleet.settle();
     for id in ["i-sound", "i-ended"] {
-        fleet.handle(vms_with("vm-1", id));
+        fleet.list_vms(vms_with("vm-1", id));
         fleet.settle();
     }
     fleet.advance(300);
--- a/crates/engine/tests/shortage.rs
+++ b/crates/engine/tests/shortage.rs
@@ -57,7 +57,7 @@
     submit(&mut fleet, 1, queue(), 60);
     fleet.advance(4_000);
     submit(&mut fleet, 2, other_queue(), 8);
-    fleet.handle(Event::VmsListed(vec![standby_vm("vm-1")]));
+    fleet.list_vms(vec![standby_vm("vm-1")]);
     fleet.advance(100);
     assert_eq!(ordered(&fleet), [OTHER]);
 }
@@ -68,10 +68,7 @@
     submit(&mut fleet, 1, queue(), 60);
     fleet.advance(4_000);
     submit(&mut fleet, 2, other_queue(), 8);
-    fleet.handle(Event::VmsListed(vec![
-        standby_vm("vm-1"),
-        standby_vm("vm-2"),
-    ]));
+    fleet.list_vms(vec![standby_vm("vm-1"), standby_vm("vm-2")]);
     fleet.advance(100);
     assert_eq!(ordered(&fleet), [OTHER, POOL]);
 }
@@ -87,7 +84,7 @@
     submit_step(&mut fleet, 1, queue(), long_running);
     fleet.advance(4_000);
     submit(&mut fleet, 2, other_queue(), 8);
-    fleet.handle(Event::VmsListed(vec![standby_vm("vm-1")]));
+    fleet.list_vms(vec![standby_vm("vm-1")]);
     fleet.advance(100);
     assert_eq!(ordered(&fleet), [POOL]);
 }
--- a/crates/engine/tests/vm_cooldowns.rs
+++ b/crates/engine/tests/vm_cooldowns.rs
@@ -23,7 +23,7 @@
     fleet.list_endpoint("i-1", 16_000);
     fleet.advance(200);
     fleet.engine.allow_vm_orders(true);
-    fleet.handle(Event::VmsListed(vec![standby_vm("vm-1")]));
+    fleet.list_vms(vec![standby_vm("vm-1")]);
     let spec = JobSpec {
         steps: vec![StepSpec {
             estimated_ms: 5_000,
@@ -50,7 +50,7 @@
 
 /// Lists the VM again, and returns whether it is ordered within a time.
 fn is_ordered_within(fleet: &mut Fleet, ms: u64) -> bool {
-    fleet.handle(Event::VmsListed(vec![standby_vm("vm-1")]));
+    fleet.list_vms(vec![standby_vm("vm-1")]);
     fleet.advance(ms);
     moves(fleet) > 0
 }
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -22,7 +22,7 @@
         endpoint: format!("i-{number}").into(),
         ..standby_vm(&format!("vm-{number}"))
     });
-    fleet.handle(Event::VmsListed(vms.collect()));
+    fleet.list_vms(vms.collect());
     fleet.advance(1_500);
     fleet
 }
@@ -110,7 +110,7 @@
     fleet.handle(Event::ConfigChanged(config.into()));
     fleet.engine.allow_vm_orders(true);
     let vms = (0..300).map(|number| standby_vm(&format!("vm-{number:03}")));
-    fleet.handle(Event::VmsListed(vms.collect()));
+    fleet.list_vms(vms.collect());
     let spec = JobSpec {
         steps: vec![StepSpec {
             estimated_ms: 5_000,
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -76,7 +76,7 @@
         fleet.list_endpoint(&endpoint, 16_000);
         vms.push(vm(&format!("vm-{number}"), &endpoint));
     }
-    fleet.handle(Event::VmsListed(vms.clone()));
+    fleet.list_vms(vms.clone());
     fleet.settle();
     fleet.engine.allow_vm_orders(true);
     (fleet, vms)
@@ -94,7 +94,7 @@
         vm: first.as_str().into(),
         outcome: VmOutcome::Done,
     });
-    fleet.handle(Event::VmsListed(vms));
+    fleet.list_vms(vms);
     fleet.advance(1_000);
     assert_eq!(maintained(&fleet), [first]);
 }
@@ -129,7 +129,7 @@
     assert_eq!(maintained(&fleet).len(), 0, "there is time");
     fleet.take_over();
     fleet.handle(wave_in(&["vm-1", "vm-2", "vm-3"], 1, 60.0));
-    fleet.handle(Event::VmsListed(vms));
+    fleet.list_vms(vms);
     fleet.settle();
     fleet.engine.allow_vm_orders(true);
     fleet.advance(5_000);
@@ -150,7 +150,7 @@
     fleet.orders.clear();
     fleet.take_over();
     fleet.handle(wave(&["vm-unknown"], 1));
-    fleet.handle(Event::VmsListed(vms));
+    fleet.list_vms(vms);
     fleet.engine.allow_vm_orders(true);
     fleet.advance(200);
     assert_eq!(reported(&fleet), [true]);
@@ -175,7 +175,7 @@
     fleet.take_over();
     fleet.orders.clear();
     fleet.handle(wave(&["vm-1", "vm-2"], 2));
-    fleet.handle(Event::VmsListed(vms));
+    fleet.list_vms(vms);
     fleet.settle();
     fleet.engine.allow_vm_orders(true);
     fleet.advance(500);
