Keep an endpoint whose VM is reported as moved a second time

Callers: tasks ran twice at the same time.

Cause: Vm::update trusted a list requested before a move. The move was ordered again, with the endpoint that the first one had brought as the one to end; the platform answers 200 as nothing is to do, and the engine took that for the end of the endpoint. Usually that is still to start and only a call is wasted; while the service does not answer, the list stays old and the endpoint has work by then.

Change: three guards, each with tests that fail without it. - A list requested before the order was first sent, or before it was reported as done, does not change the VM. - An answer ends only incarnations outside the pool of the move; in it, one may have started after the move. - A VM that a list shows in standby is ordered only if no run may be active on it.

--- a/crates/engine/src/endpoint_table.rs
+++ b/crates/engine/src/endpoint_table.rs
@@ -110,8 +110,13 @@
 
     /// Returns the latest incarnation on a VM that is not known to have ended.
     pub(crate) fn on_vm(&self, vm: &str) -> Option<EndpointKey> {
-        let mut incarnations = self.locations.on_vm(vm).rev();
-        incarnations.find(|&key| !self.get(key).has_ended)
+        self.active_on_vm(vm).next_back()
+    }
+
+    /// Returns the incarnations on a VM that are not known to have ended, oldest first.
+    pub(crate) fn active_on_vm(&self, vm: &str) -> impl DoubleEndedIterator<Item = EndpointKey> {
+        let incarnations = self.locations.on_vm(vm);
+        incarnations.filter(|&key| !self.get(key).has_ended)
     }
 
     /// Returns other active incarnations with the same address or VM.
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -88,10 +88,11 @@
             let pool = load_index(loads, &self.vms[*index].entry.pool);
             pool.is_some_and(|pool| loads[pool].is_standby)
         };
+        let is_empty = |index: &usize| self.is_vm_empty(&self.vms[*index].entry.name);
         let standby = (0..self.vms.len()).filter(is_standby).filter(is_free);
         let idle = idle.iter().map(|(index, _)| *index);
         SpareVms {
-            standby: standby.collect(),
+            standby: standby.filter(is_empty).collect(),
             idle: idle.filter(is_free).collect(),
         }
     }
--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -36,6 +36,9 @@
     pub entry: VmEntry,
     /// When the list with the entry was requested, on the monotonic clock.
     listed_ms: u64,
+    /// When the order was first sent or reported as done, on the monotonic clock. Lists that were
+    /// requested before do not show its effect.
+    changed_ms: u64,
     /// Order with an unknown outcome.
     pub order: Option<VmOrder>,
     /// Endpoint on the VM when the order was first given.
@@ -85,6 +88,7 @@
                         cooldown_until_ms: self.inherited_cooldown_ms(&entry.name),
                         entry,
                         listed_ms: requested_ms,
+                        changed_ms: 0,
                         order: None,
                         ordered_endpoint: None,
                         is_call_pending: false,
@@ -140,19 +144,21 @@
         let Some(order) = self.vms[index].order.clone() else {
             return;
         };
-        // Only the incarnation that was on the VM when the order was given ends with it. A retry is
-        // also reported as done after the VM has started a new incarnation.
         let endpoint = self.vms[index].ordered_endpoint;
         match outcome {
             VmOutcome::Done => {
                 self.vms[index].is_dirty = true;
+                self.vms[index].changed_ms = now.steady_ms;
                 let until_ms = now.steady_ms + self.settings.maintenance_ms + MAINTENANCE_SLACK_MS;
                 self.vms[index].mark_unavailable(&order, until_ms);
-                if let VmOrder::Maintain(wave) = order {
-                    self.maintenance_begun(wave, name);
-                }
-                if let Some(key) = endpoint {
-                    self.endpoint_ended(key, now);
+                match &order {
+                    VmOrder::Move(pool) => self.end_incarnations_outside(name, pool, now),
+                    VmOrder::Maintain(wave) => {
+                        self.maintenance_begun(*wave, name);
+                        if let Some(key) = endpoint {
+                            self.endpoint_ended(key, now);
+                        }
+                    }
                 }
             }
             // An earlier call with the order may have taken effect or may still do so, which would
@@ -167,7 +173,7 @@
                 if let VmOrder::Maintain(wave) = order {
                     self.maintenance_refused(wave, name);
                 }
-                if let Some(key) = endpoint {
+                for key in self.endpoints.active_on_vm(name).collect::<Vec<_>>() {
                     self.endpoints.get_mut(key).is_cordoned = false;
                 }
             }
@@ -176,6 +182,47 @@
         }
     }
 
+    /// Ends the incarnations on a VM that has moved to a pool.
+    ///
+    /// An order is also reported as done if it has been executed before. An incarnation in the pool
+    /// may then be the one that started after the move.
+    fn end_incarnations_outside(&mut self, vm: &str, pool: &str, now: Now) {
+        let outside: Vec<EndpointKey> = self
+            .endpoints
+            .active_on_vm(vm)
+            .filter(|&key| {
+                let known = &self.endpoints.get(key).pool;
+                !known.is_empty() && known != pool
+            })
+            .collect();
+        for key in outside {
+            self.endpoint_ended(key, now);
+        }
+    }
+
+    /// Cordons an incarnation that an order without a known outcome may still end.
+    fn cordon_if_ordered(&mut self, key: EndpointKey) {
+        let endpoint = self.endpoints.get(key);
+        let Ok(index) = self.vm_index(endpoint.vm()) else {
+            return;
+        };
+        let vm = &self.vms[index];
+        let may_end = match &vm.order {
+            Some(VmOrder::Move(pool)) => *pool != endpoint.pool,
+            Some(VmOrder::Maintain(_)) => vm.ordered_endpoint == Some(key),
+            None => false,
+        };
+        if may_end {
+            self.endpoints.get_mut(key).is_cordoned = true;
+        }
+    }
+
+    /// Returns whether no run may be active on a VM.
+    pub(crate) fn is_vm_empty(&self, name: &str) -> bool {
+        let mut active = self.endpoints.active_on_vm(name);
+        active.all(|key| self.endpoints.get(key).placed_runs.is_empty())
+    }
+
     /// Orders a move or maintenance of a VM.
     pub(crate) fn order_vm(&mut self, index: usize, order: VmOrder, now: Now) {
         let name = self.vms[index].entry.name.clone();
@@ -194,6 +241,7 @@
         if vm.order.as_ref() != Some(&order) {
             vm.ordered_endpoint = current;
             vm.may_take_effect = false;
+            vm.changed_ms = now.steady_ms;
         }
         vm.is_call_pending = true;
         self.vm_order_rate.record_order();
@@ -213,7 +261,7 @@
         vm.is_dirty = true;
         self.pending_effects.push(effect);
         if let Some(key) = self.vms[index].ordered_endpoint {
-            self.endpoints.get_mut(key).is_cordoned = true;
+            self.cordon_if_ordered(key);
         }
     }
 
@@ -250,6 +298,9 @@
 
 impl Vm {
     fn update(&mut self, entry: VmEntry, requested_ms: u64, now: Now) {
+        if requested_ms < self.changed_ms {
+            return;
+        }
         let is_ordered_move = match &self.order {
             Some(VmOrder::Move(pool)) => entry.pool == *pool,
             _ => false,
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -5,7 +5,7 @@
     Batch, CallOutcome, CallerResponse, ClientAccount, ClientAccounts, Effect, EndKind, EndedTask,
     EndpointEntry, EndpointReport, Engine, EngineSettings, Event, FleetConfig, JobId, JobSpec,
     JobState, KeyDigest, Now, Pool, Queue, Record, Resources, RunningTask, StartOrder, StepSpec,
-    TaskRef, UnreadCause, VmEntry, VmState,
+    TaskRef, UnreadCause, VmEntry, VmOutcome, VmState,
 };
 
 /// Start of the clock in milliseconds, which is far from zero as on a real system.
@@ -209,12 +209,27 @@
         self.handle(Event::VmsListed { vms, requested_ms });
     }
 
+    /// Answers the latest call with an order for a VM.
+    pub fn answer_vm_order(&mut self, vm: &str, outcome: VmOutcome) {
+        let vm = vm.into();
+        self.handle(Event::VmOrderAnswered { vm, outcome });
+    }
+
     pub fn list_endpoint(&mut self, id: &str, cpu_millis: u64) {
+        self.add_endpoint(None, id, POOL, cpu_millis);
+    }
+
+    /// Lists an endpoint on a VM.
+    pub fn list_endpoint_on(&mut self, vm: &str, id: &str, pool: &str, cpu_millis: u64) {
+        self.add_endpoint(Some(vm), id, pool, cpu_millis);
+    }
+
+    fn add_endpoint(&mut self, vm: Option<&str>, id: &str, pool: &str, cpu_millis: u64) {
         let port = 9_000 + u16::try_from(self.endpoints.len()).expect("few endpoints");
         let entry = EndpointEntry {
             id: id.into(),
             address: ([127, 0, 0, 1], port).into(),
-            pool: POOL.into(),
+            pool: pool.into(),
             zone: "zone-1".into(),
             capacity: Resources {
                 cpu_millis,
@@ -224,7 +239,7 @@
             labels: vec!["a".into(), format!("rack-{id}").into()],
             is_draining: false,
             remaining_ms: None,
-            vm: None,
+            vm: vm.map(Into::into),
         };
         self.endpoints.push(FakeEndpoint {
             id: id.into(),
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -615,10 +615,7 @@
     order_wave(&mut fleet, 12, &["vm-1", "vm-2"]);
     fleet.advance(100);
     for vm in begun {
-        fleet.handle(Event::VmOrderAnswered {
-            vm: (*vm).into(),
-            outcome: VmOutcome::Done,
-        });
+        fleet.answer_vm_order(vm, VmOutcome::Done);
     }
     fleet.advance(100);
     fleet
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -174,10 +174,7 @@
         max_count: 1,
     }));
     fleet.advance(1_500);
-    fleet.handle(Event::VmOrderAnswered {
-        vm: format!("vm-{index}").into(),
-        outcome: VmOutcome::Done,
-    });
+    fleet.answer_vm_order(&format!("vm-{index}"), VmOutcome::Done);
     fleet.engine.allow_vm_orders(false);
     fleet.settle();
     fleet.restart(index);
--- a/crates/engine/tests/vm_cooldowns.rs
+++ b/crates/engine/tests/vm_cooldowns.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Fleet, POOL, standby_vm, step},
-    lynxwheel_engine::{Event, JobSpec, StepSpec, VmOutcome},
+    lynxwheel_engine::{JobSpec, StepSpec, VmOutcome},
 };
 
 /// Epoch of the previous owner; the engines of the tests use the default.
@@ -35,10 +35,7 @@
     fleet.advance(200);
     assert_eq!(moves(&fleet), 1);
     if is_answered {
-        fleet.handle(Event::VmOrderAnswered {
-            vm: "vm-1".into(),
-            outcome: VmOutcome::Done,
-        });
+        fleet.answer_vm_order("vm-1", VmOutcome::Done);
         fleet.settle();
     }
     fleet.orders.clear();
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -39,24 +39,14 @@
 }
 
 fn answer(fleet: &mut Fleet, vm: &str, outcome: VmOutcome) {
-    fleet.handle(Event::VmOrderAnswered {
-        vm: vm.into(),
-        outcome,
-    });
+    fleet.answer_vm_order(vm, outcome);
     fleet.settle();
 }
 
 /// Returns the number of runs on a VM's endpoint after submitting more work than the others can
 /// run.
 fn runs_beside_work(fleet: &mut Fleet, vm: &str) -> usize {
-    let spec = JobSpec {
-        steps: vec![StepSpec {
-            estimated_ms: 5_000,
-            ..step(60)
-        }],
-        ..JobSpec::default()
-    };
-    fleet.submit_spec(1, spec);
+    submit_long_tasks(fleet, 1, 60);
     fleet.advance(200);
     let id = vm.replace("vm", "i");
     let endpoint = fleet.endpoints.iter().find(|endpoint| endpoint.id == id);
@@ -93,6 +83,122 @@
     assert_eq!(moves_of(&fleet, &vm), 1);
 }
 
+/// Returns a fleet with one VM that is switched off, and work for it.
+fn fleet_with_standby_vm() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.engine.allow_vm_orders(true);
+    fleet.list_vms(vec![standby_vm("vm-1")]);
+    submit_long_tasks(&mut fleet, 1, 16);
+    fleet.advance(100);
+    assert_eq!(fleet.moves(), [("vm-1", POOL)]);
+    fleet
+}
+
+fn submit_long_tasks(fleet: &mut Fleet, number: u64, count: u16) {
+    let spec = JobSpec {
+        steps: vec![StepSpec {
+            estimated_ms: 5_000,
+            ..step(count)
+        }],
+        ..JobSpec::default()
+    };
+    fleet.submit_spec(number, spec);
+}
+
+/// Starts an endpoint on the VM.
+fn start_endpoint(fleet: &mut Fleet, id: &str, pool: &str) {
+    fleet.list_endpoint_on("vm-1", id, pool, 16_000);
+    fleet.settle();
+}
+
+fn has_ended(fleet: &Fleet, id: &str) -> bool {
+    let endpoints = fleet.engine.endpoints();
+    let key = endpoints.find(id).expect("a listed endpoint");
+    endpoints.get(key).has_ended
+}
+
+/// Delivers a list that still shows the VM switched off.
+fn list_as_standby(fleet: &mut Fleet, requested_ms: u64) {
+    fleet.handle(Event::VmsListed {
+        vms: vec![standby_vm("vm-1")],
+        requested_ms,
+    });
+}
+
+/// Guards against ordering a move again because of a list that was requested before it.
+#[test]
+fn list_requested_before_a_move_does_not_repeat_it() {
+    let mut fleet = fleet_with_standby_vm();
+    let requested_ms = fleet.now.steady_ms;
+    fleet.advance(100);
+    answer(&mut fleet, "vm-1", VmOutcome::Done);
+    list_as_standby(&mut fleet, requested_ms);
+    fleet.advance(3_000);
+    assert_eq!(moves_of(&fleet, "vm-1"), 1);
+}
+
+/// Guards against taking a move for completed because of a list from an earlier stay in the pool.
+#[test]
+fn list_requested_before_a_move_does_not_complete_it() {
+    let mut fleet = idle_fleet();
+    let vm = first_moved(&fleet);
+    let requested_ms = fleet.now.steady_ms - 2_000;
+    fleet.handle(Event::VmsListed {
+        vms: vec![standby_vm(&vm)],
+        requested_ms,
+    });
+    answer(&mut fleet, &vm, VmOutcome::Unknown);
+    fleet.advance(1_600);
+    assert_eq!(moves_of(&fleet, &vm), 2, "the order is repeated");
+}
+
+/// Guards against ending a living endpoint, whose tasks would start a second time.
+#[test]
+fn repeated_move_does_not_end_the_endpoint_that_the_first_one_brought() {
+    let mut fleet = fleet_with_standby_vm();
+    answer(&mut fleet, "vm-1", VmOutcome::Done);
+    start_endpoint(&mut fleet, "i-1", POOL);
+    assert_eq!(fleet.endpoints[0].running.len(), 16);
+    let now_ms = fleet.now.steady_ms;
+    list_as_standby(&mut fleet, now_ms);
+    submit_long_tasks(&mut fleet, 2, 16);
+    fleet.advance(200);
+    answer(&mut fleet, "vm-1", VmOutcome::Done);
+    fleet.advance(500);
+    assert!(!has_ended(&fleet, "i-1"));
+    assert_eq!(fleet.endpoints[0].running.len(), 16);
+}
+
+/// Guards against giving up an endpoint that was idle when its VM was ordered into its pool again.
+#[test]
+fn repeated_move_does_not_end_an_idle_endpoint_in_the_pool() {
+    let mut fleet = fleet_with_standby_vm();
+    answer(&mut fleet, "vm-1", VmOutcome::Done);
+    fleet.list_endpoint_on("vm-1", "i-1", POOL, 16_000);
+    fleet.endpoints[0].is_unresponsive = true;
+    let now_ms = fleet.now.steady_ms;
+    list_as_standby(&mut fleet, now_ms);
+    fleet.advance(200);
+    assert_eq!(moves_of(&fleet, "vm-1"), 2);
+    answer(&mut fleet, "vm-1", VmOutcome::Done);
+    fleet.endpoints[0].is_unresponsive = false;
+    fleet.advance(1_000);
+    assert_eq!(fleet.endpoints[0].running.len(), 16);
+}
+
+/// Guards against a move that ends work on a VM which a list shows in the standby pool.
+#[test]
+fn standby_vm_with_an_active_endpoint_is_not_ordered() {
+    let mut fleet = fleet_with_standby_vm();
+    answer(&mut fleet, "vm-1", VmOutcome::Done);
+    start_endpoint(&mut fleet, "i-1", POOL);
+    let now_ms = fleet.now.steady_ms;
+    list_as_standby(&mut fleet, now_ms);
+    submit_long_tasks(&mut fleet, 2, 16);
+    fleet.advance(1_000);
+    assert_eq!(moves_of(&fleet, "vm-1"), 1);
+}
+
 /// Returns how many VMs are ordered into a pool within a time at a given rate limit.
 fn fetched_within(ms: u64, vm_orders_per_s: u64) -> usize {
     let mut fleet = Fleet::new();
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -90,10 +90,7 @@
     fleet.advance(100);
     assert_eq!(maintained(&fleet).len(), 1);
     let first = maintained(&fleet).remove(0);
-    fleet.handle(Event::VmOrderAnswered {
-        vm: first.as_str().into(),
-        outcome: VmOutcome::Done,
-    });
+    fleet.answer_vm_order(&first, VmOutcome::Done);
     fleet.list_vms(vms);
     fleet.advance(1_000);
     assert_eq!(maintained(&fleet), [first]);
@@ -220,10 +217,7 @@
     fleet.submit(1, 40);
     fleet.settle();
     assert_ne!(fleet.endpoints[3].started.len(), 0);
-    fleet.handle(Event::VmOrderAnswered {
-        vm: "vm-1".into(),
-        outcome: VmOutcome::Done,
-    });
+    fleet.answer_vm_order("vm-1", VmOutcome::Done);
     // Free capacity elsewhere allows lost tasks to start again.
     for (task, run) in fleet.endpoints[1].running.clone() {
         fleet.endpoints[1].end(&task, run, EndKind::Done);
