--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -201,7 +201,7 @@
     }
 
     /// Cordons an incarnation that an order without a known outcome may still end.
-    fn cordon_if_ordered(&mut self, key: EndpointKey) {
+    pub(crate) fn cordon_if_ordered(&mut self, key: EndpointKey) {
         let endpoint = self.endpoints.get(key);
         let Ok(index) = self.vm_index(endpoint.vm()) else {
             return;
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -199,6 +199,21 @@
     assert_eq!(moves_of(&fleet, "vm-1"), 1);
 }
 
+/// Guards against work on a restarted endpoint whose VM an unanswered move may still take away.
+#[test]
+fn endpoint_restarted_before_an_unanswered_move_gets_no_work() {
+    let mut fleet = idle_fleet();
+    let vm = first_moved(&fleet);
+    answer(&mut fleet, &vm, VmOutcome::Unknown);
+    let index = usize::from(vm.as_bytes()[3] - b'1');
+    fleet.entries[index].vm = Some(vm.as_str().into());
+    fleet.crash(index);
+    fleet.restart(index);
+    submit_long_tasks(&mut fleet, 1, 60);
+    fleet.advance(200);
+    assert_eq!(fleet.endpoints[index].started.len(), 0);
+}
+
 /// Returns how many VMs are ordered into a pool within a time at a given rate limit.
 fn fetched_within(ms: u64, vm_orders_per_s: u64) -> usize {
     let mut fleet = Fleet::new();
