Match answers to VM orders by the number of their call

Callers: none seen. Found by reading: an answer named the VM only. A VM that is missing from one list and back in the next loses its order and may get another one while the first call is in flight, and the answer to the first then settled the second: its endpoint was ended, or its order forgotten while it could take effect. Change: each call has a number, and an answer with another number than that of the call in flight is ignored. With the number ignored the test orders a third move.

--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -129,7 +129,7 @@
     async fn execute_platform_effect(&self, effect: Effect) {
         match effect {
             Effect::GetTickets { step, endpoints } => self.request_advice(step, &endpoints).await,
-            Effect::MoveVm { vm, pool } => {
+            Effect::MoveVm { vm, pool, call } => {
                 let Some(client) = &self.vms else {
                     return;
                 };
@@ -139,10 +139,10 @@
                     fencing_token = client.fencing_token(), outcome:? = outcome;
                     "VM move ordered"
                 );
-                self.send_event(Event::VmOrderAnswered { vm, outcome })
+                self.send_event(Event::VmOrderAnswered { vm, call, outcome })
                     .await;
             }
-            Effect::MaintainVm { vm, wave } => {
+            Effect::MaintainVm { vm, wave, call } => {
                 let Some(client) = &self.vms else {
                     return;
                 };
@@ -152,7 +152,7 @@
                     fencing_token = client.fencing_token(), outcome:? = outcome;
                     "VM maintenance ordered"
                 );
-                self.send_event(Event::VmOrderAnswered { vm, outcome })
+                self.send_event(Event::VmOrderAnswered { vm, call, outcome })
                     .await;
             }
             // Replies and resignation are handled by the actor.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -104,6 +104,8 @@
     pub(crate) unanswered_runs: Vec<(TaskRef, u32)>,
     /// Sorted by name.
     pub(crate) vms: Vec<Vm>,
+    /// Number of the last call with a VM order.
+    pub(crate) last_vm_call: u64,
     pub(crate) vm_order_rate: OrderRateLimiter,
     /// VMs that a previous owner ordered recently, sorted by name.
     pub(crate) vm_cooldowns: Vec<VmCooldown>,
@@ -149,6 +151,7 @@
             unstored_ends: Vec::new(),
             unanswered_runs: Vec::new(),
             vms: Vec::new(),
+            last_vm_call: 0,
             vm_order_rate: OrderRateLimiter::new(settings.vm_orders_per_s),
             vm_cooldowns: Vec::new(),
             waves: Vec::new(),
@@ -219,7 +222,9 @@
                 percent,
                 is_done,
             } => self.pace_answered(endpoint, &task, run, percent, is_done),
-            Event::VmOrderAnswered { vm, outcome } => self.vm_answered(&vm, outcome, now),
+            Event::VmOrderAnswered { vm, call, outcome } => {
+                self.vm_answered(&vm, call, outcome, now);
+            }
             Event::Tick => self.tick(now),
         }
     }
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -175,6 +175,8 @@
     VmOrderAnswered {
         /// VM.
         vm: CompactString,
+        /// Number of the call.
+        call: u64,
         /// Outcome.
         outcome: VmOutcome,
     },
@@ -249,6 +251,8 @@
         vm: CompactString,
         /// Pool.
         pool: CompactString,
+        /// Number of the call.
+        call: u64,
     },
     /// Begin maintenance of a VM.
     MaintainVm {
@@ -256,6 +260,8 @@
         vm: CompactString,
         /// Wave number.
         wave: u64,
+        /// Number of the call.
+        call: u64,
     },
     /// Publish the status of a wave.
     PublishWave {
--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -45,8 +45,8 @@
     pub ordered_endpoint: Option<EndpointKey>,
     /// When the order was last sent, on the monotonic clock.
     pub ordered_ms: u64,
-    /// Whether a call with the order is in flight.
-    is_call_pending: bool,
+    /// Number of the call in flight.
+    pending_call: Option<u64>,
     /// Whether a call with the order got no response and may still take effect.
     may_take_effect: bool,
     /// Earliest time of the next order, on the monotonic clock.
@@ -91,7 +91,7 @@
                         changed_ms: 0,
                         order: None,
                         ordered_endpoint: None,
-                        is_call_pending: false,
+                        pending_call: None,
                         may_take_effect: false,
                         ordered_ms: 0,
                         maintained_until_ms: 0,
@@ -136,11 +136,15 @@
     }
 
     /// Processes the response to a VM order.
-    pub(crate) fn vm_answered(&mut self, name: &str, outcome: VmOutcome, now: Now) {
+    pub(crate) fn vm_answered(&mut self, name: &str, call: u64, outcome: VmOutcome, now: Now) {
         let Ok(index) = self.vm_index(name) else {
             return;
         };
-        self.vms[index].is_call_pending = false;
+        // A VM that was missing from a list in between may have got another order.
+        if self.vms[index].pending_call != Some(call) {
+            return;
+        }
+        self.vms[index].pending_call = None;
         let Some(order) = self.vms[index].order.clone() else {
             return;
         };
@@ -243,17 +247,21 @@
             vm.may_take_effect = false;
             vm.changed_ms = now.steady_ms;
         }
-        vm.is_call_pending = true;
+        self.last_vm_call += 1;
+        let call = self.last_vm_call;
+        vm.pending_call = Some(call);
         self.vm_order_rate.record_order();
         vm.ordered_ms = now.steady_ms;
         let effect = match &order {
             VmOrder::Move(pool) => Effect::MoveVm {
                 vm: name.clone(),
                 pool: pool.clone(),
+                call,
             },
             VmOrder::Maintain(wave) => Effect::MaintainVm {
                 vm: name.clone(),
                 wave: *wave,
+                call,
             },
         };
         vm.order = Some(order);
@@ -284,7 +292,7 @@
     pub(crate) fn retry_vm_orders(&mut self, now: Now) {
         for index in 0..self.vms.len() {
             let vm = &self.vms[index];
-            let is_due = !vm.is_call_pending
+            let is_due = vm.pending_call.is_none()
                 && now.steady_ms >= vm.ordered_ms + VM_ORDER_RETRY_MS
                 && self.vm_order_rate.allows_order();
             if let Some(order) = vm.order.clone()
@@ -323,7 +331,7 @@
     /// While a call is in flight, its response would be taken for that of the new order.
     pub(crate) fn accepts_orders(&self, now: Now) -> bool {
         self.order.is_none()
-            && !self.is_call_pending
+            && self.pending_call.is_none()
             && self.entry.state == VmState::Up
             && now.steady_ms >= self.cooldown_until_ms
     }
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -211,8 +211,22 @@
 
     /// Answers the latest call with an order for a VM.
     pub fn answer_vm_order(&mut self, vm: &str, outcome: VmOutcome) {
+        let latest = self.orders.iter().rev().find_map(|order| match order {
+            Effect::MoveVm {
+                vm: known, call, ..
+            }
+            | Effect::MaintainVm {
+                vm: known, call, ..
+            } if known == vm => Some(*call),
+            _ => None,
+        });
+        self.answer_vm_call(vm, latest.expect("an order"), outcome);
+    }
+
+    /// Answers a call with an order for a VM.
+    pub fn answer_vm_call(&mut self, vm: &str, call: u64, outcome: VmOutcome) {
         let vm = vm.into();
-        self.handle(Event::VmOrderAnswered { vm, outcome });
+        self.handle(Event::VmOrderAnswered { vm, call, outcome });
     }
 
     pub fn list_endpoint(&mut self, id: &str, cpu_millis: u64) {
@@ -547,7 +561,7 @@
     /// Returns the ordered VM moves as pairs of VM and pool, in order.
     pub fn moves(&self) -> Vec<(&str, &str)> {
         let moves = self.orders.iter().filter_map(|order| match order {
-            Effect::MoveVm { vm, pool } => Some((vm.as_str(), pool.as_str())),
+            Effect::MoveVm { vm, pool, .. } => Some((vm.as_str(), pool.as_str())),
             _ => None,
         });
         moves.collect()
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -214,6 +214,19 @@
     assert_eq!(fleet.endpoints[index].started.len(), 0);
 }
 
+/// Guards against taking the answer to an order for that of a later one.
+#[test]
+fn answer_to_an_earlier_call_settles_no_later_order() {
+    let mut fleet = fleet_with_standby_vm();
+    fleet.list_vms(Vec::new());
+    fleet.list_vms(vec![standby_vm("vm-1")]);
+    fleet.advance(100);
+    assert_eq!(moves_of(&fleet, "vm-1"), 2);
+    fleet.answer_vm_call("vm-1", 1, VmOutcome::Refused);
+    fleet.advance(3_000);
+    assert_eq!(moves_of(&fleet, "vm-1"), 2, "the second call has no answer");
+}
+
 /// Returns how many VMs are ordered into a pool within a time at a given rate limit.
 fn fetched_within(ms: u64, vm_orders_per_s: u64) -> usize {
     let mut fleet = Fleet::new();
