Keep an endpoint whose VM was maintained for a previous owner

Callers: fewer VMs than there are; no task is lost with it, as the endpoint had none. Cause: a successor orders the maintenance again whose outcome it does not know. The answer is the same whether it is carried out now or was before, and the endpoint on the VM was taken for ended, although it may have started after the maintenance; it was never called again. Change: such an answer ends nothing; the endpoint is asked for a report, and has ended if another incarnation answers.

--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -54,7 +54,7 @@
             self.record_departure(loads, vm);
             loads[shortage.pool_index].add_ordered_vm(&self.vms[vm]);
             let pool = loads[shortage.pool_index].name.clone();
-            self.order_vm(vm, VmOrder::Move(pool), now);
+            self.order_vm(vm, VmOrder::Move(pool), false, now);
         }
     }
 
@@ -147,7 +147,7 @@
                 now.steady_ms >= self.endpoints.get(key).empty_since_ms + IDLE_TIMEOUT_MS;
             if is_idle_timeout_over && can_leave(loads, vm) {
                 self.record_departure(loads, index);
-                self.order_vm(index, VmOrder::Move(standby.clone()), now);
+                self.order_vm(index, VmOrder::Move(standby.clone()), false, now);
             }
         }
     }
--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -45,6 +45,8 @@
     pub ordered_endpoint: Option<EndpointKey>,
     /// When the order was last sent, on the monotonic clock.
     pub ordered_ms: u64,
+    /// Whether a previous owner may have had the order executed.
+    is_inherited: bool,
     /// Number of the call in flight.
     pending_call: Option<u64>,
     /// Whether a call with the order got no response and may still take effect.
@@ -91,6 +93,7 @@
                         changed_ms: 0,
                         order: None,
                         ordered_endpoint: None,
+                        is_inherited: false,
                         pending_call: None,
                         may_take_effect: false,
                         ordered_ms: 0,
@@ -159,8 +162,12 @@
                     VmOrder::Move(pool) => self.end_incarnations_outside(name, pool, now),
                     VmOrder::Maintain(wave) => {
                         self.maintenance_begun(*wave, name);
-                        if let Some(key) = endpoint {
-                            self.endpoint_ended(key, now);
+                        match endpoint {
+                            Some(key) if self.vms[index].is_inherited => {
+                                self.verify_incarnation(key, now);
+                            }
+                            Some(key) => self.endpoint_ended(key, now),
+                            None => {}
                         }
                     }
                 }
@@ -204,6 +211,16 @@
         }
     }
 
+    /// Requests a report of an incarnation that may have started after the maintenance of its VM,
+    /// before it gets work again.
+    fn verify_incarnation(&mut self, key: EndpointKey, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.is_cordoned = false;
+        endpoint.is_reconciled = false;
+        endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
+        self.renew_lease(key, now);
+    }
+
     /// Cordons an incarnation that an order without a known outcome may still end.
     pub(crate) fn cordon_if_ordered(&mut self, key: EndpointKey) {
         let endpoint = self.endpoints.get(key);
@@ -227,8 +244,8 @@
         active.all(|key| self.endpoints.get(key).placed_runs.is_empty())
     }
 
-    /// Orders a move or maintenance of a VM.
-    pub(crate) fn order_vm(&mut self, index: usize, order: VmOrder, now: Now) {
+    /// Orders a move or maintenance of a VM, which a previous owner may have ordered before.
+    pub(crate) fn order_vm(&mut self, index: usize, order: VmOrder, is_inherited: bool, now: Now) {
         let name = self.vms[index].entry.name.clone();
         let current = self.endpoint_of_vm(&name);
         let endpoint = current.map(|key| self.endpoints.get(key));
@@ -244,6 +261,7 @@
         let vm = &mut self.vms[index];
         if vm.order.as_ref() != Some(&order) {
             vm.ordered_endpoint = current;
+            vm.is_inherited = is_inherited;
             vm.may_take_effect = false;
             vm.changed_ms = now.steady_ms;
         }
@@ -298,7 +316,8 @@
             if let Some(order) = vm.order.clone()
                 && is_due
             {
-                self.order_vm(index, order, now);
+                let is_inherited = vm.is_inherited;
+                self.order_vm(index, order, is_inherited, now);
             }
         }
     }
--- a/crates/engine/src/waves.rs
+++ b/crates/engine/src/waves.rs
@@ -326,7 +326,7 @@
             insert(&mut wave.stored.ordered, name);
             wave.is_dirty = true;
             let number = wave.number;
-            self.order_vm(vm, VmOrder::Maintain(number), now);
+            self.order_vm(vm, VmOrder::Maintain(number), is_counted, now);
             if !is_counted {
                 *budget -= 1;
             }
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -230,6 +230,31 @@
     }
 }
 
+/// Guards against giving up the endpoint of a VM whose maintenance a previous owner began, as the
+/// order of its successor is reported as done, too.
+#[test]
+fn maintenance_executed_for_a_previous_owner_ends_no_later_incarnation() {
+    let (mut fleet, mut vms) = three_vms();
+    fleet.handle(wave(&["vm-1"], 1));
+    fleet.advance(100);
+    assert_eq!(maintained(&fleet), ["vm-1"]);
+    fleet.entries[0].vm = Some("vm-1".into());
+    fleet.crash(0);
+    fleet.restart(0);
+    vms[0].endpoint = fleet.entries[0].id.clone();
+    fleet.take_over();
+    fleet.orders.clear();
+    fleet.handle(wave(&["vm-1"], 1));
+    fleet.list_vms(vms);
+    fleet.engine.allow_vm_orders(true);
+    fleet.advance(3_500);
+    assert_eq!(maintained(&fleet), ["vm-1"]);
+    fleet.answer_vm_order("vm-1", VmOutcome::Done);
+    fleet.submit(1, 48);
+    fleet.advance(2_000);
+    assert_eq!(fleet.endpoints[0].running.len(), 16);
+}
+
 /// Guards against sending a stop after a sibling was lost while the decision waited to be stored.
 #[test]
 fn stop_is_reverted_when_a_sibling_is_lost_before_it_is_stored() {
