Start nothing on a VM that an inherited order may still take away

Callers: work of a few seconds lost after a change of owner, a task of a step with a budget ended by a late order, and the end charged to the task as a crash of its endpoint. Cause: the outcome of a previous owner's order is unknown for up to the VM lease; the VM itself got no new order meanwhile, but its endpoint got work at once. Change: starts there wait as long as orders do. A refused order is stored as settled, so that its VM does not wait.

end_after_an_order_of_a_previous_owner_is_charged_once put its runs on such a VM, where none start now. They now start while it is unknown on which VM the endpoint is, so the same ends are charged; its checks are unchanged.

--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -58,6 +58,7 @@
         let began_draining = entry.is_draining && !endpoint.is_draining;
         self.endpoints.update(key, entry);
         self.cordon_if_ordered(key);
+        self.delay_starts_if_ordered(key);
         let endpoint = self.endpoints.get_mut(key);
         if !endpoint.is_reconciled && !endpoint.is_renewing {
             endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
--- a/crates/engine/src/vm_cooldowns.rs
+++ b/crates/engine/src/vm_cooldowns.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         engine::Engine,
-        event::Now,
+        event::{EndpointKey, Now},
         stored::{StoredVm, vm_name},
     },
     compact_str::CompactString,
@@ -78,4 +78,16 @@
         let index = self.search_vm_cooldown(name);
         index.map_or(0, |index| self.vm_cooldowns[index].until_ms)
     }
+
+    /// Delays starts on an incarnation whose VM an order of a previous owner may still take away.
+    pub(crate) fn delay_starts_if_ordered(&mut self, key: EndpointKey) {
+        let index = self.search_vm_cooldown(self.endpoints.get(key).vm());
+        if let Ok(index) = index
+            && !self.vm_cooldowns[index].is_settled
+        {
+            let until_ms = self.vm_cooldowns[index].until_ms;
+            let endpoint = self.endpoints.get_mut(key);
+            endpoint.cooldown_until_ms = endpoint.cooldown_until_ms.max(until_ms);
+        }
+    }
 }
--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -180,6 +180,7 @@
             VmOutcome::Busy | VmOutcome::Refused => {
                 let vm = &mut self.vms[index];
                 vm.order = None;
+                vm.is_dirty = true;
                 vm.cooldown_until_ms = now.steady_ms + VM_COOLDOWN_MS;
                 if let VmOrder::Maintain(wave) = order {
                     self.maintenance_refused(wave, name);
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -726,12 +726,14 @@
     fleet.advance(1_500);
     let vm = fleet.moves().first().expect("a move").0.to_string();
     let index: usize = vm[3..].parse().expect("a number");
-    fleet.entries[index].vm = Some(vm.into());
     fleet.take_over();
     fleet.submit(2, 64);
     fleet.advance(200);
     let runs = fleet.endpoints[index].running.len();
     assert!(runs > 0);
+    // The runs start while it is unknown on which VM the endpoint is.
+    let vms = vms_of(&fleet);
+    fleet.list_vms(vms);
     crash_and_restart(&mut fleet, index, RESTART_MS);
     assert_eq!(charges(&mut fleet), vec![1; runs]);
     for _ in 0..64 {
--- a/crates/engine/tests/vm_cooldowns.rs
+++ b/crates/engine/tests/vm_cooldowns.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Fleet, POOL, standby_vm, step},
-    lynxwheel_engine::{JobSpec, StepSpec, VmOutcome},
+    lynxwheel_engine::{JobSpec, StepSpec, VmEntry, VmOutcome},
 };
 
 /// Epoch of the previous owner; the engines of the tests use the default.
@@ -83,3 +83,50 @@
     /// Guards against releasing VMs of an owner that is not known to have ended.
     vm_of_another_epoch_is_in_cooldown: true, |fleet| fleet.engine.end_vm_cooldowns(EPOCH + 1, 0), 2_500 => false;
 }
+
+/// Returns the number of tasks on an endpoint whose VM the previous owner had ordered away.
+fn tasks_on_ordered_vm(is_answered: bool, ms: u64) -> usize {
+    let mut fleet = Fleet::new();
+    let mut vms = Vec::new();
+    for number in 1..=4 {
+        let (vm, endpoint) = (format!("vm-{number}"), format!("i-{number}"));
+        fleet.list_endpoint_on(&vm, &endpoint, POOL, 16_000);
+        vms.push(VmEntry {
+            pool: POOL.into(),
+            endpoint: endpoint.into(),
+            ..standby_vm(&vm)
+        });
+    }
+    fleet.advance(200);
+    fleet.engine.allow_vm_orders(true);
+    fleet.list_vms(vms);
+    fleet.advance(1_500);
+    let ordered = fleet.moves()[0].0.to_string();
+    if is_answered {
+        fleet.answer_vm_order(&ordered, VmOutcome::Refused);
+        fleet.settle();
+    }
+    fleet.take_over();
+    fleet.submit(1, 64);
+    fleet.advance(ms);
+    let id = ordered.replace("vm", "i");
+    let endpoint = fleet.endpoints.iter().find(|known| known.id == id);
+    endpoint.expect("a listed endpoint").running.len()
+}
+
+macro_rules! work {
+    ($($(#[$doc:meta])* $name:ident: $is_answered:expr, $within_ms:expr => $tasks:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            assert_eq!(tasks_on_ordered_vm($is_answered, $within_ms), $tasks);
+        })*
+    };
+}
+
+work! {
+    /// Guards against work on a VM that an order of the previous owner may still take away.
+    vm_with_an_inherited_order_in_flight_gets_no_work: false, 2_500 => 0;
+
+    vm_with_an_inherited_order_gets_work_after_its_cooldown: false, 3_500 => 16;
+
+    vm_without_an_inherited_order_gets_work_immediately: true, 500 => 16;
+}
