Cordon an endpoint that restarts before an unanswered maintenance

Callers: work lost, or a task interrupted beyond its budget. Cause: the next incarnation was cordoned at the next tick only. Change: it is cordoned when it registers; after the answer it is asked for a report, as it may have started before the maintenance or after it.

late_answer_to_an_order_does_not_end_the_next_incarnation started its work in that gap. It now starts while it is unknown on which VM the endpoint is; what it checks of the late answer is unchanged.

--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -151,7 +151,6 @@
         let Some(order) = self.vms[index].order.clone() else {
             return;
         };
-        let endpoint = self.vms[index].ordered_endpoint;
         match outcome {
             VmOutcome::Done => {
                 self.vms[index].is_dirty = true;
@@ -159,16 +158,10 @@
                 let until_ms = now.steady_ms + self.settings.maintenance_ms + MAINTENANCE_SLACK_MS;
                 self.vms[index].mark_unavailable(&order, until_ms);
                 match &order {
-                    VmOrder::Move(pool) => self.end_incarnations_outside(name, pool, now),
+                    VmOrder::Move(pool) => self.end_incarnations_outside(index, pool, now),
                     VmOrder::Maintain(wave) => {
                         self.maintenance_begun(*wave, name);
-                        match endpoint {
-                            Some(key) if self.vms[index].is_inherited => {
-                                self.verify_incarnation(key, now);
-                            }
-                            Some(key) => self.endpoint_ended(key, now),
-                            None => {}
-                        }
+                        self.end_maintained_incarnation(index, now);
                     }
                 }
             }
@@ -185,7 +178,7 @@
                 if let VmOrder::Maintain(wave) = order {
                     self.maintenance_refused(wave, name);
                 }
-                for key in self.endpoints.active_on_vm(name).collect::<Vec<_>>() {
+                for key in self.active_on_vm(index) {
                     self.endpoints.get_mut(key).is_cordoned = false;
                 }
             }
@@ -198,22 +191,38 @@
     ///
     /// An order is also reported as done if it has been executed before. An incarnation in the pool
     /// may then be the one that started after the move.
-    fn end_incarnations_outside(&mut self, vm: &str, pool: &str, now: Now) {
-        let outside: Vec<EndpointKey> = self
-            .endpoints
-            .active_on_vm(vm)
-            .filter(|&key| {
-                let known = &self.endpoints.get(key).pool;
-                !known.is_empty() && known != pool
-            })
-            .collect();
-        for key in outside {
-            self.endpoint_ended(key, now);
+    fn end_incarnations_outside(&mut self, index: usize, pool: &str, now: Now) {
+        for key in self.active_on_vm(index) {
+            let known = &self.endpoints.get(key).pool;
+            if !known.is_empty() && known != pool {
+                self.endpoint_ended(key, now);
+            }
         }
     }
 
-    /// Requests a report of an incarnation that may have started after the maintenance of its VM,
-    /// before it gets work again.
+    /// Ends the incarnation on which the maintenance of a VM was ordered.
+    ///
+    /// Others may have started before the maintenance or after it, and so may any if a previous
+    /// owner ordered it, too. They get work again after another report.
+    fn end_maintained_incarnation(&mut self, index: usize, now: Now) {
+        let vm = &self.vms[index];
+        let ended = vm.ordered_endpoint.filter(|_| !vm.is_inherited);
+        for key in self.active_on_vm(index) {
+            if ended == Some(key) {
+                self.endpoint_ended(key, now);
+            } else {
+                self.verify_incarnation(key, now);
+            }
+        }
+    }
+
+    /// Returns the incarnations on a VM that are not known to have ended.
+    fn active_on_vm(&self, index: usize) -> Vec<EndpointKey> {
+        let name = &self.vms[index].entry.name;
+        self.endpoints.active_on_vm(name).collect()
+    }
+
+    /// Requests a report before an incarnation gets work again.
     fn verify_incarnation(&mut self, key: EndpointKey, now: Now) {
         let endpoint = self.endpoints.get_mut(key);
         endpoint.is_cordoned = false;
@@ -231,7 +240,7 @@
         let vm = &self.vms[index];
         let may_end = match &vm.order {
             Some(VmOrder::Move(pool)) => *pool != endpoint.pool,
-            Some(VmOrder::Maintain(_)) => vm.ordered_endpoint == Some(key),
+            Some(VmOrder::Maintain(_)) => true,
             None => false,
         };
         if may_end {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -146,6 +146,7 @@
     pub is_store_down: bool,
     pub version: u64,
     pub accounts: Vec<ClientAccount>,
+    pub pools: Vec<Pool>,
     /// Renewals held by endpoints: due time, endpoint, acknowledged end.
     waiting: Vec<(u64, u32, u64)>,
     in_flight: Option<Batch>,
@@ -168,6 +169,7 @@
             is_store_down: false,
             version: 1,
             accounts: Vec::new(),
+            pools: vec![pool(POOL, false), pool("spare", true)],
             waiting: Vec::new(),
             in_flight: None,
         };
@@ -179,7 +181,7 @@
         let config = FleetConfig {
             version: self.version,
             queues: vec![queue()],
-            pools: vec![pool(POOL, false), pool("spare", true)],
+            pools: self.pools.clone(),
             accounts: ClientAccounts::new(self.accounts.clone()),
             ..FleetConfig::default()
         };
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -207,16 +207,18 @@
     fleet.handle(wave(&["vm-1"], 1));
     fleet.advance(100);
     assert_eq!(maintained(&fleet), ["vm-1"]);
+    // Work starts while it is unknown on which VM the endpoint is.
     fleet.list_endpoint("i-4", 16_000);
+    fleet.submit(1, 40);
+    fleet.settle();
+    assert_ne!(fleet.endpoints[3].started.len(), 0);
     let entry = {
         let mut entry = fleet.entries[3].clone();
         entry.vm = Some("vm-1".into());
         entry
     };
     fleet.handle(listed(entry, true));
-    fleet.submit(1, 40);
     fleet.settle();
-    assert_ne!(fleet.endpoints[3].started.len(), 0);
     fleet.answer_vm_order("vm-1", VmOutcome::Done);
     // Free capacity elsewhere allows lost tasks to start again.
     for (task, run) in fleet.endpoints[1].running.clone() {
@@ -230,6 +232,25 @@
     }
 }
 
+/// Guards against work on a restarted endpoint whose VM an unanswered maintenance may still end, and
+/// against a VM that gets no work after it.
+#[test]
+fn endpoint_restarted_before_an_unanswered_maintenance_gets_work_after_it() {
+    let (mut fleet, _) = three_vms();
+    fleet.handle(wave(&["vm-1"], 1));
+    fleet.advance(100);
+    assert_eq!(maintained(&fleet), ["vm-1"]);
+    fleet.entries[0].vm = Some("vm-1".into());
+    fleet.crash(0);
+    fleet.restart(0);
+    fleet.submit(1, 48);
+    fleet.settle();
+    assert_eq!(fleet.endpoints[0].started.len(), 0);
+    fleet.answer_vm_order("vm-1", VmOutcome::Done);
+    fleet.advance(500);
+    assert_eq!(fleet.endpoints[0].running.len(), 16);
+}
+
 /// Guards against giving up the endpoint of a VM whose maintenance a previous owner began, as the
 /// order of its successor is reported as done, too.
 #[test]
