Remember an inherited maintenance whose retry was refused

Cause: only calls of the own epoch counted as possibly carried out. Change: an inherited order is retried until its outcome is known. The test of an inherited maintenance shares its beginning now; its steps and checks are the same.

--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -49,7 +49,8 @@
     is_inherited: bool,
     /// Number of the call in flight.
     pending_call: Option<u64>,
-    /// Whether a call with the order got no response and may still take effect.
+    /// Whether a call with the order, also one of a previous owner, got no response and may have taken
+    /// effect or still do so.
     may_take_effect: bool,
     /// Earliest time of the next order, on the monotonic clock.
     pub cooldown_until_ms: u64,
@@ -272,7 +273,7 @@
         if vm.order.as_ref() != Some(&order) {
             vm.ordered_endpoint = current;
             vm.is_inherited = is_inherited;
-            vm.may_take_effect = false;
+            vm.may_take_effect = is_inherited;
             vm.changed_ms = now.steady_ms;
         }
         self.last_vm_call += 1;
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -251,10 +251,19 @@
     assert_eq!(fleet.endpoints[0].running.len(), 16);
 }
 
-/// Guards against giving up the endpoint of a VM whose maintenance a previous owner began, as the
-/// order of its successor is reported as done, too.
-#[test]
-fn maintenance_executed_for_a_previous_owner_ends_no_later_incarnation() {
+/// Replaces the owner, and lets its successor order the maintenance of the first VM.
+fn order_again(fleet: &mut Fleet, vms: &[VmEntry]) {
+    fleet.take_over();
+    fleet.orders.clear();
+    fleet.handle(wave(&["vm-1"], 1));
+    fleet.list_vms(vms.to_vec());
+    fleet.engine.allow_vm_orders(true);
+    fleet.advance(3_500);
+    assert_eq!(maintained(fleet), ["vm-1"]);
+}
+
+/// Returns a fleet of which a previous owner had the first VM maintained without an answer.
+fn three_vms_after_maintenance() -> (Fleet, Vec<VmEntry>) {
     let (mut fleet, mut vms) = three_vms();
     fleet.handle(wave(&["vm-1"], 1));
     fleet.advance(100);
@@ -263,13 +272,29 @@
     fleet.crash(0);
     fleet.restart(0);
     vms[0].endpoint = fleet.entries[0].id.clone();
-    fleet.take_over();
-    fleet.orders.clear();
-    fleet.handle(wave(&["vm-1"], 1));
-    fleet.list_vms(vms);
-    fleet.engine.allow_vm_orders(true);
-    fleet.advance(3_500);
-    assert_eq!(maintained(&fleet), ["vm-1"]);
+    order_again(&mut fleet, &vms);
+    (fleet, vms)
+}
+
+/// Guards against giving up the endpoint of a VM whose maintenance a previous owner began, as the
+/// order of its successor is reported as done, too.
+#[test]
+fn maintenance_executed_for_a_previous_owner_ends_no_later_incarnation() {
+    let (mut fleet, _) = three_vms_after_maintenance();
+    fleet.answer_vm_order("vm-1", VmOutcome::Done);
+    fleet.submit(1, 48);
+    fleet.advance(2_000);
+    assert_eq!(fleet.endpoints[0].running.len(), 16);
+}
+
+/// Guards against forgetting that a previous owner may have begun the maintenance because an order of
+/// its successor was refused.
+#[test]
+fn refused_order_does_not_settle_that_of_a_previous_owner() {
+    let (mut fleet, vms) = three_vms_after_maintenance();
+    fleet.answer_vm_order("vm-1", VmOutcome::Refused);
+    fleet.advance(100);
+    order_again(&mut fleet, &vms);
     fleet.answer_vm_order("vm-1", VmOutcome::Done);
     fleet.submit(1, 48);
     fleet.advance(2_000);
