Trim no record that no node has read in the recovery tests

The test itself destroyed a record, after which the nodes rightly wait; no product fault.

The trim now happens once at least one of the nodes that stay has folded the last record, under the platform's lock. The other may be behind and has to reload from a peer, as before; waits, bounds and checks are unchanged.

--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -40,11 +40,22 @@
     running.node.state().declared(&reference).is_some()
 }
 
-fn trim_log(fleet: &Fleet) {
-    fleet.platform.with_platform(|platform| {
-        let end = platform.log.read(STREAM, 1, 0).next_offset;
-        platform.log.trim(STREAM, end);
-    });
+/// Trims all records as soon as one of the nodes has read them. A record that none has read would be
+/// lost, and no node could continue without it.
+async fn trim_log(fleet: &Fleet, readers: &[&RunningNode]) {
+    wait_until("a node has read the log", || {
+        fleet.platform.with_platform(|platform| {
+            let end = platform.log.read(STREAM, 1, 0).next_offset;
+            let is_read = readers
+                .iter()
+                .any(|running| running.node.state().offset() + 1 >= end);
+            if is_read {
+                platform.log.trim(STREAM, end);
+            }
+            is_read
+        })
+    })
+    .await;
 }
 
 fn set_log_down(fleet: &Fleet, is_down: bool) {
@@ -115,7 +126,8 @@
         })
         .await;
         nodes[index].shutdown.begin();
-        trim_log(&fleet);
+        let remaining = [&nodes[(index + 1) % 3], &nodes[(index + 2) % 3]];
+        trim_log(&fleet, &remaining).await;
         nodes[index] = fleet.start_node(index).await;
         wait_until("the new node is current", || nodes[index].node.is_current()).await;
     }
@@ -131,7 +143,7 @@
     let fleet = Fleet::start(2).await;
     let first = fleet.start_node(0).await;
     declare(&first, "night-shift").await;
-    trim_log(&fleet);
+    trim_log(&fleet, &[&first]).await;
     let second = fleet.start_node(1).await;
     wait_until("the replaced node knows the declaration", || {
         knows(&second, "night-shift")
@@ -173,7 +185,7 @@
     proxy.disconnect();
     lagging.node.peers().announce_stop();
     declare(&first, "night-shift").await;
-    trim_log(&fleet);
+    trim_log(&fleet, &[&first]).await;
     proxy.reconnect();
     declare(&first, "day-shift").await;
     wait_until("both declarations are known", || {
@@ -193,7 +205,7 @@
     wait_until("the first snapshot is written", || snapshot() > 0).await;
     declare(&single, "day-shift").await;
     let declared = single.node.state().offset();
-    trim_log(&fleet);
+    trim_log(&fleet, &[&single]).await;
     wait_until("a snapshot after the trim", || snapshot() >= declared).await;
 }
 
