Let a task after crashes wait for an empty endpoint under the next owner

Cause: a task after two crashes waits a second for an endpoint of its own, but the end of the wait is not stored, and restored tasks did not wait at all. Change: the wait starts again with the owner. The test's task started beside others at once before.

--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -24,7 +24,7 @@
 
 /// Time for which a task waits for an empty endpoint after a crash, in milliseconds. In a pool
 /// without one it starts beside others then.
-const ISOLATION_WAIT_MS: u64 = 1_000;
+pub(crate) const ISOLATION_WAIT_MS: u64 = 1_000;
 
 /// Time for which a run remains alone on its endpoint, in milliseconds. Tasks that crash their
 /// endpoints do so soon after their start, and the endpoint is barred for others meanwhile.
--- a/crates/engine/src/restore.rs
+++ b/crates/engine/src/restore.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         config::Queue,
+        crashes::ISOLATION_WAIT_MS,
         engine::{EndedJob, Engine},
         event::Now,
         job::{JobId, JobSpec},
@@ -113,12 +114,20 @@
             accepted_ms: now.wall_ms,
         });
         let endpoints = &mut self.endpoints;
-        let mut job = restore_job(id, known_spec, progress, |name, address| {
-            let key = endpoints.find_or_insert(name, now.steady_ms);
-            // The endpoint is called at this address even if its registry entry has expired.
-            endpoints.set_address(key, address);
-            key
-        });
+        // How long the previous owner has waited is not stored.
+        let isolate_until_ms = now.steady_ms + ISOLATION_WAIT_MS;
+        let mut job = restore_job(
+            id,
+            known_spec,
+            progress,
+            isolate_until_ms,
+            |name, address| {
+                let key = endpoints.find_or_insert(name, now.steady_ms);
+                // The endpoint is called at this address even if its registry entry has expired.
+                endpoints.set_address(key, address);
+                key
+            },
+        );
         // The previous owner's clock is not comparable, so the retention time starts again.
         job.ended_ms = now.steady_ms;
         self.add_job(Box::new(job));
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -285,11 +285,13 @@
 /// Builds a job from its two records.
 ///
 /// `key_of` returns the key of an endpoint by its id and address. All runs are restored as
-/// inherited until their endpoints have reported.
+/// inherited until their endpoints have reported. Tasks after crashes wait for an empty endpoint
+/// until `isolate_until_ms` on the monotonic clock.
 pub fn restore_job(
     id: JobId,
     spec: StoredSpec,
     progress: StoredProgress,
+    isolate_until_ms: u64,
     mut key_of: impl FnMut(&CompactString, SocketAddr) -> EndpointKey,
 ) -> Job {
     let StoredProgress {
@@ -323,6 +325,7 @@
             attempts: attempts.into_iter().filter_map(restore_attempt).collect(),
             crashes,
             lost_on: lost_on.into_iter().filter_map(key_at).collect(),
+            isolate_until_ms,
             ..Task::default()
         }
     };
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -711,6 +711,52 @@
     assert!(endpoint_of(&fleet, task(1)).is_some());
 }
 
+/// Returns a fleet whose first job has crashed two endpoints, the second of which came back without
+/// room; every other endpoint has a task that lasts.
+fn fleet_without_empty_endpoint() -> Fleet {
+    let mut fleet = Fleet::new();
+    for number in 1..=4 {
+        fleet.list_endpoint(&format!("i-{number}"), 16_000);
+    }
+    fleet.engine.allow_vm_orders(false);
+    let spread = StepSpec {
+        long_running: true,
+        max_per_endpoint: 1,
+        ..step(4)
+    };
+    fleet.submit_spec(
+        2,
+        JobSpec {
+            steps: vec![spread],
+            ..JobSpec::default()
+        },
+    );
+    fleet.advance(6_000);
+    fleet.submit_spec(1, long_running(1));
+    fleet.advance(100);
+    let first = endpoint_of(&fleet, task(1)).expect("a running task");
+    crash_and_restart(&mut fleet, first, RESTART_MS);
+    let second = await_run(&mut fleet).expect("a running task");
+    fleet.crash(second);
+    fleet.advance(RESTART_MS);
+    fleet.entries[second].capacity.cpu_millis = 0;
+    fleet.restart(second);
+    assert_eq!(endpoint_of(&fleet, task(1)), None, "it waits");
+    fleet
+}
+
+/// Guards against a change of owner that ends the wait for an empty endpoint, so that a task which
+/// crashes endpoints takes those of others with it.
+#[test]
+fn task_after_two_crashes_waits_for_an_empty_endpoint_under_the_next_owner() {
+    let mut fleet = fleet_without_empty_endpoint();
+    fleet.take_over();
+    fleet.advance(800);
+    assert_eq!(endpoint_of(&fleet, task(1)), None);
+    fleet.advance(1_000);
+    assert!(endpoint_of(&fleet, task(1)).is_some(), "it starts in time");
+}
+
 /// Guards against a crash that is taken for the effect of an order of a previous owner, and against
 /// giving up a job because of such an order alone.
 #[test]
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -271,7 +271,7 @@
     fleet.entries[0].vm = Some("vm-1".into());
     fleet.crash(0);
     fleet.restart(0);
-    vms[0].endpoint = fleet.entries[0].id.clone();
+    vms[0].endpoint.clone_from(&fleet.entries[0].id);
     order_again(&mut fleet, &vms);
     (fleet, vms)
 }
