Start long-running tasks apart after they shared a crash

Cause: a task after one crash avoids endpoints with other suspects, but takes one at once where no other is free at that moment. Change: a long-running one waits for up to a second, as tasks after two crashes do for an empty endpoint. Finite tasks do not, as their work is short.

Tests: long_running_suspects_wait_for_separate_endpoints failed before (both on one endpoint). In tasks_that_share_the_third_crash_are_not_given_up the two tasks wait in vain for a second before the other endpoint is listed, so that they still share the next crash; its checks are the same.

--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -22,8 +22,9 @@
 /// Maximum number of endpoints of a task that may have crashed; earlier ones are forgotten.
 const MAX_LOST_ENDPOINTS: usize = 4;
 
-/// Time for which a task waits for an empty endpoint after a crash, in milliseconds. In a pool
-/// without one it starts beside others then.
+/// Time for which a task waits for an empty endpoint after a crash, or a long-running one for an
+/// endpoint without other suspects, in milliseconds. In a pool without one it starts beside others
+/// then.
 pub(crate) const ISOLATION_WAIT_MS: u64 = 1_000;
 
 /// Time for which a run remains alone on its endpoint, in milliseconds. Tasks that crash their
@@ -43,7 +44,8 @@
 pub(crate) enum Suspicion {
     /// No crash is charged to it.
     None,
-    /// It avoids endpoints with other suspects, and prefers empty ones unless it is long-running.
+    /// It avoids endpoints with other suspects. If it is long-running, it waits for one without them
+    /// for a while; otherwise it prefers empty ones.
     Suspect,
     /// It starts alone on its endpoint, unless none is empty for a while.
     Isolated,
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -589,6 +589,8 @@
     }
     fleet.settle();
     apply(&mut fleet, Step::Crash);
+    // They wait for separate endpoints in vain.
+    fleet.advance(1_000);
     // The other endpoint is never empty.
     fleet.list_endpoint("i-2", 20_000);
     let mut large = long_running(1);
@@ -757,6 +759,48 @@
     assert!(endpoint_of(&fleet, task(1)).is_some(), "it starts in time");
 }
 
+/// Guards against starting long-running tasks together again right after a crash, so that one that is
+/// not at fault is charged with the next crash, too.
+#[test]
+fn long_running_suspects_wait_for_separate_endpoints() {
+    let mut fleet = Fleet::new();
+    for number in 1..=2 {
+        fleet.list_endpoint(&format!("i-{number}"), 16_000);
+    }
+    fleet.engine.allow_vm_orders(false);
+    for job in 1..=2 {
+        fleet.submit_spec(job, long_running(1));
+    }
+    fleet.advance(100);
+    let index = endpoint_of(&fleet, task(1)).expect("a running task");
+    assert_eq!(
+        endpoint_of(&fleet, task(2)),
+        Some(index),
+        "both start together"
+    );
+    fleet.set_cpu_millis(1 - index, 0);
+    crash_and_restart(&mut fleet, index, RESTART_MS);
+    fleet.set_cpu_millis(1 - index, 16_000);
+    fleet.advance(300);
+    let [first, second] = [1, 2].map(|job| endpoint_of(&fleet, task(job)));
+    assert!(first.is_some() && second.is_some());
+    assert_ne!(first, second);
+}
+
+/// Guards against long-running tasks that never start again where no other endpoint is left.
+#[test]
+fn long_running_suspects_share_the_only_endpoint() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    for job in 1..=2 {
+        fleet.submit_spec(job, long_running(1));
+    }
+    fleet.advance(100);
+    crash_and_restart(&mut fleet, 0, RESTART_MS);
+    fleet.advance(1_200);
+    assert_eq!(fleet.endpoints[0].running.len(), 2);
+}
+
 /// Guards against a crash that is taken for the effect of an order of a previous owner, and against
 /// giving up a job because of such an order alone.
 #[test]
