Count a crash after a later start as an unlikely one

Callers: a long-running job that crashes nothing is given up. Cause: every young run on an endpoint is charged alike. Change: a run that started 200 ms or more before the latest one there is charged as unlikely; such a charge isolates the task like any other, but three or four likely ones give its job up. A task that crashes late and always beside later starts is given up at the fifth crash, after two starts, which the platform's rules allow. Unlikely charges are known to one owner only: the stored record keeps its format.

Tests: crash_after_a_later_start_is_not_decisive failed before (Failed); late_crashes_after_later_starts_are_bounded holds the bound.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -63,11 +63,13 @@
                 endpoint,
                 crashes,
                 is_one_job,
+                is_unlikely,
             } => {
                 counter!("lynxwheel_crashes_total").increment(1);
                 info!(
                     event = "crash_charged", epoch = epoch, task:% = task,
-                    endpoint = endpoint.as_str(), crashes = crashes, is_one_job = is_one_job;
+                    endpoint = endpoint.as_str(), crashes = crashes, is_one_job = is_one_job,
+                    is_unlikely = is_unlikely;
                     "endpoint crashed under a task"
                 );
             }
--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -13,12 +13,19 @@
 /// fault.
 const ISOLATED_AFTER_CRASHES: u32 = 2;
 
-/// Crashes after which a job is given up if no other job's task is charged with the last one.
+/// Likely crashes after which a job is given up if no other job's task is charged with the last one.
 const MAX_CRASHES: u32 = 3;
 
-/// Crashes after which a job is given up in any case.
+/// Likely crashes after which a job is given up in any case.
 const MAX_SHARED_CRASHES: u32 = 4;
 
+/// Crashes, including unlikely ones, after which a job is given up in any case.
+const MAX_ALL_CRASHES: u32 = 5;
+
+/// Time between two starts on an endpoint after which the earlier run is unlikely to have crashed it,
+/// in milliseconds.
+const LATER_START_MS: u64 = 200;
+
 /// Maximum number of endpoints of a task that may have crashed; earlier ones are forgotten.
 const MAX_LOST_ENDPOINTS: usize = 4;
 
@@ -75,29 +82,36 @@
     task: TaskRef,
     /// Whether only tasks of one job are charged.
     is_one_job: bool,
+    /// Whether another run had started there well after it, which more likely caused the crash.
+    is_unlikely: bool,
 }
 
 /// A run whose start was sent.
 #[derive(Clone, Copy, Debug)]
 struct ActiveRun {
     task: TaskRef,
+    /// When its start was decided, on the monotonic clock; 0 for an inherited run.
+    decided_at_ms: u64,
     /// Whether it has lasted long enough to show that its start crashes no endpoint.
     has_lasted: bool,
 }
 
-/// Returns the tasks of runs that may have crashed their endpoint. One that has lasted is not at
-/// fault if the endpoint crashes soon after another start.
-fn suspected_tasks(active: &[ActiveRun]) -> Vec<TaskRef> {
+/// Returns the runs that may have crashed their endpoint. One that has lasted is not at fault if the
+/// endpoint crashes soon after another start.
+fn suspected_runs(active: &[ActiveRun]) -> Vec<ActiveRun> {
     let has_young_run = active.iter().any(|run| !run.has_lasted);
     active
         .iter()
         .filter(|run| !(run.has_lasted && has_young_run))
-        .map(|run| run.task)
+        .copied()
         .collect()
 }
 
-fn is_given_up(crashes: u32, is_one_job: bool) -> bool {
-    crashes >= MAX_SHARED_CRASHES || (crashes >= MAX_CRASHES && is_one_job)
+fn is_given_up(task: &Task, is_one_job: bool) -> bool {
+    let likely = task.crashes.saturating_sub(task.unlikely_crashes);
+    task.crashes >= MAX_ALL_CRASHES
+        || likely >= MAX_SHARED_CRASHES
+        || (likely >= MAX_CRASHES && is_one_job)
 }
 
 impl Engine {
@@ -110,17 +124,28 @@
             return Vec::new();
         }
         let active = self.active_runs(key);
-        let charged = suspected_tasks(&active);
+        let suspected = suspected_runs(&active);
+        let latest_ms = suspected.iter().map(|run| run.decided_at_ms).max();
+        let latest_ms = latest_ms.unwrap_or_default();
+        let is_unlikely = |task: &TaskRef| {
+            let mut runs = suspected.iter();
+            runs.any(|run| run.task == *task && run.decided_at_ms + LATER_START_MS <= latest_ms)
+        };
         let lost = endpoint.lost_tasks.iter().copied().filter(|task| {
             let known = self.jobs.get(task.job).and_then(|job| job.task(task));
             let is_lost = known.is_some_and(|known| known.lost_on.contains(&key));
             is_lost && active.iter().all(|run| run.task != *task)
         });
-        let tasks: Vec<TaskRef> = charged.into_iter().chain(lost).collect();
+        let charged = suspected.iter().map(|run| run.task);
+        let tasks: Vec<TaskRef> = charged.chain(lost).collect();
         let is_one_job = tasks.iter().all(|task| task.job == tasks[0].job);
         tasks
             .into_iter()
-            .map(|task| ChargedTask { task, is_one_job })
+            .map(|task| ChargedTask {
+                task,
+                is_one_job,
+                is_unlikely: is_unlikely(&task),
+            })
             .collect()
     }
 
@@ -133,6 +158,7 @@
             let attempt = attempts.find(|attempt| attempt.run == placed.run)?;
             (attempt.phase != Phase::Placed).then(|| ActiveRun {
                 task: placed.task,
+                decided_at_ms: attempt.decided_at_ms,
                 has_lasted: attempt.running_ms() >= ISOLATION_MS,
             })
         });
@@ -141,7 +167,11 @@
 
     /// Charges a crash of an endpoint to a task, and gives its job up if there were too many.
     pub(crate) fn charge_crash(&mut self, key: EndpointKey, charged: ChargedTask, now: Now) {
-        let ChargedTask { task, is_one_job } = charged;
+        let ChargedTask {
+            task,
+            is_one_job,
+            is_unlikely,
+        } = charged;
         let Ok(index) = self.search(task.job) else {
             return;
         };
@@ -153,16 +183,19 @@
             return;
         };
         known.crashes += 1;
+        known.unlikely_crashes += u32::from(is_unlikely);
         known.isolate_until_ms = now.steady_ms + ISOLATION_WAIT_MS;
         let crashes = known.crashes;
+        let is_given_up = is_given_up(known, is_one_job);
         job.is_dirty = true;
         self.log_events.push(LogEvent::CrashCharged {
             task,
             endpoint: self.endpoints.get(key).id.clone(),
             crashes,
             is_one_job,
+            is_unlikely,
         });
-        if is_given_up(crashes, is_one_job) {
+        if is_given_up {
             self.log_events.push(LogEvent::JobGivenUp { task, crashes });
             self.end_job(index, JobState::Failed, now);
         }
@@ -171,7 +204,7 @@
     /// Records the tasks on an endpoint whose leases have expired. Whether it has crashed is known
     /// only when it or its next incarnation responds.
     pub(crate) fn record_lost_tasks(&mut self, key: EndpointKey) {
-        for task in suspected_tasks(&self.active_runs(key)) {
+        for ActiveRun { task, .. } in suspected_runs(&self.active_runs(key)) {
             let Ok(index) = self.search(task.job) else {
                 continue;
             };
@@ -214,6 +247,7 @@
         let job = &mut self.jobs[index];
         if let Some(known) = job.task_mut(task) {
             known.crashes = 0;
+            known.unlikely_crashes = 0;
             known.lost_on.clear();
             job.is_dirty = true;
         }
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -801,6 +801,48 @@
     assert_eq!(fleet.endpoints[0].running.len(), 2);
 }
 
+/// Crashes the endpoint of the first job's task soon after the start of another task beside it.
+fn crash_after_a_later_start(fleet: &mut Fleet, other: u64) {
+    let index = await_run(fleet).expect("a running task");
+    fleet.advance(1_000);
+    fleet.submit(other, 1);
+    fleet.advance(100);
+    crash_and_restart(fleet, index, RESTART_MS);
+    fleet.handle(Event::Cancel {
+        job: job_id(other),
+        account: "".into(),
+        token: other,
+    });
+    fleet.advance(100);
+}
+
+/// Guards against giving up a task because of a crash that a later start beside it more likely caused
+/// and two others.
+#[test]
+fn crash_after_a_later_start_is_not_decisive() {
+    let mut fleet = fleet_with_task();
+    crash_after_a_later_start(&mut fleet, 2);
+    apply(&mut fleet, Step::Crash);
+    apply(&mut fleet, Step::Crash);
+    assert_eq!(charges(&mut fleet), [1, 1, 2, 3]);
+    assert_eq!(fleet.job_state(1), Some(JobState::Running));
+    apply(&mut fleet, Step::Crash);
+    assert!(is_failed(&fleet, 1));
+}
+
+/// Guards against starting a task without end that crashes its endpoints a second after its start,
+/// beside tasks that have started later.
+#[test]
+fn late_crashes_after_later_starts_are_bounded() {
+    let mut fleet = fleet_with_task();
+    let mut crashes = 0;
+    while !is_failed(&fleet, 1) {
+        crashes += 1;
+        assert!(crashes <= MAX_STARTS, "{crashes} crashes");
+        crash_after_a_later_start(&mut fleet, 1 + crashes as u64);
+    }
+}
+
 /// Guards against a crash that is taken for the effect of an order of a previous owner, and against
 /// giving up a job because of such an order alone.
 #[test]
