Keep a draining endpoint that may only be cut off

Callers: a task could run twice. Found by holding the cause of the doubled move against drains: another conclusion that a living endpoint has ended. Cause: a draining endpoint without a registry entry that takes no connection counted as shut down. The entry of one that is cut off expires too, a few heartbeats later, while its runs go on until its lease ends. Change: it counts as shut down only within 2 s of its last response, which is before an entry expires; otherwise its lease decides. An endpoint that shuts down answers until then, at least every 0.3 s while it has finite runs. The test had two starts of a task that may still run; that of one that left has two, as before.

--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -319,6 +319,13 @@
         self.failed_calls = 0;
     }
 
+    /// Returns whether the endpoint has responded to a call recently.
+    #[must_use]
+    pub fn has_responded_within(&self, ms: u64, now: Now) -> bool {
+        self.clock
+            .is_some_and(|reading| now.steady_ms <= reading.at_ms + ms)
+    }
+
     /// Grants a lease that begins now, and returns its end on the endpoint's clock.
     #[must_use]
     pub fn grant_lease(&mut self, now: Now, lease_ms: u64) -> Option<u64> {
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -34,6 +34,10 @@
 /// Delay after a failed renewal, in milliseconds.
 const RENEW_RETRY_MS: u64 = 250;
 
+/// Longest time from the last response of a draining endpoint until its shutdown is detected, in
+/// milliseconds. Registry entries of endpoints that are cut off expire later.
+const MAX_SHUTDOWN_SILENCE_MS: u64 = 2_000;
+
 /// Minimum interval between stops of the same unknown run, in milliseconds.
 const ORPHAN_STOP_INTERVAL_MS: u64 = 500;
 
@@ -231,8 +235,12 @@
             CallOutcome::Fenced => self.immediate_effects.push(Effect::StepDown),
             CallOutcome::Unsent => {
                 let endpoint = self.endpoints.get(key);
-                // A draining endpoint that is deregistered and refuses connections has shut down.
-                if endpoint.is_draining && !endpoint.is_registered {
+                // A draining endpoint that is deregistered and refuses connections has shut down. One
+                // that has been silent for longer may be cut off, and its entry may have expired.
+                if endpoint.is_draining
+                    && !endpoint.is_registered
+                    && endpoint.has_responded_within(MAX_SHUTDOWN_SILENCE_MS, now)
+                {
                     self.endpoint_ended(key, now);
                 } else {
                     self.renewal_failed(key, now);
--- a/crates/engine/tests/incarnations.rs
+++ b/crates/engine/tests/incarnations.rs
@@ -87,3 +87,44 @@
     assert!(!fleet.engine.endpoints().get(current).has_ended);
     assert_eq!(fleet.starts(&format!("{}.0.0.0", job_id(1))), 1);
 }
+
+/// Returns the number of starts of a task whose draining endpoint is deregistered after a silence and
+/// accepts no connection.
+fn starts_after_leaving(silence_ms: u64) -> usize {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-0", 16_000);
+    fleet.submit(1, 1);
+    fleet.advance(500);
+    fleet.list_endpoint("i-1", 16_000);
+    let mut entry = fleet.entries[0].clone();
+    entry.is_draining = true;
+    fleet.handle(listed(entry, true));
+    fleet.advance(500);
+    fleet.endpoints[0].is_unresponsive = true;
+    fleet.advance(silence_ms);
+    fleet.handle(Event::Deregistered("i-0".into()));
+    let left = fleet.engine.endpoints().find("i-0").expect("a listed one");
+    fleet.handle(Event::Renewed {
+        endpoint: left,
+        outcome: CallOutcome::Unsent,
+    });
+    fleet.advance(300);
+    fleet.starts(&format!("{}.0.0.0", job_id(1)))
+}
+
+macro_rules! leaving {
+    ($($(#[$doc:meta])* $name:ident: $silence_ms:expr => $starts:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            assert_eq!(starts_after_leaving($silence_ms), $starts);
+        })*
+    };
+}
+
+leaving! {
+    /// Guards against starting a task again that may still run on a draining endpoint which is cut
+    /// off and whose registry entry has expired.
+    draining_endpoint_that_is_cut_off_may_still_run: 4_500 => 1;
+
+    /// Guards against waiting for the lease of an endpoint that has shut down.
+    draining_endpoint_that_leaves_has_ended: 500 => 2;
+}
