--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -4,15 +4,23 @@
 use {
     crate::{
         calls::EndpointCall,
+        clock,
         delegate_pool::DelegatePool,
         owner::{OwnerActor, OwnerMessage},
+        ownership::FRESH_RENEWAL_MS,
         publisher::StatusPublisher,
     },
     compact_str::CompactString,
     kameo::actor::ActorRef,
     log::info,
-    lynxwheel_engine::{Effect, EndpointAddress, EndpointKey, EndpointTable, Event, Now, TaskRef},
+    lynxwheel_engine::{
+        Effect, EndpointAddress, EndpointKey, EndpointTable, Event, Now, TaskRef, VmOutcome,
+    },
     lynxwheel_platform::{AdviceClient, EndpointClient, VmClient},
+    std::sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 /// Executes the effects of one owner.
@@ -31,6 +39,7 @@
     endpoints: EndpointClient,
     vms: Option<VmClient>,
     advice: Option<AdviceClient>,
+    renewed_ms: Arc<AtomicU64>,
 }
 
 impl Dispatcher {
@@ -117,12 +126,14 @@
         endpoints: EndpointClient,
         vms: Option<VmClient>,
         advice: Option<AdviceClient>,
+        renewed_ms: Arc<AtomicU64>,
     ) -> Self {
         Self {
             actor,
             endpoints,
             vms,
             advice,
+            renewed_ms,
         }
     }
 
@@ -133,7 +144,11 @@
                 let Some(client) = &self.vms else {
                     return;
                 };
-                let outcome = client.move_to_pool(&vm, &pool).await;
+                let outcome = if self.may_order_vms() {
+                    client.move_to_pool(&vm, &pool).await
+                } else {
+                    VmOutcome::Refused
+                };
                 info!(
                     event = "vm_move", vm = vm.as_str(), pool = pool.as_str(),
                     fencing_token = client.fencing_token(), outcome:? = outcome;
@@ -146,7 +161,11 @@
                 let Some(client) = &self.vms else {
                     return;
                 };
-                let outcome = client.start_maintenance(&vm, wave).await;
+                let outcome = if self.may_order_vms() {
+                    client.start_maintenance(&vm, wave).await
+                } else {
+                    VmOutcome::Refused
+                };
                 info!(
                     event = "vm_maintenance", vm = vm.as_str(), wave = wave,
                     fencing_token = client.fencing_token(), outcome:? = outcome;
@@ -160,6 +179,12 @@
         }
     }
 
+    /// Returns whether no other node can be the owner, which may have changed since the order was
+    /// decided if this node was suspended.
+    fn may_order_vms(&self) -> bool {
+        clock::steady_ms() < self.renewed_ms.load(Ordering::Relaxed) + FRESH_RENEWAL_MS
+    }
+
     async fn request_advice(&self, step: TaskRef, endpoints: &[CompactString]) {
         let response = match &self.advice {
             Some(client) => client.request_tickets(&step, endpoints).await,
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -183,6 +183,8 @@
     async fn handle(&mut self, message: OwnerMessage, context: &mut Context<Self, ()>) {
         let started = Instant::now();
         let now = clock::now();
+        // Only while no other node can hold the ownership.
+        self.engine.allow_vm_orders(self.is_recently_renewed(now));
         match message {
             OwnerMessage::Event(event) => self.engine.handle(*event, now),
             OwnerMessage::Tick(sent_ms) => {
@@ -190,8 +192,6 @@
                     .record_delay(now.steady_ms.saturating_sub(sent_ms));
                 self.update_store_status(now);
                 self.refresh_config(now);
-                // Only while no other node can hold the ownership.
-                self.engine.allow_vm_orders(self.is_recently_renewed(now));
                 self.engine.handle(Event::Tick, now);
                 self.tick_delegates(now);
             }
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -207,6 +207,7 @@
         endpoint_client,
         vm_client.clone(),
         node.settings.advice_service_address.map(AdviceClient::new),
+        Arc::clone(&renewed_ms),
     );
     let publisher = StatusPublisher::start(node.store.clone(), epoch);
     let dispatcher = Dispatcher::new(delegates, calls, publisher);
--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     engine::Engine,
-    event::{CallerResponse, Effect, EndpointKey, Now, StartOrder},
+    event::{CallerResponse, Effect, EndpointKey, Now, StartOrder, VmOutcome},
     job::{JobId, JobState},
     log_event::RunEnd,
     state::Phase,
@@ -103,6 +103,12 @@
                     released.extend(self.release_start(*order, now));
                 }
                 Effect::Stop { task, run, .. } if !self.stop_committed(&task, run) => {}
+                // Another node may own the fleet by now and have given the VM an order.
+                Effect::MoveVm { vm, call, .. } | Effect::MaintainVm { vm, call, .. }
+                    if !self.may_order_vms =>
+                {
+                    self.vm_answered(&vm, call, VmOutcome::Refused, now);
+                }
                 other => released.push(other),
             }
         }
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -5,7 +5,8 @@
 use {
     common::{Fleet, POOL, pool, queue, standby_vm, step},
     lynxwheel_engine::{
-        Effect, Engine, EngineSettings, Event, FleetConfig, JobSpec, StepSpec, VmEntry, VmOutcome,
+        Batch, Effect, Engine, EngineSettings, Event, FleetConfig, JobSpec, StepSpec, VmEntry,
+        VmOutcome,
     },
 };
 
@@ -227,6 +228,43 @@
     assert_eq!(moves_of(&fleet, "vm-1"), 2, "the second call has no answer");
 }
 
+/// Returns a fleet whose order for its VM was decided and is being stored.
+fn fleet_with_unstored_order() -> (Fleet, Batch) {
+    let mut fleet = Fleet::new();
+    fleet.engine.allow_vm_orders(true);
+    fleet.list_vms(vec![standby_vm("vm-1")]);
+    submit_long_tasks(&mut fleet, 1, 16);
+    fleet.handle(Event::Tick);
+    let batch = fleet.engine.take_batch(fleet.now);
+    (fleet, batch)
+}
+
+fn has_move(effects: &[Effect]) -> bool {
+    let mut effects = effects.iter();
+    effects.any(|effect| matches!(effect, Effect::MoveVm { .. }))
+}
+
+/// Guards against an order that is sent after another node may have become the owner, because the
+/// answer of the store came late.
+#[test]
+fn order_stored_after_the_ownership_is_not_sent() {
+    let (mut fleet, batch) = fleet_with_unstored_order();
+    fleet.engine.allow_vm_orders(false);
+    let released = fleet.engine.committed(batch, fleet.now);
+    assert!(!has_move(&released), "{released:?}");
+}
+
+/// Guards against a VM that gets no further order after one was withheld.
+#[test]
+fn withheld_order_is_decided_again_by_a_confirmed_owner() {
+    let (mut fleet, batch) = fleet_with_unstored_order();
+    fleet.engine.allow_vm_orders(false);
+    drop(fleet.engine.committed(batch, fleet.now));
+    fleet.engine.allow_vm_orders(true);
+    fleet.advance(3_000);
+    assert_eq!(fleet.moves(), [("vm-1", POOL)]);
+}
+
 /// Returns how many VMs are ordered into a pool within a time at a given rate limit.
 fn fetched_within(ms: u64, vm_orders_per_s: u64) -> usize {
     let mut fleet = Fleet::new();
