--- a/crates/controller/src/assignments.rs
+++ b/crates/controller/src/assignments.rs
@@ -12,7 +12,7 @@
 const OWNER_ENDPOINTS_PER_CORE: u32 = 240;
 
 /// Endpoints that a delegate can call per Mbit/s of link bandwidth, using about a quarter of the
-/// link.
+/// link. A busy endpoint takes some 25 kbit/s.
 const DELEGATE_ENDPOINTS_PER_MBPS: u32 = 10;
 
 /// Endpoints that the owner can call per Mbit/s of link bandwidth, most of which it needs for the
--- a/crates/controller/src/in_flight.rs
+++ b/crates/controller/src/in_flight.rs
@@ -47,6 +47,9 @@
 
     /// Returns whether the store is unavailable, having stored nothing for too long since the
     /// oldest batch was sent.
+    ///
+    /// A store slowed to a hundredth still stores a batch every half second, although each of several
+    /// in flight waits longer.
     #[must_use]
     pub fn is_store_unavailable(&self, now_ms: u64) -> bool {
         let is_late = |oldest: &InFlightBatch| {
--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -38,7 +38,7 @@
 /// the owner timeout: most requests are served, and the rest are retried once a new owner is there.
 const TAKEOVER_WAIT_MS: u64 = 1_300;
 
-/// Value of the `Retry-After` header, in whole seconds.
+/// Value of the `Retry-After` header, in whole seconds. A lost owner is replaced within about two.
 const RETRY_AFTER_S: &str = "1";
 
 /// Maximum number of bytes of a denied request's path in the log.
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -409,7 +409,8 @@
 
     /// Returns whether this owner may report a job as unknown.
     ///
-    /// An owner that was cut off or suspended does not know the jobs accepted by its successor.
+    /// An owner that was cut off or suspended does not know the jobs accepted by its successor. Their
+    /// callers would be told that the job is gone, or that there was nothing to cancel.
     fn can_report_unknown(&self, job: JobId, now: Now) -> bool {
         self.engine.job_state(job).is_some() || self.is_recently_renewed(now)
     }
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -48,7 +48,8 @@
 /// node with half a core is ahead of one with an eighth by more than [`SMALL_NODE_CLAIM_DELAY_MS`].
 const FIRST_CLAIM_DELAY_PER_HALVING_MS: f64 = 360.0;
 
-/// Maximum delay of the first claim, in milliseconds.
+/// Maximum delay of the first claim, in milliseconds. Small nodes of the same size gain nothing by
+/// waiting longer.
 const MAX_FIRST_CLAIM_DELAY_MS: f64 = 1_200.0;
 
 /// One core, in thousandths.
@@ -221,7 +222,8 @@
     /// Records that the address of the owner of `epoch` refused a connection.
     ///
     /// The owner's process has ended while its VM is still running, so another node need not wait
-    /// for the owner timeout. A later renewal clears the refusal.
+    /// for the owner timeout. A later renewal clears the refusal. A mistake costs a change of owner,
+    /// and nothing else.
     pub fn record_refused_connection(&mut self, epoch: u64, now_ms: u64) {
         if epoch == self.epoch {
             self.refused_since_ms.get_or_insert(now_ms);
--- a/crates/controller/src/payloads.rs
+++ b/crates/controller/src/payloads.rs
@@ -13,7 +13,8 @@
     tokio::sync::OnceCell,
 };
 
-/// Maximum total size, in bytes.
+/// Maximum total size, in bytes. Holds some seconds of a busy node's requests, and is little of a
+/// small node's memory.
 const MAX_BYTES: usize = 2 * 1024 * 1024;
 
 /// Maximum number of payloads.
--- a/crates/controller/src/speed.rs
+++ b/crates/controller/src/speed.rs
@@ -9,7 +9,8 @@
     time::{Duration, Instant},
 };
 
-/// Interval between measurements, in milliseconds.
+/// Interval between measurements, in milliseconds. A slowdown is noticed within 1.5 s, for less than a
+/// thousandth of the CPU.
 pub const MEASUREMENT_INTERVAL_MS: u64 = 400;
 
 /// Iterations of the benchmark; long enough to exceed the clock's resolution.
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -33,10 +33,11 @@
     tokio::time::sleep,
 };
 
-/// Mailbox capacity of the owner actor.
+/// Mailbox capacity of the owner actor. Senders wait while it is full, except those whose messages may
+/// be lost.
 const MAILBOX_CAPACITY: usize = 4_096;
 
-/// Interval between ticks, in milliseconds.
+/// Interval between ticks, in milliseconds. Retries, renewals and plans need no finer one.
 const TICK_INTERVAL_MS: u64 = 100;
 
 /// Maximum number of retries to fence earlier owners.
--- a/crates/decisions/src/waves.rs
+++ b/crates/decisions/src/waves.rs
@@ -215,7 +215,8 @@
 
 /// Returns the zones of ready candidates, the one with the most candidates first.
 ///
-/// The budget may allow claims in one zone only, so the zone with the most work goes first.
+/// The budget may allow claims in one zone only, so the zone with the most work goes first. It keeps
+/// the slots of the budget in use for longest, as a claim lasts little longer than its action.
 fn zones_by_ready_count<'a>(candidates: &[Candidate<'a>]) -> Vec<ZoneCount<'a>> {
     let mut zones: Vec<ZoneCount<'a>> = Vec::new();
     for candidate in candidates {
--- a/crates/engine/src/advice.rs
+++ b/crates/engine/src/advice.rs
@@ -10,7 +10,8 @@
     compact_str::CompactString,
 };
 
-/// Maximum number of endpoints per request. The service takes time for each endpoint.
+/// Maximum number of endpoints per request. The service takes time for each endpoint, and the latency
+/// objective of a step allows for a request of this size.
 const MAX_ENDPOINTS_PER_REQUEST: usize = 30;
 
 /// Time before the end of a ticket from which it is not used, in milliseconds. It covers the time
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -14,7 +14,8 @@
 /// and on again costs more than keeping it that long, and bursts often follow each other.
 const IDLE_TIMEOUT_MS: u64 = 900;
 
-/// Interval between log events of a pool without orders, in milliseconds.
+/// Interval between log events of a pool without orders, in milliseconds. Limits a busy fleet to a few
+/// lines a second.
 const POOL_LOG_INTERVAL_MS: u64 = 1_000;
 
 impl Engine {
--- a/crates/engine/src/waves.rs
+++ b/crates/engine/src/waves.rs
@@ -23,7 +23,8 @@
 const DRAIN_GRACE_MS: u64 = 2_500;
 
 /// Time after which a drain is aborted if none of the VM's long-running tasks could leave, in
-/// milliseconds. Tasks that find another endpoint leave much sooner.
+/// milliseconds. Tasks that find another endpoint leave much sooner, and one that was stopped starts
+/// there again before its callers miss it.
 const DRAIN_TIMEOUT_MS: u64 = 4_000;
 
 /// Delay before the drain is retried, in milliseconds; doubled after each failure.
