Count a crash under a run that has lasted as an unlikely one

Callers: a long-running job that crashes nothing is given up. Cause: a lasting run was exempt beside younger ones only. Change: without them it is charged as unlikely.

--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -82,7 +82,8 @@
     task: TaskRef,
     /// Whether only tasks of one job are charged.
     is_one_job: bool,
-    /// Whether another run had started there well after it, which more likely caused the crash.
+    /// Whether its start is unlikely to have caused the crash, as the run had lasted or another one had
+    /// started there well after it.
     is_unlikely: bool,
 }
 
@@ -129,7 +130,10 @@
         let latest_ms = latest_ms.unwrap_or_default();
         let is_unlikely = |task: &TaskRef| {
             let mut runs = suspected.iter();
-            runs.any(|run| run.task == *task && run.decided_at_ms + LATER_START_MS <= latest_ms)
+            runs.any(|run| {
+                run.task == *task
+                    && (run.has_lasted || run.decided_at_ms + LATER_START_MS <= latest_ms)
+            })
         };
         let lost = endpoint.lost_tasks.iter().copied().filter(|task| {
             let known = self.jobs.get(task.job).and_then(|job| job.task(task));
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -114,7 +114,7 @@
         crashes: u32,
         /// Whether only tasks of one job are charged.
         is_one_job: bool,
-        /// Whether a later start of another task more likely caused the crash.
+        /// Whether the start of the task is unlikely to have caused the crash.
         is_unlikely: bool,
     },
     /// A job fails because endpoints crash under one of its tasks.
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -109,7 +109,7 @@
     pub avoided_endpoint: Option<EndpointKey>,
     /// Number of endpoints that crashed under its runs.
     pub crashes: u32,
-    /// Those of them that later starts of others more likely caused, as far as this owner knows.
+    /// Those of them that its starts are unlikely to have caused, as far as this owner knows.
     pub unlikely_crashes: u32,
     /// Endpoints whose leases expired under its runs and that may have crashed, the latest last.
     pub lost_on: Vec<EndpointKey>,
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -830,6 +830,27 @@
     assert!(is_failed(&fleet, 1));
 }
 
+/// Guards against giving up a task because of a crash long after its start and two others.
+#[test]
+fn crash_under_a_lasting_run_is_not_decisive() {
+    let mut fleet = fleet_with_task();
+    apply(&mut fleet, Step::Run(6_000));
+    for _ in 0..3 {
+        apply(&mut fleet, Step::Crash);
+    }
+    assert_eq!(charges(&mut fleet), [1, 2, 3]);
+    assert_eq!(fleet.job_state(1), Some(JobState::Running));
+    apply(&mut fleet, Step::Crash);
+    assert!(is_failed(&fleet, 1));
+}
+
+/// Guards against starting a task without end that crashes its endpoints some seconds after its start.
+#[test]
+fn crashes_under_lasting_runs_are_bounded() {
+    let rounds = rounds_until_given_up(&[Step::Run(6_000), Step::Crash]);
+    assert_eq!(rounds, MAX_STARTS);
+}
+
 /// Guards against starting a task without end that crashes its endpoints a second after its start,
 /// beside tasks that have started later.
 #[test]
