Start tasks after two crashes on separate endpoints

Callers: a long-running job that crashes nothing is given up. Cause: after a second without an empty endpoint such a task starts beside others, and in a full pool all of them take the next endpoint with room. Change: for four more seconds it starts beside tasks that were not charged only.

--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -34,6 +34,10 @@
 /// then.
 pub(crate) const ISOLATION_WAIT_MS: u64 = 1_000;
 
+/// Further time for which a task after two crashes does not start beside other suspects, in
+/// milliseconds. Those at fault are given up meanwhile.
+const SEPARATION_WAIT_MS: u64 = 4_000;
+
 /// Time for which a run remains alone on its endpoint, in milliseconds. Tasks that crash their
 /// endpoints do so soon after their start, and the endpoint is barred for others meanwhile.
 const ISOLATION_MS: u64 = 5_000;
@@ -54,7 +58,8 @@
     /// It avoids endpoints with other suspects. If it is long-running, it waits for one without them
     /// for a while; otherwise it prefers empty ones.
     Suspect,
-    /// It starts alone on its endpoint, unless none is empty for a while.
+    /// It starts alone on its endpoint, unless none is empty for a while; then beside tasks that are not
+    /// suspect, and beside any after a longer while.
     Isolated,
 }
 
@@ -290,6 +295,22 @@
         barred < (count / MIN_ENDPOINTS_PER_ISOLATED).max(1)
     }
 
+    /// Returns whether a task waits rather than starting beside another suspect.
+    ///
+    /// A finite task after one crash does not, as it has little to lose.
+    pub(crate) fn avoids_sharing(&self, task: &TaskRef, spec: &StepSpec, now: Now) -> bool {
+        let Some(known) = self.jobs.get(task.job).and_then(|job| job.task(task)) else {
+            return false;
+        };
+        let wait_ms = match Suspicion::of(known) {
+            Suspicion::None => return false,
+            Suspicion::Suspect if !spec.long_running => return false,
+            Suspicion::Suspect => 0,
+            Suspicion::Isolated => SEPARATION_WAIT_MS,
+        };
+        now.steady_ms < known.isolate_until_ms + wait_ms
+    }
+
     /// Returns whether a task waits for an empty endpoint rather than starting beside others.
     pub(crate) fn waits_for_empty_endpoint(&self, task: &TaskRef, now: Now) -> bool {
         let known = self.jobs.get(task.job).and_then(|job| job.task(task));
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -302,12 +302,7 @@
             let Some(key) = best_fit(&self.endpoints, slots, &task, &spec, avoidance) else {
                 break;
             };
-            // Finite tasks do not wait, as they have little to lose.
-            if spec.long_running
-                && suspicion == Suspicion::Suspect
-                && self.endpoints.get(key).suspect_runs > 0
-                && self.waits_for_empty_endpoint(&task, now)
-            {
+            if self.endpoints.get(key).suspect_runs > 0 && self.avoids_sharing(&task, &spec, now) {
                 continue;
             }
             let suspicion = suspicion.min(Suspicion::Suspect);
