Give soak runs of neighbouring processes different addresses

Traced: the nodes' logs say 'Address already in use'; both processes (ids 27814 and 27815) gave their nodes 127.48.222.x, as half of the id's remainder names the second byte. A fault of the harness only; runs of one process have different addresses. Now the whole remainder counts.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -74,7 +74,7 @@
     let octet = |value: u32| u8::try_from(value % 250).unwrap_or_default();
     IpAddr::V4(Ipv4Addr::new(
         127,
-        16 + octet(id) / 2,
+        16 + octet(id % 125),
         octet(id / 125),
         1 + octet(run * 16 + u32::try_from(node).unwrap_or_default()),
     ))
