Count a crash under an inherited run that goes on as an unlikely one

Callers: a long-running job that crashes nothing is given up. Cause: each owner counts the age of a run from its takeover. Change: a run that goes on for 2 s under the next owner is charged as unlikely, like one of 5 s under its own; the bound of five crashes stays. crash_long_after_a_change_of_owner failed before (given up); the tests with a crash right after a change of owner still give the job up at the third.

--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -42,6 +42,10 @@
 /// endpoints do so soon after their start, and the endpoint is barred for others meanwhile.
 const ISOLATION_MS: u64 = 5_000;
 
+/// Time under the current owner after which an inherited run is unlikely to have crashed its endpoint by
+/// its start, in milliseconds. It began before the previous owner was lost.
+const INHERITED_MS: u64 = 2_000;
+
 /// One in this many endpoints of a pool, and at least one, may be barred for others by a run that is
 /// alone on it.
 const MIN_ENDPOINTS_PER_ISOLATED: usize = 4;
@@ -98,6 +102,8 @@
     task: TaskRef,
     /// When its start was decided, on the monotonic clock; 0 for an inherited run.
     decided_at_ms: u64,
+    /// Whether it is inherited and has been active for a while under this owner.
+    has_outlasted_takeover: bool,
     /// Whether it has lasted long enough to show that its start crashes no endpoint.
     has_lasted: bool,
 }
@@ -137,7 +143,9 @@
             let mut runs = suspected.iter();
             runs.any(|run| {
                 run.task == *task
-                    && (run.has_lasted || run.decided_at_ms + LATER_START_MS <= latest_ms)
+                    && (run.has_lasted
+                        || run.has_outlasted_takeover
+                        || run.decided_at_ms + LATER_START_MS <= latest_ms)
             })
         };
         let lost = endpoint.lost_tasks.iter().copied().filter(|task| {
@@ -168,6 +176,8 @@
             (attempt.phase != Phase::Placed).then(|| ActiveRun {
                 task: placed.task,
                 decided_at_ms: attempt.decided_at_ms,
+                has_outlasted_takeover: attempt.is_inherited()
+                    && attempt.running_ms() >= INHERITED_MS,
                 has_lasted: attempt.running_ms() >= ISOLATION_MS,
             })
         });
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -46,7 +46,7 @@
     pub is_stop_stored: bool,
     /// Earliest time to retry an order, on the monotonic clock.
     pub retry_at_ms: u64,
-    /// When the start was decided, on the monotonic clock.
+    /// When the start was decided, on the monotonic clock; 0 if a previous owner decided it.
     pub decided_at_ms: u64,
     /// When the endpoint confirmed the run to this owner, on the monotonic clock.
     pub confirmed_at_ms: Option<u64>,
@@ -82,6 +82,12 @@
         }
     }
 
+    /// Returns whether a previous owner decided the start.
+    #[must_use]
+    pub fn is_inherited(&self) -> bool {
+        self.decided_at_ms == 0
+    }
+
     /// Returns for how long reports to this owner show the run as active, in milliseconds.
     #[must_use]
     pub fn running_ms(&self) -> u64 {
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -352,6 +352,9 @@
     /// Guards against charging a change of owner.
     changes_of_owner: [TakeOver, TakeOver, TakeOver, TakeOver, TakeOver];
 
+    /// Guards against forgetting with a change of owner how long the run has lasted.
+    crash_long_after_a_change_of_owner: [Crash, Crash, TakeOver, Run(2_500), Crash];
+
     /// Guards against giving up a long-running task that outlives unrelated crashes.
     crashes_in_a_long_life:
         [Crash, Crash, Run(90_000), Crash, Crash, Run(90_000), Crash, Crash];
