--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -104,6 +104,10 @@
                 endpoint = endpoint.as_str(), runs = runs;
                 "VM order decided"
             ),
+            LogEvent::VmOrderWithheld { vm } => info!(
+                event = "vm_order_withheld", epoch = epoch, vm = vm.as_str();
+                "VM order not sent, as the ownership may have ended"
+            ),
             LogEvent::EndpointEnded { endpoint, vm, runs } => info!(
                 event = "endpoint_over", epoch = epoch, endpoint = endpoint.as_str(),
                 vm = vm.as_str(), runs = runs;
--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -4,7 +4,7 @@
     engine::Engine,
     event::{CallerResponse, Effect, EndpointKey, Now, StartOrder, VmOutcome},
     job::{JobId, JobState},
-    log_event::RunEnd,
+    log_event::{LogEvent, RunEnd},
     state::Phase,
     stored::{Record, progress_record, spec_record},
 };
@@ -108,6 +108,7 @@
                     if !self.may_order_vms =>
                 {
                     self.vm_answered(&vm, call, VmOutcome::Refused, now);
+                    self.log_events.push(LogEvent::VmOrderWithheld { vm });
                 }
                 other => released.push(other),
             }
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -147,6 +147,11 @@
         /// Number of runs that may be active there.
         runs: usize,
     },
+    /// A VM order was not sent, as its record was stored after the ownership might have ended.
+    VmOrderWithheld {
+        /// VM.
+        vm: CompactString,
+    },
     /// An endpoint incarnation has ended.
     EndpointEnded {
         /// Endpoint.
