Test again that tasks which share three likely crashes are not given up

Found in the last read of the change: since a crash under a run that has lasted counts as an unlikely one, the tasks of tasks_that_share_the_third_crash_are_not_given_up no longer reach three likely crashes, so it passes without the rule it guards. It stays, and the new test starts both tasks together three times, young each time. With the rule taken out only the new one fails.

--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -618,6 +618,42 @@
     }
 }
 
+/// Guards against giving up both of two tasks that always started together, only one of which may be
+/// at fault.
+#[test]
+fn tasks_that_start_together_three_times_are_not_given_up() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    for job in 1..=2 {
+        fleet.submit_spec(job, long_running(1));
+    }
+    fleet.settle();
+    // The other endpoint is never empty, and has no room at first.
+    fleet.list_endpoint("i-2", 15_000);
+    let mut large = long_running(1);
+    large.steps[0].resources.cpu_millis = 15_000;
+    fleet.submit_spec(9, large);
+    fleet.advance(1_000);
+    fleet.entries[0].capacity.cpu_millis = 0;
+    crash_and_restart(&mut fleet, 0, RESTART_MS);
+    fleet.advance(1_200);
+    fleet.set_cpu_millis(0, 16_000);
+    fleet.advance(1_000);
+    crash_for_good(&mut fleet, 0);
+    fleet.advance(5_500);
+    fleet.set_cpu_millis(1, 20_000);
+    fleet.advance(1_000);
+    assert_eq!(
+        [1, 2, 9].map(|job| endpoint_of(&fleet, task(job))),
+        [Some(1); 3]
+    );
+    crash_and_restart(&mut fleet, 1, RESTART_MS);
+    assert_eq!(charges(&mut fleet), [1, 1, 2, 2, 3, 3]);
+    for job in [1, 2, 9] {
+        assert_eq!(fleet.job_state(job), Some(JobState::Running), "job {job}");
+    }
+}
+
 /// Guards against starting other tasks beside a gang after two crashes of one member.
 #[test]
 fn gang_after_two_crashes_runs_alone() {
