--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -144,7 +144,7 @@
                 let Some(client) = &self.vms else {
                     return;
                 };
-                let outcome = if self.may_order_vms() {
+                let outcome = if self.may_order(&vm) {
                     client.move_to_pool(&vm, &pool).await
                 } else {
                     VmOutcome::Refused
@@ -161,7 +161,7 @@
                 let Some(client) = &self.vms else {
                     return;
                 };
-                let outcome = if self.may_order_vms() {
+                let outcome = if self.may_order(&vm) {
                     client.start_maintenance(&vm, wave).await
                 } else {
                     VmOutcome::Refused
@@ -181,8 +181,16 @@
 
     /// Returns whether no other node can be the owner, which may have changed since the order was
     /// decided if this node was suspended.
-    fn may_order_vms(&self) -> bool {
-        clock::steady_ms() < self.renewed_ms.load(Ordering::Relaxed) + FRESH_RENEWAL_MS
+    fn may_order(&self, vm: &str) -> bool {
+        let renewed_ms = self.renewed_ms.load(Ordering::Relaxed);
+        let is_recent = clock::steady_ms() < renewed_ms + FRESH_RENEWAL_MS;
+        if !is_recent {
+            info!(
+                event = "vm_order_withheld", vm = vm;
+                "VM order not sent, as the ownership may have ended"
+            );
+        }
+        is_recent
     }
 
     async fn request_advice(&self, step: TaskRef, endpoints: &[CompactString]) {
