Store which crashes are unlikely and how old the runs of charged tasks are

Change: a job with charged tasks has a crash history under a key of its own (`c/`), with field names, in the same batch as the progress that it explains. It holds the unlikely charges, and for each run since when it is active on its endpoint's clock, which every owner reads, and whether it was seen for 2 or 5 s, so that a crash before the next owner's first report is judged as its predecessor would have. No constant and no wait is new. It applies only to progress with the same run, count and runs, which never recur once an older build has changed them; a history without its job is deleted. Progress is encoded as before.

`run_over` gave an inherited run the age of the node, and `lynxwheel_run_seconds` recorded it: such runs have no duration now.

Open: the age of a run of an uncharged task is not stored. Within 2 s of a takeover such a run's first crash counts as likely.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -30,7 +30,9 @@
                 ..
             } => {
                 counter!("lynxwheel_runs_total", "end" => "done").increment(1);
-                histogram!("lynxwheel_run_seconds").record(Duration::from_millis(*after_ms));
+                if let Some(after_ms) = *after_ms {
+                    histogram!("lynxwheel_run_seconds").record(Duration::from_millis(after_ms));
+                }
             }
             LogEvent::RunEnded {
                 task,
@@ -64,12 +66,13 @@
                 crashes,
                 is_one_job,
                 is_unlikely,
+                active_ms,
             } => {
                 counter!("lynxwheel_crashes_total").increment(1);
                 info!(
                     event = "crash_charged", epoch = epoch, task:% = task,
                     endpoint = endpoint.as_str(), crashes = crashes, is_one_job = is_one_job,
-                    is_unlikely = is_unlikely;
+                    is_unlikely = is_unlikely, active_ms = active_ms;
                     "endpoint crashed under a task"
                 );
             }
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -80,7 +80,7 @@
             run,
             endpoint: endpoint.id.clone(),
             end,
-            after_ms: now.steady_ms.saturating_sub(attempt.decided_at_ms),
+            after_ms: attempt.age_ms(now),
         });
         self.is_schedule_due = true;
         self.stop_gang(index, task, run, now);
@@ -119,6 +119,7 @@
             CallOutcome::Done(clock_ms) => {
                 self.endpoints.get_mut(key).read_clock(*clock_ms, now);
                 self.confirm(key, task, run, now);
+                self.record_active(task, run, *clock_ms);
                 self.renew_lease(key, now);
             }
             // The endpoint knows the run, and the next report contains its state.
@@ -214,7 +215,6 @@
         if attempt.phase != Phase::Confirmed {
             attempt.phase = Phase::Confirmed;
             attempt.confirmed_at_renewal = renewals;
-            attempt.confirmed_at_ms = Some(now.steady_ms);
         }
         let is_stopping = attempt.is_stop_stored;
         if job.state == JobState::Queued {
--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -1,6 +1,7 @@
 //! Batches of records that are stored together, with the effects that depend on them.
 
 use crate::{
+    crash_history::changed_crash_history,
     engine::Engine,
     event::{CallerResponse, Effect, EndpointKey, Now, StartOrder, VmOutcome},
     job::{JobId, JobState},
@@ -62,6 +63,9 @@
             };
             let job = self.jobs.get_mut_untracked(index);
             if !job.is_dirty {
+                if job.crash_history.is_dirty {
+                    batch.records.extend(changed_crash_history(job));
+                }
                 continue;
             }
             job.is_dirty = false;
@@ -71,6 +75,7 @@
                 batch.records.push(spec_record(job));
             }
             batch.records.push(progress_record(job, &self.endpoints));
+            batch.records.extend(changed_crash_history(job));
             batch.visible_states.push((job.id, job.state));
             batch
                 .effects
--- /dev/null
+++ b/crates/engine/src/crash_history.rs
@@ -0,0 +1,208 @@
+//! Crash history of a job: what owners know of the crashes charged to its tasks, and of the age of
+//! their runs.
+//!
+//! It has a record of its own, so that older builds still read the progress of the job. The record
+//! is encoded with field names: a field may be added if its absence has a meaning, and readers
+//! ignore fields that they do not know.
+
+use {
+    crate::{
+        crashes::{INHERITED_MS, ISOLATION_MS},
+        engine::Engine,
+        job::TaskRef,
+        state::{Attempt, Job, Task},
+        stored::{Record, crash_history_record},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// State of the record of a job's crash history.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CrashHistoryRecord {
+    /// Stored value; empty for none.
+    pub(crate) stored: Vec<u8>,
+    /// Whether it may be out of date.
+    pub(crate) is_dirty: bool,
+}
+
+/// Stored crash history of a job.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub(crate) struct StoredCrashHistory {
+    tasks: Vec<TaskHistory>,
+}
+
+/// History of a task with crashes.
+///
+/// The run number, the count and the runs are those of the progress that it explains. They differ
+/// from progress that an older build has written since, and never occur again once they have
+/// changed.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+struct TaskHistory {
+    occurrence: u32,
+    step: u16,
+    index: u16,
+    run: u32,
+    crashes: u32,
+    unlikely_crashes: u32,
+    runs: Vec<RunHistory>,
+}
+
+/// Age of a run.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+struct RunHistory {
+    run: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    active_since_clock_ms: Option<u64>,
+    #[serde(skip_serializing_if = "is_zero")]
+    active_ms: u64,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde requires this signature"
+)]
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+/// Returns the longest time for which a run has been active and that matters after a crash, in
+/// milliseconds. Storing the history whenever it grows would cost a record for each report.
+fn decisive_ms(active_ms: u64) -> u64 {
+    let limits = [ISOLATION_MS, INHERITED_MS];
+    let mut reached = limits.into_iter().filter(|&limit| active_ms >= limit);
+    reached.next().unwrap_or_default()
+}
+
+impl Attempt {
+    /// Records that the run is active at a time on the endpoint's clock. Returns whether its stored
+    /// age differs.
+    pub(crate) fn record_active(&mut self, clock_ms: u64) -> bool {
+        let is_first = self.active_since_clock_ms.is_none();
+        let before_ms = decisive_ms(self.active_ms);
+        let since_ms = *self.active_since_clock_ms.get_or_insert(clock_ms);
+        self.active_ms = self.active_ms.max(clock_ms.saturating_sub(since_ms));
+        is_first || decisive_ms(self.active_ms) != before_ms
+    }
+}
+
+impl RunHistory {
+    fn new(attempt: &Attempt) -> Self {
+        Self {
+            run: attempt.run,
+            active_since_clock_ms: attempt.active_since_clock_ms,
+            active_ms: decisive_ms(attempt.active_ms),
+        }
+    }
+}
+
+impl TaskHistory {
+    fn new(task_ref: &TaskRef, task: &Task) -> Self {
+        Self {
+            occurrence: task_ref.occurrence,
+            step: task_ref.step,
+            index: task_ref.index,
+            run: task.run,
+            crashes: task.crashes,
+            unlikely_crashes: task.unlikely_crashes,
+            runs: task.attempts.iter().map(RunHistory::new).collect(),
+        }
+    }
+
+    /// Returns whether the history says no more than the progress of the task.
+    fn is_empty(&self) -> bool {
+        let mut runs = self.runs.iter();
+        self.unlikely_crashes == 0 && runs.all(|known| known.active_since_clock_ms.is_none())
+    }
+
+    /// Returns whether the history was written with the progress of the task.
+    fn explains(&self, task: &Task) -> bool {
+        let runs = self.runs.iter().map(|known| known.run);
+        self.run == task.run
+            && self.crashes == task.crashes
+            && runs.eq(task.attempts.iter().map(|attempt| attempt.run))
+    }
+
+    fn apply(&self, task: &mut Task) {
+        task.unlikely_crashes = self.unlikely_crashes.min(self.crashes);
+        for (known, attempt) in self.runs.iter().zip(&mut task.attempts) {
+            attempt.active_since_clock_ms = known.active_since_clock_ms;
+            attempt.active_ms = known.active_ms;
+        }
+    }
+}
+
+impl StoredCrashHistory {
+    fn new(job: &Job) -> Self {
+        let charged = job
+            .tasks()
+            .filter(|(_, task)| task.crashes > 0 && !task.is_done);
+        let tasks = charged.map(|(task_ref, task)| TaskHistory::new(&task_ref, task));
+        Self {
+            tasks: tasks.filter(|history| !history.is_empty()).collect(),
+        }
+    }
+
+    /// Encodes the history; empty if there is nothing to store.
+    fn encode(&self) -> Vec<u8> {
+        if self.tasks.is_empty() {
+            return Vec::new();
+        }
+        rmp_serde::to_vec_named(self).unwrap_or_default()
+    }
+
+    /// Applies the history to a job that was restored from its progress.
+    pub(crate) fn apply(&self, job: &mut Job) {
+        for history in &self.tasks {
+            let task_ref = TaskRef {
+                job: job.id,
+                occurrence: history.occurrence,
+                step: history.step,
+                index: history.index,
+            };
+            if let Some(task) = job
+                .task_mut(&task_ref)
+                .filter(|task| history.explains(task))
+            {
+                history.apply(task);
+            }
+        }
+    }
+}
+
+/// Returns the record of a job's crash history if it differs from the stored one.
+pub(crate) fn changed_crash_history(job: &mut Job) -> Option<Record> {
+    job.crash_history.is_dirty = false;
+    let value = if job.state.is_final() {
+        Vec::new()
+    } else {
+        StoredCrashHistory::new(job).encode()
+    };
+    if value == job.crash_history.stored {
+        return None;
+    }
+    job.crash_history.stored.clone_from(&value);
+    Some(crash_history_record(job.id, value))
+}
+
+impl Engine {
+    /// Records that a run is active at a time on its endpoint's clock.
+    pub(crate) fn record_active(&mut self, task: &TaskRef, run: u32, clock_ms: u64) {
+        let Ok(index) = self.search(task.job) else {
+            return;
+        };
+        let job = self.jobs.get_mut_untracked(index);
+        let Some(known) = job.task_mut(task) else {
+            return;
+        };
+        let is_charged = known.crashes > 0;
+        let mut attempts = known.attempts.iter_mut();
+        let attempt = attempts.find(|attempt| attempt.run == run);
+        if attempt.is_some_and(|attempt| attempt.record_active(clock_ms)) && is_charged {
+            job.crash_history.is_dirty = true;
+            self.unstored_jobs.push(task.job);
+        }
+    }
+}
--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -6,7 +6,7 @@
     event::{EndpointKey, Now},
     job::{JobState, StepSpec, TaskRef},
     log_event::LogEvent,
-    state::{Attempt, Phase, Task},
+    state::{Phase, Task},
 };
 
 /// Crashes after which a task starts only on an empty endpoint, so that it shows whether it is at
@@ -40,11 +40,11 @@
 
 /// Time for which a run remains alone on its endpoint, in milliseconds. Tasks that crash their
 /// endpoints do so soon after their start, and the endpoint is barred for others meanwhile.
-const ISOLATION_MS: u64 = 5_000;
+pub(crate) const ISOLATION_MS: u64 = 5_000;
 
-/// Time under the current owner after which an inherited run is unlikely to have crashed its endpoint by
-/// its start, in milliseconds. It began before the previous owner was lost.
-const INHERITED_MS: u64 = 2_000;
+/// Time for which an inherited run has been active after which it is unlikely to have crashed its
+/// endpoint by its start, in milliseconds. It began before the previous owner was lost.
+pub(crate) const INHERITED_MS: u64 = 2_000;
 
 /// One in this many endpoints of a pool, and at least one, may be barred for others by a run that is
 /// alone on it.
@@ -94,6 +94,9 @@
     /// Whether its start is unlikely to have caused the crash, as the run had lasted or another one had
     /// started there well after it.
     is_unlikely: bool,
+    /// For how long its run is known to have been active, in milliseconds; `None` if the run was
+    /// removed before.
+    active_ms: Option<u64>,
 }
 
 /// A run whose start was sent.
@@ -102,7 +105,9 @@
     task: TaskRef,
     /// When its start was decided, on the monotonic clock; 0 for an inherited run.
     decided_at_ms: u64,
-    /// Whether it is inherited and has been active for a while under this owner.
+    /// For how long it is known to have been active, in milliseconds.
+    active_ms: u64,
+    /// Whether it is inherited and has been active for a while.
     has_outlasted_takeover: bool,
     /// Whether it has lasted long enough to show that its start crashes no endpoint.
     has_lasted: bool,
@@ -156,12 +161,17 @@
         let charged = suspected.iter().map(|run| run.task);
         let tasks: Vec<TaskRef> = charged.chain(lost).collect();
         let is_one_job = tasks.iter().all(|task| task.job == tasks[0].job);
+        let active_ms = |task: &TaskRef| {
+            let mut runs = suspected.iter().filter(|run| run.task == *task);
+            runs.next().map(|run| run.active_ms)
+        };
         tasks
             .into_iter()
             .map(|task| ChargedTask {
                 task,
                 is_one_job,
                 is_unlikely: is_unlikely(&task),
+                active_ms: active_ms(&task),
             })
             .collect()
     }
@@ -176,9 +186,9 @@
             (attempt.phase != Phase::Placed).then(|| ActiveRun {
                 task: placed.task,
                 decided_at_ms: attempt.decided_at_ms,
-                has_outlasted_takeover: attempt.is_inherited()
-                    && attempt.running_ms() >= INHERITED_MS,
-                has_lasted: attempt.running_ms() >= ISOLATION_MS,
+                active_ms: attempt.active_ms,
+                has_outlasted_takeover: attempt.is_inherited() && attempt.active_ms >= INHERITED_MS,
+                has_lasted: attempt.active_ms >= ISOLATION_MS,
             })
         });
         active.collect()
@@ -190,6 +200,7 @@
             task,
             is_one_job,
             is_unlikely,
+            active_ms,
         } = charged;
         let Ok(index) = self.search(task.job) else {
             return;
@@ -213,6 +224,7 @@
             crashes,
             is_one_job,
             is_unlikely,
+            active_ms,
         });
         if is_given_up {
             self.log_events.push(LogEvent::JobGivenUp { task, crashes });
@@ -275,7 +287,7 @@
     /// Ends the isolation of a run that has lasted long enough, and later the suspicion.
     pub(crate) fn suspect_is_running(&mut self, key: EndpointKey, task: &TaskRef, run: u32) {
         let attempt = self.attempt(task, run);
-        let running_ms = attempt.map_or(0, Attempt::running_ms);
+        let running_ms = attempt.map_or(0, |attempt| attempt.active_ms);
         let endpoint = self.endpoints.get_mut(key);
         if running_ms >= CLEARED_AFTER_MS {
             endpoint.set_suspicion(task, run, Suspicion::None);
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -308,7 +308,7 @@
         now: Now,
     ) {
         let RunningTask { task, run, .. } = running;
-        let Some(is_new) = self.record_progress(key, running, clock_ms, now) else {
+        let Some(is_new) = self.record_progress(key, running, clock_ms) else {
             self.stop_orphan(key, task, *run, now);
             return;
         };
@@ -335,10 +335,10 @@
         key: EndpointKey,
         running: &RunningTask,
         clock_ms: u64,
-        now: Now,
     ) -> Option<bool> {
         let index = self.search(running.task.job).ok()?;
-        let task = self.jobs.get_mut_untracked(index).task_mut(&running.task)?;
+        let job = self.jobs.get_mut_untracked(index);
+        let task = job.task_mut(&running.task)?;
         let attempt = task
             .attempts
             .iter_mut()
@@ -351,7 +351,10 @@
             attempt.progress_clock_ms = Some(clock_ms);
         }
         attempt.percent = running.percent;
-        attempt.reported_at_ms = now.steady_ms;
+        if attempt.record_active(clock_ms) && task.crashes > 0 {
+            job.crash_history.is_dirty = true;
+            self.unstored_jobs.push(running.task.job);
+        }
         Some(is_new)
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -32,6 +32,7 @@
 mod balance;
 mod batch;
 mod config;
+mod crash_history;
 mod crashes;
 mod demand;
 mod endpoint_locations;
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -92,8 +92,8 @@
         endpoint: CompactString,
         /// How the end is known.
         end: RunEnd,
-        /// Time since the start was decided, in milliseconds.
-        after_ms: u64,
+        /// Time since the start was decided, in milliseconds; `None` if a previous owner decided it.
+        after_ms: Option<u64>,
     },
     /// A job has ended.
     JobEnded {
@@ -116,6 +116,9 @@
         is_one_job: bool,
         /// Whether the start of the task is unlikely to have caused the crash.
         is_unlikely: bool,
+        /// For how long its run is known to have been active, in milliseconds; `None` if the run was
+        /// removed before the crash was known.
+        active_ms: Option<u64>,
     },
     /// A job fails because endpoints crash under one of its tasks.
     JobGivenUp {
--- a/crates/engine/src/restore.rs
+++ b/crates/engine/src/restore.rs
@@ -3,13 +3,14 @@
 use {
     crate::{
         config::Queue,
+        crash_history::StoredCrashHistory,
         crashes::ISOLATION_WAIT_MS,
         engine::{EndedJob, Engine},
         event::Now,
         job::{JobId, JobSpec},
         stored::{
-            Record, RecordKind, StoredProgress, StoredSpec, StoredVm, StoredWave, decode,
-            record_kind, restore_job, vm_name,
+            Record, RecordKind, StoredProgress, StoredSpec, StoredVm, StoredWave,
+            crash_history_record, decode, record_kind, restore_job, vm_name,
         },
     },
     serde::Deserialize,
@@ -58,6 +59,7 @@
                 unread.push(UnreadRecord { key, index, cause });
             }
         }
+        self.restore_crash_histories(records);
         self.ended_jobs.sort_unstable_by_key(|job| job.id);
         self.charge_inherited_runs(now);
         self.is_schedule_due = true;
@@ -87,6 +89,28 @@
                 self.restore_vm(vm_name(key), decode_value::<StoredVm>(value)?, now);
                 Ok(())
             }
+            // Applied after the progress of all jobs.
+            RecordKind::CrashHistory(_) => decode_value::<StoredCrashHistory>(value).map(drop),
+        }
+    }
+
+    /// Applies the crash histories of the restored jobs, and deletes those of other jobs, which an
+    /// owner without crash histories leaves behind.
+    fn restore_crash_histories(&mut self, records: &[Record]) {
+        for Record { key, value } in records {
+            let Some(RecordKind::CrashHistory(id)) = record_kind(key) else {
+                continue;
+            };
+            match self.search(id) {
+                Ok(index) => {
+                    let job = self.jobs.get_mut_untracked(index);
+                    if let Some(history) = decode::<StoredCrashHistory>(value) {
+                        history.apply(job);
+                    }
+                    job.crash_history.stored.clone_from(value);
+                }
+                Err(_) => self.deletions.push(crash_history_record(id, Vec::new())),
+            }
         }
     }
 
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         config::Queue,
-        event::{EndpointKey, ReplyToken},
+        crash_history::CrashHistoryRecord,
+        event::{EndpointKey, Now, ReplyToken},
         job::{JobId, JobSpec, JobState, StepSpec, TaskRef},
         quota::AccountNumber,
     },
@@ -48,10 +49,10 @@
     pub retry_at_ms: u64,
     /// When the start was decided, on the monotonic clock; 0 if a previous owner decided it.
     pub decided_at_ms: u64,
-    /// When the endpoint confirmed the run to this owner, on the monotonic clock.
-    pub confirmed_at_ms: Option<u64>,
-    /// When a report last contained the run, on the monotonic clock.
-    pub reported_at_ms: u64,
+    /// When the run was first known to be active, on the endpoint's clock, which all owners can read.
+    pub active_since_clock_ms: Option<u64>,
+    /// For how long reports to this owner or an earlier one show the run as active, in milliseconds.
+    pub active_ms: u64,
     /// Progress in percent; 100 for a long-running task that is working.
     pub percent: u32,
     /// When progress was last observed, on the endpoint's clock; `None` before the first report.
@@ -74,8 +75,8 @@
             is_stop_stored: false,
             retry_at_ms: 0,
             decided_at_ms,
-            confirmed_at_ms: None,
-            reported_at_ms: 0,
+            active_since_clock_ms: None,
+            active_ms: 0,
             percent: 0,
             progress_clock_ms: None,
             pace: 100,
@@ -88,11 +89,12 @@
         self.decided_at_ms == 0
     }
 
-    /// Returns for how long reports to this owner show the run as active, in milliseconds.
+    /// Returns the time since the start was decided, in milliseconds; `None` if a previous owner
+    /// decided it.
     #[must_use]
-    pub fn running_ms(&self) -> u64 {
-        let confirmed_at_ms = self.confirmed_at_ms.unwrap_or(u64::MAX);
-        self.reported_at_ms.saturating_sub(confirmed_at_ms)
+    pub fn age_ms(&self, now: Now) -> Option<u64> {
+        let is_own = !self.is_inherited();
+        is_own.then(|| now.steady_ms.saturating_sub(self.decided_at_ms))
     }
 }
 
@@ -115,7 +117,7 @@
     pub avoided_endpoint: Option<EndpointKey>,
     /// Number of endpoints that crashed under its runs.
     pub crashes: u32,
-    /// Those of them that its starts are unlikely to have caused, as far as this owner knows.
+    /// Those of them that its starts are unlikely to have caused.
     pub unlikely_crashes: u32,
     /// Endpoints whose leases expired under its runs and that may have crashed, the latest last.
     pub lost_on: Vec<EndpointKey>,
@@ -207,6 +209,8 @@
     pub next_occurrence: u32,
     /// Whether the job differs from its stored record.
     pub is_dirty: bool,
+    /// State of the record of the crash history.
+    pub(crate) crash_history: CrashHistoryRecord,
     /// Whether the current job description is stored or on its way to the store.
     pub is_spec_stored: bool,
     /// Whether any record of the job was sent to the store.
@@ -235,6 +239,7 @@
             occurrences: Vec::new(),
             next_occurrence: 0,
             is_dirty: true,
+            crash_history: CrashHistoryRecord::default(),
             is_spec_stored: false,
             was_sent: false,
             origin: None,
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -1,7 +1,8 @@
 //! Records that a later owner reads.
 //!
 //! A job has two records: its description, written once, and its progress, written with each
-//! change. Both are `MessagePack` arrays without field names.
+//! change. Both are `MessagePack` arrays without field names. A job with tasks under which endpoints
+//! have crashed has a third one, see [`crate::crash_history`].
 
 use {
     crate::{
@@ -28,6 +29,9 @@
 /// Key prefix of VMs.
 const VM_PREFIX: char = 'v';
 
+/// Key prefix of crash histories of jobs.
+const CRASH_HISTORY_PREFIX: char = 'c';
+
 /// A record to store. The latest record of a key is kept, and one without a value deletes the key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
@@ -48,6 +52,8 @@
     Wave(u64),
     /// A VM.
     Vm,
+    /// Crash history of a job.
+    CrashHistory(JobId),
 }
 
 /// Parses the key of a record.
@@ -64,6 +70,7 @@
         PROGRESS_PREFIX => rest.parse().ok().map(RecordKind::Progress),
         WAVE_PREFIX => rest.parse().ok().map(RecordKind::Wave),
         VM_PREFIX => Some(RecordKind::Vm),
+        CRASH_HISTORY_PREFIX => rest.parse().ok().map(RecordKind::CrashHistory),
         _ => None,
     }
 }
@@ -258,6 +265,15 @@
     }
 }
 
+/// Returns the record of a job's crash history; an empty value deletes it.
+#[must_use]
+pub fn crash_history_record(job: JobId, value: Vec<u8>) -> Record {
+    Record {
+        key: format!("{CRASH_HISTORY_PREFIX}/{job}"),
+        value,
+    }
+}
+
 /// Returns the record of a wave.
 #[must_use]
 pub fn wave_record(wave: u64, stored: &StoredWave) -> Record {
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -524,6 +524,108 @@
     check_job(&fleet, 1, &queue(), SPEC_DUE_ONCE, PROGRESS_AFTER_CRASHES);
 }
 
+/// Guards against a crash history that owners of other builds cannot read.
+#[test]
+fn crash_history_of_a_job() {
+    let mut fleet = fleet_after_one_crash();
+    fleet.advance(3_000);
+    let key = format!("c/{}", job_id(1));
+    assert_held(&stored(&fleet, &key).value, CRASH_HISTORY);
+    let restored = restored(&fleet.stored, fleet.now);
+    let mut jobs = restored.jobs();
+    let task = jobs
+        .next()
+        .and_then(|job| job.tasks().next())
+        .expect("a task")
+        .1;
+    let active_ms = task.attempts.iter().map(|attempt| attempt.active_ms);
+    assert_eq!((task.crashes, active_ms.collect()), (1, vec![2_000]));
+}
+
+/// Returns a fleet with a task under which one endpoint has crashed, and which runs again.
+fn fleet_after_one_crash() -> Fleet {
+    let mut fleet = fleet(2);
+    fleet.submit_for("account-1", queue(), 1, due_once());
+    fleet.settle();
+    let index = running_on(&fleet);
+    fleet.crash(index);
+    fleet.advance(500);
+    fleet.restart(index);
+    fleet.advance(500);
+    fleet
+}
+
+const CRASH_HISTORY: &str = "\
+    81a57461736b739187aa6f6363757272656e636500a47374657000a5696e64657800a372756e02a76372617368\
+    657301b0756e6c696b656c795f6372617368657300a472756e739183a372756e02b56163746976655f73696e63\
+    655f636c6f636b5f6d73ce00262794a96163746976655f6d73cd07d0";
+
+/// Crash history as a later build may write it.
+#[derive(Serialize)]
+struct LaterHistory<'a> {
+    tasks: Vec<LaterTaskHistory<'a>>,
+    later_field: &'a str,
+}
+
+#[derive(Serialize)]
+struct LaterTaskHistory<'a> {
+    later_field: &'a str,
+    occurrence: u32,
+    step: u16,
+    index: u16,
+    run: u32,
+    crashes: u32,
+    unlikely_crashes: u32,
+    runs: Vec<LaterRunHistory<'a>>,
+}
+
+#[derive(Serialize)]
+struct LaterRunHistory<'a> {
+    run: u32,
+    later_field: &'a str,
+}
+
+/// Guards against fields of a later build that keep an owner from reading the others, and against
+/// missing fields that do.
+#[test]
+fn crash_history_of_a_later_build() {
+    let mut fleet = fleet_after_one_crash();
+    let later_field = "later";
+    let history = LaterHistory {
+        tasks: vec![LaterTaskHistory {
+            later_field,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+            run: 2,
+            crashes: 1,
+            unlikely_crashes: 1,
+            runs: vec![LaterRunHistory {
+                run: 2,
+                later_field,
+            }],
+        }],
+        later_field,
+    };
+    let key = format!("c/{}", job_id(1));
+    let mut records = fleet.stored.iter_mut();
+    let record = records.find(|record| record.key == key).expect("a history");
+    record.value = rmp_serde::to_vec_named(&history).expect("a value");
+    let restored = restored(&fleet.stored, fleet.now);
+    let mut jobs = restored.jobs();
+    let task = jobs
+        .next()
+        .and_then(|job| job.tasks().next())
+        .expect("a task")
+        .1;
+    assert_eq!((task.crashes, task.unlikely_crashes), (1, 1));
+    let attempt = task.attempts.first().expect("a run");
+    assert_eq!(
+        (attempt.active_since_clock_ms, attempt.active_ms),
+        (None, 0)
+    );
+}
+
 /// Returns the endpoint with runs.
 fn running_on(fleet: &Fleet) -> usize {
     let mut endpoints = fleet.endpoints.iter();
