Keep with a lost run whether a crash would be unlikely

Callers may see a job given up for crashes long after its starts.

Cause: a run whose lease expired is removed, and its age with it. If its endpoint turned out to have crashed, the charge counted as likely, although the same crash counts as unlikely while the run is known.

Change: the lost run keeps whether it had lasted or another start had followed, also in the stored history. That it had outlasted a takeover does not count: when it was lost is unknown.

Tests: crash_history.rs, lost_run_that_has_lasted and ..._under_the_next_owner, fail without the flag, the latter also without its restore.

--- a/crates/engine/src/crash_history.rs
+++ b/crates/engine/src/crash_history.rs
@@ -47,6 +47,9 @@
     crashes: u32,
     unlikely_crashes: u32,
     runs: Vec<RunHistory>,
+    /// Whether each lost run is unlikely to have crashed its endpoint.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    unlikely_lost: Vec<bool>,
 }
 
 /// Age of a run.
@@ -108,13 +111,16 @@
             crashes: task.crashes,
             unlikely_crashes: task.unlikely_crashes,
             runs: task.attempts.iter().map(RunHistory::new).collect(),
+            unlikely_lost: task.lost_runs.iter().map(|lost| lost.is_unlikely).collect(),
         }
     }
 
     /// Returns whether the history says no more than the progress of the task.
     fn is_empty(&self) -> bool {
-        let mut runs = self.runs.iter();
-        self.unlikely_crashes == 0 && runs.all(|known| known.active_since_clock_ms.is_none())
+        let is_age_known = |known: &RunHistory| known.active_since_clock_ms.is_some();
+        self.unlikely_crashes == 0
+            && !self.runs.iter().any(is_age_known)
+            && !self.unlikely_lost.contains(&true)
     }
 
     /// Returns whether the history was written with the progress of the task.
@@ -131,14 +137,20 @@
             attempt.active_since_clock_ms = known.active_since_clock_ms;
             attempt.active_ms = known.active_ms;
         }
+        if self.unlikely_lost.len() == task.lost_runs.len() {
+            for (&is_unlikely, lost) in self.unlikely_lost.iter().zip(&mut task.lost_runs) {
+                lost.is_unlikely = is_unlikely;
+            }
+        }
     }
 }
 
 impl StoredCrashHistory {
     fn new(job: &Job) -> Self {
-        let charged = job
-            .tasks()
-            .filter(|(_, task)| task.crashes > 0 && !task.is_done);
+        let charged = job.tasks().filter(|(_, task)| {
+            let is_charged = task.crashes > 0 || !task.lost_runs.is_empty();
+            is_charged && !task.is_done
+        });
         let tasks = charged.map(|(task_ref, task)| TaskHistory::new(&task_ref, task));
         Self {
             tasks: tasks.filter(|history| !history.is_empty()).collect(),
--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -6,7 +6,7 @@
     event::{EndpointKey, Now},
     job::{JobState, StepSpec, TaskRef},
     log_event::LogEvent,
-    state::{Phase, Task},
+    state::{LostRun, Phase, Task},
 };
 
 /// Crashes after which a task starts only on an empty endpoint, so that it shows whether it is at
@@ -26,8 +26,8 @@
 /// in milliseconds.
 const LATER_START_MS: u64 = 200;
 
-/// Maximum number of endpoints of a task that may have crashed; earlier ones are forgotten.
-const MAX_LOST_ENDPOINTS: usize = 4;
+/// Maximum number of lost runs of a task; earlier ones are forgotten.
+const MAX_LOST_RUNS: usize = 4;
 
 /// Time for which a task waits for an empty endpoint after a crash, or a long-running one for an
 /// endpoint without other suspects, in milliseconds. In a pool without one it starts beside others
@@ -113,14 +113,36 @@
     has_lasted: bool,
 }
 
+/// A run that may have crashed its endpoint.
+#[derive(Clone, Copy, Debug)]
+struct SuspectedRun {
+    run: ActiveRun,
+    /// Whether another run was started there well after it.
+    is_followed: bool,
+}
+
+impl SuspectedRun {
+    /// Returns whether its start is unlikely to have caused the crash.
+    fn is_unlikely(&self) -> bool {
+        self.run.has_lasted || self.run.has_outlasted_takeover || self.is_followed
+    }
+}
+
 /// Returns the runs that may have crashed their endpoint. One that has lasted is not at fault if the
 /// endpoint crashes soon after another start.
-fn suspected_runs(active: &[ActiveRun]) -> Vec<ActiveRun> {
+fn suspected_runs(active: &[ActiveRun]) -> Vec<SuspectedRun> {
     let has_young_run = active.iter().any(|run| !run.has_lasted);
-    active
-        .iter()
-        .filter(|run| !(run.has_lasted && has_young_run))
-        .copied()
+    let suspected = || {
+        let runs = active.iter();
+        runs.filter(|run| !(run.has_lasted && has_young_run))
+    };
+    let latest_ms = suspected().map(|run| run.decided_at_ms).max();
+    let latest_ms = latest_ms.unwrap_or_default();
+    suspected()
+        .map(|&run| SuspectedRun {
+            run,
+            is_followed: run.decided_at_ms + LATER_START_MS <= latest_ms,
+        })
         .collect()
 }
 
@@ -141,39 +163,33 @@
             return Vec::new();
         }
         let active = self.active_runs(key);
-        let suspected = suspected_runs(&active);
-        let latest_ms = suspected.iter().map(|run| run.decided_at_ms).max();
-        let latest_ms = latest_ms.unwrap_or_default();
-        let is_unlikely = |task: &TaskRef| {
-            let mut runs = suspected.iter();
-            runs.any(|run| {
-                run.task == *task
-                    && (run.has_lasted
-                        || run.has_outlasted_takeover
-                        || run.decided_at_ms + LATER_START_MS <= latest_ms)
-            })
-        };
-        let lost = endpoint.lost_tasks.iter().copied().filter(|task| {
-            let known = self.jobs.get(task.job).and_then(|job| job.task(task));
-            let is_lost = known.is_some_and(|known| known.lost_on.contains(&key));
-            is_lost && active.iter().all(|run| run.task != *task)
-        });
-        let charged = suspected.iter().map(|run| run.task);
-        let tasks: Vec<TaskRef> = charged.chain(lost).collect();
-        let is_one_job = tasks.iter().all(|task| task.job == tasks[0].job);
-        let active_ms = |task: &TaskRef| {
-            let mut runs = suspected.iter().filter(|run| run.task == *task);
-            runs.next().map(|run| run.active_ms)
-        };
-        tasks
-            .into_iter()
-            .map(|task| ChargedTask {
+        let lost = endpoint.lost_tasks.iter().filter_map(|&task| {
+            let known = self.jobs.get(task.job)?.task(&task)?;
+            let mut lost_runs = known.lost_runs.iter();
+            let lost = lost_runs.find(|lost| lost.endpoint == key)?;
+            let is_active = active.iter().any(|run| run.task == task);
+            (!is_active).then_some(ChargedTask {
                 task,
-                is_one_job,
-                is_unlikely: is_unlikely(&task),
-                active_ms: active_ms(&task),
+                is_one_job: false,
+                is_unlikely: lost.is_unlikely,
+                active_ms: None,
             })
-            .collect()
+        });
+        let suspected = suspected_runs(&active).into_iter();
+        let suspected = suspected.map(|suspected| ChargedTask {
+            task: suspected.run.task,
+            is_one_job: false,
+            is_unlikely: suspected.is_unlikely(),
+            active_ms: Some(suspected.run.active_ms),
+        });
+        let mut charged: Vec<ChargedTask> = suspected.chain(lost).collect();
+        let is_one_job = charged
+            .iter()
+            .all(|other| other.task.job == charged[0].task.job);
+        for known in &mut charged {
+            known.is_one_job = is_one_job;
+        }
+        charged
     }
 
     /// Returns the runs on an endpoint whose starts were sent.
@@ -235,18 +251,24 @@
     /// Records the tasks on an endpoint whose leases have expired. Whether it has crashed is known
     /// only when it or its next incarnation responds.
     pub(crate) fn record_lost_tasks(&mut self, key: EndpointKey) {
-        for ActiveRun { task, .. } in suspected_runs(&self.active_runs(key)) {
+        for SuspectedRun { run, is_followed } in suspected_runs(&self.active_runs(key)) {
+            let task = run.task;
+            // When it was lost is unknown, so that it has outlasted a takeover says little.
+            let is_unlikely = run.has_lasted || is_followed;
             let Ok(index) = self.search(task.job) else {
                 continue;
             };
             let job = &mut self.jobs[index];
             if let Some(known) = job.task_mut(&task).filter(|known| !known.is_done)
-                && !known.lost_on.contains(&key)
+                && known.lost_runs.iter().all(|lost| lost.endpoint != key)
             {
-                if known.lost_on.len() == MAX_LOST_ENDPOINTS {
-                    known.lost_on.remove(0);
+                if known.lost_runs.len() == MAX_LOST_RUNS {
+                    known.lost_runs.remove(0);
                 }
-                known.lost_on.push(key);
+                known.lost_runs.push(LostRun {
+                    endpoint: key,
+                    is_unlikely,
+                });
                 job.is_dirty = true;
                 self.endpoints.get_mut(key).add_lost_task(task);
             }
@@ -264,7 +286,7 @@
             };
             let job = &mut self.jobs[index];
             if let Some(known) = job.task_mut(&task) {
-                known.lost_on.retain(|lost| *lost != key);
+                known.lost_runs.retain(|lost| lost.endpoint != key);
                 job.is_dirty = true;
             }
         }
@@ -279,7 +301,7 @@
         if let Some(known) = job.task_mut(task) {
             known.crashes = 0;
             known.unlikely_crashes = 0;
-            known.lost_on.clear();
+            known.lost_runs.clear();
             job.is_dirty = true;
         }
     }
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -421,8 +421,10 @@
         let mut unanswered = Vec::new();
         for job in self.jobs.iter() {
             for (task_ref, task) in job.tasks() {
-                for &key in &task.lost_on {
-                    self.endpoints.get_mut(key).add_lost_task(task_ref);
+                for lost in &task.lost_runs {
+                    self.endpoints
+                        .get_mut(lost.endpoint)
+                        .add_lost_task(task_ref);
                 }
                 for attempt in &task.attempts {
                     let placed = match job.step_spec(&task_ref) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -85,7 +85,7 @@
         EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
     },
     restore::{UnreadCause, UnreadRecord},
-    state::{Attempt, Job, Occurrence, Phase, StepRun, Task},
+    state::{Attempt, Job, LostRun, Occurrence, Phase, StepRun, Task},
     stored::{Record, RecordKind, StoredWave, record_kind},
     vms::VmOrder,
 };
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -98,6 +98,15 @@
     }
 }
 
+/// A run that was removed when its lease expired.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LostRun {
+    /// Endpoint.
+    pub endpoint: EndpointKey,
+    /// Whether its start is unlikely to have caused a crash.
+    pub is_unlikely: bool,
+}
+
 /// One task of a step.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Task {
@@ -119,8 +128,8 @@
     pub crashes: u32,
     /// Those of them that its starts are unlikely to have caused.
     pub unlikely_crashes: u32,
-    /// Endpoints whose leases expired under its runs and that may have crashed, the latest last.
-    pub lost_on: Vec<EndpointKey>,
+    /// Runs whose leases expired on endpoints that may have crashed, the latest last.
+    pub lost_runs: Vec<LostRun>,
     /// Time until which it waits for an empty endpoint after crashes, on the monotonic clock.
     pub isolate_until_ms: u64,
 }
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -10,7 +10,7 @@
         endpoint_table::EndpointTable,
         event::EndpointKey,
         job::{JobId, JobSpec, JobState},
-        state::{Attempt, Job, Occurrence, Phase, StepRun, Task},
+        state::{Attempt, Job, LostRun, Occurrence, Phase, StepRun, Task},
     },
     compact_str::CompactString,
     serde::{Deserialize, Serialize},
@@ -235,7 +235,7 @@
                         StoredAttempt(attempt.run, index_of(attempt.endpoint), attempt.is_stopping)
                     });
                     let attempts = attempts.collect();
-                    let lost_on = task.lost_on.iter().map(|&key| index_of(key));
+                    let lost_on = task.lost_runs.iter().map(|lost| index_of(lost.endpoint));
                     let crashes = StoredCrashes(task.crashes, lost_on.collect());
                     let checkpoint = task.checkpoint.clone();
                     StoredTask(
@@ -330,6 +330,12 @@
         attempt.is_stop_stored = is_stopping;
         Some(attempt)
     };
+    let restore_lost_run = |index| {
+        Some(LostRun {
+            endpoint: key_at(index)?,
+            is_unlikely: false,
+        })
+    };
     let restore_task = |stored: StoredTask| {
         let StoredTask(run, failed, is_done, checkpoint, attempts, crashes) = stored;
         let StoredCrashes(crashes, lost_on) = crashes;
@@ -340,7 +346,7 @@
             checkpoint,
             attempts: attempts.into_iter().filter_map(restore_attempt).collect(),
             crashes,
-            lost_on: lost_on.into_iter().filter_map(key_at).collect(),
+            lost_runs: lost_on.into_iter().filter_map(restore_lost_run).collect(),
             isolate_until_ms,
             ..Task::default()
         }
--- a/crates/engine/tests/crash_history.rs
+++ b/crates/engine/tests/crash_history.rs
@@ -13,6 +13,9 @@
 /// Time from a crash until the next incarnation, in milliseconds: less than a lease.
 const RESTART_MS: u64 = 3_000;
 
+/// The same, but longer than a lease.
+const LATE_RESTART_MS: u64 = 9_000;
+
 /// Time in which a task must be running again, in milliseconds.
 const RESUME_MS: u64 = 12_000;
 
@@ -26,8 +29,12 @@
     Crash,
     /// The endpoint crashes right after the start of another task beside it.
     CrashAfterLaterStart,
+    /// The endpoint crashes and is back after its lease has run out.
+    LateCrash,
     /// The endpoint crashes, and the owner is replaced before that is known.
     CrashBeforeTakeOver,
+    /// The endpoint crashes, and the owner is replaced after its lease has run out.
+    LateCrashBeforeTakeOver,
     /// The owner is replaced.
     TakeOver,
     /// The owner is replaced by one without crash histories, which leaves their records as they are.
@@ -127,6 +134,14 @@
             fleet.take_over();
             crash_and_restart(fleet, index, RESTART_MS);
         }
+        Step::LateCrash => crash_and_restart(fleet, index, LATE_RESTART_MS),
+        Step::LateCrashBeforeTakeOver => {
+            fleet.crash(index);
+            fleet.advance(LATE_RESTART_MS);
+            fleet.take_over();
+            fleet.restart(index);
+            fleet.advance(300);
+        }
         Step::TakeOver => {
             fleet.take_over();
             fleet.advance(300);
@@ -213,6 +228,16 @@
         3 [Crash, Crash, Run(1_500), TakeOver, Run(1_500), TakeOver, Run(1_500), TakeOver, Crash]
         => Some(2);
 
+    /// Guards against forgetting with the lease of a run how long it has lasted.
+    lost_run_that_has_lasted: 1 [Run(6_000), LateCrash, Crash, Crash] => Some(2);
+
+    /// Guards against a change of owner that forgets how long a lost run has lasted.
+    lost_run_that_has_lasted_under_the_next_owner:
+        1 [Run(6_000), LateCrashBeforeTakeOver, Crash, Crash] => Some(2);
+
+    /// Guards against counting a lost run as an old one.
+    young_lost_run: 1 [LateCrashBeforeTakeOver, LateCrash, Crash] => None;
+
     /// Guards against unlikely charges that an owner without crash histories cannot have kept.
     owner_without_crash_histories:
         1 [CrashAfterLaterStart, TakeOverByOlderBuild, Crash] => Some(2);
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -520,7 +520,7 @@
     fleet.crash(index);
     fleet.advance(9_000);
     let task = job(&fleet).tasks().next().expect("a task").1;
-    assert_eq!((task.crashes, task.lost_on.len()), (1, 1));
+    assert_eq!((task.crashes, task.lost_runs.len()), (1, 1));
     check_job(&fleet, 1, &queue(), SPEC_DUE_ONCE, PROGRESS_AFTER_CRASHES);
 }
 
