Start suspects one after the other when their waits end together

Change: a task after two crashes starts on an endpoint with other suspects only 200 ms (LATER_START_MS) after the last of them, and so does a suspect after it. That is the time after which a crash is charged to the later start. Gangs and tasks with advised endpoints likewise.

Tests: endpoint_crashes.rs, tasks_after_two_crashes_start_one_after_the_other and gangs_after_two_crashes_..., which fail without the rule (the second without its part for gangs).

--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -2,6 +2,7 @@
 //! when their jobs are given up.
 
 use crate::{
+    endpoints::PlacedRun,
     engine::Engine,
     event::{EndpointKey, Now},
     job::{JobState, StepSpec, TaskRef},
@@ -355,6 +356,27 @@
         now.steady_ms < known.isolate_until_ms + wait_ms
     }
 
+    /// Returns whether a suspect would start on an endpoint so soon after another that a crash could
+    /// not be charged to one of them. Two tasks after one crash each have little to lose.
+    pub(crate) fn follows_suspect_too_soon(
+        &self,
+        task: &TaskRef,
+        key: EndpointKey,
+        now: Now,
+    ) -> bool {
+        let suspicion = self.suspicion(task);
+        let is_recent = |placed: &PlacedRun| {
+            let attempt = self.attempt(&placed.task, placed.run);
+            attempt.is_some_and(|known| now.steady_ms < known.decided_at_ms + LATER_START_MS)
+        };
+        let placed_runs = &self.endpoints.get(key).placed_runs;
+        suspicion >= Suspicion::Suspect
+            && placed_runs
+                .iter()
+                .filter(|placed| placed.is_suspect() && is_recent(placed))
+                .any(|placed| suspicion.max(self.suspicion(&placed.task)) == Suspicion::Isolated)
+    }
+
     /// Returns whether a task waits for an empty endpoint rather than starting beside others.
     pub(crate) fn waits_for_empty_endpoint(&self, task: &TaskRef, now: Now) -> bool {
         let known = self.jobs.get(task.job).and_then(|job| job.task(task));
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -302,7 +302,10 @@
             let Some(key) = best_fit(&self.endpoints, slots, &task, &spec, avoidance) else {
                 break;
             };
-            if self.endpoints.get(key).suspect_runs > 0 && self.avoids_sharing(&task, &spec, now) {
+            if self.endpoints.get(key).suspect_runs > 0
+                && (self.avoids_sharing(&task, &spec, now)
+                    || self.follows_suspect_too_soon(&task, key, now))
+            {
                 continue;
             }
             let suspicion = suspicion.min(Suspicion::Suspect);
@@ -334,6 +337,12 @@
             let usable = self.endpoints_with_ticket(&step_ref, &candidates, now);
             slots.retain(|slot| usable.contains(&slot.key));
         }
+        if let Some(suspect) = self.most_suspect_task(&step_ref) {
+            slots.retain(|slot| {
+                self.endpoints.get(slot.key).suspect_runs == 0
+                    || !self.follows_suspect_too_soon(&suspect, slot.key, now)
+            });
+        }
         let Some(job) = self.jobs.get(step_ref.job) else {
             return;
         };
@@ -369,6 +378,15 @@
         }
     }
 
+    /// Returns the task of a step that is most likely to crash endpoints, if any is suspect.
+    fn most_suspect_task(&self, step_ref: &TaskRef) -> Option<TaskRef> {
+        let step = self.jobs.get(step_ref.job)?.step(step_ref)?;
+        let tasks = step.tasks.iter().zip(0_u16..);
+        let suspects = tasks.filter(|(task, _)| Suspicion::of(task) >= Suspicion::Suspect);
+        let (_, index) = suspects.max_by_key(|(task, _)| Suspicion::of(task))?;
+        Some(TaskRef { index, ..*step_ref })
+    }
+
     /// Decides to start a task. All members of a gang use the same run number.
     fn place_task(
         &mut self,
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -856,6 +856,60 @@
     );
 }
 
+/// Guards against starting several tasks at once that have crashed two endpoints each and whose waits
+/// end together, so that all of them are charged with what one does.
+#[test]
+fn tasks_after_two_crashes_start_one_after_the_other() {
+    check_starts_after_two_crashes(&long_running(1));
+}
+
+/// Guards against the same for gangs.
+#[test]
+fn gangs_after_two_crashes_start_one_after_the_other() {
+    let mut spec = long_running(2);
+    spec.steps[0].gang = true;
+    check_starts_after_two_crashes(&spec);
+}
+
+/// Crashes the only endpoint twice under four jobs, and checks that they start apart then.
+fn check_starts_after_two_crashes(spec: &JobSpec) {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.engine.allow_vm_orders(false);
+    for job in 1..=4 {
+        fleet.submit_spec(job, spec.clone());
+    }
+    fleet.advance(100);
+    let members = usize::from(spec.steps[0].count);
+    for _ in 0..2 {
+        assert_eq!(fleet.endpoints[0].running.len(), 4 * members);
+        crash_and_restart(&mut fleet, 0, RESTART_MS);
+        fleet.advance(1_000);
+    }
+    let mut started_ms = Vec::new();
+    while fleet.endpoints[0].running.len() < 4 * members {
+        let before = fleet.endpoints[0].running.len();
+        fleet.advance(100);
+        let after = fleet.endpoints[0].running.len();
+        started_ms.extend(vec![fleet.now.steady_ms; (after - before) / members]);
+    }
+    let pairs = started_ms.windows(2);
+    assert!(pairs.into_iter().all(|pair| pair[0] + 200 <= pair[1]));
+    charges(&mut fleet);
+    crash_and_restart(&mut fleet, 0, RESTART_MS);
+    let events = fleet.engine.take_log_events().into_iter();
+    let likely = events.filter(|event| {
+        matches!(
+            event,
+            LogEvent::CrashCharged {
+                is_unlikely: false,
+                ..
+            }
+        )
+    });
+    assert_eq!(likely.count(), members, "only the last one may be at fault");
+}
+
 /// Guards against long-running tasks that never start again where no other endpoint is left.
 #[test]
 fn long_running_suspects_share_the_only_endpoint() {
