Check right before a request is written whether it may still be sent

Change: a request may have a guard. Its condition and its deadline are checked after the last wait of each try and when the connection takes the body, which hyper does before it writes the head. The guard records when and how often the request was written.

Tests: send_guards.rs suspends a client at each wait, with the peer on another thread. Without both checks five of seven fail; the check of the body alone serves five of them, the first one alone all but condition_ends_before_the_order_is_written.

--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -5,6 +5,7 @@
         body::{Body, BodyError, full_body},
         counted::CountedStream,
         error::{Step, TransportError},
+        send_guard::{CheckedBody, SendGuard},
     },
     bytes::{Bytes, BytesMut},
     http::{Method, Request, Response, StatusCode},
@@ -47,6 +48,8 @@
     pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Bytes,
+    /// Condition under which it may be sent.
+    pub guard: SendGuard,
 }
 
 impl ClientRequest {
@@ -58,9 +61,18 @@
             path: path.into(),
             headers: Vec::new(),
             body: Bytes::new(),
+            guard: SendGuard::default(),
         }
     }
 
+    /// Sets the condition under which the request may be sent, which also records when it was.
+    /// Requests without a body are not recorded.
+    #[must_use]
+    pub fn with_guard(mut self, guard: SendGuard) -> Self {
+        self.guard = guard;
+        self
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn with_header(mut self, name: impl Into<String>, value: impl Into<String>) -> Self {
@@ -165,6 +177,16 @@
         &self,
         request: Request<Body>,
         deadline: Instant,
+    ) -> Result<Response<Body>, TransportError> {
+        self.send_guarded(request, deadline, &SendGuard::default())
+            .await
+    }
+
+    async fn send_guarded(
+        &self,
+        request: Request<Body>,
+        deadline: Instant,
+        guard: &SendGuard,
     ) -> Result<Response<Body>, TransportError> {
         let peer = self.inner.peer;
         let permit = timeout_at(deadline, Arc::clone(&self.inner.permits).acquire_owned())
@@ -177,10 +199,15 @@
                 Some(sender) => (sender, true),
                 None => (self.connect(deadline).await?, false),
             };
+            // Both may have been ready only after the deadline, if the process was suspended.
+            if !guard.allows(deadline) {
+                return Err(withheld(peer));
+            }
             let attempt = timeout_at(deadline, sender.try_send_request(request)).await;
             match attempt {
                 Err(_) => return Err(TransportError::sent(Step::Exchange, peer, "timeout")),
                 Ok(Ok(response)) => return Ok(self.attach_to_body(response, sender, permit)),
+                Ok(Err(_)) if guard.record().is_withheld => return Err(withheld(peer)),
                 Ok(Err(mut failed)) => {
                     let reason = failed.error().to_string();
                     match failed.take_message() {
@@ -207,7 +234,10 @@
     ) -> Result<ClientResponse, TransportError> {
         let deadline = Instant::now() + timeout;
         let peer = self.inner.peer;
-        let response = self.send(self.build_request(request)?, deadline).await?;
+        let guard = &request.guard;
+        let built = self.build_request(request)?;
+        let built = built.map(|body| CheckedBody::new(body, guard.clone(), deadline));
+        let response = self.send_guarded(built, deadline, guard).await?;
         let (parts, body) = response.into_parts();
         let collected = timeout_at(deadline, Limited::new(body, MAX_MESSAGE_BYTES).collect())
             .await
@@ -402,6 +432,10 @@
     }
 }
 
+fn withheld(peer: SocketAddr) -> TransportError {
+    TransportError::unsent(Step::Check, peer, "the request may no longer be sent")
+}
+
 fn decode_response<A: DeserializeOwned>(
     peer: SocketAddr,
     response: &ClientResponse,
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -9,6 +9,8 @@
     Acquire,
     /// Opening a connection.
     Connect,
+    /// Checking whether the request may still be sent. Says nothing about the peer.
+    Check,
     /// Sending the request and waiting for the head of the response.
     Exchange,
     /// Reading the body of the response.
@@ -24,6 +26,7 @@
         match self {
             Self::Acquire => "acquire",
             Self::Connect => "connect",
+            Self::Check => "check",
             Self::Exchange => "exchange",
             Self::ReadBody => "read_body",
             Self::Decode => "decode",
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -19,6 +19,7 @@
 mod counted;
 mod error;
 mod head_scan;
+mod send_guard;
 mod server;
 mod stall;
 
@@ -26,6 +27,7 @@
 pub use body_wrappers::{guarded_body, limited_body};
 pub use client::{Client, ClientPool, ClientRequest, ClientResponse};
 pub use error::{Step, TransportError};
+pub use send_guard::{SendCondition, SendGuard, SendRecord};
 pub use server::{
     Server, ServerLimits, Shutdown, collect_body, error_response, json_response, message_response,
 };
