Send nothing for an owner that was suspended until it has proved its ownership

Cause: what an owner had decided before it was suspended was sent when it continued, from whatever it waited for, and so was what it decided then, until it read of its successor. VM orders were held back by the age of the last renewal, checked once before the wait for a connection. Calls to endpoints had no check; an endpoint that the successor cannot reach accepted them, and a lease that is granted then lasts longer than the successor assumes.

An owner orders VMs and endpoints only if a renewal that it sent since is stored, and renews leases only then or if the store did not respond to one. Asked with the guard of each request, so after each wait and when it is written; the same for calls to delegates. A delegate drops calls that it accepted before, and accepts none until it has read the ownership log. A released or deposed owner no longer counts as renewed, whatever is answered later. A call that is withheld is unknown, not unsent, which could end a draining endpoint.

--- a/crates/controller/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -78,40 +78,43 @@
     pub async fn execute(&self, client: &EndpointClient, to: &EndpointAddress) -> CallResult {
         match self {
             Self::Start(order) => {
-                let outcome = client.start_run(to, order).await;
+                let sent = client.start_run(to, order).await;
                 info!(
                     event = "start_task", task:% = order.task, run = order.run,
                     endpoint = to.id.as_str(), deadline_ms = order.deadline_ms,
-                    outcome:? = outcome;
+                    tries = sent.record.tries, sent_ago_ms = sent.sent_ago_ms(),
+                    outcome:? = sent.outcome;
                     "run start sent"
                 );
-                CallResult::Ordered(outcome)
+                CallResult::Ordered(sent.outcome)
             }
             Self::Stop(task, run) => {
-                let outcome = client.stop_run(to, task, *run).await;
+                let sent = client.stop_run(to, task, *run).await;
                 info!(
                     event = "stop_task", task:% = task, run = *run, endpoint = to.id.as_str(),
-                    outcome:? = outcome;
+                    tries = sent.record.tries, sent_ago_ms = sent.sent_ago_ms(),
+                    outcome:? = sent.outcome;
                     "run stop sent"
                 );
-                CallResult::Ordered(outcome)
+                CallResult::Ordered(sent.outcome)
             }
             Self::Renew {
                 deadline_ms,
                 acknowledged,
                 wait_ms,
             } => {
-                let outcome = client
+                let sent = client
                     .renew_lease(to, *deadline_ms, *acknowledged, *wait_ms)
                     .await;
-                if !matches!(outcome, CallOutcome::Done(_)) {
+                if !matches!(sent.outcome, CallOutcome::Done(_)) {
                     info!(
                         event = "renewal_failed", endpoint = to.id.as_str(), peer:% = to.address,
-                        outcome:? = outcome;
+                        tries = sent.record.tries, sent_ago_ms = sent.sent_ago_ms(),
+                        outcome:? = sent.outcome;
                         "lease renewal failed"
                     );
                 }
-                CallResult::Renewed(outcome)
+                CallResult::Renewed(sent.outcome)
             }
             Self::Pace(task, run, percent) => {
                 let is_done = client.set_pace(to, task, *run, *percent).await;
--- a/crates/controller/src/delegate_pool.rs
+++ b/crates/controller/src/delegate_pool.rs
@@ -15,7 +15,7 @@
     kameo::actor::ActorRef,
     log::{info, warn},
     lynxwheel_engine::{EndpointAddress, EndpointKey, Event},
-    lynxwheel_transport::{Client, ClientPool},
+    lynxwheel_transport::{Client, ClientPool, SendCondition},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
@@ -72,10 +72,11 @@
     delegates: Vec<Delegate>,
     next_number: CallNumber,
     senders: JoinSet<()>,
+    may_order: SendCondition,
 }
 
 impl DelegatePool {
-    /// Creates a pool without delegates.
+    /// Creates a pool without delegates. Calls are only sent to them while `may_order` holds.
     #[must_use]
     pub fn new(
         epoch: u64,
@@ -83,6 +84,7 @@
         actor: ActorRef<OwnerActor>,
         clients: Arc<ClientPool>,
         assignments: EndpointAssignments,
+        may_order: SendCondition,
     ) -> Self {
         Self {
             epoch,
@@ -93,6 +95,7 @@
             delegates: Vec::new(),
             next_number: 0,
             senders: JoinSet::new(),
+            may_order,
         }
     }
 
@@ -138,6 +141,7 @@
                 self.epoch,
                 self.own_address,
                 self.actor.clone(),
+                self.may_order.clone(),
             ));
             let delegate = Delegate {
                 address,
@@ -242,6 +246,7 @@
     epoch: u64,
     owner: SocketAddr,
     actor: ActorRef<OwnerActor>,
+    may_order: SendCondition,
 ) {
     let limit = Duration::from_millis(ACCEPT_TIMEOUT_MS);
     loop {
@@ -256,7 +261,7 @@
             calls,
         };
         let response = client
-            .post_compact_message(DELEGATE_CALLS_PATH, &request, limit)
+            .post_compact_message_while(DELEGATE_CALLS_PATH, &request, limit, may_order.clone())
             .await;
         let message = match response {
             Ok(DelegateReply::Accepted) => continue,
--- a/crates/controller/src/delegate_worker.rs
+++ b/crates/controller/src/delegate_worker.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         calls::{CallResult, EndpointCall},
+        clock,
         delegate_messages::{
             CallNumber, DELEGATE_RESULTS_PATH, DelegateReply, DelegateRequest, DelegateResults,
             DelegatedCall, PAYLOAD_PATH,
@@ -18,6 +19,7 @@
     log::info,
     lynxwheel_engine::{CallOutcome, JobId, StartOrder},
     lynxwheel_platform::EndpointClient,
+    lynxwheel_transport::SendCondition,
     std::{
         net::SocketAddr,
         sync::{
@@ -107,7 +109,11 @@
     /// Starts executing calls, unless a newer epoch is known.
     pub fn accept(&self, node: &Arc<Node>, request: DelegateRequest) -> DelegateReply {
         let (known_epoch, _) = node.known_owner();
-        if request.epoch < known_epoch || node.stopping.has_begun() {
+        let accepted_ms = clock::steady_ms();
+        if request.epoch < known_epoch
+            || node.stopping.has_begun()
+            || !node.is_owner_known(accepted_ms)
+        {
             return DelegateReply::Refused;
         }
         let Some(session) = self.session(node, request.epoch, request.owner) else {
@@ -122,7 +128,7 @@
         for call in request.calls {
             let node = Arc::clone(node);
             let session = Arc::clone(&session);
-            tokio::spawn(async move { execute_call(&node, &session, call).await });
+            tokio::spawn(async move { execute_call(&node, &session, call, accepted_ms).await });
         }
         DelegateReply::Accepted
     }
@@ -153,7 +159,15 @@
 }
 
 /// Executes a call and queues its result for delivery.
-async fn execute_call(node: &Node, session: &DelegateSession, delegated: DelegatedCall) {
+///
+/// It is not sent if a newer epoch is known by then, or if the process was suspended since the call
+/// was accepted: its owner has given it up, and may have been succeeded.
+async fn execute_call(
+    node: &Arc<Node>,
+    session: &DelegateSession,
+    delegated: DelegatedCall,
+    accepted_ms: u64,
+) {
     let DelegatedCall {
         number,
         to,
@@ -164,7 +178,15 @@
         _ => true,
     };
     let result = if has_payload {
-        call.execute(&session.client, &to).await
+        let epoch = session.epoch;
+        let node = Arc::clone(node);
+        let condition = SendCondition::new(move || {
+            let now_ms = clock::steady_ms();
+            node.suspension.has_run_since(accepted_ms, now_ms) && node.known_owner().0 <= epoch
+        });
+        let client = session.client.clone();
+        let client = client.with_conditions(condition.clone(), condition);
+        call.execute(&client, &to).await
     } else {
         CallResult::Ordered(CallOutcome::Unsent)
     };
--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -4,10 +4,8 @@
 use {
     crate::{
         calls::EndpointCall,
-        clock,
         delegate_pool::DelegatePool,
         owner::{OwnerActor, OwnerMessage},
-        ownership::FRESH_RENEWAL_MS,
         publisher::StatusPublisher,
     },
     compact_str::CompactString,
@@ -16,11 +14,7 @@
     lynxwheel_engine::{
         Effect, EndpointAddress, EndpointKey, EndpointTable, Event, Now, TaskRef, VmOutcome,
     },
-    lynxwheel_platform::{AdviceClient, EndpointClient, VmClient},
-    std::sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    lynxwheel_platform::{AdviceClient, EndpointClient, Sent, VmClient},
 };
 
 /// Executes the effects of one owner.
@@ -39,7 +33,6 @@
     endpoints: EndpointClient,
     vms: Option<VmClient>,
     advice: Option<AdviceClient>,
-    renewed_ms: Arc<AtomicU64>,
 }
 
 impl Dispatcher {
@@ -126,14 +119,12 @@
         endpoints: EndpointClient,
         vms: Option<VmClient>,
         advice: Option<AdviceClient>,
-        renewed_ms: Arc<AtomicU64>,
     ) -> Self {
         Self {
             actor,
             endpoints,
             vms,
             advice,
-            renewed_ms,
         }
     }
 
@@ -144,53 +135,43 @@
                 let Some(client) = &self.vms else {
                     return;
                 };
-                let outcome = if self.may_order(&vm) {
-                    client.move_to_pool(&vm, &pool).await
-                } else {
-                    VmOutcome::Refused
-                };
+                let sent = client.move_to_pool(&vm, &pool).await;
                 info!(
                     event = "vm_move", vm = vm.as_str(), pool = pool.as_str(),
-                    fencing_token = client.fencing_token(), outcome:? = outcome;
+                    fencing_token = client.fencing_token(), tries = sent.record.tries,
+                    sent_ago_ms = sent.sent_ago_ms(), outcome:? = sent.outcome;
                     "VM move ordered"
                 );
-                self.send_event(Event::VmOrderAnswered { vm, call, outcome })
-                    .await;
+                self.send_vm_outcome(vm, call, sent).await;
             }
             Effect::MaintainVm { vm, wave, call } => {
                 let Some(client) = &self.vms else {
                     return;
                 };
-                let outcome = if self.may_order(&vm) {
-                    client.start_maintenance(&vm, wave).await
-                } else {
-                    VmOutcome::Refused
-                };
+                let sent = client.start_maintenance(&vm, wave).await;
                 info!(
                     event = "vm_maintenance", vm = vm.as_str(), wave = wave,
-                    fencing_token = client.fencing_token(), outcome:? = outcome;
+                    fencing_token = client.fencing_token(), tries = sent.record.tries,
+                    sent_ago_ms = sent.sent_ago_ms(), outcome:? = sent.outcome;
                     "VM maintenance ordered"
                 );
-                self.send_event(Event::VmOrderAnswered { vm, call, outcome })
-                    .await;
+                self.send_vm_outcome(vm, call, sent).await;
             }
             // Replies and resignation are handled by the actor.
             _ => {}
         }
     }
 
-    /// Returns whether no other node can be the owner, which may have changed since the order was
-    /// decided if this node was suspended.
-    fn may_order(&self, vm: &str) -> bool {
-        let renewed_ms = self.renewed_ms.load(Ordering::Relaxed);
-        let is_recent = clock::steady_ms() < renewed_ms + FRESH_RENEWAL_MS;
-        if !is_recent {
+    async fn send_vm_outcome(&self, vm: CompactString, call: u64, sent: Sent<VmOutcome>) {
+        if sent.record.is_withheld {
             info!(
-                event = "vm_order_withheld", vm = vm;
+                event = "vm_order_withheld", vm = vm.as_str();
                 "VM order not sent, as the ownership may have ended"
             );
         }
-        is_recent
+        let outcome = sent.outcome;
+        self.send_event(Event::VmOrderAnswered { vm, call, outcome })
+            .await;
     }
 
     async fn request_advice(&self, step: TaskRef, endpoints: &[CompactString]) {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -39,6 +39,7 @@
 mod members;
 mod node;
 mod owner;
+mod owner_lease;
 mod ownership;
 mod payloads;
 mod peer;
@@ -47,6 +48,7 @@
 mod publisher;
 mod ready;
 mod speed;
+mod suspension;
 mod takeover;
 mod watcher;
 
@@ -61,6 +63,7 @@
     in_flight::{InFlightBatches, MAX_IN_FLIGHT_BATCHES, PIPELINE_DELAY_MS, STORE_UNAVAILABLE_MS},
     members::{MEMBER_TIMEOUT_MS, Member, Members},
     node::{MetricsHandle, run},
+    owner_lease::OwnerLease,
     ownership::{
         FRESH_RENEWAL_MS, OWNER_TIMEOUT_MS, OwnerInfo, OwnershipKind, OwnershipRecord,
         OwnershipView, REFUSED_CONNECTIONS_MS, RENEWAL_INTERVAL_MS, SMALL_NODE_CLAIM_DELAY_MS,
@@ -74,5 +77,6 @@
     pending::PendingCalls,
     publisher::StatusPublisher,
     speed::CpuSpeed,
+    suspension::Suspension,
     takeover::{LoadedState, is_read_again_due},
 };
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -11,6 +11,7 @@
         payloads::PayloadCache,
         peer_server, ready,
         speed::{self, CpuSpeed},
+        suspension::{OBSERVATION_INTERVAL_MS, Suspension},
         watcher,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
@@ -147,6 +148,10 @@
     pub last_store_contact_ms: AtomicU64,
     /// Handle to the metrics exporter.
     pub metrics: MetricsHandle,
+    /// Start of the last successful read of the ownership log, on the monotonic clock, in milliseconds.
+    pub ownership_read_ms: AtomicU64,
+    /// Detects suspensions of this process.
+    pub suspension: Arc<Suspension>,
     /// Triggered when graceful shutdown begins.
     pub stopping: Shutdown,
     /// Triggered when the node stops accepting connections.
@@ -185,6 +190,8 @@
             last_owned_epoch: AtomicU64::new(0),
             last_owner_response_ms: AtomicU64::new(0),
             last_store_contact_ms: AtomicU64::new(0),
+            ownership_read_ms: AtomicU64::new(0),
+            suspension: Arc::new(Suspension::new(clock::steady_ms())),
             stopping: Shutdown::new(),
             closing: Shutdown::new(),
             settings,
@@ -232,6 +239,14 @@
         (view.epoch, view.owner)
     }
 
+    /// Returns whether the ownership log was read since this process last continued after a
+    /// suspension, so that the known owner is a recent one.
+    #[must_use]
+    pub fn is_owner_known(&self, now_ms: u64) -> bool {
+        let read_ms = self.ownership_read_ms.load(Ordering::Relaxed);
+        self.suspension.has_run_since(read_ms, now_ms)
+    }
+
     fn record_benchmark(&self, elapsed: Duration) {
         let mut speed = self
             .cpu_speed
@@ -392,6 +407,7 @@
     tokio::spawn(watcher::watch(Arc::clone(&node)));
     tokio::spawn(run_metrics_upkeep(node.metrics.clone()));
     tokio::spawn(monitor_cpu_speed(Arc::clone(&node)));
+    tokio::spawn(observe_suspensions(Arc::clone(&node.suspension)));
     let callers = tokio::spawn(ingress::serve(Arc::clone(&node), callers));
     tokio::spawn(peer_server::serve(Arc::clone(&node), peers));
     tokio::spawn(ready::serve(Arc::clone(&node), ready));
@@ -427,6 +443,13 @@
     }
 }
 
+async fn observe_suspensions(suspension: Arc<Suspension>) {
+    loop {
+        suspension.resumed_ms(clock::steady_ms());
+        tokio::time::sleep(Duration::from_millis(OBSERVATION_INTERVAL_MS)).await;
+    }
+}
+
 async fn run_metrics_upkeep(metrics: MetricsHandle) {
     loop {
         tokio::time::sleep(Duration::from_millis(METRICS_UPKEEP_INTERVAL_MS)).await;
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -15,6 +15,7 @@
         load::OwnerLoad,
         log_events,
         node::Node,
+        owner_lease::OwnerLease,
         ownership::FRESH_RENEWAL_MS,
         peer::{CallerRequest, OwnerResponse},
         watcher,
@@ -28,10 +29,7 @@
     lynxwheel_engine::{CallerResponse, Effect, Engine, Event, JobId, Now, ReplyToken},
     std::{
         net::SocketAddr,
-        sync::{
-            Arc, Mutex, PoisonError,
-            atomic::{AtomicU64, Ordering},
-        },
+        sync::{Arc, Mutex, PoisonError},
         time::Instant,
     },
     tokio::{sync::oneshot, task::JoinHandle},
@@ -74,7 +72,7 @@
     /// Epoch of this ownership.
     pub epoch: u64,
     actor: ActorRef<OwnerActor>,
-    renewed_ms: Arc<AtomicU64>,
+    lease: Arc<OwnerLease>,
     tasks: Mutex<Vec<JoinHandle<()>>>,
     renewal_task: Mutex<Option<JoinHandle<()>>>,
 }
@@ -99,14 +97,14 @@
     /// Returns whether the last successful renewal is younger than `age_ms`.
     #[must_use]
     pub fn is_renewed_within(&self, now_ms: u64, age_ms: u64) -> bool {
-        now_ms < self.renewed_ms.load(Ordering::Relaxed) + age_ms
+        self.lease.is_renewed_within(now_ms, age_ms)
     }
 
-    pub(crate) fn new(epoch: u64, actor: ActorRef<OwnerActor>, renewed_ms: Arc<AtomicU64>) -> Self {
+    pub(crate) fn new(epoch: u64, actor: ActorRef<OwnerActor>, lease: Arc<OwnerLease>) -> Self {
         Self {
             epoch,
             actor,
-            renewed_ms,
+            lease,
             tasks: Mutex::default(),
             renewal_task: Mutex::default(),
         }
@@ -125,7 +123,7 @@
     /// any moment: from then on the actor neither orders VM operations nor reports jobs as unknown.
     /// Returns whether renewal was still active.
     fn stop_renewals(&self) -> bool {
-        self.renewed_ms.store(0, Ordering::Relaxed);
+        self.lease.end();
         let mut slot = self
             .renewal_task
             .lock()
@@ -149,6 +147,7 @@
         }
         drop(tasks);
         self.stop_renewals();
+        self.lease.depose();
     }
 }
 
--- /dev/null
+++ b/crates/controller/src/owner_lease.rs
@@ -0,0 +1,106 @@
+//! What proves that this node still owns the fleet, for everything that it sends as the owner.
+
+use {
+    crate::{clock, ownership::FRESH_RENEWAL_MS, suspension::Suspension},
+    lynxwheel_transport::SendCondition,
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+/// Proof of one ownership.
+#[derive(Debug)]
+pub struct OwnerLease {
+    suspension: Arc<Suspension>,
+    /// Monotonic time at which the takeover began, in milliseconds.
+    taken_ms: u64,
+    /// When the last stored renewal was sent, on the monotonic clock; 0 for none.
+    renewed_ms: AtomicU64,
+    /// When the last renewal without a response was sent, on the monotonic clock; 0 for none.
+    unanswered_ms: AtomicU64,
+    is_over: AtomicBool,
+    is_deposed: AtomicBool,
+}
+
+impl OwnerLease {
+    /// Creates the proof of an ownership whose takeover begins at a time on the monotonic clock, in
+    /// milliseconds.
+    #[must_use]
+    pub fn new(suspension: Arc<Suspension>, taken_ms: u64) -> Self {
+        Self {
+            suspension,
+            taken_ms,
+            renewed_ms: AtomicU64::new(0),
+            unanswered_ms: AtomicU64::new(0),
+            is_over: AtomicBool::new(false),
+            is_deposed: AtomicBool::new(false),
+        }
+    }
+
+    /// Records that a renewal is stored.
+    pub fn record_renewal(&self, sent_ms: u64) {
+        self.renewed_ms.fetch_max(sent_ms, Ordering::SeqCst);
+    }
+
+    /// Records that a renewal got no response.
+    pub fn record_unanswered_renewal(&self, sent_ms: u64) {
+        self.unanswered_ms.fetch_max(sent_ms, Ordering::SeqCst);
+    }
+
+    /// Records that another node may be the owner at any moment from now on, whatever arrives later.
+    pub fn end(&self) {
+        self.is_over.store(true, Ordering::SeqCst);
+    }
+
+    /// Records that another node is the owner, so that nothing may be sent any more.
+    pub fn depose(&self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        self.is_deposed.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the condition of sending something for which the lease has to satisfy `may_send` at
+    /// the time, on the monotonic clock in milliseconds.
+    #[must_use]
+    pub fn condition(self: &Arc<Self>, may_send: fn(&Self, u64) -> bool) -> SendCondition {
+        let lease = Arc::clone(self);
+        SendCondition::new(move || may_send(&lease, clock::steady_ms()))
+    }
+
+    /// Returns whether the last stored renewal is younger than `age_ms`.
+    #[must_use]
+    pub fn is_renewed_within(&self, now_ms: u64, age_ms: u64) -> bool {
+        let renewed_ms = self.renewed_ms.load(Ordering::SeqCst);
+        !self.is_over.load(Ordering::SeqCst) && now_ms < renewed_ms + age_ms
+    }
+
+    /// Returns whether no other node can be the owner, so that VMs may be ordered.
+    #[must_use]
+    pub fn may_order_vms(&self, now_ms: u64) -> bool {
+        self.is_renewed_within(now_ms, FRESH_RENEWAL_MS) && self.may_order_endpoints(now_ms)
+    }
+
+    /// Returns whether endpoints may be given orders: since the process last continued after a
+    /// suspension, a renewal has been sent and stored.
+    ///
+    /// A renewal need not be recent otherwise. While the store is unavailable nobody can take over,
+    /// and endpoints reject the orders of an owner whose successor they know.
+    #[must_use]
+    pub fn may_order_endpoints(&self, now_ms: u64) -> bool {
+        self.is_proven_since_resumed(now_ms, self.renewed_ms.load(Ordering::SeqCst))
+    }
+
+    /// Returns whether leases of endpoints may be renewed: like orders, and also if the store has not
+    /// responded since. The work of the whole fleet would end with its leases otherwise.
+    #[must_use]
+    pub fn may_renew_leases(&self, now_ms: u64) -> bool {
+        let renewed_ms = self.renewed_ms.load(Ordering::SeqCst);
+        let unanswered_ms = self.unanswered_ms.load(Ordering::SeqCst);
+        self.is_proven_since_resumed(now_ms, renewed_ms.max(unanswered_ms))
+    }
+
+    fn is_proven_since_resumed(&self, now_ms: u64, proven_ms: u64) -> bool {
+        let since_ms = self.taken_ms.max(proven_ms);
+        !self.is_deposed.load(Ordering::SeqCst) && self.suspension.has_run_since(since_ms, now_ms)
+    }
+}
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -11,6 +11,7 @@
         feeds,
         node::Node,
         owner::{OwnerActor, OwnerHandle, OwnerMessage},
+        owner_lease::OwnerLease,
         publisher::StatusPublisher,
         watcher,
     },
@@ -24,10 +25,7 @@
     },
     metrics::{counter, histogram},
     std::{
-        sync::{
-            Arc, PoisonError,
-            atomic::{AtomicU64, Ordering},
-        },
+        sync::{Arc, PoisonError, atomic::Ordering},
         time::Duration,
     },
     tokio::time::sleep,
@@ -118,19 +116,19 @@
 /// Fences earlier owners, loads the stored state, and starts the owner actor and its feeds.
 pub async fn take_over(node: &Arc<Node>, epoch: u64) {
     let started_ms = clock::steady_ms();
-    let renewed_ms = Arc::new(AtomicU64::new(0));
+    let lease = Arc::new(OwnerLease::new(Arc::clone(&node.suspension), started_ms));
     let writer = Writer::new(epoch, node.settings.max_append_bytes / 2);
     let renewal_task = tokio::spawn(watcher::renew(
         Arc::clone(node),
         epoch,
-        Arc::clone(&renewed_ms),
+        Arc::clone(&lease),
         writer.stored_end(),
     ));
     node.takeover_epoch.store(epoch, Ordering::Relaxed);
     let prepared = fence_and_load(node, epoch, &writer).await;
     match prepared {
         Ok(loaded) => {
-            let handle = start_owner(node, epoch, started_ms, writer, loaded, renewed_ms);
+            let handle = start_owner(node, epoch, started_ms, writer, loaded, lease);
             handle.set_renewal_task(renewal_task);
         }
         Err(reason) => {
@@ -168,7 +166,7 @@
     started_ms: u64,
     writer: Writer,
     loaded: LoadedState,
-    renewed_ms: Arc<AtomicU64>,
+    lease: Arc<OwnerLease>,
 ) -> Arc<OwnerHandle> {
     let now = clock::now();
     let LoadedState {
@@ -190,11 +188,13 @@
     // The calls need a reference to the actor, so it is prepared first and spawned below.
     let prepared = OwnerActor::prepare_with_mailbox(mailbox::bounded(MAILBOX_CAPACITY));
     let actor = prepared.actor_ref().clone();
-    let endpoint_client = EndpointClient::new(epoch);
-    let vm_client = node
-        .settings
-        .vm_service_address
-        .map(|address| VmClient::new(address, node.settings.node_name.as_str(), epoch));
+    let may_order = lease.condition(OwnerLease::may_order_endpoints);
+    let may_renew = lease.condition(OwnerLease::may_renew_leases);
+    let endpoint_client = EndpointClient::new(epoch).with_conditions(may_order.clone(), may_renew);
+    let vm_client = node.settings.vm_service_address.map(|address| {
+        VmClient::new(address, node.settings.node_name.as_str(), epoch)
+            .with_condition(lease.condition(OwnerLease::may_order_vms))
+    });
     let assignments = EndpointAssignments::new(node.settings.cpu_millis, node.settings.link_mbps);
     let delegates = DelegatePool::new(
         epoch,
@@ -202,18 +202,18 @@
         actor.clone(),
         Arc::clone(&node.peers),
         assignments,
+        may_order,
     );
     let calls = LocalCalls::new(
         actor.clone(),
         endpoint_client,
         vm_client.clone(),
         node.settings.advice_service_address.map(AdviceClient::new),
-        Arc::clone(&renewed_ms),
     );
     let publisher = StatusPublisher::start(node.store.clone(), epoch);
     let dispatcher = Dispatcher::new(delegates, calls, publisher);
     let owner = OwnerActor::new(Arc::clone(node), epoch, engine, writer, dispatcher);
-    let handle = Arc::new(OwnerHandle::new(epoch, actor, renewed_ms));
+    let handle = Arc::new(OwnerHandle::new(epoch, actor, lease));
     node.last_owned_epoch.store(epoch, Ordering::Relaxed);
     node.owner.store(Some(Arc::clone(&handle)));
     drop(prepared.spawn(owner));
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -6,6 +6,7 @@
         clock,
         node::Node,
         owner::OwnerMessage,
+        owner_lease::OwnerLease,
         ownership::{
             OwnershipKind, OwnershipRecord, OwnershipView, REFUSED_CONNECTIONS_MS,
             RENEWAL_INTERVAL_MS, SUSPICION_TIMEOUT_MS,
@@ -126,6 +127,7 @@
 /// Reads and applies new records. Returns whether the read succeeded.
 async fn read_new_records(node: &Node, wait_ms: u64) -> bool {
     let from = node.ownership.borrow().next_offset;
+    let started_ms = clock::steady_ms();
     let read = node.store.read(OWNERSHIP_TOPIC, from, wait_ms).await;
     let now_ms = clock::steady_ms();
     let mut is_topic_missing = false;
@@ -154,6 +156,10 @@
             false
         }
     };
+    if is_read {
+        node.ownership_read_ms
+            .fetch_max(started_ms, Ordering::Relaxed);
+    }
     if is_topic_missing {
         sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
     }
@@ -340,7 +346,7 @@
 pub async fn renew(
     node: Arc<Node>,
     epoch: u64,
-    renewed_ms: Arc<AtomicU64>,
+    lease: Arc<OwnerLease>,
     stored_end: Arc<AtomicU64>,
 ) {
     let mut record = node.ownership_record(OwnershipKind::Renewal, epoch);
@@ -362,9 +368,13 @@
         let pause_ms = match outcome {
             AppendOutcome::Stored { end, .. } => {
                 at = end;
-                renewed_ms.store(sent_ms, Ordering::Relaxed);
+                lease.record_renewal(sent_ms);
                 RENEWAL_INTERVAL_MS
             }
+            AppendOutcome::NothingDone | AppendOutcome::Unknown => {
+                lease.record_unanswered_renewal(sent_ms);
+                RETRY_DELAY_MS
+            }
             // Another writer, or an earlier renewal without a response; the watcher reads it.
             _ => RETRY_DELAY_MS,
         };
--- a/crates/lynxwheel/src/non_blocking_log.rs
+++ b/crates/lynxwheel/src/non_blocking_log.rs
@@ -3,7 +3,7 @@
 use {
     log::{
         Record,
-        kv::{Error as KvError, Key, Value, VisitSource},
+        kv::{Error as KvError, Key, Value, VisitSource, VisitValue},
     },
     log4rs::append::Append,
     serde_json::{Map, Value as Json},
@@ -83,11 +83,31 @@
     fn flush(&self) {}
 }
 
-/// Fields of a JSON log line.
+/// Whether a value is absent.
+#[derive(Default)]
+struct Absence(bool);
+
+impl VisitValue<'_> for Absence {
+    fn visit_any(&mut self, _: Value<'_>) -> Result<(), KvError> {
+        Ok(())
+    }
+
+    fn visit_null(&mut self) -> Result<(), KvError> {
+        self.0 = true;
+        Ok(())
+    }
+}
+
+/// Fields of a JSON log line, without those that have no value.
 struct Fields(Map<String, Json>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), KvError> {
+        let mut absence = Absence::default();
+        value.visit(&mut absence)?;
+        if absence.0 {
+            return Ok(());
+        }
         let json = value
             .to_u64()
             .map(Json::from)
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -5,7 +5,7 @@
         body::{Body, BodyError, full_body},
         counted::CountedStream,
         error::{Step, TransportError},
-        send_guard::{CheckedBody, SendGuard},
+        send_guard::{SendCondition, SendGuard, checked_body},
     },
     bytes::{Bytes, BytesMut},
     http::{Method, Request, Response, StatusCode},
@@ -236,7 +236,7 @@
         let peer = self.inner.peer;
         let guard = &request.guard;
         let built = self.build_request(request)?;
-        let built = built.map(|body| CheckedBody::new(body, guard.clone(), deadline));
+        let built = built.map(|body| checked_body(body, guard.clone(), deadline));
         let response = self.send_guarded(built, deadline, guard).await?;
         let (parts, body) = response.into_parts();
         let collected = timeout_at(deadline, Limited::new(body, MAX_MESSAGE_BYTES).collect())
@@ -312,7 +312,9 @@
         message: &Q,
         timeout: Duration,
     ) -> Result<A, TransportError> {
-        self.post(path, encode_message(message), timeout).await
+        let bytes = encode_message(message);
+        self.post(path, bytes, timeout, SendCondition::default())
+            .await
     }
 
     /// Posts a message that is encoded without field names, and decodes the response.
@@ -325,9 +327,26 @@
         path: &str,
         message: &Q,
         timeout: Duration,
+    ) -> Result<A, TransportError> {
+        self.post_compact_message_while(path, message, timeout, SendCondition::default())
+            .await
+    }
+
+    /// Posts a message like [`Client::post_compact_message`] if a condition still holds when it is
+    /// sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Client::post_message`] does, or when the condition does not hold.
+    pub async fn post_compact_message_while<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &Q,
+        timeout: Duration,
+        condition: SendCondition,
     ) -> Result<A, TransportError> {
         let bytes = encode_compact_message(message);
-        self.post(path, bytes, timeout).await
+        self.post(path, bytes, timeout, condition).await
     }
 
     async fn post<A: DeserializeOwned>(
@@ -335,11 +354,14 @@
         path: &str,
         message: Result<Vec<u8>, CodecError>,
         timeout: Duration,
+        condition: SendCondition,
     ) -> Result<A, TransportError> {
         let peer = self.inner.peer;
         let bytes = message
             .map_err(|error| TransportError::unsent(Step::Decode, peer, error.to_string()))?;
-        let request = ClientRequest::new(Method::POST, path).with_body(bytes);
+        let request = ClientRequest::new(Method::POST, path)
+            .with_body(bytes)
+            .with_guard(SendGuard::new(condition));
         let response = self.call(&request, timeout).await?;
         decode_response(peer, &response)
     }
--- a/crates/transport/src/send_guard.rs
+++ b/crates/transport/src/send_guard.rs
@@ -107,29 +107,27 @@
     }
 }
 
-/// Body that is only sent if its guard allows it when the first data is taken.
+/// Returns a body that is only sent if its guard allows it when the first data is taken.
 ///
 /// The HTTP library takes the first data before it writes the head, so nothing is sent otherwise.
+pub(crate) fn checked_body(inner: Body, guard: SendGuard, deadline: Instant) -> Body {
+    let checked = CheckedBody {
+        inner,
+        guard,
+        deadline,
+        is_begun: false,
+    };
+    checked.boxed_unsync()
+}
+
 #[derive(Debug)]
-pub(crate) struct CheckedBody {
+struct CheckedBody {
     inner: Body,
     guard: SendGuard,
     deadline: Instant,
     is_begun: bool,
 }
 
-impl CheckedBody {
-    pub(crate) fn new(inner: Body, guard: SendGuard, deadline: Instant) -> Body {
-        let this = Self {
-            inner,
-            guard,
-            deadline,
-            is_begun: false,
-        };
-        this.boxed_unsync()
-    }
-}
-
 impl HttpBody for CheckedBody {
     type Data = Bytes;
     type Error = BodyError;
