Renew no ownership that a newer epoch has ended

Cause: an owner that had been suspended reads its successor's claim, and its renewal task appends the next renewal behind it. The store accepts that, as nothing else is at the offset, and the owner took it for proof that it is the only one, until its actor got to the message that it is deposed. VM orders decided or waiting then passed every check.

Change: no renewal is sent, and none counts, once a newer epoch has been read. As a renewal is stored only at the offset up to which this owner has read, one that is stored proves that there was no newer claim.

Test: ownership.rs, owner_with_a_successor_does_not_renew.

--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -255,6 +255,16 @@
         }
     }
 
+    /// Returns the offset at which the owner of `epoch` appends its next renewal, given the end of
+    /// its previous one; `None` if a newer epoch is known.
+    ///
+    /// A renewal is stored only if nothing else is at its offset, which proves that there is no newer
+    /// claim as long as everything before the offset was read by the same owner.
+    #[must_use]
+    pub fn renewal_offset(&self, epoch: u64, previous_end: u64) -> Option<u64> {
+        (self.epoch <= epoch).then(|| self.next_offset.max(previous_end))
+    }
+
     /// Records that the log was read to its end.
     pub fn record_read(&mut self, now_ms: u64) {
         self.reading_since_ms.get_or_insert(now_ms);
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -350,11 +350,16 @@
     stored_end: Arc<AtomicU64>,
 ) {
     let mut record = node.ownership_record(OwnershipKind::Renewal, epoch);
-    let mut at = node.ownership.borrow().next_offset;
+    let mut previous_end = 0;
     loop {
         record.stored_end = stored_end.load(Ordering::Relaxed);
         record.cpu_millis = node.cpu_millis();
-        at = at.max(node.ownership.borrow().next_offset);
+        let offset = node.ownership.borrow().renewal_offset(epoch, previous_end);
+        let Some(at) = offset else {
+            // The actor learns of the newer epoch from the watcher.
+            lease.end();
+            return;
+        };
         let sent_ms = clock::steady_ms();
         let outcome = node
             .store
@@ -367,7 +372,7 @@
             .await;
         let pause_ms = match outcome {
             AppendOutcome::Stored { end, .. } => {
-                at = end;
+                previous_end = end;
                 lease.record_renewal(sent_ms);
                 RENEWAL_INTERVAL_MS
             }
--- a/crates/controller/tests/ownership.rs
+++ b/crates/controller/tests/ownership.rs
@@ -42,6 +42,18 @@
 
     owner_is_kept_until_timeout: assert!(!owned().needs_owner(1_000 + OWNER_TIMEOUT_MS));
 
+    /// Guards against an owner that was suspended, reads the claim of its successor, and takes its own
+    /// next renewal for proof that there is none.
+    owner_with_a_successor_does_not_renew: {
+        let mut view = owned();
+        assert_eq!(view.renewal_offset(1, 0), Some(1));
+        assert_eq!(view.renewal_offset(1, 3), Some(3));
+        view.apply(Some(&record(OwnershipKind::Claim, 0, 8)), 2_000);
+        assert_eq!(view.renewal_offset(1, 0), None);
+        assert_eq!(view.renewal_offset(1, 3), None);
+        assert_eq!(view.renewal_offset(2, 0), Some(2));
+    };
+
     silent_owner_is_replaced: assert!(owned().needs_owner(1_001 + OWNER_TIMEOUT_MS));
 
     /// Guards against claims by all nodes after a store outage during which the owner kept running.
