Compare crash histories only of jobs that have had a crash

Cause: with each change of a job the history of all its tasks was collected, and with each report the age of each run was classified twice.

--- a/crates/engine/src/crash_history.rs
+++ b/crates/engine/src/crash_history.rs
@@ -21,6 +21,8 @@
 pub(crate) struct CrashHistoryRecord {
     /// Stored value; empty for none.
     pub(crate) stored: Vec<u8>,
+    /// Whether any task has ever been charged or may be.
+    pub(crate) is_needed: bool,
     /// Whether it may be out of date.
     pub(crate) is_dirty: bool,
 }
@@ -83,11 +85,13 @@
     /// Records that the run is active at a time on the endpoint's clock. Returns whether its stored
     /// age differs.
     pub(crate) fn record_active(&mut self, clock_ms: u64) -> bool {
-        let is_first = self.active_since_clock_ms.is_none();
-        let before_ms = decisive_ms(self.active_ms);
-        let since_ms = *self.active_since_clock_ms.get_or_insert(clock_ms);
-        self.active_ms = self.active_ms.max(clock_ms.saturating_sub(since_ms));
-        is_first || decisive_ms(self.active_ms) != before_ms
+        let Some(since_ms) = self.active_since_clock_ms else {
+            self.active_since_clock_ms = Some(clock_ms);
+            return true;
+        };
+        let before_ms = self.active_ms;
+        self.active_ms = before_ms.max(clock_ms.saturating_sub(since_ms));
+        before_ms < ISOLATION_MS && decisive_ms(self.active_ms) != decisive_ms(before_ms)
     }
 }
 
@@ -187,6 +191,9 @@
 /// Returns the record of a job's crash history if it differs from the stored one.
 pub(crate) fn changed_crash_history(job: &mut Job) -> Option<Record> {
     job.crash_history.is_dirty = false;
+    if !job.crash_history.is_needed {
+        return None;
+    }
     let value = if job.state.is_final() {
         Vec::new()
     } else {
--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -235,6 +235,7 @@
         let crashes = known.crashes;
         let is_given_up = is_given_up(known, is_one_job);
         job.is_dirty = true;
+        job.crash_history.is_needed = true;
         self.log_events.push(LogEvent::CrashCharged {
             task,
             endpoint: self.endpoints.get(key).id.clone(),
@@ -271,6 +272,7 @@
                     is_unlikely,
                 });
                 job.is_dirty = true;
+                job.crash_history.is_needed = true;
                 self.endpoints.get_mut(key).add_lost_task(task);
             }
         }
--- a/crates/engine/src/restore.rs
+++ b/crates/engine/src/restore.rs
@@ -108,6 +108,7 @@
                         history.apply(job);
                     }
                     job.crash_history.stored.clone_from(value);
+                    job.crash_history.is_needed = true;
                 }
                 Err(_) => self.deletions.push(crash_history_record(id, Vec::new())),
             }
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -367,6 +367,9 @@
     job.state = state;
     job.visible_state = Some(state);
     job.occurrences = occurrences;
+    let has_history = |task: &Task| task.crashes > 0 || !task.lost_runs.is_empty();
+    let is_needed = job.tasks().any(|(_, task)| has_history(task));
+    job.crash_history.is_needed = is_needed;
     job.next_occurrence = next_occurrence;
     // Writing an ended job again causes its description to be deleted.
     job.is_dirty = state.is_final();
