Give a job up at the third crash only if most of them were not shared

Change: the third likely crash is decisive only if the task's job had most of the likely crashes to itself; at the fourth the job fails as before, one crash below the bound. The count is in the crash history; without one no crash counts as shared, as before.

Tests: endpoint_crashes.rs, task_after_two_shared_crashes_is_given_up_at_the_fourth, and crash_history.rs, shared_charges_under_the_next_owner, fail without the rule, the latter also without its restore; shared_charges_of_an_owner_without_crash_histories holds the rule of before.

--- a/crates/engine/src/crash_history.rs
+++ b/crates/engine/src/crash_history.rs
@@ -48,6 +48,8 @@
     run: u32,
     crashes: u32,
     unlikely_crashes: u32,
+    /// If absent, no crash was shared.
+    unshared_crashes: Option<u32>,
     runs: Vec<RunHistory>,
     /// Whether each lost run is unlikely to have crashed its endpoint.
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -114,6 +116,7 @@
             run: task.run,
             crashes: task.crashes,
             unlikely_crashes: task.unlikely_crashes,
+            unshared_crashes: Some(task.unshared_crashes),
             runs: task.attempts.iter().map(RunHistory::new).collect(),
             unlikely_lost: task.lost_runs.iter().map(|lost| lost.is_unlikely).collect(),
         }
@@ -123,6 +126,7 @@
     fn is_empty(&self) -> bool {
         let is_age_known = |known: &RunHistory| known.active_since_clock_ms.is_some();
         self.unlikely_crashes == 0
+            && self.unshared_crashes == Some(self.crashes)
             && !self.runs.iter().any(is_age_known)
             && !self.unlikely_lost.contains(&true)
     }
@@ -137,6 +141,8 @@
 
     fn apply(&self, task: &mut Task) {
         task.unlikely_crashes = self.unlikely_crashes.min(self.crashes);
+        let unshared_crashes = self.unshared_crashes.unwrap_or(self.crashes);
+        task.unshared_crashes = unshared_crashes.min(self.crashes);
         for (known, attempt) in self.runs.iter().zip(&mut task.attempts) {
             attempt.active_since_clock_ms = known.active_since_clock_ms;
             attempt.active_ms = known.active_ms;
--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -14,7 +14,8 @@
 /// fault.
 const ISOLATED_AFTER_CRASHES: u32 = 2;
 
-/// Likely crashes after which a job is given up if no other job's task is charged with the last one.
+/// Likely crashes after which a job is given up if no other job's task is charged with the last one,
+/// nor with most of them.
 const MAX_CRASHES: u32 = 3;
 
 /// Likely crashes after which a job is given up in any case.
@@ -151,7 +152,7 @@
     let likely = task.crashes.saturating_sub(task.unlikely_crashes);
     task.crashes >= MAX_ALL_CRASHES
         || likely >= MAX_SHARED_CRASHES
-        || (likely >= MAX_CRASHES && is_one_job)
+        || (likely >= MAX_CRASHES && is_one_job && 2 * task.unshared_crashes > likely)
 }
 
 impl Engine {
@@ -231,6 +232,7 @@
         };
         known.crashes += 1;
         known.unlikely_crashes += u32::from(is_unlikely);
+        known.unshared_crashes += u32::from(is_one_job && !is_unlikely);
         known.isolate_until_ms = now.steady_ms + ISOLATION_WAIT_MS;
         let crashes = known.crashes;
         let is_given_up = is_given_up(known, is_one_job);
@@ -304,6 +306,7 @@
         if let Some(known) = job.task_mut(task) {
             known.crashes = 0;
             known.unlikely_crashes = 0;
+            known.unshared_crashes = 0;
             known.lost_runs.clear();
             job.is_dirty = true;
         }
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -128,6 +128,8 @@
     pub crashes: u32,
     /// Those of them that its starts are unlikely to have caused.
     pub unlikely_crashes: u32,
+    /// Those of the others for which only tasks of its job were charged.
+    pub unshared_crashes: u32,
     /// Runs whose leases expired on endpoints that may have crashed, the latest last.
     pub lost_runs: Vec<LostRun>,
     /// Time until which it waits for an empty endpoint after crashes, on the monotonic clock.
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -346,6 +346,8 @@
             checkpoint,
             attempts: attempts.into_iter().filter_map(restore_attempt).collect(),
             crashes,
+            // Unless a history says otherwise.
+            unshared_crashes: crashes,
             lost_runs: lost_on.into_iter().filter_map(restore_lost_run).collect(),
             isolate_until_ms,
             ..Task::default()
--- a/crates/engine/tests/crash_history.rs
+++ b/crates/engine/tests/crash_history.rs
@@ -243,6 +243,63 @@
         1 [CrashAfterLaterStart, TakeOverByOlderBuild, Crash] => Some(2);
 }
 
+/// Submits a job beside which the task starts again, and cancels it after a crash of their endpoint.
+fn crash_with_another(fleet: &mut Fleet, other: u64) {
+    fleet.submit(other, 1);
+    let index = await_run(fleet).expect("a running task");
+    fleet.advance(100);
+    fleet.crash(index);
+    fleet.handle(Event::Cancel {
+        job: job_id(other),
+        account: "".into(),
+        token: other,
+    });
+    fleet.advance(RESTART_MS);
+}
+
+/// Returns a fleet under a new owner, whose task shared two crashes with other jobs.
+fn fleet_after_shared_crashes(change: impl Fn(&mut Vec<Record>)) -> Fleet {
+    let mut fleet = fleet_with(1);
+    for index in 1..6 {
+        fleet.set_cpu_millis(index, 0);
+    }
+    crash_with_another(&mut fleet, 2);
+    fleet.submit(3, 1);
+    fleet.restart(0);
+    crash_with_another(&mut fleet, 3);
+    fleet.restart(0);
+    fleet.advance(1_000);
+    change(&mut fleet.stored);
+    fleet.take_over();
+    for index in 1..6 {
+        fleet.set_cpu_millis(index, 16_000);
+    }
+    fleet.advance(300);
+    assert_eq!(likely_crashes(&mut fleet), Some(2));
+    fleet
+}
+
+/// Guards against a change of owner that forgets which charges other jobs share.
+#[test]
+fn shared_charges_under_the_next_owner() {
+    let mut fleet = fleet_after_shared_crashes(|_| {});
+    apply(&mut fleet, Step::Crash);
+    assert_eq!(likely_crashes(&mut fleet), Some(3));
+    fleet.take_over();
+    fleet.advance(300);
+    apply(&mut fleet, Step::Crash);
+    assert_eq!(likely_crashes(&mut fleet), None);
+}
+
+/// Guards against a later bound for jobs of owners without crash histories.
+#[test]
+fn shared_charges_of_an_owner_without_crash_histories() {
+    let without = |records: &mut Vec<Record>| records.retain(|record| !is_crash_history(record));
+    let mut fleet = fleet_after_shared_crashes(without);
+    apply(&mut fleet, Step::Crash);
+    assert_eq!(likely_crashes(&mut fleet), None);
+}
+
 /// Applies steps under an owner without crash histories, which leaves the stored ones as they were,
 /// and returns the fleet under the owner after it.
 fn after_older_owner(before: &[Step], under_older: &[Step]) -> Fleet {
--- a/crates/engine/tests/endpoint_crashes.rs
+++ b/crates/engine/tests/endpoint_crashes.rs
@@ -618,6 +618,44 @@
     }
 }
 
+/// Guards against giving up a task after two crashes that it shared with others and one that it did
+/// not, which may all have other causes, and against starting it without end.
+#[test]
+fn task_after_two_shared_crashes_is_given_up_at_the_fourth() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.engine.allow_vm_orders(false);
+    fleet.submit_spec(1, long_running(1));
+    fleet.submit(2, 1);
+    fleet.advance(100);
+    for other in [2, 3] {
+        assert_eq!(fleet.endpoints[0].running.len(), 2);
+        fleet.crash(0);
+        fleet.handle(Event::Cancel {
+            job: job_id(other),
+            account: "".into(),
+            token: other,
+        });
+        fleet.submit(other + 1, 1);
+        fleet.advance(RESTART_MS);
+        if other == 3 {
+            fleet.handle(Event::Cancel {
+                job: job_id(4),
+                account: "".into(),
+                token: 4,
+            });
+        }
+        fleet.restart(0);
+    }
+    for (crashes, is_given_up) in [(3, false), (4, true)] {
+        assert!(endpoint_of(&fleet, task(1)).is_some());
+        charges(&mut fleet);
+        crash_and_restart(&mut fleet, 0, RESTART_MS);
+        assert_eq!(charges(&mut fleet), [crashes]);
+        assert_eq!(is_failed(&fleet, 1), is_given_up);
+    }
+}
+
 /// Guards against giving up both of two tasks that always started together, only one of which may be
 /// at fault.
 #[test]
