Judge calls with one request apart, and log when paces were sent

Cause: a request without a condition had a guard that its clones shared, so a call that was sent could have been taken for one that was withheld, if another call with the same request was. Appends are repeated with the same request; what they conclude does not depend on it today.

Change: only a request with a condition keeps its guard; others get one for each call. The line of a pace has `tries` and `sent_ago_ms` like those of other calls.

Test: send_guards.rs, calls_with_one_request_are_judged_apart, fails with a shared guard.

--- a/crates/controller/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -117,13 +117,14 @@
                 CallResult::Renewed(sent.outcome)
             }
             Self::Pace(task, run, percent) => {
-                let is_done = client.set_pace(to, task, *run, *percent).await;
+                let sent = client.set_pace(to, task, *run, *percent).await;
                 info!(
                     event = "pace", task:% = task, run = *run, percent = *percent,
-                    is_done = is_done;
+                    tries = sent.record.tries, sent_ago_ms = sent.sent_ago_ms(),
+                    is_done = sent.outcome;
                     "run pace changed"
                 );
-                CallResult::Paced(is_done)
+                CallResult::Paced(sent.outcome)
             }
         }
     }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -445,7 +445,7 @@
 
 async fn observe_suspensions(suspension: Arc<Suspension>) {
     loop {
-        suspension.resumed_ms(clock::steady_ms());
+        suspension.observe(clock::steady_ms());
         tokio::time::sleep(Duration::from_millis(OBSERVATION_INTERVAL_MS)).await;
     }
 }
--- a/crates/controller/src/suspension.rs
+++ b/crates/controller/src/suspension.rs
@@ -43,12 +43,12 @@
 
     /// Returns whether the process has not been suspended since an earlier time on the monotonic clock.
     pub fn has_run_since(&self, since_ms: u64, now_ms: u64) -> bool {
-        self.resumed_ms(now_ms) <= since_ms
+        self.observe(now_ms) <= since_ms
     }
 
     /// Records that the process is running, and returns when it last continued after a suspension,
     /// on the monotonic clock; 0 for never.
-    pub fn resumed_ms(&self, now_ms: u64) -> u64 {
+    pub fn observe(&self, now_ms: u64) -> u64 {
         let mut observed = self.observed.lock().unwrap_or_else(PoisonError::into_inner);
         let gap_ms = now_ms.saturating_sub(observed.running_ms);
         observed.running_ms = observed.running_ms.max(now_ms);
--- a/crates/controller/tests/owner_lease.rs
+++ b/crates/controller/tests/owner_lease.rs
@@ -46,7 +46,7 @@
     let suspension = Arc::new(Suspension::new(TAKEN_MS));
     let lease = OwnerLease::new(Arc::clone(&suspension), TAKEN_MS);
     lease.record_renewal(TAKEN_MS);
-    suspension.resumed_ms(TAKEN_MS + 100);
+    suspension.observe(TAKEN_MS + 100);
     change(&lease);
     // Whoever asks first notices.
     let now_ms = RESUMED_MS + now_ms;
@@ -105,7 +105,7 @@
     let suspension = Arc::new(Suspension::new(TAKEN_MS));
     let lease = OwnerLease::new(Arc::clone(&suspension), TAKEN_MS);
     for now_ms in (TAKEN_MS..TAKEN_MS + 10_000).step_by(100) {
-        suspension.resumed_ms(now_ms);
+        suspension.observe(now_ms);
         assert!(lease.may_order_endpoints(now_ms) && lease.may_renew_leases(now_ms));
     }
     lease.record_renewal(TAKEN_MS + 10_000);
@@ -118,14 +118,11 @@
 #[test]
 fn short_pauses_are_no_suspensions() {
     let suspension = Suspension::new(TAKEN_MS);
-    assert_eq!(
-        suspension.resumed_ms(TAKEN_MS + SUSPICION_TIMEOUT_MS - 1),
-        0
-    );
-    assert_eq!(suspension.resumed_ms(TAKEN_MS), 0);
+    assert_eq!(suspension.observe(TAKEN_MS + SUSPICION_TIMEOUT_MS - 1), 0);
+    assert_eq!(suspension.observe(TAKEN_MS), 0);
     let next_ms = TAKEN_MS + 2 * SUSPICION_TIMEOUT_MS;
-    assert_eq!(suspension.resumed_ms(next_ms), next_ms);
-    assert_eq!(suspension.resumed_ms(next_ms + 100), next_ms);
+    assert_eq!(suspension.observe(next_ms), next_ms);
+    assert_eq!(suspension.observe(next_ms + 100), next_ms);
 }
 
 /// Guards against a delegate that executes calls which it accepted before it was suspended, or that
@@ -144,7 +141,7 @@
 #[test]
 fn suspension_before_the_takeover_does_not_matter() {
     let suspension = Arc::new(Suspension::new(TAKEN_MS));
-    suspension.resumed_ms(RESUMED_MS);
+    suspension.observe(RESUMED_MS);
     let lease = OwnerLease::new(suspension, RESUMED_MS);
     assert!(lease.may_order_endpoints(RESUMED_MS + 50));
 }
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -48,8 +48,8 @@
     pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Bytes,
-    /// Condition under which it may be sent.
-    pub guard: SendGuard,
+    /// Condition under which it may be sent; a request with one is sent by a single call.
+    pub guard: Option<SendGuard>,
 }
 
 impl ClientRequest {
@@ -61,7 +61,7 @@
             path: path.into(),
             headers: Vec::new(),
             body: Bytes::new(),
-            guard: SendGuard::default(),
+            guard: None,
         }
     }
 
@@ -69,7 +69,7 @@
     /// Requests without a body are not recorded.
     #[must_use]
     pub fn with_guard(mut self, guard: SendGuard) -> Self {
-        self.guard = guard;
+        self.guard = Some(guard);
         self
     }
 
@@ -234,10 +234,10 @@
     ) -> Result<ClientResponse, TransportError> {
         let deadline = Instant::now() + timeout;
         let peer = self.inner.peer;
-        let guard = &request.guard;
+        let guard = request.guard.clone().unwrap_or_default();
         let built = self.build_request(request)?;
         let built = built.map(|body| checked_body(body, guard.clone(), deadline));
-        let response = self.send_guarded(built, deadline, guard).await?;
+        let response = self.send_guarded(built, deadline, &guard).await?;
         let (parts, body) = response.into_parts();
         let collected = timeout_at(deadline, Limited::new(body, MAX_MESSAGE_BYTES).collect())
             .await
--- a/crates/transport/tests/send_guards.rs
+++ b/crates/transport/tests/send_guards.rs
@@ -216,6 +216,28 @@
     });
 }
 
+/// Guards against taking a call that was sent for one that was withheld, because another call with the
+/// same request was.
+#[test]
+fn calls_with_one_request_are_judged_apart() {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let peer = Peer::start(0, Duration::ZERO);
+        let client = Client::new(peer.address, 1);
+        let request = ClientRequest::new(Method::POST, "/order").with_body("order");
+        let withheld = {
+            let (client, request) = (client.clone(), request.clone());
+            tokio::spawn(async move { client.call(&request, SHORT).await })
+        };
+        yield_now().await;
+        thread::sleep(SUSPENSION);
+        let error = withheld.await.expect("a result").unwrap_err();
+        assert_eq!((error.step, error.may_have_run), (Step::Check, false));
+        let error = client.call(&request.clone(), LONG).await.unwrap_err();
+        assert_eq!((error.step, error.may_have_run), (Step::Exchange, true));
+    });
+}
+
 /// Guards against withholding orders whose condition holds, and against a wrong record of them.
 #[test]
 fn order_is_sent_while_its_condition_holds() {
