--- a/crates/controller/src/owner_lease.rs
+++ b/crates/controller/src/owner_lease.rs
@@ -83,8 +83,8 @@
     /// Returns whether endpoints may be given orders: since the process last continued after a
     /// suspension, a renewal has been sent and stored.
     ///
-    /// A renewal need not be recent otherwise. While the store is unavailable nobody can take over,
-    /// and endpoints reject the orders of an owner whose successor they know.
+    /// A renewal need not be recent otherwise, so that calls go on while the store is unavailable. If
+    /// it is unavailable to this node alone, endpoints that know its successor reject its orders.
     #[must_use]
     pub fn may_order_endpoints(&self, now_ms: u64) -> bool {
         self.is_proven_since_resumed(now_ms, self.renewed_ms.load(Ordering::SeqCst))
--- a/crates/transport/tests/send_guards.rs
+++ b/crates/transport/tests/send_guards.rs
@@ -35,30 +35,47 @@
     address: SocketAddr,
     orders: Arc<AtomicUsize>,
     requests: Arc<AtomicUsize>,
+    may_close: Arc<AtomicBool>,
 }
 
 impl Peer {
-    /// Starts a peer that closes each connection after a number of responses, and responds after
-    /// `delay`.
+    /// Starts a peer that closes each connection after a number of responses, once it may, and responds
+    /// after `delay`.
     fn start(responses: usize, delay: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
         let address = listener.local_addr().expect("address");
         let orders = Arc::new(AtomicUsize::new(0));
         let requests = Arc::new(AtomicUsize::new(0));
+        let may_close = Arc::new(AtomicBool::new(false));
         let counters = (Arc::clone(&orders), Arc::clone(&requests));
+        let closing = Arc::clone(&may_close);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let counters = counters.clone();
-                thread::spawn(move || respond(stream, responses, delay, &counters));
+                let closing = Arc::clone(&closing);
+                thread::spawn(move || {
+                    respond(&stream, responses, delay, &counters);
+                    while !closing.load(Ordering::SeqCst) {
+                        thread::yield_now();
+                    }
+                });
             }
         });
         Self {
             address,
             orders,
             requests,
+            may_close,
         }
     }
 
+    /// Closes the connections with all their responses; the client does not read that before it
+    /// continues.
+    fn close(&self) {
+        self.may_close.store(true, Ordering::SeqCst);
+        thread::sleep(SHORT);
+    }
+
     fn order_count(&self) -> usize {
         // What was sent has arrived by then.
         thread::sleep(SHORT);
@@ -67,7 +84,7 @@
 }
 
 fn respond(
-    mut stream: TcpStream,
+    mut stream: &TcpStream,
     responses: usize,
     delay: Duration,
     (orders, requests): &(Arc<AtomicUsize>, Arc<AtomicUsize>),
@@ -85,6 +102,13 @@
     }
 }
 
+/// Runs a test on one thread, which reads the events of connections before each task.
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let mut builder = Builder::new_current_thread();
+    let runtime = builder.enable_all().event_interval(1).build();
+    runtime.expect("a runtime").block_on(test)
+}
+
 fn order(guard: &SendGuard) -> ClientRequest {
     ClientRequest::new(Method::POST, "/order")
         .with_body("order")
@@ -119,8 +143,7 @@
     timeout: Duration,
     change: impl Fn(&AtomicBool) + Copy,
 ) -> (Option<TransportError>, u32, usize) {
-    let runtime = Builder::new_current_thread().enable_all().build();
-    runtime.expect("a runtime").block_on(async {
+    run(async {
         let peer = match point {
             Point::Permit => Peer::start(usize::MAX, SUSPENSION / 2),
             Point::Retry => Peer::start(1, Duration::ZERO),
@@ -143,8 +166,9 @@
                 }
             }
             Point::Retry => {
-                // Its connection is idle, and the peer closes it during the suspension.
+                // Its connection is idle, and the peer closes it unnoticed.
                 client.get("/first", LONG).await.expect("a response");
+                peer.close();
             }
             Point::Connection | Point::Write => {}
         }
@@ -201,8 +225,7 @@
 /// connection.
 #[test]
 fn condition_ends_before_the_order_is_written() {
-    let runtime = Builder::new_current_thread().enable_all().build();
-    runtime.expect("a runtime").block_on(async {
+    run(async {
         let peer = Peer::start(usize::MAX, Duration::ZERO);
         let client = Client::new(peer.address, 1);
         let checks = AtomicUsize::new(0);
@@ -216,13 +239,48 @@
     });
 }
 
+/// Sends an order on a connection that the peer has closed unnoticed, while its condition is checked
+/// at most `allowed` times. Returns the error, the number of checks, and how often the peer
+/// received the order.
+fn sent_after_a_closed_connection(allowed: usize) -> (Option<TransportError>, usize, usize) {
+    run(async {
+        let peer = Peer::start(1, Duration::ZERO);
+        let client = Client::new(peer.address, 1);
+        client.get("/first", LONG).await.expect("a response");
+        let checks = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&checks);
+        let holds = move || counter.fetch_add(1, Ordering::SeqCst) < allowed;
+        let request = order(&SendGuard::new(SendCondition::new(holds)));
+        // The call chooses the connection before the next events are read, which close it.
+        let call = tokio::spawn(async move { client.call(&request, LONG).await });
+        peer.close();
+        let error = call.await.expect("a result").err();
+        (error, checks.load(Ordering::SeqCst), peer.order_count())
+    })
+}
+
+/// Guards against a second try without a check of its own.
+#[test]
+fn condition_ends_between_two_tries() {
+    let (error, checks, orders) = sent_after_a_closed_connection(usize::MAX);
+    assert_eq!(
+        (error, checks, orders),
+        (None, 3, 1),
+        "two tries, one of them written"
+    );
+    let (error, checks, orders) = sent_after_a_closed_connection(1);
+    let error = error.expect("an error");
+    assert_eq!((error.step, error.may_have_run), (Step::Check, false));
+    assert_eq!((checks, orders), (2, 0));
+}
+
 /// Guards against taking a call that was sent for one that was withheld, because another call with the
 /// same request was.
 #[test]
 fn calls_with_one_request_are_judged_apart() {
-    let runtime = Builder::new_current_thread().enable_all().build();
-    runtime.expect("a runtime").block_on(async {
+    run(async {
         let peer = Peer::start(0, Duration::ZERO);
+        peer.close();
         let client = Client::new(peer.address, 1);
         let request = ClientRequest::new(Method::POST, "/order").with_body("order");
         let withheld = {
