--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -4,8 +4,8 @@
 use lynxwheel_engine::{
     Batch, CallOutcome, CallerResponse, ClientAccount, ClientAccounts, Effect, EndKind, EndedTask,
     EndpointEntry, EndpointReport, Engine, EngineSettings, Event, FleetConfig, JobId, JobSpec,
-    JobState, KeyDigest, Now, Pool, Queue, Record, Resources, RunningTask, StartOrder, StepSpec,
-    TaskRef, UnreadCause, VmEntry, VmOutcome, VmState,
+    JobState, KeyDigest, Now, Pool, Queue, Record, Refusal, Resources, RunningTask, StartOrder,
+    StepSpec, TaskRef, UnreadCause, VmEntry, VmOutcome, VmState,
 };
 
 /// Start of the clock in milliseconds, which is far from zero as on a real system.
@@ -76,6 +76,8 @@
     pub is_unresponsive: bool,
     /// Executes orders, but the answers are lost.
     pub loses_answers: bool,
+    /// Refuses the calls for which this returns a reason, and does nothing for them.
+    pub refuses: Option<fn(&Effect) -> Option<Refusal>>,
     /// Number of ended runs.
     pub ends: u64,
     /// End of the lease on the endpoint's clock.
@@ -416,7 +418,12 @@
     }
 
     /// Sends an order to an endpoint and returns the outcome that the caller observes.
-    fn order(&mut self, key: u32, act: impl FnOnce(&mut FakeEndpoint)) -> CallOutcome<u64> {
+    fn order(
+        &mut self,
+        key: u32,
+        refusal: Option<Refusal>,
+        act: impl FnOnce(&mut FakeEndpoint),
+    ) -> CallOutcome<u64> {
         if self.has_ended(key) {
             return CallOutcome::OtherLife;
         }
@@ -424,6 +431,9 @@
         if endpoint.is_unresponsive {
             return CallOutcome::Unknown;
         }
+        if let Some(refusal) = refusal {
+            return CallOutcome::Refused(refusal);
+        }
         act(endpoint);
         if endpoint.loses_answers {
             return CallOutcome::Unknown;
@@ -431,8 +441,23 @@
         CallOutcome::Done(clock_ms(self.now))
     }
 
+    /// Returns why an endpoint refuses a call, if it does.
+    fn refusal(&mut self, key: u32, call: &Effect) -> Option<Refusal> {
+        if self.has_ended(key) {
+            return None;
+        }
+        self.endpoint(key).refuses.and_then(|refuses| refuses(call))
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         self.orders.push(effect.clone());
+        let refusal = match &effect {
+            Effect::Start(order) => self.refusal(order.endpoint, &effect),
+            Effect::Stop { endpoint, .. }
+            | Effect::Renew { endpoint, .. }
+            | Effect::Pace { endpoint, .. } => self.refusal(*endpoint, &effect),
+            _ => None,
+        };
         match effect {
             Effect::Start(order) => {
                 let StartOrder {
@@ -442,7 +467,7 @@
                     deadline_ms,
                     ..
                 } = *order;
-                let outcome = self.order(key, |endpoint| {
+                let outcome = self.order(key, refusal, |endpoint| {
                     endpoint.lease_until_ms = endpoint.lease_until_ms.max(deadline_ms);
                     if !endpoint.running.contains(&(task, run)) {
                         endpoint.running.push((task, run));
@@ -461,8 +486,9 @@
                 task,
                 run,
             } => {
-                let outcome =
-                    self.order(key, |endpoint| endpoint.end(&task, run, EndKind::Stopped));
+                let outcome = self.order(key, refusal, |endpoint| {
+                    endpoint.end(&task, run, EndKind::Stopped);
+                });
                 self.handle(Event::Stopped {
                     endpoint: key,
                     task,
@@ -476,6 +502,12 @@
                 acknowledged,
                 wait_ms,
             } => {
+                if let Some(refusal) = refusal {
+                    return self.handle(Event::Renewed {
+                        endpoint,
+                        outcome: CallOutcome::Refused(refusal),
+                    });
+                }
                 if !self.has_ended(endpoint) {
                     let fake = self.endpoint(endpoint);
                     if !fake.is_unresponsive {
--- /dev/null
+++ b/crates/engine/tests/refused_orders.rs
@@ -0,0 +1,143 @@
+//! Orders that endpoints refuse although nothing is wrong with the order.
+
+mod common;
+
+use {
+    common::{Fleet, job_id, listed, step},
+    lynxwheel_engine::{Effect, EndKind, Event, JobSpec, Refusal, StepSpec, TaskRef},
+};
+
+/// Longest time from the end of the refusals until a run that nobody wants is gone, in milliseconds.
+const STOPPED_WITHIN_MS: u64 = 600;
+
+fn refuse_stops(call: &Effect) -> Option<Refusal> {
+    matches!(call, Effect::Stop { .. }).then_some(Refusal::Unhealthy)
+}
+
+fn cancel(fleet: &mut Fleet, number: u64) {
+    fleet.handle(Event::Cancel {
+        job: job_id(number),
+        account: "".into(),
+        token: 1_000 + number,
+    });
+    fleet.settle();
+}
+
+fn stops(fleet: &Fleet) -> usize {
+    let orders = fleet.orders.iter();
+    orders
+        .filter(|order| matches!(order, Effect::Stop { .. }))
+        .count()
+}
+
+fn set_refusals(fleet: &mut Fleet, refuses: Option<fn(&Effect) -> Option<Refusal>>) {
+    for endpoint in &mut fleet.endpoints {
+        endpoint.refuses = refuses;
+    }
+}
+
+/// Submits a step to a fleet of two endpoints with four cores each, and starts what fits.
+fn fleet_with(step: StepSpec) -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.list_endpoint("i-2", 4_000);
+    fleet.advance(200);
+    let spec = JobSpec {
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    fleet.submit_spec(1, spec);
+    fleet.settle();
+    fleet
+}
+
+fn is_running(fleet: &Fleet, (task, run): (TaskRef, u32)) -> bool {
+    let mut running = fleet.endpoints.iter().flat_map(|known| &known.running);
+    running.any(|known| *known == (task, run))
+}
+
+/// Returns the first active run and the index of its endpoint.
+fn first_run(fleet: &Fleet) -> (usize, (TaskRef, u32)) {
+    let mut runs = fleet.endpoints.iter().zip(0..);
+    runs.find_map(|(endpoint, index)| endpoint.running.first().map(|run| (index, *run)))
+        .expect("an active run")
+}
+
+/// Makes the owner decide to stop the first run while its endpoint refuses stops, then lets the
+/// endpoint recover. Returns whether the run went on meanwhile and is gone soon afterwards.
+fn stops_after_refusals(step: StepSpec, decide: impl FnOnce(&mut Fleet, usize)) -> (bool, bool) {
+    let mut fleet = fleet_with(step);
+    let (index, run) = first_run(&fleet);
+    set_refusals(&mut fleet, Some(refuse_stops));
+    decide(&mut fleet, index);
+    fleet.advance(1_000);
+    let was_running = is_running(&fleet, run);
+    assert!(stops(&fleet) > 0, "a stop was sent");
+    set_refusals(&mut fleet, None);
+    fleet.advance(STOPPED_WITHIN_MS);
+    (was_running, !is_running(&fleet, run))
+}
+
+fn long_running(count: u16) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step(count)
+    }
+}
+
+fn drain(fleet: &mut Fleet, index: usize) {
+    let mut entry = fleet.entries[index].clone();
+    entry.is_draining = true;
+    fleet.handle(listed(entry, true));
+    fleet.settle();
+}
+
+macro_rules! senders {
+    ($($name:ident: $step:expr, $decide:expr;)*) => {
+        $(/// Guards against a run that goes on after a refused stop.
+        #[test] fn $name() {
+            assert_eq!(stops_after_refusals($step, $decide), (true, true));
+        })*
+    };
+}
+
+senders! {
+    refused_stop_of_a_cancelled_job: step(1), |fleet, _| cancel(fleet, 1);
+    refused_stop_of_a_gang_without_one_member: StepSpec { gang: true, ..step(2) }, |fleet, index| {
+        let (task, run) = fleet.endpoints[index].running[1];
+        fleet.endpoints[index].end(&task, run, EndKind::Failed);
+        fleet.advance(100);
+    };
+    refused_stop_on_a_draining_endpoint: long_running(1), drain;
+    refused_stop_of_a_stuck_run: step(1), |fleet, index| {
+        fleet.endpoints[index].percent = Some(30);
+        fleet.advance(4_000);
+    };
+    refused_stop_decided_by_the_previous_owner: step(1), |fleet, _| {
+        cancel(fleet, 1);
+        fleet.take_over();
+        fleet.settle();
+    };
+}
+
+/// Guards against room that is given to others while a start without an answer may still take
+/// effect, as its stop was refused.
+#[test]
+fn room_of_an_unanswered_start_is_kept_after_a_refused_stop() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.advance(200);
+    fleet.endpoints[0].is_unresponsive = true;
+    fleet.submit(1, 4);
+    fleet.settle();
+    fleet.endpoints[0].is_unresponsive = false;
+    set_refusals(&mut fleet, Some(refuse_stops));
+    cancel(&mut fleet, 1);
+    fleet.submit(2, 4);
+    fleet.advance(1_000);
+    assert!(stops(&fleet) > 0, "a stop was sent");
+    assert_eq!(fleet.endpoints[0].running, []);
+    set_refusals(&mut fleet, None);
+    fleet.advance(STOPPED_WITHIN_MS);
+    assert_eq!(fleet.endpoints[0].running.len(), 4);
+}
