Make the peer of a test read a request before it closes the connection

Its peer closed each connection at once, so that the client saw either the end of the connection before it wrote the request (unsent) or after (sent). The test is about a request that was sent: the peer now closes the connection only once it has read one, and the expected result is the same as before.

--- a/crates/transport/tests/send_guards.rs
+++ b/crates/transport/tests/send_guards.rs
@@ -274,14 +274,24 @@
     assert_eq!((checks, orders), (2, 0));
 }
 
+/// Starts a peer that closes each connection once it has received a request, and returns its address.
+fn start_peer_without_responses() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || drop(stream.read(&mut [0; 4_096])));
+        }
+    });
+    address
+}
+
 /// Guards against taking a call that was sent for one that was withheld, because another call with the
 /// same request was.
 #[test]
 fn calls_with_one_request_are_judged_apart() {
     run(async {
-        let peer = Peer::start(0, Duration::ZERO);
-        peer.close();
-        let client = Client::new(peer.address, 1);
+        let client = Client::new(start_peer_without_responses(), 1);
         let request = ClientRequest::new(Method::POST, "/order").with_body("order");
         let withheld = {
             let (client, request) = (client.clone(), request.clone());
