Soak: overloaded endpoints, cancelled jobs that take long, and a check of their runs

The checker now knows when any fault is active and for how long its calls may still take effect. In every run, 4 s after all that has ended, no run may be active more than 3,200 ms after the cancellation of its job was acknowledged.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -8,6 +8,7 @@
 
 /// Randomized soak test of nodes that run as processes.
 #[derive(Debug, Parser)]
+#[expect(clippy::struct_excessive_bools, reason = "the options are independent")]
 struct Arguments {
     /// Path of the `lynxwheel` program.
     #[arg(long, default_value = "target/release/lynxwheel")]
@@ -33,6 +34,10 @@
     /// Adds tasks that crash their endpoints, and changes the capacity of endpoints.
     #[arg(long)]
     unstable_endpoints: bool,
+    /// Makes endpoints refuse part of their calls and execute other orders late, and adds jobs that
+    /// take long and are cancelled.
+    #[arg(long)]
+    refused_orders: bool,
     /// Duration of the traffic and the faults, in milliseconds.
     #[arg(long, default_value_t = 10_000)]
     length_ms: u64,
@@ -49,6 +54,7 @@
         small_nodes,
         late_appends,
         unstable_endpoints,
+        refused_orders,
         length_ms,
     } = Arguments::parse();
     let plan = |seed| {
@@ -56,6 +62,7 @@
             .with_small_nodes(small_nodes)
             .with_late_appends(late_appends)
             .with_unstable_endpoints(unstable_endpoints)
+            .with_refused_orders(refused_orders)
     };
     let run = |seed| {
         let plan = plan(seed);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,8 +8,8 @@
     http::{Method, StatusCode},
     lynxwheel_engine::{JobId, JobSpec, Resources, StepSpec},
     lynxwheel_platform_standin::{
-        CRASHING_PAYLOAD, LONG_RUNNING_PAYLOAD, QueueSpec, api_key_header, decode_job_state,
-        encode_job, is_count, timeout_header,
+        CRASHING_PAYLOAD, LONG_RUNNING_PAYLOAD, QueueSpec, SLOW_PAYLOAD, api_key_header,
+        decode_job_state, encode_job, is_count, timeout_header,
     },
     lynxwheel_transport::{ClientPool, ClientRequest, ClientResponse},
     rand::{RngExt, SeedableRng},
@@ -33,6 +33,18 @@
 /// Random stream of the caller that submits these jobs.
 const CRASHING_STREAM: u64 = 1;
 
+/// Estimated duration of a task that takes long, in milliseconds.
+const SLOW_ESTIMATE_MS: u64 = 40_000;
+
+/// Time between the submission of a job that takes long and its cancellation, in milliseconds.
+const CANCEL_DELAYS_MS: std::ops::Range<u64> = 100..1_500;
+
+/// Random stream of the callers that cancel these jobs.
+const CANCELLING_STREAM: u64 = 2;
+
+/// Maximum number of requests to cancel the same job.
+const MAX_CANCELLATIONS: u32 = 8;
+
 /// Maximum number of times that a caller submits the same job.
 const MAX_SUBMISSIONS: u32 = 6;
 
@@ -111,6 +123,25 @@
         }
     }
 
+    /// Submits jobs that take long, and cancels each of them, until `until`.
+    pub async fn run_cancelling(self, seed: u64, until: Instant) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(CANCELLING_STREAM);
+        while Instant::now() < until {
+            let queue = random.random_range(0..self.queues.len());
+            let account = random.random_range(0..ACCOUNT_COUNT);
+            let spec = draw_slow_job(&mut random);
+            let submitted = self.submit_spec(&mut random, queue, account, &spec).await;
+            sleep(Duration::from_millis(random.random_range(CANCEL_DELAYS_MS))).await;
+            for _ in 0..MAX_CANCELLATIONS {
+                if self.request_cancellation(&mut random, submitted).await {
+                    break;
+                }
+                sleep(Duration::from_millis(random.random_range(PAUSES_MS))).await;
+            }
+        }
+    }
+
     async fn call(&self, node: usize, request: &ClientRequest) -> Option<ClientResponse> {
         let timeout = Duration::from_millis(TIMEOUT_MS + TIMEOUT_MARGIN_MS);
         let client = self.clients.get(self.nodes[node]);
@@ -238,16 +269,22 @@
     }
 
     async fn cancel(&self, random: &mut ChaCha8Rng, submitted: SubmittedJob) {
-        let SubmittedJob { job, .. } = submitted;
-        if random.random_range(0..3) != 0 {
-            return;
+        if random.random_range(0..3) == 0 {
+            self.request_cancellation(random, submitted).await;
         }
+    }
+
+    /// Requests the cancellation of a job; returns whether it was acknowledged.
+    async fn request_cancellation(&self, random: &mut ChaCha8Rng, submitted: SubmittedJob) -> bool {
+        let SubmittedJob { job, .. } = submitted;
         self.checker.record_cancel_request(job);
         let request = self.request_for(Method::DELETE, submitted);
         let response = self.call(self.draw_node(random), &request).await;
-        if response.is_some_and(|response| response.status.is_success()) {
+        let is_acknowledged = response.is_some_and(|response| response.status.is_success());
+        if is_acknowledged {
             self.checker.record_cancellation(job);
         }
+        is_acknowledged
     }
 
     /// Queries the job count of the first queue at a node, and returns the status of the response.
@@ -354,18 +391,34 @@
 
 /// Returns a job with one task that crashes its endpoints.
 fn draw_crashing_job(random: &mut ChaCha8Rng) -> JobSpec {
+    draw_simple_job(random, CRASHING_PAYLOAD, 1, 300)
+}
+
+/// Returns a job with a few tasks that take long.
+fn draw_slow_job(random: &mut ChaCha8Rng) -> JobSpec {
+    let count = random.random_range(1..5);
+    draw_simple_job(random, SLOW_PAYLOAD, count, SLOW_ESTIMATE_MS)
+}
+
+/// Returns a job with one step.
+fn draw_simple_job(
+    random: &mut ChaCha8Rng,
+    payload: &str,
+    count: u16,
+    estimated_ms: u64,
+) -> JobSpec {
     let step = StepSpec {
-        count: 1,
+        count,
         resources: Resources {
             cpu_millis: random.random_range(200..1_000),
             memory_mb: 64,
             gpus: 0,
         },
-        estimated_ms: 300,
+        estimated_ms,
         ..StepSpec::default()
     };
     JobSpec {
-        payload: format!("{CRASHING_PAYLOAD} {:08x}", random.random::<u32>()).into(),
+        payload: format!("{payload} {:08x}", random.random::<u32>()).into(),
         steps: vec![step],
         ..JobSpec::default()
     }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         accounts::{AccountIndex, highest_quota},
+        faults::Fault,
         lock,
     },
     compact_str::CompactString,
@@ -18,6 +19,14 @@
 /// covers the longest delay of an order at an endpoint and a takeover.
 const CANCEL_GRACE_MS: u128 = 8_000;
 
+/// Time after a cancellation is acknowledged within which its tasks must have ended, including the time
+/// that a stop may take.
+const CANCEL_LIMIT: Duration = Duration::from_millis(3_200);
+
+/// Time without faults after which tasks of cancelled jobs must be stopped: the ownership of a node
+/// that failed has expired, and its successor has called the endpoints.
+const QUIET_TIME: Duration = Duration::from_secs(4);
+
 /// Time after a change of an endpoint's capacity in which starts may exceed the new one, in
 /// milliseconds: the time in which nodes must notice, and one heartbeat.
 const CAPACITY_GRACE: Duration = Duration::from_millis(3_300);
@@ -112,6 +121,9 @@
     /// CPU in use by incarnation of an endpoint, in thousandths of a core.
     cpu_in_use: Vec<(CompactString, u64)>,
     capacities: Vec<ShownCapacities>,
+    active_faults: usize,
+    /// End of the last fault and of its aftermath.
+    quiet_since: Option<Instant>,
     /// Number of active faults that may hide capacities from nodes.
     hiding_faults: usize,
     /// End of the last such fault.
@@ -254,16 +266,69 @@
         lock(&self.state).are_quotas_lifted = true;
     }
 
-    /// Records that a fault begins that may hide the capacities of endpoints from nodes.
-    pub fn begin_hiding_capacities(&self) {
-        lock(&self.state).hiding_faults += 1;
+    /// Records that a fault begins.
+    pub fn begin_fault(&self, fault: Fault) {
+        let mut state = lock(&self.state);
+        state.active_faults += 1;
+        state.hiding_faults += usize::from(fault.hides_capacities());
+    }
+
+    /// Records that a fault has ended.
+    pub fn end_fault(&self, fault: Fault) {
+        let mut state = lock(&self.state);
+        state.active_faults = state.active_faults.saturating_sub(1);
+        state.quiet_since = state
+            .quiet_since
+            .max(Some(Instant::now() + fault.aftermath()));
+        if fault.hides_capacities() {
+            state.hiding_faults = state.hiding_faults.saturating_sub(1);
+            state.shown_since = Some(Instant::now());
+        }
+    }
+
+    /// Records that all faults have ended.
+    pub fn end_all_faults(&self) {
+        let mut state = lock(&self.state);
+        state.active_faults = 0;
+        state.quiet_since = state.quiet_since.max(Some(Instant::now()));
+    }
+
+    /// Returns the time until tasks of cancelled jobs must be stopped unless another fault begins, or
+    /// `None` while a fault is active.
+    #[must_use]
+    pub fn time_until_quiet(&self) -> Option<Duration> {
+        let state = lock(&self.state);
+        if state.active_faults > 0 {
+            return None;
+        }
+        let quiet_since = state.quiet_since.unwrap_or(self.started_at);
+        Some((quiet_since + QUIET_TIME).saturating_duration_since(Instant::now()))
     }
 
-    /// Records that such a fault has ended.
-    pub fn end_hiding_capacities(&self) {
+    /// Checks that no task of a cancelled job runs, unless faults may still delay its stop.
+    pub fn check_cancelled_jobs(&self) {
+        if self.time_until_quiet() != Some(Duration::ZERO) {
+            return;
+        }
         let mut state = lock(&self.state);
-        state.hiding_faults = state.hiding_faults.saturating_sub(1);
-        state.shown_since = Some(Instant::now());
+        let mut violations = Vec::new();
+        for job in &state.jobs {
+            let Some(elapsed) = job.cancelled_at.map(|at| at.elapsed()) else {
+                continue;
+            };
+            let runs = job.tasks.iter().flat_map(|(task, seen)| {
+                let runs = seen.running.iter();
+                runs.map(move |(incarnation, run)| format!("{task} run {run} on {incarnation}"))
+            });
+            let overdue = runs.filter(|_| elapsed > CANCEL_LIMIT);
+            violations.extend(overdue.map(|name| {
+                let elapsed_s = elapsed.as_secs_f64();
+                self.timestamped(&format!(
+                    "{name}: runs {elapsed_s:.3} s after the cancellation of its job"
+                ))
+            }));
+        }
+        state.violations.append(&mut violations);
     }
 
     /// Records a violation.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -218,9 +218,7 @@
 
     /// Starts a fault.
     pub fn start_fault(&self, fault: Fault) {
-        if fault.hides_capacities() {
-            self.checker.begin_hiding_capacities();
-        }
+        self.checker.begin_fault(fault);
         match fault {
             Fault::KillNode(node) => self.nodes[node].signal(Signal::SIGKILL),
             Fault::KillAll => self.nodes.iter().for_each(|n| n.signal(Signal::SIGKILL)),
@@ -233,6 +231,9 @@
             }
             Fault::Link(id, fault) => self.link(id).set_fault(fault),
             Fault::Endpoint(endpoint, fault) => self.endpoints[endpoint].set_fault(fault),
+            Fault::Overload(endpoint, overload) => {
+                self.endpoints[endpoint].set_overload(Some(overload));
+            }
             Fault::EndIncarnation(endpoint) => self.endpoints[endpoint].end_incarnation(),
             Fault::Drain(endpoint) => self.endpoints[endpoint].drain(),
             Fault::ChangeCapacity(endpoint, cpu_millis) => {
@@ -258,6 +259,7 @@
             Fault::Endpoint(endpoint, _) => {
                 self.endpoints[endpoint].set_fault(EndpointFault::None);
             }
+            Fault::Overload(endpoint, _) => self.endpoints[endpoint].set_overload(None),
             Fault::EndIncarnation(endpoint) => self.endpoints[endpoint].start_incarnation(),
             Fault::Drain(endpoint) => {
                 self.endpoints[endpoint].end_incarnation();
@@ -271,9 +273,7 @@
             | Fault::ChangeConfig
             | Fault::OrderMaintenance => {}
         }
-        if fault.hides_capacities() {
-            self.checker.end_hiding_capacities();
-        }
+        self.checker.end_fault(fault);
     }
 
     fn restart(&self, node: usize) {
@@ -292,6 +292,7 @@
         }
         for endpoint in &self.endpoints {
             endpoint.set_fault(EndpointFault::None);
+            endpoint.set_overload(None);
             endpoint.set_cpu_millis(ENDPOINT_CPU_MILLIS);
             endpoint.start_incarnation();
         }
@@ -300,5 +301,6 @@
             self.restart(number);
         }
         self.apply_config(&self.accounts.last_round());
+        self.checker.end_all_faults();
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::proxy::LinkFault,
-    lynxwheel_platform_standin::{EndpointFault, StoreFault},
+    http::StatusCode,
+    lynxwheel_platform_standin::{EndpointFault, Overload, StoreFault},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
+    std::time::Duration,
 };
 
 /// Time before the first fault, in milliseconds.
@@ -24,6 +26,17 @@
 /// must respect it.
 const CAPACITY_DURATIONS_MS: std::ops::Range<u64> = 500..8_000;
 
+/// Time between the starts of two overloads, in milliseconds: several endpoints are overloaded at the
+/// same time.
+const OVERLOAD_PAUSES_MS: std::ops::Range<u64> = 50..400;
+
+/// Share of the calls that an overloaded endpoint refuses, in percent.
+const REFUSED_PERCENTS: std::ops::Range<u64> = 20..95;
+
+/// Share of the other orders that it executes late, in percent, and their delay, in milliseconds.
+const LATE_ORDER_PERCENTS: std::ops::Range<u64> = 20..80;
+const LATE_ORDER_DELAYS_MS: std::ops::Range<u64> = 500..4_000;
+
 /// Random stream of the faults that only some runs have, so that the others of a seed stay as they
 /// are.
 const OPTIONAL_FAULTS_STREAM: u64 = 1;
@@ -60,6 +73,8 @@
     Link(LinkId, LinkFault),
     /// Makes an endpoint misbehave.
     Endpoint(usize, EndpointFault),
+    /// Overloads an endpoint.
+    Overload(usize, Overload),
     /// Ends the incarnation of an endpoint, and starts the next one at the end.
     EndIncarnation(usize),
     /// Drains an endpoint, and restarts it with a new incarnation at the end.
@@ -82,6 +97,17 @@
             Self::PauseNode(_) | Self::Store(_) | Self::Link(LinkId::Store(_), _)
         )
     }
+
+    /// Returns the time for which calls may still take effect after the end of the fault.
+    #[must_use]
+    pub fn aftermath(self) -> Duration {
+        Duration::from_millis(match self {
+            Self::Store(StoreFault::LateAppends(delay_ms))
+            | Self::Endpoint(_, EndpointFault::DelayedOrders(delay_ms))
+            | Self::Overload(_, Overload { delay_ms, .. }) => delay_ms,
+            _ => 0,
+        })
+    }
 }
 
 /// A fault with its start and duration.
@@ -162,6 +188,44 @@
     planned
 }
 
+/// Returns the overloads of endpoints, in the order of their starts.
+#[must_use]
+pub fn plan_overloads(seed: u64, traffic_ms: u64, endpoints: usize) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(OPTIONAL_FAULTS_STREAM);
+    let mut planned = Vec::new();
+    let mut start_ms = FIRST_FAULT_MS;
+    while start_ms < traffic_ms {
+        let endpoint = random.random_range(0..endpoints);
+        planned.push(PlannedFault {
+            start_ms,
+            duration_ms: random.random_range(DURATIONS_MS),
+            fault: Fault::Overload(endpoint, draw_overload(&mut random)),
+        });
+        start_ms += random.random_range(OVERLOAD_PAUSES_MS);
+    }
+    planned
+}
+
+fn draw_overload(random: &mut ChaCha8Rng) -> Overload {
+    let has_late_orders = random.random_range(0..3) == 0;
+    Overload {
+        refused_percent: random.random_range(REFUSED_PERCENTS),
+        status: match random.random_range(0..2) {
+            0 => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::TOO_MANY_REQUESTS,
+        },
+        late_percent: match random.random_range(LATE_ORDER_PERCENTS) {
+            percent if has_late_orders => percent,
+            _ => 0,
+        },
+        delay_ms: match random.random_range(LATE_ORDER_DELAYS_MS) {
+            delay_ms if has_late_orders => delay_ms,
+            _ => 0,
+        },
+    }
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, nodes: usize, endpoints: usize) -> Fault {
     let node = random.random_range(0..nodes);
     let endpoint = random.random_range(0..endpoints);
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -17,6 +17,9 @@
 /// Number of concurrent callers.
 const CALLER_COUNT: u64 = 6;
 
+/// Number of callers that cancel jobs that take long.
+const CANCELLING_CALLER_COUNT: u64 = 4;
+
 /// Time for a node to take over the fleet before the traffic starts, and for restarted nodes
 /// before the final checks, in milliseconds.
 pub const STARTUP_MS: u64 = 1_500;
@@ -57,6 +60,17 @@
         }
     }
 
+    /// Starts callers that submit and cancel jobs that take long, for `traffic_ms`.
+    pub fn start_cancelling_callers(&self, seed: u64, traffic_ms: u64, tasks: &mut JoinSet<()>) {
+        let until = Instant::now() + Duration::from_millis(traffic_ms);
+        for caller in 0..CANCELLING_CALLER_COUNT {
+            let seed = seed
+                .wrapping_mul(CANCELLING_CALLER_COUNT)
+                .wrapping_add(caller);
+            tasks.spawn(self.callers.clone().run_cancelling(seed, until));
+        }
+    }
+
     /// Starts a caller that submits jobs whose tasks crash their endpoints, for `traffic_ms`.
     pub fn start_crashing_caller(&self, seed: u64, traffic_ms: u64, tasks: &mut JoinSet<()>) {
         let until = Instant::now() + Duration::from_millis(traffic_ms);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,7 @@
         callers::Callers,
         checker::{Checker, ExpectedJob},
         cluster::{Cluster, ENDPOINT_CPU_MILLIS, SHUTDOWN_MS},
-        faults::{plan_capacity_changes, plan_faults, plan_late_appends},
+        faults::{plan_capacity_changes, plan_faults, plan_late_appends, plan_overloads},
         harness::{Harness, STARTUP_MS},
     },
     lynxwheel_engine::JobId,
@@ -27,8 +27,13 @@
 /// several times what the detection of silent nodes, the expiry of leases and the jobs take.
 const RECOVERY_MS: u64 = 40_000;
 
+/// Time for which orders are refused after the last other fault has begun, in milliseconds: otherwise
+/// a later takeover could send all stops again.
+const LATE_REFUSALS_MS: u64 = 4_000;
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "the options are independent")]
 pub struct SoakPlan {
     /// Path of the `lynxwheel` program.
     pub program: PathBuf,
@@ -44,6 +49,8 @@
     pub has_late_appends: bool,
     /// Whether some tasks crash their endpoints, and whether the capacity of endpoints changes.
     pub has_unstable_endpoints: bool,
+    /// Whether endpoints refuse orders, and whether callers cancel jobs that take long.
+    pub has_refused_orders: bool,
     /// Directory for settings and logs of the nodes, kept when an invariant is violated.
     pub directory: PathBuf,
 }
@@ -61,6 +68,7 @@
             has_small_nodes: false,
             has_late_appends: false,
             has_unstable_endpoints: false,
+            has_refused_orders: false,
             directory: std::env::temp_dir().join(name),
         }
     }
@@ -91,6 +99,15 @@
             ..self
         }
     }
+
+    /// Sets whether endpoints refuse orders, and whether callers cancel jobs that take long.
+    #[must_use]
+    pub fn with_refused_orders(self, has_refused_orders: bool) -> Self {
+        Self {
+            has_refused_orders,
+            ..self
+        }
+    }
 }
 
 /// Result of a run.
@@ -118,6 +135,10 @@
     if plan.has_unstable_endpoints {
         harness.start_crashing_caller(plan.seed, plan.traffic_ms, &mut tasks);
     }
+    let refusals_ms = plan.traffic_ms + LATE_REFUSALS_MS;
+    if plan.has_refused_orders {
+        harness.start_cancelling_callers(plan.seed, refusals_ms, &mut tasks);
+    }
     let Harness {
         checker,
         cluster,
@@ -136,6 +157,9 @@
             ENDPOINT_CPU_MILLIS,
         ));
     }
+    if plan.has_refused_orders {
+        faults.extend(plan_overloads(plan.seed, refusals_ms, endpoints));
+    }
     let fault_count = faults.len();
     for planned in faults {
         let cluster = Arc::clone(&cluster);
@@ -145,7 +169,10 @@
     checker.lift_quotas();
     cluster.end_all_faults();
     sleep(Duration::from_millis(STARTUP_MS)).await;
-    check_recovery(&callers, &checker).await;
+    tokio::join!(
+        check_recovery(&callers, &checker),
+        check_cancelled_jobs(&checker)
+    );
     check_shutdown(&cluster, &checker).await;
     checker.check_rejected_jobs();
     if checker.expected_jobs().is_empty() {
@@ -189,6 +216,14 @@
     while checks.join_next().await.is_some() {}
 }
 
+/// Checks that no task of a cancelled job runs once no fault has been active for a while.
+async fn check_cancelled_jobs(checker: &Checker) {
+    while let Some(rest) = checker.time_until_quiet().filter(|rest| !rest.is_zero()) {
+        sleep(rest).await;
+    }
+    checker.check_cancelled_jobs();
+}
+
 /// Waits until all tasks of a job run; returns whether they do before the deadline.
 async fn await_running_tasks(checker: &Checker, job: JobId, until: Instant) -> bool {
     while Instant::now() < until {
