Decide by an endpoint's list whether a run has been stopped, not by the last answer

Callers saw tasks of cancelled jobs run on to their end, though the cancel was acknowledged. Stops are sent on events, and any refusal counted as "the run can no longer start there": no other stop was sent, and reports that listed the run changed nothing. After a start without an answer the refusal even proved its end: the next report that did not list the run freed its room, and the start took effect later. A 429 or 503 proves that this one call did nothing.

Now a refused stop stays due and is sent again after the usual retry interval. Only a stop that was executed (200, or 409 of a run that was stopped or has ended there) makes a start impossible, and only a report requested since shows whether the run is over; if it still lists the run after the retry interval, the stop is sent again. Each listed run is compared with what is wanted: stopping, of an ended job, of a done task, unknown. Nobody needs a case of their own, as all senders of a stop share this path. No new wait: the retry interval is the one of unanswered orders.

Log: order_refused with the time of the next try, unwanted_run with the time since the stop was decided.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -2,7 +2,9 @@
 
 use {
     log::info,
-    lynxwheel_engine::{EndKind, LogEvent, PoolPlan, QuotaWait, RunEnd},
+    lynxwheel_engine::{
+        EndKind, LogEvent, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder, UnwantedRun,
+    },
     metrics::{counter, gauge, histogram},
     std::time::Duration,
 };
@@ -17,6 +19,13 @@
     }
 }
 
+fn order_label(order: RunOrder) -> &'static str {
+    match order {
+        RunOrder::Start => "start",
+        RunOrder::Stop => "stop",
+    }
+}
+
 /// Logs events and records their metrics.
 ///
 /// Successful runs are not logged: there are hundreds per second, and the end of their job is
@@ -48,6 +57,8 @@
                     "run ended"
                 );
             }
+            LogEvent::OrderRefused(refused) => log_refused_order(epoch, refused),
+            LogEvent::UnwantedRunListed(unwanted) => log_unwanted_run(epoch, unwanted),
             LogEvent::JobEnded {
                 job,
                 state,
@@ -120,6 +131,42 @@
     }
 }
 
+/// Logs that an endpoint refused an order.
+fn log_refused_order(epoch: u64, refused: &RefusedOrder) {
+    let RefusedOrder {
+        order,
+        task,
+        run,
+        endpoint,
+        refusal,
+        retry_ms,
+    } = refused;
+    let order = order_label(*order);
+    counter!("lynxwheel_refused_orders_total", "order" => order).increment(1);
+    info!(
+        event = "order_refused", epoch = epoch, order = order, task:% = task, run = run,
+        endpoint = endpoint.as_str(), refusal:? = refusal, retry_ms = retry_ms;
+        "endpoint refused an order"
+    );
+}
+
+/// Logs that an endpoint lists a run that should not be active.
+fn log_unwanted_run(epoch: u64, unwanted: &UnwantedRun) {
+    let UnwantedRun {
+        task,
+        run,
+        endpoint,
+        is_known,
+        since_ms,
+    } = unwanted;
+    counter!("lynxwheel_unwanted_runs_total").increment(1);
+    info!(
+        event = "unwanted_run", epoch = epoch, task:% = task, run = run,
+        endpoint = endpoint.as_str(), is_known = is_known, since_ms = since_ms;
+        "endpoint lists a run that should not be active"
+    );
+}
+
 /// Logs that tasks wait for their account's quota.
 fn log_quota_wait(epoch: u64, wait: &QuotaWait) {
     let QuotaWait {
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -5,9 +5,9 @@
         engine::{Engine, ORDER_RETRY_MS},
         event::{CallOutcome, Effect, EndpointKey, Now, Refusal, StartOrder},
         job::{JobState, TaskRef},
-        log_event::{LogEvent, RunEnd},
+        log_event::{LogEvent, RefusedOrder, RunEnd, RunOrder},
         reports::{EndKind, EndedTask},
-        state::{Attempt, Job, Phase},
+        state::{Attempt, Job, Phase, StopPhase},
     },
     compact_str::CompactString,
 };
@@ -42,10 +42,11 @@
             self.remove_attempt(task, run, RunEnd::NeverOrdered, now);
             return;
         }
-        if attempt.is_stopping {
+        if attempt.is_stopping() {
             return;
         }
-        attempt.is_stopping = true;
+        attempt.stop = StopPhase::Decided;
+        attempt.stopping_since_ms = Some(now.steady_ms);
         attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
         let endpoint = attempt.endpoint;
         self.jobs[index].is_dirty = true;
@@ -125,6 +126,7 @@
             // The endpoint knows the run, and the next report contains its state.
             CallOutcome::Refused(Refusal::OldRun) => self.confirm(key, task, run, now),
             CallOutcome::Refused(refusal) => {
+                self.log_refusal(RunOrder::Start, key, task, run, *refusal);
                 self.start_refusal_cooldown(key, *refusal, now);
                 if *refusal == Refusal::Ticket {
                     self.ticket_refused(task, key);
@@ -216,7 +218,7 @@
             attempt.phase = Phase::Confirmed;
             attempt.confirmed_at_renewal = renewals;
         }
-        let is_stopping = attempt.is_stop_stored;
+        let is_stop_stored = attempt.is_stop_stored();
         if job.state == JobState::Queued {
             job.state = JobState::Running;
             // No other state depends on this one, so it is visible before it is stored.
@@ -227,12 +229,8 @@
         // An idle endpoint is renewed rarely; now a run may end at any time.
         let endpoint = self.endpoints.get_mut(key);
         endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
-        if is_stopping && self.may_send_stop(task, run) {
-            self.immediate_effects.push(Effect::Stop {
-                endpoint: key,
-                task: *task,
-                run,
-            });
+        if is_stop_stored && self.may_send_stop(task, run) {
+            self.send_stop(key, task, run, now);
         }
     }
 
@@ -245,20 +243,15 @@
         now: Now,
     ) {
         match outcome {
-            CallOutcome::Done(_) | CallOutcome::Refused(_) => {
-                if let CallOutcome::Done(clock_ms) = outcome {
-                    self.endpoints.get_mut(key).read_clock(*clock_ms, now);
-                }
-                // The run can no longer start there, and a report requested from now on contains
-                // its end.
-                let renewals = self.endpoints.get(key).renewals;
-                if let Some(attempt) = self.attempt_mut(task, run) {
-                    attempt.phase = Phase::Confirmed;
-                    attempt.confirmed_at_renewal = renewals;
-                    attempt.retry_at_ms = u64::MAX;
-                }
-                let endpoint = self.endpoints.get_mut(key);
-                endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
+            CallOutcome::Done(clock_ms) => {
+                self.endpoints.get_mut(key).read_clock(*clock_ms, now);
+                self.stop_executed(key, task, run, now);
+            }
+            // That run or a later one was stopped or has ended there.
+            CallOutcome::Refused(Refusal::OldRun) => self.stop_executed(key, task, run, now),
+            // Nothing was done: the run may be active, or an earlier start may still take effect.
+            CallOutcome::Refused(refusal) => {
+                self.log_refusal(RunOrder::Stop, key, task, run, *refusal);
             }
             CallOutcome::Unsent | CallOutcome::Unknown => self.call_failed(key, now),
             CallOutcome::OtherLife => self.endpoint_ended(key, now),
@@ -266,6 +259,47 @@
         }
     }
 
+    /// Records that an endpoint has executed a stop: the run can no longer start there, and a report
+    /// requested from now on shows whether it has ended.
+    fn stop_executed(&mut self, key: EndpointKey, task: &TaskRef, run: u32, now: Now) {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
+        let renewals = endpoint.renewals;
+        if let Some(attempt) = self.attempt_mut(task, run)
+            && attempt.endpoint == key
+        {
+            attempt.phase = Phase::Confirmed;
+            attempt.confirmed_at_renewal = renewals;
+            attempt.stop = StopPhase::Executed;
+            attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
+        }
+    }
+
+    /// Adds a refused order to the log, with the time until its next try.
+    fn log_refusal(
+        &mut self,
+        order: RunOrder,
+        key: EndpointKey,
+        task: &TaskRef,
+        run: u32,
+        refusal: Refusal,
+    ) {
+        let attempt = self.attempt(task, run);
+        let retry_ms = attempt.and_then(|attempt| match order {
+            RunOrder::Start => attempt.may_start_late.then_some(ORDER_RETRY_MS),
+            RunOrder::Stop => Some(ORDER_RETRY_MS),
+        });
+        let endpoint = self.endpoints.get(key).id.clone();
+        self.log_events.push(LogEvent::OrderRefused(RefusedOrder {
+            order,
+            task: *task,
+            run,
+            endpoint,
+            refusal,
+            retry_ms,
+        }));
+    }
+
     /// Processes the end of a run.
     pub(crate) fn run_ended(&mut self, key: EndpointKey, ended: &EndedTask, now: Now) {
         let Ok(index) = self.search(ended.task.job) else {
@@ -395,8 +429,11 @@
         let Some(attempt) = find_attempt(job, task, run) else {
             return false;
         };
-        attempt.is_stopping = may_stop;
-        attempt.is_stop_stored = may_stop;
+        attempt.stop = if may_stop {
+            attempt.stop.max(StopPhase::Stored)
+        } else {
+            StopPhase::None
+        };
         job.is_dirty |= !may_stop;
         if may_stop {
             self.track_unanswered(task, run);
@@ -436,7 +473,7 @@
     }
 
     /// Returns a run for a change that does not have to be stored.
-    fn attempt_mut(&mut self, task: &TaskRef, run: u32) -> Option<&mut Attempt> {
+    pub(crate) fn attempt_mut(&mut self, task: &TaskRef, run: u32) -> Option<&mut Attempt> {
         let index = self.search(task.job).ok()?;
         find_attempt(self.jobs.get_mut_untracked(index), task, run)
     }
--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -134,7 +134,7 @@
             .iter_mut()
             .find(|attempt| attempt.run == order.run && attempt.endpoint == order.endpoint)?;
         let endpoint = self.endpoints.get_mut(order.endpoint);
-        if attempt.is_stopping || endpoint.has_ended {
+        if attempt.is_stopping() || endpoint.has_ended {
             return None;
         }
         if self.quotas.is_exceeded(account) || !endpoint.has_room_for(&order.task, order.run) {
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -93,6 +93,20 @@
     }
 }
 
+/// A run that an endpoint lists and this owner does not know, such as a late start of a cancelled
+/// job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct UnknownRun {
+    /// Task.
+    pub(crate) task: TaskRef,
+    /// Run number.
+    pub(crate) run: u32,
+    /// When a report first listed it, on the monotonic clock.
+    pub(crate) listed_since_ms: u64,
+    /// When its stop was last sent, on the monotonic clock; `None` if it never was.
+    pub(crate) stopped_at_ms: Option<u64>,
+}
+
 /// One incarnation of an endpoint.
 #[derive(Clone, Debug)]
 #[expect(
@@ -169,8 +183,8 @@
     pub last_acknowledged_end: u64,
     /// When the last run was removed, on the monotonic clock.
     pub empty_since_ms: u64,
-    /// Unknown runs that were stopped, with the time of the last stop.
-    pub orphans: Vec<(TaskRef, u32, u64)>,
+    /// Runs that this owner does not know, until a report omits them.
+    pub(crate) unknown_runs: Vec<UnknownRun>,
     clock: Option<ClockReading>,
     lease_end_clock_ms: u64,
     leases_end_at_ms: Option<u64>,
@@ -215,7 +229,7 @@
             last_stored_end: 0,
             last_acknowledged_end: 0,
             empty_since_ms: now_ms,
-            orphans: Vec::new(),
+            unknown_runs: Vec::new(),
             clock: None,
             lease_end_clock_ms: 0,
             leases_end_at_ms: None,
@@ -264,7 +278,7 @@
     #[must_use]
     pub fn is_renewal_due(&self, now: Now) -> bool {
         let is_needed = !self.placed_runs.is_empty()
-            || !self.orphans.is_empty()
+            || !self.unknown_runs.is_empty()
             || self.last_stored_end > self.last_acknowledged_end
             || (self.is_registered && (!self.is_reconciled || self.failed_calls > 0));
         is_needed && !self.is_renewing && now.steady_ms >= self.renew_at_ms && self.is_reachable()
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -7,7 +7,7 @@
     event::{CallOutcome, Effect, EndpointKey, Now},
     job::TaskRef,
     log_event::{LogEvent, RunEnd},
-    reports::{EndpointEntry, EndpointReport, RunningTask},
+    reports::{EndpointEntry, EndpointReport},
     state::Phase,
 };
 
@@ -38,9 +38,6 @@
 /// milliseconds. Registry entries of endpoints that are cut off expire later.
 const MAX_SHUTDOWN_SILENCE_MS: u64 = 2_000;
 
-/// Minimum interval between stops of the same unknown run, in milliseconds.
-const ORPHAN_STOP_INTERVAL_MS: u64 = 500;
-
 /// Time for which a previous owner may keep granting leases after a takeover, in milliseconds. It
 /// calls each endpoint once a second, and the first one that both owners reach rejects it.
 const PREVIOUS_OWNER_MS: u64 = 1_200;
@@ -300,83 +297,6 @@
         self.is_schedule_due = true;
     }
 
-    fn process_running(
-        &mut self,
-        key: EndpointKey,
-        running: &RunningTask,
-        clock_ms: u64,
-        now: Now,
-    ) {
-        let RunningTask { task, run, .. } = running;
-        let Some(is_new) = self.record_progress(key, running, clock_ms) else {
-            self.stop_orphan(key, task, *run, now);
-            return;
-        };
-        if is_new {
-            self.confirm(key, task, *run, now);
-        }
-        let endpoint = self.endpoints.get_mut(key);
-        let placed = endpoint
-            .placed_runs
-            .iter_mut()
-            .find(|placed| placed.task == running.task && placed.run == running.run);
-        if let Some(placed) = placed {
-            placed.tail_latency_ms = running.usage.unwrap_or_default();
-            if placed.is_suspect() {
-                self.suspect_is_running(key, task, *run);
-            }
-        }
-    }
-
-    /// Records the progress of a run. Returns whether the run was not confirmed before, or `None`
-    /// if it was never placed on this endpoint.
-    fn record_progress(
-        &mut self,
-        key: EndpointKey,
-        running: &RunningTask,
-        clock_ms: u64,
-    ) -> Option<bool> {
-        let index = self.search(running.task.job).ok()?;
-        let job = self.jobs.get_mut_untracked(index);
-        let task = job.task_mut(&running.task)?;
-        let attempt = task
-            .attempts
-            .iter_mut()
-            .find(|attempt| attempt.run == running.run && attempt.endpoint == key)?;
-        if !running.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&running.checkpoint);
-        }
-        let is_new = attempt.phase != Phase::Confirmed;
-        if is_new || attempt.percent != running.percent || attempt.progress_clock_ms.is_none() {
-            attempt.progress_clock_ms = Some(clock_ms);
-        }
-        attempt.percent = running.percent;
-        if attempt.record_active(clock_ms) && task.crashes > 0 {
-            job.crash_history.is_dirty = true;
-            self.unstored_jobs.push(running.task.job);
-        }
-        Some(is_new)
-    }
-
-    /// Stops a run that this owner did not start, such as a late start of a cancelled job.
-    fn stop_orphan(&mut self, key: EndpointKey, task: &TaskRef, run: u32, now: Now) {
-        let endpoint = self.endpoints.get_mut(key);
-        let orphan = endpoint
-            .orphans
-            .iter_mut()
-            .find(|(known, known_run, _)| known == task && *known_run == run);
-        match orphan {
-            Some((_, _, sent_ms)) if now.steady_ms < *sent_ms + ORPHAN_STOP_INTERVAL_MS => return,
-            Some((_, _, sent_ms)) => *sent_ms = now.steady_ms,
-            None => endpoint.orphans.push((*task, run, now.steady_ms)),
-        }
-        self.immediate_effects.push(Effect::Stop {
-            endpoint: key,
-            task: *task,
-            run,
-        });
-    }
-
     /// Removes runs that a report omits although they were confirmed before it was requested, and
     /// inherited runs that never reached the endpoint.
     fn remove_missing_runs(
@@ -394,8 +314,8 @@
         };
         let endpoint = self.endpoints.get_mut(key);
         endpoint
-            .orphans
-            .retain(|(task, run, _)| is_listed(task, *run));
+            .unknown_runs
+            .retain(|unknown| is_listed(&unknown.task, unknown.run));
         let unlisted: Vec<(TaskRef, u32)> = endpoint
             .placed_runs
             .iter()
@@ -436,7 +356,7 @@
                     };
                     let placed = placed.with_suspicion(Suspicion::of(task));
                     self.endpoints.get_mut(attempt.endpoint).add_run(placed);
-                    if attempt.is_stop_stored {
+                    if attempt.is_stop_stored() {
                         unanswered.push((task_ref, attempt.run));
                     }
                 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -45,6 +45,7 @@
 mod job;
 mod job_table;
 mod leases;
+mod listed_runs;
 mod log_event;
 mod open_steps;
 mod order_rate;
@@ -78,14 +79,16 @@
     },
     fair_share::{AccountDemand, fair_level},
     job::{JobId, JobSpec, JobState, ParseNameError, Resources, StepSpec, TaskRef},
-    log_event::{LogEvent, PoolPlan, QuotaWait, RunEnd, ShareWait},
+    log_event::{
+        LogEvent, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder, ShareWait, UnwantedRun,
+    },
     pacing::next_pace,
     quota::{AccountNumber, QuotaTracker, RemainingQuotas},
     reports::{
         EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
     },
     restore::{UnreadCause, UnreadRecord},
-    state::{Attempt, Job, LostRun, Occurrence, Phase, StepRun, Task},
+    state::{Attempt, Job, LostRun, Occurrence, Phase, StepRun, StopPhase, Task},
     stored::{Record, RecordKind, StoredWave, record_kind},
     vms::VmOrder,
 };
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        event::Refusal,
         job::{JobId, JobState, Resources, TaskRef},
         reports::{EndKind, VmEntry},
         vms::VmOrder,
@@ -79,9 +80,55 @@
     pub share_cpu_millis: f64,
 }
 
+/// Kind of an order for a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunOrder {
+    /// Start it.
+    Start,
+    /// Stop it.
+    Stop,
+}
+
+/// An order for a run that its endpoint refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RefusedOrder {
+    /// Order.
+    pub order: RunOrder,
+    /// Task.
+    pub task: TaskRef,
+    /// Run number.
+    pub run: u32,
+    /// Endpoint.
+    pub endpoint: CompactString,
+    /// Reason.
+    pub refusal: Refusal,
+    /// Time until the order is sent again, in milliseconds; `None` if it is not.
+    pub retry_ms: Option<u64>,
+}
+
+/// A run that an endpoint lists and that should not be active there.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnwantedRun {
+    /// Task.
+    pub task: TaskRef,
+    /// Run number.
+    pub run: u32,
+    /// Endpoint.
+    pub endpoint: CompactString,
+    /// Whether the owner knows the run; it stops unknown ones, too.
+    pub is_known: bool,
+    /// Time since the decision to stop it, or since an unknown run was first listed, in milliseconds;
+    /// `None` if a previous owner decided it.
+    pub since_ms: Option<u64>,
+}
+
 /// Event for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
+    /// An endpoint refused an order for a run.
+    OrderRefused(RefusedOrder),
+    /// An endpoint lists a run that should not be active there.
+    UnwantedRunListed(UnwantedRun),
     /// A run has ended or never started.
     RunEnded {
         /// Task.
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -6,7 +6,7 @@
     engine::{Engine, ORDER_RETRY_MS},
     event::{Effect, EndpointKey, Now},
     job::TaskRef,
-    state::{Attempt, Phase},
+    state::{Attempt, Phase, StopPhase},
 };
 
 impl Engine {
@@ -22,11 +22,7 @@
             }
             if is_stop {
                 if self.may_send_stop(&task, run) {
-                    self.immediate_effects.push(Effect::Stop {
-                        endpoint: key,
-                        task,
-                        run,
-                    });
+                    self.send_stop(key, &task, run, now);
                 }
             } else if !endpoint.has_room_for(&task, run) {
                 self.stop_run(&task, run, now);
@@ -61,16 +57,21 @@
             };
             if is_retry_due(attempt, now) {
                 attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
-                due.push((*task, *run, attempt.endpoint, attempt.is_stop_stored));
+                due.push((*task, *run, attempt.endpoint, attempt.is_stop_stored()));
             }
-            attempt.phase == Phase::Unanswered || attempt.is_stop_stored
+            attempt.phase == Phase::Unanswered || needs_stop(attempt)
         });
         due
     }
 }
 
+/// Returns whether the endpoint may not have executed the stop of a run yet.
+fn needs_stop(attempt: &Attempt) -> bool {
+    attempt.stop == StopPhase::Stored
+}
+
 fn is_retry_due(attempt: &Attempt, now: Now) -> bool {
     let is_waiting = attempt.phase == Phase::Unanswered
-        || (attempt.is_stop_stored && attempt.phase != Phase::Inherited);
+        || (needs_stop(attempt) && attempt.phase != Phase::Inherited);
     is_waiting && now.steady_ms >= attempt.retry_at_ms
 }
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -27,6 +27,20 @@
     Inherited,
 }
 
+/// Progress of stopping a run.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum StopPhase {
+    /// It is not to be stopped.
+    None,
+    /// Decided; the order is sent once the decision is stored.
+    Decided,
+    /// The decision is stored, so that the order may be sent.
+    Stored,
+    /// The endpoint has executed the order, so that the run can no longer start there. Reports show
+    /// when it has ended.
+    Executed,
+}
+
 /// One run of a task, from the decision to start it until it is known to have ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
@@ -41,10 +55,14 @@
     pub confirmed_at_renewal: u64,
     /// Whether an unanswered start may still take effect.
     pub may_start_late: bool,
-    /// Whether the run is to be stopped.
-    pub is_stopping: bool,
-    /// Whether the decision to stop is stored, so that the order may be sent.
-    pub is_stop_stored: bool,
+    /// Progress of stopping the run.
+    pub stop: StopPhase,
+    /// When the stop was decided, on the monotonic clock; `None` before that, or if a previous owner
+    /// decided it.
+    pub stopping_since_ms: Option<u64>,
+    /// When it was last logged that the run is listed although it is to be stopped, on the monotonic
+    /// clock; 0 for never.
+    pub unwanted_logged_at_ms: u64,
     /// Earliest time to retry an order, on the monotonic clock.
     pub retry_at_ms: u64,
     /// When the start was decided, on the monotonic clock; 0 if a previous owner decided it.
@@ -71,8 +89,9 @@
             phase: Phase::Placed,
             confirmed_at_renewal: 0,
             may_start_late: false,
-            is_stopping: false,
-            is_stop_stored: false,
+            stop: StopPhase::None,
+            stopping_since_ms: None,
+            unwanted_logged_at_ms: 0,
             retry_at_ms: 0,
             decided_at_ms,
             active_since_clock_ms: None,
@@ -83,6 +102,18 @@
         }
     }
 
+    /// Returns whether the run is to be stopped.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stop > StopPhase::None
+    }
+
+    /// Returns whether an order to stop the run may be sent, as the decision is stored.
+    #[must_use]
+    pub fn is_stop_stored(&self) -> bool {
+        self.stop >= StopPhase::Stored
+    }
+
     /// Returns whether a previous owner decided the start.
     #[must_use]
     pub fn is_inherited(&self) -> bool {
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -10,7 +10,7 @@
         endpoint_table::EndpointTable,
         event::EndpointKey,
         job::{JobId, JobSpec, JobState},
-        state::{Attempt, Job, LostRun, Occurrence, Phase, StepRun, Task},
+        state::{Attempt, Job, LostRun, Occurrence, Phase, StepRun, StopPhase, Task},
     },
     compact_str::CompactString,
     serde::{Deserialize, Serialize},
@@ -232,7 +232,11 @@
             let steps = occurrence.steps.iter().map(|step| {
                 let tasks = step.tasks.iter().map(|task| {
                     let attempts = task.attempts.iter().map(|attempt| {
-                        StoredAttempt(attempt.run, index_of(attempt.endpoint), attempt.is_stopping)
+                        StoredAttempt(
+                            attempt.run,
+                            index_of(attempt.endpoint),
+                            attempt.is_stopping(),
+                        )
                     });
                     let attempts = attempts.collect();
                     let lost_on = task.lost_runs.iter().map(|lost| index_of(lost.endpoint));
@@ -326,8 +330,9 @@
         let endpoint = key_at(index)?;
         let mut attempt = Attempt::new(run, endpoint, 0);
         attempt.phase = Phase::Inherited;
-        attempt.is_stopping = is_stopping;
-        attempt.is_stop_stored = is_stopping;
+        if is_stopping {
+            attempt.stop = StopPhase::Stored;
+        }
         Some(attempt)
     };
     let restore_lost_run = |index| {
--- a/crates/engine/src/stragglers.rs
+++ b/crates/engine/src/stragglers.rs
@@ -90,5 +90,5 @@
 }
 
 fn counts_as_working(attempt: &Attempt) -> bool {
-    attempt.phase == Phase::Confirmed && !attempt.is_stopping && attempt.percent < 100
+    attempt.phase == Phase::Confirmed && !attempt.is_stopping() && attempt.percent < 100
 }
--- a/crates/engine/src/waves.rs
+++ b/crates/engine/src/waves.rs
@@ -489,7 +489,7 @@
                         && !endpoint.has_ended
                         && !endpoint.is_draining
                         && endpoint.failed_calls == 0;
-                    is_available && attempt.percent >= 100 && !attempt.is_stopping
+                    is_available && attempt.percent >= 100 && !attempt.is_stopping()
                 })
             })
             .count();
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -6,10 +6,10 @@
 use {
     common::{Fleet, account, job_id, queue, standby_vm, step},
     lynxwheel_engine::{
-        CallOutcome, CallerLimits, ClientAccount, ClientAccounts, Effect, EndKind, EndedTask,
-        EndpointAddress, EndpointReport, Engine, EngineSettings, Event, FleetConfig, Job, JobSpec,
-        JobState, KeyDigest, Now, Pool, Queue, Record, Refusal, Resources, RunningTask, StartOrder,
-        StepSpec, TaskRef, UnreadRecord, VmOutcome, WaveOrder,
+        Attempt, CallOutcome, CallerLimits, ClientAccount, ClientAccounts, Effect, EndKind,
+        EndedTask, EndpointAddress, EndpointReport, Engine, EngineSettings, Event, FleetConfig,
+        Job, JobSpec, JobState, KeyDigest, Now, Pool, Queue, Record, Refusal, Resources,
+        RunningTask, StartOrder, StepSpec, TaskRef, UnreadRecord, VmOutcome, WaveOrder,
     },
     serde::{Serialize, de::DeserializeOwned},
     std::{fmt::Debug, net::SocketAddr},
@@ -485,7 +485,7 @@
     });
     fleet.settle();
     let attempts = job(&fleet).tasks().flat_map(|(_, task)| &task.attempts);
-    assert!(attempts.into_iter().any(|attempt| attempt.is_stopping));
+    assert!(attempts.into_iter().any(Attempt::is_stopping));
     check_job(&fleet, 1, &queue(), SPEC_AT_WORK, PROGRESS_CANCELLED);
 }
 
--- a/crates/engine/tests/refused_orders.rs
+++ b/crates/engine/tests/refused_orders.rs
@@ -4,12 +4,18 @@
 
 use {
     common::{Fleet, job_id, listed, step},
-    lynxwheel_engine::{Effect, EndKind, Event, JobSpec, Refusal, StepSpec, TaskRef},
+    lynxwheel_engine::{
+        Effect, EndKind, Event, JobSpec, LogEvent, Refusal, RefusedOrder, RunOrder, StepSpec,
+        TaskRef,
+    },
 };
 
 /// Longest time from the end of the refusals until a run that nobody wants is gone, in milliseconds.
 const STOPPED_WITHIN_MS: u64 = 600;
 
+/// Longest time from a cancellation until its runs are gone, in milliseconds, as the platform allows.
+const CANCELLED_WITHIN_MS: u64 = 3_200;
+
 fn refuse_stops(call: &Effect) -> Option<Refusal> {
     matches!(call, Effect::Stop { .. }).then_some(Refusal::Unhealthy)
 }
@@ -120,6 +126,51 @@
     };
 }
 
+/// Guards against a run that is taken for stopped although its endpoint still lists it.
+#[test]
+fn run_listed_after_its_stop_is_stopped_again() {
+    let mut fleet = fleet_with(step(1));
+    let (index, run) = first_run(&fleet);
+    cancel(&mut fleet, 1);
+    assert_eq!(stops(&fleet), 1);
+    assert_eq!(fleet.endpoints[index].running, []);
+    fleet.endpoints[index].ended.clear();
+    fleet.endpoints[index].running.push(run);
+    fleet.advance(STOPPED_WITHIN_MS);
+    assert_eq!(stops(&fleet), 2);
+    assert_eq!(fleet.endpoints[index].running, []);
+}
+
+/// Guards against a refused order and its next try, and a run that goes on meanwhile, that no log line
+/// tells of.
+#[test]
+fn refused_stop_and_listed_run_are_logged() {
+    let mut fleet = fleet_with(step(1));
+    let (index, (task, run)) = first_run(&fleet);
+    set_refusals(&mut fleet, Some(refuse_stops));
+    drop(fleet.engine.take_log_events());
+    cancel(&mut fleet, 1);
+    fleet.advance(2_500);
+    let endpoint = fleet.endpoints[index].id.as_str();
+    let refused = LogEvent::OrderRefused(RefusedOrder {
+        order: RunOrder::Stop,
+        task,
+        run,
+        endpoint: endpoint.into(),
+        refusal: Refusal::Unhealthy,
+        retry_ms: Some(200),
+    });
+    let events = fleet.engine.take_log_events();
+    let refusals = events.iter().filter(|event| **event == refused).count();
+    assert_eq!(refusals, stops(&fleet));
+    let listed_since = events.iter().filter_map(|event| match event {
+        LogEvent::UnwantedRunListed(unwanted) => unwanted.since_ms,
+        _ => None,
+    });
+    // Reports arrive every 300 ms.
+    assert_eq!(listed_since.collect::<Vec<u64>>(), [1_200, 2_400]);
+}
+
 /// Guards against room that is given to others while a start without an answer may still take
 /// effect, as its stop was refused.
 #[test]
@@ -138,6 +189,6 @@
     assert!(stops(&fleet) > 0, "a stop was sent");
     assert_eq!(fleet.endpoints[0].running, []);
     set_refusals(&mut fleet, None);
-    fleet.advance(STOPPED_WITHIN_MS);
+    fleet.advance(CANCELLED_WITHIN_MS);
     assert_eq!(fleet.endpoints[0].running.len(), 4);
 }
