Verify a run that an endpoint confirms after the owner has given it up

The answer to a start may arrive when its run is no longer known, for example after a report without it was taken for its end. Nothing asked the endpoint then: one without other runs is not called at all, and the run went on until its lease expired. Such an answer now requests a report, and a run that it lists is stopped as any unknown run.

The new test failed before (the run is still active after 600 ms) and passes.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -119,8 +119,12 @@
         match outcome {
             CallOutcome::Done(clock_ms) => {
                 self.endpoints.get_mut(key).read_clock(*clock_ms, now);
-                self.confirm(key, task, run, now);
-                self.record_active(task, run, *clock_ms);
+                if self.is_placed_on(key, task, run) {
+                    self.confirm(key, task, run, now);
+                    self.record_active(task, run, *clock_ms);
+                } else {
+                    self.verify_unknown_run(key, task, run, now);
+                }
                 self.renew_lease(key, now);
             }
             // The endpoint knows the run, and the next report contains its state.
@@ -472,6 +476,12 @@
         attempts.iter().find(|attempt| attempt.run == run)
     }
 
+    /// Returns whether a run is placed on an endpoint.
+    fn is_placed_on(&self, key: EndpointKey, task: &TaskRef, run: u32) -> bool {
+        self.attempt(task, run)
+            .is_some_and(|attempt| attempt.endpoint == key)
+    }
+
     /// Returns a run for a change that does not have to be stored.
     pub(crate) fn attempt_mut(&mut self, task: &TaskRef, run: u32) -> Option<&mut Attempt> {
         let index = self.search(task.job).ok()?;
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -93,18 +93,21 @@
     }
 }
 
-/// A run that an endpoint lists and this owner does not know, such as a late start of a cancelled
-/// job.
+/// A run that an endpoint lists or has just confirmed, and that this owner does not know, such as a
+/// late start of a cancelled job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct UnknownRun {
     /// Task.
     pub(crate) task: TaskRef,
     /// Run number.
     pub(crate) run: u32,
-    /// When a report first listed it, on the monotonic clock.
-    pub(crate) listed_since_ms: u64,
+    /// When a report first listed it, on the monotonic clock; `None` before that.
+    pub(crate) listed_since_ms: Option<u64>,
     /// When its stop was last sent, on the monotonic clock; `None` if it never was.
     pub(crate) stopped_at_ms: Option<u64>,
+    /// Number of renewals sent when it was confirmed. Only the report of a later one shows whether it
+    /// is active.
+    pub(crate) added_at_renewal: u64,
 }
 
 /// One incarnation of an endpoint.
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -313,9 +313,9 @@
                 .any(|running| running.task == *task && running.run == run)
         };
         let endpoint = self.endpoints.get_mut(key);
-        endpoint
-            .unknown_runs
-            .retain(|unknown| is_listed(&unknown.task, unknown.run));
+        endpoint.unknown_runs.retain(|unknown| {
+            renewal <= unknown.added_at_renewal || is_listed(&unknown.task, unknown.run)
+        });
         let unlisted: Vec<(TaskRef, u32)> = endpoint
             .placed_runs
             .iter()
--- a/crates/engine/src/listed_runs.rs
+++ b/crates/engine/src/listed_runs.rs
@@ -113,8 +113,8 @@
 
     /// Stops a run that this owner does not know.
     fn stop_unknown_run(&mut self, key: EndpointKey, task: &TaskRef, run: u32, now: Now) {
-        let unknown = self.unknown_run_mut(key, task, run, now);
-        let since_ms = unknown.listed_since_ms;
+        let unknown = self.unknown_run_mut(key, task, run);
+        let since_ms = *unknown.listed_since_ms.get_or_insert(now.steady_ms);
         let is_due = unknown
             .stopped_at_ms
             .is_none_or(|at_ms| now.steady_ms >= at_ms + UNKNOWN_RUN_STOP_INTERVAL_MS);
@@ -131,14 +131,23 @@
         });
     }
 
-    /// Returns an unknown run of an endpoint, adding it if needed.
-    fn unknown_run_mut(
+    /// Requests a report that shows whether a run is active that the endpoint has just confirmed and
+    /// this owner does not know.
+    pub(crate) fn verify_unknown_run(
         &mut self,
         key: EndpointKey,
         task: &TaskRef,
         run: u32,
         now: Now,
-    ) -> &mut UnknownRun {
+    ) {
+        let renewals = self.endpoints.get(key).renewals;
+        self.unknown_run_mut(key, task, run).added_at_renewal = renewals;
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
+    }
+
+    /// Returns an unknown run of an endpoint, adding it if needed.
+    fn unknown_run_mut(&mut self, key: EndpointKey, task: &TaskRef, run: u32) -> &mut UnknownRun {
         let runs = &mut self.endpoints.get_mut(key).unknown_runs;
         let known = runs
             .iter()
@@ -147,8 +156,9 @@
             runs.push(UnknownRun {
                 task: *task,
                 run,
-                listed_since_ms: now.steady_ms,
+                listed_since_ms: None,
                 stopped_at_ms: None,
+                added_at_renewal: 0,
             });
             runs.len() - 1
         });
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -203,6 +203,11 @@
         running.filter(|(task, _)| is_counted(task.job)).count()
     }
 
+    /// Returns the reading of every endpoint's monotonic clock.
+    pub fn clock_ms(&self) -> u64 {
+        clock_ms(self.now)
+    }
+
     pub fn handle(&mut self, event: Event) {
         self.engine.handle(event, self.now);
     }
--- a/crates/engine/tests/refused_orders.rs
+++ b/crates/engine/tests/refused_orders.rs
@@ -5,8 +5,8 @@
 use {
     common::{Fleet, job_id, listed, step},
     lynxwheel_engine::{
-        Effect, EndKind, Event, JobSpec, LogEvent, Refusal, RefusedOrder, RunOrder, StepSpec,
-        TaskRef,
+        CallOutcome, Effect, EndKind, Event, JobSpec, LogEvent, Refusal, RefusedOrder, RunOrder,
+        StepSpec, TaskRef,
     },
 };
 
@@ -141,6 +141,28 @@
     assert_eq!(fleet.endpoints[index].running, []);
 }
 
+/// Guards against a run that nobody stops because its start was confirmed after the owner had given it
+/// up, on an endpoint that is not called otherwise.
+#[test]
+fn run_confirmed_after_it_was_given_up_is_stopped() {
+    let mut fleet = fleet_with(step(1));
+    let (index, (task, run)) = first_run(&fleet);
+    cancel(&mut fleet, 1);
+    fleet.advance(2_000);
+    fleet.endpoints[index].running.push((task, run));
+    let id = fleet.endpoints[index].id.clone();
+    let endpoint = fleet.engine.endpoints().find(&id).expect("an endpoint");
+    fleet.handle(Event::Started {
+        endpoint,
+        task,
+        run,
+        outcome: CallOutcome::Done(fleet.clock_ms()),
+    });
+    fleet.settle();
+    fleet.advance(STOPPED_WITHIN_MS);
+    assert_eq!(fleet.endpoints[index].running, []);
+}
+
 /// Guards against a refused order and its next try, and a run that goes on meanwhile, that no log line
 /// tells of.
 #[test]
