Keep a cancellation that overtakes the submission of its job

A node retries a submission until the caller's deadline, also while the caller has left and cancels the job at another node. The owner answered 410 for the unknown job, accepted the submission that came after, and ran it, though its cancellation was acknowledged.

An unknown job that is cancelled is now kept for the account that cancelled it, stored before the 410, as long as ended jobs are. A submission by that account is accepted as a cancelled job, at this owner or a later one; those of other accounts are as before. The record has a key of its own ('e') and field names. Until a submission arrives the job remains unknown to queries.

--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -39,7 +39,7 @@
             self.schedule(now);
         }
         let mut batch = Batch {
-            records: std::mem::take(&mut self.deletions),
+            records: std::mem::take(&mut self.other_records),
             effects: Vec::new(),
             visible_states: Vec::new(),
             stored_ends: self.unacknowledged(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -10,6 +10,7 @@
         advice::StepAdvice,
         arrivals::Arrivals,
         config::{FleetConfig, Queue},
+        early_cancels::EarlyCancel,
         endpoint_table::EndpointTable,
         event::{CallerResponse, Effect, EndpointKey, Event, Now, ReplyToken},
         free_capacity::FreeCapacity,
@@ -113,7 +114,10 @@
     pub(crate) waves: Vec<Wave>,
     pub(crate) pending_effects: Vec<Effect>,
     pub(crate) immediate_effects: Vec<Effect>,
-    pub(crate) deletions: Vec<Record>,
+    /// Jobs that were cancelled before they were submitted, sorted by id.
+    pub(crate) early_cancels: Vec<EarlyCancel>,
+    /// Records to store, and deletions, that belong to no job in progress.
+    pub(crate) other_records: Vec<Record>,
     /// Tickets of the steps whose endpoints are chosen by the advice service, sorted by step.
     pub(crate) advice: Vec<StepAdvice>,
     /// Recently submitted work.
@@ -157,7 +161,8 @@
             waves: Vec::new(),
             pending_effects: Vec::new(),
             immediate_effects: Vec::new(),
-            deletions: Vec::new(),
+            early_cancels: Vec::new(),
+            other_records: Vec::new(),
             advice: Vec::new(),
             arrivals: Arrivals::default(),
             log_events: Vec::new(),
@@ -287,6 +292,9 @@
                 self.reply_immediately(token, CallerResponse::Accepted);
             }
             Err(_) if self.is_store_unavailable => self.refuse(&[token]),
+            Err(_) if self.is_cancelled_early(id, &job.account) => {
+                self.submit_cancelled(job, token, now);
+            }
             Err(_) if !self.fits_quota(&job) => {
                 self.reply_immediately(token, CallerResponse::OverQuota);
             }
@@ -351,7 +359,7 @@
         } else if self.find_ended_job(id).is_some() {
             self.reply_immediately(token, CallerResponse::Cancelled);
         } else {
-            self.reply_immediately(token, CallerResponse::Unknown);
+            self.cancel_early(id, account, token, now);
         }
     }
 
@@ -479,7 +487,7 @@
     pub(crate) fn drop_job_details(&mut self, index: usize) {
         let job = self.jobs.remove(index);
         self.quotas.remove_job(job.account_number);
-        self.deletions.push(spec_deletion(job.id));
+        self.other_records.push(spec_deletion(job.id));
         if let Err(index) = self
             .ended_jobs
             .binary_search_by_key(&job.id, |ended| ended.id)
@@ -500,6 +508,7 @@
         self.retry_orders(now);
         self.renew_leases(now);
         self.remove_expired_jobs(now);
+        self.remove_expired_early_cancels(now);
         if now.steady_ms >= self.incarnations_pruned_ms + PRUNE_INTERVAL_MS {
             self.incarnations_pruned_ms = now.steady_ms;
             let before_ms = now.steady_ms.saturating_sub(INCARNATION_RETENTION_MS);
@@ -532,11 +541,11 @@
 
     fn remove_expired_jobs(&mut self, now: Now) {
         let retention_ms = self.settings.retention_ms;
-        let deletions = &mut self.deletions;
+        let records = &mut self.other_records;
         self.ended_jobs.retain(|job| {
             let is_kept = now.steady_ms < job.at_ms + retention_ms;
             if !is_kept {
-                deletions.push(progress_deletion(job.id));
+                records.push(progress_deletion(job.id));
             }
             is_kept
         });
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -35,6 +35,7 @@
 mod crash_history;
 mod crashes;
 mod demand;
+mod early_cancels;
 mod endpoint_locations;
 mod endpoint_table;
 mod endpoints;
--- a/crates/engine/src/restore.rs
+++ b/crates/engine/src/restore.rs
@@ -5,6 +5,7 @@
         config::Queue,
         crash_history::StoredCrashHistory,
         crashes::ISOLATION_WAIT_MS,
+        early_cancels::StoredEarlyCancel,
         engine::{EndedJob, Engine},
         event::Now,
         job::{JobId, JobSpec},
@@ -89,6 +90,11 @@
                 self.restore_vm(vm_name(key), decode_value::<StoredVm>(value)?, now);
                 Ok(())
             }
+            RecordKind::EarlyCancel(id) => {
+                let stored = decode_value::<StoredEarlyCancel>(value)?;
+                self.restore_early_cancel(id, stored, now);
+                Ok(())
+            }
             // Applied after the progress of all jobs.
             RecordKind::CrashHistory(_) => decode_value::<StoredCrashHistory>(value).map(drop),
         }
@@ -110,7 +116,9 @@
                     job.crash_history.stored.clone_from(value);
                     job.crash_history.is_needed = true;
                 }
-                Err(_) => self.deletions.push(crash_history_record(id, Vec::new())),
+                Err(_) => self
+                    .other_records
+                    .push(crash_history_record(id, Vec::new())),
             }
         }
     }
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -2,7 +2,8 @@
 //!
 //! A job has two records: its description, written once, and its progress, written with each
 //! change. Both are `MessagePack` arrays without field names. A job with tasks under which endpoints
-//! have crashed has a third one, see [`crate::crash_history`].
+//! have crashed has a third one, see [`crate::crash_history`], and a job that was cancelled before its
+//! submission only one of its own, see [`crate::early_cancels`].
 
 use {
     crate::{
@@ -32,6 +33,9 @@
 /// Key prefix of crash histories of jobs.
 const CRASH_HISTORY_PREFIX: char = 'c';
 
+/// Key prefix of jobs that were cancelled before they were submitted.
+const EARLY_CANCEL_PREFIX: char = 'e';
+
 /// A record to store. The latest record of a key is kept, and one without a value deletes the key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
@@ -54,6 +58,8 @@
     Vm,
     /// Crash history of a job.
     CrashHistory(JobId),
+    /// A job that was cancelled before it was submitted.
+    EarlyCancel(JobId),
 }
 
 /// Parses the key of a record.
@@ -71,6 +77,7 @@
         WAVE_PREFIX => rest.parse().ok().map(RecordKind::Wave),
         VM_PREFIX => Some(RecordKind::Vm),
         CRASH_HISTORY_PREFIX => rest.parse().ok().map(RecordKind::CrashHistory),
+        EARLY_CANCEL_PREFIX => rest.parse().ok().map(RecordKind::EarlyCancel),
         _ => None,
     }
 }
@@ -278,6 +285,15 @@
     }
 }
 
+/// Returns the record of a job that was cancelled before it was submitted; an empty value deletes it.
+#[must_use]
+pub fn early_cancel_record(job: JobId, value: Vec<u8>) -> Record {
+    Record {
+        key: format!("{EARLY_CANCEL_PREFIX}/{job}"),
+        value,
+    }
+}
+
 /// Returns the record of a wave.
 #[must_use]
 pub fn wave_record(wave: u64, stored: &StoredWave) -> Record {
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -627,6 +627,35 @@
     );
 }
 
+const EARLY_CANCEL: &str = "81a86163636f756e747391a5616c706861";
+
+/// Guards against a cancellation that owners of other builds cannot read.
+#[test]
+fn job_cancelled_before_its_submission() {
+    let mut fleet = fleet(1);
+    fleet.handle(Event::Cancel {
+        job: job_id(7),
+        account: "alpha".into(),
+        token: 0,
+    });
+    fleet.settle();
+    let key = format!("e/{}", job_id(7));
+    assert_held(&stored(&fleet, &key).value, EARLY_CANCEL);
+    let mut engine = restored(&[held_record(&key, EARLY_CANCEL)], fleet.now);
+    let submission = Event::Submit {
+        job: job_id(7),
+        queue: queue(),
+        spec: Box::new(full_spec()),
+        account: "alpha".into(),
+        origin: None,
+        token: 1,
+    };
+    engine.handle(submission, fleet.now);
+    let batch = engine.take_batch(fleet.now);
+    drop(engine.committed(batch, fleet.now));
+    assert_eq!(engine.job_state(job_id(7)), Some(JobState::Cancelled));
+}
+
 /// Returns the endpoint with runs.
 fn running_on(fleet: &Fleet) -> usize {
     let mut endpoints = fleet.endpoints.iter();
