Delete an early cancellation only after the end of its job is stored

The submission of a job that was cancelled before deleted the cancellation in the batch that stores the job's end, ahead of it. A batch stored in part would leave neither, and a later owner would run the job when its submission is repeated. The record is now deleted once the end is stored, as descriptions are. The new test failed before.

--- a/crates/engine/src/early_cancels.rs
+++ b/crates/engine/src/early_cancels.rs
@@ -108,9 +108,6 @@
     /// it starts.
     pub(crate) fn submit_cancelled(&mut self, mut job: Job, token: ReplyToken, now: Now) {
         let id = job.id;
-        if let Ok(index) = self.search_early_cancel(id) {
-            self.remove_early_cancel(index);
-        }
         // Only the final state of an ended job is kept.
         job.is_spec_stored = true;
         job.waiting_callers.push(token);
@@ -120,6 +117,13 @@
         }
     }
 
+    /// Removes the cancellation of a job whose end is stored.
+    pub(crate) fn forget_early_cancel(&mut self, id: JobId) {
+        if let Ok(index) = self.search_early_cancel(id) {
+            self.remove_early_cancel(index);
+        }
+    }
+
     /// Restores a cancellation that a previous owner has stored.
     pub(crate) fn restore_early_cancel(&mut self, id: JobId, stored: StoredEarlyCancel, now: Now) {
         let restored = EarlyCancel {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -488,6 +488,7 @@
         let job = self.jobs.remove(index);
         self.quotas.remove_job(job.account_number);
         self.other_records.push(spec_deletion(job.id));
+        self.forget_early_cancel(job.id);
         if let Err(index) = self
             .ended_jobs
             .binary_search_by_key(&job.id, |ended| ended.id)
--- a/crates/engine/tests/early_cancels.rs
+++ b/crates/engine/tests/early_cancels.rs
@@ -156,3 +156,23 @@
     fleet.advance(RETENTION_MS);
     assert_eq!(stored_cancels(&fleet), 0);
 }
+
+/// Guards against a cancellation that is lost when only a part of the batch with the submission is
+/// stored.
+#[test]
+fn cancellation_is_deleted_after_the_end_of_its_job_is_stored() {
+    let mut fleet = fleet();
+    cancel_as(&mut fleet, "");
+    fleet.is_store_down = true;
+    submit_as(&mut fleet, "");
+    let batch = fleet.engine.take_batch(fleet.now);
+    let kinds = batch.records.iter().map(|record| record_kind(&record.key));
+    assert_eq!(
+        kinds.collect::<Vec<_>>(),
+        [Some(RecordKind::Progress(job_id(1)))]
+    );
+    fleet.put_in_flight(batch);
+    fleet.is_store_down = false;
+    fleet.settle();
+    assert_eq!(stored_cancels(&fleet), 0);
+}
