Keep a job that was cancelled before any of it was stored

While the store is unavailable, jobs of which nothing was sent are refused and forgotten. One that had been cancelled was forgotten, too, and its cancellation was answered with success once the store was back: a repeated submission then ran. It is kept as cancelled now; its callers are refused as before. Found by reading; the new test failed before.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -256,13 +256,23 @@
             .collect();
         for id in unsent {
             if let Ok(index) = self.search(id) {
-                let job = self.jobs.remove(index);
-                self.quotas.remove_job(job.account_number);
-                self.refuse(&job.waiting_callers);
+                self.refuse_unsent(index);
             }
         }
     }
 
+    /// Refuses a job that was never sent to the store. One that was cancelled remains, as its caller is
+    /// told so once the store is available, and its submission may be repeated.
+    fn refuse_unsent(&mut self, index: usize) {
+        let job = self.jobs.get_mut_untracked(index);
+        let callers = std::mem::take(&mut job.waiting_callers);
+        if !job.state.is_final() {
+            let job = self.jobs.remove(index);
+            self.quotas.remove_job(job.account_number);
+        }
+        self.refuse(&callers);
+    }
+
     fn refuse(&mut self, tokens: &[ReplyToken]) {
         for &token in tokens {
             self.reply_immediately(token, CallerResponse::Refused);
--- a/crates/engine/tests/store_unavailable.rs
+++ b/crates/engine/tests/store_unavailable.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Fleet, POOL, pool, queue},
+    common::{Fleet, POOL, job_id, pool, queue},
     lynxwheel_engine::{CallerResponse, Event, FleetConfig, JobState, Queue},
 };
 
@@ -141,3 +141,25 @@
         .flat_map(|endpoint| &endpoint.running);
     assert_eq!(runs.count(), 1);
 }
+
+/// Guards against a job that runs although its cancellation was answered, because its first submission
+/// was refused while the store was unavailable.
+#[test]
+fn cancelled_job_remains_cancelled_after_its_submission_was_refused() {
+    let mut fleet = fleet_without_store();
+    fleet.submit(2, 1);
+    fleet.handle(Event::Cancel {
+        job: job_id(2),
+        account: "".into(),
+        token: 3,
+    });
+    set_store_unavailable(&mut fleet, true);
+    assert_eq!(responses(&fleet, 2), [CallerResponse::Refused]);
+    fleet.is_store_down = false;
+    set_store_unavailable(&mut fleet, false);
+    assert_eq!(responses(&fleet, 3), [CallerResponse::Cancelled]);
+    fleet.submit(2, 1);
+    fleet.advance(1_000);
+    assert_eq!(fleet.job_state(2), Some(JobState::Cancelled));
+    assert_eq!(fleet.endpoints[0].running.len(), 1, "only that of job 1");
+}
