Take only a refused connection for the end of a draining endpoint, and call it again if it lives

A draining, deregistered endpoint that responded within two seconds counted as ended when a renewal was not sent, for whatever reason: a connection that timed out because the endpoint was cut off, or no free connection of our own. Its runs were started elsewhere while they went on, and nothing of it was ever called again: what ran there unwanted went on until its lease expired.

Only a refused connection shows that nothing listens there; every other renewal that is not sent has an unknown outcome. An end that is inferred in this way is no proof: a registry entry written since, or an executed order, resumes calls, and what the endpoint lists decides. Ends that a later incarnation or a VM order proves remain.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -118,10 +118,10 @@
                 endpoint = endpoint.as_str(), runs = runs;
                 "VM order decided"
             ),
-            LogEvent::VmOrderWithheld { vm } => info!(
-                event = "vm_order_withheld", epoch = epoch, vm = vm.as_str();
-                "VM order not sent, as the ownership may have ended"
-            ),
+            LogEvent::VmOrderWithheld { vm } => log_vm_order_withheld(epoch, vm),
+            LogEvent::EndpointResumed { endpoint, after_ms } => {
+                log_endpoint_resumed(epoch, endpoint, *after_ms);
+            }
             LogEvent::EndpointEnded { endpoint, vm, runs } => info!(
                 event = "endpoint_over", epoch = epoch, endpoint = endpoint.as_str(),
                 vm = vm.as_str(), runs = runs;
@@ -167,6 +167,22 @@
     );
 }
 
+/// Logs that a VM order was not sent.
+fn log_vm_order_withheld(epoch: u64, vm: &str) {
+    info!(
+        event = "vm_order_withheld", epoch = epoch, vm = vm;
+        "VM order not sent, as the ownership may have ended"
+    );
+}
+
+/// Logs that an endpoint is active whose end was inferred.
+fn log_endpoint_resumed(epoch: u64, endpoint: &str, after_ms: u64) {
+    info!(
+        event = "endpoint_resumed", epoch = epoch, endpoint = endpoint, after_ms = after_ms;
+        "endpoint is active although it was taken for ended"
+    );
+}
+
 /// Logs that tasks wait for their account's quota.
 fn log_quota_wait(epoch: u64, wait: &QuotaWait) {
     let QuotaWait {
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -118,6 +118,7 @@
     ) {
         match outcome {
             CallOutcome::Done(clock_ms) => {
+                self.resume_if_end_was_inferred(key, now);
                 self.endpoints.get_mut(key).read_clock(*clock_ms, now);
                 if self.is_placed_on(key, task, run) {
                     self.confirm(key, task, run, now);
@@ -248,6 +249,7 @@
     ) {
         match outcome {
             CallOutcome::Done(clock_ms) => {
+                self.resume_if_end_was_inferred(key, now);
                 self.endpoints.get_mut(key).read_clock(*clock_ms, now);
                 self.stop_executed(key, task, run, now);
             }
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -141,6 +141,8 @@
     pub was_registered: bool,
     /// Whether this incarnation is known to have ended.
     pub has_ended: bool,
+    /// Whether that is only inferred, from a draining endpoint that refuses connections.
+    pub(crate) is_end_inferred: bool,
     /// When the end was detected, on the monotonic clock.
     pub ended_at_ms: u64,
     /// Whether it has reported its runs to this owner, which is required for new starts.
@@ -210,6 +212,7 @@
             is_registered: false,
             was_registered: false,
             has_ended: false,
+            is_end_inferred: false,
             ended_at_ms: 0,
             is_reconciled: false,
             is_cordoned: false,
@@ -271,6 +274,15 @@
         self.was_registered = true;
     }
 
+    /// Resumes calls to an incarnation whose end was inferred and that has shown to be active. Nothing
+    /// starts there before it has reported its runs.
+    pub(crate) fn resume(&mut self, now: Now) {
+        self.has_ended = false;
+        self.is_end_inferred = false;
+        self.is_reconciled = false;
+        self.renew_at_ms = now.steady_ms;
+    }
+
     /// Returns whether the endpoint can be called.
     #[must_use]
     pub fn is_reachable(&self) -> bool {
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -39,7 +39,8 @@
     Fenced,
     /// The endpoint refused the call and did nothing.
     Refused(Refusal),
-    /// Nothing was sent, for lack of a connection.
+    /// Nothing was sent, for lack of a connection. For a renewal, the connection was refused, which shows
+    /// that nothing listens at the address; other failures to connect are unknown outcomes.
     Unsent,
     /// No response arrived: the call may have been executed, or may still be.
     Unknown,
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -48,6 +48,9 @@
 impl Engine {
     pub(crate) fn register_endpoint(&mut self, entry: &EndpointEntry, is_fresh: bool, now: Now) {
         let key = self.endpoints.find_or_insert(&entry.id, now.steady_ms);
+        if is_fresh {
+            self.resume_if_end_was_inferred(key, now);
+        }
         if self.endpoints.get(key).has_ended {
             return;
         }
@@ -71,6 +74,19 @@
         self.is_schedule_due = true;
     }
 
+    /// Resumes calls to an incarnation that has shown to be active, if its end was only inferred.
+    pub(crate) fn resume_if_end_was_inferred(&mut self, key: EndpointKey, now: Now) {
+        if !self.endpoints.get(key).is_end_inferred {
+            return;
+        }
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.resume(now);
+        self.log_events.push(LogEvent::EndpointResumed {
+            endpoint: endpoint.id.clone(),
+            after_ms: now.steady_ms.saturating_sub(endpoint.ended_at_ms),
+        });
+    }
+
     /// Ends other incarnations at the address or on the VM of one that has just responded.
     ///
     /// Only a response proves which incarnation is current. The order of registry entries does not,
@@ -239,6 +255,7 @@
                     && endpoint.has_responded_within(MAX_SHUTDOWN_SILENCE_MS, now)
                 {
                     self.endpoint_ended(key, now);
+                    self.endpoints.get_mut(key).is_end_inferred = true;
                 } else {
                     self.renewal_failed(key, now);
                 }
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -202,6 +202,13 @@
         /// VM.
         vm: CompactString,
     },
+    /// An endpoint whose end was inferred has shown to be active.
+    EndpointResumed {
+        /// Endpoint.
+        endpoint: CompactString,
+        /// Time since its end was inferred, in milliseconds.
+        after_ms: u64,
+    },
     /// An endpoint incarnation has ended.
     EndpointEnded {
         /// Endpoint.
--- a/crates/engine/tests/incarnations.rs
+++ b/crates/engine/tests/incarnations.rs
@@ -88,9 +88,8 @@
     assert_eq!(fleet.starts(&format!("{}.0.0.0", job_id(1))), 1);
 }
 
-/// Returns the number of starts of a task whose draining endpoint is deregistered after a silence and
-/// accepts no connection.
-fn starts_after_leaving(silence_ms: u64) -> usize {
+/// Lets the draining endpoint of a task be deregistered after a silence and refuse a connection.
+fn fleet_after_leaving(silence_ms: u64) -> Fleet {
     let mut fleet = Fleet::new();
     fleet.list_endpoint("i-0", 16_000);
     fleet.submit(1, 1);
@@ -109,7 +108,12 @@
         outcome: CallOutcome::Unsent,
     });
     fleet.advance(300);
-    fleet.starts(&format!("{}.0.0.0", job_id(1)))
+    fleet
+}
+
+/// Returns the number of starts of a task after its draining endpoint has left or seems to have.
+fn starts_after_leaving(silence_ms: u64) -> usize {
+    fleet_after_leaving(silence_ms).starts(&format!("{}.0.0.0", job_id(1)))
 }
 
 macro_rules! leaving {
@@ -128,3 +132,39 @@
     /// Guards against waiting for the lease of an endpoint that has shut down.
     draining_endpoint_that_leaves_has_ended: 500 => 2;
 }
+
+/// Guards against runs on an endpoint that was taken for shut down, is active, and is never called
+/// again.
+#[test]
+fn endpoint_that_seemed_to_have_left_is_called_again() {
+    let mut fleet = fleet_after_leaving(500);
+    let key = fleet.engine.endpoints().find("i-0").expect("a listed one");
+    assert!(fleet.engine.endpoints().get(key).has_ended);
+    assert_eq!(fleet.endpoints[0].running.len(), 1);
+    fleet.endpoints[0].is_unresponsive = false;
+    let mut entry = fleet.entries[0].clone();
+    entry.is_draining = true;
+    fleet.handle(listed(entry, true));
+    fleet.settle();
+    fleet.advance(600);
+    assert!(!fleet.engine.endpoints().get(key).has_ended);
+    assert_eq!(fleet.endpoints[0].running, []);
+    assert_eq!(fleet.endpoints[1].running.len(), 1);
+}
+
+/// Guards against an incarnation that counts as active again because of a registry entry that was
+/// written after another one had replaced it.
+#[test]
+fn replaced_incarnation_does_not_resume() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-0", 16_000);
+    let entry = fleet.entries[0].clone();
+    fleet.advance(1_000);
+    replace(&mut fleet, "i-1");
+    fleet.advance(1_000);
+    let replaced = fleet.engine.endpoints().find("i-0").expect("a known one");
+    assert!(fleet.engine.endpoints().get(replaced).has_ended);
+    fleet.handle(listed(entry, true));
+    fleet.advance(1_000);
+    assert!(fleet.engine.endpoints().get(replaced).has_ended);
+}
