Test refused stops of more senders

Gangs that are done, failed jobs and maintenance, beside cancellations, gangs without one member, draining endpoints, stuck runs and stops of a previous owner. Preemption has no test: nothing preempts runs, priorities only order starts.

--- a/crates/engine/tests/refused_orders.rs
+++ b/crates/engine/tests/refused_orders.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use {
-    common::{Fleet, job_id, listed, step},
+    common::{Fleet, job_id, listed, step, vms_with},
     lynxwheel_engine::{
         CallOutcome, Effect, EndKind, Event, JobSpec, LogEvent, Refusal, RefusedOrder, RunOrder,
-        StepSpec, TaskRef,
+        StepSpec, TaskRef, WaveOrder,
     },
 };
 
@@ -98,6 +98,35 @@
     fleet.settle();
 }
 
+/// Fails a run of a task once it is active.
+fn fail(fleet: &mut Fleet, task: TaskRef) {
+    for _ in 0..100 {
+        for endpoint in &mut fleet.endpoints {
+            let active = endpoint.running.iter().find(|(known, _)| *known == task);
+            if let Some((_, run)) = active.copied() {
+                endpoint.end(&task, run, EndKind::Failed);
+                return fleet.advance(100);
+            }
+        }
+        fleet.advance(100);
+    }
+    panic!("{task} is not active");
+}
+
+/// Orders maintenance of the VM of an endpoint.
+fn order_maintenance(fleet: &mut Fleet, index: usize) {
+    let id = fleet.endpoints[index].id.clone();
+    fleet.list_vms(vms_with("vm-1", &id));
+    fleet.engine.allow_vm_orders(true);
+    fleet.handle(Event::WaveOrdered(WaveOrder {
+        wave: 1,
+        vms: vec!["vm-1".into()],
+        duration_s: 2.0,
+        max_count: 1,
+    }));
+    fleet.advance(2_000);
+}
+
 macro_rules! senders {
     ($($name:ident: $step:expr, $decide:expr;)*) => {
         $(/// Guards against a run that goes on after a refused stop.
@@ -114,6 +143,18 @@
         fleet.endpoints[index].end(&task, run, EndKind::Failed);
         fleet.advance(100);
     };
+    refused_stop_of_a_gang_that_is_done: StepSpec { gang: true, ..step(2) }, |fleet, index| {
+        let (task, run) = fleet.endpoints[index].running[1];
+        fleet.endpoints[index].end(&task, run, EndKind::Done);
+        fleet.advance(100);
+    };
+    refused_stop_of_a_failed_job: step(3), |fleet, index| {
+        let (task, _) = fleet.endpoints[index].running[2];
+        for _ in 0..2 {
+            fail(fleet, task);
+        }
+    };
+    refused_stop_before_maintenance: long_running(1), order_maintenance;
     refused_stop_on_a_draining_endpoint: long_running(1), drain;
     refused_stop_of_a_stuck_run: step(1), |fleet, index| {
         fleet.endpoints[index].percent = Some(30);
