Compare the pace of fillers with the wanted one in each report

The outcome of a pace order was taken for its effect. An order without an answer (lost, or its delegate lost) counted as not applied, and the owner went on with the pace from before: after a lost slowdown the filler stayed at 0 for good, as full speed was both assumed and wanted; after a lost speedup it kept disturbing a serving task whose tail called for 0. A new owner assumed full speed of all runs. Nothing was ordered once nothing served beside a filler, so it kept its pace until its end. An order that reached the endpoint before the start counted as applied to the run.

A run now has the pace ordered last and the pace it is known to have, which is none after a missing answer or a takeover, or when orders may have overtaken each other. Each report compares the known pace with the wanted one, which is full speed if nothing serves. A run of unknown pace does not speed up beside serving tasks before its pace is confirmed.

The encodings between nodes are unchanged: `Paced(false)` has always been sent in both cases and now means that the change is not known to be applied.

--- a/crates/controller/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -36,7 +36,7 @@
     Ordered(CallOutcome<u64>),
     /// Result of a renewal.
     Renewed(CallOutcome<EndpointReport>),
-    /// Whether a change of pace was applied.
+    /// Whether a change of pace is known to be applied.
     Paced(bool),
 }
 
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -436,7 +436,7 @@
     }
 
     /// Returns a run for a change that does not have to be stored.
-    fn attempt_mut(&mut self, task: &TaskRef, run: u32) -> Option<&mut Attempt> {
+    pub(crate) fn attempt_mut(&mut self, task: &TaskRef, run: u32) -> Option<&mut Attempt> {
         let index = self.search(task.job).ok()?;
         find_attempt(self.jobs.get_mut_untracked(index), task, run)
     }
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -168,7 +168,8 @@
         run: u32,
         /// Requested speed, in percent of full speed.
         percent: u8,
-        /// Whether the endpoint applied the change.
+        /// Whether the change is known to be applied. Otherwise the endpoint may have refused it, or it
+        /// may be applied later.
         is_done: bool,
     },
     /// A call with a move or maintenance order has ended.
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -287,7 +287,7 @@
             self.remove_missing_runs(key, report, renewal, now);
         }
         self.stop_stuck_runs(key, report.clock_ms, now);
-        self.adjust_pace(key);
+        self.adjust_pace(key, now);
         let endpoint = self.endpoints.get_mut(key);
         let pause_ms = if !report.ended.is_empty() {
             RENEW_PAUSE_MS
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -79,7 +79,7 @@
     fair_share::{AccountDemand, fair_level},
     job::{JobId, JobSpec, JobState, ParseNameError, Resources, StepSpec, TaskRef},
     log_event::{LogEvent, PoolPlan, QuotaWait, RunEnd, ShareWait},
-    pacing::next_pace,
+    pacing::{RunPace, next_pace},
     quota::{AccountNumber, QuotaTracker, RemainingQuotas},
     reports::{
         EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -6,6 +6,7 @@
         crash_history::CrashHistoryRecord,
         event::{EndpointKey, Now, ReplyToken},
         job::{JobId, JobSpec, JobState, StepSpec, TaskRef},
+        pacing::RunPace,
         quota::AccountNumber,
     },
     compact_str::CompactString,
@@ -57,8 +58,8 @@
     pub percent: u32,
     /// When progress was last observed, on the endpoint's clock; `None` before the first report.
     pub progress_clock_ms: Option<u64>,
-    /// Requested speed, in percent of full speed.
-    pub pace: u8,
+    /// Speed as ordered and as known.
+    pub pace: RunPace,
 }
 
 impl Attempt {
@@ -79,7 +80,12 @@
             active_ms: 0,
             percent: 0,
             progress_clock_ms: None,
-            pace: 100,
+            // A previous owner, which decided at an unknown time, may have ordered any.
+            pace: if decided_at_ms == 0 {
+                RunPace::unknown()
+            } else {
+                RunPace::new()
+            },
         }
     }
 
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -86,6 +86,10 @@
     pub exempt: Vec<TaskRef>,
     /// Reported progress of every run; `None` means 100.
     pub percent: Option<u32>,
+    /// Reported usage of every run, which is the tail latency of a serving one.
+    pub usage: Option<u64>,
+    /// Speeds other than full speed, in percent.
+    pub paces: Vec<(TaskRef, u32, u8)>,
     pub started: Vec<(TaskRef, u32)>,
 }
 
@@ -518,6 +522,23 @@
                 let due_ms = self.now.steady_ms + wait_ms;
                 self.waiting.push((due_ms, endpoint, acknowledged));
             }
+            Effect::Pace {
+                endpoint,
+                task,
+                run,
+                percent,
+            } => {
+                let outcome = self.order(endpoint, refusal, |fake| {
+                    fake.set_pace(&task, run, percent);
+                });
+                self.handle(Event::Paced {
+                    endpoint,
+                    task,
+                    run,
+                    percent,
+                    is_done: matches!(outcome, CallOutcome::Done(_)),
+                });
+            }
             Effect::Reply { token, response } => self.replies.push((token, response)),
             _ => {}
         }
@@ -636,7 +657,7 @@
                     run: *run,
                     checkpoint: "".into(),
                     percent: self.percent.unwrap_or(100),
-                    usage: None,
+                    usage: self.usage,
                 })
                 .collect(),
             ended: self.ended.clone(),
@@ -644,6 +665,22 @@
         }
     }
 
+    /// Returns the speed of a run, in percent.
+    pub fn pace(&self, task: &TaskRef, run: u32) -> u8 {
+        let mut paces = self.paces.iter();
+        let pace = paces.find(|(known, known_run, _)| known == task && *known_run == run);
+        pace.map_or(100, |(_, _, percent)| *percent)
+    }
+
+    /// Sets the speed of a run; does nothing if it is not active.
+    pub fn set_pace(&mut self, task: &TaskRef, run: u32, percent: u8) {
+        if self.running.contains(&(*task, run)) {
+            self.paces
+                .retain(|(known, known_run, _)| known != task || *known_run != run);
+            self.paces.push((*task, run, percent));
+        }
+    }
+
     pub fn end(&mut self, task: &TaskRef, run: u32, kind: EndKind) {
         let index = self.running.iter().position(|known| *known == (*task, run));
         if let Some(index) = index {
