Keep the unanswered order of a VM that is missing from a list

A VM that a list omits was forgotten with its order, although a call with the order may still take effect. When it was listed again it counted as a VM without an order: its endpoint stayed cordoned for good, as nothing settles an order that is not known any more, and a refusal of the next order would have released the VM for work that the first one may end.

The order is now kept aside, and sent again when the VM is listed again. The response to the earlier call is ignored as before, and a refusal does not settle the order.

vm_missing_from_a_list_keeps_the_order_that_may_take_effect failed before: one move instead of two, as the order was not repeated.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -104,6 +104,8 @@
     pub(crate) unanswered_runs: Vec<(TaskRef, u32)>,
     /// Sorted by name.
     pub(crate) vms: Vec<Vm>,
+    /// VMs that are missing from the latest list and have an order with an unknown outcome.
+    pub(crate) unlisted_vms: Vec<Vm>,
     /// Number of the last call with a VM order.
     pub(crate) last_vm_call: u64,
     pub(crate) vm_order_rate: OrderRateLimiter,
@@ -151,6 +153,7 @@
             unstored_ends: Vec::new(),
             unanswered_runs: Vec::new(),
             vms: Vec::new(),
+            unlisted_vms: Vec::new(),
             last_vm_call: 0,
             vm_order_rate: OrderRateLimiter::new(settings.vm_orders_per_s),
             vm_cooldowns: Vec::new(),
--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -76,7 +76,9 @@
             let index = entries.binary_search_by(|entry| entry.name.cmp(&vm.entry.name));
             index.is_ok()
         };
-        self.vms.retain(is_listed);
+        let unlisted = self.vms.extract_if(.., |vm| !is_listed(vm));
+        self.unlisted_vms
+            .extend(unlisted.filter(|vm| vm.order.is_some()));
         for entry in entries {
             if !entry.endpoint.is_empty()
                 && let Some(key) = self.endpoints.find(&entry.endpoint)
@@ -85,29 +87,46 @@
             }
             match self.vm_index(&entry.name) {
                 Ok(index) => self.vms[index].update(entry, requested_ms, now),
-                Err(index) => self.vms.insert(
-                    index,
-                    Vm {
-                        cooldown_until_ms: self.inherited_cooldown_ms(&entry.name),
-                        entry,
-                        listed_ms: requested_ms,
-                        changed_ms: 0,
-                        order: None,
-                        ordered_endpoint: None,
-                        is_inherited: false,
-                        pending_call: None,
-                        may_take_effect: false,
-                        ordered_ms: 0,
-                        maintained_until_ms: 0,
-                        is_dirty: false,
-                        stored_order_ms: 0,
-                    },
-                ),
+                Err(index) => {
+                    let vm = self.newly_listed_vm(entry, requested_ms, now);
+                    self.vms.insert(index, vm);
+                }
             }
         }
         self.end_replaced_endpoints(now);
     }
 
+    /// Returns the state of a VM that is listed for the first time, or again.
+    ///
+    /// An order from before it was missing may have taken effect or may still do so. It is sent again
+    /// to learn its outcome, and the response to its earlier call is ignored.
+    fn newly_listed_vm(&mut self, entry: VmEntry, requested_ms: u64, now: Now) -> Vm {
+        let is_known = |vm: &Vm| vm.entry.name == entry.name;
+        if let Some(at) = self.unlisted_vms.iter().position(is_known) {
+            let mut vm = self.unlisted_vms.swap_remove(at);
+            vm.pending_call = None;
+            vm.ordered_ms = 0;
+            vm.may_take_effect = true;
+            vm.update(entry, requested_ms, now);
+            return vm;
+        }
+        Vm {
+            cooldown_until_ms: self.inherited_cooldown_ms(&entry.name),
+            entry,
+            listed_ms: requested_ms,
+            changed_ms: 0,
+            order: None,
+            ordered_endpoint: None,
+            is_inherited: false,
+            pending_call: None,
+            may_take_effect: false,
+            ordered_ms: 0,
+            maintained_until_ms: 0,
+            is_dirty: false,
+            stored_order_ms: 0,
+        }
+    }
+
     /// Ends incarnations on VMs that the platform lists with a later one.
     fn end_replaced_endpoints(&mut self, now: Now) {
         let replaced: Vec<EndpointKey> = self
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -10,6 +10,16 @@
     },
 };
 
+/// Returns the list of the idle VMs.
+fn idle_vms() -> Vec<VmEntry> {
+    let vms = (1..=4).map(|number| VmEntry {
+        pool: POOL.into(),
+        endpoint: format!("i-{number}").into(),
+        ..standby_vm(&format!("vm-{number}"))
+    });
+    vms.collect()
+}
+
 /// Returns a fleet with idle VMs, some of which may be switched off.
 fn idle_fleet() -> Fleet {
     let mut fleet = Fleet::new();
@@ -18,12 +28,7 @@
     }
     fleet.advance(300);
     fleet.engine.allow_vm_orders(true);
-    let vms = (1..=4).map(|number| VmEntry {
-        pool: POOL.into(),
-        endpoint: format!("i-{number}").into(),
-        ..standby_vm(&format!("vm-{number}"))
-    });
-    fleet.list_vms(vms.collect());
+    fleet.list_vms(idle_vms());
     fleet.advance(1_500);
     fleet
 }
@@ -66,6 +71,22 @@
     assert_eq!(runs_beside_work(&mut fleet, &vm), 0);
 }
 
+/// Guards against starting work on a VM that was missing from a list while an order without an answer
+/// may still take effect.
+#[test]
+fn vm_missing_from_a_list_keeps_the_order_that_may_take_effect() {
+    let mut fleet = idle_fleet();
+    let vm = first_moved(&fleet);
+    answer(&mut fleet, &vm, VmOutcome::Unknown);
+    let others = idle_vms().into_iter().filter(|entry| entry.name != vm);
+    fleet.list_vms(others.collect());
+    fleet.list_vms(idle_vms());
+    fleet.advance(1_600);
+    assert_eq!(moves_of(&fleet, &vm), 2, "the order is repeated");
+    answer(&mut fleet, &vm, VmOutcome::Refused);
+    assert_eq!(runs_beside_work(&mut fleet, &vm), 0);
+}
+
 #[test]
 fn vm_whose_first_order_was_refused_gets_work_again() {
     let mut fleet = idle_fleet();
