Step down when the VM service names a newer owner

A VM order refused because of its fencing token counted as refused by a busy VM: the former owner released the VM for work and ordered it again after the cooldown, beside its successor. A fenced call to an endpoint makes an owner step down; one to the VM service now does, too, and the order is left for the successor.

--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -67,8 +67,10 @@
 pub enum VmOutcome {
     /// Executed by this call or an earlier one.
     Done,
-    /// The VM is not up or is leaving.
+    /// The VM is not up, is leaving or is not part of the wave; nothing was done.
     Busy,
+    /// The service has accepted orders for the VM from a newer owner.
+    Fenced,
     /// Refused for another reason; nothing was done.
     Refused,
     /// No response arrived: the order may have been executed, or may still be.
--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -160,6 +160,11 @@
 
     /// Processes the response to a VM order.
     pub(crate) fn vm_answered(&mut self, name: &str, call: u64, outcome: VmOutcome, now: Now) {
+        if outcome == VmOutcome::Fenced {
+            // This owner has been replaced, and its successor settles the order.
+            self.immediate_effects.push(Effect::StepDown);
+            return;
+        }
         let Ok(index) = self.vm_index(name) else {
             return;
         };
@@ -203,7 +208,7 @@
                 }
             }
             // Retried later, which is safe as both orders are idempotent.
-            VmOutcome::Unknown => self.vms[index].may_take_effect = true,
+            VmOutcome::Unknown | VmOutcome::Fenced => self.vms[index].may_take_effect = true,
         }
     }
 
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -236,6 +236,19 @@
     assert_eq!(fleet.endpoints[index].started.len(), 0);
 }
 
+/// Guards against a former owner that goes on ordering VMs beside its successor.
+#[test]
+fn fenced_order_makes_the_owner_step_down() {
+    let mut fleet = idle_fleet();
+    let vm = first_moved(&fleet);
+    fleet.answer_vm_order(&vm, VmOutcome::Fenced);
+    let effects = fleet.engine.take_immediate_effects();
+    let mut effects = effects.iter();
+    assert!(effects.any(|effect| matches!(effect, Effect::StepDown)));
+    fleet.advance(6_000);
+    assert_eq!(moves_of(&fleet, &vm), 1);
+}
+
 /// Guards against taking the answer to an order for that of a later one.
 #[test]
 fn answer_to_an_earlier_call_settles_no_later_order() {
