Forget the order of a VM that has been missing from lists for long

The order that is kept for a VM missing from a list would be repeated whenever the VM is listed again, also when it has got another purpose since. It is now forgotten 30 s after its last call, and the endpoint of the VM is released for work.

--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -17,6 +17,10 @@
 /// Time added to the duration of maintenance before a list may show the VM as up, in milliseconds.
 const MAINTENANCE_SLACK_MS: u64 = 300;
 
+/// Time after the last call with the order of a VM that lists omit until the order is forgotten, in
+/// milliseconds. No late effects are expected by then, and the VM may have got another purpose.
+const UNLISTED_ORDER_MS: u64 = 30_000;
+
 /// Cooldown of a VM that refused an order, in milliseconds.
 const VM_COOLDOWN_MS: u64 = 2_000;
 
@@ -79,6 +83,7 @@
         let unlisted = self.vms.extract_if(.., |vm| !is_listed(vm));
         self.unlisted_vms
             .extend(unlisted.filter(|vm| vm.order.is_some()));
+        self.forget_unlisted_vms(now);
         for entry in entries {
             if !entry.endpoint.is_empty()
                 && let Some(key) = self.endpoints.find(&entry.endpoint)
@@ -96,6 +101,19 @@
         self.end_replaced_endpoints(now);
     }
 
+    /// Forgets VMs that have been missing from lists for so long that their orders no longer take
+    /// effect.
+    fn forget_unlisted_vms(&mut self, now: Now) {
+        let is_over = |vm: &mut Vm| now.steady_ms >= vm.ordered_ms + UNLISTED_ORDER_MS;
+        let forgotten: Vec<Vm> = self.unlisted_vms.extract_if(.., is_over).collect();
+        for vm in forgotten {
+            let active: Vec<EndpointKey> = self.endpoints.active_on_vm(&vm.entry.name).collect();
+            for key in active {
+                self.endpoints.get_mut(key).is_cordoned = false;
+            }
+        }
+    }
+
     /// Returns the state of a VM that is listed for the first time, or again.
     ///
     /// An order from before it was missing may have taken effect or may still do so. It is sent again
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -87,6 +87,25 @@
     assert_eq!(runs_beside_work(&mut fleet, &vm), 0);
 }
 
+/// Guards against repeating an order from long ago on a VM that is listed again, and against a VM that
+/// stays cordoned without an order.
+#[test]
+fn vm_missing_from_lists_for_long_gets_work_again() {
+    let mut fleet = idle_fleet();
+    let vm = first_moved(&fleet);
+    answer(&mut fleet, &vm, VmOutcome::Unknown);
+    for _ in 0..32 {
+        let others = idle_vms().into_iter().filter(|entry| entry.name != vm);
+        fleet.list_vms(others.collect());
+        fleet.advance(1_000);
+    }
+    assert_eq!(moves_of(&fleet, &vm), 1);
+    assert!(runs_beside_work(&mut fleet, &vm) > 0);
+    fleet.list_vms(idle_vms());
+    fleet.advance(2_000);
+    assert_eq!(moves_of(&fleet, &vm), 1);
+}
+
 #[test]
 fn vm_whose_first_order_was_refused_gets_work_again() {
     let mut fleet = idle_fleet();
