--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -68,8 +68,10 @@
 pub enum VmOutcome {
     /// Executed by this call or an earlier one.
     Done,
-    /// The VM is not up or is leaving.
+    /// The VM is not up, is leaving or is not part of the wave; nothing was done.
     Busy,
+    /// The service has accepted orders for the VM from a newer owner.
+    Fenced,
     /// Refused for another reason; nothing was done.
     Refused,
     /// No response arrived: the order may have been executed, or may still be.
@@ -169,7 +171,8 @@
         run: u32,
         /// Requested speed, in percent of full speed.
         percent: u8,
-        /// Whether the endpoint applied the change.
+        /// Whether the change is known to be applied. Otherwise the endpoint may have refused it, or it
+        /// may be applied later.
         is_done: bool,
     },
     /// A call with a move or maintenance order has ended.
--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -17,6 +17,10 @@
 /// Time added to the duration of maintenance before a list may show the VM as up, in milliseconds.
 const MAINTENANCE_SLACK_MS: u64 = 300;
 
+/// Time after the last call with the order of a VM that lists omit until the order is forgotten, in
+/// milliseconds. No late effects are expected by then, and the VM may have got another purpose.
+const UNLISTED_ORDER_MS: u64 = 30_000;
+
 /// Cooldown of a VM that refused an order, in milliseconds.
 const VM_COOLDOWN_MS: u64 = 2_000;
 
@@ -76,7 +80,10 @@
             let index = entries.binary_search_by(|entry| entry.name.cmp(&vm.entry.name));
             index.is_ok()
         };
-        self.vms.retain(is_listed);
+        let unlisted = self.vms.extract_if(.., |vm| !is_listed(vm));
+        self.unlisted_vms
+            .extend(unlisted.filter(|vm| vm.order.is_some()));
+        self.forget_unlisted_vms(now);
         for entry in entries {
             if !entry.endpoint.is_empty()
                 && let Some(key) = self.endpoints.find(&entry.endpoint)
@@ -85,29 +92,59 @@
             }
             match self.vm_index(&entry.name) {
                 Ok(index) => self.vms[index].update(entry, requested_ms, now),
-                Err(index) => self.vms.insert(
-                    index,
-                    Vm {
-                        cooldown_until_ms: self.inherited_cooldown_ms(&entry.name),
-                        entry,
-                        listed_ms: requested_ms,
-                        changed_ms: 0,
-                        order: None,
-                        ordered_endpoint: None,
-                        is_inherited: false,
-                        pending_call: None,
-                        may_take_effect: false,
-                        ordered_ms: 0,
-                        maintained_until_ms: 0,
-                        is_dirty: false,
-                        stored_order_ms: 0,
-                    },
-                ),
+                Err(index) => {
+                    let vm = self.newly_listed_vm(entry, requested_ms, now);
+                    self.vms.insert(index, vm);
+                }
             }
         }
         self.end_replaced_endpoints(now);
     }
 
+    /// Forgets VMs that have been missing from lists for so long that their orders no longer take
+    /// effect.
+    fn forget_unlisted_vms(&mut self, now: Now) {
+        let is_over = |vm: &mut Vm| now.steady_ms >= vm.ordered_ms + UNLISTED_ORDER_MS;
+        let forgotten: Vec<Vm> = self.unlisted_vms.extract_if(.., is_over).collect();
+        for vm in forgotten {
+            let active: Vec<EndpointKey> = self.endpoints.active_on_vm(&vm.entry.name).collect();
+            for key in active {
+                self.endpoints.get_mut(key).is_cordoned = false;
+            }
+        }
+    }
+
+    /// Returns the state of a VM that is listed for the first time, or again.
+    ///
+    /// An order from before it was missing may have taken effect or may still do so. It is sent again
+    /// to learn its outcome, and the response to its earlier call is ignored.
+    fn newly_listed_vm(&mut self, entry: VmEntry, requested_ms: u64, now: Now) -> Vm {
+        let is_known = |vm: &Vm| vm.entry.name == entry.name;
+        if let Some(at) = self.unlisted_vms.iter().position(is_known) {
+            let mut vm = self.unlisted_vms.swap_remove(at);
+            vm.pending_call = None;
+            vm.ordered_ms = 0;
+            vm.may_take_effect = true;
+            vm.update(entry, requested_ms, now);
+            return vm;
+        }
+        Vm {
+            cooldown_until_ms: self.inherited_cooldown_ms(&entry.name),
+            entry,
+            listed_ms: requested_ms,
+            changed_ms: 0,
+            order: None,
+            ordered_endpoint: None,
+            is_inherited: false,
+            pending_call: None,
+            may_take_effect: false,
+            ordered_ms: 0,
+            maintained_until_ms: 0,
+            is_dirty: false,
+            stored_order_ms: 0,
+        }
+    }
+
     /// Ends incarnations on VMs that the platform lists with a later one.
     fn end_replaced_endpoints(&mut self, now: Now) {
         let replaced: Vec<EndpointKey> = self
@@ -141,6 +178,11 @@
 
     /// Processes the response to a VM order.
     pub(crate) fn vm_answered(&mut self, name: &str, call: u64, outcome: VmOutcome, now: Now) {
+        if outcome == VmOutcome::Fenced {
+            // This owner has been replaced, and its successor settles the order.
+            self.immediate_effects.push(Effect::StepDown);
+            return;
+        }
         let Ok(index) = self.vm_index(name) else {
             return;
         };
@@ -184,7 +226,7 @@
                 }
             }
             // Retried later, which is safe as both orders are idempotent.
-            VmOutcome::Unknown => self.vms[index].may_take_effect = true,
+            VmOutcome::Unknown | VmOutcome::Fenced => self.vms[index].may_take_effect = true,
         }
     }
 
