Give a start up if its retries cannot succeed there

A start whose first try may still take effect was retried whatever the refusal. One refused for its ticket lost the ticket, and as tickets are only requested for tasks that wait, it was sent without one 5 times a second from then on; one refused as malformed was, too. The task neither ran nor moved.

Such a run is now stopped. An executed stop shows that the first try cannot take effect any more, and the task starts again with a new ticket or elsewhere.

start_is_given_up_after_a_retry_without_a_ticket and start_is_given_up_after_an_invalid_retry failed before (still at run 1 after 3.5 s).

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -140,6 +140,11 @@
                     self.delay_task(task, now.steady_ms + INVALID_PAUSE_MS);
                 }
                 self.start_failed(task, run, now);
+                // No retry succeeds there. A stop shows that an earlier try cannot take effect any
+                // more, so that the task may start elsewhere.
+                if matches!(refusal, Refusal::Invalid | Refusal::Ticket) {
+                    self.stop_run(task, run, now);
+                }
             }
             CallOutcome::Unsent => {
                 if !self.forget_origin(task) {
--- a/crates/engine/tests/start_refusals.rs
+++ b/crates/engine/tests/start_refusals.rs
@@ -173,6 +173,12 @@
 }
 
 lasting! {
+    /// Guards against a task that never runs, as its start is retried without a ticket for good.
+    start_is_given_up_after_a_retry_without_a_ticket: Ticket => 2;
+
+    /// Guards against a task that never runs, as a start that is malformed there is retried for good.
+    start_is_given_up_after_an_invalid_retry: Invalid => 2;
+
     /// Guards against giving up a start that may succeed as soon as the endpoint has recovered.
     start_is_retried_at_an_unhealthy_endpoint: Unhealthy => 1;
 
