--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -10,6 +10,7 @@
         advice::StepAdvice,
         arrivals::Arrivals,
         config::{FleetConfig, Queue},
+        early_cancels::EarlyCancel,
         endpoint_table::EndpointTable,
         event::{CallerResponse, Effect, EndpointKey, Event, Now, ReplyToken},
         free_capacity::FreeCapacity,
@@ -104,6 +105,8 @@
     pub(crate) unanswered_runs: Vec<(TaskRef, u32)>,
     /// Sorted by name.
     pub(crate) vms: Vec<Vm>,
+    /// VMs that are missing from the latest list and have an order with an unknown outcome.
+    pub(crate) unlisted_vms: Vec<Vm>,
     /// Number of the last call with a VM order.
     pub(crate) last_vm_call: u64,
     pub(crate) vm_order_rate: OrderRateLimiter,
@@ -113,7 +116,10 @@
     pub(crate) waves: Vec<Wave>,
     pub(crate) pending_effects: Vec<Effect>,
     pub(crate) immediate_effects: Vec<Effect>,
-    pub(crate) deletions: Vec<Record>,
+    /// Jobs that were cancelled before they were submitted, sorted by id.
+    pub(crate) early_cancels: Vec<EarlyCancel>,
+    /// Records to store, and deletions, that belong to no job in progress.
+    pub(crate) other_records: Vec<Record>,
     /// Tickets of the steps whose endpoints are chosen by the advice service, sorted by step.
     pub(crate) advice: Vec<StepAdvice>,
     /// Recently submitted work.
@@ -151,13 +157,15 @@
             unstored_ends: Vec::new(),
             unanswered_runs: Vec::new(),
             vms: Vec::new(),
+            unlisted_vms: Vec::new(),
             last_vm_call: 0,
             vm_order_rate: OrderRateLimiter::new(settings.vm_orders_per_s),
             vm_cooldowns: Vec::new(),
             waves: Vec::new(),
             pending_effects: Vec::new(),
             immediate_effects: Vec::new(),
-            deletions: Vec::new(),
+            early_cancels: Vec::new(),
+            other_records: Vec::new(),
             advice: Vec::new(),
             arrivals: Arrivals::default(),
             log_events: Vec::new(),
@@ -251,13 +259,23 @@
             .collect();
         for id in unsent {
             if let Ok(index) = self.search(id) {
-                let job = self.jobs.remove(index);
-                self.quotas.remove_job(job.account_number);
-                self.refuse(&job.waiting_callers);
+                self.refuse_unsent(index);
             }
         }
     }
 
+    /// Refuses a job that was never sent to the store. One that was cancelled remains, as its caller is
+    /// told so once the store is available, and its submission may be repeated.
+    fn refuse_unsent(&mut self, index: usize) {
+        let job = self.jobs.get_mut_untracked(index);
+        let callers = std::mem::take(&mut job.waiting_callers);
+        if !job.state.is_final() {
+            let job = self.jobs.remove(index);
+            self.quotas.remove_job(job.account_number);
+        }
+        self.refuse(&callers);
+    }
+
     fn refuse(&mut self, tokens: &[ReplyToken]) {
         for &token in tokens {
             self.reply_immediately(token, CallerResponse::Refused);
@@ -287,6 +305,9 @@
                 self.reply_immediately(token, CallerResponse::Accepted);
             }
             Err(_) if self.is_store_unavailable => self.refuse(&[token]),
+            Err(_) if self.is_cancelled_early(id, &job.account) => {
+                self.submit_cancelled(job, token, now);
+            }
             Err(_) if !self.fits_quota(&job) => {
                 self.reply_immediately(token, CallerResponse::OverQuota);
             }
@@ -351,7 +372,7 @@
         } else if self.find_ended_job(id).is_some() {
             self.reply_immediately(token, CallerResponse::Cancelled);
         } else {
-            self.reply_immediately(token, CallerResponse::Unknown);
+            self.cancel_early(id, account, token, now);
         }
     }
 
@@ -479,7 +500,8 @@
     pub(crate) fn drop_job_details(&mut self, index: usize) {
         let job = self.jobs.remove(index);
         self.quotas.remove_job(job.account_number);
-        self.deletions.push(spec_deletion(job.id));
+        self.other_records.push(spec_deletion(job.id));
+        self.forget_early_cancel(job.id);
         if let Err(index) = self
             .ended_jobs
             .binary_search_by_key(&job.id, |ended| ended.id)
@@ -500,6 +522,7 @@
         self.retry_orders(now);
         self.renew_leases(now);
         self.remove_expired_jobs(now);
+        self.remove_expired_early_cancels(now);
         if now.steady_ms >= self.incarnations_pruned_ms + PRUNE_INTERVAL_MS {
             self.incarnations_pruned_ms = now.steady_ms;
             let before_ms = now.steady_ms.saturating_sub(INCARNATION_RETENTION_MS);
@@ -532,11 +555,11 @@
 
     fn remove_expired_jobs(&mut self, now: Now) {
         let retention_ms = self.settings.retention_ms;
-        let deletions = &mut self.deletions;
+        let records = &mut self.other_records;
         self.ended_jobs.retain(|job| {
             let is_kept = now.steady_ms < job.at_ms + retention_ms;
             if !is_kept {
-                deletions.push(progress_deletion(job.id));
+                records.push(progress_deletion(job.id));
             }
             is_kept
         });
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -35,6 +35,7 @@
 mod crash_history;
 mod crashes;
 mod demand;
+mod early_cancels;
 mod endpoint_locations;
 mod endpoint_table;
 mod endpoints;
@@ -45,6 +46,7 @@
 mod job;
 mod job_table;
 mod leases;
+mod listed_runs;
 mod log_event;
 mod open_steps;
 mod order_rate;
@@ -78,14 +80,16 @@
     },
     fair_share::{AccountDemand, fair_level},
     job::{JobId, JobSpec, JobState, ParseNameError, Resources, StepSpec, TaskRef},
-    log_event::{LogEvent, PoolPlan, QuotaWait, RunEnd, ShareWait},
-    pacing::next_pace,
+    log_event::{
+        LogEvent, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder, ShareWait, UnwantedRun,
+    },
+    pacing::{RunPace, next_pace},
     quota::{AccountNumber, QuotaTracker, RemainingQuotas},
     reports::{
         EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
     },
     restore::{UnreadCause, UnreadRecord},
-    state::{Attempt, Job, LostRun, Occurrence, Phase, StepRun, Task},
+    state::{Attempt, Job, LostRun, Occurrence, Phase, StepRun, StopPhase, Task},
     stored::{Record, RecordKind, StoredWave, record_kind},
     vms::VmOrder,
 };
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -6,6 +6,7 @@
         crash_history::CrashHistoryRecord,
         event::{EndpointKey, Now, ReplyToken},
         job::{JobId, JobSpec, JobState, StepSpec, TaskRef},
+        pacing::RunPace,
         quota::AccountNumber,
     },
     compact_str::CompactString,
@@ -27,6 +28,20 @@
     Inherited,
 }
 
+/// Progress of stopping a run.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum StopPhase {
+    /// It is not to be stopped.
+    None,
+    /// Decided; the order is sent once the decision is stored.
+    Decided,
+    /// The decision is stored, so that the order may be sent.
+    Stored,
+    /// The endpoint has executed the order, so that the run can no longer start there. Reports show
+    /// when it has ended.
+    Executed,
+}
+
 /// One run of a task, from the decision to start it until it is known to have ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
@@ -41,10 +56,14 @@
     pub confirmed_at_renewal: u64,
     /// Whether an unanswered start may still take effect.
     pub may_start_late: bool,
-    /// Whether the run is to be stopped.
-    pub is_stopping: bool,
-    /// Whether the decision to stop is stored, so that the order may be sent.
-    pub is_stop_stored: bool,
+    /// Progress of stopping the run.
+    pub stop: StopPhase,
+    /// When the stop was decided, on the monotonic clock; `None` before that, or if a previous owner
+    /// decided it.
+    pub stopping_since_ms: Option<u64>,
+    /// When it was last logged that the run is listed although it is to be stopped, on the monotonic
+    /// clock; 0 for never.
+    pub unwanted_logged_at_ms: u64,
     /// Earliest time to retry an order, on the monotonic clock.
     pub retry_at_ms: u64,
     /// When the start was decided, on the monotonic clock; 0 if a previous owner decided it.
@@ -57,8 +76,8 @@
     pub percent: u32,
     /// When progress was last observed, on the endpoint's clock; `None` before the first report.
     pub progress_clock_ms: Option<u64>,
-    /// Requested speed, in percent of full speed.
-    pub pace: u8,
+    /// Speed as ordered and as known.
+    pub pace: RunPace,
 }
 
 impl Attempt {
@@ -71,18 +90,36 @@
             phase: Phase::Placed,
             confirmed_at_renewal: 0,
             may_start_late: false,
-            is_stopping: false,
-            is_stop_stored: false,
+            stop: StopPhase::None,
+            stopping_since_ms: None,
+            unwanted_logged_at_ms: 0,
             retry_at_ms: 0,
             decided_at_ms,
             active_since_clock_ms: None,
             active_ms: 0,
             percent: 0,
             progress_clock_ms: None,
-            pace: 100,
+            // A previous owner, which decided at an unknown time, may have ordered any.
+            pace: if decided_at_ms == 0 {
+                RunPace::unknown()
+            } else {
+                RunPace::new()
+            },
         }
     }
 
+    /// Returns whether the run is to be stopped.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stop > StopPhase::None
+    }
+
+    /// Returns whether an order to stop the run may be sent, as the decision is stored.
+    #[must_use]
+    pub fn is_stop_stored(&self) -> bool {
+        self.stop >= StopPhase::Stored
+    }
+
     /// Returns whether a previous owner decided the start.
     #[must_use]
     pub fn is_inherited(&self) -> bool {
