--- a/crates/lynxwheel/tests/soak.rs
+++ b/crates/lynxwheel/tests/soak.rs
@@ -15,6 +15,7 @@
     report.violations
 }
 
+// Each case needs a seed of its own, which names its directory.
 macro_rules! seeds {
     ($($(#[$doc:meta])* $name:ident: $seed:literal, $length_ms:literal, $adjust:expr;)*) => {
         $($(#[$doc])* #[test] fn $name() {
@@ -39,6 +40,10 @@
     /// Guards against tasks that crash endpoints without end, and against starts beyond a capacity
     /// that has shrunk.
     unstable_endpoints_violate_no_guarantee: 5, 4_000, |plan| plan.with_unstable_endpoints(true);
+
+    /// Guards against runs of cancelled jobs that go on, and rooms and quotas that are given away,
+    /// when an endpoint refuses a stop.
+    refused_orders_violate_no_guarantee: 7, 2_000, |plan| plan.with_refused_orders(true);
 }
 
 /// Guards against nodes without access to the store that accept revoked keys or reject new ones.
