Ask for a report before another start after one was refused for its deadline

A reading of an endpoint's clock that is processed late, for example after a suspension, makes the owner believe that the clock is seconds behind: the deadlines of its orders have passed when they arrive, and every start is refused. The report that was to correct it was never requested, as an idle endpoint needs no renewal, so the endpoint was out of use for good. Such a refusal proves that the reading is wrong: nothing starts there now before a report.

The new test failed before.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -186,7 +186,8 @@
         let endpoint = self.endpoints.get_mut(key);
         endpoint.cooldown_until_ms = now.steady_ms + REFUSAL_COOLDOWN_MS;
         if refusal == Refusal::Late {
-            // The clock reading is inaccurate; a report provides a new one.
+            // The clock reading is inaccurate; nothing starts before a report provides a new one.
+            endpoint.is_reconciled = false;
             endpoint.renew_at_ms = now.steady_ms;
         }
     }
--- a/crates/engine/tests/start_refusals.rs
+++ b/crates/engine/tests/start_refusals.rs
@@ -272,3 +272,27 @@
     assert_eq!(fleet.endpoints[0].running, []);
     assert_eq!(fleet.endpoints[1].running.len(), 1);
 }
+
+/// Guards against an endpoint that refuses every start for good, as its clock was read late and nothing
+/// reads it again.
+#[test]
+fn start_refused_for_its_deadline_is_repeated_after_a_report() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.advance(2_000);
+    fleet.endpoints[0].refuses =
+        Some(|call| matches!(call, Effect::Start(_)).then_some(Refusal::Late));
+    fleet.orders.clear();
+    fleet.submit(1, 1);
+    fleet.advance(2_000);
+    let is_start = |order: &Effect| matches!(order, Effect::Start(_));
+    let is_renewal = |order: &Effect| matches!(order, Effect::Renew { .. });
+    let calls = fleet.orders.iter();
+    let calls: Vec<bool> = calls
+        .filter(|order| is_start(order) || is_renewal(order))
+        .map(is_start)
+        .collect();
+    assert!(calls.len() >= 4, "{calls:?}");
+    let is_repeated = calls.windows(2).any(|pair| pair == [true, true]);
+    assert!(!is_repeated, "two starts without a report between them");
+}
