Send no start to an endpoint that has begun to drain since it was decided

Two starts at 18.9 s got no answer, the endpoint reported at 19.1 s that it was leaving, and the starts were sent again at 20.1, 20.2 and 21.2 s; the last was executed. An unanswered start was repeated as long as the endpoint had room, whether it was leaving or not. The same held for a start whose decision took long to be stored.

An unanswered start is now stopped on a draining endpoint, as it is where it no longer fits: an executed stop proves that it cannot take effect, and the task starts elsewhere. One that was not sent yet is dropped.

--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -124,7 +124,8 @@
     /// Grants the lease of a start whose decision is stored.
     ///
     /// A start whose run was stopped in the meantime is never sent. A start of an account whose
-    /// quota was reduced in the meantime, or on an endpoint whose capacity was, is dropped here.
+    /// quota was reduced in the meantime, or on an endpoint whose capacity was or that is draining by
+    /// now, is dropped here.
     fn release_start(&mut self, mut order: StartOrder, now: Now) -> Option<Effect> {
         let index = self.search(order.task.job).ok()?;
         let account = self.jobs[index].account_number;
@@ -137,7 +138,8 @@
         if attempt.is_stopping() || endpoint.has_ended {
             return None;
         }
-        if self.quotas.is_exceeded(account) || !endpoint.has_room_for(&order.task, order.run) {
+        let has_room = endpoint.has_room_for(&order.task, order.run);
+        if self.quotas.is_exceeded(account) || endpoint.is_draining || !has_room {
             self.remove_attempt(&order.task, order.run, RunEnd::NeverOrdered, now);
             return None;
         }
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -11,8 +11,8 @@
 
 impl Engine {
     /// Retries unanswered orders. A start keeps its run number and is therefore idempotent; starts
-    /// of an account above its quota wait, and those that no longer fit are stopped. Stops beyond the
-    /// budget of their step wait: a previous owner may have decided on them before other tasks of the
+    /// of an account above its quota wait, and those that no longer fit or whose endpoint is draining are
+    /// stopped. Stops beyond the budget of their step wait: a previous owner may have decided on them before other tasks of the
     /// step were lost.
     pub(crate) fn retry_orders(&mut self, now: Now) {
         for (task, run, key, is_stop) in self.due_retries(now) {
@@ -24,7 +24,7 @@
                 if self.may_send_stop(&task, run) {
                     self.send_stop(key, &task, run, now);
                 }
-            } else if !endpoint.has_room_for(&task, run) {
+            } else if endpoint.is_draining || !endpoint.has_room_for(&task, run) {
                 self.stop_run(&task, run, now);
             } else if let Ok(index) = self.jobs.search(task.job)
                 && !self.quotas.is_exceeded(self.jobs[index].account_number)
