Take a closed connection and no other one for the end of a draining endpoint

A cut cannot close a connection.

The client of endpoints now tries to connect when an endpoint closes the connection of a renewal instead of responding. If that fails, its process has ended; the outcome between nodes is the same as before, so that builds can be mixed. Every other renewal that is not sent has an unknown outcome. The engine remembers it until the endpoint responds, since the registry entry may be removed later, which ended the endpoint only at another renewal.

--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -141,7 +141,9 @@
     pub was_registered: bool,
     /// Whether this incarnation is known to have ended.
     pub has_ended: bool,
-    /// Whether that is only inferred, from a draining endpoint that refuses connections.
+    /// Whether its process has closed a connection and accepted no other one since.
+    pub(crate) has_closed: bool,
+    /// Whether its end is only inferred from that.
     pub(crate) is_end_inferred: bool,
     /// When the end was detected, on the monotonic clock.
     pub ended_at_ms: u64,
@@ -212,6 +214,7 @@
             is_registered: false,
             was_registered: false,
             has_ended: false,
+            has_closed: false,
             is_end_inferred: false,
             ended_at_ms: 0,
             is_reconciled: false,
@@ -279,6 +282,7 @@
     pub(crate) fn resume(&mut self, now: Now) {
         self.has_ended = false;
         self.is_end_inferred = false;
+        self.has_closed = false;
         self.is_reconciled = false;
         self.renew_at_ms = now.steady_ms;
     }
@@ -346,6 +350,7 @@
             at_ms: now.steady_ms,
         });
         self.failed_calls = 0;
+        self.has_closed = false;
     }
 
     /// Returns whether the endpoint has responded to a call recently.
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -39,8 +39,8 @@
     Fenced,
     /// The endpoint refused the call and did nothing.
     Refused(Refusal),
-    /// Nothing was sent, for lack of a connection. For a renewal, the connection was refused, which shows
-    /// that nothing listens at the address; other failures to connect are unknown outcomes.
+    /// Nothing was sent, for lack of a connection. For a renewal: the endpoint closed the connection and
+    /// accepts no other one, which shows that its process has ended.
     Unsent,
     /// No response arrived: the call may have been executed, or may still be.
     Unknown,
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -120,6 +120,23 @@
         endpoint.is_registered = false;
         // A renewal now detects an ended incarnation before its lease expires.
         endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
+        self.end_if_left(key, now);
+    }
+
+    /// Infers the end of a draining endpoint that is deregistered and whose process has ended.
+    ///
+    /// One that has been silent for longer may be cut off, and its entry may have expired.
+    fn end_if_left(&mut self, key: EndpointKey, now: Now) {
+        let endpoint = self.endpoints.get(key);
+        if !endpoint.has_ended
+            && endpoint.is_draining
+            && !endpoint.is_registered
+            && endpoint.has_closed
+            && endpoint.has_responded_within(MAX_SHUTDOWN_SILENCE_MS, now)
+        {
+            self.endpoint_ended(key, now);
+            self.endpoints.get_mut(key).is_end_inferred = true;
+        }
     }
 
     /// Records that an incarnation has ended, so that nothing runs there any more.
@@ -247,18 +264,9 @@
             CallOutcome::OtherLife => self.endpoint_ended(key, now),
             CallOutcome::Fenced => self.immediate_effects.push(Effect::StepDown),
             CallOutcome::Unsent => {
-                let endpoint = self.endpoints.get(key);
-                // A draining endpoint that is deregistered and refuses connections has shut down. One
-                // that has been silent for longer may be cut off, and its entry may have expired.
-                if endpoint.is_draining
-                    && !endpoint.is_registered
-                    && endpoint.has_responded_within(MAX_SHUTDOWN_SILENCE_MS, now)
-                {
-                    self.endpoint_ended(key, now);
-                    self.endpoints.get_mut(key).is_end_inferred = true;
-                } else {
-                    self.renewal_failed(key, now);
-                }
+                self.endpoints.get_mut(key).has_closed = true;
+                self.renewal_failed(key, now);
+                self.end_if_left(key, now);
             }
             CallOutcome::Unknown | CallOutcome::Refused(_) => self.renewal_failed(key, now),
         }
--- a/crates/engine/tests/incarnations.rs
+++ b/crates/engine/tests/incarnations.rs
@@ -88,7 +88,8 @@
     assert_eq!(fleet.starts(&format!("{}.0.0.0", job_id(1))), 1);
 }
 
-/// Lets the draining endpoint of a task be deregistered after a silence and refuse a connection.
+/// Lets the draining endpoint of a task be deregistered after a silence, close its connection and
+/// accept no other.
 fn fleet_after_leaving(silence_ms: u64) -> Fleet {
     let mut fleet = Fleet::new();
     fleet.list_endpoint("i-0", 16_000);
@@ -133,6 +134,29 @@
     draining_endpoint_that_leaves_has_ended: 500 => 2;
 }
 
+/// Guards against waiting for the lease of an endpoint whose entry is removed after its connections are
+/// closed.
+#[test]
+fn endpoint_that_closes_connections_before_it_is_deregistered_has_ended() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-0", 16_000);
+    fleet.submit(1, 1);
+    fleet.advance(500);
+    let mut entry = fleet.entries[0].clone();
+    entry.is_draining = true;
+    fleet.handle(listed(entry, true));
+    fleet.advance(500);
+    fleet.endpoints[0].is_unresponsive = true;
+    let left = fleet.engine.endpoints().find("i-0").expect("a listed one");
+    fleet.handle(Event::Renewed {
+        endpoint: left,
+        outcome: CallOutcome::Unsent,
+    });
+    assert!(!fleet.engine.endpoints().get(left).has_ended);
+    fleet.handle(Event::Deregistered("i-0".into()));
+    assert!(fleet.engine.endpoints().get(left).has_ended);
+}
+
 /// Guards against runs on an endpoint that was taken for shut down, is active, and is never called
 /// again.
 #[test]
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -210,12 +210,18 @@
                 Ok(Err(_)) if guard.record().is_withheld => return Err(withheld(peer)),
                 Ok(Err(mut failed)) => {
                     let reason = failed.error().to_string();
+                    let is_closed = failed.error().is_incomplete_message();
                     match failed.take_message() {
                         Some(unsent) if is_reused => request = unsent,
                         Some(_) => {
                             return Err(TransportError::unsent(Step::Exchange, peer, reason));
                         }
-                        None => return Err(TransportError::sent(Step::Exchange, peer, reason)),
+                        None => {
+                            return Err(TransportError {
+                                is_closed,
+                                ..TransportError::sent(Step::Exchange, peer, reason)
+                            });
+                        }
                     }
                 }
             }
@@ -250,6 +256,17 @@
         })
     }
 
+    /// Returns whether the peer accepts a connection within a timeout.
+    pub async fn can_connect(&self, timeout: Duration) -> bool {
+        let deadline = Instant::now() + timeout;
+        let Ok(sender) = self.connect(deadline).await else {
+            return false;
+        };
+        let idle_since = Instant::now();
+        lock(&self.inner.idle).push(IdleConnection { sender, idle_since });
+        true
+    }
+
     /// Sends a GET request.
     ///
     /// # Errors
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -47,6 +47,9 @@
     pub may_have_run: bool,
     /// Whether the connection was refused: the VM is up and nothing listens on the port.
     pub is_refused: bool,
+    /// Whether the peer closed the connection instead of responding, rather than that it was reset or
+    /// did not respond in time.
+    pub is_closed: bool,
 }
 
 impl TransportError {
@@ -59,6 +62,7 @@
             reason: reason.into(),
             may_have_run: false,
             is_refused: false,
+            is_closed: false,
         }
     }
 
@@ -71,6 +75,7 @@
             reason: reason.into(),
             may_have_run: true,
             is_refused: false,
+            is_closed: false,
         }
     }
 }
