--- a/crates/engine/tests/refused_orders.rs
+++ b/crates/engine/tests/refused_orders.rs
@@ -5,8 +5,8 @@
 use {
     common::{Fleet, job_id, listed, step, vms_with},
     lynxwheel_engine::{
-        CallOutcome, Effect, EndKind, Event, JobSpec, LogEvent, Refusal, RefusedOrder, RunOrder,
-        StepSpec, TaskRef, WaveOrder,
+        CallOutcome, Effect, EndKind, EndpointKey, Event, JobSpec, LogEvent, Refusal, RefusedOrder,
+        RunOrder, StepSpec, TaskRef, WaveOrder,
     },
 };
 
@@ -255,3 +255,38 @@
     fleet.advance(CANCELLED_WITHIN_MS);
     assert_eq!(fleet.endpoints[0].running.len(), 4);
 }
+
+/// Guards against room that is given to others because a stop was refused before the answer of the start
+/// was lost.
+#[test]
+fn room_is_kept_when_a_start_gets_no_answer_after_its_stop_was_refused() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.advance(200);
+    fleet.submit(1, 1);
+    fleet.settle_without_cleaning();
+    set_refusals(&mut fleet, Some(refuse_stops));
+    cancel(&mut fleet, 1);
+    assert_eq!(stops(&fleet), 1);
+    let (endpoint, task, run) = placed_run(&fleet).expect("a placed run");
+    fleet.handle(Event::Started {
+        endpoint,
+        task,
+        run,
+        outcome: CallOutcome::Unknown,
+    });
+    fleet.advance(2_000);
+    assert_eq!(placed_run(&fleet), Some((endpoint, task, run)));
+    set_refusals(&mut fleet, None);
+    fleet.advance(CANCELLED_WITHIN_MS);
+    assert_eq!(placed_run(&fleet), None);
+}
+
+/// Returns the first run for which room is reserved, with its endpoint.
+fn placed_run(fleet: &Fleet) -> Option<(EndpointKey, TaskRef, u32)> {
+    let mut endpoints = fleet.engine.endpoints().iter();
+    endpoints.find_map(|(key, endpoint)| {
+        let placed = endpoint.placed_runs.first()?;
+        Some((key, placed.task, placed.run))
+    })
+}
