--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -149,6 +149,8 @@
     pub version: u64,
     pub accounts: Vec<ClientAccount>,
     pub pools: Vec<Pool>,
+    /// Whether calls to endpoints are only added to `orders`, for the test to deliver.
+    pub collects_calls: bool,
     /// Renewals held by endpoints: due time, endpoint, acknowledged end.
     waiting: Vec<(u64, u32, u64)>,
     in_flight: Option<Batch>,
@@ -172,6 +174,7 @@
             version: 1,
             accounts: Vec::new(),
             pools: vec![pool(POOL, false), pool("spare", true)],
+            collects_calls: false,
             waiting: Vec::new(),
             in_flight: None,
         };
@@ -450,7 +453,14 @@
     }
 
     fn carry_out(&mut self, effect: Effect) {
+        if let Effect::Reply { token, response } = effect {
+            self.orders.push(effect);
+            return self.replies.push((token, response));
+        }
         self.orders.push(effect.clone());
+        if self.collects_calls {
+            return;
+        }
         let refusal = match &effect {
             Effect::Start(order) => self.refusal(order.endpoint, &effect),
             Effect::Stop { endpoint, .. }
@@ -518,7 +528,6 @@
                 let due_ms = self.now.steady_ms + wait_ms;
                 self.waiting.push((due_ms, endpoint, acknowledged));
             }
-            Effect::Reply { token, response } => self.replies.push((token, response)),
             _ => {}
         }
     }
