--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -1486,8 +1486,8 @@
             };
             for active in &endpoint.runs {
                 let attempt = self.attempt(&active.task, active.run);
-                let is_wanted =
-                    attempt.is_some_and(|attempt| attempt.endpoint == key && !attempt.is_stopping);
+                let is_wanted = attempt
+                    .is_some_and(|attempt| attempt.endpoint == key && !attempt.is_stopping());
                 if !is_wanted {
                     differences.push(difference(active.task, active.run, true));
                 }
