Test refused VM orders after a call without an answer

A refused retry keeps the VM's place in its wave, and after a takeover a VM whose retry was refused or busy gets no work before its cooldown; a refused first order frees the place.

--- a/crates/engine/tests/vm_cooldowns.rs
+++ b/crates/engine/tests/vm_cooldowns.rs
@@ -85,7 +85,7 @@
 }
 
 /// Returns the number of tasks on an endpoint whose VM the previous owner had ordered away.
-fn tasks_on_ordered_vm(is_answered: bool, ms: u64) -> usize {
+fn tasks_on_ordered_vm(answers: &[VmOutcome], ms: u64) -> usize {
     let mut fleet = Fleet::new();
     let mut vms = Vec::new();
     for number in 1..=4 {
@@ -102,9 +102,13 @@
     fleet.list_vms(vms);
     fleet.advance(1_500);
     let ordered = fleet.moves()[0].0.to_string();
-    if is_answered {
-        fleet.answer_vm_order(&ordered, VmOutcome::Refused);
+    for &answer in answers {
+        fleet.answer_vm_order(&ordered, answer);
         fleet.settle();
+        if answer == VmOutcome::Unknown {
+            // The order is repeated.
+            fleet.advance(1_600);
+        }
     }
     fleet.take_over();
     fleet.submit(1, 64);
@@ -115,18 +119,27 @@
 }
 
 macro_rules! work {
-    ($($(#[$doc:meta])* $name:ident: $is_answered:expr, $within_ms:expr => $tasks:expr;)*) => {
+    ($($(#[$doc:meta])* $name:ident: $answers:expr, $within_ms:expr => $tasks:expr;)*) => {
         $($(#[$doc])* #[test] fn $name() {
-            assert_eq!(tasks_on_ordered_vm($is_answered, $within_ms), $tasks);
+            assert_eq!(tasks_on_ordered_vm(&$answers, $within_ms), $tasks);
         })*
     };
 }
 
 work! {
     /// Guards against work on a VM that an order of the previous owner may still take away.
-    vm_with_an_inherited_order_in_flight_gets_no_work: false, 2_500 => 0;
+    vm_with_an_inherited_order_in_flight_gets_no_work: [], 2_500 => 0;
+
+    vm_with_an_inherited_order_gets_work_after_its_cooldown: [], 3_500 => 16;
+
+    vm_without_an_inherited_order_gets_work_immediately: [VmOutcome::Refused], 500 => 16;
 
-    vm_with_an_inherited_order_gets_work_after_its_cooldown: false, 3_500 => 16;
+    /// Guards against work on a VM that an earlier call of the previous owner may still take away, as
+    /// its retry was refused.
+    vm_with_an_inherited_order_whose_retry_was_refused_gets_no_work:
+        [VmOutcome::Unknown, VmOutcome::Refused], 2_500 => 0;
 
-    vm_without_an_inherited_order_gets_work_immediately: true, 500 => 16;
+    /// Guards against work on a VM whose earlier order may be what keeps it busy.
+    vm_with_an_inherited_order_whose_retry_found_it_busy_gets_no_work:
+        [VmOutcome::Unknown, VmOutcome::Busy], 2_500 => 0;
 }
--- a/crates/engine/tests/waves.rs
+++ b/crates/engine/tests/waves.rs
@@ -419,3 +419,43 @@
         "the task runs again in time"
     );
 }
+
+/// Answers the first maintenance of a wave of two VMs, one at a time, and again each retry; returns
+/// the VMs of which the maintenance was ordered.
+fn ordered_after(outcomes: &[VmOutcome]) -> Vec<String> {
+    let (mut fleet, _) = three_vms();
+    fleet.handle(wave(&["vm-1", "vm-2"], 1));
+    fleet.advance(100);
+    let first = maintained(&fleet);
+    assert_eq!(first.len(), 1);
+    for &outcome in outcomes {
+        fleet.answer_vm_order(&first[0], outcome);
+        fleet.advance(1_600);
+    }
+    maintained(&fleet)
+}
+
+macro_rules! refused_maintenance {
+    ($($(#[$doc:meta])* $name:ident: $outcomes:expr => $vms:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            assert_eq!(ordered_after(&$outcomes).len(), $vms);
+        })*
+    };
+}
+
+refused_maintenance! {
+    /// Guards against a wave that waits for a VM whose maintenance was refused.
+    refused_maintenance_frees_its_place: [VmOutcome::Refused] => 2;
+
+    /// Guards against a wave that waits for a VM that is busy otherwise.
+    maintenance_of_a_busy_vm_frees_its_place: [VmOutcome::Busy] => 2;
+
+    /// Guards against one VM too many in maintenance, as a refused retry counts for an earlier call
+    /// that may still take effect.
+    refused_retry_keeps_the_place_of_the_first_call:
+        [VmOutcome::Unknown, VmOutcome::Refused, VmOutcome::Refused] => 1;
+
+    /// Guards against one VM too many in maintenance, as a VM that is busy with it counts as free.
+    retry_at_a_busy_vm_keeps_the_place_of_the_first_call:
+        [VmOutcome::Unknown, VmOutcome::Busy, VmOutcome::Busy] => 1;
+}
