Test refused tickets and tickets after a takeover

A ticket that an endpoint refuses is requested again before the next start, and a new owner requests its own.

--- a/crates/engine/tests/advice.rs
+++ b/crates/engine/tests/advice.rs
@@ -4,21 +4,24 @@
 
 use {
     common::{Fleet, job_id, queue, step},
-    lynxwheel_engine::{Effect, Event, JobSpec, Queue, Ticket},
+    lynxwheel_engine::{Effect, Event, FleetConfig, JobSpec, Queue, Refusal, Ticket},
 };
 
-fn submit(fleet: &mut Fleet) {
-    let queue = Queue {
+fn advised_queue() -> Queue {
+    Queue {
         advised: true,
         ..queue()
-    };
+    }
+}
+
+fn submit(fleet: &mut Fleet) {
     let spec = JobSpec {
         steps: vec![step(1)],
         ..JobSpec::default()
     };
     fleet.handle(Event::Submit {
         job: job_id(1),
-        queue,
+        queue: advised_queue(),
         spec: Box::new(spec),
         account: "".into(),
         origin: None,
@@ -100,3 +103,51 @@
     fleet.advance(1_000);
     assert_eq!(requested(&fleet).len(), 1);
 }
+
+fn refuse_tickets(call: &Effect) -> Option<Refusal> {
+    matches!(call, Effect::Start(_)).then_some(Refusal::Ticket)
+}
+
+/// Guards against a task that waits for good, as an endpoint refused its ticket.
+#[test]
+fn refused_ticket_is_requested_again() {
+    let mut fleet = two_endpoints();
+    fleet.endpoints[1].refuses = Some(refuse_tickets);
+    respond(&mut fleet, &["i-2"]);
+    fleet.endpoints[1].refuses = None;
+    fleet.advance(1_000);
+    assert_eq!(requested(&fleet), [vec!["i-1", "i-2"], vec!["i-2"]]);
+    respond(&mut fleet, &["i-2"]);
+    assert_eq!(fleet.endpoints[1].started.len(), 1);
+}
+
+/// Guards against starts without a ticket while the request for one gets no answer.
+#[test]
+fn step_does_not_start_before_a_refused_ticket_is_replaced() {
+    let mut fleet = two_endpoints();
+    fleet.endpoints[1].refuses = Some(refuse_tickets);
+    respond(&mut fleet, &["i-2"]);
+    fleet.advance(3_000);
+    let starts = fleet.orders.iter();
+    let starts = starts.filter(|order| matches!(order, Effect::Start(_)));
+    assert_eq!(starts.count(), 1);
+}
+
+/// Guards against a task that waits for good after a takeover, as tickets are not stored.
+#[test]
+fn new_owner_requests_tickets_again() {
+    let mut fleet = two_endpoints();
+    fleet.take_over();
+    let config = FleetConfig {
+        version: 2,
+        queues: vec![advised_queue()],
+        pools: fleet.pools.clone(),
+        ..FleetConfig::default()
+    };
+    fleet.handle(Event::ConfigChanged(config.into()));
+    fleet.orders.clear();
+    fleet.advance(500);
+    assert_eq!(requested(&fleet), [["i-1", "i-2"]]);
+    respond(&mut fleet, &["i-1"]);
+    assert_eq!(fleet.endpoints[0].started.len(), 1);
+}
