Settle a VM order that is refused for long after a call without an answer

A call without an answer kept its order until one of the retries was executed. An order that cannot succeed any more, as its wave or pool was withdrawn, was repeated every 1.5 s for good, and the VM stayed cordoned. A refusal now settles the order 30 s after the last call without an answer, by when no late effect is expected.

vm_whose_order_is_refused_for_long_gets_work_again failed before.

--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -17,9 +17,8 @@
 /// Time added to the duration of maintenance before a list may show the VM as up, in milliseconds.
 const MAINTENANCE_SLACK_MS: u64 = 300;
 
-/// Time after the last call with the order of a VM that lists omit until the order is forgotten, in
-/// milliseconds. No late effects are expected by then, and the VM may have got another purpose.
-const UNLISTED_ORDER_MS: u64 = 30_000;
+/// Time within which a call without an answer takes effect, if ever, in milliseconds.
+const LATE_EFFECT_MS: u64 = 30_000;
 
 /// Cooldown of a VM that refused an order, in milliseconds.
 const VM_COOLDOWN_MS: u64 = 2_000;
@@ -53,9 +52,9 @@
     is_inherited: bool,
     /// Number of the call in flight.
     pending_call: Option<u64>,
-    /// Whether a call with the order, also one of a previous owner, got no response and may have taken
-    /// effect or still do so.
-    may_take_effect: bool,
+    /// When a call with the order, also one of a previous owner, last got no response, on the monotonic
+    /// clock. It may have taken effect or still do so.
+    unanswered_ms: Option<u64>,
     /// Earliest time of the next order, on the monotonic clock.
     pub cooldown_until_ms: u64,
     /// Whether the record of the VM has to be stored.
@@ -102,9 +101,9 @@
     }
 
     /// Forgets VMs that have been missing from lists for so long that their orders no longer take
-    /// effect.
+    /// effect. They may have got another purpose since.
     fn forget_unlisted_vms(&mut self, now: Now) {
-        let is_over = |vm: &mut Vm| now.steady_ms >= vm.ordered_ms + UNLISTED_ORDER_MS;
+        let is_over = |vm: &mut Vm| now.steady_ms >= vm.ordered_ms + LATE_EFFECT_MS;
         let forgotten: Vec<Vm> = self.unlisted_vms.extract_if(.., is_over).collect();
         for vm in forgotten {
             let active: Vec<EndpointKey> = self.endpoints.active_on_vm(&vm.entry.name).collect();
@@ -124,7 +123,7 @@
             let mut vm = self.unlisted_vms.swap_remove(at);
             vm.pending_call = None;
             vm.ordered_ms = 0;
-            vm.may_take_effect = true;
+            vm.unanswered_ms = Some(now.steady_ms);
             vm.update(entry, requested_ms, now);
             return vm;
         }
@@ -137,7 +136,7 @@
             ordered_endpoint: None,
             is_inherited: false,
             pending_call: None,
-            may_take_effect: false,
+            unanswered_ms: None,
             ordered_ms: 0,
             maintained_until_ms: 0,
             is_dirty: false,
@@ -210,7 +209,7 @@
             }
             // An earlier call with the order may have taken effect or may still do so, which would
             // end any work started on the VM. The order is retried until its outcome is known.
-            VmOutcome::Busy | VmOutcome::Refused if self.vms[index].may_take_effect => {
+            VmOutcome::Busy | VmOutcome::Refused if self.vms[index].may_take_effect(now) => {
                 self.vms[index].ordered_ms = now.steady_ms;
             }
             VmOutcome::Busy | VmOutcome::Refused => {
@@ -226,7 +225,9 @@
                 }
             }
             // Retried later, which is safe as both orders are idempotent.
-            VmOutcome::Unknown | VmOutcome::Fenced => self.vms[index].may_take_effect = true,
+            VmOutcome::Unknown | VmOutcome::Fenced => {
+                self.vms[index].unanswered_ms = Some(now.steady_ms);
+            }
         }
     }
 
@@ -315,7 +316,7 @@
         if vm.order.as_ref() != Some(&order) {
             vm.ordered_endpoint = current;
             vm.is_inherited = is_inherited;
-            vm.may_take_effect = is_inherited;
+            vm.unanswered_ms = is_inherited.then_some(now.steady_ms);
             vm.changed_ms = now.steady_ms;
         }
         self.last_vm_call += 1;
@@ -398,6 +399,12 @@
         }
     }
 
+    /// Returns whether an earlier call with the order may have taken effect or may still do so.
+    fn may_take_effect(&self, now: Now) -> bool {
+        self.unanswered_ms
+            .is_some_and(|at_ms| now.steady_ms < at_ms + LATE_EFFECT_MS)
+    }
+
     /// Returns whether the VM may be given an order.
     ///
     /// While a call is in flight, its response would be taken for that of the new order.
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -106,6 +106,19 @@
     assert_eq!(moves_of(&fleet, &vm), 1);
 }
 
+/// Guards against a VM that is never used again, as its order can't succeed any more.
+#[test]
+fn vm_whose_order_is_refused_for_long_gets_work_again() {
+    let mut fleet = idle_fleet();
+    let vm = first_moved(&fleet);
+    answer(&mut fleet, &vm, VmOutcome::Unknown);
+    for _ in 0..22 {
+        fleet.advance(1_600);
+        answer(&mut fleet, &vm, VmOutcome::Refused);
+    }
+    assert!(runs_beside_work(&mut fleet, &vm) > 0);
+}
+
 #[test]
 fn vm_whose_first_order_was_refused_gets_work_again() {
     let mut fleet = idle_fleet();
