Let a listed run go on when a repeated start of it is refused

A refusal, or a lack of a connection, of a repeated start put a run back to unanswered that a report had confirmed meanwhile. The answer to one call counted for more than a later list again. A confirmed run is left alone now.

A start whose retries are rejected may also be stopped beyond the budget of its step: it is not at work there. It was stopped, taken back and repeated five times a second otherwise.

Found in review.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -142,7 +142,13 @@
                 self.start_failed(task, run, now);
                 // No retry succeeds there. A stop shows that an earlier try cannot take effect any
                 // more, so that the task may start elsewhere.
-                if matches!(refusal, Refusal::Invalid | Refusal::Ticket) {
+                let is_unanswered = self
+                    .attempt(task, run)
+                    .is_some_and(|attempt| attempt.phase == Phase::Unanswered);
+                if is_unanswered && matches!(refusal, Refusal::Invalid | Refusal::Ticket) {
+                    if let Some(attempt) = self.attempt_mut(task, run) {
+                        attempt.is_rejected = true;
+                    }
                     self.stop_run(task, run, now);
                 }
             }
@@ -206,6 +212,10 @@
         let Some(attempt) = self.attempt_mut(task, run) else {
             return;
         };
+        // An earlier try has started it; the refusal is of a repeated one.
+        if attempt.phase == Phase::Confirmed {
+            return;
+        }
         if attempt.may_start_late {
             attempt.phase = Phase::Unanswered;
             attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
@@ -454,20 +464,21 @@
     }
 
     /// Returns whether the order to stop a run may be sent now, within its step's budget unless the
-    /// run ends in any case or has no room to start in.
+    /// run ends in any case or cannot start.
     pub(crate) fn may_send_stop(&self, task: &TaskRef, run: u32) -> bool {
         let job = self.jobs.get(task.job);
         job.is_some_and(|job| job.state.is_final())
             || self.is_endpoint_draining(task, run)
-            || self.is_start_without_room(task, run)
+            || self.is_start_hopeless(task, run)
             || self.can_interrupt(task)
     }
 
-    /// Returns whether a start is unanswered and no longer fits its endpoint.
-    fn is_start_without_room(&self, task: &TaskRef, run: u32) -> bool {
+    /// Returns whether a start is unanswered, and its retries are rejected or no longer fit the endpoint.
+    fn is_start_hopeless(&self, task: &TaskRef, run: u32) -> bool {
         self.attempt(task, run).is_some_and(|attempt| {
             let endpoint = self.endpoints.get(attempt.endpoint);
-            attempt.phase == Phase::Unanswered && !endpoint.has_room_for(task, run)
+            let is_hopeless = attempt.is_rejected || !endpoint.has_room_for(task, run);
+            attempt.phase == Phase::Unanswered && is_hopeless
         })
     }
 
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -56,6 +56,8 @@
     pub confirmed_at_renewal: u64,
     /// Whether an unanswered start may still take effect.
     pub may_start_late: bool,
+    /// Whether the endpoint has rejected a retry of the start, and would reject others.
+    pub is_rejected: bool,
     /// Progress of stopping the run.
     pub stop: StopPhase,
     /// When the stop was decided, on the monotonic clock; `None` before that, or if a previous owner
@@ -90,6 +92,7 @@
             phase: Phase::Placed,
             confirmed_at_renewal: 0,
             may_start_late: false,
+            is_rejected: false,
             stop: StopPhase::None,
             stopping_since_ms: None,
             unwanted_logged_at_ms: 0,
--- a/crates/engine/tests/start_refusals.rs
+++ b/crates/engine/tests/start_refusals.rs
@@ -3,8 +3,10 @@
 mod common;
 
 use {
-    common::{Fleet, job_id},
-    lynxwheel_engine::{CallOutcome, Effect, EndKind, Event, JobState, Refusal, TaskRef},
+    common::{Fleet, job_id, listed, step},
+    lynxwheel_engine::{
+        CallOutcome, Effect, EndKind, Event, JobSpec, JobState, Refusal, StepSpec, TaskRef,
+    },
 };
 
 /// Time in which a refused task starts again, with the cooldown of its endpoint or its own, in
@@ -296,3 +298,80 @@
     let is_repeated = calls.windows(2).any(|pair| pair == [true, true]);
     assert!(!is_repeated, "two starts without a report between them");
 }
+
+/// Returns a fleet with a run that a report has confirmed while a retry of its start is under way.
+fn fleet_with_retry_under_way() -> Fleet {
+    let mut fleet = idle_fleet();
+    fleet.endpoints[0].loses_answers = true;
+    fleet.submit(1, 1);
+    fleet.settle();
+    fleet.endpoints[0].loses_answers = false;
+    fleet.advance(600);
+    assert_eq!(fleet.endpoints[0].running, [(task(), 1)]);
+    fleet
+}
+
+/// Returns whether a run goes on after the retry of its start had an outcome, on an endpoint that may be
+/// draining by then.
+fn goes_on_after(outcome: CallOutcome<u64>, is_draining: bool) -> bool {
+    let mut fleet = fleet_with_retry_under_way();
+    if is_draining {
+        let mut entry = fleet.entries[0].clone();
+        entry.is_draining = true;
+        fleet.handle(listed(entry, true));
+        fleet.settle();
+    }
+    fleet.handle(Event::Started {
+        endpoint: 0,
+        task: task(),
+        run: 1,
+        outcome,
+    });
+    fleet.settle();
+    fleet.advance(1_000);
+    let is_stop = |order: &Effect| matches!(order, Effect::Stop { .. });
+    !fleet.orders.iter().any(is_stop) && fleet.endpoints[0].running == [(task(), 1)]
+}
+
+macro_rules! confirmed {
+    ($($name:ident: $outcome:expr, $is_draining:expr;)*) => {
+        $(/// Guards against an answer to a repeated start that counts for more than a list with the run.
+        #[test] fn $name() {
+            assert!(goes_on_after($outcome, $is_draining));
+        })*
+    };
+}
+
+confirmed! {
+    listed_run_whose_retry_lacks_a_ticket: CallOutcome::Refused(Refusal::Ticket), false;
+    listed_run_whose_retry_is_malformed: CallOutcome::Refused(Refusal::Invalid), false;
+    listed_run_whose_retry_is_refused: CallOutcome::Refused(Refusal::Unhealthy), false;
+    listed_run_whose_retry_is_refused_while_draining:
+        CallOutcome::Refused(Refusal::Unhealthy), true;
+    listed_run_whose_retry_is_late_while_draining: CallOutcome::Refused(Refusal::Late), true;
+    listed_run_whose_retry_is_not_sent_while_draining: CallOutcome::Unsent, true;
+}
+
+/// Guards against starts that are rejected for ever because the budget of their step allows no stop.
+#[test]
+fn rejected_starts_are_given_up_beyond_the_budget_of_their_step() {
+    let mut fleet = idle_fleet();
+    fleet.endpoints[0].loses_answers = true;
+    let lasting = StepSpec {
+        long_running: true,
+        max_unavailable: 1,
+        ..step(3)
+    };
+    let spec = JobSpec {
+        steps: vec![lasting],
+        ..JobSpec::default()
+    };
+    fleet.submit_spec(1, spec);
+    fleet.settle();
+    fleet.endpoints[0].loses_answers = false;
+    fleet.endpoints[0].running.clear();
+    fleet.endpoints[0].refuses = Some(refuse_starts!(Ticket));
+    fleet.list_endpoint("i-2", 4_000);
+    fleet.advance(5_000);
+    assert_eq!(fleet.endpoints[1].running.len(), 3);
+}
