Ask an endpoint for its list whenever it shows to be active after its end was inferred

An executed stop resumed such an endpoint, but nothing requested its report, as it had no known runs left: others went on there beside their successors. A report that came after the inference was dropped. A successor at its address or VM did not prove the end, so that a late registry entry could resume it.

A resumed endpoint is called until it has reported or its lease is over, a report resumes it, and a successor proves the end. An endpoint with an unknown run that vanishes is called only until its lease is over, not for ever.

Found in review.

--- a/crates/engine/src/endpoint_table.rs
+++ b/crates/engine/src/endpoint_table.rs
@@ -119,14 +119,18 @@
         incarnations.filter(|&key| !self.get(key).has_ended)
     }
 
-    /// Returns other active incarnations with the same address or VM.
+    /// Returns other incarnations with the same address or VM that are not known to have ended, or whose
+    /// end was only inferred.
     pub(crate) fn others_at_location(&self, key: EndpointKey) -> Vec<EndpointKey> {
         let one = self.get(key);
         let at_address = self.locations.at_address(one.address);
         let on_vm = (!one.vm.is_empty()).then(|| self.locations.on_vm(&one.vm));
         let mut others: Vec<EndpointKey> = at_address
             .chain(on_vm.into_iter().flatten())
-            .filter(|&other| other != key && !self.get(other).has_ended)
+            .filter(|&other| {
+                let incarnation = self.get(other);
+                other != key && (!incarnation.has_ended || incarnation.is_end_inferred)
+            })
             .collect();
         others.sort_unstable();
         others.dedup();
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -145,6 +145,8 @@
     pub(crate) has_closed: bool,
     /// Whether its end is only inferred from that.
     pub(crate) is_end_inferred: bool,
+    /// Whether a report is to be requested although no run is known there.
+    pub(crate) needs_report: bool,
     /// When the end was detected, on the monotonic clock.
     pub ended_at_ms: u64,
     /// Whether it has reported its runs to this owner, which is required for new starts.
@@ -216,6 +218,7 @@
             has_ended: false,
             has_closed: false,
             is_end_inferred: false,
+            needs_report: false,
             ended_at_ms: 0,
             is_reconciled: false,
             is_cordoned: false,
@@ -284,9 +287,15 @@
         self.is_end_inferred = false;
         self.has_closed = false;
         self.is_reconciled = false;
+        self.needs_report = true;
         self.renew_at_ms = now.steady_ms;
     }
 
+    /// Returns whether this incarnation is known to have ended by more than an inference.
+    pub(crate) fn is_end_proved(&self) -> bool {
+        self.has_ended && !self.is_end_inferred
+    }
+
     /// Returns whether the endpoint can be called.
     #[must_use]
     pub fn is_reachable(&self) -> bool {
@@ -296,8 +305,11 @@
     /// Returns whether a renewal is to be sent now.
     #[must_use]
     pub fn is_renewal_due(&self, now: Now) -> bool {
+        // Nothing is active any more once the lease is over.
+        let may_have_runs =
+            (self.needs_report || !self.unknown_runs.is_empty()) && !self.is_lease_expired(now);
         let is_needed = !self.placed_runs.is_empty()
-            || !self.unknown_runs.is_empty()
+            || may_have_runs
             || self.last_stored_end > self.last_acknowledged_end
             || (self.is_registered && (!self.is_reconciled || self.failed_calls > 0));
         is_needed && !self.is_renewing && now.steady_ms >= self.renew_at_ms && self.is_reachable()
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -154,6 +154,7 @@
             endpoint.ended_at_ms = now.steady_ms;
         }
         endpoint.has_ended = true;
+        endpoint.is_end_inferred = false;
         endpoint.is_registered = false;
         self.remove_runs(key, RunEnd::EndpointOver, now);
         self.forget_lost_tasks(key);
@@ -259,8 +260,11 @@
         self.endpoints.get_mut(key).is_renewing = false;
         match outcome {
             // The response of a replaced incarnation may arrive after that of its successor.
-            CallOutcome::Done(_) if self.endpoints.get(key).has_ended => return,
-            CallOutcome::Done(report) => self.process_report(key, &report, now),
+            CallOutcome::Done(_) if self.endpoints.get(key).is_end_proved() => return,
+            CallOutcome::Done(report) => {
+                self.resume_if_end_was_inferred(key, now);
+                self.process_report(key, &report, now);
+            }
             CallOutcome::OtherLife => self.endpoint_ended(key, now),
             CallOutcome::Fenced => self.immediate_effects.push(Effect::StepDown),
             CallOutcome::Unsent => {
@@ -282,6 +286,7 @@
     fn process_report(&mut self, key: EndpointKey, report: &EndpointReport, now: Now) {
         let endpoint = self.endpoints.get_mut(key);
         endpoint.read_clock(report.clock_ms, now);
+        endpoint.needs_report = false;
         if !endpoint.is_reconciled {
             endpoint.is_reconciled = true;
             endpoint.inherit_leases(self.settings.lease_ms);
--- a/crates/engine/tests/incarnations.rs
+++ b/crates/engine/tests/incarnations.rs
@@ -4,7 +4,9 @@
 
 use {
     common::{Fleet, job_id, listed},
-    lynxwheel_engine::{CallOutcome, EndpointReport, Event, JobState, TaskRef},
+    lynxwheel_engine::{
+        CallOutcome, EndpointKey, EndpointReport, Event, JobState, RunningTask, TaskRef,
+    },
 };
 
 /// Registers a new incarnation in place of the latest endpoint.
@@ -176,6 +178,73 @@
     assert_eq!(fleet.endpoints[1].running.len(), 1);
 }
 
+/// Returns the endpoint that seems to have left.
+fn left(fleet: &Fleet) -> EndpointKey {
+    fleet.engine.endpoints().find("i-0").expect("a known one")
+}
+
+/// Guards against runs on an endpoint that has executed an order after it was taken for shut down, and
+/// whose list nobody asks for.
+#[test]
+fn endpoint_that_has_executed_a_stop_is_asked_for_its_list() {
+    let mut fleet = fleet_after_leaving(500);
+    fleet.settle();
+    fleet.endpoints[0].is_unresponsive = false;
+    fleet.handle(Event::Stopped {
+        endpoint: left(&fleet),
+        task: format!("{}.0.0.9", job_id(2)).parse().expect("a task"),
+        run: 1,
+        outcome: CallOutcome::Done(fleet.clock_ms()),
+    });
+    fleet.settle();
+    fleet.advance(2_000);
+    assert_eq!(fleet.endpoints[0].running, []);
+    assert_eq!(fleet.endpoints[1].running.len(), 1);
+}
+
+/// Guards against ignoring the list of an endpoint that responds to another call after it was taken for
+/// shut down.
+#[test]
+fn report_of_an_endpoint_that_seemed_to_have_left_counts() {
+    let mut fleet = fleet_after_leaving(500);
+    fleet.settle();
+    fleet.endpoints[0].is_unresponsive = false;
+    let (task, run) = fleet.endpoints[0].running[0];
+    let running = RunningTask {
+        task,
+        run,
+        checkpoint: "".into(),
+        percent: 50,
+        usage: None,
+    };
+    let report = EndpointReport {
+        clock_ms: fleet.clock_ms(),
+        running: vec![running],
+        ..EndpointReport::default()
+    };
+    fleet.handle(Event::Renewed {
+        endpoint: left(&fleet),
+        outcome: CallOutcome::Done(report),
+    });
+    fleet.settle();
+    fleet.advance(2_000);
+    assert_eq!(fleet.endpoints[0].running, []);
+}
+
+/// Guards against an inferred end that is still in doubt after the next incarnation has responded.
+#[test]
+fn successor_proves_an_inferred_end() {
+    let mut fleet = fleet_after_leaving(500);
+    fleet.settle();
+    let mut entry = fleet.entries[0].clone();
+    entry.is_draining = true;
+    fleet.crash(0);
+    fleet.restart(0);
+    fleet.advance(500);
+    fleet.handle(listed(entry, true));
+    assert!(fleet.engine.endpoints().get(left(&fleet)).has_ended);
+}
+
 /// Guards against an incarnation that counts as active again because of a registry entry that was
 /// written after another one had replaced it.
 #[test]
