Repeat no start once its stop is decided

While the store was unavailable, the decision to stop an unanswered start waited to be stored, and the start itself was repeated meanwhile. Found in review.

--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -71,7 +71,8 @@
 }
 
 fn is_retry_due(attempt: &Attempt, now: Now) -> bool {
-    let is_waiting = attempt.phase == Phase::Unanswered
+    // A run whose stop is decided is not started, and the stop waits until it is stored.
+    let is_waiting = (attempt.phase == Phase::Unanswered && !attempt.is_stopping())
         || (needs_stop(attempt) && attempt.phase != Phase::Inherited);
     is_waiting && now.steady_ms >= attempt.retry_at_ms
 }
--- a/crates/engine/tests/refused_orders.rs
+++ b/crates/engine/tests/refused_orders.rs
@@ -294,3 +294,49 @@
         Some((key, placed.task, placed.run))
     })
 }
+
+/// Guards against calling an endpoint for ever that has vanished with a run which nobody knows.
+#[test]
+fn vanished_endpoint_with_an_unknown_run_is_not_called_for_ever() {
+    let mut fleet = fleet_with(step(1));
+    let (index, (task, run)) = first_run(&fleet);
+    cancel(&mut fleet, 1);
+    fleet.advance(2_000);
+    let id = fleet.endpoints[index].id.clone();
+    let endpoint = fleet.engine.endpoints().find(&id).expect("an endpoint");
+    fleet.crash(index);
+    fleet.handle(Event::Started {
+        endpoint,
+        task,
+        run,
+        outcome: CallOutcome::Done(fleet.clock_ms()),
+    });
+    fleet.settle();
+    fleet.handle(Event::Deregistered(id.as_str().into()));
+    fleet.advance(30_000);
+    let renewals = fleet.engine.endpoints().get(endpoint).renewals;
+    fleet.advance(10_000);
+    assert_eq!(fleet.engine.endpoints().get(endpoint).renewals, renewals);
+}
+
+/// Guards against a start that is repeated although its stop is decided, while that cannot be stored.
+#[test]
+fn start_is_not_repeated_once_its_stop_is_decided() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.advance(200);
+    fleet.endpoints[0].is_unresponsive = true;
+    fleet.submit(1, 1);
+    fleet.settle();
+    fleet.endpoints[0].is_unresponsive = false;
+    fleet.is_store_down = true;
+    fleet.handle(Event::Cancel {
+        job: job_id(1),
+        account: "".into(),
+        token: 1_001,
+    });
+    fleet.orders.clear();
+    fleet.advance(2_000);
+    let is_start = |order: &Effect| matches!(order, Effect::Start(_));
+    assert!(!fleet.orders.iter().any(is_start));
+}
