--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -153,6 +153,8 @@
     pub version: u64,
     pub accounts: Vec<ClientAccount>,
     pub pools: Vec<Pool>,
+    /// Whether calls to endpoints are only added to `orders`, for the test to deliver.
+    pub collects_calls: bool,
     /// Renewals held by endpoints: due time, endpoint, acknowledged end.
     waiting: Vec<(u64, u32, u64)>,
     in_flight: Option<Batch>,
@@ -176,6 +178,7 @@
             version: 1,
             accounts: Vec::new(),
             pools: vec![pool(POOL, false), pool("spare", true)],
+            collects_calls: false,
             waiting: Vec::new(),
             in_flight: None,
         };
@@ -368,9 +371,10 @@
         while self.turn() {}
     }
 
-    /// Stores one batch and discards the effects that it releases.
+    /// Stores one batch, the one in flight if there is one, and discards the effects that it releases.
     pub fn settle_without_cleaning(&mut self) {
-        let batch = self.engine.take_batch(self.now);
+        let in_flight = self.in_flight.take();
+        let batch = in_flight.unwrap_or_else(|| self.engine.take_batch(self.now));
         self.store(&batch);
         drop(self.engine.committed(batch, self.now));
     }
@@ -459,7 +463,14 @@
     }
 
     fn carry_out(&mut self, effect: Effect) {
+        if let Effect::Reply { token, response } = effect {
+            self.orders.push(effect);
+            return self.replies.push((token, response));
+        }
         self.orders.push(effect.clone());
+        if self.collects_calls {
+            return;
+        }
         let refusal = match &effect {
             Effect::Start(order) => self.refusal(order.endpoint, &effect),
             Effect::Stop { endpoint, .. }
@@ -544,7 +555,6 @@
                     is_done: matches!(outcome, CallOutcome::Done(_)),
                 });
             }
-            Effect::Reply { token, response } => self.replies.push((token, response)),
             _ => {}
         }
     }
