--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -140,6 +140,11 @@
                     self.delay_task(task, now.steady_ms + INVALID_PAUSE_MS);
                 }
                 self.start_failed(task, run, now);
+                // No retry succeeds there. A stop shows that an earlier try cannot take effect any
+                // more, so that the task may start elsewhere.
+                if matches!(refusal, Refusal::Invalid | Refusal::Ticket) {
+                    self.stop_run(task, run, now);
+                }
             }
             CallOutcome::Unsent => {
                 if !self.forget_origin(task) {
@@ -181,7 +186,8 @@
         let endpoint = self.endpoints.get_mut(key);
         endpoint.cooldown_until_ms = now.steady_ms + REFUSAL_COOLDOWN_MS;
         if refusal == Refusal::Late {
-            // The clock reading is inaccurate; a report provides a new one.
+            // The clock reading is inaccurate; nothing starts before a report provides a new one.
+            endpoint.is_reconciled = false;
             endpoint.renew_at_ms = now.steady_ms;
         }
     }
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -39,8 +39,8 @@
     Fenced,
     /// The endpoint refused the call and did nothing.
     Refused(Refusal),
-    /// Nothing was sent, for lack of a connection. For a renewal, the connection was refused, which shows
-    /// that nothing listens at the address; other failures to connect are unknown outcomes.
+    /// Nothing was sent, for lack of a connection. For a renewal: the endpoint closed the connection and
+    /// accepts no other one, which shows that its process has ended.
     Unsent,
     /// No response arrived: the call may have been executed, or may still be.
     Unknown,
@@ -68,8 +68,10 @@
 pub enum VmOutcome {
     /// Executed by this call or an earlier one.
     Done,
-    /// The VM is not up or is leaving.
+    /// The VM is not up, is leaving or is not part of the wave; nothing was done.
     Busy,
+    /// The service has accepted orders for the VM from a newer owner.
+    Fenced,
     /// Refused for another reason; nothing was done.
     Refused,
     /// No response arrived: the order may have been executed, or may still be.
@@ -169,7 +171,8 @@
         run: u32,
         /// Requested speed, in percent of full speed.
         percent: u8,
-        /// Whether the endpoint applied the change.
+        /// Whether the change is known to be applied. Otherwise the endpoint may have refused it, or it
+        /// may be applied later.
         is_done: bool,
     },
     /// A call with a move or maintenance order has ended.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -83,7 +83,7 @@
     log_event::{
         LogEvent, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder, ShareWait, UnwantedRun,
     },
-    pacing::next_pace,
+    pacing::{RunPace, next_pace},
     quota::{AccountNumber, QuotaTracker, RemainingQuotas},
     reports::{
         EndKind, EndedTask, EndpointEntry, EndpointReport, RunningTask, VmEntry, VmState, WaveOrder,
