--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -135,7 +135,8 @@
     is_draining: bool,
     /// When it exits, or when the next incarnation starts.
     change_ms: Option<u64>,
-    /// Until when no call reaches it.
+    /// From when and until when no call reaches it.
+    cut_from_ms: u64,
     cut_until_ms: u64,
     /// First owner that is cut off from it meanwhile; previous ones still reach it.
     cut_from_epoch: u64,
@@ -649,9 +650,7 @@
 
     fn cut(&mut self, slot: usize) {
         let until_ms = self.now_ms() + self.pick(300..9_000);
-        self.endpoints[slot].cut_until_ms = until_ms;
-        self.endpoints[slot].cut_from_epoch = 0;
-        self.note(slot, None, format!("cut until {until_ms}"));
+        self.cut_between(slot, self.now_ms(), until_ms, 0);
         if self.happens(40) {
             self.expire_entry(slot);
         }
@@ -659,11 +658,19 @@
 
     /// Cuts the owner off from an endpoint that previous owners still reach.
     fn cut_off_owner(&mut self, slot: usize) {
+        let from_ms = self.now_ms() + self.pick(0..400);
         let until_ms = self.now_ms() + self.pick(1_000..12_000);
-        let epoch = self.epoch;
-        self.endpoints[slot].cut_until_ms = until_ms;
-        self.endpoints[slot].cut_from_epoch = epoch;
-        self.note(slot, None, format!("cut from {epoch} until {until_ms}"));
+        self.cut_between(slot, from_ms, until_ms, self.epoch);
+    }
+
+    /// Cuts an endpoint off from an owner and its successors.
+    fn cut_between(&mut self, slot: usize, from_ms: u64, until_ms: u64, from_epoch: u64) {
+        let endpoint = &mut self.endpoints[slot];
+        endpoint.cut_from_ms = from_ms;
+        endpoint.cut_until_ms = until_ms;
+        endpoint.cut_from_epoch = from_epoch;
+        let text = format!("cut from {from_ms} until {until_ms}, from owner {from_epoch}");
+        self.note(slot, None, text);
     }
 
     /// Removes the registry entry of a living endpoint for a while.
@@ -724,7 +731,7 @@
     fn drain(&mut self) {
         let slot = self.random.random_range(0..SLOTS);
         if self.endpoints[slot].is_up && !self.endpoints[slot].is_draining {
-            let exit_ms = self.now_ms() + self.pick(1_500..9_000);
+            let exit_ms = self.now_ms() + self.pick(1_500..16_000);
             let endpoint = &mut self.endpoints[slot];
             endpoint.is_draining = true;
             endpoint.heartbeat_ms = 0;
@@ -903,6 +910,9 @@
         let slot = usize::from(endpoint.address().port() - 9_000);
         let id = endpoint.id.to_string();
         let known_millis = endpoint.capacity.cpu_millis;
+        if endpoint.is_draining && matches!(effect, Effect::Start(_)) {
+            self.fail("start sent to a draining endpoint", None, &id);
+        }
         let mut fate = self.fate(slot, epoch, &effect);
         if fate == Fate::Unsent && matches!(effect, Effect::Renew { .. }) {
             fate = self.refused_renewal(slot);
@@ -1716,7 +1726,8 @@
 
     /// Returns whether the calls of an owner do not reach it.
     fn is_cut(&self, epoch: u64, now_ms: u64) -> bool {
-        now_ms < self.cut_until_ms && epoch >= self.cut_from_epoch
+        let is_in_time = self.cut_from_ms <= now_ms && now_ms < self.cut_until_ms;
+        is_in_time && epoch >= self.cut_from_epoch
     }
 
     fn used_millis(&self) -> u64 {
