Count the last call without an answer when a VM is missing from lists again

A VM with an unanswered order that was listed again was to be ordered again at once, and its order counted as old: missing from the next list, it was forgotten, and the endpoint got work that the first call may end. Found in review; the new test failed before.

--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -103,7 +103,10 @@
     /// Forgets VMs that have been missing from lists for so long that their orders no longer take
     /// effect. They may have got another purpose since.
     fn forget_unlisted_vms(&mut self, now: Now) {
-        let is_over = |vm: &mut Vm| now.steady_ms >= vm.ordered_ms + LATE_EFFECT_MS;
+        let is_over = |vm: &mut Vm| {
+            let last_call_ms = vm.ordered_ms.max(vm.unanswered_ms.unwrap_or_default());
+            now.steady_ms >= last_call_ms + LATE_EFFECT_MS
+        };
         let forgotten: Vec<Vm> = self.unlisted_vms.extract_if(.., is_over).collect();
         for vm in forgotten {
             let active: Vec<EndpointKey> = self.endpoints.active_on_vm(&vm.entry.name).collect();
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use {
-    common::{Fleet, POOL, pool, queue, standby_vm, step},
+    common::{Fleet, POOL, pool, queue, standby_vm, step, vms_with},
     lynxwheel_engine::{
         Batch, Effect, Engine, EngineSettings, Event, FleetConfig, JobSpec, StepSpec, VmEntry,
-        VmOutcome,
+        VmOutcome, WaveOrder,
     },
 };
 
@@ -371,3 +371,27 @@
     assert!((30..=42).contains(&fetched_within(1_000, 32)));
     assert!(fetched_within(1_000, 1_000) >= 249);
 }
+
+/// Guards against work on a VM that a call without an answer may still end, because lists omit it
+/// repeatedly.
+#[test]
+fn vm_missing_from_every_other_list_stays_cordoned() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint_on("vm-1", "i-0", POOL, 16_000);
+    fleet.list_vms(vms_with("vm-1", "i-0"));
+    fleet.engine.allow_vm_orders(true);
+    fleet.advance(500);
+    fleet.handle(Event::WaveOrdered(WaveOrder {
+        wave: 1,
+        vms: vec!["vm-1".into()],
+        duration_s: 2.0,
+        max_count: 1,
+    }));
+    fleet.advance(500);
+    fleet.answer_vm_order("vm-1", VmOutcome::Unknown);
+    for vms in [Vec::new(), vms_with("vm-1", "i-0"), Vec::new(), Vec::new()] {
+        fleet.list_vms(vms);
+    }
+    let key = fleet.engine.endpoints().find("i-0").expect("an endpoint");
+    assert!(fleet.engine.endpoints().get(key).is_cordoned);
+}
