Resume an endpoint whose end was inferred also if its entry is found in a list

After the topic of endpoints was trimmed it is read anew, and its entries do not count as fresh. An endpoint that had been deregistered and taken for ended was not called again then, although its entry is newer. Found in review; the new test failed before.

--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -48,9 +48,8 @@
 impl Engine {
     pub(crate) fn register_endpoint(&mut self, entry: &EndpointEntry, is_fresh: bool, now: Now) {
         let key = self.endpoints.find_or_insert(&entry.id, now.steady_ms);
-        if is_fresh {
-            self.resume_if_end_was_inferred(key, now);
-        }
+        // A removed entry that is listed again was written since.
+        self.resume_if_end_was_inferred(key, now);
         if self.endpoints.get(key).has_ended {
             return;
         }
--- a/crates/engine/tests/incarnations.rs
+++ b/crates/engine/tests/incarnations.rs
@@ -178,6 +178,18 @@
     assert_eq!(fleet.endpoints[1].running.len(), 1);
 }
 
+/// Guards against an endpoint that is not called again because its entry was found in a list of all
+/// entries.
+#[test]
+fn endpoint_that_is_listed_again_is_called_again() {
+    let mut fleet = fleet_after_leaving(500);
+    let key = left(&fleet);
+    let mut entry = fleet.entries[0].clone();
+    entry.is_draining = true;
+    fleet.handle(listed(entry, false));
+    assert!(!fleet.engine.endpoints().get(key).has_ended);
+}
+
 /// Returns the endpoint that seems to have left.
 fn left(fleet: &Fleet) -> EndpointKey {
     fleet.engine.endpoints().find("i-0").expect("a known one")
