Give an endpoint time to carry out a stop before it is sent again

An executed stop was repeated after 200 ms if its run was still listed, but some deployments allow a stop up to 900 ms, so that a run could get several stops and log lines. A second is the longest of them with a report, and the time after which such a run is logged already.

Found in review.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -5,6 +5,7 @@
         engine::{Engine, ORDER_RETRY_MS},
         event::{CallOutcome, Effect, EndpointKey, Now, Refusal, StartOrder},
         job::{JobState, TaskRef},
+        listed_runs::STOP_LIMIT_MS,
         log_event::{LogEvent, RefusedOrder, RunEnd, RunOrder},
         reports::{EndKind, EndedTask},
         state::{Attempt, Job, Phase, StopPhase},
@@ -293,7 +294,7 @@
             attempt.phase = Phase::Confirmed;
             attempt.confirmed_at_renewal = renewals;
             attempt.stop = StopPhase::Executed;
-            attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
+            attempt.retry_at_ms = now.steady_ms + STOP_LIMIT_MS;
         }
     }
 
--- a/crates/engine/src/listed_runs.rs
+++ b/crates/engine/src/listed_runs.rs
@@ -17,9 +17,9 @@
 /// Minimum interval between stops of the same unknown run, in milliseconds.
 const UNKNOWN_RUN_STOP_INTERVAL_MS: u64 = 500;
 
-/// Minimum interval between log lines about one run that is listed although it is to be stopped, and
-/// from the decision until the first, in milliseconds. Endpoints stop runs well within it.
-const UNWANTED_LOG_INTERVAL_MS: u64 = 1_000;
+/// Time in which an endpoint ends a run that it was told to stop, in milliseconds. A run that is still
+/// listed then is stopped again, and logged once in this time.
+pub(crate) const STOP_LIMIT_MS: u64 = 1_000;
 
 /// A listed run that this owner has placed on the endpoint.
 struct ListedRun {
@@ -92,8 +92,8 @@
         Some(ListedRun { is_new, is_wanted })
     }
 
-    /// Stops a listed run that should not be active, again if an earlier stop has not ended it within
-    /// the retry interval.
+    /// Stops a listed run that should not be active, again if an earlier stop was refused or has not
+    /// ended it in time.
     fn stop_unwanted_run(&mut self, key: EndpointKey, task: &TaskRef, run: u32, now: Now) {
         let Some(attempt) = self.attempt_mut(task, run) else {
             return;
@@ -198,8 +198,8 @@
 }
 
 impl Attempt {
-    /// Returns whether the stop of a run may be sent now, as its decision is stored and the retry
-    /// interval has passed.
+    /// Returns whether the stop of a run may be sent now, as its decision is stored and its next try is
+    /// due.
     fn is_stop_due(&self, now: Now) -> bool {
         self.is_stop_stored() && now.steady_ms >= self.retry_at_ms
     }
@@ -209,7 +209,7 @@
     fn take_unwanted_log(&mut self, now: Now) -> bool {
         let decided_at_ms = self.stopping_since_ms.unwrap_or_default();
         let since_ms = self.unwanted_logged_at_ms.max(decided_at_ms);
-        let is_due = now.steady_ms >= since_ms + UNWANTED_LOG_INTERVAL_MS;
+        let is_due = now.steady_ms >= since_ms + STOP_LIMIT_MS;
         if is_due {
             self.unwanted_logged_at_ms = now.steady_ms;
         }
