--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -1854,8 +1854,8 @@
 }
 
 macro_rules! histories {
-    ($($name:ident: $seeds:expr;)*) => {
-        $(#[test] fn $name() {
+    ($($(#[$line:meta])* $name:ident: $seeds:expr;)*) => {
+        $($(#[$line])* #[test] fn $name() {
             for seed in $seeds {
                 println!("seed {seed}");
                 History::new(seed).run();
@@ -1865,5 +1865,31 @@
 }
 
 histories! {
-    first_seeds: 0..40;
+    first_seeds: 0..16;
+    further_seeds: 1_000..1_012;
+    /// Guards against a run of a cancelled job that goes on after its stop was refused.
+    refused_stop_of_a_cancelled_job: [2];
+    /// Guards against a run that goes on although nobody wants it any more, as its stop was refused.
+    refused_stop_of_an_unwanted_run: [46];
+    /// Guards against a second run of a task while an unanswered start, whose stop was refused, may
+    /// still take effect.
+    late_start_after_a_refused_stop: [216];
+    /// Guards against a job that starts although it was cancelled before its submission.
+    cancelled_before_its_submission: [1];
+    /// Guards against such a job at an owner that did not answer the cancel.
+    cancelled_at_the_previous_owner: [0];
+    /// Guards against an endpoint that is never called again after it refused a connection.
+    draining_endpoint_that_refused_a_connection: [262];
+    /// Guards against a start that is repeated at a draining endpoint.
+    unanswered_start_on_a_draining_endpoint: [50];
+    /// Guards against a start that is repeated after the capacity of its endpoint was reduced.
+    unanswered_start_without_room: [89];
+    /// Guards against a lease that the previous owner granted after the takeover.
+    lease_of_the_previous_owner: [330];
+    /// Guards against a start that takes effect after a later call with it was refused.
+    late_start_after_its_refusal: [19];
+    /// Guards against an acknowledged end of a task that the next owner does not know.
+    acknowledged_before_it_is_stored: [2];
+    /// Guards against an endpoint whose starts are all refused as late after a report was processed late.
+    reading_of_the_clock_processed_late: [2_718];
 }
