Log the next try of a refused start only if there is one

The line of a refused order named a time of the next try also for starts that are stopped instead, or that a report has confirmed. Found in review; the new test of a start without another try failed before.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -132,7 +132,6 @@
             // The endpoint knows the run, and the next report contains its state.
             CallOutcome::Refused(Refusal::OldRun) => self.confirm(key, task, run, now),
             CallOutcome::Refused(refusal) => {
-                self.log_refusal(RunOrder::Start, key, task, run, *refusal);
                 self.start_refusal_cooldown(key, *refusal, now);
                 if *refusal == Refusal::Ticket {
                     self.ticket_refused(task, key);
@@ -152,6 +151,7 @@
                     }
                     self.stop_run(task, run, now);
                 }
+                self.log_refusal(RunOrder::Start, key, task, run, *refusal);
             }
             CallOutcome::Unsent => {
                 if !self.forget_origin(task) {
@@ -298,7 +298,7 @@
         }
     }
 
-    /// Adds a refused order to the log, with the time until its next try.
+    /// Adds a refused order to the log, with the time until its next try if it has one.
     fn log_refusal(
         &mut self,
         order: RunOrder,
@@ -307,11 +307,11 @@
         run: u32,
         refusal: Refusal,
     ) {
-        let attempt = self.attempt(task, run);
-        let retry_ms = attempt.and_then(|attempt| match order {
-            RunOrder::Start => attempt.may_start_late.then_some(ORDER_RETRY_MS),
-            RunOrder::Stop => Some(ORDER_RETRY_MS),
+        let is_repeated = self.attempt(task, run).is_some_and(|attempt| match order {
+            RunOrder::Start => attempt.phase == Phase::Unanswered && !attempt.is_stopping(),
+            RunOrder::Stop => true,
         });
+        let retry_ms = is_repeated.then_some(ORDER_RETRY_MS);
         let endpoint = self.endpoints.get(key).id.clone();
         self.log_events.push(LogEvent::OrderRefused(RefusedOrder {
             order,
--- a/crates/engine/tests/start_refusals.rs
+++ b/crates/engine/tests/start_refusals.rs
@@ -5,7 +5,8 @@
 use {
     common::{Fleet, job_id, listed, step},
     lynxwheel_engine::{
-        CallOutcome, Effect, EndKind, Event, JobSpec, JobState, Refusal, StepSpec, TaskRef,
+        CallOutcome, Effect, EndKind, Event, JobSpec, JobState, LogEvent, Refusal, RunOrder,
+        StepSpec, TaskRef,
     },
 };
 
@@ -375,3 +376,32 @@
     fleet.advance(5_000);
     assert_eq!(fleet.endpoints[1].running.len(), 3);
 }
+
+/// Returns the time until the next try in the latest line about a refused start.
+fn logged_retry_ms(fleet: &mut Fleet) -> Option<u64> {
+    let events = fleet.engine.take_log_events();
+    let mut refused = events.iter().rev().filter_map(|event| match event {
+        LogEvent::OrderRefused(refused) => Some(refused),
+        _ => None,
+    });
+    let latest = refused.next().expect("a refused start");
+    assert_eq!(latest.order, RunOrder::Start);
+    latest.retry_ms
+}
+
+macro_rules! logged {
+    ($($(#[$doc:meta])* $name:ident: $refusal:ident => $retry_ms:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            let mut fleet = fleet_with_unanswered_start(refuse_starts!($refusal));
+            fleet.advance(300);
+            assert_eq!(logged_retry_ms(&mut fleet), $retry_ms);
+        })*
+    };
+}
+
+logged! {
+    start_with_another_try: Unhealthy => Some(200);
+
+    /// Guards against a line that announces a try of a start that is stopped instead.
+    start_without_another_try: Ticket => None;
+}
