--- a/crates/engine/tests/incarnations.rs
+++ b/crates/engine/tests/incarnations.rs
@@ -136,8 +136,8 @@
     draining_endpoint_that_leaves_has_ended: 500 => 2;
 }
 
-/// Guards against waiting for the lease of an endpoint whose entry is removed after its connections are
-/// closed.
+/// Guards against waiting for the lease of an endpoint whose entry is removed after its connections
+/// are closed.
 #[test]
 fn endpoint_that_closes_connections_before_it_is_deregistered_has_ended() {
     let mut fleet = Fleet::new();
@@ -195,8 +195,8 @@
     fleet.engine.endpoints().find("i-0").expect("a known one")
 }
 
-/// Guards against runs on an endpoint that has executed an order after it was taken for shut down, and
-/// whose list nobody asks for.
+/// Guards against runs on an endpoint that has executed an order after it was taken for shut down,
+/// and whose list nobody asks for.
 #[test]
 fn endpoint_that_has_executed_a_stop_is_asked_for_its_list() {
     let mut fleet = fleet_after_leaving(500);
@@ -214,8 +214,48 @@
     assert_eq!(fleet.endpoints[1].running.len(), 1);
 }
 
-/// Guards against ignoring the list of an endpoint that responds to another call after it was taken for
-/// shut down.
+/// Guards against an executed start that does not count as a sign of an active endpoint.
+#[test]
+fn endpoint_that_has_executed_a_start_is_asked_for_its_list() {
+    let mut fleet = fleet_after_leaving(500);
+    fleet.settle();
+    fleet.endpoints[0].is_unresponsive = false;
+    let (task, run) = fleet.endpoints[0].running[0];
+    fleet.handle(Event::Started {
+        endpoint: left(&fleet),
+        task,
+        run,
+        outcome: CallOutcome::Done(fleet.clock_ms()),
+    });
+    fleet.settle();
+    fleet.advance(2_000);
+    assert_eq!(fleet.endpoints[0].running, []);
+}
+
+/// Guards against an end that is inferred from a closed connection although the endpoint has responded
+/// since.
+#[test]
+fn endpoint_that_responds_after_a_closed_connection_has_not_ended() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-0", 16_000);
+    fleet.submit(1, 1);
+    fleet.advance(500);
+    let mut entry = fleet.entries[0].clone();
+    entry.is_draining = true;
+    fleet.handle(listed(entry, true));
+    fleet.settle();
+    let endpoint = left(&fleet);
+    fleet.handle(Event::Renewed {
+        endpoint,
+        outcome: CallOutcome::Unsent,
+    });
+    fleet.advance(1_000);
+    fleet.handle(Event::Deregistered("i-0".into()));
+    assert!(!fleet.engine.endpoints().get(endpoint).has_ended);
+}
+
+/// Guards against ignoring the list of an endpoint that responds to another call after it was taken
+/// for shut down.
 #[test]
 fn report_of_an_endpoint_that_seemed_to_have_left_counts() {
     let mut fleet = fleet_after_leaving(500);
