--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -282,8 +282,8 @@
         }
     }
 
-    /// Records that an endpoint has executed a stop: the run can no longer start there, and a report
-    /// requested from now on shows whether it has ended.
+    /// Records that an endpoint has executed a stop: the run can no longer start there, and a
+    /// report requested from now on shows whether it has ended.
     fn stop_executed(&mut self, key: EndpointKey, task: &TaskRef, run: u32, now: Now) {
         let endpoint = self.endpoints.get_mut(key);
         endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
@@ -474,7 +474,8 @@
             || self.can_interrupt(task)
     }
 
-    /// Returns whether a start is unanswered, and its retries are rejected or no longer fit the endpoint.
+    /// Returns whether a start is unanswered, and its retries are rejected or no longer fit the
+    /// endpoint.
     fn is_start_hopeless(&self, task: &TaskRef, run: u32) -> bool {
         self.attempt(task, run).is_some_and(|attempt| {
             let endpoint = self.endpoints.get(attempt.endpoint);
--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -124,8 +124,8 @@
     /// Grants the lease of a start whose decision is stored.
     ///
     /// A start whose run was stopped in the meantime is never sent. A start of an account whose
-    /// quota was reduced in the meantime, or on an endpoint whose capacity was or that is draining by
-    /// now, is dropped here.
+    /// quota was reduced in the meantime, or on an endpoint whose capacity was or that is draining
+    /// by now, is dropped here.
     fn release_start(&mut self, mut order: StartOrder, now: Now) -> Option<Effect> {
         let index = self.search(order.task.job).ok()?;
         let account = self.jobs[index].account_number;
--- a/crates/engine/src/early_cancels.rs
+++ b/crates/engine/src/early_cancels.rs
@@ -1,8 +1,8 @@
 //! Cancellations that arrive before the submission of their job.
 //!
-//! A node may still retry a submission after its caller has cancelled the job and has been told that no
-//! such job exists. The cancellation is stored before that answer, and a later submission by the same
-//! account is accepted as a cancelled job, whichever owner receives it.
+//! A node may still retry a submission after its caller has cancelled the job and has been told
+//! that no such job exists. The cancellation is stored before that answer, and a later submission
+//! by the same account is accepted as a cancelled job, whichever owner receives it.
 
 use {
     crate::{
@@ -16,7 +16,8 @@
     serde::{Deserialize, Serialize},
 };
 
-/// Maximum number of jobs that are kept as cancelled before their submission; the oldest is dropped.
+/// Maximum number of jobs that are kept as cancelled before their submission; the oldest is
+/// dropped.
 const MAX_EARLY_CANCELS: usize = 16_384;
 
 /// A job that was cancelled before it was submitted.
@@ -104,8 +105,8 @@
         })
     }
 
-    /// Accepts a job that was cancelled before its submission: it is stored as cancelled, and nothing of
-    /// it starts.
+    /// Accepts a job that was cancelled before its submission: it is stored as cancelled, and
+    /// nothing of it starts.
     pub(crate) fn submit_cancelled(&mut self, mut job: Job, token: ReplyToken, now: Now) {
         let id = job.id;
         // Only the final state of an ended job is kept.
--- a/crates/engine/src/endpoint_table.rs
+++ b/crates/engine/src/endpoint_table.rs
@@ -119,8 +119,8 @@
         incarnations.filter(|&key| !self.get(key).has_ended)
     }
 
-    /// Returns other incarnations with the same address or VM that are not known to have ended, or whose
-    /// end was only inferred.
+    /// Returns other incarnations with the same address or VM that are not known to have ended, or
+    /// whose end was only inferred.
     pub(crate) fn others_at_location(&self, key: EndpointKey) -> Vec<EndpointKey> {
         let one = self.get(key);
         let at_address = self.locations.at_address(one.address);
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -105,8 +105,8 @@
     pub(crate) listed_since_ms: Option<u64>,
     /// When its stop was last sent, on the monotonic clock; `None` if it never was.
     pub(crate) stopped_at_ms: Option<u64>,
-    /// Number of renewals sent when it was confirmed. Only the report of a later one shows whether it
-    /// is active.
+    /// Number of renewals sent when it was confirmed. Only the report of a later one shows whether
+    /// it is active.
     pub(crate) added_at_renewal: u64,
 }
 
@@ -139,7 +139,7 @@
     pub is_registered: bool,
     /// Whether this owner has ever seen its registry entry.
     pub was_registered: bool,
-    /// Whether this incarnation is known to have ended.
+    /// Whether this incarnation has ended, by proof or by inference.
     pub has_ended: bool,
     /// Whether its process has closed a connection and accepted no other one since.
     pub(crate) has_closed: bool,
@@ -280,8 +280,8 @@
         self.was_registered = true;
     }
 
-    /// Resumes calls to an incarnation whose end was inferred and that has shown to be active. Nothing
-    /// starts there before it has reported its runs.
+    /// Resumes calls to an incarnation whose end was inferred and that has shown to be active.
+    /// Nothing starts there before it has reported its runs.
     pub(crate) fn resume(&mut self, now: Now) {
         self.has_ended = false;
         self.is_end_inferred = false;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -264,8 +264,8 @@
         }
     }
 
-    /// Refuses a job that was never sent to the store. One that was cancelled remains, as its caller is
-    /// told so once the store is available, and its submission may be repeated.
+    /// Refuses a job that was never sent to the store. One that was cancelled remains, as its
+    /// caller is told so once the store is available, and its submission may be repeated.
     fn refuse_unsent(&mut self, index: usize) {
         let job = self.jobs.get_mut_untracked(index);
         let callers = std::mem::take(&mut job.waiting_callers);
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -39,8 +39,8 @@
     Fenced,
     /// The endpoint refused the call and did nothing.
     Refused(Refusal),
-    /// Nothing was sent, for lack of a connection. For a renewal: the endpoint closed the connection and
-    /// accepts no other one, which shows that its process has ended.
+    /// Nothing was sent, for lack of a connection. For a renewal: the endpoint closed the
+    /// connection and accepts no other one, which shows that its process has ended.
     Unsent,
     /// No response arrived: the call may have been executed, or may still be.
     Unknown,
@@ -171,8 +171,8 @@
         run: u32,
         /// Requested speed, in percent of full speed.
         percent: u8,
-        /// Whether the change is known to be applied. Otherwise the endpoint may have refused it, or it
-        /// may be applied later.
+        /// Whether the change is known to be applied. Otherwise the endpoint may have refused it,
+        /// or it may be applied later.
         is_done: bool,
     },
     /// A call with a move or maintenance order has ended.
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Records that an incarnation has ended, so that nothing runs there any more.
+    /// Records that an incarnation has ended, and removes its runs.
     pub(crate) fn endpoint_ended(&mut self, key: EndpointKey, now: Now) {
         let tasks_to_charge = self.tasks_to_charge(key);
         let endpoint = self.endpoints.get_mut(key);
--- a/crates/engine/src/listed_runs.rs
+++ b/crates/engine/src/listed_runs.rs
@@ -17,8 +17,8 @@
 /// Minimum interval between stops of the same unknown run, in milliseconds.
 const UNKNOWN_RUN_STOP_INTERVAL_MS: u64 = 500;
 
-/// Time in which an endpoint ends a run that it was told to stop, in milliseconds. A run that is still
-/// listed then is stopped again, and logged once in this time.
+/// Time in which an endpoint ends a run that it was told to stop, in milliseconds. A run that is
+/// still listed then is stopped again, and logged once in this time.
 pub(crate) const STOP_LIMIT_MS: u64 = 1_000;
 
 /// A listed run that this owner has placed on the endpoint.
@@ -92,8 +92,8 @@
         Some(ListedRun { is_new, is_wanted })
     }
 
-    /// Stops a listed run that should not be active, again if an earlier stop was refused or has not
-    /// ended it in time.
+    /// Stops a listed run that should not be active, again if an earlier stop was refused or has
+    /// not ended it in time.
     fn stop_unwanted_run(&mut self, key: EndpointKey, task: &TaskRef, run: u32, now: Now) {
         let Some(attempt) = self.attempt_mut(task, run) else {
             return;
@@ -131,8 +131,8 @@
         });
     }
 
-    /// Requests a report that shows whether a run is active that the endpoint has just confirmed and
-    /// this owner does not know.
+    /// Requests a report that shows whether a run is active that the endpoint has just confirmed
+    /// and this owner does not know.
     pub(crate) fn verify_unknown_run(
         &mut self,
         key: EndpointKey,
@@ -198,14 +198,14 @@
 }
 
 impl Attempt {
-    /// Returns whether the stop of a run may be sent now, as its decision is stored and its next try is
-    /// due.
+    /// Returns whether the stop of a run may be sent now, as its decision is stored and its next
+    /// try is due.
     fn is_stop_due(&self, now: Now) -> bool {
         self.is_stop_stored() && now.steady_ms >= self.retry_at_ms
     }
 
-    /// Returns whether to log now that the run is listed although it is to be stopped, and records that
-    /// it is logged.
+    /// Returns whether to log now that the run is listed although it is to be stopped, and records
+    /// that it is logged.
     fn take_unwanted_log(&mut self, now: Now) -> bool {
         let decided_at_ms = self.stopping_since_ms.unwrap_or_default();
         let since_ms = self.unwanted_logged_at_ms.max(decided_at_ms);
@@ -216,8 +216,8 @@
         is_due
     }
 
-    /// Returns the time since the stop was decided, in milliseconds; `None` if a previous owner decided
-    /// it.
+    /// Returns the time since the stop was decided, in milliseconds; `None` if a previous owner
+    /// decided it.
     fn stopping_ms(&self, now: Now) -> Option<u64> {
         let since_ms = self.stopping_since_ms?;
         Some(now.steady_ms.saturating_sub(since_ms))
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -117,8 +117,8 @@
     pub endpoint: CompactString,
     /// Whether the owner knows the run; it stops unknown ones, too.
     pub is_known: bool,
-    /// Time since the decision to stop it, or since an unknown run was first listed, in milliseconds;
-    /// `None` if a previous owner decided it.
+    /// Time since the decision to stop it, or since an unknown run was first listed, in
+    /// milliseconds; `None` if a previous owner decided it.
     pub since_ms: Option<u64>,
 }
 
--- a/crates/engine/src/pacing.rs
+++ b/crates/engine/src/pacing.rs
@@ -39,8 +39,8 @@
     known: Option<u8>,
     /// Number of orders without an outcome.
     pending_orders: u8,
-    /// Whether several orders were pending at the same time, so that any of them may be the last one
-    /// that took effect.
+    /// Whether several orders were pending at the same time, so that any of them may be the last
+    /// one that took effect.
     has_overlapped: bool,
     /// Whether an order since the last report may still take effect although its call has ended.
     is_unanswered: bool,
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -11,9 +11,9 @@
 
 impl Engine {
     /// Retries unanswered orders. A start keeps its run number and is therefore idempotent; starts
-    /// of an account above its quota wait, and those that no longer fit or whose endpoint is draining are
-    /// stopped. Stops beyond the budget of their step wait: a previous owner may have decided on them before other tasks of the
-    /// step were lost.
+    /// of an account above its quota wait, and those that no longer fit or whose endpoint is
+    /// draining are stopped. Stops beyond the budget of their step wait: a previous owner may have
+    /// decided on them before other tasks of the step were lost.
     pub(crate) fn retry_orders(&mut self, now: Now) {
         for (task, run, key, is_stop) in self.due_retries(now) {
             let endpoint = self.endpoints.get_mut(key);
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -54,17 +54,18 @@
     /// Number of renewals sent to the endpoint when the run was confirmed. Only a report of a later
     /// renewal that omits the run proves that it has ended.
     pub confirmed_at_renewal: u64,
-    /// Whether an unanswered start may still take effect.
+    /// Whether a try of the start got no answer, so that it may have taken effect or may still do so
+    /// until the run is confirmed or its stop is executed.
     pub may_start_late: bool,
     /// Whether the endpoint has rejected a retry of the start, and would reject others.
     pub is_rejected: bool,
     /// Progress of stopping the run.
     pub stop: StopPhase,
-    /// When the stop was decided, on the monotonic clock; `None` before that, or if a previous owner
-    /// decided it.
+    /// When the stop was decided, on the monotonic clock; `None` before that, or if a previous
+    /// owner decided it.
     pub stopping_since_ms: Option<u64>,
-    /// When it was last logged that the run is listed although it is to be stopped, on the monotonic
-    /// clock; 0 for never.
+    /// When it was last logged that the run is listed although it is to be stopped, on the
+    /// monotonic clock; 0 for never.
     pub unwanted_logged_at_ms: u64,
     /// Earliest time to retry an order, on the monotonic clock.
     pub retry_at_ms: u64,
--- a/crates/engine/src/stored.rs
+++ b/crates/engine/src/stored.rs
@@ -1,9 +1,9 @@
 //! Records that a later owner reads.
 //!
 //! A job has two records: its description, written once, and its progress, written with each
-//! change. Both are `MessagePack` arrays without field names. A job with tasks under which endpoints
-//! have crashed has a third one, see [`crate::crash_history`], and a job that was cancelled before its
-//! submission only one of its own, see [`crate::early_cancels`].
+//! change. Both are `MessagePack` arrays without field names. A job with tasks under which
+//! endpoints have crashed has a third one, see [`crate::crash_history`], and a job that was
+//! cancelled before its submission only one of its own, see [`crate::early_cancels`].
 
 use {
     crate::{
@@ -285,7 +285,8 @@
     }
 }
 
-/// Returns the record of a job that was cancelled before it was submitted; an empty value deletes it.
+/// Returns the record of a job that was cancelled before it was submitted; an empty value deletes
+/// it.
 #[must_use]
 pub fn early_cancel_record(job: JobId, value: Vec<u8>) -> Record {
     Record {
--- a/crates/engine/src/vms.rs
+++ b/crates/engine/src/vms.rs
@@ -52,8 +52,8 @@
     is_inherited: bool,
     /// Number of the call in flight.
     pending_call: Option<u64>,
-    /// When a call with the order, also one of a previous owner, last got no response, on the monotonic
-    /// clock. It may have taken effect or still do so.
+    /// When a call with the order, also one of a previous owner, last got no response, on the
+    /// monotonic clock. It may have taken effect or still do so.
     unanswered_ms: Option<u64>,
     /// Earliest time of the next order, on the monotonic clock.
     pub cooldown_until_ms: u64,
@@ -118,8 +118,8 @@
 
     /// Returns the state of a VM that is listed for the first time, or again.
     ///
-    /// An order from before it was missing may have taken effect or may still do so. It is sent again
-    /// to learn its outcome, and the response to its earlier call is ignored.
+    /// An order from before it was missing may have taken effect or may still do so. It is sent
+    /// again to learn its outcome, and the response to its earlier call is ignored.
     fn newly_listed_vm(&mut self, entry: VmEntry, requested_ms: u64, now: Now) -> Vm {
         let is_known = |vm: &Vm| vm.entry.name == entry.name;
         if let Some(at) = self.unlisted_vms.iter().position(is_known) {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -371,7 +371,8 @@
         while self.turn() {}
     }
 
-    /// Stores one batch, the one in flight if there is one, and discards the effects that it releases.
+    /// Stores one batch, the one in flight if there is one, and discards the effects that it
+    /// releases.
     pub fn settle_without_cleaning(&mut self) {
         let in_flight = self.in_flight.take();
         let batch = in_flight.unwrap_or_else(|| self.engine.take_batch(self.now));
--- a/crates/engine/tests/draining_endpoints.rs
+++ b/crates/engine/tests/draining_endpoints.rs
@@ -48,8 +48,8 @@
     assert_eq!(fleet.endpoints[1].running.len(), 1);
 }
 
-/// Guards against a start that is sent to an endpoint which began to drain while the decision was being
-/// stored.
+/// Guards against a start that is sent to an endpoint which began to drain while the decision was
+/// being stored.
 #[test]
 fn start_is_not_sent_if_its_endpoint_drains_before_it_is_stored() {
     let mut fleet = fleet();
--- a/crates/engine/tests/early_cancels.rs
+++ b/crates/engine/tests/early_cancels.rs
@@ -130,8 +130,8 @@
     assert_eq!(stored_cancels(&fleet), 1);
 }
 
-/// Guards against a submission that is repeated after it was accepted as cancelled, also at the next
-/// owner.
+/// Guards against a submission that is repeated after it was accepted as cancelled, also at the
+/// next owner.
 #[test]
 fn repeated_submission_remains_cancelled() {
     let mut fleet = fleet();
--- a/crates/engine/tests/refused_orders.rs
+++ b/crates/engine/tests/refused_orders.rs
@@ -10,10 +10,12 @@
     },
 };
 
-/// Longest time from the end of the refusals until a run that nobody wants is gone, in milliseconds.
+/// Longest time from the end of the refusals until a run that nobody wants is gone, in
+/// milliseconds.
 const STOPPED_WITHIN_MS: u64 = 600;
 
-/// Longest time from a cancellation until its runs are gone, in milliseconds, as the platform allows.
+/// Longest time from a cancellation until its runs are gone, in milliseconds, as the platform
+/// allows.
 const CANCELLED_WITHIN_MS: u64 = 3_200;
 
 fn refuse_stops(call: &Effect) -> Option<Refusal> {
@@ -205,8 +207,8 @@
     assert_eq!(stops(&fleet), 1);
 }
 
-/// Guards against a run that nobody stops because its start was confirmed after the owner had given it
-/// up, on an endpoint that is not called otherwise.
+/// Guards against a run that nobody stops because its start was confirmed after the owner had given
+/// it up, on an endpoint that is not called otherwise.
 #[test]
 fn run_confirmed_after_it_was_given_up_is_stopped() {
     let mut fleet = fleet_with(step(1));
@@ -227,8 +229,8 @@
     assert_eq!(fleet.endpoints[index].running, []);
 }
 
-/// Guards against a refused order and its next try, and a run that goes on meanwhile, that no log line
-/// tells of.
+/// Guards against a refused order and its next try, and a run that goes on meanwhile, that no log
+/// line tells of.
 #[test]
 fn refused_stop_and_listed_run_are_logged() {
     let mut fleet = fleet_with(step(1));
@@ -279,8 +281,8 @@
     assert_eq!(fleet.endpoints[0].running.len(), 4);
 }
 
-/// Guards against room that is given to others because a stop was refused before the answer of the start
-/// was lost.
+/// Guards against room that is given to others because a stop was refused before the answer of the
+/// start was lost.
 #[test]
 fn room_is_kept_when_a_start_gets_no_answer_after_its_stop_was_refused() {
     let mut fleet = Fleet::new();
@@ -338,7 +340,8 @@
     assert_eq!(fleet.engine.endpoints().get(endpoint).renewals, renewals);
 }
 
-/// Guards against a start that is repeated although its stop is decided, while that cannot be stored.
+/// Guards against a start that is repeated although its stop is decided, while that cannot be
+/// stored.
 #[test]
 fn start_is_not_repeated_once_its_stop_is_decided() {
     let mut fleet = Fleet::new();
--- a/crates/engine/tests/renewals.rs
+++ b/crates/engine/tests/renewals.rs
@@ -84,7 +84,8 @@
     running.filter(|(task, _)| *task == task_of(number)).count()
 }
 
-/// Returns a fleet with one job at the first endpoint for each of the numbers, and a second endpoint.
+/// Returns a fleet with one job at the first endpoint for each of the numbers, and a second
+/// endpoint.
 fn fleet_with_jobs(numbers: &[u64], step: &StepSpec) -> Fleet {
     let mut fleet = Fleet::new();
     fleet.list_endpoint("i-1", 16_000);
--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -145,8 +145,8 @@
     /// Until when it refuses most calls.
     unhealthy_until_ms: u64,
     heartbeat_ms: u64,
-    /// Whether it refused a connection while it was draining and alive. The owner may take it for ended
-    /// then, so that tasks that run there start elsewhere.
+    /// Whether it refused a connection while it was draining and alive. The owner may take it for
+    /// ended then, so that tasks that run there start elsewhere.
     is_misjudged: bool,
     /// Since when the owner should know that it is alive, although it took it for ended.
     shown_ms: Option<u64>,
--- a/crates/engine/tests/start_refusals.rs
+++ b/crates/engine/tests/start_refusals.rs
@@ -1,4 +1,5 @@
-//! Refused starts: alone, after a try without an answer, beside a stop, and after the run was removed.
+//! Refused starts: alone, after a try without an answer, beside a stop, and after the run was
+//! removed.
 
 mod common;
 
@@ -179,7 +180,8 @@
     /// Guards against a task that never runs, as its start is retried without a ticket for good.
     start_is_given_up_after_a_retry_without_a_ticket: Ticket => 2;
 
-    /// Guards against a task that never runs, as a start that is malformed there is retried for good.
+    /// Guards against a task that never runs, as a start that is malformed there is retried for
+    /// good.
     start_is_given_up_after_an_invalid_retry: Invalid => 2;
 
     /// Guards against giving up a start that may succeed as soon as the endpoint has recovered.
@@ -201,8 +203,8 @@
     assert_eq!(fleet.endpoints[0].running, [(task(), 2)]);
 }
 
-/// Guards against a second run, as the start that is rejected as old refers to one that was executed
-/// and has ended.
+/// Guards against a second run, as the start that is rejected as old refers to one that was
+/// executed and has ended.
 #[test]
 fn end_of_a_run_that_was_rejected_as_old_counts() {
     let mut fleet = fleet_with_unanswered_start(refuse_starts!(OldRun));
@@ -276,8 +278,8 @@
     assert_eq!(fleet.endpoints[1].running.len(), 1);
 }
 
-/// Guards against an endpoint that refuses every start for good, as its clock was read late and nothing
-/// reads it again.
+/// Guards against an endpoint that refuses every start for good, as its clock was read late and
+/// nothing reads it again.
 #[test]
 fn start_refused_for_its_deadline_is_repeated_after_a_report() {
     let mut fleet = Fleet::new();
@@ -312,8 +314,8 @@
     fleet
 }
 
-/// Returns whether a run goes on after the retry of its start had an outcome, on an endpoint that may be
-/// draining by then.
+/// Returns whether a run goes on after the retry of its start had an outcome, on an endpoint that
+/// may be draining by then.
 fn goes_on_after(outcome: CallOutcome<u64>, is_draining: bool) -> bool {
     let mut fleet = fleet_with_retry_under_way();
     if is_draining {
@@ -353,7 +355,8 @@
     listed_run_whose_retry_is_not_sent_while_draining: CallOutcome::Unsent, true;
 }
 
-/// Guards against starts that are rejected for ever because the budget of their step allows no stop.
+/// Guards against starts that are rejected for ever because the budget of their step allows no
+/// stop.
 #[test]
 fn rejected_starts_are_given_up_beyond_the_budget_of_their_step() {
     let mut fleet = idle_fleet();
--- a/crates/engine/tests/store_unavailable.rs
+++ b/crates/engine/tests/store_unavailable.rs
@@ -142,8 +142,8 @@
     assert_eq!(runs.count(), 1);
 }
 
-/// Guards against a job that runs although its cancellation was answered, because its first submission
-/// was refused while the store was unavailable.
+/// Guards against a job that runs although its cancellation was answered, because its first
+/// submission was refused while the store was unavailable.
 #[test]
 fn cancelled_job_remains_cancelled_after_its_submission_was_refused() {
     let mut fleet = fleet_without_store();
--- a/crates/engine/tests/vm_cooldowns.rs
+++ b/crates/engine/tests/vm_cooldowns.rs
@@ -134,8 +134,8 @@
 
     vm_without_an_inherited_order_gets_work_immediately: [VmOutcome::Refused], 500 => 16;
 
-    /// Guards against work on a VM that an earlier call of the previous owner may still take away, as
-    /// its retry was refused.
+    /// Guards against work on a VM that an earlier call of the previous owner may still take away,
+    /// as its retry was refused.
     vm_with_an_inherited_order_whose_retry_was_refused_gets_no_work:
         [VmOutcome::Unknown, VmOutcome::Refused], 2_500 => 0;
 
--- a/crates/engine/tests/vm_orders.rs
+++ b/crates/engine/tests/vm_orders.rs
@@ -71,8 +71,8 @@
     assert_eq!(runs_beside_work(&mut fleet, &vm), 0);
 }
 
-/// Guards against starting work on a VM that was missing from a list while an order without an answer
-/// may still take effect.
+/// Guards against starting work on a VM that was missing from a list while an order without an
+/// answer may still take effect.
 #[test]
 fn vm_missing_from_a_list_keeps_the_order_that_may_take_effect() {
     let mut fleet = idle_fleet();
@@ -87,8 +87,8 @@
     assert_eq!(runs_beside_work(&mut fleet, &vm), 0);
 }
 
-/// Guards against repeating an order from long ago on a VM that is listed again, and against a VM that
-/// stays cordoned without an order.
+/// Guards against repeating an order from long ago on a VM that is listed again, and against a VM
+/// that stays cordoned without an order.
 #[test]
 fn vm_missing_from_lists_for_long_gets_work_again() {
     let mut fleet = idle_fleet();
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -19,8 +19,8 @@
 /// covers the longest delay of an order at an endpoint and a takeover.
 const CANCEL_GRACE_MS: u128 = 8_000;
 
-/// Time after a cancellation is acknowledged within which its tasks must have ended, including the time
-/// that a stop may take.
+/// Time after a cancellation is acknowledged within which its tasks must have ended, including the
+/// time that a stop may take.
 const CANCEL_LIMIT: Duration = Duration::from_millis(3_200);
 
 /// Time without faults after which tasks of cancelled jobs must be stopped: the ownership of a node
@@ -293,8 +293,8 @@
         state.quiet_since = state.quiet_since.max(Some(Instant::now()));
     }
 
-    /// Returns the time until tasks of cancelled jobs must be stopped unless another fault begins, or
-    /// `None` while a fault is active.
+    /// Returns the time until tasks of cancelled jobs must be stopped unless another fault begins,
+    /// or `None` while a fault is active.
     #[must_use]
     pub fn time_until_quiet(&self) -> Option<Duration> {
         let state = lock(&self.state);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -26,8 +26,8 @@
 /// must respect it.
 const CAPACITY_DURATIONS_MS: std::ops::Range<u64> = 500..8_000;
 
-/// Time between the starts of two overloads, in milliseconds: several endpoints are overloaded at the
-/// same time.
+/// Time between the starts of two overloads, in milliseconds: several endpoints are overloaded at
+/// the same time.
 const OVERLOAD_PAUSES_MS: std::ops::Range<u64> = 50..400;
 
 /// Share of the calls that an overloaded endpoint refuses, in percent.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -27,8 +27,8 @@
 /// several times what the detection of silent nodes, the expiry of leases and the jobs take.
 const RECOVERY_MS: u64 = 40_000;
 
-/// Time for which orders are refused after the last other fault has begun, in milliseconds: otherwise
-/// a later takeover could send all stops again.
+/// Time for which orders are refused after the last other fault has begun, in milliseconds:
+/// otherwise a later takeover could send all stops again.
 const LATE_REFUSALS_MS: u64 = 4_000;
 
 /// Parameters of a run.
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -47,8 +47,8 @@
     pub may_have_run: bool,
     /// Whether the connection was refused: the VM is up and nothing listens on the port.
     pub is_refused: bool,
-    /// Whether the peer closed the connection instead of responding, rather than that it was reset or
-    /// did not respond in time.
+    /// Whether the peer closed the connection instead of responding, rather than that it was reset
+    /// or did not respond in time.
     pub is_closed: bool,
 }
 
--- a/crates/transport/tests/send_guards.rs
+++ b/crates/transport/tests/send_guards.rs
@@ -274,7 +274,8 @@
     assert_eq!((checks, orders), (2, 0));
 }
 
-/// Starts a peer that closes each connection once it has received a request, and returns its address.
+/// Starts a peer that closes each connection once it has received a request, and returns its
+/// address.
 fn start_peer_without_responses() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
     let address = listener.local_addr().expect("address");
