--- a/crates/engine/tests/refused_orders.rs
+++ b/crates/engine/tests/refused_orders.rs
@@ -10,10 +10,12 @@
     },
 };
 
-/// Longest time from the end of the refusals until a run that nobody wants is gone, in milliseconds.
+/// Longest time from the end of the refusals until a run that nobody wants is gone, in
+/// milliseconds.
 const STOPPED_WITHIN_MS: u64 = 600;
 
-/// Longest time from a cancellation until its runs are gone, in milliseconds, as the platform allows.
+/// Longest time from a cancellation until its runs are gone, in milliseconds, as the platform
+/// allows.
 const CANCELLED_WITHIN_MS: u64 = 3_200;
 
 fn refuse_stops(call: &Effect) -> Option<Refusal> {
@@ -167,9 +169,9 @@
     };
 }
 
-/// Guards against a run that is taken for stopped although its endpoint still lists it.
-#[test]
-fn run_listed_after_its_stop_is_stopped_again() {
+/// Returns a fleet with a run that its endpoint still lists after it has executed the stop, and refuses
+/// other stops.
+fn fleet_with_listed_run() -> (Fleet, (TaskRef, u32)) {
     let mut fleet = fleet_with(step(1));
     let (index, (task, run)) = first_run(&fleet);
     set_refusals(&mut fleet, Some(refuse_stops));
@@ -181,32 +183,29 @@
         run,
         outcome: CallOutcome::Done(fleet.clock_ms()),
     });
+    (fleet, (task, run))
+}
+
+/// Guards against a run that is taken for stopped although its endpoint still lists it.
+#[test]
+fn run_listed_after_its_stop_is_stopped_again() {
+    let (mut fleet, active) = fleet_with_listed_run();
     set_refusals(&mut fleet, None);
     fleet.advance(CANCELLED_WITHIN_MS);
-    assert_eq!(fleet.endpoints[index].running, []);
+    assert!(!is_running(&fleet, active));
 }
 
 /// Guards against stops that are repeated while an endpoint is carrying them out.
 #[test]
 fn executed_stop_is_not_repeated_while_its_run_ends() {
-    let mut fleet = fleet_with(step(1));
-    let (index, (task, run)) = first_run(&fleet);
-    set_refusals(&mut fleet, Some(refuse_stops));
-    cancel(&mut fleet, 1);
-    let id = fleet.endpoints[index].id.clone();
-    fleet.handle(Event::Stopped {
-        endpoint: fleet.engine.endpoints().find(&id).expect("an endpoint"),
-        task,
-        run,
-        outcome: CallOutcome::Done(fleet.clock_ms()),
-    });
+    let (mut fleet, active) = fleet_with_listed_run();
     fleet.advance(900);
-    assert!(is_running(&fleet, (task, run)));
+    assert!(is_running(&fleet, active));
     assert_eq!(stops(&fleet), 1);
 }
 
-/// Guards against a run that nobody stops because its start was confirmed after the owner had given it
-/// up, on an endpoint that is not called otherwise.
+/// Guards against a run that nobody stops because its start was confirmed after the owner had given
+/// it up, on an endpoint that is not called otherwise.
 #[test]
 fn run_confirmed_after_it_was_given_up_is_stopped() {
     let mut fleet = fleet_with(step(1));
@@ -227,8 +226,8 @@
     assert_eq!(fleet.endpoints[index].running, []);
 }
 
-/// Guards against a refused order and its next try, and a run that goes on meanwhile, that no log line
-/// tells of.
+/// Guards against a refused order and its next try, and a run that goes on meanwhile, that no log
+/// line tells of.
 #[test]
 fn refused_stop_and_listed_run_are_logged() {
     let mut fleet = fleet_with(step(1));
@@ -279,8 +278,8 @@
     assert_eq!(fleet.endpoints[0].running.len(), 4);
 }
 
-/// Guards against room that is given to others because a stop was refused before the answer of the start
-/// was lost.
+/// Guards against room that is given to others because a stop was refused before the answer of the
+/// start was lost.
 #[test]
 fn room_is_kept_when_a_start_gets_no_answer_after_its_stop_was_refused() {
     let mut fleet = Fleet::new();
@@ -338,7 +337,8 @@
     assert_eq!(fleet.engine.endpoints().get(endpoint).renewals, renewals);
 }
 
-/// Guards against a start that is repeated although its stop is decided, while that cannot be stored.
+/// Guards against a start that is repeated although its stop is decided, while that cannot be
+/// stored.
 #[test]
 fn start_is_not_repeated_once_its_stop_is_decided() {
     let mut fleet = Fleet::new();
