--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -145,8 +145,8 @@
     /// Until when it refuses most calls.
     unhealthy_until_ms: u64,
     heartbeat_ms: u64,
-    /// Whether it has seemed to be closed although it is alive, and has not responded since. Once it
-    /// drains, the owner may take it for ended, so that tasks that run there start elsewhere.
+    /// Whether it has seemed to be closed although it is alive, and has not responded since. Once
+    /// it drains, the owner may take it for ended, so that tasks that run there start elsewhere.
     has_seemed_closed: bool,
     /// Since when the owner should know that it is alive, although it took it for ended.
     shown_ms: Option<u64>,
@@ -1001,8 +1001,8 @@
         }
     }
 
-    /// Returns the fate of a renewal without a connection. Unless the endpoint seems to be closed, the
-    /// outcome counts as unknown.
+    /// Returns the fate of a renewal without a connection. Unless the endpoint seems to be closed,
+    /// the outcome counts as unknown.
     fn unconnected_renewal(&mut self, slot: usize) -> Fate {
         let is_draining = self.endpoints[slot].is_draining;
         if self.happens(if is_draining { 50 } else { 90 }) {
@@ -1137,8 +1137,8 @@
         });
     }
 
-    /// Records that the owner has a response of an endpoint, which then no longer seems closed, unless
-    /// it may have been taken for ended already.
+    /// Records that the owner has a response of an endpoint, which then no longer seems closed,
+    /// unless it may have been taken for ended already.
     fn record_response(&mut self, slot: usize, id: &str) {
         let endpoint = &mut self.endpoints[slot];
         if endpoint.id == id && !endpoint.is_draining {
@@ -1887,7 +1887,7 @@
     further_seeds: 1_000..1_012;
     /// Guards against a run of a cancelled job that goes on after its stop was refused.
     refused_stop_of_a_cancelled_job: [2];
-    /// Guards against a run that goes on although nobody wants it any more, as its stop was refused.
+    /// Guards against a run that goes on although nobody wants it, as its stop was refused.
     refused_stop_of_an_unwanted_run: [46];
     /// Guards against a second run of a task while an unanswered start, whose stop was refused, may
     /// still take effect.
@@ -1908,6 +1908,6 @@
     late_start_after_its_refusal: [19];
     /// Guards against an acknowledged end of a task that the next owner does not know.
     acknowledged_before_it_is_stored: [2];
-    /// Guards against an endpoint whose starts are all refused as late after a report was processed late.
+    /// Guards against an endpoint that refuses all starts as late after a report was processed late.
     reading_of_the_clock_processed_late: [2_718];
 }
