--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -1908,6 +1908,6 @@
     late_start_after_its_refusal: [19];
     /// Guards against an acknowledged end of a task that the next owner does not know.
     acknowledged_before_it_is_stored: [2];
-    /// Guards against an endpoint that refuses all starts as late after a report was processed late.
+    /// Guards against starts that are all refused as late after a report was processed late.
     reading_of_the_clock_processed_late: [2_718];
 }
