--- a/crates/engine/src/pacing.rs
+++ b/crates/engine/src/pacing.rs
@@ -27,7 +27,8 @@
 /// break the latency target, and a stopped run shows nothing of the room for it.
 const UNKNOWN_PACE: u8 = 50;
 
-/// Time within which an order without an answer takes effect, if ever, in milliseconds.
+/// Time after an order without an answer until the pace is ordered once more, in milliseconds. The
+/// order may have taken effect in between.
 const LATE_ORDER_MS: u64 = 5_000;
 
 /// Pace of a run: what was ordered and what the run is known to have.
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -12,7 +12,7 @@
         RunningTask, StartOrder, StepSpec, TaskRef, UnreadRecord, VmOutcome, WaveOrder,
     },
     serde::{Serialize, de::DeserializeOwned},
-    std::{fmt::Debug, net::SocketAddr},
+    std::{collections::BTreeMap, fmt::Debug, net::SocketAddr},
 };
 
 /// Number of hexadecimal digits per line.
@@ -627,6 +627,40 @@
     );
 }
 
+/// Guards against an early cancellation of a later build that this one cannot read, or that counts for
+/// an account which it does not name.
+#[test]
+fn early_cancellation_of_a_later_build() {
+    let fleet = fleet(1);
+    let later = |accounts: &[&str]| {
+        let fields = [("accounts", accounts), ("later", &["field"])];
+        let fields: BTreeMap<_, _> = fields.into_iter().collect();
+        rmp_serde::to_vec_named(&fields).expect("a value")
+    };
+    for (value, state) in [
+        (later(&["alpha"]), Some(JobState::Cancelled)),
+        (later(&["beta"]), Some(JobState::Queued)),
+        (vec![0x80], Some(JobState::Queued)),
+    ] {
+        let key = format!("e/{}", job_id(7));
+        let mut engine = restored(&[Record { key, value }], fleet.now);
+        engine.handle(
+            Event::Submit {
+                job: job_id(7),
+                queue: queue(),
+                spec: Box::new(full_spec()),
+                account: "alpha".into(),
+                origin: None,
+                token: 1,
+            },
+            fleet.now,
+        );
+        let batch = engine.take_batch(fleet.now);
+        drop(engine.committed(batch, fleet.now));
+        assert_eq!(engine.job_state(job_id(7)), state);
+    }
+}
+
 const EARLY_CANCEL: &str = "81a86163636f756e747391a5616c706861";
 
 /// Guards against a cancellation that owners of other builds cannot read.
