Plan the capacity of all pools once a tick

Decisions under load each looked at their own pool. The plan holds what each pool has, what its on-time work needs and what it should get, and how long waiting work waits. Nothing uses it yet.

--- a/crates/engine/src/balance.rs
+++ b/crates/engine/src/balance.rs
@@ -122,21 +122,38 @@
     /// Tasks with a limit per endpoint count as work only if there are enough endpoints. Otherwise
     /// more capacity would not help them, and the demand would grow without bound.
     pub(crate) fn wanted(&self) -> u64 {
+        // Predicted work counts before it waits, because a VM move takes longer than most callers
+        // can wait.
+        let finite = self.used.saturating_sub(&self.used_long_running);
+        self.wanted_with(&Resources {
+            cpu_millis: finite.cpu_millis.max(self.incoming.cpu_millis),
+            memory_mb: finite.memory_mb.max(self.incoming.memory_mb),
+            gpus: 0,
+        })
+    }
+
+    /// Returns the capacity that the pool needs once its present finite runs have ended, in
+    /// thousandths of a core.
+    ///
+    /// Runs in progress end where they are, so that they keep no VM from stopping to take others.
+    pub(crate) fn needed_next(&self) -> u64 {
+        self.wanted_with(&self.incoming)
+    }
+
+    /// Returns the capacity for long-running tasks, waiting work and other finite work, in
+    /// thousandths of a core.
+    fn wanted_with(&self, finite: &Resources) -> u64 {
         let mut waiting = self.waiting;
         if self.missing_members() == 0 {
             waiting.add(&self.waiting_exclusive);
         }
         let at_once = |work: u64, limit: u64| (work / BACKLOG_TARGET_MS).min(limit);
-        // Predicted work counts before it waits, because a VM move takes longer than most callers
-        // can wait.
         let long_running = self.used_long_running;
-        let finite = self.used.saturating_sub(&long_running);
-        let incoming = self.incoming;
         let cpu = long_running.cpu_millis
-            + finite.cpu_millis.max(incoming.cpu_millis)
+            + finite.cpu_millis
             + at_once(waiting.cpu_millis, self.waiting_peak.cpu_millis);
         let memory_mb = long_running.memory_mb
-            + finite.memory_mb.max(incoming.memory_mb)
+            + finite.memory_mb
             + at_once(waiting.memory_mb, self.waiting_peak.memory_mb);
         cpu.max(memory_mb * self.cpu_micros_per_mb / MICROS_PER_MILLI)
     }
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         balance::{BACKLOG_TARGET_MS, Balance, VmFeature, Waiting, needs_members},
+        capacity_plan::PoolCapacity,
         engine::Engine,
         event::Now,
         job::{Resources, StepSpec},
@@ -52,6 +53,19 @@
         }
     }
 
+    /// Returns the entry of the pool in the capacity plan, without a target.
+    pub(crate) fn capacity(&self) -> PoolCapacity {
+        PoolCapacity {
+            pool: self.name.clone(),
+            is_standby: self.is_standby,
+            supply_cpu_millis: self.total.supply,
+            arriving_cpu_millis: self.total.arriving,
+            long_running_cpu_millis: self.total.used_long_running.cpu_millis,
+            needed_cpu_millis: self.total.needed_next(),
+            target_cpu_millis: 0,
+        }
+    }
+
     /// Returns the required feature with the largest shortage, and the size of that shortage.
     ///
     /// Features count separately, as spare capacity on VMs without a feature does not help work
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,6 +9,7 @@
     crate::{
         advice::StepAdvice,
         arrivals::Arrivals,
+        capacity_plan::CapacityPlan,
         config::{FleetConfig, Queue},
         early_cancels::EarlyCancel,
         endpoint_table::EndpointTable,
@@ -124,6 +125,8 @@
     pub(crate) advice: Vec<StepAdvice>,
     /// Recently submitted work.
     pub(crate) arrivals: Arrivals,
+    /// Plan of the last tick.
+    pub(crate) capacity_plan: CapacityPlan,
     pub(crate) log_events: Vec<LogEvent>,
     /// When the state of all pools was last logged, on the monotonic clock.
     pub(crate) pools_logged_ms: u64,
@@ -168,6 +171,7 @@
             other_records: Vec::new(),
             advice: Vec::new(),
             arrivals: Arrivals::default(),
+            capacity_plan: CapacityPlan::default(),
             log_events: Vec::new(),
             pools_logged_ms: 0,
             fresh_entries: 0,
@@ -396,6 +400,12 @@
         }
     }
 
+    /// Returns the capacity plan of the last tick.
+    #[must_use]
+    pub fn capacity_plan(&self) -> &CapacityPlan {
+        &self.capacity_plan
+    }
+
     /// Returns the resources that an account uses, including runs with an unknown outcome.
     #[must_use]
     pub fn running_resources(&self, account: &str) -> Resources {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -31,6 +31,7 @@
 mod attempts;
 mod balance;
 mod batch;
+mod capacity_plan;
 mod config;
 mod crash_history;
 mod crashes;
@@ -70,6 +71,7 @@
     accounts::{ClientAccount, ClientAccounts, KeyDigest, KeyError, SharedKey},
     advice::Ticket,
     batch::Batch,
+    capacity_plan::{CapacityPlan, PoolCapacity, VM_MOVE_MS},
     config::{CallerLimits, FleetConfig, Pool, Queue},
     endpoint_table::EndpointTable,
     endpoints::{Endpoint, PlacedRun},
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     balance::VmFeature,
+    capacity_plan::CapacityPlan,
     demand::{PoolLoad, Shortage, largest_shortage, load_index},
     engine::Engine,
     event::{EndpointKey, Now},
@@ -21,11 +22,13 @@
 impl Engine {
     /// Moves VMs to pools with waiting work, and switches off idle ones.
     pub(crate) fn plan_pools(&mut self, now: Now) {
+        let mut loads = self.pool_loads(now);
+        let pools = loads.iter().map(PoolLoad::capacity).collect();
+        self.capacity_plan = CapacityPlan::new(pools, now);
         if !self.may_order_vms || self.vms.is_empty() {
             return;
         }
         self.retry_vm_orders(now);
-        let mut loads = self.pool_loads(now);
         let idle = self.idle_vms(now);
         let mut spares = self.spares(&loads, &idle, now);
         self.fetch_missing(&mut loads, &mut spares, now);
