Decide the admission of jobs under overload

Under overload, jobs were accepted and then completed after three times their objective, when they are worth nothing. The decision predicts the wait of a job from the work ahead of it and the capacity plan, and refuses a job that would be too late, with a reason and a time after which to return. Nothing uses it yet.

--- /dev/null
+++ b/crates/engine/src/admission.rs
@@ -0,0 +1,126 @@
+//! Admission of submitted jobs under overload.
+//!
+//! A job that would be completed too late to have any value is refused at once. Otherwise it would
+//! take capacity from jobs that can still be on time, and its caller would wait in vain.
+
+use {
+    crate::{capacity_plan::PoolCapacity, job::JobId, timing::LATE_FACTOR},
+    std::hash::{DefaultHasher, Hasher},
+};
+
+/// Age from which a plan no longer describes the fleet, in milliseconds. Plans are made about ten
+/// times a second, so an older one is that of an owner that was suspended or is overloaded.
+const MAX_PLAN_AGE_MS: u64 = 1_000;
+
+/// Wait up to which every job is accepted, in milliseconds. Less waiting work is usual variation.
+const MIN_WAIT_MS: u64 = 500;
+
+/// Minimum time after which a refused job may be submitted again, in milliseconds.
+const MIN_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Maximum of that time, in milliseconds.
+const MAX_RETRY_AFTER_MS: u64 = 10_000;
+
+/// Maximum of that time before it is spread over half of its own value, in milliseconds.
+const MAX_UNSPREAD_MS: u64 = MAX_RETRY_AFTER_MS * 2 / 3;
+
+/// Why a job is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalReason {
+    /// The account has excess demand and has reached its fair share.
+    AccountOverShare,
+    /// The pool has too much waiting work.
+    PoolOverloaded,
+}
+
+/// What the decision about a submitted job depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionRequest<'a> {
+    /// Job.
+    pub job: JobId,
+    /// Pool of its queue in the capacity plan; `None` if the plan does not contain it.
+    pub pool: Option<&'a PoolCapacity>,
+    /// Age of the plan, in milliseconds; `None` for an empty plan.
+    pub plan_age_ms: Option<u64>,
+    /// Waiting work ahead of the job, in thousandths of a core times milliseconds.
+    pub work_ahead_cpu_ms: u64,
+    /// Critical path of the job, in milliseconds.
+    pub critical_path_ms: u64,
+    /// Time within which the job is on time, in milliseconds.
+    pub objective_ms: u64,
+    /// Whether its account is above its fair share.
+    pub is_over_share: bool,
+}
+
+/// Refusal of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Overload {
+    /// Predicted wait before the job would start, in milliseconds.
+    pub wait_ms: u64,
+    /// Time after which the job may be submitted again, in milliseconds.
+    pub retry_after_ms: u64,
+    /// Reason.
+    pub reason: RefusalReason,
+}
+
+/// Decision about a submitted job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// The job is accepted.
+    Admit,
+    /// The job is refused.
+    Refuse(Overload),
+}
+
+/// Returns how long a job may wait and still be worth something, in milliseconds.
+pub(crate) fn max_wait_ms(critical_path_ms: u64, objective_ms: u64) -> u64 {
+    objective_ms
+        .saturating_mul(LATE_FACTOR)
+        .saturating_sub(critical_path_ms)
+}
+
+impl AdmissionRequest<'_> {
+    /// Decides whether to accept the job. A job is only refused on the evidence of a recent plan in
+    /// which its pool has capacity.
+    #[must_use]
+    pub fn decide(&self) -> Admission {
+        match self.predicted_wait_ms() {
+            Some(wait_ms) if self.is_worthless_after(wait_ms) => Admission::Refuse(Overload {
+                wait_ms,
+                retry_after_ms: self.retry_after_ms(wait_ms),
+                reason: if self.is_over_share {
+                    RefusalReason::AccountOverShare
+                } else {
+                    RefusalReason::PoolOverloaded
+                },
+            }),
+            _ => Admission::Admit,
+        }
+    }
+
+    /// Returns the predicted wait of the job, in milliseconds; `None` if no recent plan gives its
+    /// pool capacity.
+    fn predicted_wait_ms(&self) -> Option<u64> {
+        let is_recent = self.plan_age_ms.is_some_and(|age| age < MAX_PLAN_AGE_MS);
+        let pool = self.pool.filter(|_| is_recent)?;
+        if pool.expected_cpu_millis() == 0 {
+            return None;
+        }
+        pool.wait_ms(self.work_ahead_cpu_ms)
+    }
+
+    fn is_worthless_after(&self, wait_ms: u64) -> bool {
+        wait_ms >= MIN_WAIT_MS && wait_ms > max_wait_ms(self.critical_path_ms, self.objective_ms)
+    }
+
+    /// Returns the time until a similar job could be completed on time, in milliseconds. It differs
+    /// between jobs so that their callers do not return together.
+    fn retry_after_ms(&self, wait_ms: u64) -> u64 {
+        let slack_ms = self.objective_ms.saturating_sub(self.critical_path_ms);
+        let until_on_time_ms = wait_ms.saturating_sub(slack_ms);
+        let unspread_ms = until_on_time_ms.clamp(MIN_RETRY_AFTER_MS, MAX_UNSPREAD_MS);
+        let mut hasher = DefaultHasher::new();
+        hasher.write(self.job.as_str().as_bytes());
+        unspread_ms + hasher.finish() % (unspread_ms / 2 + 1)
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -26,6 +26,7 @@
 //! ```
 
 mod accounts;
+mod admission;
 mod advice;
 mod arrivals;
 mod attempts;
@@ -69,6 +70,7 @@
 
 pub use {
     accounts::{ClientAccount, ClientAccounts, KeyDigest, KeyError, SharedKey},
+    admission::{Admission, AdmissionRequest, Overload, RefusalReason},
     advice::Ticket,
     batch::Batch,
     capacity_plan::{CapacityPlan, PoolCapacity, VM_MOVE_MS},
--- a/crates/engine/src/timing.rs
+++ b/crates/engine/src/timing.rs
@@ -3,7 +3,7 @@
 use crate::{event::Now, state::Job};
 
 /// Multiple of the objective beyond which a faster completion has no value.
-const LATE_FACTOR: f64 = 3.0;
+pub(crate) const LATE_FACTOR: u64 = 3;
 
 /// Start order of waiting tasks; lower values start first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -57,8 +57,8 @@
     pub(crate) fn urgency(&self, now: Now) -> Urgency {
         if self.slack_ms(now) >= 0 {
             Urgency::OnTime
-        } else if to_f64(self.elapsed_ms(now) + self.remaining_ms)
-            < LATE_FACTOR * to_f64(self.objective_ms)
+        } else if self.elapsed_ms(now) + self.remaining_ms
+            < self.objective_ms.saturating_mul(LATE_FACTOR)
         {
             Urgency::Late
         } else {
