Answer jobs refused for overload with a time to return

Callers of a job that would be completed too late get 503, or 429 if their account itself is above its fair share, with Retry-After in whole seconds and a body that says that the job never runs. As with other refusals, one that follows an attempt with an unknown outcome is not reported. The engine does not send the response yet. A node of an earlier build cannot decode the owner's response and answers 504.

--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -38,8 +38,11 @@
 /// the owner timeout: most requests are served, and the rest are retried once a new owner is there.
 const TAKEOVER_WAIT_MS: u64 = 1_300;
 
-/// Value of the `Retry-After` header, in whole seconds. A lost owner is replaced within about two.
-const RETRY_AFTER_S: &str = "1";
+/// Value of the `Retry-After` header without an owner, in whole seconds. A lost owner is replaced
+/// within about two.
+const RETRY_AFTER_S: u64 = 1;
+
+const MILLIS_PER_S: u64 = 1_000;
 
 /// Maximum number of bytes of a denied request's path in the log.
 const MAX_LOGGED_PATH_BYTES: usize = 80;
@@ -186,6 +189,10 @@
             StatusCode::TOO_MANY_REQUESTS,
             "not accepted; it never runs: a task or gang takes more than the account may have running",
         ),
+        Ok(OwnerResponse::Overloaded {
+            retry_after_ms,
+            is_over_share,
+        }) => overloaded_response(retry_after_ms, is_over_share),
         Ok(OwnerResponse::OtherAccount) => other_account_response(),
         Ok(_) => error_response(
             StatusCode::GATEWAY_TIMEOUT,
@@ -338,7 +345,7 @@
                 }
             }
             // An earlier attempt may still arrive and be accepted.
-            OwnerResponse::Refused if may_have_been_applied => {}
+            OwnerResponse::Refused | OwnerResponse::Overloaded { .. } if may_have_been_applied => {}
             response => return Ok(OwnerReply { response, access }),
         }
         let end = if may_have_been_applied {
@@ -420,6 +427,7 @@
         OwnerResponse::Unknown => "no_such_job",
         OwnerResponse::Refused | OwnerResponse::NotOwner | OwnerResponse::NewerConfig => "refused",
         OwnerResponse::OverQuota => "over_quota",
+        OwnerResponse::Overloaded { .. } => "overloaded",
         OwnerResponse::OtherAccount => "other_account",
         OwnerResponse::Unclear => "unclear",
     };
@@ -437,10 +445,31 @@
 }
 
 fn unavailable(reason: &str) -> Response<Body> {
-    let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, reason);
+    refusal(StatusCode::SERVICE_UNAVAILABLE, reason, RETRY_AFTER_S)
+}
+
+/// Builds the response to a job that would be completed too late.
+fn overloaded_response(retry_after_ms: u64, is_over_share: bool) -> Response<Body> {
+    let (status, reason) = if is_over_share {
+        (
+            StatusCode::TOO_MANY_REQUESTS,
+            "not accepted; it never runs: the account is above its fair share",
+        )
+    } else {
+        (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not accepted; it never runs: it would be completed too late",
+        )
+    };
+    refusal(status, reason, retry_after_ms.div_ceil(MILLIS_PER_S))
+}
+
+/// Builds a response that tells when to send the request again.
+fn refusal(status: StatusCode, reason: &str, retry_after_s: u64) -> Response<Body> {
+    let mut response = error_response(status, reason);
     response
         .headers_mut()
-        .insert(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+        .insert(header::RETRY_AFTER, HeaderValue::from(retry_after_s));
     response
 }
 
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -455,6 +455,13 @@
                 CallerResponse::Unknown => OwnerResponse::Unknown,
                 CallerResponse::Refused => OwnerResponse::Refused,
                 CallerResponse::OverQuota => OwnerResponse::OverQuota,
+                CallerResponse::Overloaded {
+                    retry_after_ms,
+                    is_over_share,
+                } => OwnerResponse::Overloaded {
+                    retry_after_ms,
+                    is_over_share,
+                },
                 CallerResponse::OtherAccount => OwnerResponse::OtherAccount,
             };
             send_reply(reply, response);
--- a/crates/controller/src/peer.rs
+++ b/crates/controller/src/peer.rs
@@ -91,6 +91,13 @@
     Refused,
     /// A task or gang exceeds the quota of its account; the request has no effect.
     OverQuota,
+    /// The job would be completed too late to have any value; the request has no effect.
+    Overloaded {
+        /// Time after which the job may be submitted again, in milliseconds.
+        retry_after_ms: u64,
+        /// Whether its account is above its fair share.
+        is_over_share: bool,
+    },
     /// The job belongs to another client account; the request has no effect.
     OtherAccount,
     /// The node has a newer configuration than the one that authorized the request; the request has
--- a/crates/controller/tests/encodings.rs
+++ b/crates/controller/tests/encodings.rs
@@ -285,6 +285,9 @@
 
     owner_response_over_quota: OwnerResponse::OverQuota => "a94f76657251756f7461";
 
+    owner_response_overloaded:
+        OwnerResponse::Overloaded { retry_after_ms: 1_600, is_over_share: true } => "81aa4f7665726c6f6164656482ae72657472795f61667465725f6d73cd0640ad69735f6f7665725f7368617265c3";
+
     owner_response_other_account: OwnerResponse::OtherAccount => "ac4f746865724163636f756e74";
 
     owner_response_newer_config: OwnerResponse::NewerConfig => "ab4e65776572436f6e666967";
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -202,6 +202,14 @@
     /// A task or gang of the job exceeds the quota of its account, so the job was not stored and
     /// never will be.
     OverQuota,
+    /// The job would be completed too late to have any value, so it was not stored and never will
+    /// be.
+    Overloaded {
+        /// Time after which the job may be submitted again, in milliseconds.
+        retry_after_ms: u64,
+        /// Whether its account is above its fair share.
+        is_over_share: bool,
+    },
     /// The job belongs to another client account; nothing was done.
     OtherAccount,
 }
