Refuse jobs that would be completed too late to have any value

The owner accepted every job, also behind work that fills its pool for longer than three times the objective of the job. It now keeps the waiting work of each pool and account as sums, made once a tick from the open steps, and decides about a new job from these, the capacity plan and fair shares. The decision adds no account, pool or record. Refusals are counted by reason and logged at most 20 times a second.

Work ahead counts as far as the quota of its account allows it to start in the time that the job can wait. Otherwise, the work that waits for a quota would have jobs of other accounts refused while the fleet is idle. A new owner refuses nothing for 1 s after its first plan with capacity, as endpoints accept starts only once they have reported, while all waiting jobs are known at once.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -3,7 +3,8 @@
 use {
     log::info,
     lynxwheel_engine::{
-        EndKind, LogEvent, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder, UnwantedRun,
+        EndKind, JobRefusal, LogEvent, PoolPlan, QuotaWait, RefusalReason, RefusedOrder, RunEnd,
+        RunOrder, UnwantedRun,
     },
     metrics::{counter, gauge, histogram},
     std::time::Duration,
@@ -26,6 +27,13 @@
     }
 }
 
+fn refusal_label(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::AccountOverShare => "account_over_share",
+        RefusalReason::PoolOverloaded => "pool_overloaded",
+    }
+}
+
 /// Logs events and records their metrics.
 ///
 /// Successful runs are not logged: there are hundreds per second, and the end of their job is
@@ -71,6 +79,8 @@
                     "job ended"
                 );
             }
+            LogEvent::JobRefused(refusal) => log_job_refusal(epoch, refusal),
+            LogEvent::JobRefusalOmitted(reason) => count_job_refusal(*reason),
             LogEvent::CrashCharged {
                 task,
                 endpoint,
@@ -131,6 +141,34 @@
     }
 }
 
+/// Logs and counts a refused job.
+fn log_job_refusal(epoch: u64, refusal: &JobRefusal) {
+    let JobRefusal {
+        job,
+        account,
+        pool,
+        reason,
+        wait_ms,
+        work_ahead_cpu_ms,
+        capacity_cpu_millis,
+        plan_age_ms,
+        retry_after_ms,
+        omitted,
+    } = refusal;
+    count_job_refusal(*reason);
+    info!(
+        event = "job_refused", epoch = epoch, job = job.as_str(), account = account.as_str(),
+        pool = pool.as_str(), reason = refusal_label(*reason), wait_ms = wait_ms,
+        work_ahead_cpu_ms = work_ahead_cpu_ms, capacity_cpu_millis = capacity_cpu_millis,
+        plan_age_ms = plan_age_ms, retry_after_ms = retry_after_ms, omitted = omitted;
+        "job refused, as it would be completed too late"
+    );
+}
+
+fn count_job_refusal(reason: RefusalReason) {
+    counter!("lynxwheel_jobs_refused_total", "reason" => refusal_label(reason)).increment(1);
+}
+
 /// Logs that an endpoint refused an order.
 fn log_refused_order(epoch: u64, refused: &RefusedOrder) {
     let RefusedOrder {
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -35,6 +35,12 @@
     pub fn has_same_route(&self, other: &Self) -> bool {
         self.host == other.host && self.path_prefix == other.path_prefix
     }
+
+    /// Returns whether its jobs have to be completed within a time.
+    #[must_use]
+    pub fn has_objective(&self) -> bool {
+        self.stretch > 0.0 || self.target_latency_ms > 0
+    }
 }
 
 /// Pool of VMs.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -16,6 +16,7 @@
         event::{CallerResponse, Effect, EndpointKey, Event, Now, ReplyToken},
         free_capacity::FreeCapacity,
         job::{JobId, JobState, Resources, TaskRef},
+        job_refusals::RefusalState,
         job_table::JobTable,
         log_event::LogEvent,
         open_steps::OpenSteps,
@@ -127,6 +128,7 @@
     pub(crate) arrivals: Arrivals,
     /// Plan of the last tick.
     pub(crate) capacity_plan: CapacityPlan,
+    pub(crate) refusals: RefusalState,
     pub(crate) log_events: Vec<LogEvent>,
     /// When the state of all pools was last logged, on the monotonic clock.
     pub(crate) pools_logged_ms: u64,
@@ -172,6 +174,7 @@
             advice: Vec::new(),
             arrivals: Arrivals::default(),
             capacity_plan: CapacityPlan::default(),
+            refusals: RefusalState::default(),
             log_events: Vec::new(),
             pools_logged_ms: 0,
             fresh_entries: 0,
@@ -286,7 +289,7 @@
         }
     }
 
-    fn reply_immediately(&mut self, token: ReplyToken, response: CallerResponse) {
+    pub(crate) fn reply_immediately(&mut self, token: ReplyToken, response: CallerResponse) {
         self.immediate_effects
             .push(Effect::Reply { token, response });
     }
@@ -315,12 +318,14 @@
             Err(_) if !self.fits_quota(&job) => {
                 self.reply_immediately(token, CallerResponse::OverQuota);
             }
+            Err(_) if self.refuse_overload(&job, token, now) => {}
             Err(_) => {
                 let account = self.quotas.number(&job.account);
                 self.arrivals
                     .record(&job.queue.pool, account, &job.spec, now);
                 job.waiting_callers.push(token);
                 job.begin_due_occurrences(now.wall_ms);
+                self.add_accepted_work(&job, account);
                 self.add_job(Box::new(job));
                 self.is_schedule_due = true;
             }
@@ -544,6 +549,7 @@
         self.refresh_open_steps();
         self.find_excess_demand();
         self.plan_pools(now);
+        self.refresh_refusal_state(now);
         // Cooldowns and delays end without an event.
         self.is_schedule_due = true;
     }
--- a/crates/engine/src/free_capacity.rs
+++ b/crates/engine/src/free_capacity.rs
@@ -45,8 +45,7 @@
 impl FreeCapacity {
     /// Returns the number of a pool, adding the pool if needed.
     pub(crate) fn pool_number(&mut self, name: &CompactString) -> PoolNumber {
-        let known = self.pools.iter().position(|pool| pool.name == *name);
-        known.unwrap_or_else(|| {
+        self.find_pool(name).unwrap_or_else(|| {
             self.pools.push(PoolCapacity {
                 name: name.clone(),
                 slots: Vec::new(),
@@ -57,6 +56,11 @@
         })
     }
 
+    /// Returns the number of a pool if it is known.
+    pub(crate) fn find_pool(&self, name: &str) -> Option<PoolNumber> {
+        self.pools.iter().position(|pool| pool.name == name)
+    }
+
     fn search(&self, key: EndpointKey) -> Result<usize, usize> {
         self.indexed.binary_search_by_key(&key, |entry| entry.key)
     }
--- /dev/null
+++ b/crates/engine/src/job_refusals.rs
@@ -0,0 +1,185 @@
+//! Refusal of jobs that the fleet cannot complete in time.
+
+use crate::{
+    admission::{Admission, AdmissionRequest, Overload, RefusalReason, max_wait_ms},
+    engine::Engine,
+    event::{CallerResponse, Now, ReplyToken},
+    log_event::{JobRefusal, LogEvent},
+    quota::AccountNumber,
+    state::Job,
+    timing::objective_ms,
+    waiting_work::{AccountWork, Limit, WaitingWork, is_plain, job_work},
+};
+
+/// Time for which a new owner refuses nothing after its first plan with capacity, in milliseconds.
+/// Endpoints accept starts only once they have reported, so the first plans show a part of the
+/// fleet together with all waiting work.
+const SETTLING_MS: u64 = 1_000;
+
+/// Maximum number of refusals per second with a log line of their own.
+const MAX_LINES_PER_S: u32 = 20;
+
+const MILLIS_PER_S: u64 = 1_000;
+
+/// What refusals depend on, beside the capacity plan.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RefusalState {
+    /// Waiting work at the last tick, and that of jobs accepted since then.
+    waiting_work: WaitingWork,
+    /// When a plan first had capacity, on the monotonic clock.
+    first_capacity_ms: Option<u64>,
+    log_limit: LogLimit,
+}
+
+/// Limit of the log lines about refusals.
+#[derive(Clone, Debug, Default)]
+struct LogLimit {
+    /// When the current second began, on the monotonic clock.
+    began_ms: u64,
+    lines: u32,
+    /// Number of refusals without a line since the last one.
+    omitted: u64,
+}
+
+impl LogLimit {
+    /// Returns the number of refusals omitted before this one, or `None` to omit this one, too.
+    fn next(&mut self, now: Now) -> Option<u64> {
+        if now.steady_ms >= self.began_ms + MILLIS_PER_S {
+            self.began_ms = now.steady_ms;
+            self.lines = 0;
+        }
+        if self.lines == MAX_LINES_PER_S {
+            self.omitted += 1;
+            return None;
+        }
+        self.lines += 1;
+        Some(std::mem::take(&mut self.omitted))
+    }
+}
+
+impl Engine {
+    /// Updates the waiting work and the time of the first plan with capacity.
+    pub(crate) fn refresh_refusal_state(&mut self, now: Now) {
+        self.refusals.waiting_work = WaitingWork::new(&self.open_steps);
+        let mut pools = self.capacity_plan.pools().iter();
+        if self.refusals.first_capacity_ms.is_none() && pools.any(|pool| pool.supply_cpu_millis > 0)
+        {
+            self.refusals.first_capacity_ms = Some(now.steady_ms);
+        }
+    }
+
+    /// Counts the work of an accepted job until the next tick.
+    pub(crate) fn add_accepted_work(&mut self, job: &Job, account: AccountNumber) {
+        if !job.occurrences.is_empty() && !job.queue.advised {
+            let pool = self.free_capacity.pool_number(&job.queue.pool);
+            let work = job_work(&job.spec);
+            self.refusals.waiting_work.add(pool, account, &work);
+        }
+    }
+
+    /// Refuses a job that would be completed too late to have any value, and returns whether it is
+    /// refused.
+    pub(crate) fn refuse_overload(&mut self, job: &Job, token: ReplyToken, now: Now) -> bool {
+        let Some((overload, refusal)) = self.find_overload(job, now) else {
+            return false;
+        };
+        let event = match self.refusals.log_limit.next(now) {
+            Some(omitted) => LogEvent::JobRefused(JobRefusal { omitted, ..refusal }),
+            None => LogEvent::JobRefusalOmitted(overload.reason),
+        };
+        self.log_events.push(event);
+        let response = CallerResponse::Overloaded {
+            retry_after_ms: overload.retry_after_ms,
+            is_over_share: overload.reason == RefusalReason::AccountOverShare,
+        };
+        self.reply_immediately(token, response);
+        true
+    }
+
+    /// Returns why a job is to be refused, if it is. Nothing is added for its account or pool, as a
+    /// refused job leaves no state.
+    fn find_overload(&self, job: &Job, now: Now) -> Option<(Overload, JobRefusal)> {
+        if !has_admission_check(job) || !self.has_settled(now) {
+            return None;
+        }
+        let account = self.quotas.find(&job.account);
+        let is_over_share = account.is_some_and(|number| self.has_reached_share(number));
+        let critical_path_ms = job.spec.critical_path_ms();
+        let objective_ms = objective_ms(job);
+        let max_wait_ms = max_wait_ms(critical_path_ms, objective_ms);
+        let request = AdmissionRequest {
+            job: job.id,
+            pool: self.capacity_plan.pool(&job.queue.pool),
+            plan_age_ms: self.capacity_plan.age_ms(now),
+            work_ahead_cpu_ms: self.work_ahead_cpu_ms(job, account, is_over_share, max_wait_ms),
+            critical_path_ms,
+            objective_ms,
+            is_over_share,
+        };
+        let Admission::Refuse(overload) = request.decide() else {
+            return None;
+        };
+        let refusal = JobRefusal {
+            job: job.id,
+            account: job.account.clone(),
+            pool: job.queue.pool.clone(),
+            reason: overload.reason,
+            wait_ms: overload.wait_ms,
+            work_ahead_cpu_ms: request.work_ahead_cpu_ms,
+            capacity_cpu_millis: request.pool?.expected_cpu_millis(),
+            plan_age_ms: request.plan_age_ms?,
+            retry_after_ms: overload.retry_after_ms,
+            omitted: 0,
+        };
+        Some((overload, refusal))
+    }
+
+    fn has_settled(&self, now: Now) -> bool {
+        let first_ms = self.refusals.first_capacity_ms;
+        first_ms.is_some_and(|ms| now.steady_ms >= ms + SETTLING_MS)
+    }
+
+    /// Returns the waiting work that starts before a job, in thousandths of a core times
+    /// milliseconds.
+    fn work_ahead_cpu_ms(
+        &self,
+        job: &Job,
+        account: Option<AccountNumber>,
+        is_over_share: bool,
+        max_wait_ms: u64,
+    ) -> u64 {
+        let Some(pool) = self.free_capacity.find_pool(&job.queue.pool) else {
+            return 0;
+        };
+        let works = self.refusals.waiting_work.of_pool(pool).iter();
+        let ahead = works.map(|work| {
+            if Some(work.account) == account {
+                work.cpu_ms()
+            } else {
+                self.startable_cpu_ms(work, is_over_share, max_wait_ms)
+            }
+        });
+        ahead.fold(0, u64::saturating_add)
+    }
+
+    /// Returns the part of another account's work that can start within a time, in thousandths of a
+    /// core times milliseconds: what its quota allows and, ahead of an account within its share,
+    /// what the other one lacks to its own share if it has excess demand.
+    fn startable_cpu_ms(&self, work: &AccountWork, is_over_share: bool, time_ms: u64) -> u64 {
+        let quota = Limit::of_quota(&self.quotas.quota(work.account));
+        let limit = match self.share_left_cpu_millis(work.account) {
+            Some(cpu_millis) if !is_over_share => quota.with_cpu_millis(cpu_millis),
+            _ => quota,
+        };
+        work.cpu_ms_within(&limit, time_ms)
+    }
+}
+
+/// Returns whether a job may be refused: its queue declares an objective, and its completion can be
+/// predicted from the waiting work of its pool.
+fn has_admission_check(job: &Job) -> bool {
+    job.queue.has_objective()
+        && !job.queue.advised
+        && job.spec.repeat_count == 0
+        && job.spec.steps.iter().all(is_plain)
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -46,6 +46,7 @@
 mod fair_share;
 mod free_capacity;
 mod job;
+mod job_refusals;
 mod job_table;
 mod leases;
 mod listed_runs;
@@ -66,6 +67,7 @@
 mod timing;
 mod vm_cooldowns;
 mod vms;
+mod waiting_work;
 mod waves;
 
 pub use {
@@ -85,7 +87,8 @@
     fair_share::{AccountDemand, fair_level},
     job::{JobId, JobSpec, JobState, ParseNameError, Resources, StepSpec, TaskRef},
     log_event::{
-        LogEvent, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder, ShareWait, UnwantedRun,
+        JobRefusal, LogEvent, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder, ShareWait,
+        UnwantedRun,
     },
     pacing::{RunPace, next_pace},
     quota::{AccountNumber, QuotaTracker, RemainingQuotas},
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        admission::RefusalReason,
         event::Refusal,
         job::{JobId, JobState, Resources, TaskRef},
         reports::{EndKind, VmEntry},
@@ -80,6 +81,32 @@
     pub share_cpu_millis: f64,
 }
 
+/// A job that was refused because it would be completed too late.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct JobRefusal {
+    /// Job.
+    pub job: JobId,
+    /// Account; empty for none.
+    pub account: CompactString,
+    /// Pool.
+    pub pool: CompactString,
+    /// Reason.
+    pub reason: RefusalReason,
+    /// Predicted wait before the job would start, in milliseconds.
+    pub wait_ms: u64,
+    /// Waiting work ahead of the job, in thousandths of a core times milliseconds.
+    pub work_ahead_cpu_ms: u64,
+    /// Present and arriving capacity of the pool, in thousandths of a core.
+    pub capacity_cpu_millis: u64,
+    /// Age of the capacity plan, in milliseconds.
+    pub plan_age_ms: u64,
+    /// Time after which the job may be submitted again, in milliseconds.
+    pub retry_after_ms: u64,
+    /// Number of refusals since the last event of this kind that only have a
+    /// [`LogEvent::JobRefusalOmitted`].
+    pub omitted: u64,
+}
+
 /// Kind of an order for a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunOrder {
@@ -151,6 +178,11 @@
         /// Time since the job was submitted, in milliseconds.
         after_ms: u64,
     },
+    /// A job was refused because it would be completed too late.
+    JobRefused(JobRefusal),
+    /// A job was refused like the one of the last [`Self::JobRefused`], but the limit of log lines
+    /// is reached.
+    JobRefusalOmitted(RefusalReason),
     /// An endpoint crashed under a run of a task.
     CrashCharged {
         /// Task.
--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -10,6 +10,7 @@
         quota::AccountNumber,
         state::{Job, StepRun},
         timing::{Timing, Urgency},
+        waiting_work::open_step_work,
     },
     std::cmp::Reverse,
 };
@@ -29,6 +30,9 @@
     /// Resources that each task takes from its account's quota.
     pub(crate) requested: Resources,
     pub(crate) account: AccountNumber,
+    /// Its waiting work, which includes that of later steps for one step of an occurrence:
+    /// resources multiplied by milliseconds.
+    pub(crate) work: Resources,
     priority: u32,
     is_long_running: bool,
     timing: Timing,
@@ -46,7 +50,7 @@
                 index: 0,
             },
             pool,
-            waiting: waiting_tasks(&run.steps[step]),
+            waiting: run.steps[step].waiting_tasks(),
             has_isolated: run.steps[step]
                 .tasks
                 .iter()
@@ -54,6 +58,7 @@
             reserved: spec.reserved_resources(),
             requested: spec.resources,
             account: job.account_number,
+            work: open_step_work(job, run, step),
             priority: job.queue.priority,
             is_long_running: spec.long_running,
             timing: Timing::new(job, occurrence),
@@ -84,11 +89,6 @@
     }
 }
 
-fn waiting_tasks(step: &StepRun) -> u64 {
-    let count = step.tasks.iter().filter(|task| task.is_waiting()).count();
-    u64::try_from(count).unwrap_or_default()
-}
-
 /// Open steps in the order of the last sort.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OpenSteps {
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -175,6 +175,16 @@
         }
     }
 
+    /// Returns the number of an account if it is known.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<AccountNumber> {
+        if name.is_empty() {
+            return Some(AccountNumber::default());
+        }
+        let index = self.search(name).ok()?;
+        Some(self.by_name[index])
+    }
+
     /// Adds a job in progress.
     pub fn add_job(&mut self, number: AccountNumber) {
         self.row_mut(number).jobs += 1;
@@ -260,6 +270,19 @@
         millis(self.running(number).cpu_millis) >= cpu_millis
     }
 
+    /// Returns how much less than `cpu_millis` an account uses, in thousandths of a core.
+    #[must_use]
+    pub fn missing_cpu_millis(&self, number: AccountNumber, cpu_millis: f64) -> u64 {
+        let missing = cpu_millis - millis(self.running(number).cpu_millis);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "rounded down, and never negative"
+        )]
+        let missing = missing.max(0.0) as u64;
+        missing
+    }
+
     /// Returns the name of an account; empty for none.
     #[must_use]
     pub fn name(&self, number: AccountNumber) -> &CompactString {
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -191,11 +191,18 @@
     }
 
     /// Returns whether an account has excess demand and has reached its fair share.
-    fn has_reached_share(&self, account: AccountNumber) -> bool {
+    pub(crate) fn has_reached_share(&self, account: AccountNumber) -> bool {
         self.excess_demand_share(account)
             .is_some_and(|share| self.quotas.has_running(account, share))
     }
 
+    /// Returns how much an account with excess demand lacks to its fair share, in thousandths of a
+    /// core; `None` for other accounts.
+    pub(crate) fn share_left_cpu_millis(&self, account: AccountNumber) -> Option<u64> {
+        let share = self.excess_demand_share(account)?;
+        Some(self.quotas.missing_cpu_millis(account, share))
+    }
+
     fn log_quota_wait(&mut self, step: &OpenStep, now: Now) {
         if self.quotas.should_log_quota_wait(step.account, now) {
             self.log_events.push(LogEvent::QuotaReached(QuotaWait {
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -201,6 +201,13 @@
         }
     }
 
+    /// Returns the number of waiting tasks.
+    #[must_use]
+    pub fn waiting_tasks(&self) -> u64 {
+        let count = self.tasks.iter().filter(|task| task.is_waiting()).count();
+        u64::try_from(count).unwrap_or_default()
+    }
+
     /// Returns whether every task is done.
     #[must_use]
     pub fn is_done(&self) -> bool {
--- a/crates/engine/src/timing.rs
+++ b/crates/engine/src/timing.rs
@@ -68,7 +68,7 @@
 }
 
 /// Returns the time within which a job is on time, in milliseconds.
-fn objective_ms(job: &Job) -> u64 {
+pub(crate) fn objective_ms(job: &Job) -> u64 {
     let stretched = job.queue.stretch.max(1.0) * to_f64(job.spec.critical_path_ms());
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/engine/tests/admission.rs
+++ b/crates/engine/tests/admission.rs
@@ -3,10 +3,19 @@
 mod common;
 
 use {
-    common::job_id,
-    lynxwheel_engine::{Admission, AdmissionRequest, Overload, PoolCapacity, RefusalReason},
+    common::{Fleet, account, job_id, queue, step},
+    lynxwheel_engine::{
+        Admission, AdmissionRequest, CallerResponse, Event, JobSpec, LogEvent, Overload,
+        PoolCapacity, RefusalReason, StepSpec,
+    },
 };
 
+/// Cores of the fleet.
+const CORES: u64 = 16;
+
+/// Number of the last job of a flood, which is far more than can be completed in time.
+const LAST: u64 = 30;
+
 /// Longest wait of a job with a critical path of 1 s and an objective of 2.2 s, in milliseconds.
 const MAX_WAIT_MS: u64 = 5_600;
 
@@ -87,3 +96,180 @@
         );
     }
 }
+
+/// Returns a fleet of two accounts that has been running for a while.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.configure_accounts(&[account("hot", 0), account("usual", 0)]);
+    fleet.list_endpoint("i-1", CORES * 1_000);
+    fleet.advance(1_500);
+    fleet
+}
+
+/// Returns a fleet in which an account has as much waiting work as is accepted.
+fn flooded_fleet() -> Fleet {
+    let mut fleet = fleet();
+    flood(&mut fleet, &["hot"]);
+    fleet
+}
+
+/// Submits jobs for accounts in turn until they are refused.
+fn flood(fleet: &mut Fleet, accounts: &[&str]) {
+    for _ in 0..4 {
+        for (number, account) in (1..=LAST).zip(accounts.iter().cycle()) {
+            fleet.submit_as(account, number, step(8));
+        }
+        fleet.advance(100);
+    }
+    assert!(is_refused(response(fleet, LAST)));
+}
+
+/// Returns the last response for a job.
+fn response(fleet: &Fleet, number: u64) -> CallerResponse {
+    let mut replies = fleet.replies.iter().rev();
+    let reply = replies.find(|(token, _)| *token == number);
+    reply.expect("a response").1
+}
+
+fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        steps,
+        ..JobSpec::default()
+    }
+}
+
+fn is_refused(response: CallerResponse) -> bool {
+    matches!(response, CallerResponse::Overloaded { .. })
+}
+
+fn submit(fleet: &mut Fleet, account: &str, number: u64) -> CallerResponse {
+    fleet.submit_as(account, number, step(8));
+    fleet.settle();
+    response(fleet, number)
+}
+
+/// Guards against one account's flood taking the service from the others, and against a refusal of
+/// a job that is known.
+#[test]
+fn flood_is_refused_while_other_accounts_are_served() {
+    let mut fleet = flooded_fleet();
+    let CallerResponse::Overloaded { is_over_share, .. } = response(&fleet, LAST) else {
+        panic!("the flood is accepted");
+    };
+    assert!(is_over_share);
+    assert_eq!(submit(&mut fleet, "usual", 90), CallerResponse::Accepted);
+    assert_eq!(submit(&mut fleet, "hot", 1), CallerResponse::Accepted);
+}
+
+/// Guards against a refused job that is stored or runs, or that cannot be submitted again.
+#[test]
+fn refused_job_leaves_no_state_and_may_return() {
+    let mut fleet = flooded_fleet();
+    fleet.submit_as("hot", LAST, step(8));
+    assert_eq!(fleet.engine.take_batch(fleet.now).records.len(), 0);
+    for _ in 0..20 {
+        fleet.end_all_done();
+        fleet.advance(1_000);
+    }
+    let id = job_id(LAST);
+    let mut keys = fleet.stored.iter().map(|record| record.key.as_str());
+    assert!(!keys.any(|key| key.contains(id.as_str())));
+    assert_eq!(fleet.job_state(LAST), None);
+    assert_eq!(submit(&mut fleet, "hot", LAST), CallerResponse::Accepted);
+}
+
+/// Guards against steps to come that are not counted as work ahead.
+#[test]
+fn later_steps_are_waiting_work() {
+    let mut fleet = fleet();
+    let mut later = step(90);
+    later.depends_on.push(0);
+    fleet.submit_spec(1, job(vec![step(17), later]));
+    fleet.advance(200);
+    assert!(is_refused(submit(&mut fleet, "usual", 2)));
+}
+
+/// Guards against refusals because of work that waits for the quota of another account.
+#[test]
+fn work_beyond_a_quota_is_not_ahead() {
+    let mut fleet = fleet();
+    fleet.configure_accounts(&[account("hot", 2), account("usual", 0)]);
+    let mut long = step(24);
+    long.estimated_ms = 10_000;
+    fleet.submit_as("hot", 1, long);
+    fleet.advance(200);
+    assert_eq!(submit(&mut fleet, "usual", 90), CallerResponse::Accepted);
+}
+
+/// Guards against refusals in queues that declare no objective.
+#[test]
+fn queue_without_objective_refuses_nothing() {
+    let mut fleet = flooded_fleet();
+    let mut queue = queue();
+    (queue.stretch, queue.target_latency_ms) = (0.0, 0);
+    fleet.submit_for("hot", queue, LAST, job(vec![step(8)]));
+    fleet.settle();
+    assert_eq!(response(&fleet, LAST), CallerResponse::Accepted);
+}
+
+/// Guards against refusals that replace the answers for other causes.
+#[test]
+fn other_answers_come_first() {
+    let mut fleet = flooded_fleet();
+    let cancel = Event::Cancel {
+        job: job_id(90),
+        account: "hot".into(),
+        token: 190,
+    };
+    fleet.handle(cancel);
+    assert_eq!(submit(&mut fleet, "hot", 90), CallerResponse::Accepted);
+    fleet.engine.set_store_unavailable(true);
+    assert_eq!(submit(&mut fleet, "hot", LAST), CallerResponse::Refused);
+}
+
+/// Guards against refusals by an owner that knows all waiting jobs but only a part of the fleet.
+#[test]
+fn new_owner_refuses_nothing_at_first() {
+    let mut fleet = flooded_fleet();
+    fleet.take_over();
+    assert_eq!(submit(&mut fleet, "hot", LAST), CallerResponse::Accepted);
+    fleet.advance(100);
+    assert!(!is_refused(submit(&mut fleet, "hot", LAST - 1)));
+    fleet.advance(2_000);
+    assert!(is_refused(submit(&mut fleet, "hot", LAST - 2)));
+}
+
+/// Guards against decisions by the weights of an earlier configuration.
+#[test]
+fn changed_weights_apply_to_the_next_plan() {
+    let mut fleet = fleet();
+    flood(&mut fleet, &["hot", "usual"]);
+    assert!(is_refused(submit(&mut fleet, "usual", 90)));
+    let mut preferred = account("usual", 0);
+    preferred.weight = 20.0;
+    fleet.configure_accounts(&[account("hot", 0), preferred]);
+    fleet.advance(100);
+    assert_eq!(submit(&mut fleet, "usual", 90), CallerResponse::Accepted);
+}
+
+/// Guards against a flood of log lines, and against refusals that are not counted.
+#[test]
+fn refusals_without_a_line_are_counted() {
+    let mut fleet = flooded_fleet();
+    fleet.advance(1_000);
+    fleet.engine.take_log_events();
+    for number in 100..150 {
+        fleet.submit_as("hot", number, step(8));
+    }
+    fleet.advance(1_000);
+    fleet.submit_as("hot", 200, step(8));
+    let events = fleet.engine.take_log_events();
+    let lines = events.iter().filter_map(|event| match event {
+        LogEvent::JobRefused(refusal) => Some(refusal.omitted),
+        _ => None,
+    });
+    let lines: Vec<u64> = lines.collect();
+    let is_omitted = |event: &&LogEvent| matches!(event, LogEvent::JobRefusalOmitted(_));
+    let omitted = events.iter().filter(is_omitted).count();
+    assert_eq!((lines.len(), lines.last(), omitted), (21, Some(&30), 30));
+}
