Let simulated callers return after a refusal for overload

The histories treated a refusal for overload as an error or never submitted the job again, so that 14 of them failed once the engine refused jobs. A refused job leaves no state, and its caller is told when to return.

The simulated callers now submit a refused job again after retry_after_ms, as real callers do. An accepted job must still never be refused.

--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -609,6 +609,11 @@
                 }
                 // A job that was cancelled before it arrived may be refused.
                 _ if !is_cancel && job.is_cancelled() => job.submit_ms = None,
+                CallerResponse::Overloaded { retry_after_ms, .. }
+                    if !is_cancel && !job.is_accepted =>
+                {
+                    job.submit_ms = Some(now_ms + retry_after_ms);
+                }
                 other => panic!("{other:?} for token {token}"),
             }
         }
