Predict the wait of jobs on time without late work

All waiting work of a pool counted as ahead of a new job. Late and too-late work starts after on-time work, so jobs that could be served on time were refused.

Waiting work is now summed in three classes at each tick. A job is accepted if its wait for on-time work is within its slack. Otherwise it will be late and starts after all on-time work, including that which arrives meanwhile: its wait for on-time and late work is predicted with the capacity that on-time work submitted of late leaves. It is refused if that is too long or nothing is left. The conditions that admit without a prediction are unchanged.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -149,7 +149,9 @@
         pool,
         reason,
         wait_ms,
-        work_ahead_cpu_ms,
+        on_time_ahead_cpu_ms,
+        valuable_ahead_cpu_ms,
+        too_late_cpu_ms,
         capacity_cpu_millis,
         plan_age_ms,
         retry_after_ms,
@@ -159,7 +161,8 @@
     info!(
         event = "job_refused", epoch = epoch, job = job.as_str(), account = account.as_str(),
         pool = pool.as_str(), reason = refusal_label(*reason), wait_ms = wait_ms,
-        work_ahead_cpu_ms = work_ahead_cpu_ms, capacity_cpu_millis = capacity_cpu_millis,
+        on_time_ahead_cpu_ms = on_time_ahead_cpu_ms,
+        valuable_ahead_cpu_ms = valuable_ahead_cpu_ms, too_late_cpu_ms = too_late_cpu_ms, capacity_cpu_millis = capacity_cpu_millis,
         plan_age_ms = plan_age_ms, retry_after_ms = retry_after_ms, omitted = omitted;
         "job refused, as it would be completed too late"
     );
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -33,7 +33,8 @@
     PoolOverloaded,
 }
 
-/// What the decision about a submitted job depends on.
+/// What the decision about a submitted job depends on. Work is in thousandths of a core times
+/// milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct AdmissionRequest<'a> {
     /// Job.
@@ -42,8 +43,11 @@
     pub pool: Option<&'a PoolCapacity>,
     /// Age of the plan, in milliseconds; `None` for an empty plan.
     pub plan_age_ms: Option<u64>,
-    /// Waiting work ahead of the job, in thousandths of a core times milliseconds.
-    pub work_ahead_cpu_ms: u64,
+    /// On-time work ahead of the job, as far as it can start while the job can be on time.
+    pub on_time_ahead_cpu_ms: u64,
+    /// On-time and late work ahead of the job once it is late, as far as it can start while the job
+    /// has a value. Work that is too late is never ahead.
+    pub valuable_ahead_cpu_ms: u64,
     /// Critical path of the job, in milliseconds.
     pub critical_path_ms: u64,
     /// Time within which the job is on time, in milliseconds.
@@ -55,8 +59,9 @@
 /// Refusal of a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Overload {
-    /// Predicted wait before the job would start, in milliseconds.
-    pub wait_ms: u64,
+    /// Predicted wait before the job would start, in milliseconds; `None` if on-time work leaves no
+    /// capacity for it.
+    pub wait_ms: Option<u64>,
     /// Time after which the job may be submitted again, in milliseconds.
     pub retry_after_ms: u64,
     /// Reason.
@@ -79,15 +84,32 @@
         .saturating_sub(critical_path_ms)
 }
 
+/// Returns how long a job may wait and still be on time, in milliseconds.
+pub(crate) fn slack_ms(critical_path_ms: u64, objective_ms: u64) -> u64 {
+    objective_ms.saturating_sub(critical_path_ms)
+}
+
+/// Predicted waits of a job, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+struct Waits {
+    /// Wait behind on-time work.
+    on_time_ms: u64,
+    /// Wait behind on-time and late work if no more of it is submitted.
+    valuable_ms: u64,
+    /// Wait of the job once it is late; `None` if it gets no capacity.
+    late_ms: Option<u64>,
+}
+
 impl AdmissionRequest<'_> {
     /// Decides whether to accept the job. A job is only refused on the evidence of a recent plan in
     /// which its pool has capacity.
     #[must_use]
     pub fn decide(&self) -> Admission {
-        match self.predicted_wait_ms() {
-            Some(wait_ms) if self.is_worthless_after(wait_ms) => Admission::Refuse(Overload {
-                wait_ms,
-                retry_after_ms: self.retry_after_ms(wait_ms),
+        match self.predicted_waits() {
+            Some(waits) if self.is_worthless_after(&waits) => Admission::Refuse(Overload {
+                wait_ms: waits.late_ms,
+                retry_after_ms: self.retry_after_ms(waits.on_time_ms),
                 reason: if self.is_over_share {
                     RefusalReason::AccountOverShare
                 } else {
@@ -98,26 +120,35 @@
         }
     }
 
-    /// Returns the predicted wait of the job, in milliseconds; `None` if no recent plan gives its
-    /// pool capacity.
-    fn predicted_wait_ms(&self) -> Option<u64> {
+    /// Returns the predicted waits of the job; `None` if no recent plan gives its pool capacity.
+    fn predicted_waits(&self) -> Option<Waits> {
         let is_recent = self.plan_age_ms.is_some_and(|age| age < MAX_PLAN_AGE_MS);
         let pool = self.pool.filter(|_| is_recent)?;
         if pool.expected_cpu_millis() == 0 {
             return None;
         }
-        pool.wait_ms(self.work_ahead_cpu_ms)
+        Some(Waits {
+            on_time_ms: pool.wait_ms(self.on_time_ahead_cpu_ms)?,
+            valuable_ms: pool.wait_ms(self.valuable_ahead_cpu_ms)?,
+            late_ms: pool.late_wait_ms(self.valuable_ahead_cpu_ms),
+        })
     }
 
-    fn is_worthless_after(&self, wait_ms: u64) -> bool {
-        wait_ms >= MIN_WAIT_MS && wait_ms > max_wait_ms(self.critical_path_ms, self.objective_ms)
+    /// Returns whether the job can neither be on time nor be completed while it has a value. A job
+    /// that cannot be on time starts after all on-time work, including what arrives meanwhile.
+    fn is_worthless_after(&self, waits: &Waits) -> bool {
+        let slack_ms = slack_ms(self.critical_path_ms, self.objective_ms);
+        let max_wait_ms = max_wait_ms(self.critical_path_ms, self.objective_ms);
+        waits.valuable_ms >= MIN_WAIT_MS
+            && waits.on_time_ms > slack_ms
+            && waits.late_ms.is_none_or(|wait_ms| wait_ms > max_wait_ms)
     }
 
     /// Returns the time until a similar job could be completed on time, in milliseconds. It differs
     /// between jobs so that their callers do not return together.
-    fn retry_after_ms(&self, wait_ms: u64) -> u64 {
-        let slack_ms = self.objective_ms.saturating_sub(self.critical_path_ms);
-        let until_on_time_ms = wait_ms.saturating_sub(slack_ms);
+    fn retry_after_ms(&self, on_time_wait_ms: u64) -> u64 {
+        let slack_ms = slack_ms(self.critical_path_ms, self.objective_ms);
+        let until_on_time_ms = on_time_wait_ms.saturating_sub(slack_ms);
         let unspread_ms = until_on_time_ms.clamp(MIN_RETRY_AFTER_MS, MAX_UNSPREAD_MS);
         let mut hasher = DefaultHasher::new();
         hasher.write(self.job.as_str().as_bytes());
--- a/crates/engine/src/job_refusals.rs
+++ b/crates/engine/src/job_refusals.rs
@@ -1,14 +1,14 @@
 //! Refusal of jobs that the fleet cannot complete in time.
 
 use crate::{
-    admission::{Admission, AdmissionRequest, Overload, RefusalReason, max_wait_ms},
+    admission::{Admission, AdmissionRequest, Overload, RefusalReason, max_wait_ms, slack_ms},
     engine::Engine,
     event::{CallerResponse, Now, ReplyToken},
     log_event::{JobRefusal, LogEvent},
     quota::AccountNumber,
     state::Job,
-    timing::objective_ms,
-    waiting_work::{AccountWork, Limit, WaitingWork, is_plain, job_work},
+    timing::{Urgency, objective_ms},
+    waiting_work::{Limit, WaitingWork, is_plain, job_work},
 };
 
 /// Time for which a new owner refuses nothing after its first plan with capacity, in milliseconds.
@@ -41,6 +41,28 @@
     omitted: u64,
 }
 
+/// Times within which work ahead of a job has to start to delay it.
+#[derive(Clone, Copy, Debug)]
+struct AheadTimes {
+    /// How long the job may wait and still be on time, in milliseconds.
+    slack_ms: u64,
+    /// How long it may wait and still have a value, in milliseconds.
+    max_wait_ms: u64,
+}
+
+/// Waiting work of a pool as seen from a submitted job, in thousandths of a core times
+/// milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+struct WorkAhead {
+    /// On-time work ahead of the job.
+    on_time_cpu_ms: u64,
+    /// On-time and late work ahead of the job once it is late.
+    valuable_cpu_ms: u64,
+    /// Work that is too late, none of which is ahead of the job.
+    too_late_cpu_ms: u64,
+}
+
 impl LogLimit {
     /// Returns the number of refusals omitted before this one, or `None` to omit this one, too.
     fn next(&mut self, now: Now) -> Option<u64> {
@@ -60,7 +82,7 @@
 impl Engine {
     /// Updates the waiting work and the time of the first plan with capacity.
     pub(crate) fn refresh_refusal_state(&mut self, now: Now) {
-        self.refusals.waiting_work = WaitingWork::new(&self.open_steps);
+        self.refusals.waiting_work = WaitingWork::new(&self.open_steps, now);
         let mut pools = self.capacity_plan.pools().iter();
         if self.refusals.first_capacity_ms.is_none() && pools.any(|pool| pool.supply_cpu_millis > 0)
         {
@@ -73,7 +95,8 @@
         if !job.occurrences.is_empty() && !job.queue.advised {
             let pool = self.free_capacity.pool_number(&job.queue.pool);
             let work = job_work(&job.spec);
-            self.refusals.waiting_work.add(pool, account, &work);
+            let waiting_work = &mut self.refusals.waiting_work;
+            waiting_work.add(pool, account, Urgency::OnTime, &work);
         }
     }
 
@@ -106,12 +129,17 @@
         let is_over_share = account.is_some_and(|number| self.has_reached_share(number));
         let critical_path_ms = job.spec.critical_path_ms();
         let objective_ms = objective_ms(job);
-        let max_wait_ms = max_wait_ms(critical_path_ms, objective_ms);
+        let times = AheadTimes {
+            slack_ms: slack_ms(critical_path_ms, objective_ms),
+            max_wait_ms: max_wait_ms(critical_path_ms, objective_ms),
+        };
+        let ahead = self.work_ahead(job, account, is_over_share, &times);
         let request = AdmissionRequest {
             job: job.id,
             pool: self.capacity_plan.pool(&job.queue.pool),
             plan_age_ms: self.capacity_plan.age_ms(now),
-            work_ahead_cpu_ms: self.work_ahead_cpu_ms(job, account, is_over_share, max_wait_ms),
+            on_time_ahead_cpu_ms: ahead.on_time_cpu_ms,
+            valuable_ahead_cpu_ms: ahead.valuable_cpu_ms,
             critical_path_ms,
             objective_ms,
             is_over_share,
@@ -125,7 +153,9 @@
             pool: job.queue.pool.clone(),
             reason: overload.reason,
             wait_ms: overload.wait_ms,
-            work_ahead_cpu_ms: request.work_ahead_cpu_ms,
+            on_time_ahead_cpu_ms: ahead.on_time_cpu_ms,
+            valuable_ahead_cpu_ms: ahead.valuable_cpu_ms,
+            too_late_cpu_ms: ahead.too_late_cpu_ms,
             capacity_cpu_millis: request.pool?.expected_cpu_millis(),
             plan_age_ms: request.plan_age_ms?,
             retry_after_ms: overload.retry_after_ms,
@@ -139,39 +169,46 @@
         first_ms.is_some_and(|ms| now.steady_ms >= ms + SETTLING_MS)
     }
 
-    /// Returns the waiting work that starts before a job, in thousandths of a core times
-    /// milliseconds.
-    fn work_ahead_cpu_ms(
+    /// Returns the waiting work that starts before a job.
+    fn work_ahead(
         &self,
         job: &Job,
         account: Option<AccountNumber>,
         is_over_share: bool,
-        max_wait_ms: u64,
-    ) -> u64 {
+        times: &AheadTimes,
+    ) -> WorkAhead {
+        let mut ahead = WorkAhead::default();
         let Some(pool) = self.free_capacity.find_pool(&job.queue.pool) else {
-            return 0;
+            return ahead;
         };
-        let works = self.refusals.waiting_work.of_pool(pool).iter();
-        let ahead = works.map(|work| {
-            if Some(work.account) == account {
-                work.cpu_ms()
+        for work in self.refusals.waiting_work.of_pool(pool) {
+            let (on_time, valuable) = (work.on_time, work.valuable());
+            let (on_time_cpu_ms, valuable_cpu_ms) = if Some(work.account) == account {
+                (on_time.cpu_millis, valuable.cpu_millis)
             } else {
-                self.startable_cpu_ms(work, is_over_share, max_wait_ms)
-            }
-        });
-        ahead.fold(0, u64::saturating_add)
+                let limit = self.limit_ahead(work.account, is_over_share);
+                (
+                    limit.cpu_ms_within(&on_time, times.slack_ms),
+                    limit.cpu_ms_within(&valuable, times.max_wait_ms),
+                )
+            };
+            ahead.on_time_cpu_ms = ahead.on_time_cpu_ms.saturating_add(on_time_cpu_ms);
+            ahead.valuable_cpu_ms = ahead.valuable_cpu_ms.saturating_add(valuable_cpu_ms);
+            let too_late_cpu_ms = work.too_late.cpu_millis;
+            ahead.too_late_cpu_ms = ahead.too_late_cpu_ms.saturating_add(too_late_cpu_ms);
+        }
+        ahead
     }
 
-    /// Returns the part of another account's work that can start within a time, in thousandths of a
-    /// core times milliseconds: what its quota allows and, ahead of an account within its share,
-    /// what the other one lacks to its own share if it has excess demand.
-    fn startable_cpu_ms(&self, work: &AccountWork, is_over_share: bool, time_ms: u64) -> u64 {
-        let quota = Limit::of_quota(&self.quotas.quota(work.account));
-        let limit = match self.share_left_cpu_millis(work.account) {
+    /// Returns what another account can have in use ahead of a job: what its quota allows and,
+    /// ahead of an account within its share, what the other one lacks to its own share if it has
+    /// excess demand.
+    fn limit_ahead(&self, account: AccountNumber, is_over_share: bool) -> Limit {
+        let quota = Limit::of_quota(&self.quotas.quota(account));
+        match self.share_left_cpu_millis(account) {
             Some(cpu_millis) if !is_over_share => quota.with_cpu_millis(cpu_millis),
             _ => quota,
-        };
-        work.cpu_ms_within(&limit, time_ms)
+        }
     }
 }
 
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -92,10 +92,16 @@
     pub pool: CompactString,
     /// Reason.
     pub reason: RefusalReason,
-    /// Predicted wait before the job would start, in milliseconds.
-    pub wait_ms: u64,
-    /// Waiting work ahead of the job, in thousandths of a core times milliseconds.
-    pub work_ahead_cpu_ms: u64,
+    /// Predicted wait before the job would start, in milliseconds; `None` if on-time work leaves no
+    /// capacity for it.
+    pub wait_ms: Option<u64>,
+    /// On-time work ahead of the job, in thousandths of a core times milliseconds.
+    pub on_time_ahead_cpu_ms: u64,
+    /// On-time and late work ahead of the job once it is late, in the same unit.
+    pub valuable_ahead_cpu_ms: u64,
+    /// Waiting work of its pool that is too late to have a value and not ahead of it, in the same
+    /// unit.
+    pub too_late_cpu_ms: u64,
     /// Present and arriving capacity of the pool, in thousandths of a core.
     pub capacity_cpu_millis: u64,
     /// Age of the capacity plan, in milliseconds.
--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -70,18 +70,22 @@
         !self.is_long_running && self.timing.slack_ms(now) < 0
     }
 
-    /// Returns the sort key of the start order; steps without waiting tasks come last.
-    fn rank(&self, now: Now) -> (Reverse<bool>, Urgency, u32, i64, TaskRef) {
-        let urgency = if self.is_long_running {
+    /// Returns the urgency of its waiting tasks.
+    pub(crate) fn urgency(&self, now: Now) -> Urgency {
+        if self.is_long_running {
             Urgency::LongRunning
         } else {
             self.timing.urgency(now)
-        };
+        }
+    }
+
+    /// Returns the sort key of the start order; steps without waiting tasks come last.
+    fn rank(&self, now: Now) -> (Reverse<bool>, Urgency, u32, i64, TaskRef) {
         let slack_ms = self.timing.slack_ms(now);
         let has_waiting = Reverse(self.waiting > 0);
         (
             has_waiting,
-            urgency,
+            self.urgency(now),
             self.priority,
             slack_ms,
             self.first_task,
--- a/crates/engine/src/waiting_work.rs
+++ b/crates/engine/src/waiting_work.rs
@@ -2,43 +2,53 @@
 
 use crate::{
     balance::VmFeature,
+    event::Now,
     free_capacity::PoolNumber,
     job::{JobSpec, Resources, StepSpec},
     open_steps::OpenSteps,
     quota::AccountNumber,
     state::{Job, Occurrence},
+    timing::Urgency,
 };
 
-/// Waiting work of one account in one pool.
+/// Waiting work of one account in one pool by urgency, as resources multiplied by milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AccountWork {
     pool: PoolNumber,
     pub(crate) account: AccountNumber,
-    /// Resources multiplied by milliseconds.
-    work: Resources,
+    /// Work of jobs that can be on time.
+    pub(crate) on_time: Resources,
+    /// Work of late jobs that still have a value.
+    late: Resources,
+    /// Work of jobs that are too late to have a value.
+    pub(crate) too_late: Resources,
 }
 
 impl AccountWork {
-    /// Returns the work in thousandths of a core times milliseconds.
-    pub(crate) fn cpu_ms(&self) -> u64 {
-        self.work.cpu_millis
+    fn new(pool: PoolNumber, account: AccountNumber) -> Self {
+        Self {
+            pool,
+            account,
+            on_time: Resources::default(),
+            late: Resources::default(),
+            too_late: Resources::default(),
+        }
     }
 
-    /// Returns the part of the work that fits into `limit` within a time, in thousandths of a core
-    /// times milliseconds.
-    pub(crate) fn cpu_ms_within(&self, limit: &Limit, time_ms: u64) -> u64 {
-        let cpu_ms = limit.cpu_millis.map_or(self.work.cpu_millis, |millis| {
-            self.work.cpu_millis.min(millis.saturating_mul(time_ms))
-        });
-        let possible_mb_ms = limit.memory_mb.map(|mb| mb.saturating_mul(time_ms));
-        match possible_mb_ms {
-            Some(possible) if possible < self.work.memory_mb => {
-                let part = u128::from(self.work.cpu_millis) * u128::from(possible)
-                    / u128::from(self.work.memory_mb);
-                cpu_ms.min(u64::try_from(part).unwrap_or(u64::MAX))
-            }
-            _ => cpu_ms,
-        }
+    /// Returns the work of jobs that still have a value.
+    pub(crate) fn valuable(&self) -> Resources {
+        let mut sum = self.on_time;
+        add_work(&mut sum, &self.late);
+        sum
+    }
+
+    fn add(&mut self, urgency: Urgency, work: &Resources) {
+        let sum = match urgency {
+            Urgency::LongRunning | Urgency::OnTime => &mut self.on_time,
+            Urgency::Late => &mut self.late,
+            Urgency::TooLate => &mut self.too_late,
+        };
+        add_work(sum, work);
     }
 }
 
@@ -59,6 +69,23 @@
         }
     }
 
+    /// Returns the part of some work that can be done within a time, in thousandths of a core times
+    /// milliseconds.
+    pub(crate) fn cpu_ms_within(&self, work: &Resources, time_ms: u64) -> u64 {
+        let cpu_ms = self.cpu_millis.map_or(work.cpu_millis, |millis| {
+            work.cpu_millis.min(millis.saturating_mul(time_ms))
+        });
+        let possible_mb_ms = self.memory_mb.map(|mb| mb.saturating_mul(time_ms));
+        match possible_mb_ms {
+            Some(possible) if possible < work.memory_mb => {
+                let part =
+                    u128::from(work.cpu_millis) * u128::from(possible) / u128::from(work.memory_mb);
+                cpu_ms.min(u64::try_from(part).unwrap_or(u64::MAX))
+            }
+            _ => cpu_ms,
+        }
+    }
+
     /// Limits the processor further.
     pub(crate) fn with_cpu_millis(self, cpu_millis: u64) -> Self {
         let limited = self.cpu_millis.unwrap_or(u64::MAX).min(cpu_millis);
@@ -78,33 +105,33 @@
 
 impl WaitingWork {
     /// Sums up the work of all open steps.
-    pub(crate) fn new(open_steps: &OpenSteps) -> Self {
+    pub(crate) fn new(open_steps: &OpenSteps, now: Now) -> Self {
         let mut sums = Self::default();
         for step in open_steps.iter() {
-            sums.add(step.pool, step.account, &step.work);
+            sums.add(step.pool, step.account, step.urgency(now), &step.work);
         }
         sums
     }
 
     /// Adds waiting work of an account.
-    pub(crate) fn add(&mut self, pool: PoolNumber, account: AccountNumber, work: &Resources) {
+    pub(crate) fn add(
+        &mut self,
+        pool: PoolNumber,
+        account: AccountNumber,
+        urgency: Urgency,
+        work: &Resources,
+    ) {
         if work.cpu_millis == 0 {
             return;
         }
         let index = self
             .rows
             .binary_search_by_key(&(pool, account), |row| (row.pool, row.account));
-        match index {
-            Ok(index) => add_work(&mut self.rows[index].work, work),
-            Err(index) => self.rows.insert(
-                index,
-                AccountWork {
-                    pool,
-                    account,
-                    work: *work,
-                },
-            ),
-        }
+        let index = index.unwrap_or_else(|index| {
+            self.rows.insert(index, AccountWork::new(pool, account));
+            index
+        });
+        self.rows[index].add(urgency, work);
     }
 
     /// Returns the work in a pool by account.
