Predict the wait for an account's quota

The own waiting work of an account counted at the capacity of its pool only, so an account at its quota had jobs accepted that its quota let complete long after they had any value.

The wait of a job is now at least its account's own work ahead of it divided by the quota, by processor or memory, whichever takes longer. Such a refusal has the reason account_at_quota, and the caller gets 429, as returning helps only once the account's own work is done.

--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -453,7 +453,7 @@
     let (status, reason) = if is_over_share {
         (
             StatusCode::TOO_MANY_REQUESTS,
-            "not accepted; it never runs: the account is above its fair share",
+            "not accepted; it never runs: the account is above its fair share or quota",
         )
     } else {
         (
--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -29,6 +29,7 @@
 
 fn refusal_label(reason: RefusalReason) -> &'static str {
     match reason {
+        RefusalReason::AccountAtQuota => "account_at_quota",
         RefusalReason::AccountOverShare => "account_over_share",
         RefusalReason::PoolOverloaded => "pool_overloaded",
     }
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -29,6 +29,8 @@
 pub enum RefusalReason {
     /// The account has excess demand and has reached its fair share.
     AccountOverShare,
+    /// The account has too much waiting work for its quota, although its pool has the capacity.
+    AccountAtQuota,
     /// The pool has too much waiting work.
     PoolOverloaded,
 }
@@ -48,6 +50,11 @@
     /// On-time and late work ahead of the job once it is late, as far as it can start while the job
     /// has a value. Work that is too late is never ahead.
     pub valuable_ahead_cpu_ms: u64,
+    /// Minimum time in which the quota of the job's account allows its own on-time work ahead of the
+    /// job to be done, in milliseconds.
+    pub on_time_quota_wait_ms: u64,
+    /// The same for its on-time and late work.
+    pub valuable_quota_wait_ms: u64,
     /// Critical path of the job, in milliseconds.
     pub critical_path_ms: u64,
     /// Time within which the job is on time, in milliseconds.
@@ -106,22 +113,39 @@
     /// which its pool has capacity.
     #[must_use]
     pub fn decide(&self) -> Admission {
-        match self.predicted_waits() {
-            Some(waits) if self.is_worthless_after(&waits) => Admission::Refuse(Overload {
-                wait_ms: waits.late_ms,
-                retry_after_ms: self.retry_after_ms(waits.on_time_ms),
-                reason: if self.is_over_share {
-                    RefusalReason::AccountOverShare
-                } else {
-                    RefusalReason::PoolOverloaded
-                },
-            }),
-            _ => Admission::Admit,
+        let Some(pool_waits) = self.pool_waits() else {
+            return Admission::Admit;
+        };
+        let waits = self.with_quota_waits(pool_waits);
+        if !self.is_worthless_after(&waits) {
+            return Admission::Admit;
+        }
+        Admission::Refuse(Overload {
+            wait_ms: waits.late_ms,
+            retry_after_ms: self.retry_after_ms(waits.on_time_ms),
+            reason: if self.is_over_share {
+                RefusalReason::AccountOverShare
+            } else if self.is_worthless_after(&pool_waits) {
+                RefusalReason::PoolOverloaded
+            } else {
+                RefusalReason::AccountAtQuota
+            },
+        })
+    }
+
+    /// Returns the waits of the job as far as its quota lengthens them.
+    fn with_quota_waits(&self, waits: Waits) -> Waits {
+        let valuable_quota_ms = self.valuable_quota_wait_ms;
+        Waits {
+            on_time_ms: waits.on_time_ms.max(self.on_time_quota_wait_ms),
+            valuable_ms: waits.valuable_ms.max(valuable_quota_ms),
+            late_ms: waits.late_ms.map(|wait_ms| wait_ms.max(valuable_quota_ms)),
         }
     }
 
-    /// Returns the predicted waits of the job; `None` if no recent plan gives its pool capacity.
-    fn predicted_waits(&self) -> Option<Waits> {
+    /// Returns the waits of the job for the capacity of its pool; `None` if no recent plan gives
+    /// the pool capacity.
+    fn pool_waits(&self) -> Option<Waits> {
         let is_recent = self.plan_age_ms.is_some_and(|age| age < MAX_PLAN_AGE_MS);
         let pool = self.pool.filter(|_| is_recent)?;
         if pool.expected_cpu_millis() == 0 {
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -207,7 +207,7 @@
     Overloaded {
         /// Time after which the job may be submitted again, in milliseconds.
         retry_after_ms: u64,
-        /// Whether its account is above its fair share.
+        /// Whether its account is above its fair share or has too much waiting work for its quota.
         is_over_share: bool,
     },
     /// The job belongs to another client account; nothing was done.
--- a/crates/engine/src/job_refusals.rs
+++ b/crates/engine/src/job_refusals.rs
@@ -59,6 +59,10 @@
     on_time_cpu_ms: u64,
     /// On-time and late work ahead of the job once it is late.
     valuable_cpu_ms: u64,
+    /// Minimum time for the on-time work of the job's own account, in milliseconds.
+    on_time_quota_wait_ms: u64,
+    /// Minimum time for its on-time and late work, in milliseconds.
+    valuable_quota_wait_ms: u64,
     /// Work that is too late, none of which is ahead of the job.
     too_late_cpu_ms: u64,
 }
@@ -113,7 +117,7 @@
         self.log_events.push(event);
         let response = CallerResponse::Overloaded {
             retry_after_ms: overload.retry_after_ms,
-            is_over_share: overload.reason == RefusalReason::AccountOverShare,
+            is_over_share: overload.reason != RefusalReason::PoolOverloaded,
         };
         self.reply_immediately(token, response);
         true
@@ -140,6 +144,8 @@
             plan_age_ms: self.capacity_plan.age_ms(now),
             on_time_ahead_cpu_ms: ahead.on_time_cpu_ms,
             valuable_ahead_cpu_ms: ahead.valuable_cpu_ms,
+            on_time_quota_wait_ms: ahead.on_time_quota_wait_ms,
+            valuable_quota_wait_ms: ahead.valuable_quota_wait_ms,
             critical_path_ms,
             objective_ms,
             is_over_share,
@@ -184,6 +190,9 @@
         for work in self.refusals.waiting_work.of_pool(pool) {
             let (on_time, valuable) = (work.on_time, work.valuable());
             let (on_time_cpu_ms, valuable_cpu_ms) = if Some(work.account) == account {
+                let quota = Limit::of_quota(&self.quotas.quota(work.account));
+                ahead.on_time_quota_wait_ms = quota.min_time_ms(&on_time);
+                ahead.valuable_quota_wait_ms = quota.min_time_ms(&valuable);
                 (on_time.cpu_millis, valuable.cpu_millis)
             } else {
                 let limit = self.limit_ahead(work.account, is_over_share);
--- a/crates/engine/src/waiting_work.rs
+++ b/crates/engine/src/waiting_work.rs
@@ -86,6 +86,13 @@
         }
     }
 
+    /// Returns the minimum time in which some work can be done, in milliseconds.
+    pub(crate) fn min_time_ms(&self, work: &Resources) -> u64 {
+        let time_ms = |work: u64, limit: Option<u64>| limit.map_or(0, |limit| work / limit.max(1));
+        let cpu_ms = time_ms(work.cpu_millis, self.cpu_millis);
+        cpu_ms.max(time_ms(work.memory_mb, self.memory_mb))
+    }
+
     /// Limits the processor further.
     pub(crate) fn with_cpu_millis(self, cpu_millis: u64) -> Self {
         let limited = self.cpu_millis.unwrap_or(u64::MAX).min(cpu_millis);
--- a/crates/engine/tests/admission.rs
+++ b/crates/engine/tests/admission.rs
@@ -32,6 +32,8 @@
         plan_age_ms: Some(100),
         on_time_ahead_cpu_ms: wait_ms * 10_000,
         valuable_ahead_cpu_ms: wait_ms * 10_000,
+        on_time_quota_wait_ms: 0,
+        valuable_quota_wait_ms: 0,
         critical_path_ms: 1_000,
         objective_ms: 2_200,
         is_over_share: false,
@@ -81,6 +83,24 @@
     assert_eq!(over_share.reason, RefusalReason::AccountOverShare);
 }
 
+/// Guards against jobs that are accepted although the own work of their account takes too long with
+/// its quota, and against telling their callers that the pool is overloaded.
+#[test]
+fn own_work_is_done_at_the_rate_of_the_quota() {
+    let with_waits = |on_time_ms, valuable_ms| {
+        decide(100, |request| {
+            request.on_time_quota_wait_ms = on_time_ms;
+            request.valuable_quota_wait_ms = valuable_ms;
+        })
+    };
+    assert_eq!(with_waits(1_200, 90_000), Admission::Admit);
+    assert_eq!(with_waits(1_201, MAX_WAIT_MS), Admission::Admit);
+    let Admission::Refuse(overload) = with_waits(1_201, MAX_WAIT_MS + 1) else {
+        panic!("the job is accepted");
+    };
+    assert_eq!(overload.reason, RefusalReason::AccountAtQuota);
+}
+
 /// Guards against retries at once, long after the load has ended, or all at the same time.
 #[test]
 fn retry_times_are_bounded_and_spread() {
