Keep a flood just below excess demand from refusing others

Work of other accounts is ahead of a job only within their fair share, but that applied only to accounts with excess demand, twice their share. Refusals keep the demand of a flooding account close to that limit. Whenever it was just below, jobs of accounts with little load were refused (seen in a test with a flood of five times the capacity and other work of an eighth).

The limit on work ahead now applies to every account whose demand exceeds its fair share. The start order is unchanged.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -95,6 +95,9 @@
     pub(crate) quotas: QuotaTracker,
     /// Accounts with excess demand, sorted, each with its fair share in thousandths of a core.
     pub(crate) excess_demand: Vec<(AccountNumber, f64)>,
+    /// Accounts whose demand exceeds their fair share, in the same form. Those with excess demand
+    /// are among them.
+    pub(crate) exceeded_shares: Vec<(AccountNumber, f64)>,
     /// Sorted by id.
     pub(crate) ended_jobs: Vec<EndedJob>,
     pub(crate) endpoints: EndpointTable,
@@ -155,6 +158,7 @@
             open_steps: OpenSteps::default(),
             quotas: QuotaTracker::default(),
             excess_demand: Vec::new(),
+            exceeded_shares: Vec::new(),
             ended_jobs: Vec::new(),
             endpoints: EndpointTable::default(),
             free_capacity: FreeCapacity::default(),
--- a/crates/engine/src/fair_share.rs
+++ b/crates/engine/src/fair_share.rs
@@ -24,6 +24,12 @@
         self.weight * level
     }
 
+    /// Returns whether the demand exceeds the share at a level.
+    #[must_use]
+    pub fn exceeds_share(&self, level: f64) -> bool {
+        level.is_finite() && self.wanted > self.share(level)
+    }
+
     /// Returns whether the demand far exceeds the share at a level.
     #[must_use]
     pub fn has_excess_demand(&self, level: f64) -> bool {
--- a/crates/engine/src/job_refusals.rs
+++ b/crates/engine/src/job_refusals.rs
@@ -210,8 +210,11 @@
     }
 
     /// Returns what another account can have in use ahead of a job: what its quota allows and,
-    /// ahead of an account within its share, what the other one lacks to its own share if it has
-    /// excess demand.
+    /// ahead of an account within its share, what the other one lacks to its own share if it wants
+    /// more.
+    ///
+    /// Refusals keep the demand of a flooding account close to the limit of excess demand. With
+    /// that limit, the other accounts would be refused whenever it is just below.
     fn limit_ahead(&self, account: AccountNumber, is_over_share: bool) -> Limit {
         let quota = Limit::of_quota(&self.quotas.quota(account));
         match self.share_left_cpu_millis(account) {
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -241,14 +241,15 @@
         exceeds_quota(running, quota)
     }
 
-    /// Returns the accounts with excess demand, sorted, each with its fair share in thousandths of
-    /// a core. `waiting` is the waiting work of each account, and `free_cpu_millis` the capacity
+    /// Returns the accounts whose demand is counted at the fair level, sorted, each with its fair
+    /// share in thousandths of a core. `waiting` is the waiting work of each account, and `free_cpu_millis` the capacity
     /// available for it.
     #[must_use]
-    pub fn excess_demand_shares(
+    pub fn fair_shares(
         &self,
         waiting: &[(AccountNumber, u64)],
         free_cpu_millis: u64,
+        is_counted: impl Fn(&AccountDemand, f64) -> bool,
     ) -> Vec<(AccountNumber, f64)> {
         let mut demands: Vec<AccountDemand> = self.rows.iter().map(AccountUse::demand).collect();
         for &(number, cpu_millis) in waiting {
@@ -259,7 +260,7 @@
             .map(AccountNumber)
             .zip(demands)
             .skip(1)
-            .filter(|(_, demand)| demand.has_excess_demand(level))
+            .filter(|(_, demand)| is_counted(demand, level))
             .map(|(number, demand)| (number, demand.share(level)))
             .collect()
     }
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -8,6 +8,7 @@
         endpoints::{Endpoint, PlacedRun},
         engine::Engine,
         event::{Effect, EndpointKey, Now},
+        fair_share::AccountDemand,
         free_capacity::FreeSlot,
         job::{Resources, StepSpec, TaskRef},
         log_event::{LogEvent, QuotaWait, ShareWait},
@@ -165,6 +166,7 @@
     /// Finds the accounts with excess demand while capacity is short, and their fair shares.
     pub(crate) fn find_excess_demand(&mut self) {
         self.excess_demand.clear();
+        self.exceeded_shares.clear();
         if self.quotas.numbers().is_empty() {
             return;
         }
@@ -179,7 +181,13 @@
         let free = pools
             .iter()
             .map(|&pool| self.free_capacity.free_cpu_millis(pool));
-        self.excess_demand = self.quotas.excess_demand_shares(&waiting, free.sum());
+        let free = free.sum();
+        let shares = |is_counted: fn(&AccountDemand, f64) -> bool| {
+            self.quotas.fair_shares(&waiting, free, is_counted)
+        };
+        let excess_demand = shares(AccountDemand::has_excess_demand);
+        self.exceeded_shares = shares(AccountDemand::exceeds_share);
+        self.excess_demand = excess_demand;
     }
 
     /// Returns the fair share of an account with excess demand, in thousandths of a core.
@@ -196,10 +204,12 @@
             .is_some_and(|share| self.quotas.has_running(account, share))
     }
 
-    /// Returns how much an account with excess demand lacks to its fair share, in thousandths of a
-    /// core; `None` for other accounts.
+    /// Returns how much an account whose demand exceeds its fair share lacks to that share, in
+    /// thousandths of a core; `None` for other accounts.
     pub(crate) fn share_left_cpu_millis(&self, account: AccountNumber) -> Option<u64> {
-        let share = self.excess_demand_share(account)?;
+        let shares = &self.exceeded_shares;
+        let index = shares.binary_search_by_key(&account, |(known, _)| *known);
+        let share = shares[index.ok()?].1;
         Some(self.quotas.missing_cpu_millis(account, share))
     }
 
