Test admission under floods, late work and quotas

A pool full of late and too-late work accepts jobs that can be on time. A flood of five times the capacity is refused down to what can be completed, while all other jobs are accepted. An account is refused by its own work when that takes too long with its quota, by processor or memory.

--- a/crates/engine/tests/admission.rs
+++ b/crates/engine/tests/admission.rs
@@ -5,10 +5,10 @@
 use {
     common::{Fleet, account, job_id, queue, step},
     lynxwheel_engine::{
-        Admission, AdmissionRequest, CallerResponse, Event, JobSpec, LogEvent, Overload,
-        PoolCapacity, RefusalReason, StepSpec,
+        Admission, AdmissionRequest, CallerResponse, EndKind, Event, JobSpec, JobState, LogEvent,
+        Overload, PoolCapacity, Queue, RefusalReason, StepSpec, TaskRef,
     },
-    std::ops::Range,
+    std::{collections::VecDeque, ops::Range},
 };
 
 /// Cores of the fleet.
@@ -123,9 +123,13 @@
 
 /// Returns a fleet of two accounts that has been running for a while.
 fn fleet() -> Fleet {
+    fleet_of(CORES)
+}
+
+fn fleet_of(cores: u64) -> Fleet {
     let mut fleet = Fleet::new();
     fleet.configure_accounts(&[account("hot", 0), account("usual", 0)]);
-    fleet.list_endpoint("i-1", CORES * 1_000);
+    fleet.list_endpoint("i-1", cores * 1_000);
     fleet.advance(1_500);
     fleet
 }
@@ -162,6 +166,14 @@
     }
 }
 
+fn queue_without_objective() -> Queue {
+    Queue {
+        stretch: 0.0,
+        target_latency_ms: 0,
+        ..queue()
+    }
+}
+
 fn is_refused(response: CallerResponse) -> bool {
     matches!(response, CallerResponse::Overloaded { .. })
 }
@@ -225,13 +237,94 @@
     assert_eq!(submit(&mut fleet, "usual", 90), CallerResponse::Accepted);
 }
 
+/// Guards against refusals of jobs that can be on time because of work that starts after them.
+#[test]
+fn pool_full_of_late_work_accepts_jobs_on_time() {
+    let mut fleet = fleet();
+    for number in 1..=60 {
+        fleet.submit_for("hot", queue_without_objective(), number, job(vec![step(8)]));
+    }
+    // The jobs are late at once, and too late after 2 s.
+    for (wait_ms, number) in [(200, 100), (2_500, 110)] {
+        fleet.advance(wait_ms);
+        assert_eq!(submit(&mut fleet, "hot", number), CallerResponse::Accepted);
+        let other = submit(&mut fleet, "usual", number + 1);
+        assert_eq!(other, CallerResponse::Accepted);
+    }
+}
+
+/// Ends the runs that were there a second ago, given those of the last ten ticks.
+fn end_after_a_second(fleet: &mut Fleet, seen: &mut VecDeque<Vec<(TaskRef, u32)>>) {
+    seen.push_back(fleet.endpoints[0].running.clone());
+    if seen.len() == 10 {
+        for (task, run) in seen.pop_front().unwrap_or_default() {
+            fleet.endpoints[0].end(&task, run, EndKind::Done);
+        }
+        fleet.settle();
+    }
+}
+
+/// Guards against accepting far more of a flood than can be completed while it has a value, and
+/// against refusing the load of others for it.
+#[test]
+fn flood_is_refused_down_to_what_can_be_completed() {
+    let mut fleet = fleet_of(10 * CORES);
+    let mut seen = VecDeque::new();
+    let mut accepted = Vec::new();
+    // 800 cores of the flood and 20 of other work, for a pool of 160.
+    for tick in 0..180 {
+        for number in (1_000 + tick * 10..).take(10) {
+            if submit(&mut fleet, "hot", number) == CallerResponse::Accepted {
+                accepted.push((number, fleet.now.steady_ms));
+            }
+        }
+        if tick % 4 == 0 {
+            let response = submit(&mut fleet, "usual", 1 + tick);
+            assert_eq!(response, CallerResponse::Accepted);
+        }
+        fleet.advance(100);
+        end_after_a_second(&mut fleet, &mut seen);
+    }
+    let limit_ms = fleet.now.steady_ms - 1_000 - MAX_WAIT_MS;
+    let due = accepted.iter().filter(|(_, at_ms)| *at_ms <= limit_ms);
+    let is_done = |(number, _): &&(u64, u64)| fleet.job_state(*number) == Some(JobState::Completed);
+    let done = due.clone().filter(is_done).count();
+    // Jobs that are accepted on time may become late behind the work of others.
+    assert!(done * 4 >= due.count() * 3);
+    // 11.4 s of 140 cores are enough for 199 jobs of 8 core-seconds.
+    assert!(done >= 199, "{done}");
+}
+
+/// Guards against an account whose backlog is accepted although its quota delays it beyond any
+/// value, and against refusals of others for it.
+#[test]
+fn account_at_its_quota_is_refused_by_its_own_work() {
+    for (cpu_millis, memory_mb) in [(2_000, 0), (0, 200)] {
+        let mut fleet = fleet();
+        let mut limited = account("hot", 0);
+        (limited.quota.cpu_millis, limited.quota.memory_mb) = (cpu_millis, memory_mb);
+        fleet.configure_accounts(&[limited, account("usual", 0)]);
+        let is_accepted = [1, 2, 3].map(|number| {
+            let response = submit(&mut fleet, "hot", number);
+            fleet.advance(100);
+            response == CallerResponse::Accepted
+        });
+        assert_eq!(is_accepted, [true, true, false]);
+        let events = fleet.engine.take_log_events();
+        let mut reasons = events.iter().filter_map(|event| match event {
+            LogEvent::JobRefused(refusal) => Some(refusal.reason),
+            _ => None,
+        });
+        assert_eq!(reasons.next(), Some(RefusalReason::AccountAtQuota));
+        assert_eq!(submit(&mut fleet, "usual", 90), CallerResponse::Accepted);
+    }
+}
+
 /// Guards against refusals in queues that declare no objective.
 #[test]
 fn queue_without_objective_refuses_nothing() {
     let mut fleet = flooded_fleet();
-    let mut queue = queue();
-    (queue.stretch, queue.target_latency_ms) = (0.0, 0);
-    fleet.submit_for("hot", queue, LAST, job(vec![step(8)]));
+    fleet.submit_for("hot", queue_without_objective(), LAST, job(vec![step(8)]));
     fleet.settle();
     assert_eq!(response(&fleet, LAST), CallerResponse::Accepted);
 }
