Hand VMs over from pools with more than their on-time work needs

A pool with a backlog refills each freed slot, so its VMs never became idle: under a flood one pool kept 273 of 350 VMs at work on late jobs while the next one wanted 3,400 cores and more and had 22 VMs for three seconds. Pools above their target now stop filling VMs without long-running runs, those that are empty first before others, and each leaves as soon as it is empty.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -103,21 +103,8 @@
             }
             LogEvent::QuotaReached(wait) => log_quota_wait(epoch, wait),
             LogEvent::PoolPlanned(plan) => log_pool_plan(epoch, plan),
-            LogEvent::VmOrdered {
-                vm,
-                order,
-                is_retry,
-                listed,
-                list_age_ms,
-                endpoint,
-                runs,
-            } => info!(
-                event = "vm_ordered", epoch = epoch, vm = vm.as_str(), order:? = order,
-                is_retry = is_retry, list_age_ms = list_age_ms, listed_state:? = listed.state,
-                listed_pool = listed.pool.as_str(), listed_endpoint = listed.endpoint.as_str(),
-                endpoint = endpoint.as_str(), runs = runs;
-                "VM order decided"
-            ),
+            LogEvent::VacatingChanged { .. } => log_vacating(epoch, event),
+            LogEvent::VmOrdered { .. } => log_vm_ordered(epoch, event),
             LogEvent::VmOrderWithheld { vm } => log_vm_order_withheld(epoch, vm),
             LogEvent::EndpointResumed { endpoint, after_ms } => {
                 log_endpoint_resumed(epoch, endpoint, *after_ms);
@@ -131,6 +118,44 @@
     }
 }
 
+/// Logs a VM order.
+fn log_vm_ordered(epoch: u64, event: &LogEvent) {
+    if let LogEvent::VmOrdered {
+        vm,
+        order,
+        is_retry,
+        listed,
+        list_age_ms,
+        endpoint,
+        runs,
+    } = event
+    {
+        info!(
+            event = "vm_ordered", epoch = epoch, vm = vm.as_str(), order:? = order,
+            is_retry = is_retry, list_age_ms = list_age_ms, listed_state:? = listed.state,
+            listed_pool = listed.pool.as_str(), listed_endpoint = listed.endpoint.as_str(),
+            endpoint = endpoint.as_str(), runs = runs;
+            "VM order decided"
+        );
+    }
+}
+
+/// Logs that endpoints of a pool take no more work or take work again.
+fn log_vacating(epoch: u64, event: &LogEvent) {
+    if let LogEvent::VacatingChanged {
+        pool,
+        is_vacating,
+        endpoints,
+    } = event
+    {
+        info!(
+            event = "vm_vacating", epoch = epoch, pool = pool.as_str(),
+            is_vacating = is_vacating, endpoints = endpoints;
+            "endpoints take no more work or take work again"
+        );
+    }
+}
+
 /// Logs that an endpoint refused an order.
 fn log_refused_order(epoch: u64, refused: &RefusedOrder) {
     let RefusedOrder {
@@ -210,6 +235,7 @@
         members,
         pinned,
         arriving,
+        vacating,
         supply_cpu_millis,
         used_cpu_millis,
         used_memory_mb,
@@ -221,13 +247,14 @@
         ("members", gauge_value(*members)),
         ("pinned", gauge_value(*pinned)),
         ("arriving", gauge_value(*arriving)),
+        ("vacating", gauge_value(*vacating)),
     ];
     for (what, value) in gauges {
         gauge!("lynxwheel_pool_vms", "pool" => pool.to_string(), "what" => what).set(value);
     }
     info!(
         event = "pool", epoch = epoch, pool = pool.as_str(), members = members, pinned = pinned,
-        arriving = arriving, supply_cpu_millis = supply_cpu_millis,
+        arriving = arriving, vacating = vacating, supply_cpu_millis = supply_cpu_millis,
         used_cpu_millis = used_cpu_millis, used_memory_mb = used_memory_mb,
         wanted_cpu_millis = wanted_cpu_millis, moved_in = moved_in, moved_out = moved_out;
         "pool planned"
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -25,6 +25,8 @@
     total: Balance,
     /// Balances of features that only some VMs have and waiting work asks for.
     features: Vec<(VmFeature, Balance)>,
+    /// Endpoints that take no more work.
+    pub(crate) vacating: usize,
     /// VMs ordered into the pool in this planning round.
     moved_in: usize,
     /// VMs ordered out of the pool in this planning round.
@@ -44,6 +46,7 @@
             members: self.total.members,
             pinned: self.total.pinned,
             arriving: self.total.arriving_vms,
+            vacating: self.vacating,
             supply_cpu_millis: self.total.supply,
             used_cpu_millis: self.total.used.cpu_millis,
             used_memory_mb: self.total.used.memory_mb,
@@ -80,10 +83,30 @@
         missing.max_by_key(|(_, missing)| *missing)
     }
 
+    /// Returns how many of the VMs whose endpoints accept starts the pool can spare.
+    pub(crate) fn releasable_vms(&self) -> usize {
+        self.total.members.saturating_sub(self.min_members())
+    }
+
+    fn min_members(&self) -> usize {
+        MIN_VMS.max(self.total.needed_members)
+    }
+
+    /// Returns whether work of the pool requires a feature of a VM.
+    pub(crate) fn requires_feature_of(
+        &self,
+        labels: &[CompactString],
+        capacity: &Resources,
+    ) -> bool {
+        self.features
+            .iter()
+            .any(|(kind, _)| kind.is_required() && kind.is_of(labels, capacity))
+    }
+
     /// Returns whether the pool can spare a VM.
     pub(crate) fn can_spare(&self, vm: &Vm) -> bool {
         let entry = &vm.entry;
-        let min_members = MIN_VMS.max(self.total.needed_members);
+        let min_members = self.min_members();
         let mut features = self
             .features
             .iter()
@@ -129,9 +152,12 @@
         self.add_arriving_vm(vm);
     }
 
-    /// Counts a VM ordered out of the pool.
-    pub(crate) fn remove_vm(&mut self, vm: &Vm) {
+    /// Counts a VM ordered out of the pool. A vacating one is not part of the supply any more.
+    pub(crate) fn remove_vm(&mut self, vm: &Vm, is_vacating: bool) {
         self.moved_out += 1;
+        if is_vacating {
+            return;
+        }
         let cpu = vm.entry.capacity.cpu_millis;
         self.total.supply = self.total.supply.saturating_sub(cpu);
         self.total.members = self.total.members.saturating_sub(1);
@@ -275,6 +301,7 @@
                 continue;
             }
             let load = &mut loads[index];
+            load.vacating += usize::from(endpoint.is_vacating);
             let accepts_starts = endpoint.accepts_starts(now.steady_ms);
             load.total.used.add(&endpoint.used);
             load.total
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -153,6 +153,8 @@
     pub is_reconciled: bool,
     /// Whether it is being drained for a move or for maintenance.
     pub is_cordoned: bool,
+    /// Whether it takes no more work, so that its VM can move once its runs have ended.
+    pub is_vacating: bool,
     /// Position among the registry entries that this owner saw being written; 0 for existing ones.
     pub registration_order: u64,
     /// Consecutive failed calls.
@@ -222,6 +224,7 @@
             ended_at_ms: 0,
             is_reconciled: false,
             is_cordoned: false,
+            is_vacating: false,
             registration_order: 0,
             failed_calls: 0,
             failed_runs: 0,
@@ -318,6 +321,15 @@
     /// Returns whether new runs may start there.
     #[must_use]
     pub fn accepts_starts(&self, now_ms: u64) -> bool {
+        !self.is_vacating && self.is_usable() && now_ms >= self.cooldown_until_ms
+    }
+
+    /// Returns whether the endpoint would accept starts if it were not vacating.
+    pub(crate) fn is_vacated_only(&self) -> bool {
+        self.is_vacating && self.is_usable()
+    }
+
+    fn is_usable(&self) -> bool {
         self.is_registered
             && !self.has_ended
             && !self.is_draining
@@ -325,7 +337,6 @@
             && self.is_reconciled
             && self.failed_calls == 0
             && self.unsized_runs == 0
-            && now_ms >= self.cooldown_until_ms
     }
 
     /// Returns the free resources.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -44,6 +44,7 @@
 mod event;
 mod fair_share;
 mod free_capacity;
+mod handover;
 mod job;
 mod job_table;
 mod leases;
@@ -63,6 +64,7 @@
 mod stored;
 mod stragglers;
 mod timing;
+mod vacating;
 mod vm_cooldowns;
 mod vms;
 mod waves;
@@ -81,6 +83,7 @@
         ReplyToken, StartOrder, VmOutcome,
     },
     fair_share::{AccountDemand, fair_level},
+    handover::{ReleaseCandidate, choose_vacating},
     job::{JobId, JobSpec, JobState, ParseNameError, Resources, StepSpec, TaskRef},
     log_event::{
         LogEvent, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder, ShareWait, UnwantedRun,
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -38,6 +38,8 @@
     pub pinned: usize,
     /// VMs that are moving into the pool.
     pub arriving: usize,
+    /// Endpoints that take no more work, so that their VMs can move.
+    pub vacating: usize,
     /// Capacity of the endpoints that accept starts, in thousandths of a core.
     pub supply_cpu_millis: u64,
     /// Processor in use, in thousandths of a core.
@@ -180,6 +182,15 @@
     ShareReached(ShareWait),
     /// Pools were planned.
     PoolPlanned(PoolPlan),
+    /// Endpoints of a pool take no more work, or take work again.
+    VacatingChanged {
+        /// Pool.
+        pool: CompactString,
+        /// Whether they take no more work.
+        is_vacating: bool,
+        /// Number of endpoints.
+        endpoints: usize,
+    },
     /// A VM order was decided or is retried.
     VmOrdered {
         /// VM.
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -23,15 +23,16 @@
     /// Moves VMs to pools with waiting work, and switches off idle ones.
     pub(crate) fn plan_pools(&mut self, now: Now) {
         let mut loads = self.pool_loads(now);
-        let pools = loads.iter().map(PoolLoad::capacity).collect();
-        self.capacity_plan = CapacityPlan::new(pools, now);
         if !self.may_order_vms || self.vms.is_empty() {
-            return;
+            self.update_capacity_plan(&loads, now);
+            return self.stop_vacating();
         }
         self.retry_vm_orders(now);
         let idle = self.idle_vms(now);
         let mut spares = self.spares(&loads, &idle, now);
         self.fetch_missing(&mut loads, &mut spares, now);
+        self.update_capacity_plan(&loads, now);
+        self.update_vacating(&loads, now);
         // Late work is counted last, so that it takes no VM from work that can still be on time.
         for load in &mut loads {
             load.include_late();
@@ -41,6 +42,11 @@
         self.log_pool_plans(&loads, now);
     }
 
+    fn update_capacity_plan(&mut self, loads: &[PoolLoad], now: Now) {
+        let pools = loads.iter().map(PoolLoad::capacity).collect();
+        self.capacity_plan = CapacityPlan::new(pools, now);
+    }
+
     /// Moves VMs to the pools with the largest shortage while there are any to move.
     fn fetch_missing(&mut self, loads: &mut [PoolLoad], spares: &mut SpareVms, now: Now) {
         let mut unmet: Vec<(usize, VmFeature)> = Vec::new();
@@ -78,7 +84,7 @@
     fn record_departure(&self, loads: &mut [PoolLoad], vm: usize) {
         let vm = &self.vms[vm];
         if let Some(index) = load_index(loads, &vm.entry.pool) {
-            loads[index].remove_vm(vm);
+            loads[index].remove_vm(vm, self.is_vacating(vm));
         }
     }
 
@@ -115,16 +121,26 @@
         };
         let score = |index: usize| load.suitability(&self.vms[index]);
         let score: Option<&dyn Fn(usize) -> u64> = load.requires_features().then_some(&score);
-        spares.take(fits, score, |index| can_leave(loads, &self.vms[index]))
+        spares.take(fits, score, |index| {
+            let vm = &self.vms[index];
+            self.is_vacating(vm) || can_leave(loads, vm)
+        })
+    }
+
+    fn is_vacating(&self, vm: &Vm) -> bool {
+        let endpoint = self.endpoint_of_vm(&vm.entry.name);
+        endpoint.is_some_and(|key| self.endpoints.get(key).is_vacating)
     }
 
-    /// Returns the idle VMs that accept starts with their endpoints, sorted.
+    /// Returns the idle VMs that accept starts or are vacating with their endpoints, sorted.
     fn idle_vms(&self, now: Now) -> Vec<(usize, EndpointKey)> {
         let mut idle: Vec<(usize, EndpointKey)> = self
             .endpoints
             .iter()
             .filter(|(_, endpoint)| {
-                endpoint.placed_runs.is_empty() && endpoint.accepts_starts(now.steady_ms)
+                let is_usable =
+                    endpoint.accepts_starts(now.steady_ms) || endpoint.is_vacated_only();
+                endpoint.placed_runs.is_empty() && is_usable
             })
             // Only the latest incarnation on a VM counts.
             .filter(|(key, endpoint)| self.endpoints.on_vm(endpoint.vm()) == Some(*key))
--- /dev/null
+++ b/crates/engine/tests/handover.rs
@@ -0,0 +1,164 @@
+//! Hand-over of VMs from pools with late work to pools with on-time work.
+
+mod common;
+
+use {
+    common::{Fleet, POOL, pool, queue, standby_vm, step},
+    lynxwheel_engine::{
+        CapacityPlan, Event, FleetConfig, JobSpec, Now, PoolCapacity, Queue, ReleaseCandidate,
+        StepSpec, VmEntry, VmState, choose_vacating,
+    },
+};
+
+/// Processor of each VM, in thousandths of a core.
+const CPU_MILLIS: u64 = 16_000;
+
+/// Another pool with its own queue.
+const OTHER: &str = "crews";
+
+/// Returns a plan of a pool with VMs and one without, both with a need in VMs.
+fn plan(vms: u64, needed: u64, needed_other: u64) -> CapacityPlan {
+    let capacity = |name: &str, vms, needed| PoolCapacity {
+        pool: name.into(),
+        supply_cpu_millis: vms * CPU_MILLIS,
+        needed_cpu_millis: needed * CPU_MILLIS,
+        ..PoolCapacity::default()
+    };
+    let pools = vec![capacity("a", vms, needed), capacity("b", 0, needed_other)];
+    CapacityPlan::new(pools, Now::default())
+}
+
+/// Returns candidates in the first pool, each with the time until its runs have ended.
+fn candidates(vacating: &[u64], others: &[u64]) -> Vec<ReleaseCandidate> {
+    let known = vacating.iter().map(|&busy_ms| (busy_ms, true));
+    let known = known.chain(others.iter().map(|&busy_ms| (busy_ms, false)));
+    known
+        .zip(0..)
+        .map(|((busy_ms, is_vacating), endpoint)| ReleaseCandidate {
+            endpoint,
+            pool_index: 0,
+            cpu_millis: CPU_MILLIS,
+            is_vacating,
+            busy_ms,
+        })
+        .collect()
+}
+
+macro_rules! choices {
+    ($($(#[$doc:meta])* $name:ident: $plan:expr, $releasable:expr, $candidates:expr => $chosen:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            assert_eq!(choose_vacating(&$plan, &[$releasable, 0], $candidates), $chosen);
+        })*
+    };
+}
+
+choices! {
+    /// Guards against a pool that keeps all VMs for late work, which is no need.
+    surplus_is_released_by_the_end_of_runs:
+        plan(4, 1, 2), 4, candidates(&[], &[900, 100, 500, 300]) => [1, 3];
+
+    /// Guards against slots that are refilled because another VM seems empty earlier.
+    vacating_vms_stay_chosen: plan(3, 1, 2), 3, candidates(&[900], &[100, 500, 300]) => [0, 1];
+
+    /// Guards against VMs that never take work again.
+    vms_are_kept_once_nothing_is_missing: plan(3, 1, 0), 3, candidates(&[900], &[100]) => [];
+
+    /// Guards against a pool that loses the VMs that its long-running tasks need.
+    members_that_the_pool_needs_are_kept: plan(4, 1, 3), 1, candidates(&[], &[100, 200, 300]) => [0];
+
+    /// Guards against moves back and forth between two pools that are equally short of capacity.
+    small_surplus_is_kept: plan(2, 2, 1), 2, candidates(&[], &[100, 200]) => [];
+
+    /// Guards against a long queue that starves others once no pool's need can be met.
+    short_capacity_is_shared: plan(4, 4, 4), 4, candidates(&[], &[100, 200, 300, 400]) => [0];
+}
+
+/// Returns a fleet with two pools, of which one has VMs with an endpoint each.
+fn fleet_with_vms(vms: usize) -> Fleet {
+    let mut fleet = Fleet::new();
+    let other_queue = Queue {
+        host: "crews.example".into(),
+        path_prefix: "/crews/".into(),
+        pool: OTHER.into(),
+        ..queue()
+    };
+    let config = FleetConfig {
+        version: 2,
+        queues: vec![queue(), other_queue],
+        pools: vec![pool(OTHER, false), pool(POOL, false), pool("spare", true)],
+        ..FleetConfig::default()
+    };
+    fleet.handle(Event::ConfigChanged(config.into()));
+    for number in 0..vms {
+        let (vm, endpoint) = (format!("vm-{number}"), format!("i-{number}"));
+        fleet.list_endpoint_on(&vm, &endpoint, POOL, CPU_MILLIS);
+    }
+    let entries = (0..vms).map(|number| VmEntry {
+        pool: POOL.into(),
+        state: VmState::Up,
+        endpoint: format!("i-{number}").into(),
+        ..standby_vm(&format!("vm-{number}"))
+    });
+    fleet.list_vms(entries.collect());
+    fleet.advance(200);
+    fleet.engine.allow_vm_orders(true);
+    fleet
+}
+
+fn submit(fleet: &mut Fleet, number: u64, pool: &str, tasks: u16) {
+    let host = if pool == POOL {
+        queue()
+    } else {
+        Queue {
+            host: "crews.example".into(),
+            path_prefix: "/crews/".into(),
+            pool: OTHER.into(),
+            ..queue()
+        }
+    };
+    let spec = JobSpec {
+        steps: vec![StepSpec {
+            estimated_ms: 500,
+            ..step(tasks)
+        }],
+        ..JobSpec::default()
+    };
+    fleet.submit_to(host, number, spec);
+}
+
+/// Guards against a pool with a late backlog that refills each freed slot, so that no VM becomes
+/// idle while on-time work of another pool waits for VMs.
+#[test]
+fn pool_with_a_late_backlog_hands_vms_over() {
+    let mut fleet = fleet_with_vms(6);
+    submit(&mut fleet, 1, POOL, 400);
+    fleet.advance(4_000);
+    submit(&mut fleet, 2, OTHER, 32);
+    for _ in 0..3 {
+        fleet.advance(100);
+        fleet.end_all_done();
+    }
+    fleet.advance(100);
+    let moved = fleet.moves().into_iter().filter(|(_, pool)| *pool == OTHER);
+    assert!(moved.count() >= 2, "{:?}", fleet.moves());
+}
+
+/// Guards against VMs without work after the need for them has gone.
+#[test]
+fn vacating_vms_take_work_again_once_nothing_is_missing() {
+    let mut fleet = fleet_with_vms(6);
+    submit(&mut fleet, 1, POOL, 400);
+    fleet.advance(4_000);
+    submit(&mut fleet, 2, OTHER, 32);
+    fleet.advance(100);
+    let vacating = |fleet: &Fleet| {
+        let endpoints = fleet.engine.endpoints().iter();
+        endpoints
+            .filter(|(_, endpoint)| endpoint.is_vacating)
+            .count()
+    };
+    assert!(vacating(&fleet) > 0);
+    fleet.engine.allow_vm_orders(false);
+    fleet.advance(100);
+    assert_eq!(vacating(&fleet), 0);
+}
