Complete started jobs before others of the same urgency

With the least slack first, each job of a backlog started when its slack was used up and its later steps made it late, after its first step had taken the capacity of others. The new test failed before.

--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -6,7 +6,7 @@
         crashes::Suspicion,
         event::Now,
         free_capacity::PoolNumber,
-        job::{JobId, Resources, StepSpec, TaskRef},
+        job::{JobId, JobState, Resources, StepSpec, TaskRef},
         quota::AccountNumber,
         state::{Job, StepRun},
         timing::{Timing, Urgency},
@@ -31,6 +31,8 @@
     pub(crate) account: AccountNumber,
     priority: u32,
     is_long_running: bool,
+    /// Whether any task of the job has started.
+    is_started: bool,
     timing: Timing,
 }
 
@@ -56,6 +58,7 @@
             account: job.account_number,
             priority: job.queue.priority,
             is_long_running: spec.long_running,
+            is_started: job.state == JobState::Running,
             timing: Timing::new(job, occurrence),
         }
     }
@@ -66,7 +69,11 @@
     }
 
     /// Returns the sort key of the start order; steps without waiting tasks come last.
-    fn rank(&self, now: Now) -> (Reverse<bool>, Urgency, u32, i64, TaskRef) {
+    ///
+    /// Among jobs that are equally urgent, those that have started are completed first. With the
+    /// least slack first only, each job starts when its slack is used up, and its later steps make
+    /// it late.
+    fn rank(&self, now: Now) -> (Reverse<bool>, Urgency, Reverse<bool>, u32, i64, TaskRef) {
         let urgency = if self.is_long_running {
             Urgency::LongRunning
         } else {
@@ -77,6 +84,7 @@
         (
             has_waiting,
             urgency,
+            Reverse(self.is_started),
             self.priority,
             slack_ms,
             self.first_task,
