Start jobs as on time only with some slack to spare

A job that starts with no slack at all is late with any delay of its later steps. Those that have not started now need an eighth of their critical path and 100 ms; the exhaustive search of the placement test follows both this rule and the one that completes started jobs first. The new test failed before.

--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -77,7 +77,7 @@
         let urgency = if self.is_long_running {
             Urgency::LongRunning
         } else {
-            self.timing.urgency(now)
+            self.timing.urgency(self.is_started, now)
         };
         let slack_ms = self.timing.slack_ms(now);
         let has_waiting = Reverse(self.waiting > 0);
--- a/crates/engine/src/timing.rs
+++ b/crates/engine/src/timing.rs
@@ -5,6 +5,13 @@
 /// Multiple of the objective beyond which a faster completion has no value.
 const LATE_FACTOR: f64 = 3.0;
 
+/// Part of the critical path that a job has to have left as slack to start as one that can be on
+/// time. Declared durations are often exceeded by that much.
+const START_RESERVE_DIVISOR: u64 = 8;
+
+/// Slack beyond that part, in milliseconds: the start and the report of the end of a job's runs.
+const START_RESERVE_MS: u64 = 100;
+
 /// Start order of waiting tasks; lower values start first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Urgency {
@@ -53,9 +60,21 @@
         to_i64(self.objective_ms) - to_i64(self.elapsed_ms(now)) - to_i64(self.remaining_ms)
     }
 
-    /// Returns the urgency of its finite tasks.
-    pub(crate) fn urgency(&self, now: Now) -> Urgency {
-        if self.slack_ms(now) >= 0 {
+    /// Returns the slack that it needs to count as on time, in milliseconds.
+    ///
+    /// A job that starts with no slack at all is late with any delay of its later steps, and has
+    /// then taken capacity from one that could have been on time.
+    fn reserve_ms(&self, is_started: bool) -> i64 {
+        if is_started {
+            return 0;
+        }
+        to_i64(self.remaining_ms / START_RESERVE_DIVISOR + START_RESERVE_MS)
+    }
+
+    /// Returns the urgency of its finite tasks. `is_started` is whether any task of the job has
+    /// started.
+    pub(crate) fn urgency(&self, is_started: bool, now: Now) -> Urgency {
+        if self.slack_ms(now) >= self.reserve_ms(is_started) {
             Urgency::OnTime
         } else if to_f64(self.elapsed_ms(now) + self.remaining_ms)
             < LATE_FACTOR * to_f64(self.objective_ms)
--- a/crates/engine/tests/placement.rs
+++ b/crates/engine/tests/placement.rs
@@ -5,8 +5,8 @@
 use {
     common::{Fleet, POOL, job_id, step},
     lynxwheel_engine::{
-        EndKind, Endpoint, EndpointKey, EndpointTable, Engine, Job, JobSpec, Phase, Resources,
-        StepSpec, TaskRef,
+        EndKind, Endpoint, EndpointKey, EndpointTable, Engine, Job, JobSpec, JobState, Phase,
+        Resources, StepSpec, TaskRef,
     },
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -18,8 +18,9 @@
 
 /// A step with waiting tasks and its rank in the start order.
 struct Candidate {
-    /// Urgency (long-running, on time, late, too late), priority, slack, first task.
-    rank: (u8, u32, i64, TaskRef),
+    /// Urgency (long-running, on time, late, too late), whether the job has not started, priority,
+    /// slack, first task.
+    rank: (u8, bool, u32, i64, TaskRef),
     spec: StepSpec,
     waiting: Vec<u16>,
 }
@@ -61,7 +62,7 @@
     } in candidates
     {
         for index in waiting {
-            let task = TaskRef { index, ..rank.3 };
+            let task = TaskRef { index, ..rank.4 };
             let job = engine.jobs().find(|job| job.id == task.job);
             let avoid = job
                 .and_then(|job| job.task(&task))
@@ -107,7 +108,13 @@
             };
             let (urgency, slack_ms) = urgency(job, spec, remaining_ms, now_ms);
             found.push(Candidate {
-                rank: (urgency, job.queue.priority, slack_ms, first),
+                rank: (
+                    urgency,
+                    !is_started(job),
+                    job.queue.priority,
+                    slack_ms,
+                    first,
+                ),
                 spec: spec.clone(),
                 waiting,
             });
@@ -116,15 +123,25 @@
     found
 }
 
+fn is_started(job: &Job) -> bool {
+    job.state == JobState::Running
+}
+
 /// Returns the urgency and slack of a step, with an objective of 1.6 critical paths and 600 ms.
 fn urgency(job: &Job, spec: &StepSpec, remaining_ms: u64, now_ms: u64) -> (u8, i64) {
     let objective_ms = job.spec.critical_path_ms() * 8 / 5 + job.queue.target_latency_ms;
     let passed_ms = now_ms - job.accepted_ms;
     let signed = |ms: u64| i64::try_from(ms).expect("a short time");
     let slack_ms = signed(objective_ms) - signed(passed_ms) - signed(remaining_ms);
+    // A job that has not started needs some slack beyond its critical path.
+    let reserve_ms = if is_started(job) {
+        0
+    } else {
+        signed(remaining_ms / 8) + 100
+    };
     let urgency = if spec.long_running {
         0
-    } else if slack_ms >= 0 {
+    } else if slack_ms >= reserve_ms {
         1
     } else if passed_ms + remaining_ms < 3 * objective_ms {
         2
--- a/crates/engine/tests/start_order.rs
+++ b/crates/engine/tests/start_order.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use {
-    common::{Fleet, step},
-    lynxwheel_engine::{JobSpec, StepSpec},
+    common::{Fleet, queue, step},
+    lynxwheel_engine::{JobSpec, Queue, StepSpec},
 };
 
 /// Guards against jobs that each start as their slack runs out: under a backlog nearly all of them
@@ -32,3 +32,32 @@
     assert_eq!(fleet.starts("0000000000000001.0.1.0"), 1);
     assert_eq!(fleet.starts("0000000000000002.0.0.0"), 0);
 }
+
+/// Guards against starting jobs that will be late with the slightest delay instead of ones that can
+/// still be on time.
+#[test]
+fn job_with_next_to_no_slack_comes_after_one_with_some() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.advance(300);
+    fleet.submit(1, 4);
+    fleet.settle();
+    fleet.submit(2, 4);
+    // The objective of 2,200 ms leaves a slack of 200 ms by now.
+    fleet.advance(1_000);
+    fleet.submit_to(
+        Queue {
+            target_latency_ms: 400,
+            ..queue()
+        },
+        3,
+        JobSpec {
+            steps: vec![step(4)],
+            ..JobSpec::default()
+        },
+    );
+    fleet.end_all_done();
+    fleet.advance(100);
+    assert_eq!(fleet.starts("0000000000000003.0.0.0"), 1);
+    assert_eq!(fleet.starts("0000000000000002.0.0.0"), 0);
+}
