--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -4,7 +4,11 @@
 //! take capacity from jobs that can still be on time, and its caller would wait in vain.
 
 use {
-    crate::{capacity_plan::PoolCapacity, job::JobId, timing::LATE_FACTOR},
+    crate::{
+        capacity_plan::PoolCapacity,
+        job::JobId,
+        timing::{LATE_FACTOR, start_reserve_ms},
+    },
     std::hash::{DefaultHasher, Hasher},
 };
 
@@ -91,9 +95,9 @@
         .saturating_sub(critical_path_ms)
 }
 
-/// Returns how long a job may wait and still be on time, in milliseconds.
+/// Returns how long a job may wait and still start as one that can be on time, in milliseconds.
 pub(crate) fn slack_ms(critical_path_ms: u64, objective_ms: u64) -> u64 {
-    objective_ms.saturating_sub(critical_path_ms)
+    objective_ms.saturating_sub(critical_path_ms + start_reserve_ms(critical_path_ms))
 }
 
 /// Predicted waits of a job, in milliseconds.
--- a/crates/engine/src/job_refusals.rs
+++ b/crates/engine/src/job_refusals.rs
@@ -44,7 +44,7 @@
 /// Times within which work ahead of a job has to start to delay it.
 #[derive(Clone, Copy, Debug)]
 struct AheadTimes {
-    /// How long the job may wait and still be on time, in milliseconds.
+    /// How long the job may wait and still start as one that can be on time, in milliseconds.
     slack_ms: u64,
     /// How long it may wait and still have a value, in milliseconds.
     max_wait_ms: u64,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -45,6 +45,7 @@
 mod event;
 mod fair_share;
 mod free_capacity;
+mod handover;
 mod job;
 mod job_refusals;
 mod job_table;
@@ -65,6 +66,7 @@
 mod stored;
 mod stragglers;
 mod timing;
+mod vacating;
 mod vm_cooldowns;
 mod vms;
 mod waiting_work;
@@ -85,6 +87,7 @@
         ReplyToken, StartOrder, VmOutcome,
     },
     fair_share::{AccountDemand, fair_level},
+    handover::{ReleaseCandidate, choose_vacating},
     job::{JobId, JobSpec, JobState, ParseNameError, Resources, StepSpec, TaskRef},
     log_event::{
         JobRefusal, LogEvent, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder, ShareWait,
--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -6,7 +6,7 @@
         crashes::Suspicion,
         event::Now,
         free_capacity::PoolNumber,
-        job::{JobId, Resources, StepSpec, TaskRef},
+        job::{JobId, JobState, Resources, StepSpec, TaskRef},
         quota::AccountNumber,
         state::{Job, StepRun},
         timing::{Timing, Urgency},
@@ -35,6 +35,8 @@
     pub(crate) work: Resources,
     priority: u32,
     is_long_running: bool,
+    /// Whether any task of the job has started.
+    is_started: bool,
     timing: Timing,
 }
 
@@ -61,6 +63,7 @@
             work: open_step_work(job, run, step),
             priority: job.queue.priority,
             is_long_running: spec.long_running,
+            is_started: job.state == JobState::Running,
             timing: Timing::new(job, occurrence),
         }
     }
@@ -75,17 +78,22 @@
         if self.is_long_running {
             Urgency::LongRunning
         } else {
-            self.timing.urgency(now)
+            self.timing.urgency(self.is_started, now)
         }
     }
 
     /// Returns the sort key of the start order; steps without waiting tasks come last.
-    fn rank(&self, now: Now) -> (Reverse<bool>, Urgency, u32, i64, TaskRef) {
+    ///
+    /// Among jobs that are equally urgent, those that have started are completed first. With the
+    /// least slack first only, each job starts when its slack is used up, and its later steps make
+    /// it late.
+    fn rank(&self, now: Now) -> (Reverse<bool>, Urgency, Reverse<bool>, u32, i64, TaskRef) {
         let slack_ms = self.timing.slack_ms(now);
         let has_waiting = Reverse(self.waiting > 0);
         (
             has_waiting,
             self.urgency(now),
+            Reverse(self.is_started),
             self.priority,
             slack_ms,
             self.first_task,
--- /dev/null
+++ b/crates/engine/tests/start_order.rs
@@ -0,0 +1,63 @@
+//! Start order of waiting tasks while capacity is short.
+
+mod common;
+
+use {
+    common::{Fleet, queue, step},
+    lynxwheel_engine::{JobSpec, Queue, StepSpec},
+};
+
+/// Guards against jobs that each start as their slack runs out: under a backlog nearly all of them
+/// were late with a later step, after they had taken the capacity of others for the first.
+#[test]
+fn tasks_of_started_jobs_come_before_jobs_with_less_slack() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.advance(300);
+    let second = StepSpec {
+        depends_on: vec![0],
+        ..step(4)
+    };
+    fleet.submit_spec(
+        1,
+        JobSpec {
+            steps: vec![step(4), second],
+            ..JobSpec::default()
+        },
+    );
+    fleet.settle();
+    fleet.submit(2, 4);
+    fleet.end_all_done();
+    fleet.advance(100);
+    assert_eq!(fleet.starts("0000000000000001.0.1.0"), 1);
+    assert_eq!(fleet.starts("0000000000000002.0.0.0"), 0);
+}
+
+/// Guards against starting jobs that will be late with the slightest delay instead of ones that can
+/// still be on time.
+#[test]
+fn job_with_next_to_no_slack_comes_after_one_with_some() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.advance(300);
+    fleet.submit(1, 4);
+    fleet.settle();
+    fleet.submit(2, 4);
+    // The objective of 2,200 ms leaves a slack of 200 ms by now.
+    fleet.advance(1_000);
+    fleet.submit_to(
+        Queue {
+            target_latency_ms: 400,
+            ..queue()
+        },
+        3,
+        JobSpec {
+            steps: vec![step(4)],
+            ..JobSpec::default()
+        },
+    );
+    fleet.end_all_done();
+    fleet.advance(100);
+    assert_eq!(fleet.starts("0000000000000003.0.0.0"), 1);
+    assert_eq!(fleet.starts("0000000000000002.0.0.0"), 0);
+}
