Start late jobs before they lose all value while the fleet is not short

Late jobs came after all that could be on time, also while VMs for both were on their way, and newer jobs overtook them until three times their objective was over. Those in the last third of that time now come first, unless the on-time work of all pools needs more than the fleet has. The new test fails without the rule.

--- a/crates/engine/src/capacity_plan.rs
+++ b/crates/engine/src/capacity_plan.rs
@@ -90,6 +90,13 @@
         Some(now.steady_ms.saturating_sub(made_at_ms))
     }
 
+    /// Returns whether the capacity of all pools is below their needs.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        let mut pools = self.pools.iter();
+        pools.any(|pool| pool.target_cpu_millis < pool.needed_cpu_millis)
+    }
+
     /// Returns the capacity of a pool.
     #[must_use]
     pub fn pool(&self, name: &str) -> Option<&PoolCapacity> {
--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -73,11 +73,19 @@
     /// Among jobs that are equally urgent, those that have started are completed first. With the
     /// least slack first only, each job starts when its slack is used up, and its later steps make
     /// it late.
-    fn rank(&self, now: Now) -> (Reverse<bool>, Urgency, Reverse<bool>, u32, i64, TaskRef) {
+    fn rank(
+        &self,
+        is_short: bool,
+        now: Now,
+    ) -> (Reverse<bool>, Urgency, Reverse<bool>, u32, i64, TaskRef) {
         let urgency = if self.is_long_running {
             Urgency::LongRunning
         } else {
-            self.timing.urgency(self.is_started, now)
+            match self.timing.urgency(self.is_started, now) {
+                // Late jobs are worth much less than those that can still be on time.
+                Urgency::Expiring if is_short => Urgency::Late,
+                urgency => urgency,
+            }
         };
         let slack_ms = self.timing.slack_ms(now);
         let has_waiting = Reverse(self.waiting > 0);
@@ -133,9 +141,10 @@
         }
     }
 
-    /// Sorts the steps by urgency. Little changes between two calls, which makes the sort fast.
-    pub(crate) fn sort(&mut self, now: Now) {
-        self.steps.sort_by_key(|step| step.rank(now));
+    /// Sorts the steps by urgency; `is_short` is whether the fleet lacks capacity for work that can
+    /// be on time. Little changes between two calls, which makes the sort fast.
+    pub(crate) fn sort(&mut self, is_short: bool, now: Now) {
+        self.steps.sort_by_key(|step| step.rank(is_short, now));
     }
 
     /// Returns the step at an index of the start order, or `None` once no tasks are waiting.
--- a/crates/engine/src/schedule.rs
+++ b/crates/engine/src/schedule.rs
@@ -75,7 +75,7 @@
         if self.config.version == 0 {
             return;
         }
-        self.open_steps.sort(now);
+        self.open_steps.sort(self.capacity_plan.is_short(), now);
         self.place_isolated_tasks(now);
         let mut over_share = Vec::new();
         let mut index = 0;
--- a/crates/engine/src/timing.rs
+++ b/crates/engine/src/timing.rs
@@ -5,6 +5,10 @@
 /// Multiple of the objective beyond which a faster completion has no value.
 const LATE_FACTOR: f64 = 3.0;
 
+/// Multiple of the objective from which a late job is about to lose the value that it still has: the
+/// last third of its time.
+const EXPIRING_FACTOR: f64 = 2.0;
+
 /// Part of the critical path that a job has to have left as slack to start as one that can be on
 /// time. Declared durations are often exceeded by that much.
 const START_RESERVE_DIVISOR: u64 = 8;
@@ -17,6 +21,8 @@
 pub(crate) enum Urgency {
     /// Long-running, so that any delay is downtime.
     LongRunning,
+    /// Late, and soon too late for a completion to have any value.
+    Expiring,
     /// Can complete on time.
     OnTime,
     /// Late, but an early completion still has some value.
@@ -76,14 +82,20 @@
     pub(crate) fn urgency(&self, is_started: bool, now: Now) -> Urgency {
         if self.slack_ms(now) >= self.reserve_ms(is_started) {
             Urgency::OnTime
-        } else if to_f64(self.elapsed_ms(now) + self.remaining_ms)
-            < LATE_FACTOR * to_f64(self.objective_ms)
-        {
-            Urgency::Late
-        } else {
+        } else if self.completion_factor(now) >= LATE_FACTOR {
             Urgency::TooLate
+        } else if self.completion_factor(now) >= EXPIRING_FACTOR {
+            Urgency::Expiring
+        } else {
+            Urgency::Late
         }
     }
+
+    /// Returns the time from the start of the occurrence to its earliest completion, in multiples of
+    /// the objective.
+    fn completion_factor(&self, now: Now) -> f64 {
+        to_f64(self.elapsed_ms(now) + self.remaining_ms) / to_f64(self.objective_ms.max(1))
+    }
 }
 
 /// Returns the time within which a job is on time, in milliseconds.
--- a/crates/engine/tests/placement.rs
+++ b/crates/engine/tests/placement.rs
@@ -18,7 +18,7 @@
 
 /// A step with waiting tasks and its rank in the start order.
 struct Candidate {
-    /// Urgency (long-running, on time, late, too late), whether the job has not started, priority,
+    /// Urgency (long-running, expiring, on time, late, too late), whether the job has not started, priority,
     /// slack, first task.
     rank: (u8, bool, u32, i64, TaskRef),
     spec: StepSpec,
@@ -51,7 +51,7 @@
     let mut candidates: Vec<Candidate> = engine
         .jobs()
         .filter(|job| !job.state.is_final())
-        .flat_map(|job| candidates(job, now_ms))
+        .flat_map(|job| candidates(job, engine.capacity_plan().is_short(), now_ms))
         .collect();
     candidates.sort_by_key(|candidate| candidate.rank);
     let mut starts = Vec::new();
@@ -78,7 +78,7 @@
     starts
 }
 
-fn candidates(job: &Job, now_ms: u64) -> Vec<Candidate> {
+fn candidates(job: &Job, is_short: bool, now_ms: u64) -> Vec<Candidate> {
     let mut found = Vec::new();
     for occurrence in &job.occurrences {
         let steps = occurrence.steps.iter().zip(&job.spec.steps).zip(0_u16..);
@@ -106,7 +106,7 @@
                 step: number,
                 index: 0,
             };
-            let (urgency, slack_ms) = urgency(job, spec, remaining_ms, now_ms);
+            let (urgency, slack_ms) = urgency(job, spec, remaining_ms, is_short, now_ms);
             found.push(Candidate {
                 rank: (
                     urgency,
@@ -128,7 +128,13 @@
 }
 
 /// Returns the urgency and slack of a step, with an objective of 1.6 critical paths and 600 ms.
-fn urgency(job: &Job, spec: &StepSpec, remaining_ms: u64, now_ms: u64) -> (u8, i64) {
+fn urgency(
+    job: &Job,
+    spec: &StepSpec,
+    remaining_ms: u64,
+    is_short: bool,
+    now_ms: u64,
+) -> (u8, i64) {
     let objective_ms = job.spec.critical_path_ms() * 8 / 5 + job.queue.target_latency_ms;
     let passed_ms = now_ms - job.accepted_ms;
     let signed = |ms: u64| i64::try_from(ms).expect("a short time");
@@ -139,12 +145,15 @@
     } else {
         signed(remaining_ms / 8) + 100
     };
+    let completion_ms = passed_ms + remaining_ms;
     let urgency = if spec.long_running {
         0
     } else if slack_ms >= reserve_ms {
-        1
-    } else if passed_ms + remaining_ms < 3 * objective_ms {
         2
+    } else if completion_ms >= 3 * objective_ms {
+        4
+    } else if completion_ms >= 2 * objective_ms && !is_short {
+        1
     } else {
         3
     };
--- a/crates/engine/tests/start_order.rs
+++ b/crates/engine/tests/start_order.rs
@@ -61,3 +61,22 @@
     assert_eq!(fleet.starts("0000000000000003.0.0.0"), 1);
     assert_eq!(fleet.starts("0000000000000002.0.0.0"), 0);
 }
+
+/// Guards against late jobs that newer ones overtake until they have lost all value, although the
+/// fleet has capacity for both.
+#[test]
+fn expiring_job_comes_first_while_the_fleet_is_not_short() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.advance(300);
+    fleet.submit(1, 4);
+    fleet.settle();
+    fleet.submit(2, 4);
+    fleet.advance(4_000);
+    fleet.submit(3, 1);
+    fleet.end_all_done();
+    fleet.advance(100);
+    assert!(!fleet.engine.capacity_plan().is_short());
+    assert_eq!(fleet.starts("0000000000000002.0.0.0"), 1);
+    assert_eq!(fleet.starts("0000000000000003.0.0.0"), 0);
+}
