--- a/crates/engine/src/job_refusals.rs
+++ b/crates/engine/src/job_refusals.rs
@@ -86,7 +86,8 @@
 impl Engine {
     /// Updates the waiting work and the time of the first plan with capacity.
     pub(crate) fn refresh_refusal_state(&mut self, now: Now) {
-        self.refusals.waiting_work = WaitingWork::new(&self.open_steps, now);
+        self.refusals.waiting_work =
+            WaitingWork::new(&self.open_steps, self.capacity_plan.is_short(), now);
         let mut pools = self.capacity_plan.pools().iter();
         if self.refusals.first_capacity_ms.is_none() && pools.any(|pool| pool.supply_cpu_millis > 0)
         {
--- a/crates/engine/src/timing.rs
+++ b/crates/engine/src/timing.rs
@@ -5,6 +5,10 @@
 /// Multiple of the objective beyond which a faster completion has no value.
 pub(crate) const LATE_FACTOR: u64 = 3;
 
+/// Multiple of the objective from which a late job is about to lose the value that it still has: the
+/// last third of its time.
+const EXPIRING_FACTOR: u64 = 2;
+
 /// Part of the critical path that a job has to have left as slack to start as one that can be on
 /// time. Declared durations are often exceeded by that much.
 const START_RESERVE_DIVISOR: u64 = 8;
@@ -17,6 +21,8 @@
 pub(crate) enum Urgency {
     /// Long-running, so that any delay is downtime.
     LongRunning,
+    /// Late, and soon too late for a completion to have any value.
+    Expiring,
     /// Can complete on time.
     OnTime,
     /// Late, but an early completion still has some value.
@@ -76,14 +82,19 @@
     pub(crate) fn urgency(&self, is_started: bool, now: Now) -> Urgency {
         if self.slack_ms(now) >= self.reserve_ms(is_started) {
             Urgency::OnTime
-        } else if self.elapsed_ms(now) + self.remaining_ms
-            < self.objective_ms.saturating_mul(LATE_FACTOR)
-        {
-            Urgency::Late
-        } else {
+        } else if self.is_beyond(LATE_FACTOR, now) {
             Urgency::TooLate
+        } else if self.is_beyond(EXPIRING_FACTOR, now) {
+            Urgency::Expiring
+        } else {
+            Urgency::Late
         }
     }
+
+    /// Returns whether its earliest completion is at a multiple of the objective or later.
+    fn is_beyond(&self, factor: u64, now: Now) -> bool {
+        self.elapsed_ms(now) + self.remaining_ms >= self.objective_ms.saturating_mul(factor)
+    }
 }
 
 /// Returns the slack that a job needs to start as one that can be on time, in milliseconds.
--- a/crates/engine/src/waiting_work.rs
+++ b/crates/engine/src/waiting_work.rs
@@ -16,7 +16,7 @@
 pub(crate) struct AccountWork {
     pool: PoolNumber,
     pub(crate) account: AccountNumber,
-    /// Work of jobs that can be on time.
+    /// Work of jobs that can be on time, or that start before them.
     pub(crate) on_time: Resources,
     /// Work of late jobs that still have a value.
     late: Resources,
@@ -44,7 +44,7 @@
 
     fn add(&mut self, urgency: Urgency, work: &Resources) {
         let sum = match urgency {
-            Urgency::LongRunning | Urgency::OnTime => &mut self.on_time,
+            Urgency::LongRunning | Urgency::Expiring | Urgency::OnTime => &mut self.on_time,
             Urgency::Late => &mut self.late,
             Urgency::TooLate => &mut self.too_late,
         };
@@ -111,11 +111,17 @@
 }
 
 impl WaitingWork {
-    /// Sums up the work of all open steps.
-    pub(crate) fn new(open_steps: &OpenSteps, now: Now) -> Self {
+    /// Sums up the work of all open steps. `is_short` is whether the fleet lacks capacity for work
+    /// that can be on time.
+    pub(crate) fn new(open_steps: &OpenSteps, is_short: bool, now: Now) -> Self {
         let mut sums = Self::default();
         for step in open_steps.iter() {
-            sums.add(step.pool, step.account, step.urgency(now), &step.work);
+            sums.add(
+                step.pool,
+                step.account,
+                step.urgency(is_short, now),
+                &step.work,
+            );
         }
         sums
     }
