--- a/crates/engine/src/capacity_plan.rs
+++ b/crates/engine/src/capacity_plan.rs
@@ -23,9 +23,6 @@
     pub arriving_cpu_millis: u64,
     /// Part of the supply that long-running tasks hold.
     pub long_running_cpu_millis: u64,
-    /// Capacity that work needs if it keeps being submitted at the rate of late. Work is on time
-    /// when it is submitted.
-    pub incoming_cpu_millis: u64,
     /// Need of the work that can be on time, with that of long-running tasks.
     pub needed_cpu_millis: u64,
     /// Need, or the pool's proportional part of all capacity if the fleet cannot meet all needs.
@@ -43,23 +40,10 @@
     /// times milliseconds; `None` if the pool gets no capacity for it.
     #[must_use]
     pub fn wait_ms(&self, work_cpu_ms: u64) -> Option<u64> {
-        self.wait_beside_ms(work_cpu_ms, self.long_running_cpu_millis)
-    }
-
-    /// Returns how long a late task waits, like [`Self::wait_ms`]. On-time work that is submitted
-    /// meanwhile starts first; `None` if it leaves no capacity.
-    #[must_use]
-    pub fn late_wait_ms(&self, work_cpu_ms: u64) -> Option<u64> {
-        let used = self.long_running_cpu_millis + self.incoming_cpu_millis;
-        self.wait_beside_ms(work_cpu_ms, used)
-    }
-
-    /// Returns how long a task waits behind waiting work, in milliseconds, while other work uses a
-    /// part of the capacity; `None` if that is all of it.
-    fn wait_beside_ms(&self, work_cpu_ms: u64, used_cpu_millis: u64) -> Option<u64> {
-        let present = self.supply_cpu_millis.saturating_sub(used_cpu_millis);
+        let held = self.long_running_cpu_millis;
+        let present = self.supply_cpu_millis.saturating_sub(held);
         let later = self.expected_cpu_millis().max(self.target_cpu_millis);
-        let later = later.saturating_sub(used_cpu_millis);
+        let later = later.saturating_sub(held);
         let until_move = present * VM_MOVE_MS;
         if work_cpu_ms <= until_move {
             return Some(work_cpu_ms.checked_div(present).unwrap_or_default());
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -64,7 +64,6 @@
             supply_cpu_millis: self.total.supply,
             arriving_cpu_millis: self.total.arriving,
             long_running_cpu_millis: self.total.used_long_running.cpu_millis,
-            incoming_cpu_millis: self.total.incoming.cpu_millis,
             needed_cpu_millis: self.total.needed_next(),
             target_cpu_millis: 0,
         }
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -94,9 +94,8 @@
     pub pool: CompactString,
     /// Reason.
     pub reason: RefusalReason,
-    /// Predicted wait before the job would start, in milliseconds; `None` if on-time work leaves no
-    /// capacity for it.
-    pub wait_ms: Option<u64>,
+    /// Predicted wait before the job would start, in milliseconds.
+    pub wait_ms: u64,
     /// On-time work ahead of the job, in thousandths of a core times milliseconds.
     pub on_time_ahead_cpu_ms: u64,
     /// On-time and late work ahead of the job once it is late, in the same unit.
