Give the client accounts of the soak different weights

All accounts in the stand-in's configuration had weight 1, so a run could not show an error in the division of capacity by weight. AccountSpec now has a weight, and one of the soak's three accounts has twice that of the others.

--- a/crates/soak/src/accounts.rs
+++ b/crates/soak/src/accounts.rs
@@ -5,11 +5,12 @@
     std::sync::atomic::{AtomicU64, Ordering},
 };
 
-/// Account names and the two CPU quotas that configurations alternate between, in millicores.
-const ACCOUNTS: [(&str, [u64; 2]); 3] = [
-    ("hall", [3_000, 7_000]),
-    ("desk", [12_000, 4_000]),
-    ("hotline", [0, 0]),
+/// Account names, weights, and the two CPU quotas that configurations alternate between, in
+/// millicores.
+const ACCOUNTS: [(&str, u32, [u64; 2]); 3] = [
+    ("hall", 1, [3_000, 7_000]),
+    ("desk", 2, [12_000, 4_000]),
+    ("hotline", 1, [0, 0]),
 ];
 
 /// A key that is in no configuration.
@@ -23,7 +24,7 @@
 /// Returns the highest CPU quota of an account in any configuration, or `None` without a limit.
 pub fn highest_quota(account: AccountIndex) -> Option<u64> {
     ACCOUNTS[account]
-        .1
+        .2
         .into_iter()
         .max()
         .filter(|&quota| quota > 0)
@@ -40,9 +41,10 @@
     /// of its keys, and another one is replaced.
     pub fn next_round(&self) -> Vec<AccountSpec> {
         let round = self.round.fetch_add(1, Ordering::Relaxed) + 1;
-        let spec = |(name, quotas): &(&str, [u64; 2])| AccountSpec {
+        let spec = |(name, weight, quotas): &(&str, u32, [u64; 2])| AccountSpec {
             name: (*name).into(),
             keys: vec![key(name, round), key(name, round + 1)],
+            weight: *weight,
             cpu_millis: quotas[usize::from(round.is_multiple_of(2))],
         };
         ACCOUNTS.iter().map(spec).collect()
