State that a job refused without a configuration never runs

A node that has not read a configuration yet, for example one restarted while the store is down, answers submissions with 503 and Retry-After, but its body did not state that the job never runs, so a caller could not tell it from an unknown outcome. Nothing has been sent to an owner at that point. The body now says so.

--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -115,7 +115,11 @@
 /// Builds the response to a denied request, which has no effect.
 fn denial_response(denial: Denial, credentials: &Credentials) -> Response<Body> {
     let (status, reason) = match denial {
-        Denial::NoConfig => return unavailable("no configuration yet"),
+        Denial::NoConfig => {
+            return unavailable(
+                "no configuration yet: nothing was done, a submitted job never runs",
+            );
+        }
         Denial::UnknownQueue => (StatusCode::NOT_FOUND, "no such queue".to_string()),
         Denial::InvalidJobId => (
             StatusCode::NOT_FOUND,
