Kill the owner of the fleet as a fault of the soak

Runs killed drawn nodes, so most kills did not hit the owner. The new fault reads the last ownership record from the stand-in of the store and kills the node that wrote it. plan_owner_kills draws the times from the seed, far enough apart that a successor works in between. No run uses it yet.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -79,4 +79,5 @@
     speed::CpuSpeed,
     suspension::Suspension,
     takeover::{LoadedState, is_read_again_due},
+    watcher::OWNERSHIP_TOPIC,
 };
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -9,6 +9,7 @@
         proxy::{LinkFault, Proxy},
         run::SoakPlan,
     },
+    lynxwheel_controller::{OWNERSHIP_TOPIC, OwnershipRecord},
     lynxwheel_platform_standin::{
         AccountSpec, EndpointFault, EndpointSpec, EndpointStandIn, NodeSettings, Observer,
         QueueSpec, StoreFault, StoreStandIn, VmServiceStandIn, put_config, put_wave,
@@ -57,6 +58,7 @@
     pub store: StoreStandIn,
     pub endpoints: Vec<EndpointStandIn>,
     pub nodes: Vec<NodeProcess>,
+    node_ips: Vec<IpAddr>,
     /// Addresses of the proxies through which callers reach the nodes.
     pub caller_addresses: Vec<SocketAddr>,
     store_links: Vec<Proxy>,
@@ -134,6 +136,7 @@
             store,
             endpoints,
             nodes: Vec::new(),
+            node_ips: Vec::new(),
             caller_addresses: Vec::new(),
             store_links: Vec::new(),
             caller_links: Vec::new(),
@@ -179,6 +182,7 @@
         self.caller_links.push(caller_link);
         self.store_links.push(store_link);
         self.nodes.push(node);
+        self.node_ips.push(ip);
         Ok(())
     }
 
@@ -222,6 +226,7 @@
         match fault {
             Fault::KillNode(node) => self.nodes[node].signal(Signal::SIGKILL),
             Fault::KillAll => self.nodes.iter().for_each(|n| n.signal(Signal::SIGKILL)),
+            Fault::KillOwner => self.kill_owner(),
             Fault::PauseNode(node) => self.nodes[node].signal(Signal::SIGSTOP),
             Fault::StopNode(node) => self.nodes[node].signal(Signal::SIGTERM),
             Fault::ReloadSettings(node) => self.nodes[node].signal(Signal::SIGHUP),
@@ -248,7 +253,9 @@
     pub async fn end_fault(&self, fault: Fault) {
         match fault {
             Fault::KillNode(node) => self.restart(node),
-            Fault::KillAll => (0..self.nodes.len()).for_each(|node| self.restart(node)),
+            Fault::KillAll | Fault::KillOwner => {
+                (0..self.nodes.len()).for_each(|node| self.restart(node));
+            }
             Fault::PauseNode(node) => self.nodes[node].signal(Signal::SIGCONT),
             Fault::StopNode(node) => {
                 sleep(Duration::from_millis(SHUTDOWN_MS)).await;
@@ -276,6 +283,18 @@
         self.checker.end_fault(fault);
     }
 
+    /// Kills the node that wrote the last ownership record.
+    fn kill_owner(&self) {
+        let record = self.store.last_record(OWNERSHIP_TOPIC);
+        let owner = record.and_then(|record| OwnershipRecord::decode(&record));
+        let mut nodes = self.node_ips.iter().zip(&self.nodes);
+        let node = owner.and_then(|owner| nodes.find(|(ip, _)| **ip == owner.address.ip()));
+        match node {
+            Some((_, node)) => node.signal(Signal::SIGKILL),
+            None => self.checker.record_violation("no node owns the fleet"),
+        }
+    }
+
     fn restart(&self, node: usize) {
         // The final checks detect a node that does not start by jobs that do not end.
         if let Err(error) = self.nodes[node].start() {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -37,6 +37,14 @@
 const LATE_ORDER_PERCENTS: std::ops::Range<u64> = 20..80;
 const LATE_ORDER_DELAYS_MS: std::ops::Range<u64> = 500..4_000;
 
+/// Time before the first owner is killed, and between the starts of two such faults, in
+/// milliseconds: the previous node has been restarted, and its successor has worked for a while.
+const FIRST_OWNER_KILLS_MS: std::ops::Range<u64> = 1_000..3_000;
+const OWNER_KILL_PAUSES_MS: std::ops::Range<u64> = 6_000..9_000;
+
+/// Random stream of the faults that kill owners.
+const OWNER_KILLS_STREAM: u64 = 2;
+
 /// Random stream of the faults that only some runs have, so that the others of a seed stay as they
 /// are.
 const OPTIONAL_FAULTS_STREAM: u64 = 1;
@@ -59,6 +67,8 @@
     KillNode(usize),
     /// Kills every node, and restarts them at the end.
     KillAll,
+    /// Kills the node that owns the fleet, and restarts it at the end.
+    KillOwner,
     /// Pauses a node.
     PauseNode(usize),
     /// Stops a node with SIGTERM, and restarts it after it has exited.
@@ -188,6 +198,24 @@
     planned
 }
 
+/// Returns the times at which owners are killed, in the order of their starts.
+#[must_use]
+pub fn plan_owner_kills(seed: u64, traffic_ms: u64) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(OWNER_KILLS_STREAM);
+    let mut planned = Vec::new();
+    let mut start_ms = random.random_range(FIRST_OWNER_KILLS_MS);
+    while start_ms < traffic_ms {
+        planned.push(PlannedFault {
+            start_ms,
+            duration_ms: random.random_range(DURATIONS_MS),
+            fault: Fault::KillOwner,
+        });
+        start_ms += random.random_range(OWNER_KILL_PAUSES_MS);
+    }
+    planned
+}
+
 /// Returns the overloads of endpoints, in the order of their starts.
 #[must_use]
 pub fn plan_overloads(seed: u64, traffic_ms: u64, endpoints: usize) -> Vec<PlannedFault> {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use {
     checker::Checker,
-    faults::{Fault, LinkId, PlannedFault, plan_capacity_changes, plan_faults},
+    faults::{Fault, LinkId, PlannedFault, plan_capacity_changes, plan_faults, plan_owner_kills},
     key_propagation::count_nodes_with_latest_keys,
     proxy::{LinkFault, Proxy},
     run::{SoakPlan, SoakReport, run_soak},
