Soak under overload

No soak run had more work than its endpoints could do, so nothing showed whether refusals are kept and whether other accounts are served. The other faults begin with the second flood, so that the first one has no other cause of delay than the flood and the kills.

New checks, in all runs: a refusal has Retry-After in whole seconds of at least 1 and states that the job never runs, and no task starts while every submission of its job was rejected. In the first flood, tasks of the other accounts start within the stand-in's longest run plus the target latency, without the time after a kill, and a job of each such account ends. Waiting callers share a limit of 500 state queries a second.

--- a/crates/lynxwheel/tests/soak.rs
+++ b/crates/lynxwheel/tests/soak.rs
@@ -44,6 +44,11 @@
     /// Guards against runs of cancelled jobs that go on, and rooms and quotas that are given away,
     /// when an endpoint refuses a stop.
     refused_orders_violate_no_guarantee: 7, 2_000, |plan| plan.with_refused_orders(true);
+
+    /// Guards against refused jobs that run, refusals that don't say so or when to come back,
+    /// accepted jobs that are lost in a backlog when owners are killed, and accounts that get
+    /// nothing while another one floods.
+    overload_violates_no_guarantee: 8, 8_000, |plan| plan.with_overload(true);
 }
 
 /// Guards against nodes without access to the store that accept revoked keys or reject new ones.
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -38,6 +38,10 @@
     /// take long and are cancelled.
     #[arg(long)]
     refused_orders: bool,
+    /// Makes one account submit several times what all endpoints can do, and then all accounts,
+    /// while owners are killed. The other faults follow the first of these floods.
+    #[arg(long)]
+    overload: bool,
     /// Duration of the traffic and the faults, in milliseconds.
     #[arg(long, default_value_t = 10_000)]
     length_ms: u64,
@@ -55,6 +59,7 @@
         late_appends,
         unstable_endpoints,
         refused_orders,
+        overload,
         length_ms,
     } = Arguments::parse();
     let plan = |seed| {
@@ -63,6 +68,7 @@
             .with_late_appends(late_appends)
             .with_unstable_endpoints(unstable_endpoints)
             .with_refused_orders(refused_orders)
+            .with_overload(overload)
     };
     let run = |seed| {
         let plan = plan(seed);
@@ -78,6 +84,14 @@
                 report.started_runs,
                 report.violations.len()
             );
+            let refusals = report.refusals;
+            println!(
+                "  refused: {} times with 503, {} times with 429; {} jobs never accepted, {} accepted later",
+                refusals.unavailable,
+                refusals.too_many_requests,
+                refusals.refused_jobs,
+                refusals.accepted_later
+            );
             for violation in &report.violations {
                 println!("  {violation}");
             }
--- a/crates/soak/src/accounts.rs
+++ b/crates/soak/src/accounts.rs
@@ -21,6 +21,11 @@
 
 pub const ACCOUNT_COUNT: usize = ACCOUNTS.len();
 
+/// Returns the name of an account.
+pub fn account_name(account: AccountIndex) -> &'static str {
+    ACCOUNTS[account].0
+}
+
 /// Returns the highest CPU quota of an account in any configuration, or `None` without a limit.
 pub fn highest_quota(account: AccountIndex) -> Option<u64> {
     ACCOUNTS[account]
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,6 +4,7 @@
     crate::{
         accounts::{ACCOUNT_COUNT, AccountIndex, Accounts, UNKNOWN_KEY},
         checker::Checker,
+        flood::SteadyTraffic,
     },
     http::{Method, StatusCode},
     lynxwheel_engine::{JobId, JobSpec, Resources, StepSpec},
@@ -15,7 +16,10 @@
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::{
+        task::JoinSet,
+        time::{Instant, sleep, sleep_until},
+    },
 };
 
 /// Timeout that a caller requests in its timeout header, in milliseconds.
@@ -36,6 +40,9 @@
 /// Estimated duration of a task that takes long, in milliseconds.
 const SLOW_ESTIMATE_MS: u64 = 40_000;
 
+/// CPU of the tasks of these jobs, and of those that crash their endpoints, in thousandths of a core.
+const SIMPLE_CPU_MILLIS: std::ops::Range<u64> = 200..1_000;
+
 /// Time between the submission of a job that takes long and its cancellation, in milliseconds.
 const CANCEL_DELAYS_MS: std::ops::Range<u64> = 100..1_500;
 
@@ -51,6 +58,20 @@
 /// Maximum number of connections of all callers to a node.
 const MAX_CONNECTIONS: usize = 16;
 
+/// Maximum number of connections of an account at a fixed rate to a node: enough for what it
+/// submits while requests wait for an owner.
+const MAX_STEADY_CONNECTIONS: usize = 64;
+
+/// Maximum time that a caller waits because of a `Retry-After` header, in seconds.
+const MAX_RETRY_AFTER_S: u64 = 10;
+
+/// Maximum number of state queries a second while waiting for the end of all jobs: a burst of
+/// queries must not slow down the nodes.
+const MAX_QUERIES_PER_S: usize = 500;
+
+/// Minimum time between two queries of a job while waiting for its end, in milliseconds.
+const MIN_QUERY_INTERVAL_MS: usize = 100;
+
 /// A submitted job, with what is needed to query it.
 #[derive(Clone, Copy, Debug)]
 struct SubmittedJob {
@@ -67,6 +88,7 @@
     accounts: Arc<Accounts>,
     checker: Arc<Checker>,
     clients: Arc<ClientPool>,
+    heeds_retry_after: bool,
 }
 
 impl Callers {
@@ -84,9 +106,50 @@
             accounts,
             checker,
             clients: Arc::new(ClientPool::new(MAX_CONNECTIONS)),
+            heeds_retry_after: false,
+        }
+    }
+
+    /// Returns callers that share no connections with these.
+    #[must_use]
+    pub fn with_own_connections(&self) -> Self {
+        Self {
+            clients: Arc::new(ClientPool::new(MAX_STEADY_CONNECTIONS)),
+            ..self.clone()
+        }
+    }
+
+    /// Makes callers submit refused jobs again only after the time in the refusal.
+    #[must_use]
+    pub fn heeding_retry_after(self) -> Self {
+        Self {
+            heeds_retry_after: true,
+            ..self
         }
     }
 
+    /// Runs callers of one account that submit jobs at a fixed rate, however long the responses
+    /// take.
+    pub async fn run_steadily(self, seed: u64, traffic: SteadyTraffic) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(traffic.stream);
+        let mut submissions = JoinSet::new();
+        let mut due = traffic.start;
+        while due < traffic.end {
+            sleep_until(due).await;
+            due += traffic.interval;
+            let queue = random.random_range(0..self.queues.len());
+            let (spec, mut random) = traffic.draw_job(&mut random);
+            let callers = self.clone();
+            submissions.spawn(async move {
+                callers
+                    .submit_spec(&mut random, queue, traffic.account, &spec)
+                    .await
+            });
+        }
+        submissions.join_all().await;
+    }
+
     /// Runs one caller until `until`.
     pub async fn run(self, seed: u64, until: Instant) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -197,7 +260,12 @@
                 .request_for(Method::POST, submitted)
                 .with_header("Content-Type", "application/json")
                 .with_body(encode_job(spec));
+            self.checker.begin_attempt(id);
             let response = self.call(self.draw_node(random), &request).await;
+            let mut retry_after_s = None;
+            if let Some(refusal) = response.as_ref().filter(|response| is_refusal(response)) {
+                retry_after_s = self.checker.check_refusal(id, refusal);
+            }
             match response.map(|response| response.status.as_u16()) {
                 Some(200..=299) => {
                     self.checker.record_acceptance(id);
@@ -206,10 +274,16 @@
                         break;
                     }
                 }
-                // Rejected: the caller either gives up or submits the job again.
-                Some(401 | 429 | 503) if random.random_range(0..2) == 0 => break,
-                // A node that has not read the latest configuration may not know the key yet.
-                Some(401 | 429 | 503) => {}
+                // Rejected: the caller either gives up or submits the job again. A node that has
+                // not read the latest configuration may not know the key yet.
+                Some(status @ (401 | 429 | 503)) => {
+                    if status == 401 {
+                        self.checker.record_denial(id);
+                    }
+                    if random.random_range(0..2) == 0 {
+                        break;
+                    }
+                }
                 None | Some(502 | 504) => self.checker.record_unknown_outcome(id),
                 Some(status) => {
                     let text = format!("{id}: unexpected status {status} for a submission");
@@ -217,7 +291,11 @@
                     break;
                 }
             }
-            sleep(Duration::from_millis(random.random_range(50..700))).await;
+            let mut pause = Duration::from_millis(random.random_range(50..700));
+            if let Some(retry_after_s) = retry_after_s.filter(|_| self.heeds_retry_after) {
+                pause += Duration::from_secs(retry_after_s.min(MAX_RETRY_AFTER_S));
+            }
+            sleep(pause).await;
         }
         submitted
     }
@@ -324,6 +402,7 @@
         job: JobId,
         account: AccountIndex,
         pool: &str,
+        query_interval: Duration,
         until: Instant,
     ) -> bool {
         let queue = self.queues.iter().position(|queue| queue.pool == pool);
@@ -338,12 +417,25 @@
                 return true;
             }
             node = (node + 1) % self.nodes.len();
-            sleep(Duration::from_millis(100)).await;
+            sleep(query_interval).await;
         }
         false
     }
 }
 
+/// Returns the time between two queries of each of `jobs` jobs whose end is awaited.
+pub fn query_interval(jobs: usize) -> Duration {
+    let interval_ms = (jobs * 1_000 / MAX_QUERIES_PER_S).max(MIN_QUERY_INTERVAL_MS);
+    Duration::from_millis(u64::try_from(interval_ms).unwrap_or(u64::MAX))
+}
+
+fn is_refusal(response: &ClientResponse) -> bool {
+    matches!(
+        response.status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn draw_id(random: &mut ChaCha8Rng) -> JobId {
     let text = format!("{:016x}", random.random::<u64>());
     text.parse().expect("sixteen hexadecimal digits")
@@ -391,26 +483,29 @@
 
 /// Returns a job with one task that crashes its endpoints.
 fn draw_crashing_job(random: &mut ChaCha8Rng) -> JobSpec {
-    draw_simple_job(random, CRASHING_PAYLOAD, 1, 300)
+    let cpu_millis = random.random_range(SIMPLE_CPU_MILLIS);
+    draw_simple_job(random, CRASHING_PAYLOAD, 1, cpu_millis, 300)
 }
 
 /// Returns a job with a few tasks that take long.
 fn draw_slow_job(random: &mut ChaCha8Rng) -> JobSpec {
     let count = random.random_range(1..5);
-    draw_simple_job(random, SLOW_PAYLOAD, count, SLOW_ESTIMATE_MS)
+    let cpu_millis = random.random_range(SIMPLE_CPU_MILLIS);
+    draw_simple_job(random, SLOW_PAYLOAD, count, cpu_millis, SLOW_ESTIMATE_MS)
 }
 
 /// Returns a job with one step.
-fn draw_simple_job(
+pub fn draw_simple_job(
     random: &mut ChaCha8Rng,
     payload: &str,
     count: u16,
+    cpu_millis: u64,
     estimated_ms: u64,
 ) -> JobSpec {
     let step = StepSpec {
         count,
         resources: Resources {
-            cpu_millis: random.random_range(200..1_000),
+            cpu_millis,
             memory_mb: 64,
             gpus: 0,
         },
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -2,13 +2,15 @@
 
 use {
     crate::{
-        accounts::{AccountIndex, highest_quota},
+        accounts::{ACCOUNT_COUNT, AccountIndex, account_name, highest_quota},
         faults::Fault,
         lock,
     },
     compact_str::CompactString,
+    http::{StatusCode, header},
     lynxwheel_engine::{JobId, JobSpec, JobState, TaskRef},
-    lynxwheel_platform_standin::{Observation, ObservedEnd},
+    lynxwheel_platform_standin::{LONGEST_RUN_MS, Observation, ObservedEnd},
+    lynxwheel_transport::ClientResponse,
     std::{
         sync::Mutex,
         time::{Duration, Instant},
@@ -40,11 +42,54 @@
 /// Number of crashed endpoints from which a task may be given up.
 const GIVEN_UP_AFTER_CRASHES: u32 = 2;
 
+/// Text in the body of every refusal of a submission.
+const NEVER_RUNS: &str = "never runs";
+
+/// Time within which the tasks of a job must start while another account floods, not counting
+/// [`OWNER_OUTAGE`]s: the longest run, after which all CPU of the endpoints has been given anew, and
+/// the target latency of the queues.
+const SERVED_WITHIN: Duration = Duration::from_millis(LONGEST_RUN_MS + 600);
+
+/// Time after an owner was killed in which nothing needs to start: the owner timeout of 1.3 s, the
+/// delay of 0.7 s with which small nodes claim, and the first calls of the successor.
+const OWNER_OUTAGE: Duration = Duration::from_secs(3);
+
 /// What callers know about the submission of a job.
 #[derive(Clone, Copy, Debug, Default)]
+#[expect(clippy::struct_excessive_bools, reason = "the facts are independent")]
 struct SubmissionOutcome {
     is_accepted: bool,
     is_unknown: bool,
+    /// Whether an attempt is in progress.
+    is_pending: bool,
+    is_refused: bool,
+}
+
+impl SubmissionOutcome {
+    /// Returns whether every attempt so far was rejected, so that the job must not run.
+    fn is_rejected(self) -> bool {
+        !self.is_accepted && !self.is_unknown && !self.is_pending
+    }
+}
+
+/// Number of refusals of submissions.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RefusalCounts {
+    /// Responses with status 503.
+    pub unavailable: usize,
+    /// Responses with status 429.
+    pub too_many_requests: usize,
+    /// Jobs that were refused and never accepted.
+    pub refused_jobs: usize,
+    /// Jobs that were accepted after a refusal.
+    pub accepted_later: usize,
+}
+
+/// Time in which one account submits more than the endpoints can do.
+#[derive(Clone, Copy, Debug)]
+struct Flood {
+    account: AccountIndex,
+    since: Instant,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -56,6 +101,7 @@
     done: Vec<(CompactString, u32, u32)>,
     has_completed: bool,
     is_done_acknowledged: bool,
+    has_started: bool,
     failures: u32,
     failures_acknowledged: u32,
     starts_after_last_failure: u32,
@@ -92,7 +138,10 @@
     pool: CompactString,
     max_attempts: u32,
     outcome: SubmissionOutcome,
+    accepted_at: Option<Instant>,
     is_started: bool,
+    /// Time from which each task has started at least once.
+    all_started_at: Option<Instant>,
     is_cancel_requested: bool,
     cancelled_at: Option<Instant>,
     tasks: Vec<(TaskRef, TaskRecord)>,
@@ -104,6 +153,13 @@
         index.ok().map(|index| &mut self.tasks[index].1)
     }
 
+    /// Returns whether all tasks are done, or the job may have failed.
+    fn has_ended(&self) -> bool {
+        let mut tasks = self.tasks.iter().map(|(_, task)| task);
+        tasks.clone().all(|task| task.has_completed)
+            || tasks.any(|task| task.failures >= self.max_attempts)
+    }
+
     fn is_step_complete(&self, step: u16) -> bool {
         let mut tasks = self.tasks.iter().filter(|(task, _)| task.step == step);
         tasks.all(|(_, record)| record.has_completed)
@@ -132,6 +188,10 @@
     orders: Vec<(CompactString, u64, CompactString)>,
     violations: Vec<String>,
     are_quotas_lifted: bool,
+    flood: Option<Flood>,
+    /// Starts and ends of the outages after owners were killed.
+    outages: Vec<(Instant, Instant)>,
+    refusals: RefusalCounts,
     starts: usize,
     last_start: Option<Instant>,
     /// Longest time between two starts since it was last taken.
@@ -181,6 +241,29 @@
         Some(known.highest_since(since))
     }
 
+    /// Returns the time between two instants without the outages of owners.
+    fn time_with_owner(&self, from: Instant, to: Instant) -> Duration {
+        let outages = self.outages.iter().map(|(start, end)| {
+            let (start, end) = ((*start).max(from), (*end).min(to));
+            end.saturating_duration_since(start)
+        });
+        let outage: Duration = outages.sum();
+        to.saturating_duration_since(from).saturating_sub(outage)
+    }
+
+    /// Returns the jobs of an account that were accepted since `since` and not cancelled.
+    fn jobs_accepted_since(
+        &self,
+        account: AccountIndex,
+        since: Instant,
+    ) -> impl Iterator<Item = (&JobRecord, Instant)> {
+        self.jobs.iter().filter_map(move |job| {
+            let is_relevant = job.account == account && !job.is_cancel_requested;
+            let accepted_at = job.accepted_at.filter(|at| is_relevant && *at >= since);
+            accepted_at.map(|at| (job, at))
+        })
+    }
+
     fn record_violation(&mut self, text: String) {
         self.violations.push(text);
     }
@@ -270,6 +353,10 @@
     pub fn begin_fault(&self, fault: Fault) {
         let mut state = lock(&self.state);
         state.active_faults += 1;
+        if fault == Fault::KillOwner {
+            let now = Instant::now();
+            state.outages.push((now, now + OWNER_OUTAGE));
+        }
         state.hiding_faults += usize::from(fault.hides_capacities());
     }
 
@@ -370,7 +457,9 @@
             pool: pool.into(),
             max_attempts,
             outcome: SubmissionOutcome::default(),
+            accepted_at: None,
             is_started: false,
+            all_started_at: None,
             is_cancel_requested: false,
             cancelled_at: None,
             tasks,
@@ -382,8 +471,118 @@
 
     /// Records that a job was accepted.
     pub fn record_acceptance(&self, id: JobId) {
+        let mut state = lock(&self.state);
+        let Some(job) = state.job(id) else {
+            return;
+        };
+        let is_first = !job.outcome.is_accepted;
+        let is_accepted_later = is_first && job.outcome.is_refused;
+        job.outcome.is_accepted = true;
+        job.outcome.is_pending = false;
+        job.accepted_at.get_or_insert_with(Instant::now);
+        state.refusals.accepted_later += usize::from(is_accepted_later);
+    }
+
+    /// Records that a job is about to be submitted, for the first time or again.
+    pub fn begin_attempt(&self, id: JobId) {
+        if let Some(job) = lock(&self.state).job(id) {
+            job.outcome.is_pending = true;
+        }
+    }
+
+    /// Records that an attempt to submit a job was denied because of its key.
+    pub fn record_denial(&self, id: JobId) {
         if let Some(job) = lock(&self.state).job(id) {
-            job.outcome.is_accepted = true;
+            job.outcome.is_pending = false;
+        }
+    }
+
+    /// Checks and records the refusal of a submission. Returns the time after which it asks for
+    /// another attempt, in seconds.
+    pub fn check_refusal(&self, id: JobId, refusal: &ClientResponse) -> Option<u64> {
+        let value = refusal.header(header::RETRY_AFTER.as_str());
+        let retry_after_s = value.and_then(parse_retry_after);
+        let body = String::from_utf8_lossy(&refusal.body);
+        let status = refusal.status.as_u16();
+        if retry_after_s.is_none() {
+            self.record_violation(&format!(
+                "{id}: refused with {status} and Retry-After {value:?}, which is no whole number \
+                 of seconds of at least 1: {body}"
+            ));
+        }
+        if !body.contains(NEVER_RUNS) {
+            self.record_violation(&format!(
+                "{id}: refused with {status} without stating that it never runs: {body}"
+            ));
+        }
+        let mut state = lock(&self.state);
+        if refusal.status == StatusCode::TOO_MANY_REQUESTS {
+            state.refusals.too_many_requests += 1;
+        } else {
+            state.refusals.unavailable += 1;
+        }
+        if let Some(job) = state.job(id) {
+            job.outcome.is_pending = false;
+            job.outcome.is_refused = true;
+        }
+        retry_after_s
+    }
+
+    /// Returns the number of refusals so far.
+    #[must_use]
+    pub fn refusals(&self) -> RefusalCounts {
+        let state = lock(&self.state);
+        let refused = state
+            .jobs
+            .iter()
+            .filter(|job| job.outcome.is_refused && !job.outcome.is_accepted);
+        RefusalCounts {
+            refused_jobs: refused.count(),
+            ..state.refusals
+        }
+    }
+
+    /// Records that an account begins to submit more than the endpoints can do.
+    pub fn begin_flood(&self, account: AccountIndex) {
+        let since = Instant::now();
+        lock(&self.state).flood = Some(Flood { account, since });
+    }
+
+    /// Checks at the end of a flood that the other accounts were served while it lasted.
+    pub fn end_flood(&self) {
+        let mut state = lock(&self.state);
+        let Some(Flood { account, since }) = state.flood.take() else {
+            return;
+        };
+        let now = Instant::now();
+        let mut violations = Vec::new();
+        for other in (0..ACCOUNT_COUNT).filter(|other| *other != account) {
+            let mut has_ended_job = false;
+            for (job, accepted_at) in state.jobs_accepted_since(other, since) {
+                has_ended_job |= job.has_ended();
+                let started_at = job.all_started_at.unwrap_or(now);
+                let waited = state.time_with_owner(accepted_at, started_at);
+                if waited > SERVED_WITHIN {
+                    violations.push(format!(
+                        "{}: a job of {} waited {:.3} s with an owner while {} flooded",
+                        job.id,
+                        account_name(other),
+                        waited.as_secs_f64(),
+                        account_name(account)
+                    ));
+                }
+            }
+            if !has_ended_job {
+                violations.push(format!(
+                    "no job of {} was accepted and ended while {} flooded",
+                    account_name(other),
+                    account_name(account)
+                ));
+            }
+        }
+        for violation in violations {
+            let text = self.timestamped(&violation);
+            state.record_violation(text);
         }
     }
 
@@ -391,6 +590,7 @@
     pub fn record_unknown_outcome(&self, id: JobId) {
         if let Some(job) = lock(&self.state).job(id) {
             job.outcome.is_unknown = true;
+            job.outcome.is_pending = false;
         }
     }
 
@@ -474,7 +674,7 @@
         let rejected: Vec<JobId> = state
             .jobs
             .iter()
-            .filter(|job| !job.outcome.is_accepted && !job.outcome.is_unknown && job.is_started)
+            .filter(|job| job.outcome.is_rejected() && job.is_started)
             .map(|job| job.id)
             .collect();
         for id in rejected {
@@ -555,6 +755,11 @@
         };
         job.is_started = true;
         let mut violations = Vec::new();
+        if job.outcome.is_rejected() {
+            violations.push(format!(
+                "{name}: started although every submission so far was rejected"
+            ));
+        }
         if job.spec.payload != *payload {
             violations.push(format!("{name}: payload differs from that of its job"));
         }
@@ -593,6 +798,7 @@
                 "{name}: started after its completion was acknowledged"
             ));
         }
+        known.has_started = true;
         for (_, _, starts) in &mut known.done {
             *starts += 1;
         }
@@ -613,6 +819,9 @@
             }
         }
         known.running.push((incarnation.clone(), run));
+        if job.tasks.iter().all(|(_, task)| task.has_started) {
+            job.all_started_at.get_or_insert_with(Instant::now);
+        }
         let account = job.account;
         let running = state.running_cpu_millis(account);
         let quota = highest_quota(account).filter(|_| !state.are_quotas_lifted);
@@ -639,6 +848,13 @@
     }
 }
 
+/// Returns the value of a `Retry-After` header if it is a whole number of seconds of at least 1.
+fn parse_retry_after(value: &str) -> Option<u64> {
+    let is_number = value.bytes().all(|byte| byte.is_ascii_digit());
+    let retry_after_s = value.parse().ok().filter(|seconds| *seconds > 0);
+    retry_after_s.filter(|_| is_number)
+}
+
 fn record_end(
     state: &mut State,
     incarnation: &CompactString,
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -41,6 +41,10 @@
 /// Number of VMs in each pool at the start.
 const VMS_PER_POOL: usize = 3;
 
+/// CPU capacity of all endpoints, and of those outside the standby pool, in thousandths of a core.
+pub const TOTAL_CPU_MILLIS: u64 = ENDPOINT_CPU_MILLIS * (POOLS.len() * VMS_PER_POOL) as u64;
+pub const QUEUES_CPU_MILLIS: u64 = ENDPOINT_CPU_MILLIS * ((POOLS.len() - 1) * VMS_PER_POOL) as u64;
+
 /// Time within which the maintenance of a wave has to be done, in seconds.
 const WAVE_DURATION_S: u64 = 8;
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod checker;
 mod cluster;
 mod faults;
+mod flood;
 mod harness;
 mod key_propagation;
 mod nodes;
@@ -25,7 +26,7 @@
 mod takeover;
 
 pub use {
-    checker::Checker,
+    checker::{Checker, RefusalCounts},
     faults::{Fault, LinkId, PlannedFault, plan_capacity_changes, plan_faults, plan_owner_kills},
     key_propagation::count_nodes_with_latest_keys,
     proxy::{LinkFault, Proxy},
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,10 +2,14 @@
 
 use {
     crate::{
-        callers::Callers,
-        checker::{Checker, ExpectedJob},
-        cluster::{Cluster, ENDPOINT_CPU_MILLIS, SHUTDOWN_MS},
-        faults::{plan_capacity_changes, plan_faults, plan_late_appends, plan_overloads},
+        callers::{Callers, query_interval},
+        checker::{Checker, ExpectedJob, RefusalCounts},
+        cluster::{Cluster, ENDPOINT_CPU_MILLIS, QUEUES_CPU_MILLIS, SHUTDOWN_MS, TOTAL_CPU_MILLIS},
+        faults::{
+            PlannedFault, plan_capacity_changes, plan_faults, plan_late_appends, plan_overloads,
+            plan_owner_kills,
+        },
+        flood::FloodPlan,
         harness::{Harness, STARTUP_MS},
     },
     lynxwheel_engine::JobId,
@@ -31,6 +35,10 @@
 /// otherwise a later takeover could send all stops again.
 const LATE_REFUSALS_MS: u64 = 4_000;
 
+/// Time for which the other faults go on after the floods, in milliseconds: they find the endpoints
+/// with a backlog.
+const FAULTS_AFTER_FLOODS_MS: u64 = 4_000;
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 #[expect(clippy::struct_excessive_bools, reason = "the options are independent")]
@@ -51,6 +59,9 @@
     pub has_unstable_endpoints: bool,
     /// Whether endpoints refuse orders, and whether callers cancel jobs that take long.
     pub has_refused_orders: bool,
+    /// Whether one account submits several times what all endpoints can do, and then all accounts
+    /// do, while owners are killed. The other faults and traffic follow the first of these floods.
+    pub has_overload: bool,
     /// Directory for settings and logs of the nodes, kept when an invariant is violated.
     pub directory: PathBuf,
 }
@@ -69,6 +80,7 @@
             has_late_appends: false,
             has_unstable_endpoints: false,
             has_refused_orders: false,
+            has_overload: false,
             directory: std::env::temp_dir().join(name),
         }
     }
@@ -108,6 +120,21 @@
             ..self
         }
     }
+
+    /// Sets whether accounts submit several times what all endpoints can do.
+    #[must_use]
+    pub fn with_overload(self, has_overload: bool) -> Self {
+        Self {
+            has_overload,
+            ..self
+        }
+    }
+
+    /// Returns the floods of a run under overload.
+    fn flood_plan(&self) -> Option<FloodPlan> {
+        let flood = || FloodPlan::new(self.seed, self.traffic_ms, TOTAL_CPU_MILLIS);
+        self.has_overload.then(flood)
+    }
 }
 
 /// Result of a run.
@@ -121,6 +148,8 @@
     pub started_runs: usize,
     /// Number of injected faults.
     pub fault_count: usize,
+    /// Submissions that were refused.
+    pub refusals: RefusalCounts,
 }
 
 /// Runs one seed.
@@ -131,11 +160,21 @@
 pub async fn run_soak(plan: &SoakPlan) -> io::Result<SoakReport> {
     let harness = Harness::start(plan).await?;
     let mut tasks = JoinSet::new();
-    harness.start_callers(plan.seed, plan.traffic_ms, &mut tasks);
+    let mut traffic_ms = plan.traffic_ms;
+    let mut fault_count = 0;
+    if let Some(flood) = plan.flood_plan() {
+        traffic_ms = flood.all_ms() + FAULTS_AFTER_FLOODS_MS;
+        let kills = plan_owner_kills(plan.seed, plan.traffic_ms + traffic_ms);
+        fault_count += kills.len();
+        flood.start(&harness.callers, &harness.checker, &mut tasks);
+        start_faults(&harness.cluster, kills, &mut tasks);
+        sleep(Duration::from_millis(plan.traffic_ms)).await;
+    }
+    harness.start_callers(plan.seed, traffic_ms, &mut tasks);
     if plan.has_unstable_endpoints {
-        harness.start_crashing_caller(plan.seed, plan.traffic_ms, &mut tasks);
+        harness.start_crashing_caller(plan.seed, traffic_ms, &mut tasks);
     }
-    let refusals_ms = plan.traffic_ms + LATE_REFUSALS_MS;
+    let refusals_ms = traffic_ms + LATE_REFUSALS_MS;
     if plan.has_refused_orders {
         harness.start_cancelling_callers(plan.seed, refusals_ms, &mut tasks);
     }
@@ -145,14 +184,14 @@
         callers,
     } = harness;
     let endpoints = cluster.endpoints.len();
-    let mut faults = plan_faults(plan.seed, plan.traffic_ms, plan.nodes, endpoints);
+    let mut faults = plan_faults(plan.seed, traffic_ms, plan.nodes, endpoints);
     if plan.has_late_appends {
-        faults.extend(plan_late_appends(plan.seed, plan.traffic_ms));
+        faults.extend(plan_late_appends(plan.seed, traffic_ms));
     }
     if plan.has_unstable_endpoints {
         faults.extend(plan_capacity_changes(
             plan.seed,
-            plan.traffic_ms,
+            traffic_ms,
             endpoints,
             ENDPOINT_CPU_MILLIS,
         ));
@@ -160,17 +199,17 @@
     if plan.has_refused_orders {
         faults.extend(plan_overloads(plan.seed, refusals_ms, endpoints));
     }
-    let fault_count = faults.len();
-    for planned in faults {
-        let cluster = Arc::clone(&cluster);
-        tasks.spawn(async move { cluster.inject(planned).await });
-    }
+    fault_count += faults.len();
+    start_faults(&cluster, faults, &mut tasks);
     while tasks.join_next().await.is_some() {}
     checker.lift_quotas();
     cluster.end_all_faults();
     sleep(Duration::from_millis(STARTUP_MS)).await;
+    let work_ms = plan
+        .flood_plan()
+        .map_or(0, |flood| flood.work_ms(QUEUES_CPU_MILLIS));
     tokio::join!(
-        check_recovery(&callers, &checker),
+        check_recovery(&callers, &checker, RECOVERY_MS + work_ms),
         check_cancelled_jobs(&checker)
     );
     check_shutdown(&cluster, &checker).await;
@@ -183,6 +222,7 @@
         expected_jobs: checker.expected_jobs().len(),
         started_runs: checker.started_runs(),
         fault_count,
+        refusals: checker.refusals(),
     };
     drop(cluster);
     if report.violations.is_empty() {
@@ -191,11 +231,22 @@
     Ok(report)
 }
 
-/// Checks that every accepted job ends, and that all tasks of long-running jobs run.
-async fn check_recovery(callers: &Callers, checker: &Arc<Checker>) {
-    let until = Instant::now() + Duration::from_millis(RECOVERY_MS);
+/// Starts tasks that each inject a fault at its time.
+fn start_faults(cluster: &Arc<Cluster>, faults: Vec<PlannedFault>, tasks: &mut JoinSet<()>) {
+    for planned in faults {
+        let cluster = Arc::clone(cluster);
+        tasks.spawn(async move { cluster.inject(planned).await });
+    }
+}
+
+/// Checks that every accepted job ends within `limit_ms`, and that all tasks of long-running jobs
+/// run.
+async fn check_recovery(callers: &Callers, checker: &Arc<Checker>, limit_ms: u64) {
+    let until = Instant::now() + Duration::from_millis(limit_ms);
     let mut checks = JoinSet::new();
-    for expected in checker.expected_jobs() {
+    let expected_jobs = checker.expected_jobs();
+    let query_interval = query_interval(expected_jobs.len());
+    for expected in expected_jobs {
         let ExpectedJob { job, account, .. } = expected;
         let callers = callers.clone();
         let checker = Arc::clone(checker);
@@ -203,7 +254,9 @@
             let has_recovered = if expected.is_long_running {
                 await_running_tasks(&checker, job, until).await
             } else {
-                callers.await_end(job, account, &expected.pool, until).await
+                callers
+                    .await_end(job, account, &expected.pool, query_interval, until)
+                    .await
             };
             if !has_recovered {
                 let (running, all) = checker.count_running_tasks(job);
