--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod checker;
 mod cluster;
 mod faults;
+mod flood;
 mod harness;
 mod key_propagation;
 mod nodes;
@@ -25,8 +26,8 @@
 mod takeover;
 
 pub use {
-    checker::Checker,
-    faults::{Fault, LinkId, PlannedFault, plan_capacity_changes, plan_faults},
+    checker::{Checker, RefusalCounts},
+    faults::{Fault, LinkId, PlannedFault, plan_capacity_changes, plan_faults, plan_owner_kills},
     key_propagation::count_nodes_with_latest_keys,
     proxy::{LinkFault, Proxy},
     run::{SoakPlan, SoakReport, run_soak},
