--- a/crates/engine/src/capacity_plan.rs
+++ b/crates/engine/src/capacity_plan.rs
@@ -70,11 +70,14 @@
         let total: u64 = pools.iter().map(PoolCapacity::expected_cpu_millis).sum();
         let needed: u64 = pools.iter().map(|pool| pool.needed_cpu_millis).sum();
         for pool in &mut pools {
-            pool.target_cpu_millis = if needed <= total {
-                pool.needed_cpu_millis
+            if needed > total {
+                // The product exceeds 64 bits with a large fleet and a few of the largest jobs.
+                let product = u128::from(pool.needed_cpu_millis) * u128::from(total);
+                let part = product / u128::from(needed);
+                pool.target_cpu_millis = u64::try_from(part).unwrap_or(u64::MAX);
             } else {
-                pool.needed_cpu_millis * total / needed
-            };
+                pool.target_cpu_millis = pool.needed_cpu_millis;
+            }
         }
         Self {
             pools,
--- a/crates/engine/tests/capacity_plan.rs
+++ b/crates/engine/tests/capacity_plan.rs
@@ -34,6 +34,10 @@
     /// Guards against one pool being starved by another with far more work.
     short_capacity_is_divided_in_proportion_to_the_needs:
         vec![pool("a", 80, 0, 300), pool("b", 0, 20, 100)] => [75, 25];
+
+    /// Guards against an overflow with a large fleet and a few of the largest possible jobs.
+    large_need_is_divided_without_overflow:
+        vec![pool("a", 1_280_000, 0, 30_000_000), pool("b", 0, 0, 10_000_000)] => [960_000, 320_000];
 }
 
 macro_rules! waits {
