Let vacating VMs take work while they cannot be ordered

Without a standby pool the endpoints stayed vacating for ever, and a VM in the cooldown after a refused order was idle until the cooldown ended.

--- a/crates/engine/src/vacating.rs
+++ b/crates/engine/src/vacating.rs
@@ -16,7 +16,7 @@
     /// Updates which endpoints are vacating. `loads` are the pools of the capacity plan.
     pub(crate) fn update_vacating(&mut self, loads: &[PoolLoad], now: Now) {
         if !loads.iter().any(|load| load.is_standby) {
-            return;
+            return self.stop_vacating();
         }
         let releasable: Vec<usize> = loads.iter().map(PoolLoad::releasable_vms).collect();
         let candidates = self.release_candidates(loads, now);
@@ -76,7 +76,7 @@
             let may_leave = !load.is_standby
                 && known.long_running_runs == 0
                 && !load.requires_feature_of(&known.labels, &known.capacity);
-            if is_usable && may_leave && self.is_vm_free(known.vm()) {
+            if is_usable && may_leave && self.accepts_vm_orders(known.vm(), now) {
                 candidates.push(ReleaseCandidate {
                     endpoint,
                     pool_index,
@@ -89,9 +89,10 @@
         candidates
     }
 
-    fn is_vm_free(&self, name: &str) -> bool {
+    /// Returns whether a VM may be ordered now. Otherwise it would be idle until it may.
+    fn accepts_vm_orders(&self, name: &str, now: Now) -> bool {
         let index = self.vm_index(name);
-        index.is_ok_and(|index| self.vms[index].order.is_none())
+        index.is_ok_and(|index| self.vms[index].accepts_orders(now))
     }
 
     /// Returns the expected time until the runs of an endpoint have ended, in milliseconds.
--- a/crates/engine/tests/handover.rs
+++ b/crates/engine/tests/handover.rs
@@ -5,8 +5,8 @@
 use {
     common::{Fleet, POOL, pool, queue, standby_vm, step},
     lynxwheel_engine::{
-        CapacityPlan, Event, FleetConfig, JobSpec, Now, PoolCapacity, Queue, ReleaseCandidate,
-        StepSpec, VmEntry, VmState, choose_vacating,
+        CapacityPlan, EndKind, Event, FleetConfig, JobSpec, Now, PoolCapacity, Queue,
+        ReleaseCandidate, StepSpec, VmEntry, VmOutcome, VmState, choose_vacating,
     },
 };
 
@@ -16,6 +16,10 @@
 /// Another pool with its own queue.
 const OTHER: &str = "crews";
 
+/// Further pools.
+const THIRD: &str = "depots";
+const FOURTH: &str = "escorts";
+
 /// Returns a plan of a pool with VMs and one without, both with a need in VMs.
 fn plan(vms: u64, needed: u64, needed_other: u64) -> CapacityPlan {
     let capacity = |name: &str, vms, needed| PoolCapacity {
@@ -85,7 +89,13 @@
     let config = FleetConfig {
         version: 2,
         queues: vec![queue(), other_queue],
-        pools: vec![pool(OTHER, false), pool(POOL, false), pool("spare", true)],
+        pools: vec![
+            pool(OTHER, false),
+            pool(THIRD, false),
+            pool(FOURTH, false),
+            pool(POOL, false),
+            pool("spare", true),
+        ],
         ..FleetConfig::default()
     };
     fleet.handle(Event::ConfigChanged(config.into()));
@@ -112,7 +122,7 @@
         Queue {
             host: "crews.example".into(),
             path_prefix: "/crews/".into(),
-            pool: OTHER.into(),
+            pool: pool.into(),
             ..queue()
         }
     };
@@ -151,14 +161,67 @@
     fleet.advance(4_000);
     submit(&mut fleet, 2, OTHER, 32);
     fleet.advance(100);
-    let vacating = |fleet: &Fleet| {
-        let endpoints = fleet.engine.endpoints().iter();
-        endpoints
-            .filter(|(_, endpoint)| endpoint.is_vacating)
-            .count()
-    };
-    assert!(vacating(&fleet) > 0);
+    assert!(!vacating(&fleet).is_empty());
     fleet.engine.allow_vm_orders(false);
     fleet.advance(100);
-    assert_eq!(vacating(&fleet), 0);
+    assert_eq!(vacating(&fleet), [0; 0]);
+}
+
+/// Returns the indexes of the vacating endpoints.
+fn vacating(fleet: &Fleet) -> Vec<usize> {
+    let endpoints = fleet.engine.endpoints().iter();
+    let ids = endpoints
+        .filter(|(_, endpoint)| endpoint.is_vacating)
+        .map(|(_, endpoint)| endpoint.id.as_str());
+    let index = |id: &str| fleet.endpoints.iter().position(|known| known.id == id);
+    ids.filter_map(index).collect()
+}
+
+/// Returns a fleet in which a pool with a late backlog hands VMs over.
+fn fleet_in_handover() -> Fleet {
+    let mut fleet = fleet_with_vms(6);
+    submit(&mut fleet, 1, POOL, 400);
+    fleet.advance(4_000);
+    submit(&mut fleet, 2, OTHER, 32);
+    fleet.advance(100);
+    assert!(!vacating(&fleet).is_empty());
+    fleet
+}
+
+/// Ends the runs on some endpoints.
+fn end_runs_on(fleet: &mut Fleet, endpoints: &[usize]) {
+    for &index in endpoints {
+        for (task, run) in fleet.endpoints[index].running.clone() {
+            fleet.endpoints[index].end(&task, run, EndKind::Done);
+        }
+    }
+}
+
+/// Guards against endpoints that get no work for ever because no pool on standby is left.
+#[test]
+fn vacating_vms_take_work_again_without_a_standby_pool() {
+    let mut fleet = fleet_in_handover();
+    let config = FleetConfig {
+        version: 3,
+        queues: vec![queue()],
+        pools: vec![pool(OTHER, false), pool(POOL, false)],
+        ..FleetConfig::default()
+    };
+    fleet.handle(Event::ConfigChanged(config.into()));
+    fleet.advance(200);
+    assert_eq!(vacating(&fleet), [0; 0]);
+}
+
+/// Guards against an empty VM without work while a refused order delays the next one.
+#[test]
+fn vm_with_a_refused_order_takes_work_until_the_next_one() {
+    let mut fleet = fleet_in_handover();
+    let leaving = vacating(&fleet);
+    end_runs_on(&mut fleet, &leaving);
+    fleet.advance(200);
+    let moved = fleet.moves()[0].0.to_owned();
+    fleet.answer_vm_order(&moved, VmOutcome::Refused);
+    fleet.advance(200);
+    let refused: usize = moved["vm-".len()..].parse().expect("a number");
+    assert!(!vacating(&fleet).contains(&refused));
 }
