Count runs on vacating VMs as no shortage of their pool

Their capacity is not part of the supply, so the pool that hands VMs over had the largest shortage itself. No spare VM matched it, which ended the search for all pools.

--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -303,7 +303,14 @@
             let load = &mut loads[index];
             load.vacating += usize::from(endpoint.is_vacating);
             let accepts_starts = endpoint.accepts_starts(now.steady_ms);
-            load.total.used.add(&endpoint.used);
+            // Runs on a vacating endpoint end where they are. As its capacity is not part of the
+            // supply, they would count as a shortage of the pool that hands it over.
+            let used = if endpoint.is_vacating {
+                &endpoint.used_long_running
+            } else {
+                &endpoint.used
+            };
+            load.total.used.add(used);
             load.total
                 .used_long_running
                 .add(&endpoint.used_long_running);
@@ -316,7 +323,7 @@
             }
             for (kind, balance) in &mut load.features {
                 if kind.is_of(&endpoint.labels, &endpoint.capacity) {
-                    balance.used.add(&kind.counted(&endpoint.used));
+                    balance.used.add(&kind.counted(used));
                     if accepts_starts {
                         balance.supply += kind.counted(&endpoint.capacity).cpu_millis;
                         balance.members += 1;
--- a/crates/engine/tests/handover.rs
+++ b/crates/engine/tests/handover.rs
@@ -225,3 +225,23 @@
     let refused: usize = moved["vm-".len()..].parse().expect("a number");
     assert!(!vacating(&fleet).contains(&refused));
 }
+
+/// Guards against a pool that takes VMs as a replacement for those that it hands over, so that the
+/// empty ones wait behind its own apparent shortage.
+#[test]
+fn runs_on_vacating_vms_are_no_shortage_of_their_pool() {
+    let mut fleet = fleet_with_vms(12);
+    submit(&mut fleet, 1, POOL, 400);
+    fleet.advance(4_000);
+    for (number, pool) in [(2, OTHER), (3, THIRD), (4, FOURTH)] {
+        submit(&mut fleet, number, pool, 32);
+    }
+    fleet.advance(100);
+    let leaving = vacating(&fleet);
+    assert!(leaving.len() > 3, "{leaving:?}");
+    end_runs_on(&mut fleet, &leaving[..1]);
+    fleet.advance(200);
+    let pools: Vec<&str> = fleet.moves().into_iter().map(|(_, pool)| pool).collect();
+    assert_eq!(pools.len(), 1, "{pools:?}");
+    assert_ne!(pools, [POOL]);
+}
