Keep vacating VMs that their own pool needs

The differences that tell what a pool can release were cut off at 0 before its vacating VMs were added, so they left a pool below its target or its minimum of two VMs.

--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -83,9 +83,16 @@
         missing.max_by_key(|(_, missing)| *missing)
     }
 
-    /// Returns how many of the VMs whose endpoints accept starts the pool can spare.
-    pub(crate) fn releasable_vms(&self) -> usize {
-        self.total.members.saturating_sub(self.min_members())
+    /// Returns how many of the VMs whose endpoints accept starts the pool can spare; negative if it
+    /// has too few.
+    pub(crate) fn releasable_vms(&self) -> i64 {
+        let signed = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        signed(self.total.members) - signed(self.min_members())
+    }
+
+    /// Returns whether the pool can spare its vacating VMs, which are not among its members.
+    pub(crate) fn can_spare_vacating(&self) -> bool {
+        self.releasable_vms() >= 0
     }
 
     fn min_members(&self) -> usize {
--- a/crates/engine/src/handover.rs
+++ b/crates/engine/src/handover.rs
@@ -29,18 +29,18 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct Surplus {
     cpu_millis: u64,
-    vms: usize,
+    vms: i64,
 }
 
 /// Returns the endpoints that should take no more work, sorted. `releasable_vms` is the number of
-/// VMs that each pool can spare.
+/// VMs that each pool can spare beside those that are vacating; negative if it has too few.
 ///
 /// VMs that are vacating already come first, so that their empty slots are not refilled; then those
 /// that are empty first.
 #[must_use]
 pub fn choose_vacating(
     plan: &CapacityPlan,
-    releasable_vms: &[usize],
+    releasable_vms: &[i64],
     mut candidates: Vec<ReleaseCandidate>,
 ) -> Vec<EndpointKey> {
     let mut surpluses = surpluses(plan, releasable_vms, &candidates);
@@ -80,25 +80,28 @@
         .sum()
 }
 
-/// Returns what each pool can release. Endpoints that are vacating are not part of the supply.
+/// Returns what each pool can release. Endpoints that are vacating are not part of the supply, and
+/// take work again if the pool has too little without them.
 fn surpluses(
     plan: &CapacityPlan,
-    releasable_vms: &[usize],
+    releasable_vms: &[i64],
     candidates: &[ReleaseCandidate],
 ) -> Vec<Surplus> {
     let pools = plan.pools().iter().zip(releasable_vms);
     let mut surpluses: Vec<Surplus> = pools
-        .map(|(pool, &vms)| {
-            let kept = pool.target_cpu_millis * (100 + KEPT_SURPLUS_PERCENT) / 100;
-            Surplus {
-                cpu_millis: pool.supply_cpu_millis.saturating_sub(kept),
-                vms,
-            }
+        .clone()
+        .map(|(pool, &vms)| Surplus {
+            cpu_millis: pool.supply_cpu_millis,
+            vms,
         })
         .collect();
     for candidate in candidates.iter().filter(|candidate| candidate.is_vacating) {
         surpluses[candidate.pool_index].cpu_millis += candidate.cpu_millis;
         surpluses[candidate.pool_index].vms += 1;
     }
+    for (surplus, (pool, _)) in surpluses.iter_mut().zip(pools) {
+        let kept = pool.target_cpu_millis * (100 + KEPT_SURPLUS_PERCENT) / 100;
+        surplus.cpu_millis = surplus.cpu_millis.saturating_sub(kept);
+    }
     surpluses
 }
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -123,7 +123,13 @@
         let score: Option<&dyn Fn(usize) -> u64> = load.requires_features().then_some(&score);
         spares.take(fits, score, |index| {
             let vm = &self.vms[index];
-            self.is_vacating(vm) || can_leave(loads, vm)
+            if self.is_vacating(vm) {
+                // The pool may have lost other VMs since the choice.
+                let pool = load_index(loads, &vm.entry.pool);
+                pool.is_some_and(|pool| loads[pool].can_spare_vacating())
+            } else {
+                can_leave(loads, vm)
+            }
         })
     }
 
--- a/crates/engine/src/vacating.rs
+++ b/crates/engine/src/vacating.rs
@@ -18,7 +18,7 @@
         if !loads.iter().any(|load| load.is_standby) {
             return self.stop_vacating();
         }
-        let releasable: Vec<usize> = loads.iter().map(PoolLoad::releasable_vms).collect();
+        let releasable: Vec<i64> = loads.iter().map(PoolLoad::releasable_vms).collect();
         let candidates = self.release_candidates(loads, now);
         let chosen = choose_vacating(&self.capacity_plan, &releasable, candidates);
         self.set_vacating(&chosen);
--- a/crates/engine/tests/handover.rs
+++ b/crates/engine/tests/handover.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use {
-    common::{Fleet, POOL, pool, queue, standby_vm, step},
+    common::{Fleet, POOL, listed, pool, queue, standby_vm, step},
     lynxwheel_engine::{
-        CapacityPlan, EndKind, Event, FleetConfig, JobSpec, Now, PoolCapacity, Queue,
-        ReleaseCandidate, StepSpec, VmEntry, VmOutcome, VmState, choose_vacating,
+        CapacityPlan, EndKind, EndpointEntry, Event, FleetConfig, JobSpec, Now, PoolCapacity,
+        Queue, ReleaseCandidate, StepSpec, VmEntry, VmOutcome, VmState, choose_vacating,
     },
 };
 
@@ -70,6 +70,9 @@
     /// Guards against a pool that loses the VMs that its long-running tasks need.
     members_that_the_pool_needs_are_kept: plan(4, 1, 3), 1, candidates(&[], &[100, 200, 300]) => [0];
 
+    /// Guards against vacating VMs that are missing for the minimum of their pool.
+    vacating_vms_fill_up_the_minimum: plan(4, 1, 3), -1, candidates(&[100, 200], &[]) => [0];
+
     /// Guards against moves back and forth between two pools that are equally short of capacity.
     small_surplus_is_kept: plan(2, 2, 1), 2, candidates(&[], &[100, 200]) => [];
 
@@ -77,6 +80,25 @@
     short_capacity_is_shared: plan(4, 4, 4), 4, candidates(&[], &[100, 200, 300, 400]) => [0];
 }
 
+/// Guards against a pool that hands VMs over although its own need has grown since.
+#[test]
+fn vacating_vms_take_work_again_once_their_pool_needs_them() {
+    let capacity = |name: &str, vms, needed| PoolCapacity {
+        pool: name.into(),
+        supply_cpu_millis: vms * CPU_MILLIS,
+        needed_cpu_millis: needed * CPU_MILLIS,
+        ..PoolCapacity::default()
+    };
+    let pools = vec![
+        capacity("a", 1, 3),
+        capacity("b", 0, 2),
+        capacity("c", 9, 0),
+    ];
+    let plan = CapacityPlan::new(pools, Now::default());
+    let chosen = choose_vacating(&plan, &[0, 0, 0], candidates(&[100, 200], &[]));
+    assert_eq!(chosen, []);
+}
+
 /// Returns a fleet with two pools, of which one has VMs with an endpoint each.
 fn fleet_with_vms(vms: usize) -> Fleet {
     let mut fleet = Fleet::new();
@@ -226,6 +248,24 @@
     assert!(!vacating(&fleet).contains(&refused));
 }
 
+/// Guards against a pool that loses its last VMs because others shut down after the choice.
+#[test]
+fn vacating_vms_stay_if_the_others_shut_down() {
+    let mut fleet = fleet_in_handover();
+    let leaving = vacating(&fleet);
+    for index in (0..6).filter(|index| !leaving.contains(index)) {
+        let entry = EndpointEntry {
+            is_draining: true,
+            ..fleet.entries[index].clone()
+        };
+        fleet.handle(listed(entry, false));
+    }
+    assert_eq!(leaving.len(), 2);
+    fleet.end_all_done();
+    fleet.advance(200);
+    assert_eq!(fleet.moves(), []);
+}
+
 /// Guards against a pool that takes VMs as a replacement for those that it hands over, so that the
 /// empty ones wait behind its own apparent shortage.
 #[test]
