--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -83,9 +83,16 @@
         missing.max_by_key(|(_, missing)| *missing)
     }
 
-    /// Returns how many of the VMs whose endpoints accept starts the pool can spare.
-    pub(crate) fn releasable_vms(&self) -> usize {
-        self.total.members.saturating_sub(self.min_members())
+    /// Returns how many of the VMs whose endpoints accept starts the pool can spare; negative if it
+    /// has too few.
+    pub(crate) fn releasable_vms(&self) -> i64 {
+        let signed = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        signed(self.total.members) - signed(self.min_members())
+    }
+
+    /// Returns whether the pool can spare its vacating VMs, which are not among its members.
+    pub(crate) fn can_spare_vacating(&self) -> bool {
+        self.releasable_vms() >= 0
     }
 
     fn min_members(&self) -> usize {
@@ -303,7 +310,14 @@
             let load = &mut loads[index];
             load.vacating += usize::from(endpoint.is_vacating);
             let accepts_starts = endpoint.accepts_starts(now.steady_ms);
-            load.total.used.add(&endpoint.used);
+            // Runs on a vacating endpoint end where they are. As its capacity is not part of the
+            // supply, they would count as a shortage of the pool that hands it over.
+            let used = if endpoint.is_vacating {
+                &endpoint.used_long_running
+            } else {
+                &endpoint.used
+            };
+            load.total.used.add(used);
             load.total
                 .used_long_running
                 .add(&endpoint.used_long_running);
@@ -316,7 +330,7 @@
             }
             for (kind, balance) in &mut load.features {
                 if kind.is_of(&endpoint.labels, &endpoint.capacity) {
-                    balance.used.add(&kind.counted(&endpoint.used));
+                    balance.used.add(&kind.counted(used));
                     if accepts_starts {
                         balance.supply += kind.counted(&endpoint.capacity).cpu_millis;
                         balance.members += 1;
