--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -88,21 +88,21 @@
 
     /// Returns the sort key of the start order; steps without waiting tasks come last.
     ///
-    /// Among jobs that are equally urgent, those that have started are completed first. With the
+    /// Among jobs of equal urgency and priority, those that have started are completed first. With the
     /// least slack first only, each job starts when its slack is used up, and its later steps make
     /// it late.
     fn rank(
         &self,
         is_short: bool,
         now: Now,
-    ) -> (Reverse<bool>, Urgency, Reverse<bool>, u32, i64, TaskRef) {
+    ) -> (Reverse<bool>, Urgency, u32, Reverse<bool>, i64, TaskRef) {
         let slack_ms = self.timing.slack_ms(now);
         let has_waiting = Reverse(self.waiting > 0);
         (
             has_waiting,
             self.urgency(is_short, now),
-            Reverse(self.is_started),
             self.priority,
+            Reverse(self.is_started),
             slack_ms,
             self.first_task,
         )
--- a/crates/engine/tests/placement.rs
+++ b/crates/engine/tests/placement.rs
@@ -18,9 +18,9 @@
 
 /// A step with waiting tasks and its rank in the start order.
 struct Candidate {
-    /// Urgency (long-running, expiring, on time, late, too late), whether the job has not started, priority,
+    /// Urgency (long-running, expiring, on time, late, too late), priority, whether the job has not started,
     /// slack, first task.
-    rank: (u8, bool, u32, i64, TaskRef),
+    rank: (u8, u32, bool, i64, TaskRef),
     spec: StepSpec,
     waiting: Vec<u16>,
 }
@@ -110,8 +110,8 @@
             found.push(Candidate {
                 rank: (
                     urgency,
-                    !is_started(job),
                     job.queue.priority,
+                    !is_started(job),
                     slack_ms,
                     first,
                 ),
--- a/crates/engine/tests/start_order.rs
+++ b/crates/engine/tests/start_order.rs
@@ -80,3 +80,27 @@
     assert_eq!(fleet.starts("0000000000000002.0.0.0"), 1);
     assert_eq!(fleet.starts("0000000000000003.0.0.0"), 0);
 }
+
+/// Guards against a large job of a lower priority that keeps urgent ones waiting once it has
+/// started.
+#[test]
+fn job_of_a_higher_priority_comes_before_started_jobs() {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.advance(300);
+    let batch_queue = Queue {
+        host: "batch.example".into(),
+        priority: 1,
+        ..queue()
+    };
+    let spec = JobSpec {
+        steps: vec![step(40)],
+        ..JobSpec::default()
+    };
+    fleet.submit_to(batch_queue, 1, spec);
+    fleet.settle();
+    fleet.submit(2, 1);
+    fleet.end_all_done();
+    fleet.advance(100);
+    assert_eq!(fleet.starts("0000000000000002.0.0.0"), 1);
+}
