Count vacating VMs as capacity of the fleet

Their capacity was part of no pool, so a hand-over could make the fleet seem short, which lowered the targets of all pools and put late jobs behind. While nothing is missing, the candidates are no longer looked at.

--- a/crates/engine/src/capacity_plan.rs
+++ b/crates/engine/src/capacity_plan.rs
@@ -21,6 +21,8 @@
     pub supply_cpu_millis: u64,
     /// Capacity of the VMs that are moving in.
     pub arriving_cpu_millis: u64,
+    /// Capacity of the endpoints that take no more work, so that their VMs can move.
+    pub vacating_cpu_millis: u64,
     /// Part of the supply that long-running tasks hold.
     pub long_running_cpu_millis: u64,
     /// Need of the work that can be on time, with that of long-running tasks.
@@ -67,7 +69,12 @@
     #[must_use]
     pub fn new(mut pools: Vec<PoolCapacity>, now: Now) -> Self {
         pools.sort_unstable_by(|one, other| one.pool.cmp(&other.pool));
-        let total: u64 = pools.iter().map(PoolCapacity::expected_cpu_millis).sum();
+        // Vacating VMs serve another pool after their move. Without them, a fleet would seem short
+        // of capacity because VMs are being handed over.
+        let capacities = pools
+            .iter()
+            .map(|pool| pool.expected_cpu_millis() + pool.vacating_cpu_millis);
+        let total: u64 = capacities.sum();
         let needed: u64 = pools.iter().map(|pool| pool.needed_cpu_millis).sum();
         for pool in &mut pools {
             if needed > total {
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -27,6 +27,8 @@
     features: Vec<(VmFeature, Balance)>,
     /// Endpoints that take no more work.
     pub(crate) vacating: usize,
+    /// Capacity of those of them whose VMs can move, in thousandths of a core.
+    vacating_cpu_millis: u64,
     /// VMs ordered into the pool in this planning round.
     moved_in: usize,
     /// VMs ordered out of the pool in this planning round.
@@ -63,6 +65,7 @@
             is_standby: self.is_standby,
             supply_cpu_millis: self.total.supply,
             arriving_cpu_millis: self.total.arriving,
+            vacating_cpu_millis: self.vacating_cpu_millis,
             long_running_cpu_millis: self.total.used_long_running.cpu_millis,
             needed_cpu_millis: self.total.needed_next(),
             target_cpu_millis: 0,
@@ -309,6 +312,9 @@
             }
             let load = &mut loads[index];
             load.vacating += usize::from(endpoint.is_vacating);
+            if endpoint.is_vacated_only() {
+                load.vacating_cpu_millis += endpoint.capacity.cpu_millis;
+            }
             let accepts_starts = endpoint.accepts_starts(now.steady_ms);
             // Runs on a vacating endpoint end where they are. As its capacity is not part of the
             // supply, they would count as a shortage of the pool that hands it over.
--- a/crates/engine/src/handover.rs
+++ b/crates/engine/src/handover.rs
@@ -70,7 +70,7 @@
 }
 
 /// Returns the capacity that pools miss in total, in thousandths of a core.
-fn shortage_cpu_millis(plan: &CapacityPlan) -> u64 {
+pub(crate) fn shortage_cpu_millis(plan: &CapacityPlan) -> u64 {
     let pools = plan.pools().iter().filter(|pool| !pool.is_standby);
     pools
         .map(|pool| {
--- a/crates/engine/src/vacating.rs
+++ b/crates/engine/src/vacating.rs
@@ -6,7 +6,7 @@
         endpoints::Endpoint,
         engine::Engine,
         event::{EndpointKey, Now},
-        handover::{ReleaseCandidate, choose_vacating},
+        handover::{ReleaseCandidate, choose_vacating, shortage_cpu_millis},
         log_event::LogEvent,
     },
     compact_str::CompactString,
@@ -15,7 +15,8 @@
 impl Engine {
     /// Updates which endpoints are vacating. `loads` are the pools of the capacity plan.
     pub(crate) fn update_vacating(&mut self, loads: &[PoolLoad], now: Now) {
-        if !loads.iter().any(|load| load.is_standby) {
+        let has_standby = loads.iter().any(|load| load.is_standby);
+        if !has_standby || shortage_cpu_millis(&self.capacity_plan) == 0 {
             return self.stop_vacating();
         }
         let releasable: Vec<i64> = loads.iter().map(PoolLoad::releasable_vms).collect();
--- a/crates/engine/tests/capacity_plan.rs
+++ b/crates/engine/tests/capacity_plan.rs
@@ -59,3 +59,13 @@
     /// Guards against a wait of 0 in a pool that gets no capacity.
     pool_without_capacity_has_no_wait: pool("a", 0, 0, 0), 1 => None;
 }
+
+/// Guards against a fleet that seems short of capacity because VMs are being handed over.
+#[test]
+fn vacating_vms_count_as_capacity_of_the_fleet() {
+    let vacating = PoolCapacity {
+        vacating_cpu_millis: 60_000,
+        ..pool("a", 20, 0, 20)
+    };
+    assert_eq!(targets(vec![vacating, pool("b", 20, 0, 80)]), [20, 80]);
+}
