--- a/crates/engine/src/job_refusals.rs
+++ b/crates/engine/src/job_refusals.rs
@@ -127,7 +127,7 @@
     /// Returns why a job is to be refused, if it is. Nothing is added for its account or pool, as a
     /// refused job leaves no state.
     fn find_overload(&self, job: &Job, now: Now) -> Option<(Overload, JobRefusal)> {
-        if !has_admission_check(job) || !self.has_settled(now) {
+        if !may_be_refused(job) || !self.has_settled(now) {
             return None;
         }
         let account = self.quotas.find(&job.account);
@@ -227,7 +227,7 @@
 
 /// Returns whether a job may be refused: its queue declares an objective, and its completion can be
 /// predicted from the waiting work of its pool.
-fn has_admission_check(job: &Job) -> bool {
+fn may_be_refused(job: &Job) -> bool {
     job.queue.has_objective()
         && !job.queue.advised
         && job.spec.repeat_count == 0
