--- a/crates/engine/tests/admission.rs
+++ b/crates/engine/tests/admission.rs
@@ -72,7 +72,7 @@
     no_plan: 9_000, |request| request.plan_age_ms = None;
     /// Guards against refusals while the endpoints of a pool are not known yet.
     no_capacity: 9_000, |request| request.pool = None;
-    /// Guards against refusing jobs of tight queues in calm times.
+    /// Guards against refusing jobs of tight queues at normal load.
     short_wait: 499, |request| (request.objective_ms, request.critical_path_ms) = (100, 100);
 }
 
--- a/crates/engine/tests/handover.rs
+++ b/crates/engine/tests/handover.rs
@@ -138,7 +138,7 @@
 }
 
 fn submit(fleet: &mut Fleet, number: u64, pool: &str, tasks: u16) {
-    let host = if pool == POOL {
+    let queue = if pool == POOL {
         queue()
     } else {
         Queue {
@@ -155,7 +155,7 @@
         }],
         ..JobSpec::default()
     };
-    fleet.submit_to(host, number, spec);
+    fleet.submit_to(queue, number, spec);
 }
 
 /// Guards against a pool with a late backlog that refills each freed slot, so that no VM becomes
@@ -178,12 +178,7 @@
 /// Guards against VMs without work after the need for them has gone.
 #[test]
 fn vacating_vms_take_work_again_once_nothing_is_missing() {
-    let mut fleet = fleet_with_vms(6);
-    submit(&mut fleet, 1, POOL, 400);
-    fleet.advance(4_000);
-    submit(&mut fleet, 2, OTHER, 32);
-    fleet.advance(100);
-    assert!(!vacating(&fleet).is_empty());
+    let mut fleet = fleet_in_handover();
     fleet.engine.allow_vm_orders(false);
     fleet.advance(100);
     assert_eq!(vacating(&fleet), [0; 0]);
--- a/crates/engine/tests/start_order.rs
+++ b/crates/engine/tests/start_order.rs
@@ -7,13 +7,19 @@
     lynxwheel_engine::{JobSpec, Queue, StepSpec},
 };
 
+/// Returns a fleet with one endpoint of four cores.
+fn fleet_of_four_cores() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.list_endpoint("i-1", 4_000);
+    fleet.advance(300);
+    fleet
+}
+
 /// Guards against jobs that each start as their slack runs out: under a backlog nearly all of them
 /// were late with a later step, after they had taken the capacity of others for the first.
 #[test]
 fn tasks_of_started_jobs_come_before_jobs_with_less_slack() {
-    let mut fleet = Fleet::new();
-    fleet.list_endpoint("i-1", 4_000);
-    fleet.advance(300);
+    let mut fleet = fleet_of_four_cores();
     let second = StepSpec {
         depends_on: vec![0],
         ..step(4)
@@ -37,9 +43,7 @@
 /// still be on time.
 #[test]
 fn job_with_next_to_no_slack_comes_after_one_with_some() {
-    let mut fleet = Fleet::new();
-    fleet.list_endpoint("i-1", 4_000);
-    fleet.advance(300);
+    let mut fleet = fleet_of_four_cores();
     fleet.submit(1, 4);
     fleet.settle();
     fleet.submit(2, 4);
@@ -66,9 +70,7 @@
 /// fleet has capacity for both.
 #[test]
 fn expiring_job_comes_first_while_the_fleet_is_not_short() {
-    let mut fleet = Fleet::new();
-    fleet.list_endpoint("i-1", 4_000);
-    fleet.advance(300);
+    let mut fleet = fleet_of_four_cores();
     fleet.submit(1, 4);
     fleet.settle();
     fleet.submit(2, 4);
@@ -85,9 +87,7 @@
 /// started.
 #[test]
 fn job_of_a_higher_priority_comes_before_started_jobs() {
-    let mut fleet = Fleet::new();
-    fleet.list_endpoint("i-1", 4_000);
-    fleet.advance(300);
+    let mut fleet = fleet_of_four_cores();
     let batch_queue = Queue {
         host: "batch.example".into(),
         priority: 1,
