Let no job expire whose queue declares no objective

Late jobs in the last third of their time start before those that can be on time. Jobs of queues without an objective are late as soon as they wait and were started first by that rule, though nothing of theirs is lost. The new test failed before.

--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -35,6 +35,8 @@
     pub(crate) work: Resources,
     priority: u32,
     is_long_running: bool,
+    /// Whether its queue declares an objective.
+    has_objective: bool,
     /// Whether any task of the job has started.
     is_started: bool,
     timing: Timing,
@@ -63,6 +65,7 @@
             work: open_step_work(job, run, step),
             priority: job.queue.priority,
             is_long_running: spec.long_running,
+            has_objective: job.queue.has_objective(),
             is_started: job.state == JobState::Running,
             timing: Timing::new(job, occurrence),
         }
@@ -80,17 +83,18 @@
             return Urgency::LongRunning;
         }
         match self.timing.urgency(self.is_started, now) {
-            // Late jobs are worth much less than those that can still be on time.
-            Urgency::Expiring if is_short => Urgency::Late,
+            // Late jobs are worth much less than those that can still be on time, and without an
+            // objective none loses its value.
+            Urgency::Expiring if is_short || !self.has_objective => Urgency::Late,
             urgency => urgency,
         }
     }
 
     /// Returns the sort key of the start order; steps without waiting tasks come last.
     ///
-    /// Among jobs of equal urgency and priority, those that have started are completed first. With the
-    /// least slack first only, each job starts when its slack is used up, and its later steps make
-    /// it late.
+    /// Among jobs of equal urgency and priority, those that have started are completed first. With
+    /// the least slack first only, each job starts when its slack is used up, and its later steps
+    /// make it late.
     fn rank(
         &self,
         is_short: bool,
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -242,8 +242,8 @@
     }
 
     /// Returns the accounts whose demand is counted at the fair level, sorted, each with its fair
-    /// share in thousandths of a core. `waiting` is the waiting work of each account, and `free_cpu_millis` the capacity
-    /// available for it.
+    /// share in thousandths of a core. `waiting` is the waiting work of each account, and
+    /// `free_cpu_millis` the capacity available for it.
     #[must_use]
     pub fn fair_shares(
         &self,
--- a/crates/engine/tests/placement.rs
+++ b/crates/engine/tests/placement.rs
@@ -18,8 +18,8 @@
 
 /// A step with waiting tasks and its rank in the start order.
 struct Candidate {
-    /// Urgency (long-running, expiring, on time, late, too late), priority, whether the job has not started,
-    /// slack, first task.
+    /// Urgency (long-running, expiring, on time, late, too late), priority, whether the job has not
+    /// started, slack, first task.
     rank: (u8, u32, bool, i64, TaskRef),
     spec: StepSpec,
     waiting: Vec<u16>,
--- a/crates/engine/tests/start_order.rs
+++ b/crates/engine/tests/start_order.rs
@@ -104,3 +104,26 @@
     fleet.advance(100);
     assert_eq!(fleet.starts("0000000000000002.0.0.0"), 1);
 }
+
+/// Guards against jobs of queues without an objective that come before those that can be on time.
+#[test]
+fn job_without_an_objective_never_expires() {
+    let mut fleet = fleet_of_four_cores();
+    fleet.submit(1, 4);
+    fleet.settle();
+    let queue = Queue {
+        stretch: 0.0,
+        target_latency_ms: 0,
+        ..queue()
+    };
+    let spec = JobSpec {
+        steps: vec![step(4)],
+        ..JobSpec::default()
+    };
+    fleet.submit_to(queue, 2, spec);
+    fleet.advance(1_400);
+    fleet.submit(3, 1);
+    fleet.end_all_done();
+    fleet.advance(100);
+    assert_eq!(fleet.starts("0000000000000003.0.0.0"), 1);
+}
