--- a/crates/engine/src/open_steps.rs
+++ b/crates/engine/src/open_steps.rs
@@ -35,8 +35,6 @@
     pub(crate) work: Resources,
     priority: u32,
     is_long_running: bool,
-    /// Whether its queue declares an objective.
-    has_objective: bool,
     /// Whether any task of the job has started.
     is_started: bool,
     timing: Timing,
@@ -65,7 +63,6 @@
             work: open_step_work(job, run, step),
             priority: job.queue.priority,
             is_long_running: spec.long_running,
-            has_objective: job.queue.has_objective(),
             is_started: job.state == JobState::Running,
             timing: Timing::new(job, occurrence),
         }
@@ -83,9 +80,8 @@
             return Urgency::LongRunning;
         }
         match self.timing.urgency(self.is_started, now) {
-            // Late jobs are worth much less than those that can still be on time, and without an
-            // objective none loses its value.
-            Urgency::Expiring if is_short || !self.has_objective => Urgency::Late,
+            // Late jobs are worth much less than those that can still be on time.
+            Urgency::Expiring if is_short => Urgency::Late,
             urgency => urgency,
         }
     }
--- a/crates/engine/src/timing.rs
+++ b/crates/engine/src/timing.rs
@@ -33,10 +33,12 @@
 
 /// Timing of an occurrence relative to its job's objective.
 #[derive(Clone, Copy, Debug)]
-#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 pub(crate) struct Timing {
     /// Wall-clock time at which it could start, in milliseconds since the Unix epoch.
     started_ms: u64,
+    /// Whether the queue of its job declares an objective. Without one, nothing is lost by a late
+    /// completion.
+    has_objective: bool,
     /// Time within which it is on time, in milliseconds.
     objective_ms: u64,
     /// Critical path of the steps that are not done, in milliseconds.
@@ -51,6 +53,7 @@
         };
         Self {
             started_ms,
+            has_objective: job.queue.has_objective(),
             objective_ms: objective_ms(job),
             remaining_ms: remaining_critical_path_ms(job, occurrence),
         }
@@ -84,7 +87,7 @@
             Urgency::OnTime
         } else if self.is_beyond(LATE_FACTOR, now) {
             Urgency::TooLate
-        } else if self.is_beyond(EXPIRING_FACTOR, now) {
+        } else if self.has_objective && self.is_beyond(EXPIRING_FACTOR, now) {
             Urgency::Expiring
         } else {
             Urgency::Late
