Refuse late jobs that a lasting overload keeps from starting

Cause: a job that is late when it is submitted was accepted if the on-time and late work of the present backlog left it some value. Start order puts on-time jobs before late ones, so in a flood each on-time job that came later passed it: late jobs were accepted at the rate at which earlier ones lost their value.

Change: the engine counts for how long the on-time work of a pool has needed 500 ms or more, and the prediction for late jobs adds that time, as the overload may last as long again. Jobs that can be on time are accepted as before, and short peaks refuse next to nothing more.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -17,7 +17,7 @@
 const MAX_PLAN_AGE_MS: u64 = 1_000;
 
 /// Wait up to which every job is accepted, in milliseconds. Less waiting work is usual variation.
-const MIN_WAIT_MS: u64 = 500;
+pub(crate) const MIN_WAIT_MS: u64 = 500;
 
 /// Minimum time after which a refused job may be submitted again, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 1_000;
@@ -59,6 +59,8 @@
     pub on_time_quota_wait_ms: u64,
     /// The same for its on-time and late work.
     pub valuable_quota_wait_ms: u64,
+    /// How long the on-time work of its pool has been more than the pool can start, in milliseconds.
+    pub overload_ms: u64,
     /// Critical path of the job, in milliseconds.
     pub critical_path_ms: u64,
     /// Time within which the job is on time, in milliseconds.
@@ -157,14 +159,15 @@
 
     /// Returns whether the job can neither be on time nor be completed while it has a value.
     ///
-    /// Work that may still be submitted does not count: peaks are often over before the job loses
-    /// its value, so that jobs would be refused that can be served.
+    /// On-time work that is still to be submitted starts before the job once it is late. An overload
+    /// is expected to last as long again as it has lasted: most peaks are over soon, so that jobs
+    /// would be refused that can be served, but late work of a flood never starts.
     fn is_worthless_after(&self, waits: &Waits) -> bool {
         let slack_ms = slack_ms(self.critical_path_ms, self.objective_ms);
         let max_wait_ms = max_wait_ms(self.critical_path_ms, self.objective_ms);
         waits.valuable_ms >= MIN_WAIT_MS
             && waits.on_time_ms > slack_ms
-            && waits.valuable_ms > max_wait_ms
+            && waits.valuable_ms.saturating_add(self.overload_ms) > max_wait_ms
     }
 
     /// Returns the time until a similar job could be completed on time, in milliseconds. It differs
--- a/crates/engine/src/job_refusals.rs
+++ b/crates/engine/src/job_refusals.rs
@@ -1,10 +1,14 @@
 //! Refusal of jobs that the fleet cannot complete in time.
 
 use crate::{
-    admission::{Admission, AdmissionRequest, Overload, RefusalReason, max_wait_ms, slack_ms},
+    admission::{
+        Admission, AdmissionRequest, MIN_WAIT_MS, Overload, RefusalReason, max_wait_ms, slack_ms,
+    },
     engine::Engine,
     event::{CallerResponse, Now, ReplyToken},
+    free_capacity::PoolNumber,
     log_event::{JobRefusal, LogEvent},
+    overload_time::OverloadTimes,
     quota::AccountNumber,
     state::Job,
     timing::{Urgency, objective_ms},
@@ -26,6 +30,7 @@
 pub(crate) struct RefusalState {
     /// Waiting work at the last tick, and that of jobs accepted since then.
     waiting_work: WaitingWork,
+    overload_times: OverloadTimes,
     /// When a plan first had capacity, on the monotonic clock.
     first_capacity_ms: Option<u64>,
     log_limit: LogLimit,
@@ -88,6 +93,8 @@
     pub(crate) fn refresh_refusal_state(&mut self, now: Now) {
         self.refusals.waiting_work =
             WaitingWork::new(&self.open_steps, self.capacity_plan.is_short(), now);
+        let waits_ms = self.on_time_waits_ms();
+        self.refusals.overload_times.update(&waits_ms, now);
         let mut pools = self.capacity_plan.pools().iter();
         if self.refusals.first_capacity_ms.is_none() && pools.any(|pool| pool.supply_cpu_millis > 0)
         {
@@ -95,6 +102,22 @@
         }
     }
 
+    /// Returns how long a new job of each pool would wait behind on-time work, in milliseconds,
+    /// without the work that only waits for the quota of its account.
+    fn on_time_waits_ms(&self) -> Vec<(PoolNumber, u64)> {
+        let pools = self.capacity_plan.pools().iter().filter_map(|pool| {
+            let number = self.free_capacity.find_pool(&pool.pool)?;
+            let works = self.refusals.waiting_work.of_pool(number).iter();
+            let cpu_ms = works.map(|work| {
+                let quota = Limit::of_quota(&self.quotas.quota(work.account));
+                quota.cpu_ms_within(&work.on_time, MIN_WAIT_MS)
+            });
+            let wait_ms = pool.wait_ms(cpu_ms.fold(0, u64::saturating_add))?;
+            Some((number, wait_ms))
+        });
+        pools.collect()
+    }
+
     /// Counts the work of an accepted job until the next tick.
     pub(crate) fn add_accepted_work(&mut self, job: &Job, account: AccountNumber) {
         if !job.occurrences.is_empty() && !job.queue.advised {
@@ -147,6 +170,7 @@
             valuable_ahead_cpu_ms: ahead.valuable_cpu_ms,
             on_time_quota_wait_ms: ahead.on_time_quota_wait_ms,
             valuable_quota_wait_ms: ahead.valuable_quota_wait_ms,
+            overload_ms: self.overload_ms(job),
             critical_path_ms,
             objective_ms,
             is_over_share,
@@ -171,6 +195,12 @@
         Some((overload, refusal))
     }
 
+    /// Returns how long the pool of a job has been overloaded, in milliseconds.
+    fn overload_ms(&self, job: &Job) -> u64 {
+        let pool = self.free_capacity.find_pool(&job.queue.pool);
+        pool.map_or(0, |pool| self.refusals.overload_times.of_pool(pool))
+    }
+
     fn has_settled(&self, now: Now) -> bool {
         let first_ms = self.refusals.first_capacity_ms;
         first_ms.is_some_and(|ms| now.steady_ms >= ms + SETTLING_MS)
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -54,6 +54,7 @@
 mod log_event;
 mod open_steps;
 mod order_rate;
+mod overload_time;
 mod pacing;
 mod pools;
 mod quota;
--- a/crates/engine/tests/admission.rs
+++ b/crates/engine/tests/admission.rs
@@ -38,6 +38,7 @@
         valuable_ahead_cpu_ms: wait_ms * 10_000,
         on_time_quota_wait_ms: 0,
         valuable_quota_wait_ms: 0,
+        overload_ms: 0,
         critical_path_ms: 1_000,
         objective_ms: 2_200,
         is_over_share: false,
@@ -66,6 +67,12 @@
     completion_at_the_limit: MAX_WAIT_MS, |_| {};
     /// Guards against refusing a job that can be on time because of late work, which starts later.
     late_work_is_not_ahead_of_a_job_on_time: SLACK_MS, |request| request.valuable_ahead_cpu_ms *= 80;
+    /// Guards against refusing late jobs in a peak that may be over soon.
+    completion_at_the_limit_in_a_short_overload: MAX_WAIT_MS - 1_000, |request| {
+        request.overload_ms = 1_000;
+    };
+    /// Guards against refusing jobs that can be on time because of a long overload.
+    long_overload_delays_no_job_on_time: SLACK_MS, |request| request.overload_ms = 10_000;
     /// Guards against refusals by an owner that was suspended.
     old_plan: 9_000, |request| request.plan_age_ms = Some(1_000);
     /// Guards against refusals by a new owner.
@@ -87,6 +94,13 @@
     assert_eq!(over_share.reason, RefusalReason::AccountOverShare);
 }
 
+/// Guards against accepting late jobs that on-time ones will keep from starting.
+#[test]
+fn late_job_is_refused_in_a_long_overload() {
+    let refusal = refused(MAX_WAIT_MS - 999, |request| request.overload_ms = 1_000);
+    assert_eq!(refusal.reason, RefusalReason::PoolOverloaded);
+}
+
 /// Guards against jobs that are accepted although the own work of their account takes too long with
 /// its quota, and against telling their callers that the pool is overloaded.
 #[test]
