Count VMs on standby as capacity of the fleet

Cause: the capacity plan summed up endpoints. VMs on standby have none, so that a fleet with 4,800 of them counted as short whenever a peak began.

Change: the plan has the VMs of standby pools as supply, only pools that lack capacity in it can be overloaded, and no VM is vacated for what standby covers. The new test fails without the change.

--- a/crates/engine/src/capacity_plan.rs
+++ b/crates/engine/src/capacity_plan.rs
@@ -17,7 +17,7 @@
     pub pool: CompactString,
     /// Whether the VMs of the pool are switched off.
     pub is_standby: bool,
-    /// Capacity of the endpoints that accept starts.
+    /// Capacity of the endpoints that accept starts; of a standby pool, that of its VMs.
     pub supply_cpu_millis: u64,
     /// Capacity of the VMs that are moving in.
     pub arriving_cpu_millis: u64,
--- a/crates/engine/src/demand.rs
+++ b/crates/engine/src/demand.rs
@@ -29,6 +29,8 @@
     pub(crate) vacating: usize,
     /// Capacity of those of them whose VMs can move, in thousandths of a core.
     vacating_cpu_millis: u64,
+    /// Capacity of the VMs of a standby pool, which have no endpoints, in thousandths of a core.
+    standby_cpu_millis: u64,
     /// VMs ordered into the pool in this planning round.
     moved_in: usize,
     /// VMs ordered out of the pool in this planning round.
@@ -63,7 +65,7 @@
         PoolCapacity {
             pool: self.name.clone(),
             is_standby: self.is_standby,
-            supply_cpu_millis: self.total.supply,
+            supply_cpu_millis: self.total.supply + self.standby_cpu_millis,
             arriving_cpu_millis: self.total.arriving,
             vacating_cpu_millis: self.vacating_cpu_millis,
             long_running_cpu_millis: self.total.used_long_running.cpu_millis,
@@ -282,6 +284,12 @@
         self.add_waiting(&mut loads, &vm, now);
         self.add_endpoints(&mut loads, now);
         for vm in &self.vms {
+            if vm.accepts_orders(now)
+                && let Some(index) = load_index(&loads, &vm.entry.pool)
+                && loads[index].is_standby
+            {
+                loads[index].standby_cpu_millis += vm.entry.capacity.cpu_millis;
+            }
             let target = match (&vm.order, vm.entry.state) {
                 (Some(VmOrder::Move(pool)), _) => pool,
                 (None, VmState::Moving) => &vm.entry.pool,
--- a/crates/engine/src/handover.rs
+++ b/crates/engine/src/handover.rs
@@ -69,15 +69,17 @@
     chosen
 }
 
-/// Returns the capacity that pools miss in total, in thousandths of a core.
+/// Returns the capacity that pools miss in total beyond that of the VMs on standby, in thousandths of
+/// a core.
 pub(crate) fn shortage_cpu_millis(plan: &CapacityPlan) -> u64 {
-    let pools = plan.pools().iter().filter(|pool| !pool.is_standby);
-    pools
-        .map(|pool| {
-            pool.target_cpu_millis
-                .saturating_sub(pool.expected_cpu_millis())
-        })
-        .sum()
+    let (standby, active): (Vec<_>, Vec<_>) = plan.pools().iter().partition(|pool| pool.is_standby);
+    let missing = active.iter().map(|pool| {
+        pool.target_cpu_millis
+            .saturating_sub(pool.expected_cpu_millis())
+    });
+    let missing: u64 = missing.sum();
+    let on_standby = standby.iter().map(|pool| pool.supply_cpu_millis).sum();
+    missing.saturating_sub(on_standby)
 }
 
 /// Returns what each pool can release. Endpoints that are vacating are not part of the supply, and
--- a/crates/engine/src/job_refusals.rs
+++ b/crates/engine/src/job_refusals.rs
@@ -93,19 +93,25 @@
     pub(crate) fn refresh_refusal_state(&mut self, now: Now) {
         self.refusals.waiting_work =
             WaitingWork::new(&self.open_steps, self.capacity_plan.is_short(), now);
-        let waits_ms = self.on_time_waits_ms();
+        let waits_ms = self.short_pool_waits_ms();
         self.refusals.overload_times.update(&waits_ms, now);
         let mut pools = self.capacity_plan.pools().iter();
-        if self.refusals.first_capacity_ms.is_none() && pools.any(|pool| pool.supply_cpu_millis > 0)
-        {
+        let has_endpoints = pools.any(|pool| !pool.is_standby && pool.supply_cpu_millis > 0);
+        if self.refusals.first_capacity_ms.is_none() && has_endpoints {
             self.refusals.first_capacity_ms = Some(now.steady_ms);
         }
     }
 
-    /// Returns how long a new job of each pool would wait behind on-time work, in milliseconds,
-    /// without the work that only waits for the quota of its account.
-    fn on_time_waits_ms(&self) -> Vec<(PoolNumber, u64)> {
-        let pools = self.capacity_plan.pools().iter().filter_map(|pool| {
+    /// Returns how long a new job of each pool that the fleet cannot give what it needs would wait
+    /// behind on-time work, in milliseconds. Work that only waits for the quota of its account does
+    /// not count.
+    ///
+    /// In a fleet with capacity to spare, VMs are on their way, so that the backlog of a peak is no
+    /// overload.
+    fn short_pool_waits_ms(&self) -> Vec<(PoolNumber, u64)> {
+        let pools = self.capacity_plan.pools().iter();
+        let short = pools.filter(|pool| pool.target_cpu_millis < pool.needed_cpu_millis);
+        let waits_ms = short.filter_map(|pool| {
             let number = self.free_capacity.find_pool(&pool.pool)?;
             let works = self.refusals.waiting_work.of_pool(number).iter();
             let cpu_ms = works.map(|work| {
@@ -115,7 +121,7 @@
             let wait_ms = pool.wait_ms(cpu_ms.fold(0, u64::saturating_add))?;
             Some((number, wait_ms))
         });
-        pools.collect()
+        waits_ms.collect()
     }
 
     /// Counts the work of an accepted job until the next tick.
--- a/crates/engine/src/overload_time.rs
+++ b/crates/engine/src/overload_time.rs
@@ -17,15 +17,15 @@
 }
 
 impl OverloadTimes {
-    /// Updates the times. `on_time_waits_ms` has the wait of a new job of each pool behind its
-    /// on-time work, in milliseconds.
-    pub(crate) fn update(&mut self, on_time_waits_ms: &[(PoolNumber, u64)], now: Now) {
+    /// Updates the times. `short_pool_waits_ms` has the wait of a new job behind the on-time work of
+    /// each pool that lacks capacity, in milliseconds.
+    pub(crate) fn update(&mut self, short_pool_waits_ms: &[(PoolNumber, u64)], now: Now) {
         let updated_ms = self.updated_ms.replace(now.steady_ms);
         let elapsed_ms = now
             .steady_ms
             .saturating_sub(updated_ms.unwrap_or(now.steady_ms));
         let is_overloaded = |pool: PoolNumber| {
-            let mut waits = on_time_waits_ms.iter();
+            let mut waits = short_pool_waits_ms.iter();
             waits.any(|&(other, wait_ms)| other == pool && wait_ms >= MIN_WAIT_MS)
         };
         self.times_ms.retain_mut(|(pool, time_ms)| {
@@ -34,7 +34,7 @@
             }
             *time_ms > 0
         });
-        for &(pool, wait_ms) in on_time_waits_ms {
+        for &(pool, wait_ms) in short_pool_waits_ms {
             if wait_ms < MIN_WAIT_MS {
                 continue;
             }
--- a/crates/engine/tests/admission.rs
+++ b/crates/engine/tests/admission.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Fleet, account, job_id, queue, step},
+    common::{Fleet, account, job_id, queue, standby_vm, step},
     lynxwheel_engine::{
         Admission, AdmissionRequest, CallerResponse, EndKind, Event, JobSpec, JobState, LogEvent,
         Overload, PoolCapacity, Queue, RefusalReason, StepSpec, TaskRef,
@@ -335,6 +335,22 @@
     assert!(done >= 199, "{done}");
 }
 
+/// Guards against refusing what VMs on standby can complete, and against a fleet that counts as short
+/// of capacity while it has such VMs.
+#[test]
+fn peak_is_accepted_while_vms_are_on_standby() {
+    let mut fleet = fleet();
+    let names = (0..20).map(|number| format!("vm-{number:02}"));
+    fleet.list_vms(names.map(|name| standby_vm(&name)).collect());
+    fleet.advance(100);
+    for number in 1..=LAST {
+        let response = submit(&mut fleet, "usual", number);
+        assert_eq!(response, CallerResponse::Accepted);
+        fleet.advance(100);
+    }
+    assert!(!fleet.engine.capacity_plan().is_short());
+}
+
 /// Guards against an account whose backlog is accepted although its quota delays it beyond any
 /// value, and against refusals of others for it.
 #[test]
