Poll the store as often as the platform's times require

Cause: each node polled operator records every 700 ms and read the ownership log, which grows every 350 ms, at intervals that were made for platforms which ask for a configuration within 2 s. A fleet of 585 nodes at rest made 3.2 calls a node and second.

Change: the wait of a poll follows from the platform's times; the owner keeps polling as before, and nodes that deny a request ask it first. Small nodes read the ownership log seldom while the owner responds to them, and every record while it is in doubt. A request without a response is abandoned once a newer epoch is known. Failed reads are repeated with growing delays. Where a configuration is due within 2 s, nothing changes but the abandoned requests.

--- a/crates/controller/src/config_sync.rs
+++ b/crates/controller/src/config_sync.rs
@@ -27,7 +27,7 @@
 const FETCH_INTERVAL_MS: u64 = 300;
 
 /// Age up to which the last read of the operator topic counts as recent, in milliseconds: the
-/// maximum poll wait plus slack.
+/// maximum poll wait of the owner plus slack. Nodes that poll less often ask the owner.
 const FRESH_READ_MS: u64 = 1_000;
 
 /// Fetches a peer's configuration and activates it if newer. Returns whether the active
--- a/crates/controller/src/delegate_worker.rs
+++ b/crates/controller/src/delegate_worker.rs
@@ -133,6 +133,13 @@
         DelegateReply::Accepted
     }
 
+    /// Returns whether calls of an owner may still be executed or delivered.
+    pub fn is_active(&self) -> bool {
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_over = |session: &Arc<DelegateSession>| session.is_over.load(Ordering::Relaxed);
+        current.as_ref().is_some_and(|session| !is_over(session))
+    }
+
     /// Returns the session of an epoch, starting it if needed; `None` if the epoch is outdated.
     fn session(
         &self,
@@ -151,6 +158,8 @@
             existing.end();
         }
         info!(event = "carrying", epoch = epoch, owner:% = owner; "delegate session started");
+        // The ownership log may have a newer epoch that this node has not read yet.
+        node.owner_suspected.notify_one();
         let session = Arc::new(DelegateSession::new(epoch, owner));
         *current = Some(Arc::clone(&session));
         tokio::spawn(send_results(Arc::clone(node), Arc::clone(&session)));
--- a/crates/controller/src/feeds.rs
+++ b/crates/controller/src/feeds.rs
@@ -5,6 +5,7 @@
         clock,
         node::Node,
         owner::{OwnerHandle, OwnerMessage},
+        polling::retry_delay_ms,
     },
     log::{info, warn},
     lynxwheel_engine::Event,
@@ -16,10 +17,6 @@
     tokio::time::sleep,
 };
 
-/// Maximum wait of a poll of the operator topic, in milliseconds. Kept short to detect connections
-/// that hang without an error.
-const OPERATOR_POLL_WAIT_MS: u64 = 700;
-
 /// Maximum wait of a poll of the registry, in milliseconds.
 const REGISTRY_POLL_WAIT_MS: u64 = 700;
 
@@ -37,7 +34,8 @@
 struct TopicReader {
     topic: &'static str,
     from: Option<u64>,
-    is_lost: bool,
+    /// Number of failures since the last success.
+    failures: u32,
 }
 
 impl TopicReader {
@@ -45,7 +43,7 @@
         Self {
             topic,
             from: None,
-            is_lost: false,
+            failures: 0,
         }
     }
 
@@ -59,8 +57,8 @@
         };
         match outcome {
             Ok(records) => {
-                if self.is_lost {
-                    self.is_lost = false;
+                if self.is_lost() {
+                    self.failures = 0;
                     info!(
                         event = "feed_regained", topic = self.topic;
                         "reading the topic succeeded again"
@@ -69,19 +67,25 @@
                 records
             }
             Err(reason) => {
-                if !self.is_lost {
-                    self.is_lost = true;
+                if !self.is_lost() {
                     warn!(
                         event = "feed_lost", topic = self.topic, reason = reason.as_str();
                         "reading the topic failed"
                     );
                 }
-                sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+                self.failures = self.failures.saturating_add(1);
+                let delay_ms =
+                    retry_delay_ms(RETRY_DELAY_MS, self.failures, node.max_poll_wait_ms());
+                sleep(Duration::from_millis(delay_ms)).await;
                 (Vec::new(), false)
             }
         }
     }
 
+    fn is_lost(&self) -> bool {
+        self.failures > 0
+    }
+
     async fn load(&mut self, node: &Node) -> Result<(Vec<KeyedRecord>, bool), String> {
         let loaded = node.store.latest_records(self.topic).await;
         let (records, end) = loaded.map_err(|error| error.to_string())?;
@@ -119,7 +123,12 @@
 pub async fn follow_operator_topic(node: Arc<Node>) {
     let mut reader = TopicReader::new(OPERATOR_TOPIC);
     loop {
-        let (records, _) = reader.next(&node, OPERATOR_POLL_WAIT_MS).await;
+        let (records, _) = tokio::select! {
+            next = reader.next(&node, node.max_poll_wait_ms()) => next,
+            // The others rely on the owner, which polls more often. Nothing is lost by the end of a
+            // poll.
+            () = node.became_owner.notified() => continue,
+        };
         for record in records {
             match decode_operator_record(&record) {
                 Some(OperatorRecord::Config(config, errors)) => {
@@ -139,7 +148,7 @@
                 ),
             }
         }
-        if !reader.is_lost {
+        if !reader.is_lost() {
             node.record_config_read();
         }
     }
--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -31,6 +31,10 @@
 /// enough to leave time for another attempt when a connection hangs.
 const ATTEMPT_TIMEOUT_MS: u64 = 1_000;
 
+/// Time after which the owner's response is overdue, in milliseconds. The owner stores a job before
+/// it responds, which takes some tens of milliseconds.
+const OVERDUE_RESPONSE_MS: u64 = 250;
+
 /// Delay between attempts to reach the owner, in milliseconds.
 const RETRY_DELAY_MS: u64 = 80;
 
@@ -393,17 +397,27 @@
     };
     request.sender = Some(node.as_member());
     let client = node.peers.get(owner.address);
-    match client.post_message(OWNER_PATH, &request, limit).await {
+    let result = tokio::select! {
+        result = client.post_message(OWNER_PATH, &request, limit) => result,
+        () = succeeded_while_overdue(node, epoch) => {
+            info!(
+                event = "forward_abandoned", peer:% = owner.address, epoch = owner.epoch;
+                "the owner was succeeded before it responded"
+            );
+            return OwnerResponse::Unclear;
+        }
+    };
+    match result {
         Ok(response) => {
             if response == OwnerResponse::NotOwner {
-                node.owner_suspected.notify_one();
+                node.record_owner_doubt();
             } else {
                 node.record_owner_response();
             }
             response
         }
         Err(error) => {
-            node.owner_suspected.notify_one();
+            node.record_owner_doubt();
             info!(
                 event = "forward_failed", peer:% = owner.address, epoch = owner.epoch,
                 reason = error.reason.as_str(), may_have_run = error.may_have_run;
@@ -421,6 +435,18 @@
     }
 }
 
+/// Waits until a request to the owner of `epoch` is overdue and a newer epoch is known.
+///
+/// An owner that was suspended or has lost its VM does not respond, and its successor could have
+/// answered for most of the time until the attempt ends.
+async fn succeeded_while_overdue(node: &Node, epoch: u64) {
+    sleep(Duration::from_millis(OVERDUE_RESPONSE_MS)).await;
+    node.record_owner_doubt();
+    let mut views = node.ownership.subscribe();
+    // Fails only once the node itself is gone.
+    drop(views.wait_for(|view| view.epoch > epoch).await);
+}
+
 /// Counts a request by outcome and records its duration.
 fn record_request_metrics(kind: &'static str, response: OwnerResponse, started: Instant) {
     let outcome = match response {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -45,6 +45,7 @@
 mod peer;
 mod peer_server;
 mod pending;
+mod polling;
 mod publisher;
 mod ready;
 mod speed;
@@ -75,6 +76,7 @@
         OwnershipRequest, OwnershipResponse,
     },
     pending::PendingCalls,
+    polling::{DOUBT_MS, MIN_POLL_WAIT_MS, OwnerContact, max_poll_wait_ms, retry_delay_ms},
     publisher::StatusPublisher,
     speed::CpuSpeed,
     suspension::Suspension,
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -9,7 +9,9 @@
         owner::{OwnerHandle, OwnerMessage},
         ownership::{OwnerInfo, OwnershipKind, OwnershipRecord, OwnershipView},
         payloads::PayloadCache,
-        peer_server, ready,
+        peer_server,
+        polling::{MIN_POLL_WAIT_MS, OwnerContact, max_poll_wait_ms},
+        ready,
         speed::{self, CpuSpeed},
         suspension::{OBSERVATION_INTERVAL_MS, Suspension},
         watcher,
@@ -48,9 +50,9 @@
 /// Part of the shutdown grace period reserved for final responses, in milliseconds.
 const FINAL_RESPONSES_MS: u64 = 1_200;
 
-/// Time without store contact after which a node reports that it is not ready, in milliseconds: one
-/// poll plus slack.
-const READY_CONTACT_MS: u64 = 1_800;
+/// Time without store contact beyond one poll after which a node reports that it is not ready, in
+/// milliseconds.
+const READY_POLL_SLACK_MS: u64 = 1_100;
 
 /// Time without store contact after which an owner counts as disconnected from the store, in
 /// milliseconds: the maximum poll wait plus slack.
@@ -144,8 +146,14 @@
     pub last_owned_epoch: AtomicU64,
     /// Monotonic time of the owner's last response to this node, in milliseconds.
     pub last_owner_response_ms: AtomicU64,
+    /// Monotonic time of the last sign that the owner may have been replaced, in milliseconds.
+    pub last_owner_doubt_ms: AtomicU64,
+    /// Notified when this node becomes the owner.
+    pub became_owner: Notify,
     /// Monotonic time of the last successful store access, in milliseconds.
     pub last_store_contact_ms: AtomicU64,
+    /// Monotonic time of the last failed store access, in milliseconds.
+    pub last_store_failure_ms: AtomicU64,
     /// Handle to the metrics exporter.
     pub metrics: MetricsHandle,
     /// Start of the last successful read of the ownership log, on the monotonic clock, in milliseconds.
@@ -189,7 +197,10 @@
             takeover_epoch: AtomicU64::new(0),
             last_owned_epoch: AtomicU64::new(0),
             last_owner_response_ms: AtomicU64::new(0),
+            last_owner_doubt_ms: AtomicU64::new(0),
+            became_owner: Notify::new(),
             last_store_contact_ms: AtomicU64::new(0),
+            last_store_failure_ms: AtomicU64::new(0),
             ownership_read_ms: AtomicU64::new(0),
             suspension: Arc::new(Suspension::new(clock::steady_ms())),
             stopping: Shutdown::new(),
@@ -204,12 +215,58 @@
             .store(clock::steady_ms(), Ordering::Relaxed);
     }
 
+    /// Records a failed store access.
+    pub fn record_store_failure(&self) {
+        self.last_store_failure_ms
+            .store(clock::steady_ms(), Ordering::Relaxed);
+    }
+
     /// Records a successful read of the operator topic.
     pub fn record_config_read(&self) {
         let now_ms = clock::steady_ms();
         self.config_read_ms.store(now_ms, Ordering::Relaxed);
     }
 
+    /// Returns the maximum wait of a poll of this node, in milliseconds.
+    #[must_use]
+    pub fn max_poll_wait_ms(&self) -> u64 {
+        if self.owner.load().is_some() {
+            return MIN_POLL_WAIT_MS;
+        }
+        max_poll_wait_ms(&self.settings.bounds)
+    }
+
+    /// Records that the owner may have been replaced, and ends the pause before the next read of the
+    /// ownership log.
+    pub fn record_owner_doubt(&self) {
+        self.last_owner_doubt_ms
+            .store(clock::steady_ms(), Ordering::Relaxed);
+        self.owner_suspected.notify_one();
+    }
+
+    /// Returns whether the owner may have been replaced, as far as this node knows from its own
+    /// requests.
+    #[must_use]
+    pub fn is_owner_in_doubt(&self) -> bool {
+        let contact = OwnerContact {
+            responded_ms: self.last_owner_response_ms.load(Ordering::Relaxed),
+            doubted_ms: self.last_owner_doubt_ms.load(Ordering::Relaxed),
+        };
+        contact.is_in_doubt(clock::steady_ms())
+    }
+
+    /// Returns whether the store was reached recently. Between two polls, the last one counts.
+    fn has_store_contact(&self, now_ms: u64) -> bool {
+        let contact_ms = self.last_store_contact_ms.load(Ordering::Relaxed);
+        let failed_ms = self.last_store_failure_ms.load(Ordering::Relaxed);
+        let poll_wait_ms = if failed_ms > contact_ms {
+            MIN_POLL_WAIT_MS
+        } else {
+            self.max_poll_wait_ms()
+        };
+        self.was_store_reached_within(now_ms, poll_wait_ms + READY_POLL_SLACK_MS)
+    }
+
     fn was_store_reached_within(&self, now_ms: u64, age_ms: u64) -> bool {
         now_ms < self.last_store_contact_ms.load(Ordering::Relaxed) + age_ms
     }
@@ -312,7 +369,7 @@
     pub fn is_ready(&self) -> bool {
         self.config.load().version > 0
             && !self.stopping.has_begun()
-            && self.was_store_reached_within(clock::steady_ms(), READY_CONTACT_MS)
+            && self.has_store_contact(clock::steady_ms())
     }
 
     /// Derives the engine's settings from the platform's limits.
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -216,6 +216,7 @@
     let handle = Arc::new(OwnerHandle::new(epoch, actor, lease));
     node.last_owned_epoch.store(epoch, Ordering::Relaxed);
     node.owner.store(Some(Arc::clone(&handle)));
+    node.became_owner.notify_one();
     drop(prepared.spawn(owner));
     counter!("lynxwheel_take_overs_total").increment(1);
     let took_ms = clock::steady_ms().saturating_sub(started_ms);
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -12,6 +12,7 @@
             RENEWAL_INTERVAL_MS, SUSPICION_TIMEOUT_MS,
         },
         peer::{OWNERSHIP_PATH, OwnershipAction, OwnershipRequest, OwnershipResponse},
+        polling::retry_delay_ms,
         takeover,
     },
     log::{info, warn},
@@ -36,8 +37,8 @@
 /// Delay after a failed call, in milliseconds.
 const RETRY_DELAY_MS: u64 = 100;
 
-/// Pause of a small node between two reads, in milliseconds; shorter than the timeout after which
-/// it would claim.
+/// Minimum pause of a small node between two reads, in milliseconds; shorter than the timeout after
+/// which it would claim.
 const SMALL_FOLLOWER_PAUSE_MS: u64 = 800;
 
 /// Range of the random delay before a claim, in milliseconds. Most nodes then see the first claim
@@ -63,6 +64,7 @@
 /// Watches the ownership log until the process exits.
 pub async fn watch(node: Arc<Node>) {
     let mut is_store_lost = false;
+    let mut failures = 0;
     let mut yield_requested = Instant::now();
     loop {
         let is_read = tokio::select! {
@@ -83,9 +85,12 @@
             }
         }
         if !is_read {
-            sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+            node.record_store_failure();
+            failures += 1;
+            wait_after_failure(&node, failures).await;
             continue;
         }
+        failures = 0;
         node.record_store_contact();
         follow_owner(&node).await;
         if can_claim(&node) {
@@ -101,17 +106,39 @@
     }
 }
 
-/// Pauses a small node between reads, unless it suspects that the owner has failed.
+/// Pauses a small node between reads, until it suspects that the owner has failed.
 ///
 /// A small node claims last in any case, and a fleet may have many of them; without the pause each
-/// would read every renewal.
+/// would read every renewal. While the owner responds, there is no need to know of its renewals.
 async fn pause_if_small_follower(node: &Node) {
-    let is_follower = node.owner.load().is_none() && !is_vacant(node);
-    if is_follower && node.ownership.borrow().is_small(node.settings.cpu_millis) {
-        let pause = Duration::from_millis(SMALL_FOLLOWER_PAUSE_MS);
-        // Either result continues with the next read.
-        drop(timeout(pause, node.owner_suspected.notified()).await);
+    if !is_small_follower(node) || node.is_owner_in_doubt() {
+        return;
     }
+    // A delegate has to learn of a newer epoch sooner, which ends the calls of the earlier owner.
+    let pause_ms = if node.delegate_worker.is_active() {
+        SMALL_FOLLOWER_PAUSE_MS
+    } else {
+        node.max_poll_wait_ms().max(SMALL_FOLLOWER_PAUSE_MS)
+    };
+    // Either result continues with the next read.
+    let suspected = node.owner_suspected.notified();
+    drop(timeout(Duration::from_millis(pause_ms), suspected).await);
+}
+
+fn is_small_follower(node: &Node) -> bool {
+    let is_follower = node.owner.load().is_none() && !is_vacant(node);
+    is_follower && node.ownership.borrow().is_small(node.settings.cpu_millis)
+}
+
+/// Waits before a failed read is repeated. Small nodes wait longer with each failure, as the others
+/// find and replace the owner.
+async fn wait_after_failure(node: &Node, failures: u32) {
+    let delay_ms = if is_small_follower(node) {
+        retry_delay_ms(RETRY_DELAY_MS, failures, node.max_poll_wait_ms())
+    } else {
+        RETRY_DELAY_MS
+    };
+    sleep(Duration::from_millis(delay_ms)).await;
 }
 
 fn can_claim(node: &Node) -> bool {
--- a/crates/lynxwheel/tests/soak.rs
+++ b/crates/lynxwheel/tests/soak.rs
@@ -49,16 +49,29 @@
     /// accepted jobs that are lost in a backlog when owners are killed, and accounts that get
     /// nothing while another one floods.
     overload_violates_no_guarantee: 8, 8_000, |plan| plan.with_overload(true);
+
+    /// Guards against nodes that read the store seldom and miss a change of the owner, of the
+    /// configuration or of their access to the store.
+    long_polls_violate_no_guarantee: 9, 4_000, |plan| plan.with_long_polls(true);
 }
 
-/// Guards against nodes without access to the store that accept revoked keys or reject new ones.
-#[test]
-fn nodes_without_the_store_learn_keys_from_peers() {
-    let program = Path::new(env!("CARGO_BIN_EXE_lynxwheel"));
-    let plan = SoakPlan::new(program, 3, 0, 3);
-    let runtime = Runtime::new().expect("a runtime");
-    let current = runtime
-        .block_on(count_nodes_with_latest_keys(&plan))
-        .expect("a run");
-    assert_eq!(current, plan.nodes);
+macro_rules! isolated_nodes {
+    ($($(#[$doc:meta])* $name:ident: $seed:literal, $adjust:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            let program = Path::new(env!("CARGO_BIN_EXE_lynxwheel"));
+            let adjust: fn(SoakPlan) -> SoakPlan = $adjust;
+            let plan = adjust(SoakPlan::new(program, $seed, 0, 3));
+            let runtime = Runtime::new().expect("a runtime");
+            let current = runtime.block_on(count_nodes_with_latest_keys(&plan));
+            assert_eq!(current.expect("a run"), plan.nodes);
+        })*
+    };
+}
+
+isolated_nodes! {
+    /// Guards against nodes without access to the store that accept revoked keys or reject new ones.
+    nodes_without_the_store_learn_keys_from_peers: 3, |plan| plan;
+
+    /// Guards against nodes that learn of new keys only with the end of a long poll.
+    seldom_polling_nodes_without_the_store_learn_keys_from_peers: 10, |plan| plan.with_long_polls(true);
 }
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -42,6 +42,9 @@
     /// while owners are killed. The other faults follow the first of these floods.
     #[arg(long)]
     overload: bool,
+    /// Gives configurations so much time that nodes poll the store seldom.
+    #[arg(long)]
+    long_polls: bool,
     /// Duration of the traffic and the faults, in milliseconds.
     #[arg(long, default_value_t = 10_000)]
     length_ms: u64,
@@ -60,6 +63,7 @@
         unstable_endpoints,
         refused_orders,
         overload,
+        long_polls,
         length_ms,
     } = Arguments::parse();
     let plan = |seed| {
@@ -69,6 +73,7 @@
             .with_unstable_endpoints(unstable_endpoints)
             .with_refused_orders(refused_orders)
             .with_overload(overload)
+            .with_long_polls(long_polls)
     };
     let run = |seed| {
         let plan = plan(seed);
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -96,6 +96,16 @@
     }
 }
 
+/// Returns the times that nodes have for a new configuration and until bounds hold for them after a
+/// disturbance, in milliseconds.
+fn times_ms(plan: &SoakPlan) -> (u64, u64) {
+    if plan.has_long_polls {
+        (5_000, 6_000)
+    } else {
+        (2_000, 3_000)
+    }
+}
+
 /// Returns the queues, which are the same in every run.
 pub fn queues() -> Vec<QueueSpec> {
     POOLS[..2]
@@ -171,6 +181,7 @@
         vms: SocketAddr,
     ) -> io::Result<()> {
         let store_link = Proxy::start(self.store.address()).await?;
+        let (config_apply_ms, contact_ms) = times_ms(plan);
         let settings = NodeSettings {
             name: format!("node{number}"),
             ip,
@@ -178,6 +189,8 @@
             store: store_link.address(),
             vms,
             cpu_share: cpu_share(plan, number),
+            config_apply_ms,
+            contact_ms,
         };
         let node = NodeProcess::new(&plan.program, &plan.directory, &settings)?;
         node.start()?;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -62,6 +62,8 @@
     /// Whether one account submits several times what all endpoints can do, and then all accounts
     /// do, while owners are killed. The other faults and traffic follow the first of these floods.
     pub has_overload: bool,
+    /// Whether configurations have so much time that nodes poll the store seldom.
+    pub has_long_polls: bool,
     /// Directory for settings and logs of the nodes, kept when an invariant is violated.
     pub directory: PathBuf,
 }
@@ -81,6 +83,7 @@
             has_unstable_endpoints: false,
             has_refused_orders: false,
             has_overload: false,
+            has_long_polls: false,
             directory: std::env::temp_dir().join(name),
         }
     }
@@ -130,6 +133,15 @@
         }
     }
 
+    /// Sets whether configurations have so much time that nodes poll the store seldom.
+    #[must_use]
+    pub fn with_long_polls(self, has_long_polls: bool) -> Self {
+        Self {
+            has_long_polls,
+            ..self
+        }
+    }
+
     /// Returns the floods of a run under overload.
     fn flood_plan(&self) -> Option<FloodPlan> {
         let flood = || FloodPlan::new(self.seed, self.traffic_ms, TOTAL_CPU_MILLIS);
