Hand idle VMs over before ordering those on standby

Cause: a pool in need took VMs from standby first. Idle VMs of other pools were switched off after 0.9 s, so that a change of hands was two moves.

Change: an idle VM that its pool can spare goes first, unless one on standby matches the work better. The new test fails without the change.

--- a/crates/engine/src/spare_vms.rs
+++ b/crates/engine/src/spare_vms.rs
@@ -10,25 +10,31 @@
 }
 
 impl SpareVms {
-    /// Takes the most suitable VM: first one on standby, then an idle one that may leave its pool.
+    /// Takes the most suitable VM; among equals an idle one that may leave its pool, then one on
+    /// standby.
     ///
-    /// Pools only lose VMs during a planning round, so a VM that may not leave now is discarded.
+    /// An idle VM that its pool can spare is switched off soon, so that one from standby would take
+    /// two moves instead of one. Pools only lose VMs during a planning round, so a VM that may not
+    /// leave now is discarded.
     pub(crate) fn take(
         &mut self,
         fits: impl Fn(usize) -> bool,
         score: Option<&dyn Fn(usize) -> u64>,
         may_leave: impl Fn(usize) -> bool,
     ) -> Option<usize> {
-        if let Some(at) = best(&self.standby, &fits, score) {
-            return Some(self.standby.remove(at));
-        }
+        let on_standby = best(&self.standby, &fits, score);
+        let score_of = |vm: usize| score.map_or(0, |score| score(vm));
         while let Some(at) = best(&self.idle, &fits, score) {
-            let vm = self.idle.remove(at);
+            let vm = self.idle[at];
+            if on_standby.is_some_and(|at| score_of(self.standby[at]) > score_of(vm)) {
+                break;
+            }
+            self.idle.remove(at);
             if may_leave(vm) {
                 return Some(vm);
             }
         }
-        None
+        on_standby.map(|at| self.standby.remove(at))
     }
 }
 
--- a/crates/engine/tests/handover.rs
+++ b/crates/engine/tests/handover.rs
@@ -99,6 +99,16 @@
     assert_eq!(chosen, []);
 }
 
+/// Returns the list of the VMs of the pool that has them.
+fn fleet_vms(vms: usize) -> impl Iterator<Item = VmEntry> {
+    (0..vms).map(|number| VmEntry {
+        pool: POOL.into(),
+        state: VmState::Up,
+        endpoint: format!("i-{number}").into(),
+        ..standby_vm(&format!("vm-{number}"))
+    })
+}
+
 /// Returns a fleet with two pools, of which one has VMs with an endpoint each.
 fn fleet_with_vms(vms: usize) -> Fleet {
     let mut fleet = Fleet::new();
@@ -125,13 +135,7 @@
         let (vm, endpoint) = (format!("vm-{number}"), format!("i-{number}"));
         fleet.list_endpoint_on(&vm, &endpoint, POOL, CPU_MILLIS);
     }
-    let entries = (0..vms).map(|number| VmEntry {
-        pool: POOL.into(),
-        state: VmState::Up,
-        endpoint: format!("i-{number}").into(),
-        ..standby_vm(&format!("vm-{number}"))
-    });
-    fleet.list_vms(entries.collect());
+    fleet.list_vms(fleet_vms(vms).collect());
     fleet.advance(200);
     fleet.engine.allow_vm_orders(true);
     fleet
@@ -280,3 +284,22 @@
     assert_eq!(pools.len(), 1, "{pools:?}");
     assert_ne!(pools, [POOL]);
 }
+
+/// Guards against two moves for one change of hands: an idle VM that is switched off while one from
+/// standby takes its place in another pool.
+#[test]
+fn idle_vm_is_handed_over_before_one_from_standby_is_ordered() {
+    let mut fleet = fleet_with_vms(6);
+    let standby = (6..12).map(|number| standby_vm(&format!("vm-{number}")));
+    let entries = fleet_vms(6).chain(standby);
+    fleet.list_vms(entries.collect());
+    submit(&mut fleet, 1, OTHER, 32);
+    fleet.advance(100);
+    let moved: Vec<String> = fleet
+        .moves()
+        .into_iter()
+        .filter(|(_, pool)| *pool == OTHER)
+        .map(|(vm, _)| vm.to_owned())
+        .collect();
+    assert_eq!(moved, ["vm-0", "vm-1"]);
+}
