Let standbys alone read every renewal in a large fleet

Cause: all large nodes read the ownership log with each renewal, to succeed the owner early. Their reads grew with the fleet although one successor is needed.

Change: the owner appends two standbys a zone to the ownership log, chosen among the large nodes that forward requests to it. The others read it as seldom as small nodes, and every record while they get no response from the owner. Fleets with fewer than 20 large nodes have no standbys and follow as before.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -49,6 +49,7 @@
 mod publisher;
 mod ready;
 mod speed;
+mod standbys;
 mod suspension;
 mod takeover;
 mod watcher;
@@ -79,6 +80,7 @@
     polling::{DOUBT_MS, MIN_POLL_WAIT_MS, OwnerContact, max_poll_wait_ms, retry_delay_ms},
     publisher::StatusPublisher,
     speed::CpuSpeed,
+    standbys::{StandbyCandidates, StandbyRecord},
     suspension::Suspension,
     takeover::{LoadedState, is_read_again_due},
     watcher::OWNERSHIP_TOPIC,
--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -6,6 +6,7 @@
 //! should act; safety comes from the store and the endpoints, which reject lower epochs.
 
 use {
+    crate::standbys::StandbyRecord,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -96,7 +97,7 @@
 
 /// Returns whether a node is so much smaller than another that the other should own the fleet. The
 /// factor tolerates differences between similar nodes.
-fn is_much_smaller(cpu_millis: u32, other_millis: u32) -> bool {
+pub fn is_much_smaller(cpu_millis: u32, other_millis: u32) -> bool {
     u64::from(cpu_millis) * 4 < u64::from(other_millis) * 3
 }
 
@@ -146,6 +147,8 @@
     pub next_offset: u64,
     /// Whether the current owner has released the ownership.
     pub is_released: bool,
+    /// Nodes that the owner has chosen to follow every renewal, sorted.
+    standbys: Vec<SocketAddr>,
     /// Owner before the current one.
     predecessor: Option<OwnerInfo>,
     /// Largest CPU capacity of any writer, in thousandths of a core.
@@ -182,6 +185,7 @@
         self.record_stored_end(record.stored_end, now_ms);
         if record.kind == OwnershipKind::Claim {
             self.predecessor = self.owner;
+            self.standbys.clear();
         }
         self.is_released = match record.kind {
             OwnershipKind::Claim => false,
@@ -198,6 +202,20 @@
         self.largest_cpu_millis = self.largest_cpu_millis.max(record.cpu_millis);
     }
 
+    /// Applies the record of standbys at `next_offset`.
+    pub fn apply_standbys(&mut self, record: &StandbyRecord) {
+        self.next_offset += 1;
+        if record.epoch == self.epoch {
+            self.standbys.clone_from(&record.standbys);
+        }
+    }
+
+    /// Returns whether the owner has standbys, and the node at an address is none of them.
+    #[must_use]
+    pub fn has_standby_elsewhere(&self, address: SocketAddr) -> bool {
+        !self.standbys.is_empty() && self.standbys.binary_search(&address).is_err()
+    }
+
     fn record_stored_end(&mut self, end: u64, now_ms: u64) {
         let newest = self.stored_marks.last().map_or(0, |mark| mark.end);
         if end > newest {
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -13,6 +13,7 @@
         },
         peer::{OWNERSHIP_PATH, OwnershipAction, OwnershipRequest, OwnershipResponse},
         polling::retry_delay_ms,
+        standbys::{StandbyCandidates, StandbyRecord},
         takeover,
     },
     log::{info, warn},
@@ -37,9 +38,9 @@
 /// Delay after a failed call, in milliseconds.
 const RETRY_DELAY_MS: u64 = 100;
 
-/// Minimum pause of a small node between two reads, in milliseconds; shorter than the timeout after
-/// which it would claim.
-const SMALL_FOLLOWER_PAUSE_MS: u64 = 800;
+/// Minimum pause between two reads, in milliseconds; shorter than the timeout after which a node
+/// would claim.
+const MIN_PAUSE_MS: u64 = 800;
 
 /// Range of the random delay before a claim, in milliseconds. Most nodes then see the first claim
 /// and skip theirs.
@@ -57,6 +58,10 @@
 /// short-lived.
 const YIELD_REQUEST_INTERVAL_MS: u64 = 3_000;
 
+/// Number of renewals after which the standbys are appended again: often enough for nodes that start
+/// later, as the log keeps at least some seconds.
+const RENEWALS_PER_STANDBY_RECORD: u32 = 10;
+
 /// Maximum number of attempts to release the ownership; after that, others wait for the owner
 /// timeout.
 const MAX_RELEASE_ATTEMPTS: u32 = 3;
@@ -96,7 +101,7 @@
         if can_claim(&node) {
             claim(&node).await;
         }
-        pause_if_small_follower(&node).await;
+        pause_between_reads(&node).await;
         if yield_requested.elapsed() > Duration::from_millis(YIELD_REQUEST_INTERVAL_MS)
             && has_small_owner(&node)
         {
@@ -106,34 +111,38 @@
     }
 }
 
-/// Pauses a small node between reads, until it suspects that the owner has failed.
+/// Pauses a node between reads that need not follow every renewal, until it suspects that the owner
+/// has failed.
 ///
 /// A small node claims last in any case, and a fleet may have many of them; without the pause each
 /// would read every renewal. While the owner responds, there is no need to know of its renewals.
-async fn pause_if_small_follower(node: &Node) {
-    if !is_small_follower(node) || node.is_owner_in_doubt() {
+async fn pause_between_reads(node: &Node) {
+    if !may_pause(node) || node.is_owner_in_doubt() {
         return;
     }
     // A delegate has to learn of a newer epoch sooner, which ends the calls of the earlier owner.
     let pause_ms = if node.delegate_worker.is_active() {
-        SMALL_FOLLOWER_PAUSE_MS
+        MIN_PAUSE_MS
     } else {
-        node.max_poll_wait_ms().max(SMALL_FOLLOWER_PAUSE_MS)
+        node.max_poll_wait_ms().max(MIN_PAUSE_MS)
     };
     // Either result continues with the next read.
     let suspected = node.owner_suspected.notified();
     drop(timeout(Duration::from_millis(pause_ms), suspected).await);
 }
 
-fn is_small_follower(node: &Node) -> bool {
-    let is_follower = node.owner.load().is_none() && !is_vacant(node);
-    is_follower && node.ownership.borrow().is_small(node.settings.cpu_millis)
+/// Returns whether other nodes find and replace a failed owner sooner than this one.
+fn may_pause(node: &Node) -> bool {
+    if node.owner.load().is_some() || is_vacant(node) {
+        return false;
+    }
+    let view = node.ownership.borrow();
+    view.is_small(node.settings.cpu_millis) || view.has_standby_elsewhere(node.peer_address)
 }
 
-/// Waits before a failed read is repeated. Small nodes wait longer with each failure, as the others
-/// find and replace the owner.
+/// Waits before a failed read is repeated. Nodes that may pause wait longer with each failure.
 async fn wait_after_failure(node: &Node, failures: u32) {
-    let delay_ms = if is_small_follower(node) {
+    let delay_ms = if may_pause(node) {
         retry_delay_ms(RETRY_DELAY_MS, failures, node.max_poll_wait_ms())
     } else {
         RETRY_DELAY_MS
@@ -163,7 +172,10 @@
             node.ownership.send_modify(|view| {
                 view.record_read(now_ms);
                 for record in &records {
-                    view.apply(OwnershipRecord::decode(record).as_ref(), now_ms);
+                    match StandbyRecord::decode(record) {
+                        Some(standbys) => view.apply_standbys(&standbys),
+                        None => view.apply(OwnershipRecord::decode(record).as_ref(), now_ms),
+                    }
                 }
             });
             true
@@ -377,6 +389,8 @@
     stored_end: Arc<AtomicU64>,
 ) {
     let mut record = node.ownership_record(OwnershipKind::Renewal, epoch);
+    let mut candidates = StandbyCandidates::default();
+    let mut renewals: u32 = 0;
     let mut previous_end = 0;
     loop {
         record.stored_end = stored_end.load(Ordering::Relaxed);
@@ -388,14 +402,16 @@
             return;
         };
         let sent_ms = clock::steady_ms();
+        let mut records = vec![record.encode()];
+        renewals += 1;
+        if renewals.is_multiple_of(RENEWALS_PER_STANDBY_RECORD) {
+            candidates.record(&node.live_members(sent_ms), sent_ms);
+            let standbys = candidates.next_record(epoch, record.cpu_millis);
+            records.extend(standbys.map(|standbys| standbys.encode()));
+        }
         let outcome = node
             .store
-            .append(
-                OWNERSHIP_TOPIC,
-                std::slice::from_ref(&record.encode()),
-                Some(at),
-                None,
-            )
+            .append(OWNERSHIP_TOPIC, &records, Some(at), None)
             .await;
         let pause_ms = match outcome {
             AppendOutcome::Stored { end, .. } => {
