--- a/crates/controller/src/standbys.rs
+++ b/crates/controller/src/standbys.rs
@@ -11,7 +11,7 @@
     std::net::SocketAddr,
 };
 
-/// Standbys in each availability zone: one more than may be lost together with the owner.
+/// Standbys in each availability zone, so that one is left if the other is lost with the owner.
 const STANDBYS_PER_ZONE: usize = 2;
 
 /// Minimum number of large nodes for standbys to be chosen. With fewer, all of them follow.
