--- a/crates/controller/tests/encodings.rs
+++ b/crates/controller/tests/encodings.rs
@@ -7,7 +7,7 @@
     lynxwheel_controller::{
         CallResult, CallerRequest, ConfigRequest, DelegateReply, DelegateRequest, DelegateResults,
         DelegatedCall, EndpointCall, Member, OwnerRequest, OwnerResponse, OwnershipAction,
-        OwnershipKind, OwnershipRecord, OwnershipRequest, OwnershipResponse,
+        OwnershipKind, OwnershipRecord, OwnershipRequest, OwnershipResponse, StandbyRecord,
     },
     lynxwheel_engine::{
         CallOutcome, CallerLimits, ClientAccount, ClientAccounts, EndKind, EndedTask,
@@ -72,6 +72,13 @@
     assert_eq!(decoded.as_ref(), Some(record));
 }
 
+/// Checks a record of standbys in the ownership log.
+fn logged_standbys(record: &StandbyRecord, held: &str) {
+    assert_held(&record.encode(), held);
+    let decoded = StandbyRecord::decode(&bytes(held));
+    assert_eq!(decoded.as_ref(), Some(record));
+}
+
 macro_rules! held {
     ($check:ident; $($(#[$guard:meta])* $name:ident: $value:expr => $held:expr;)*) => {
         $($(#[$guard])* #[test] fn $name() { $check(&$value, $held); })*
@@ -532,3 +539,10 @@
     ownership_release: record(OwnershipKind::Release) =>
         "96a752656c65617365ce00011170cf0000018bcfe5687b81a2563492940a000001cd1b94ccface00011166";
 }
+
+held! {
+    logged_standbys;
+
+    ownership_standbys: StandbyRecord { epoch: 70_000, standbys: vec![address(7_060)] } =>
+        "92ce000111709181a2563492940a000001cd1b94";
+}
--- a/crates/controller/tests/polling.rs
+++ b/crates/controller/tests/polling.rs
@@ -57,7 +57,7 @@
         assert_eq!(max_poll_wait_ms(&bounds(60_000, 60_000)), 5_000);
     };
 
-    /// Guards against a node that rests while the owner that it asked may have been replaced.
+    /// Guards against a node that pauses between reads while the owner may have been replaced.
     failed_request_raises_doubt_until_the_owner_responds: {
         assert!(!contact(0, 0).is_in_doubt(10_000));
         assert!(contact(9_000, 9_500).is_in_doubt(9_500 + OWNER_TIMEOUT_MS));
