End the standbys of an earlier epoch whatever record shows the new one

Cause: only a claim ended them. A node to which the claim was trimmed, after it had been cut off for longer than the log keeps records, learnt of the new epoch from a renewal and went on relying on standbys that the earlier owner had chosen. If the new owner never chose any, it did so for the whole epoch.

Change: any record of a higher epoch ends them. The new test fails without it. The delay after failures no longer subtracts unchecked.

--- a/crates/controller/src/ownership.rs
+++ b/crates/controller/src/ownership.rs
@@ -178,6 +178,10 @@
         if epoch < self.epoch {
             return;
         }
+        if epoch > self.epoch {
+            // Not only with a claim, which may have been trimmed before this node read it.
+            self.standbys.clear();
+        }
         self.epoch = epoch;
         self.last_heard_ms = now_ms;
         self.refused_since_ms = None;
@@ -185,7 +189,6 @@
         self.record_stored_end(record.stored_end, now_ms);
         if record.kind == OwnershipKind::Claim {
             self.predecessor = self.owner;
-            self.standbys.clear();
         }
         self.is_released = match record.kind {
             OwnershipKind::Claim => false,
--- a/crates/controller/src/polling.rs
+++ b/crates/controller/src/polling.rs
@@ -60,7 +60,9 @@
 /// many nodes would get several times the calls of one that serves them.
 #[must_use]
 pub fn retry_delay_ms(first_ms: u64, failures: u32, max_wait_ms: u64) -> u64 {
-    let limit_ms = (max_wait_ms - MIN_POLL_WAIT_MS).clamp(first_ms, MAX_RETRY_DELAY_MS);
+    let limit_ms = max_wait_ms
+        .saturating_sub(MIN_POLL_WAIT_MS)
+        .clamp(first_ms, MAX_RETRY_DELAY_MS);
     let delay_ms = first_ms << failures.saturating_sub(1).min(8);
     delay_ms.min(limit_ms)
 }
--- a/crates/controller/tests/standbys.rs
+++ b/crates/controller/tests/standbys.rs
@@ -34,16 +34,19 @@
     candidates.choose(1_000)
 }
 
-fn claim(view: &mut OwnershipView) {
-    let record = OwnershipRecord {
-        kind: OwnershipKind::Claim,
-        epoch: 0,
+fn record(kind: OwnershipKind, epoch: u64) -> OwnershipRecord {
+    OwnershipRecord {
+        kind,
+        epoch,
         incarnation: 7,
         address: address(1),
         cpu_millis: 1_000,
         stored_end: 0,
-    };
-    view.apply(Some(&record), 1_000);
+    }
+}
+
+fn claim(view: &mut OwnershipView) {
+    view.apply(Some(&record(OwnershipKind::Claim, 0)), 1_000);
 }
 
 /// Returns a view with an owner of epoch 1 that has chosen a standby.
@@ -59,8 +62,8 @@
 }
 
 macro_rules! cases {
-    ($(#[doc = $doc:literal] $name:ident: $body:expr;)*) => {
-        $(#[doc = $doc] #[test] fn $name() { $body; })*
+    ($($(#[$doc:meta])* $name:ident: $body:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { $body; })*
     };
 }
 
@@ -114,6 +117,22 @@
         assert!(!view_with_standby(9).has_standby_elsewhere(address(3)));
     };
 
+    /// Guards against nodes that rely on standbys of an earlier owner because the claim of the present
+    /// one was trimmed before they read it.
+    renewal_of_a_new_owner_ends_earlier_standbys: {
+        let mut view = view_with_standby(1);
+        view.skip_to(9);
+        view.apply(Some(&record(OwnershipKind::Renewal, 5)), 2_000);
+        assert!(!view.has_standby_elsewhere(address(3)));
+    };
+
+    /// Guards against standbys that are forgotten with each renewal of their own owner.
+    renewal_keeps_standbys: {
+        let mut view = view_with_standby(1);
+        view.apply(Some(&record(OwnershipKind::Renewal, 1)), 2_000);
+        assert!(view.has_standby_elsewhere(address(3)));
+    };
+
     /// Guards against offsets that are counted wrong, which would let renewals fail.
     standbys_take_an_offset: assert_eq!(view_with_standby(1).next_offset, 2);
 
