--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if a task started again after it was done, 0 if none did, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec python3 test.py
