--- a/review/2/test.py
+++ b/review/2/test.py
@@ -1,4 +1,4 @@
-"""One large job must not keep the system from serving the others."""
+"""One job that can never be done must not keep the system from serving the others."""
 
 import asyncio
 import os
@@ -11,9 +11,9 @@
 import deployment  # noqa: E402
 
 EXECUTORS = 7
-# The record of the job's progress has 6 bytes a task, so it fits into `record_bytes` (262,144) until
-# some of its tasks run. With 43,700 or more it does not fit from the start.
-LARGE_COUNT = int(os.environ.get("LARGE_COUNT", "43640"))
+# A job that can never be done: its tasks are larger than any executor, and there are too many.
+LARGE_COUNT = int(os.environ.get("LARGE_COUNT", "60000"))
+LARGE_CPU = int(os.environ.get("LARGE_CPU", "64000"))
 LARGE_AT_S = 6
 TRAFFIC_S = 20
 JOBS_PER_S = 3
@@ -27,7 +27,7 @@
 
 
 def large_body():
-    step = {"count": LARGE_COUNT, "cpu": 1000, "mem_mb": 64, "estimated_ms": 100}
+    step = {"count": LARGE_COUNT, "cpu": LARGE_CPU, "mem_mb": 64, "estimated_ms": 100}
     first = {**step, "count": 1}
     return {"spec": "readings work_ms=100", "steps": [first, {**step, "depends_on": [0]}]}
 
