Tell incarnations of an endpoint apart that keep their id

Callers: tasks that were done started again, so that a renewal was charged twice.

Cause: endpoints of some deployments start again under the id that they had, with new numbers of ends and a new clock, and say so by the time of their start only. The engine knew an incarnation by its id alone. Ends of the next one with numbers up to the last processed end of the earlier one were passed over, acknowledged by the earlier one's number, and then taken for missing, as the next report omitted them; their tasks started again. An endpoint whose end was proved got no more work under its id.

Change: a registry entry and a report carry the start time, and an incarnation is an id with a start time. A later one is a new row of the table, so that nothing of the earlier one (numbers, clock, leases, failures, cooldowns) applies to it; an entry of an earlier one, or without a time, is passed over. The report of another incarnation ends the earlier one and charges its tasks as any crash does.

Calls name only the id, so a start for the earlier incarnation may be executed by the next one. Runs that its report lists, and those that were confirmed and listed by neither, move to it; unanswered starts move and are stopped there before their tasks start elsewhere. For the same reason only ends that the latest report lists are acknowledged, and none after a failed call: acknowledged up to 50, the first ends of the next incarnation would be discarded unread. Starts carry deadlines on the earlier clock, so the first lease counts with the longest time that the endpoint accepts.

Related paths: runs that a successor restores are decided by the first report, so that they need no start time; delegates pass it on; VM orders end an incarnation, and its id may return. Line `endpoint_restarted`.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -120,6 +120,16 @@
             LogEvent::EndpointResumed { endpoint, after_ms } => {
                 log_endpoint_resumed(epoch, endpoint, *after_ms);
             }
+            LogEvent::EndpointRestarted {
+                endpoint,
+                born_ms,
+                replaced_born_ms,
+                moved_runs,
+            } => info!(
+                event = "endpoint_restarted", epoch = epoch, endpoint = endpoint.as_str(),
+                born_ms = born_ms, replaced_born_ms = replaced_born_ms, moved_runs = moved_runs;
+                "endpoint started again under its id"
+            ),
             LogEvent::EndpointEnded { endpoint, vm, runs } => info!(
                 event = "endpoint_over", epoch = epoch, endpoint = endpoint.as_str(),
                 vm = vm.as_str(), runs = runs;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -378,6 +378,7 @@
         let bounds = &self.settings.bounds;
         EngineSettings {
             lease_ms: bounds.max_lease_ms.min(MAX_LEASE_MS),
+            max_lease_ms: bounds.max_lease_ms,
             retention_ms: bounds.retention_ms + RETENTION_SLACK_MS,
             maintenance_ms: bounds.maintenance_ms,
             vm_lease_ms: bounds.vm_lease_ms,
--- a/crates/controller/tests/encodings.rs
+++ b/crates/controller/tests/encodings.rs
@@ -421,6 +421,7 @@
         }],
         ended: ended.to_vec(),
         is_partial: true,
+        born_ms: None,
     }
 }
 
@@ -498,6 +499,15 @@
     delegate_results_unknown: run_outcome(CallOutcome::Unknown) =>
         "93ce0001117081a2563492940a000001cd1b959192cd012c81a74f726465726564a7556e6b6e6f776e";
 
+    /// An endpoint that keeps its id states when it started.
+    delegate_results_report_of_an_incarnation: renewal_outcome(CallOutcome::Done(EndpointReport {
+        clock_ms: 2_500_000,
+        born_ms: Some(1_778_976_836_179),
+        ..EndpointReport::default()
+    })) => "\
+        93ce0001117081a2563492940a000001cd1b959192cd012c81a752656e6577656481a4446f6e6595ce002625a0\
+        9090c2cf0000019e33484a53";
+
     delegate_results_report: renewal_outcome(CallOutcome::Done(report())) => "\
         93ce0001117081a2563492940a000001cd1b959192cd012c81a752656e6577656481a4446f6e6594ce002625a0\
         919594dc0010356330653761323164393462333666380301cd012c02a468616c663ccd02ee97952894dc001035\
--- a/crates/engine/benches/events.rs
+++ b/crates/engine/benches/events.rs
@@ -145,6 +145,7 @@
     let mut vms = Vec::new();
     for number in 0..endpoints {
         let entry = EndpointEntry {
+            born_ms: None,
             id: format!("i-{number:05}").into(),
             address: ([10, 0, 0, 1], 10_000 + number).into(),
             pool: POOL.into(),
@@ -271,6 +272,7 @@
             running,
             ended: vec![ended],
             is_partial: false,
+            born_ms: None,
         };
         renewed(&mut engine, next, report);
         store(&mut engine, 0);
--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -101,6 +101,12 @@
     active_ms: Option<u64>,
 }
 
+impl ChargedTask {
+    pub(crate) fn task(&self) -> TaskRef {
+        self.task
+    }
+}
+
 /// A run whose start was sent.
 #[derive(Clone, Copy, Debug)]
 struct ActiveRun {
--- a/crates/engine/src/endpoint_table.rs
+++ b/crates/engine/src/endpoint_table.rs
@@ -189,6 +189,71 @@
         }
     }
 
+    /// Returns the key of the incarnation of a registry entry, inserting it if needed; `None` if the
+    /// entry is of an earlier incarnation than the latest known one, or does not say of which.
+    pub(crate) fn find_or_insert_listed(
+        &mut self,
+        entry: &EndpointEntry,
+        now_ms: u64,
+    ) -> Option<EndpointKey> {
+        let key = self.find_or_insert(&entry.id, now_ms);
+        let known = self.get(key);
+        match (known.born_ms, entry.born_ms) {
+            (None, None) => Some(key),
+            (None, Some(born_ms)) if known.is_end_proved() => {
+                Some(self.insert_successor(key, born_ms, now_ms))
+            }
+            (None, born_ms) => {
+                self.get_mut(key).born_ms = born_ms;
+                Some(key)
+            }
+            (Some(known_ms), Some(born_ms)) if known_ms < born_ms => {
+                Some(self.insert_successor(key, born_ms, now_ms))
+            }
+            (known_ms, born_ms) => (known_ms == born_ms).then_some(key),
+        }
+    }
+
+    /// Returns the key of the incarnation that has responded in place of another one with the same
+    /// id, inserting it if needed.
+    pub(crate) fn find_or_insert_successor(
+        &mut self,
+        replaced: EndpointKey,
+        born_ms: u64,
+        now_ms: u64,
+    ) -> EndpointKey {
+        let id = self.get(replaced).id.clone();
+        let latest = self.find(&id).unwrap_or(replaced);
+        if self.get(latest).born_ms == Some(born_ms) {
+            return latest;
+        }
+        let address = self.get(replaced).address;
+        let key = self.insert_successor(latest, born_ms, now_ms);
+        self.set_address(key, address);
+        key
+    }
+
+    /// Adds an incarnation with the id of another one, and refers the id to it.
+    fn insert_successor(
+        &mut self,
+        predecessor: EndpointKey,
+        born_ms: u64,
+        now_ms: u64,
+    ) -> EndpointKey {
+        let id = self.get(predecessor).id.clone();
+        let key = self.next_key;
+        self.next_key += 1;
+        if let Ok(index) = self.search_id(&id) {
+            self.by_id[index] = key;
+        }
+        let mut successor = Endpoint::new(key, id, now_ms);
+        successor.born_ms = Some(born_ms);
+        successor.predecessor = Some(predecessor);
+        self.incarnations.push(successor);
+        self.keys.push(key);
+        key
+    }
+
     /// Returns every endpoint with its key.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         self.incarnations
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -119,8 +119,13 @@
 pub struct Endpoint {
     /// Key of this incarnation within the engine.
     pub key: EndpointKey,
-    /// Id of this incarnation.
+    /// Id of the endpoint. Incarnations that state when they started may share one.
     pub id: CompactString,
+    /// Start of this incarnation on its VM's clock, in milliseconds since the Unix epoch; `None` if
+    /// unknown.
+    pub born_ms: Option<u64>,
+    /// Earlier incarnation with the same id, until this one has responded.
+    pub(crate) predecessor: Option<EndpointKey>,
     /// Address that accepts calls.
     pub(crate) address: SocketAddr,
     /// Pool.
@@ -190,8 +195,9 @@
     pub last_processed_end: u64,
     /// Number of the last run end whose effect is stored and may be acknowledged.
     pub last_stored_end: u64,
-    /// Number of the last acknowledged run end.
-    pub last_acknowledged_end: u64,
+    /// Numbers of the first and the last run end in the latest report; `None` if it lists none, or
+    /// if a call has failed since.
+    pub(crate) listed_ends: Option<(u64, u64)>,
     /// When the last run was removed, on the monotonic clock.
     pub empty_since_ms: u64,
     /// Runs that this owner does not know, until a report omits them.
@@ -208,6 +214,8 @@
         Self {
             key,
             id,
+            born_ms: None,
+            predecessor: None,
             address: SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0),
             pool: CompactString::default(),
             zone: CompactString::default(),
@@ -242,7 +250,7 @@
             renew_at_ms: 0,
             last_processed_end: 0,
             last_stored_end: 0,
-            last_acknowledged_end: 0,
+            listed_ends: None,
             empty_since_ms: now_ms,
             unknown_runs: Vec::new(),
             clock: None,
@@ -313,11 +321,27 @@
             (self.needs_report || !self.unknown_runs.is_empty()) && !self.is_lease_expired(now);
         let is_needed = !self.placed_runs.is_empty()
             || may_have_runs
-            || self.last_stored_end > self.last_acknowledged_end
+            || self.acknowledgeable_end() > 0
             || (self.is_registered && (!self.is_reconciled || self.failed_calls > 0));
         is_needed && !self.is_renewing && now.steady_ms >= self.renew_at_ms && self.is_reachable()
     }
 
+    /// Returns the number of the last run end that may be acknowledged; 0 for none.
+    ///
+    /// Only ends that the latest report lists are acknowledged, and none after a failed call: another
+    /// incarnation with the same id numbers its ends anew, and would discard them unreported.
+    pub(crate) fn acknowledgeable_end(&self) -> u64 {
+        match self.listed_ends {
+            Some((first, last)) if first <= self.last_stored_end => last.min(self.last_stored_end),
+            _ => 0,
+        }
+    }
+
+    /// Returns whether a report is of another incarnation with the same id.
+    pub(crate) fn is_replaced_by(&self, born_ms: Option<u64>) -> bool {
+        matches!((self.born_ms, born_ms), (Some(known), Some(other)) if known != other)
+    }
+
     /// Returns whether new runs may start there.
     #[must_use]
     pub fn accepts_starts(&self, now_ms: u64) -> bool {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -47,6 +47,8 @@
 pub struct EngineSettings {
     /// Duration of the leases granted to endpoints, in milliseconds.
     pub lease_ms: u64,
+    /// Longest lease that an endpoint accepts, in milliseconds.
+    pub max_lease_ms: u64,
     /// Time for which an ended job is kept, in milliseconds.
     pub retention_ms: u64,
     /// Duration of maintenance, in milliseconds.
@@ -62,6 +64,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 6_000,
+            max_lease_ms: 6_000,
             retention_ms: 150_000,
             maintenance_ms: 2_000,
             vm_lease_ms: 3_000,
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -1,7 +1,7 @@
 //! Registration, leases and reports of endpoints.
 
 use crate::{
-    crashes::Suspicion,
+    crashes::{ChargedTask, Suspicion},
     endpoints::{PlacedRun, SUSPECT_AFTER_FAILED_CALLS},
     engine::Engine,
     event::{CallOutcome, Effect, EndpointKey, Now},
@@ -47,7 +47,12 @@
 
 impl Engine {
     pub(crate) fn register_endpoint(&mut self, entry: &EndpointEntry, is_fresh: bool, now: Now) {
-        let key = self.endpoints.find_or_insert(&entry.id, now.steady_ms);
+        let Some(key) = self.endpoints.find_or_insert_listed(entry, now.steady_ms) else {
+            return;
+        };
+        if let Some(predecessor) = self.endpoints.get(key).predecessor {
+            self.deregister_incarnation(predecessor, now);
+        }
         // A removed entry that is listed again was written since.
         self.resume_if_end_was_inferred(key, now);
         if self.endpoints.get(key).has_ended {
@@ -112,9 +117,12 @@
     }
 
     pub(crate) fn deregister_endpoint(&mut self, id: &str, now: Now) {
-        let Some(key) = self.endpoints.find(id) else {
-            return;
-        };
+        if let Some(key) = self.endpoints.find(id) {
+            self.deregister_incarnation(key, now);
+        }
+    }
+
+    fn deregister_incarnation(&mut self, key: EndpointKey, now: Now) {
         let endpoint = self.endpoints.get_mut(key);
         endpoint.is_registered = false;
         // A renewal now detects an ended incarnation before its lease expires.
@@ -141,6 +149,16 @@
     /// Records that an incarnation has ended, and removes its runs.
     pub(crate) fn endpoint_ended(&mut self, key: EndpointKey, now: Now) {
         let tasks_to_charge = self.tasks_to_charge(key);
+        self.end_incarnation(key, tasks_to_charge, now);
+    }
+
+    /// Records that an incarnation has ended, removes its runs, and charges these tasks with a crash.
+    pub(crate) fn end_incarnation(
+        &mut self,
+        key: EndpointKey,
+        tasks_to_charge: Vec<ChargedTask>,
+        now: Now,
+    ) {
         let endpoint = self.endpoints.get_mut(key);
         if !endpoint.has_ended {
             self.log_events.push(LogEvent::EndpointEnded {
@@ -179,6 +197,7 @@
     pub(crate) fn call_failed(&mut self, key: EndpointKey, now: Now) {
         let endpoint = self.endpoints.get_mut(key);
         endpoint.failed_calls += 1;
+        endpoint.listed_ends = None;
         endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms + RENEW_RETRY_MS);
     }
 
@@ -241,11 +260,10 @@
         } else {
             RENEW_WAIT_MS
         };
-        endpoint.last_acknowledged_end = endpoint.last_stored_end;
         self.immediate_effects.push(Effect::Renew {
             endpoint: key,
             deadline_ms,
-            acknowledged: endpoint.last_stored_end,
+            acknowledged: endpoint.acknowledgeable_end(),
             wait_ms,
         });
     }
@@ -260,6 +278,9 @@
         match outcome {
             // The response of a replaced incarnation may arrive after that of its successor.
             CallOutcome::Done(_) if self.endpoints.get(key).is_end_proved() => return,
+            CallOutcome::Done(report) if self.endpoints.get(key).is_replaced_by(report.born_ms) => {
+                return self.successor_responded(key, &report, now);
+            }
             CallOutcome::Done(report) => {
                 self.resume_if_end_was_inferred(key, now);
                 self.process_report(key, &report, now);
@@ -285,11 +306,16 @@
     fn process_report(&mut self, key: EndpointKey, report: &EndpointReport, now: Now) {
         let endpoint = self.endpoints.get_mut(key);
         endpoint.read_clock(report.clock_ms, now);
+        endpoint.born_ms = endpoint.born_ms.or(report.born_ms);
         endpoint.needs_report = false;
+        let ends = report.ended.first().zip(report.ended.last());
+        endpoint.listed_ends = ends.map(|(first, last)| (first.number, last.number));
         if !endpoint.is_reconciled {
             endpoint.is_reconciled = true;
             endpoint.inherit_leases(self.settings.lease_ms);
         }
+        self.replace_predecessor(key, report, now);
+        let endpoint = self.endpoints.get_mut(key);
         let renewal = endpoint.renewals;
         let last_processed_end = endpoint.last_processed_end;
         self.end_replaced_incarnations(key, now);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -59,6 +59,7 @@
 mod pools;
 mod quota;
 mod reports;
+mod restarts;
 mod restore;
 mod retries;
 mod schedule;
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -257,6 +257,17 @@
         /// Time since its end was inferred, in milliseconds.
         after_ms: u64,
     },
+    /// An endpoint has started again under the id that it had.
+    EndpointRestarted {
+        /// Endpoint.
+        endpoint: CompactString,
+        /// Start of the incarnation that has responded, in milliseconds since the Unix epoch.
+        born_ms: Option<u64>,
+        /// The same of the earlier incarnation.
+        replaced_born_ms: Option<u64>,
+        /// Number of runs that may be active on the one that has responded.
+        moved_runs: usize,
+    },
     /// An endpoint incarnation has ended.
     EndpointEnded {
         /// Endpoint.
--- a/crates/engine/src/reports.rs
+++ b/crates/engine/src/reports.rs
@@ -10,8 +10,11 @@
 /// Registry entry of one endpoint incarnation.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndpointEntry {
-    /// Id of this incarnation.
+    /// Id of the endpoint. Only some platforms give each incarnation an id of its own.
     pub id: CompactString,
+    /// Start of this incarnation, in milliseconds since the Unix epoch on its VM's clock; `None` if
+    /// each incarnation has an id of its own.
+    pub born_ms: Option<u64>,
     /// Address that accepts calls.
     pub address: SocketAddr,
     /// Pool.
@@ -91,6 +94,21 @@
     pub ended: Vec<EndedTask>,
     /// Whether the list of ended runs may be incomplete.
     pub is_partial: bool,
+    /// Start of the responding incarnation, in milliseconds since the Unix epoch on its VM's clock;
+    /// `None` if each incarnation has an id of its own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born_ms: Option<u64>,
+}
+
+impl EndpointReport {
+    /// Returns whether a run is listed as active or ended.
+    #[must_use]
+    pub fn lists_run(&self, task: &TaskRef, run: u32) -> bool {
+        let mut running = self.running.iter();
+        let mut ended = self.ended.iter();
+        running.any(|known| known.task == *task && known.run == run)
+            || ended.any(|known| known.task == *task && known.run == run)
+    }
 }
 
 /// State of a VM.
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -112,6 +112,20 @@
         }
     }
 
+    /// Moves the run to another incarnation of its endpoint, whose reports decide on it from now on.
+    pub(crate) fn move_to(&mut self, endpoint: EndpointKey, renewals: u64) {
+        self.endpoint = endpoint;
+        self.confirmed_at_renewal = renewals;
+        self.active_since_clock_ms = None;
+        self.active_ms = 0;
+        self.progress_clock_ms = None;
+        if matches!(self.phase, Phase::Ordered | Phase::Unanswered) {
+            self.phase = Phase::Unanswered;
+            self.may_start_late = true;
+            self.is_rejected = true;
+        }
+    }
+
     /// Returns whether the run is to be stopped.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -76,6 +76,10 @@
     pub is_unresponsive: bool,
     /// Executes orders, but the answers are lost.
     pub loses_answers: bool,
+    /// Start of the incarnation; `None` if each one has an id of its own.
+    pub born_ms: Option<u64>,
+    /// Ends each run as done when it starts.
+    pub ends_at_once: bool,
     /// Refuses the calls for which this returns a reason, and does nothing for them.
     pub refuses: Option<fn(&Effect) -> Option<Refusal>>,
     /// Number of ended runs.
@@ -257,6 +261,7 @@
     fn add_endpoint(&mut self, vm: Option<&str>, id: &str, pool: &str, cpu_millis: u64) {
         let port = 9_000 + u16::try_from(self.endpoints.len()).expect("few endpoints");
         let entry = EndpointEntry {
+            born_ms: None,
             id: id.into(),
             address: ([127, 0, 0, 1], port).into(),
             pool: pool.into(),
@@ -305,6 +310,39 @@
         self.settle();
     }
 
+    /// Lists an endpoint that states when it started.
+    pub fn list_born_endpoint(&mut self, id: &str, cpu_millis: u64) {
+        let born_ms = Some(self.now.wall_ms);
+        self.list_endpoint(id, cpu_millis);
+        let endpoint = self.endpoints.last_mut().expect("a listed endpoint");
+        endpoint.born_ms = born_ms;
+        let entry = self.entries.last_mut().expect("a listed endpoint");
+        entry.born_ms = born_ms;
+        let entry = entry.clone();
+        self.handle(listed(entry, true));
+    }
+
+    /// Replaces the incarnation of an endpoint by a new one with the same id, which has not written
+    /// its entry yet.
+    pub fn restart_with_id(&mut self, index: usize) {
+        let known = &mut self.endpoints[index];
+        *known = FakeEndpoint {
+            id: known.id.clone(),
+            born_ms: Some(self.now.wall_ms),
+            started: std::mem::take(&mut known.started),
+            ..FakeEndpoint::default()
+        };
+        let entry = &mut self.entries[index];
+        entry.born_ms = known.born_ms;
+        entry.is_draining = false;
+    }
+
+    /// Delivers the registry entry of an endpoint.
+    pub fn list_again(&mut self, index: usize) {
+        let entry = self.entries[index].clone();
+        self.handle(listed(entry, true));
+    }
+
     /// Changes the capacity in the registry entry of an endpoint.
     pub fn set_cpu_millis(&mut self, index: usize, cpu_millis: u64) {
         self.entries[index].capacity.cpu_millis = cpu_millis;
@@ -493,6 +531,9 @@
                     if !endpoint.running.contains(&(task, run)) {
                         endpoint.running.push((task, run));
                         endpoint.started.push((task, run));
+                        if endpoint.ends_at_once {
+                            endpoint.end(&task, run, EndKind::Done);
+                        }
                     }
                 });
                 self.handle(Event::Started {
@@ -678,6 +719,7 @@
                 .collect(),
             ended: self.ended.clone(),
             is_partial: false,
+            born_ms: self.born_ms,
         }
     }
 
--- a/crates/engine/tests/delays.rs
+++ b/crates/engine/tests/delays.rs
@@ -170,6 +170,7 @@
 
     fn list(&mut self, number: u16) {
         let entry = EndpointEntry {
+            born_ms: None,
             id: format!("i-{number}").into(),
             address: ([127, 0, 0, 1], 9_000 + number).into(),
             pool: POOL.into(),
@@ -522,6 +523,7 @@
             running: running.collect(),
             ended: fake.ended.clone(),
             is_partial: false,
+            born_ms: None,
         };
         let event = Event::Renewed {
             endpoint: key,
--- a/crates/engine/tests/encodings.rs
+++ b/crates/engine/tests/encodings.rs
@@ -171,6 +171,7 @@
         }],
         ended: ended.to_vec(),
         is_partial: true,
+        born_ms: None,
     }
 }
 
--- a/crates/engine/tests/handover.rs
+++ b/crates/engine/tests/handover.rs
@@ -254,6 +254,7 @@
     let leaving = vacating(&fleet);
     for index in (0..6).filter(|index| !leaving.contains(index)) {
         let entry = EndpointEntry {
+            born_ms: None,
             is_draining: true,
             ..fleet.entries[index].clone()
         };
--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -1,7 +1,7 @@
 //! Random simulations of starts, stops and renewals, checked after each step.
 //!
 //! Calls to endpoints are refused, lost, executed late or answered late, and answers overtake each
-//! other. Endpoints crash, drain, are cut off, and their registry entries expire while they live.
+//! other. Endpoints crash, in some histories start again under the id that they had, drain, are cut off, and their registry entries expire while they live.
 //! Owners are replaced while their calls are under way, and callers cancel jobs before they submit
 //! them. In all cases endpoints stay within their capacity, no task runs twice, cancelled jobs end
 //! in time, and at the end each endpoint runs exactly what is wanted of it.
@@ -47,6 +47,9 @@
 /// Longest time that a stop takes, in milliseconds.
 const MAX_STOP_MS: u64 = 200;
 
+/// Longest lease that an endpoint accepts, in milliseconds.
+const MAX_LEASE_MS: u64 = 6_000;
+
 /// Time from the end of a lease until the endpoint has stopped its runs, in milliseconds.
 const LAPSE_DELAY_MS: u64 = 100;
 
@@ -118,6 +121,10 @@
 )]
 struct SimEndpoint {
     id: String,
+    /// Number of the incarnation.
+    incarnation: usize,
+    /// Whether it states when it started, as others have its id.
+    states_birth: bool,
     is_up: bool,
     began_ms: u64,
     /// How much slower its clock is, in thousandths.
@@ -175,6 +182,8 @@
     epoch: u64,
     slot: usize,
     id: String,
+    /// Incarnation that has received it.
+    incarnation: usize,
     key: EndpointKey,
     /// Capacity of the endpoint as the owner knew it.
     known_millis: u64,
@@ -195,6 +204,7 @@
 struct DoneEnd {
     task: TaskRef,
     endpoint: String,
+    incarnation: usize,
     number: u64,
     is_acknowledged: bool,
     /// Whether the task was started after this end.
@@ -250,6 +260,8 @@
     former: Option<(Engine, u64)>,
     endpoints: Vec<SimEndpoint>,
     incarnations: usize,
+    /// Whether endpoints start again under the ids that they had.
+    keeps_ids: bool,
     calls: Vec<Call>,
     registry: Vec<(u64, RegistryChange)>,
     jobs: Vec<CallerJob>,
@@ -273,7 +285,7 @@
 }
 
 impl History {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, keeps_ids: bool) -> Self {
         let mut fleet = Fleet::new();
         fleet.collects_calls = true;
         let mut history = Self {
@@ -282,6 +294,7 @@
             former: None,
             endpoints: Vec::new(),
             incarnations: 0,
+            keeps_ids,
             calls: Vec::new(),
             registry: Vec::new(),
             jobs: Vec::new(),
@@ -718,11 +731,17 @@
 
     fn begin_incarnation(&mut self, slot: usize) {
         self.incarnations += 1;
-        let id = format!("i-{}", self.incarnations);
+        let id = if self.keeps_ids {
+            format!("i-{slot}")
+        } else {
+            format!("i-{}", self.incarnations)
+        };
         let now_ms = self.now_ms();
         let slow_permille = self.pick(0..21);
         self.endpoints[slot] = SimEndpoint {
             id,
+            incarnation: self.incarnations,
+            states_birth: self.keeps_ids,
             is_up: true,
             began_ms: now_ms,
             slow_permille,
@@ -866,6 +885,8 @@
                     self.fleet.handle(listed(*entry, true));
                     self.show_alive(&id);
                 }
+                // The next incarnation keeps the entry from expiring.
+                RegistryChange::Removed(id) if self.is_restarted(&id) => {}
                 RegistryChange::Removed(id) => {
                     self.fleet.entries.retain(|known| known.id != id);
                     self.fleet.handle(Event::Deregistered(id.as_str().into()));
@@ -874,6 +895,16 @@
         }
     }
 
+    /// Returns whether an endpoint that keeps its id is up and writes entries.
+    fn is_restarted(&self, id: &str) -> bool {
+        let now_ms = self.now_ms();
+        let mut endpoints = self.endpoints.iter();
+        self.keeps_ids
+            && endpoints.any(|endpoint| {
+                endpoint.id == id && endpoint.is_up && endpoint.unlisted_until_ms <= now_ms
+            })
+    }
+
     /// Records that the owner has learnt that an endpoint is alive.
     fn show_alive(&mut self, id: &str) {
         let known = self.fleet.engine.endpoints();
@@ -945,6 +976,7 @@
             epoch,
             slot,
             id,
+            incarnation: self.endpoints[slot].incarnation,
             key,
             known_millis,
             effect,
@@ -1053,6 +1085,10 @@
         if endpoint.id != call.id {
             return Some(call.answer(CallOutcome::OtherLife));
         }
+        if call.fate == Fate::Late && endpoint.incarnation != call.incarnation {
+            self.note_call(call, "is lost with the incarnation that delayed it");
+            return None;
+        }
         if endpoint.fence > call.epoch {
             self.note_call(call, "fenced");
             return Some(call.answer(CallOutcome::Fenced));
@@ -1078,6 +1114,7 @@
             } => {
                 self.extend_lease(call.slot, deadline_ms.unwrap_or_default());
                 self.acknowledge(call.slot, *acknowledged);
+                self.calls[at].incarnation = self.endpoints[call.slot].incarnation;
                 self.calls[at].held_until_ms = Some(self.now_ms() + wait_ms);
                 self.release_renewal(at);
                 None
@@ -1091,7 +1128,7 @@
         let call = &self.calls[at];
         let endpoint = &self.endpoints[call.slot];
         let is_over = call.held_until_ms.is_some_and(|ms| ms <= self.now_ms());
-        if !endpoint.is_up || endpoint.id != call.id {
+        if !endpoint.is_up || endpoint.incarnation != call.incarnation {
             self.calls[at].held_until_ms = None;
         } else if is_over || !endpoint.ended.is_empty() {
             self.calls[at].held_until_ms = None;
@@ -1181,16 +1218,22 @@
     }
 
     fn extend_lease(&mut self, slot: usize, deadline_ms: u64) {
+        let clock_ms = self.clock_ms(slot);
         let endpoint = &mut self.endpoints[slot];
+        let deadline_ms = if endpoint.states_birth {
+            deadline_ms.min(clock_ms + MAX_LEASE_MS)
+        } else {
+            deadline_ms
+        };
         endpoint.lease_end_ms = endpoint.lease_end_ms.max(deadline_ms);
     }
 
     fn acknowledge(&mut self, slot: usize, number: u64) {
         let endpoint = &mut self.endpoints[slot];
         endpoint.ended.retain(|ended| ended.number > number);
-        let id = &endpoint.id;
+        let incarnation = endpoint.incarnation;
         let done = self.done.iter_mut();
-        for done in done.filter(|done| done.endpoint == *id && done.number <= number) {
+        for done in done.filter(|done| done.incarnation == incarnation && done.number <= number) {
             done.is_acknowledged = true;
         }
         let mut done = self.done.iter();
@@ -1292,6 +1335,7 @@
             running: running.collect(),
             ended: endpoint.ended.clone(),
             is_partial: false,
+            born_ms: endpoint.born_ms(),
         }
     }
 
@@ -1334,9 +1378,9 @@
     /// Forgets the ends as done that an endpoint did not get acknowledged, as they do not bind the
     /// owner any more.
     fn forget_unacknowledged(&mut self, slot: usize) {
-        let id = &self.endpoints[slot].id;
+        let incarnation = self.endpoints[slot].incarnation;
         self.done
-            .retain(|done| done.is_acknowledged || done.endpoint != *id);
+            .retain(|done| done.is_acknowledged || done.incarnation != incarnation);
     }
 
     fn end_run(&mut self, slot: usize, active: &ActiveRun, kind: EndKind) {
@@ -1359,6 +1403,7 @@
             self.done.push(DoneEnd {
                 task,
                 endpoint: endpoint.id.clone(),
+                incarnation: endpoint.incarnation,
                 number: endpoint.ends,
                 is_acknowledged: false,
                 is_followed: false,
@@ -1742,6 +1787,10 @@
         7_000 + passed_ms * (1_000 - self.slow_permille) / 1_000
     }
 
+    fn born_ms(&self) -> Option<u64> {
+        self.states_birth.then_some(self.began_ms)
+    }
+
     /// Returns whether the calls of an owner do not reach it.
     fn is_cut(&self, epoch: u64, now_ms: u64) -> bool {
         let is_in_time = self.cut_from_ms <= now_ms && now_ms < self.cut_until_ms;
@@ -1778,6 +1827,7 @@
         let port = 9_000 + u16::try_from(slot).expect("few slots");
         EndpointEntry {
             id: self.id.as_str().into(),
+            born_ms: self.born_ms(),
             address: ([127, 0, 0, 1], port).into(),
             pool: POOL.into(),
             zone: "zone-1".into(),
@@ -1877,17 +1927,18 @@
 }
 
 macro_rules! histories {
-    ($($(#[$line:meta])* $name:ident: $seeds:expr;)*) => {
+    ($keeps_ids:expr; $($(#[$line:meta])* $name:ident: $seeds:expr;)*) => {
         $($(#[$line])* #[test] fn $name() {
             for seed in $seeds {
                 println!("seed {seed}");
-                History::new(seed).run();
+                History::new(seed, $keeps_ids).run();
             }
         })*
     };
 }
 
 histories! {
+    false;
     first_seeds: 0..16;
     further_seeds: 1_000..1_012;
     /// Guards against a run of a cancelled job that goes on after its stop was refused.
@@ -1916,3 +1967,10 @@
     /// Guards against starts that are all refused as late after a report was processed late.
     reading_of_the_clock_processed_late: [2_718];
 }
+
+histories! {
+    true;
+    /// Guards against taking an endpoint that has started again under its id for the incarnation that
+    /// it was.
+    endpoints_that_keep_their_ids: 0..16;
+}
