Store records that are larger than the store accepts in parts

Callers: after one job of 60,000 tasks no job was accepted, nothing started and accepted jobs stayed undone, until the owner's process ended. A job of 43,640 tasks that can be done was accepted and did the same once its tasks ran, and under every later owner.

Cause: the progress of a job is one record, and its size grows with its tasks. The limit of a record was read from the settings and not used; only the size of a whole append was limited. The store refused the record with a status that counted as an unknown outcome, so that the owner repeated the append for ever, and all later batches waited for it.

The log said `append_repeated`, `Unknown`, without a status or a size.

Change: a record above the limit is divided into parts under keys of their own and a header, written after them. Two generations of parts alternate, so that each prefix of the appends leaves the former or the new value, and parts that no header names are deleted. This holds for every record of the engine, including descriptions and crash histories. An append that the store refuses for its content or size ends the ownership, as the successor does not have the changes that were never stored; the line `append_invalid` names status and sizes.

The stand-in of the store has the limit now.

--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -1,7 +1,8 @@
 //! Ordered and fenced appends of an owner's records.
 
 use {
-    log::{info, warn},
+    crate::record_parts::RecordParts,
+    log::{error, info, warn},
     lynxwheel_engine::Record,
     lynxwheel_platform::{AppendOutcome, Producer, StoreClient, encode_keyed_record},
     metrics::counter,
@@ -41,6 +42,7 @@
         AppendOutcome::Moved { .. } | AppendOutcome::OutOfSequence { .. } => "conflict",
         AppendOutcome::Fenced => "fenced",
         AppendOutcome::NothingDone => "refused",
+        AppendOutcome::Invalid { .. } => "invalid",
         AppendOutcome::Unknown => "unknown",
     }
 }
@@ -48,7 +50,8 @@
 /// What an append's outcome says about its records.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AppendVerdict {
-    /// A newer epoch is active, or the store does not know the writer's sequence.
+    /// A newer epoch is active, the store does not know the writer's sequence, or it never accepts the
+    /// records. The writer cannot go on.
     Rejected,
     /// They may not be stored; the append is to be repeated.
     Repeat,
@@ -69,7 +72,9 @@
             AppendOutcome::Stored { .. } => Self::Stored,
             AppendOutcome::OutOfSequence { expected } if expected > sequence => Self::Stored,
             AppendOutcome::OutOfSequence { expected } if expected < sequence => Self::Waiting,
-            AppendOutcome::Fenced | AppendOutcome::OutOfSequence { .. } => Self::Rejected,
+            AppendOutcome::Fenced
+            | AppendOutcome::OutOfSequence { .. }
+            | AppendOutcome::Invalid { .. } => Self::Rejected,
             AppendOutcome::Moved { .. } | AppendOutcome::NothingDone | AppendOutcome::Unknown => {
                 Self::Repeat
             }
@@ -102,6 +107,7 @@
     epoch: u64,
     next_sequence: u64,
     max_request_bytes: usize,
+    parts: RecordParts,
     /// Offset below which records are known to be stored.
     stored_end: Arc<AtomicU64>,
 }
@@ -117,7 +123,7 @@
 
 impl Writer {
     /// Creates the writer of an epoch to the topic of the engine's records. Only a record that alone
-    /// is larger makes an append larger than `max_request_bytes`.
+    /// is larger makes an append larger than `max_request_bytes`, which [`Self::with_parts`] prevents.
     #[must_use]
     pub fn new(epoch: u64, max_request_bytes: usize) -> Self {
         Self {
@@ -125,6 +131,7 @@
             epoch,
             next_sequence: epoch * SEQUENCES_PER_EPOCH + 1,
             max_request_bytes,
+            parts: RecordParts::new(usize::MAX),
             stored_end: Arc::default(),
         }
     }
@@ -135,6 +142,12 @@
         Self { topic, ..self }
     }
 
+    /// Sets how large records are divided, and which are stored in parts.
+    #[must_use]
+    pub fn with_parts(self, parts: RecordParts) -> Self {
+        Self { parts, ..self }
+    }
+
     /// Returns the shared offset below which records are known to be stored.
     #[must_use]
     pub fn stored_end(&self) -> Arc<AtomicU64> {
@@ -185,7 +198,9 @@
     pub fn commit(&mut self, records: &[Record]) -> Commit {
         let mut appends: Vec<Append> = Vec::new();
         let mut bytes = usize::MAX;
-        for record in records {
+        let unused = self.parts.take_unused();
+        let divided = records.iter().flat_map(|record| self.parts.divide(record));
+        for record in unused.into_iter().chain(divided) {
             let encoded = encode_keyed_record(&record.key, &record.value);
             let size = encoded.len() + FRAME_OVERHEAD_BYTES;
             if bytes.saturating_add(size) > self.max_request_bytes {
@@ -254,6 +269,17 @@
             match AppendVerdict::new(outcome, sequence) {
                 AppendVerdict::Stored => return true,
                 AppendVerdict::Waiting => sleep(Duration::from_millis(MIN_RETRY_DELAY_MS)).await,
+                AppendVerdict::Rejected if matches!(outcome, AppendOutcome::Invalid { .. }) => {
+                    let sizes = records.iter().map(Vec::len);
+                    error!(
+                        event = "append_invalid", topic = self.topic, epoch = self.epoch,
+                        outcome:? = outcome, records = records.len(),
+                        bytes = sizes.clone().sum::<usize>(),
+                        largest_bytes = sizes.max().unwrap_or_default();
+                        "store never accepts these records"
+                    );
+                    return false;
+                }
                 AppendVerdict::Rejected => {
                     warn!(
                         event = "append_refused", topic = self.topic, epoch = self.epoch,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -48,6 +48,7 @@
 mod polling;
 mod publisher;
 mod ready;
+mod record_parts;
 mod speed;
 mod standbys;
 mod suspension;
@@ -79,6 +80,7 @@
     pending::PendingCalls,
     polling::{DOUBT_MS, MIN_POLL_WAIT_MS, OwnerContact, max_poll_wait_ms, retry_delay_ms},
     publisher::StatusPublisher,
+    record_parts::{JoinedRecords, RecordParts},
     speed::CpuSpeed,
     standbys::{StandbyCandidates, StandbyRecord},
     suspension::Suspension,
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -13,6 +13,7 @@
         owner::{OwnerActor, OwnerHandle, OwnerMessage},
         owner_lease::OwnerLease,
         publisher::StatusPublisher,
+        record_parts::{JoinedRecords, RecordParts},
         watcher,
     },
     kameo::{actor::Spawn, mailbox},
@@ -20,9 +21,7 @@
     lynxwheel_engine::{
         Engine, EngineSettings, Event, Record, RecordKind, UnreadCause, UnreadRecord, record_kind,
     },
-    lynxwheel_platform::{
-        AdviceClient, EndpointClient, KeyedRecord, PlatformError, StoreClient, VmClient,
-    },
+    lynxwheel_platform::{AdviceClient, EndpointClient, PlatformError, StoreClient, VmClient},
     metrics::{counter, histogram},
     std::{
         sync::{Arc, PoisonError, atomic::Ordering},
@@ -58,13 +57,11 @@
 pub struct LoadedState {
     /// Engine with the restored state.
     pub engine: Engine,
-    records: Vec<Record>,
-    /// Offsets of the records, as far as the store states them.
-    offsets: Vec<Option<u64>>,
+    stored: JoinedRecords,
 }
 
 impl LoadedState {
-    /// Reads the stored records, again if a job's description is missing.
+    /// Reads the stored records, again if a job's description or a part of a record is missing.
     ///
     /// # Errors
     ///
@@ -78,27 +75,20 @@
         loop {
             let (stored, _) = store.latest_records(STATE_TOPIC).await?;
             reads += 1;
-            let offsets: Vec<Option<u64>> = stored.iter().map(|record| record.offset).collect();
-            let records: Vec<Record> = stored
-                .into_iter()
-                .map(|KeyedRecord { key, value, .. }| Record { key, value })
-                .collect();
+            let stored = JoinedRecords::new(stored);
             let mut engine = Engine::new(settings).with_epoch(epoch);
-            let unread = engine.restore(&records, clock::now());
-            if is_read_again_due(&unread, reads) {
+            let unread = engine.restore(&stored.records, clock::now());
+            let is_incomplete = !stored.incomplete.is_empty() && reads < MAX_READS;
+            if is_incomplete || is_read_again_due(&unread, reads) {
                 info!(
                     event = "records_read_again", epoch = epoch, reads = reads;
-                    "descriptions of jobs are missing"
+                    "descriptions of jobs or parts of records are missing"
                 );
                 sleep(Duration::from_millis(READ_AGAIN_DELAY_MS)).await;
                 continue;
             }
-            log_unread(epoch, &unread, &offsets);
-            return Ok(Self {
-                engine,
-                records,
-                offsets,
-            });
+            log_unread(epoch, &unread, &stored);
+            return Ok(Self { engine, stored });
         }
     }
 }
@@ -169,12 +159,10 @@
     lease: Arc<OwnerLease>,
 ) -> Arc<OwnerHandle> {
     let now = clock::now();
-    let LoadedState {
-        mut engine,
-        records,
-        offsets,
-    } = loaded;
-    limit_vm_cooldowns(node, &mut engine, &records, &offsets);
+    let LoadedState { mut engine, stored } = loaded;
+    let parts = RecordParts::new(node.settings.max_record_bytes).with_stored(&stored);
+    let writer = writer.with_parts(parts);
+    limit_vm_cooldowns(node, &mut engine, &stored.records, &stored.offsets);
     engine.handle(Event::ConfigChanged(node.config.load_full()), now);
     let waves = node
         .wave_orders
@@ -222,7 +210,7 @@
     let took_ms = clock::steady_ms().saturating_sub(started_ms);
     histogram!("lynxwheel_take_over_seconds").record(Duration::from_millis(took_ms));
     info!(
-        event = "ownership_taken", epoch = epoch, jobs = jobs, records = records.len(),
+        event = "ownership_taken", epoch = epoch, jobs = jobs, records = stored.records.len(),
         took_ms = took_ms;
         "takeover completed"
     );
@@ -241,18 +229,23 @@
 }
 
 /// Logs and counts the stored records that are not used.
-fn log_unread(epoch: u64, unread: &[UnreadRecord<'_>], offsets: &[Option<u64>]) {
+fn log_unread(epoch: u64, unread: &[UnreadRecord<'_>], stored: &JoinedRecords) {
     for &UnreadRecord { key, index, cause } in unread {
-        let cause = cause_label(cause);
-        counter!("lynxwheel_records_unread_total", "cause" => cause).increment(1);
-        error!(
-            event = "record_unread", epoch = epoch, key = key, offset:? = offsets[index],
-            cause = cause;
-            "stored record is not used"
-        );
+        log_unread_record(epoch, key, stored.offsets[index], cause_label(cause));
+    }
+    for key in &stored.incomplete {
+        log_unread_record(epoch, key, None, "missing_part");
     }
 }
 
+fn log_unread_record(epoch: u64, key: &str, offset: Option<u64>, cause: &'static str) {
+    counter!("lynxwheel_records_unread_total", "cause" => cause).increment(1);
+    error!(
+        event = "record_unread", epoch = epoch, key = key, offset:? = offset, cause = cause;
+        "stored record is not used"
+    );
+}
+
 fn cause_label(cause: UnreadCause) -> &'static str {
     match cause {
         UnreadCause::MissingSpec => "missing_description",
--- a/crates/controller/tests/commits.rs
+++ b/crates/controller/tests/commits.rs
@@ -4,14 +4,17 @@
     lynxwheel_controller::{STATE_TOPIC, Writer},
     lynxwheel_engine::Record,
     lynxwheel_platform::StoreClient,
-    lynxwheel_platform_standin::{StoreFault, StoreStandIn},
+    lynxwheel_platform_standin::{MAX_RECORD_BYTES, StoreFault, StoreStandIn},
     std::time::Duration,
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Maximum size of an append, in bytes.
 const MAX_APPEND_BYTES: usize = 100_000;
 
+/// Time in which the outcome of a commit is known.
+const STORED_WITHIN: Duration = Duration::from_secs(20);
+
 fn record(key: &str) -> Record {
     Record {
         key: key.into(),
@@ -71,6 +74,22 @@
     });
 }
 
+/// Guards against an owner that repeats an append for ever which the store never accepts, so that no
+/// job is accepted any more.
+#[test]
+fn append_that_is_never_accepted_ends_the_ownership() {
+    with_fenced_writer(async |store, mut writer| {
+        let client = StoreClient::new(store.address());
+        let too_large = Record {
+            key: "large".into(),
+            value: vec![1; MAX_RECORD_BYTES],
+        };
+        let commit = writer.commit(&[record("any"), too_large]);
+        let stored = timeout(STORED_WITHIN, commit.store(&client)).await;
+        assert_eq!(stored, Ok(false));
+    });
+}
+
 /// Guards against a second writer of an epoch, whose commits would be taken for those of the first.
 #[test]
 fn epoch_with_commits_cannot_be_fenced_again() {
