Limit the tasks of a job that an owner holds at once

An owner would run out of memory, and so would each successor once the job is stored.

Change: a job of more than 100,000 tasks, or more steps than a task's name can number, is refused with 400 and the name of the field. Further occurrences begin when earlier ones are done, so that no more tasks than that are open at once.

--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -6,6 +6,10 @@
     std::{fmt, str::FromStr},
 };
 
+/// Maximum number of tasks of one occurrence of a job, and of all its open occurrences together unless
+/// there is only one. An owner holds each in memory.
+pub const MAX_OPEN_TASKS: usize = 100_000;
+
 /// Number of hexadecimal digits of a job id.
 const ID_DIGITS: usize = 16;
 
@@ -261,6 +265,13 @@
         self.first_due_ms + u64::from(occurrence) * self.interval_ms
     }
 
+    /// Returns the number of tasks of one occurrence.
+    #[must_use]
+    pub fn task_count(&self) -> usize {
+        let counts = self.steps.iter().map(|step| usize::from(step.count));
+        counts.sum()
+    }
+
     /// Returns the length of the critical path by the estimates of the steps, in milliseconds.
     #[must_use]
     pub fn critical_path_ms(&self) -> u64 {
@@ -282,6 +293,12 @@
         if self.steps.is_empty() {
             return Some("steps: a job needs one or more");
         }
+        if u16::try_from(self.steps.len()).is_err() {
+            return Some("steps: a job has at most 65535");
+        }
+        if self.task_count() > MAX_OPEN_TASKS {
+            return Some("count: the steps of a job have at most 100000 tasks");
+        }
         for (index, step) in self.steps.iter().enumerate() {
             if step.count == 0 {
                 return Some("count: a step needs one task or more");
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -5,7 +5,7 @@
         config::Queue,
         crash_history::CrashHistoryRecord,
         event::{EndpointKey, Now, ReplyToken},
-        job::{JobId, JobSpec, JobState, StepSpec, TaskRef},
+        job::{JobId, JobSpec, JobState, MAX_OPEN_TASKS, StepSpec, TaskRef},
         pacing::RunPace,
         quota::AccountNumber,
     },
@@ -352,9 +352,13 @@
         self.has_future_occurrences() && self.spec.due_ms(self.next_occurrence) <= wall_ms
     }
 
-    /// Starts the occurrences that are due.
+    /// Starts the occurrences that are due, as far as the tasks of all open ones can be held.
     pub fn begin_due_occurrences(&mut self, wall_ms: u64) {
-        while self.is_next_occurrence_due(wall_ms) {
+        let tasks = self.spec.task_count();
+        while self.is_next_occurrence_due(wall_ms)
+            && (self.occurrences.is_empty()
+                || (self.occurrences.len() + 1) * tasks <= MAX_OPEN_TASKS)
+        {
             self.occurrences
                 .push(Occurrence::new(self.next_occurrence, &self.spec));
             self.next_occurrence += 1;
