--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -1,7 +1,8 @@
 //! Random simulations of starts, stops and renewals, checked after each step.
 //!
 //! Calls to endpoints are refused, lost, executed late or answered late, and answers overtake each
-//! other. Endpoints crash, in some histories start again under the id that they had, drain, are cut off, and their registry entries expire while they live.
+//! other. Endpoints crash, in some histories start again under the id that they had, drain, are cut
+//! off, and their registry entries expire while they live.
 //! Owners are replaced while their calls are under way, and callers cancel jobs before they submit
 //! them. In all cases endpoints stay within their capacity, no task runs twice, cancelled jobs end
 //! in time, and at the end each endpoint runs exactly what is wanted of it.
