Count only occurrences that are not done against the limit of open tasks

Callers: found in the last read of the change: further occurrences of a job with large ones would never begin, if the last one was done while a copy or a member of a gang was still active, as done occurrences are dropped only at the next end of a run as done.

Test: next_occurrence_begins_beside_a_run_of_one_that_is_done failed before ([0] in place of [0, 1]).

--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -257,6 +257,12 @@
         }
     }
 
+    /// Returns whether every step is done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(StepRun::is_done)
+    }
+
     /// Returns whether every step that `spec` depends on is done.
     #[must_use]
     pub fn is_open(&self, spec: &StepSpec) -> bool {
@@ -363,11 +369,16 @@
 
     /// Starts the occurrences that are due, as far as the tasks of all open ones can be held.
     pub fn begin_due_occurrences(&mut self, wall_ms: u64) {
+        if !self.is_next_occurrence_due(wall_ms) {
+            return;
+        }
         let tasks = self.spec.task_count();
+        let open = self.occurrences.iter().filter(|known| !known.is_done());
+        let mut open = open.count();
         while self.is_next_occurrence_due(wall_ms)
-            && (self.occurrences.is_empty()
-                || (self.occurrences.len() + 1) * tasks <= MAX_OPEN_TASKS)
+            && (open == 0 || (open + 1) * tasks <= MAX_OPEN_TASKS)
         {
+            open += 1;
             self.occurrences
                 .push(Occurrence::new(self.next_occurrence, &self.spec));
             self.next_occurrence += 1;
--- a/crates/engine/tests/large_jobs.rs
+++ b/crates/engine/tests/large_jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs with more tasks than an owner holds at once.
 
-use lynxwheel_engine::{Job, JobSpec, Queue, StepSpec};
+use lynxwheel_engine::{Attempt, Job, JobSpec, Queue, StepSpec};
 
 const NOW_MS: u64 = 5_000_000;
 
@@ -46,6 +46,21 @@
     large_occurrence_begins_alone: 60_000 => [0];
 }
 
+/// Guards against occurrences that never begin after one that is done but has a run left.
+#[test]
+fn next_occurrence_begins_beside_a_run_of_one_that_is_done() {
+    let mut job = overdue_job(60_000);
+    job.begin_due_occurrences(NOW_MS);
+    let tasks = &mut job.occurrences[0].steps[0].tasks;
+    tasks[0].attempts.push(Attempt::new(1, 0, NOW_MS));
+    for task in tasks {
+        task.is_done = true;
+    }
+    assert!(!job.drop_done_occurrences());
+    job.begin_due_occurrences(NOW_MS);
+    assert_eq!(open_occurrences(&job), [0, 1]);
+}
+
 /// Guards against occurrences that wait although earlier ones are done.
 #[test]
 fn next_occurrence_begins_when_one_is_done() {
