Let no report of an earlier incarnation end the next one with its id

Callers: found in the last read of the change: a report that the earlier incarnation had sent before it ended, and that arrived after the registry entry of the next one and before its first report, ended the next one. Its endpoint got no more work until it started again.

Cause: a report ends the other incarnations at its address, as it proves which one is current. Of two with one id the start times prove more.

Test: late_report_of_the_earlier_incarnation_ends_no_other failed before.

--- a/crates/engine/src/endpoint_table.rs
+++ b/crates/engine/src/endpoint_table.rs
@@ -120,7 +120,7 @@
     }
 
     /// Returns other incarnations with the same address or VM that are not known to have ended, or
-    /// whose end was only inferred.
+    /// whose end was only inferred; no later ones with the same id, which a report cannot end.
     pub(crate) fn others_at_location(&self, key: EndpointKey) -> Vec<EndpointKey> {
         let one = self.get(key);
         let at_address = self.locations.at_address(one.address);
@@ -129,7 +129,9 @@
             .chain(on_vm.into_iter().flatten())
             .filter(|&other| {
                 let incarnation = self.get(other);
-                other != key && (!incarnation.has_ended || incarnation.is_end_inferred)
+                other != key
+                    && (!incarnation.has_ended || incarnation.is_end_inferred)
+                    && !incarnation.is_later_start_of(one)
             })
             .collect();
         others.sort_unstable();
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -337,6 +337,11 @@
         }
     }
 
+    /// Returns whether this incarnation has the id of another one and was started after it.
+    pub(crate) fn is_later_start_of(&self, other: &Self) -> bool {
+        self.id == other.id && self.born_ms > other.born_ms
+    }
+
     /// Returns whether a report is of another incarnation with the same id.
     pub(crate) fn is_replaced_by(&self, born_ms: Option<u64>) -> bool {
         matches!((self.born_ms, born_ms), (Some(known), Some(other)) if known != other)
--- a/crates/engine/tests/restarted_endpoints.rs
+++ b/crates/engine/tests/restarted_endpoints.rs
@@ -140,6 +140,25 @@
     assert_eq!(fleet.running_cores(|_| true), 1);
 }
 
+/// Guards against a late report of the earlier incarnation ending the next one, which would get no more
+/// work.
+#[test]
+fn late_report_of_the_earlier_incarnation_ends_no_other() {
+    let mut fleet = fleet_with_ends();
+    let replaced = key(&fleet);
+    let report = EndpointReport {
+        clock_ms: fleet.clock_ms(),
+        born_ms: fleet.endpoints[0].born_ms,
+        ..EndpointReport::default()
+    };
+    fleet.collects_calls = true;
+    fleet.restart_with_id(0);
+    fleet.list_again(0);
+    fleet.handle(renewed(replaced, report));
+    assert_ne!(key(&fleet), replaced);
+    assert!(!fleet.engine.endpoints().get(key(&fleet)).has_ended);
+}
+
 /// Guards against a second run of a task that the next incarnation has started and not listed yet.
 #[test]
 fn start_confirmed_by_the_next_incarnation_continues() {
