Refer an id to its latest incarnation also if the one before was forgotten

Found in the last read of the change: an incarnation that responds under an id whose latest one had been forgotten, 30 s after its end, was not found by its id, and its registry entry made a second row of it.

Test: incarnation_after_a_forgotten_one_is_known_once failed before (2 rows).

--- a/crates/engine/src/endpoint_table.rs
+++ b/crates/engine/src/endpoint_table.rs
@@ -245,8 +245,9 @@
         let id = self.get(predecessor).id.clone();
         let key = self.next_key;
         self.next_key += 1;
-        if let Ok(index) = self.search_id(&id) {
-            self.by_id[index] = key;
+        match self.search_id(&id) {
+            Ok(index) => self.by_id[index] = key,
+            Err(index) => self.by_id.insert(index, key),
         }
         let mut successor = Endpoint::new(key, id, now_ms);
         successor.born_ms = Some(born_ms);
--- a/crates/engine/tests/restarted_endpoints.rs
+++ b/crates/engine/tests/restarted_endpoints.rs
@@ -159,6 +159,34 @@
     assert!(!fleet.engine.endpoints().get(key(&fleet)).has_ended);
 }
 
+/// Guards against two rows for one incarnation if the one before it was forgotten.
+#[test]
+fn incarnation_after_a_forgotten_one_is_known_once() {
+    let mut fleet = fleet_with_ends();
+    let first = key(&fleet);
+    fleet.collects_calls = true;
+    fleet.restart_with_id(0);
+    fleet.list_again(0);
+    let forgotten = key(&fleet);
+    fleet.handle(Event::Renewed {
+        endpoint: forgotten,
+        outcome: CallOutcome::OtherLife,
+    });
+    fleet.advance(32_000);
+    fleet.restart_with_id(0);
+    let report = EndpointReport {
+        clock_ms: fleet.clock_ms(),
+        born_ms: fleet.endpoints[0].born_ms,
+        ..EndpointReport::default()
+    };
+    fleet.handle(renewed(first, report));
+    fleet.list_again(0);
+    let born_ms = fleet.endpoints[0].born_ms;
+    let known = fleet.engine.endpoints().iter();
+    let rows = known.filter(|(_, endpoint)| endpoint.born_ms == born_ms);
+    assert_eq!(rows.count(), 1);
+}
+
 /// Guards against a second run of a task that the next incarnation has started and not listed yet.
 #[test]
 fn start_confirmed_by_the_next_incarnation_continues() {
