--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -22,10 +22,10 @@
 /// nor with most of them.
 const MAX_CRASHES: u32 = 3;
 
-/// Likely crashes after which a job is given up in any case.
+/// Likely crashes after which a job is given up whichever jobs share them.
 const MAX_SHARED_CRASHES: u32 = 4;
 
-/// Crashes, including unlikely ones, after which a job is given up in any case.
+/// Crashes, including unlikely ones, after which a job is given up.
 const MAX_ALL_CRASHES: u32 = 5;
 
 /// Time between two starts on an endpoint after which the earlier run is unlikely to have crashed it,
