Log which ends were acknowledged to an endpoint that omits a run

Callers: nothing changes for them.

Cause: a run that its endpoint omits counts as over, and its task starts again. The log said `Missing` and nothing of the endpoint's ends, so that ends passed over by number, ends discarded by an acknowledgement, and lists that are not complete looked alike.

Change: `run_missing`, a line for each such run, with the start of the incarnation, the last processed end, the number up to which ends were acknowledged, and the ends that the report lists. Passed over: the listed ends are not above the processed one. Discarded: the acknowledged number is above it, or equal to it with ends that follow. Incomplete: ends follow the last listed one.

Test: missing_run_is_logged_with_the_acknowledged_ends.

--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -3,8 +3,8 @@
 use {
     log::info,
     lynxwheel_engine::{
-        EndKind, JobRefusal, LogEvent, PoolPlan, QuotaWait, RefusalReason, RefusedOrder, RunEnd,
-        RunOrder, UnwantedRun,
+        EndKind, JobRefusal, LogEvent, MissingRun, PoolPlan, QuotaWait, RefusalReason,
+        RefusedOrder, RunEnd, RunOrder, UnwantedRun,
     },
     metrics::{counter, gauge, histogram},
     std::time::Duration,
@@ -67,6 +67,7 @@
                 );
             }
             LogEvent::OrderRefused(refused) => log_refused_order(epoch, refused),
+            LogEvent::RunMissing(missing) => log_missing_run(epoch, missing),
             LogEvent::UnwantedRunListed(unwanted) => log_unwanted_run(epoch, unwanted),
             LogEvent::JobEnded {
                 job,
@@ -245,6 +246,18 @@
 }
 
 /// Logs that an endpoint lists a run that should not be active.
+fn log_missing_run(epoch: u64, missing: &MissingRun) {
+    let listed = missing.listed_ends;
+    info!(
+        event = "run_missing", epoch = epoch, task:% = missing.task, run = missing.run,
+        endpoint = missing.endpoint.as_str(), born_ms = missing.born_ms,
+        processed_end = missing.processed_end, acknowledged_end = missing.acknowledged_end,
+        first_listed_end = listed.map(|(first, _)| first),
+        last_listed_end = listed.map(|(_, last)| last);
+        "endpoint omits a run whose end it has not listed"
+    );
+}
+
 fn log_unwanted_run(epoch: u64, unwanted: &UnwantedRun) {
     let UnwantedRun {
         task,
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -195,6 +195,8 @@
     pub last_processed_end: u64,
     /// Number of the last run end whose effect is stored and may be acknowledged.
     pub last_stored_end: u64,
+    /// Highest number up to which run ends were acknowledged.
+    pub(crate) acknowledged_end: u64,
     /// Numbers of the first and the last run end in the latest report; `None` if it lists none, or
     /// if a call has failed since.
     pub(crate) listed_ends: Option<(u64, u64)>,
@@ -250,6 +252,7 @@
             renew_at_ms: 0,
             last_processed_end: 0,
             last_stored_end: 0,
+            acknowledged_end: 0,
             listed_ends: None,
             empty_since_ms: now_ms,
             unknown_runs: Vec::new(),
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -6,7 +6,7 @@
     engine::Engine,
     event::{CallOutcome, Effect, EndpointKey, Now},
     job::TaskRef,
-    log_event::{LogEvent, RunEnd},
+    log_event::{LogEvent, MissingRun, RunEnd},
     reports::{EndpointEntry, EndpointReport},
     state::Phase,
 };
@@ -276,10 +276,12 @@
         } else {
             RENEW_WAIT_MS
         };
+        let acknowledged = endpoint.acknowledgeable_end();
+        endpoint.acknowledged_end = endpoint.acknowledged_end.max(acknowledged);
         self.immediate_effects.push(Effect::Renew {
             endpoint: key,
             deadline_ms,
-            acknowledged: endpoint.acknowledgeable_end(),
+            acknowledged,
             wait_ms,
         });
     }
@@ -401,11 +403,25 @@
                 Phase::Placed | Phase::Ordered | Phase::Unanswered => false,
             });
             if is_over {
+                self.log_missing_run(key, &task, run);
                 self.remove_attempt(&task, run, RunEnd::Missing, now);
             }
         }
     }
 
+    fn log_missing_run(&mut self, key: EndpointKey, task: &TaskRef, run: u32) {
+        let endpoint = self.endpoints.get(key);
+        self.log_events.push(LogEvent::RunMissing(MissingRun {
+            task: *task,
+            run,
+            endpoint: endpoint.id.clone(),
+            born_ms: endpoint.born_ms,
+            processed_end: endpoint.last_processed_end,
+            acknowledged_end: endpoint.acknowledged_end,
+            listed_ends: endpoint.listed_ends,
+        }));
+    }
+
     /// Reserves resources for the runs of a previous owner, and bounds the leases it may have
     /// granted.
     pub(crate) fn charge_inherited_runs(&mut self, now: Now) {
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -156,6 +156,25 @@
     pub since_ms: Option<u64>,
 }
 
+/// A run that its endpoint omits, although it confirmed it or a previous owner placed it there.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MissingRun {
+    /// Task.
+    pub task: TaskRef,
+    /// Run number.
+    pub run: u32,
+    /// Endpoint.
+    pub endpoint: CompactString,
+    /// Start of the incarnation, in milliseconds since the Unix epoch; `None` if unknown.
+    pub born_ms: Option<u64>,
+    /// Number of the last run end of the incarnation that was processed.
+    pub processed_end: u64,
+    /// Highest number up to which this owner has acknowledged run ends.
+    pub acknowledged_end: u64,
+    /// Numbers of the first and the last run end in the report that omits the run.
+    pub listed_ends: Option<(u64, u64)>,
+}
+
 /// Event for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
@@ -163,6 +182,8 @@
     OrderRefused(RefusedOrder),
     /// An endpoint lists a run that should not be active there.
     UnwantedRunListed(UnwantedRun),
+    /// A report omits a run whose end no report has listed.
+    RunMissing(MissingRun),
     /// A run has ended or never started.
     RunEnded {
         /// Task.
--- a/crates/engine/tests/restarted_endpoints.rs
+++ b/crates/engine/tests/restarted_endpoints.rs
@@ -5,7 +5,8 @@
 use {
     common::{Fleet, job_id, listed},
     lynxwheel_engine::{
-        CallOutcome, Effect, EndpointKey, EndpointReport, Event, Job, JobState, LogEvent, TaskRef,
+        CallOutcome, Effect, EndpointKey, EndpointReport, Event, Job, JobState, LogEvent,
+        MissingRun, TaskRef,
     },
 };
 
@@ -329,3 +330,26 @@
     let is_charge = |event: &LogEvent| matches!(event, LogEvent::CrashCharged { task: of, .. } if *of == task(2));
     assert!(events.iter().any(is_charge), "{events:?}");
 }
+
+/// Guards against an end that an endpoint has discarded unread, without a trace of which ends it was told
+/// to discard.
+#[test]
+fn missing_run_is_logged_with_the_acknowledged_ends() {
+    let mut fleet = fleet_with_ends();
+    fleet.submit(2, 1);
+    fleet.advance(300);
+    fleet.endpoints[0].running.clear();
+    fleet.engine.take_log_events();
+    fleet.advance(500);
+    let missing = LogEvent::RunMissing(MissingRun {
+        task: task(2),
+        run: 1,
+        endpoint: ID.into(),
+        born_ms: fleet.endpoints[0].born_ms,
+        processed_end: 5,
+        acknowledged_end: 5,
+        listed_ends: None,
+    });
+    let events = fleet.engine.take_log_events();
+    assert!(events.contains(&missing), "{events:?}");
+}
