--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -20,10 +20,13 @@
     },
     serde::{Serialize, de::DeserializeOwned},
     std::{
-        io,
+        fmt, io,
         net::SocketAddr,
         pin::Pin,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
         task::{Context, Poll},
         time::Duration,
     },
@@ -37,6 +40,50 @@
 /// Maximum idle time of a reused connection; peers commonly close idle connections after 5 s.
 const MAX_IDLE: Duration = Duration::from_secs(2);
 
+/// Identifies a connection among all that this process has opened. The process at its other end stays
+/// the same, while an address or an id may come to name another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionId(u64);
+
+impl ConnectionId {
+    /// Returns an id that no other connection has.
+    fn next() -> Self {
+        static LAST: AtomicU64 = AtomicU64::new(0);
+        Self(LAST.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+/// Body of a request that depends on the connection on which it is sent.
+#[derive(Clone)]
+pub struct BodyChoice {
+    /// Connection that is used if it is idle.
+    preferred: ConnectionId,
+    choose: Arc<dyn Fn(ConnectionId) -> Bytes + Send + Sync>,
+}
+
+impl BodyChoice {
+    /// Creates a choice that is made once the connection is open.
+    #[must_use]
+    pub fn new(
+        preferred: ConnectionId,
+        choose: impl Fn(ConnectionId) -> Bytes + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            preferred,
+            choose: Arc::new(choose),
+        }
+    }
+}
+
+impl fmt::Debug for BodyChoice {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("BodyChoice")
+            .field("preferred", &self.preferred)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Request whose body is in memory.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
@@ -48,6 +95,8 @@
     pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Bytes,
+    /// Choice of another body by the connection on which it is sent.
+    pub body_choice: Option<BodyChoice>,
     /// Condition under which it may be sent; a request with one is sent by a single call.
     pub guard: Option<SendGuard>,
 }
@@ -61,6 +110,7 @@
             path: path.into(),
             headers: Vec::new(),
             body: Bytes::new(),
+            body_choice: None,
             guard: None,
         }
     }
@@ -86,6 +136,20 @@
         self.body = body.into();
         self
     }
+
+    /// Sets a choice of the body by the connection on which the request is sent.
+    #[must_use]
+    pub fn with_body_choice(mut self, choice: BodyChoice) -> Self {
+        self.body_choice = Some(choice);
+        self
+    }
+
+    fn body_on(&self, connection: ConnectionId) -> Bytes {
+        match &self.body_choice {
+            Some(choice) => (choice.choose)(connection),
+            None => self.body.clone(),
+        }
+    }
 }
 
 /// Response whose body is in memory.
@@ -121,13 +185,33 @@
     permits: Arc<Semaphore>,
 }
 
+/// Open connection.
+#[derive(Debug)]
+struct Connection {
+    id: ConnectionId,
+    sender: SendRequest<Body>,
+}
+
 /// Open connection without a request.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Body>,
+    connection: Connection,
     idle_since: Instant,
 }
 
+impl IdleConnection {
+    fn new(connection: Connection) -> Self {
+        Self {
+            connection,
+            idle_since: Instant::now(),
+        }
+    }
+
+    fn is_usable(&self, max_idle: Duration) -> bool {
+        self.idle_since.elapsed() < max_idle && self.connection.sender.is_ready()
+    }
+}
+
 impl Client {
     /// Creates a client that opens at most `max_connections` connections to `peer`.
     #[must_use]
@@ -178,13 +262,18 @@
         request: Request<Body>,
         deadline: Instant,
     ) -> Result<Response<Body>, TransportError> {
-        self.send_guarded(request, deadline, &SendGuard::default())
+        let prepare = |request, _| request;
+        self.send_guarded(request, None, prepare, deadline, &SendGuard::default())
             .await
     }
 
+    /// Sends a request, on the preferred connection if it is idle, after it was prepared for the
+    /// connection.
     async fn send_guarded(
         &self,
         request: Request<Body>,
+        preferred: Option<ConnectionId>,
+        prepare: impl Fn(Request<Body>, ConnectionId) -> Request<Body>,
         deadline: Instant,
         guard: &SendGuard,
     ) -> Result<Response<Body>, TransportError> {
@@ -195,18 +284,19 @@
             .map_err(|_| TransportError::unsent(Step::Acquire, peer, "client closed"))?;
         let mut request = request;
         loop {
-            let (mut sender, is_reused) = match self.pop_idle() {
-                Some(sender) => (sender, true),
+            let (mut connection, is_reused) = match self.pop_idle(preferred) {
+                Some(connection) => (connection, true),
                 None => (self.connect(deadline).await?, false),
             };
             // Both may have been ready only after the deadline, if the process was suspended.
             if !guard.allows(deadline) {
                 return Err(withheld(peer));
             }
-            let attempt = timeout_at(deadline, sender.try_send_request(request)).await;
-            match attempt {
+            let prepared = prepare(request, connection.id);
+            let sending = connection.sender.try_send_request(prepared);
+            match timeout_at(deadline, sending).await {
                 Err(_) => return Err(TransportError::sent(Step::Exchange, peer, "timeout")),
-                Ok(Ok(response)) => return Ok(self.attach_to_body(response, sender, permit)),
+                Ok(Ok(response)) => return Ok(self.attach_to_body(response, connection, permit)),
                 Ok(Err(_)) if guard.record().is_withheld => return Err(withheld(peer)),
                 Ok(Err(mut failed)) => {
                     let reason = failed.error().to_string();
@@ -242,8 +332,14 @@
         let peer = self.inner.peer;
         let guard = request.guard.clone().unwrap_or_default();
         let built = self.build_request(request)?;
-        let built = built.map(|body| checked_body(body, guard.clone(), deadline));
-        let response = self.send_guarded(built, deadline, &guard).await?;
+        let preferred = request.body_choice.as_ref().map(|choice| choice.preferred);
+        let prepare = |built: Request<Body>, connection| {
+            let body = full_body(request.body_on(connection));
+            built.map(|_| checked_body(body, guard.clone(), connection, deadline))
+        };
+        let response = self
+            .send_guarded(built, preferred, prepare, deadline, &guard)
+            .await?;
         let (parts, body) = response.into_parts();
         let collected = timeout_at(deadline, Limited::new(body, MAX_MESSAGE_BYTES).collect())
             .await
@@ -259,11 +355,10 @@
     /// Returns whether the peer accepts a connection within a timeout.
     pub async fn can_connect(&self, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
-        let Ok(sender) = self.connect(deadline).await else {
+        let Ok(connection) = self.connect(deadline).await else {
             return false;
         };
-        let idle_since = Instant::now();
-        lock(&self.inner.idle).push(IdleConnection { sender, idle_since });
+        lock(&self.inner.idle).push(IdleConnection::new(connection));
         true
     }
 
@@ -412,18 +507,18 @@
             })
     }
 
-    fn pop_idle(&self) -> Option<SendRequest<Body>> {
+    /// Takes the preferred connection if it is idle, or else the one that was used last.
+    fn pop_idle(&self, preferred: Option<ConnectionId>) -> Option<Connection> {
         let mut idle = lock(&self.inner.idle);
-        while let Some(connection) = idle.pop() {
-            let is_fresh = connection.idle_since.elapsed() < self.inner.max_idle;
-            if is_fresh && connection.sender.is_ready() {
-                return Some(connection.sender);
-            }
+        idle.retain(|known| known.is_usable(self.inner.max_idle));
+        let is_preferred = |known: &IdleConnection| Some(known.connection.id) == preferred;
+        match idle.iter().position(is_preferred) {
+            Some(index) => Some(idle.remove(index).connection),
+            None => idle.pop().map(|known| known.connection),
         }
-        None
     }
 
-    async fn connect(&self, deadline: Instant) -> Result<SendRequest<Body>, TransportError> {
+    async fn connect(&self, deadline: Instant) -> Result<Connection, TransportError> {
         let peer = self.inner.peer;
         let unsent = |reason: String| TransportError::unsent(Step::Connect, peer, reason);
         let stream = timeout_at(deadline, TcpStream::connect(peer))
@@ -444,19 +539,20 @@
             // `sender` reports connection errors to its caller.
             drop(connection.await);
         });
-        Ok(sender)
+        let id = ConnectionId::next();
+        Ok(Connection { id, sender })
     }
 
     fn attach_to_body(
         &self,
         response: Response<Incoming>,
-        sender: SendRequest<Body>,
+        connection: Connection,
         permit: OwnedSemaphorePermit,
     ) -> Response<Body> {
         response.map(|incoming| {
             let connection = PooledConnection {
                 inner: Arc::clone(&self.inner),
-                sender,
+                connection,
                 _permit: permit,
             };
             let mut body = PooledBody {
@@ -496,7 +592,7 @@
 #[derive(Debug)]
 struct PooledConnection {
     inner: Arc<Inner>,
-    sender: SendRequest<Body>,
+    connection: Connection,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -511,13 +607,12 @@
     fn release(&mut self) {
         if let Some(PooledConnection {
             inner,
-            sender,
+            connection,
             _permit,
         }) = self.connection.take()
-            && !sender.is_closed()
+            && !connection.sender.is_closed()
         {
-            let idle_since = Instant::now();
-            lock(&inner.idle).push(IdleConnection { sender, idle_since });
+            lock(&inner.idle).push(IdleConnection::new(connection));
         }
     }
 }
@@ -580,6 +675,13 @@
         }
     }
 
+    /// Returns whether a client for an address exists.
+    #[must_use]
+    pub fn contains(&self, peer: SocketAddr) -> bool {
+        let clients = lock(&self.clients);
+        clients.binary_search_by_key(&peer, Client::peer).is_ok()
+    }
+
     /// Closes connections that were idle for too long to be reused, and removes clients that are
     /// left without connections and are not used elsewhere.
     pub fn prune(&self) {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use body::{Body, BodyError, BufferedBody, buffer_body, empty_body, full_body};
 pub use body_wrappers::{guarded_body, limited_body};
-pub use client::{Client, ClientPool, ClientRequest, ClientResponse};
+pub use client::{BodyChoice, Client, ClientPool, ClientRequest, ClientResponse, ConnectionId};
 pub use error::{Step, TransportError};
 pub use send_guard::{SendCondition, SendGuard, SendRecord};
 pub use server::{
--- a/crates/transport/src/send_guard.rs
+++ b/crates/transport/src/send_guard.rs
@@ -4,7 +4,10 @@
 //! ended meanwhile. A guard is asked after each wait, and again when the request is written.
 
 use {
-    crate::body::{Body, BodyError},
+    crate::{
+        body::{Body, BodyError},
+        client::ConnectionId,
+    },
     bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::{Body as HttpBody, Frame, SizeHint},
@@ -60,6 +63,8 @@
     pub tries: u32,
     /// When it was last written.
     pub sent_at: Option<Instant>,
+    /// Connection to which it was last written.
+    pub connection: Option<ConnectionId>,
     /// Whether it was withheld because its condition no longer held or its deadline had passed.
     pub is_withheld: bool,
 }
@@ -96,12 +101,13 @@
     }
 
     /// Returns whether the request may be written now, and records that it is.
-    fn begin(&self, deadline: Instant) -> bool {
+    fn begin(&self, connection: ConnectionId, deadline: Instant) -> bool {
         let is_allowed = self.allows(deadline);
         if is_allowed {
             let mut record = self.record.lock().unwrap_or_else(PoisonError::into_inner);
             record.tries += 1;
             record.sent_at = Some(Instant::now());
+            record.connection = Some(connection);
         }
         is_allowed
     }
@@ -110,10 +116,16 @@
 /// Returns a body that is only sent if its guard allows it when the first data is taken.
 ///
 /// The HTTP library takes the first data before it writes the head, so nothing is sent otherwise.
-pub(crate) fn checked_body(inner: Body, guard: SendGuard, deadline: Instant) -> Body {
+pub(crate) fn checked_body(
+    inner: Body,
+    guard: SendGuard,
+    connection: ConnectionId,
+    deadline: Instant,
+) -> Body {
     let checked = CheckedBody {
         inner,
         guard,
+        connection,
         deadline,
         is_begun: false,
     };
@@ -124,6 +136,7 @@
 struct CheckedBody {
     inner: Body,
     guard: SendGuard,
+    connection: ConnectionId,
     deadline: Instant,
     is_begun: bool,
 }
@@ -137,7 +150,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         if !self.is_begun {
-            if !self.guard.begin(self.deadline) {
+            if !self.guard.begin(self.connection, self.deadline) {
                 let reason = "the request may no longer be sent".into();
                 return Poll::Ready(Some(Err(BodyError::Broken { reason })));
             }
