Stop runs whose start may be delayed until the next incarnation

What callers saw: a task with two runs at the same time (TWICE). Its start got no answer and was repeated, the endpoint listed the run and crashed, and the task started elsewhere. The first try of the start, delayed on its way, then reached the endpoint, which was back under its id.

Cause: when the next incarnation had responded, a run that the earlier one had listed counted as ended with it, also if a try of its start had got no answer. A stop that the earlier incarnation had executed counted for the next one, too.

Change: such a run moves to the next incarnation and is stopped there, and its task starts elsewhere once the stop is executed. The same holds if the next incarnation omits a run that was confirmed and never listed. If every try of the start was answered, the task starts at once, as before.

Tests: repeated_start_is_stopped_at_the_next_incarnation, executed_stop_is_repeated_at_the_next_incarnation and confirmed_start_that_is_omitted_is_stopped failed before; answered_start_holds_up_no_task passed before and after.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -294,6 +294,7 @@
             attempt.phase = Phase::Confirmed;
             attempt.confirmed_at_renewal = renewals;
             attempt.stop = StopPhase::Executed;
+            attempt.may_start_again = false;
             attempt.retry_at_ms = now.steady_ms + STOP_LIMIT_MS;
         }
     }
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -402,7 +402,9 @@
                 Phase::Confirmed => renewal > attempt.confirmed_at_renewal,
                 Phase::Placed | Phase::Ordered | Phase::Unanswered => false,
             });
-            if is_over {
+            if is_over && attempt.is_some_and(|attempt| attempt.may_start_again) {
+                self.rule_out_start(&task, run, now);
+            } else if is_over {
                 self.log_missing_run(key, &task, run);
                 self.remove_attempt(&task, run, RunEnd::Missing, now);
             }
--- a/crates/engine/src/listed_runs.rs
+++ b/crates/engine/src/listed_runs.rs
@@ -84,6 +84,7 @@
             attempt.progress_clock_ms = Some(clock_ms);
         }
         attempt.percent = running.percent;
+        attempt.may_start_again = false;
         let is_wanted = !attempt.is_stopping() && !is_ended && !task.is_done;
         if attempt.record_active(clock_ms) && task.crashes > 0 {
             job.crash_history.is_dirty = true;
--- a/crates/engine/src/restarts.rs
+++ b/crates/engine/src/restarts.rs
@@ -8,6 +8,7 @@
     endpoints::PlacedRun,
     engine::Engine,
     event::{EndpointKey, Now},
+    job::TaskRef,
     log_event::LogEvent,
     reports::EndpointReport,
     state::Phase,
@@ -93,7 +94,7 @@
                 moved_runs += 1;
             }
             if fate == Fate::MayStart {
-                self.stop_run(&placed.task, placed.run, now);
+                self.rule_out_start(&placed.task, placed.run, now);
             }
         }
         let endpoint = self.endpoints.get(from);
@@ -120,11 +121,33 @@
             _ if is_listed => Fate::Continues,
             Phase::Placed => Fate::Over,
             Phase::Ordered | Phase::Unanswered => Fate::MayStart,
+            Phase::Confirmed | Phase::Inherited if attempt.may_start_late => {
+                if was_listed || attempt.is_stopping() {
+                    Fate::MayStart
+                } else {
+                    Fate::Continues
+                }
+            }
             Phase::Confirmed | Phase::Inherited if was_listed => Fate::Over,
             Phase::Confirmed | Phase::Inherited => Fate::Continues,
         }
     }
 
+    /// Stops a run that its endpoint may still start, so that its task starts elsewhere only once
+    /// that is ruled out.
+    pub(crate) fn rule_out_start(&mut self, task: &TaskRef, run: u32, now: Now) {
+        let Some(attempt) = self.attempt_mut(task, run) else {
+            return;
+        };
+        attempt.await_stop();
+        if attempt.is_stop_stored() {
+            attempt.retry_at_ms = now.steady_ms;
+            self.track_unanswered(task, run);
+        } else {
+            self.stop_run(task, run, now);
+        }
+    }
+
     /// Moves a run that may be active to the next incarnation.
     fn move_run(&mut self, placed: &PlacedRun, from: EndpointKey, to: EndpointKey, now: Now) {
         let Ok(index) = self.search(placed.task.job) else {
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -57,6 +57,9 @@
     /// Whether a try of the start got no answer, so that it may have taken effect or may still do so
     /// until the run is confirmed or its stop is executed.
     pub may_start_late: bool,
+    /// Whether a try of the start may still take effect although the run was confirmed, as it was moved
+    /// to another incarnation since, which need not know it.
+    pub may_start_again: bool,
     /// Whether the endpoint has rejected a retry of the start, and would reject others.
     pub is_rejected: bool,
     /// Progress of stopping the run.
@@ -93,6 +96,7 @@
             phase: Phase::Placed,
             confirmed_at_renewal: 0,
             may_start_late: false,
+            may_start_again: false,
             is_rejected: false,
             stop: StopPhase::None,
             stopping_since_ms: None,
@@ -119,13 +123,21 @@
         self.active_since_clock_ms = None;
         self.active_ms = 0;
         self.progress_clock_ms = None;
+        // That one has executed no stop yet.
+        self.stop = self.stop.min(StopPhase::Stored);
+        self.may_start_again = self.may_start_late;
         if matches!(self.phase, Phase::Ordered | Phase::Unanswered) {
-            self.phase = Phase::Unanswered;
-            self.may_start_late = true;
-            self.is_rejected = true;
+            self.await_stop();
         }
     }
 
+    /// Marks the run as one that may still start, unless a stop rules that out.
+    pub(crate) fn await_stop(&mut self) {
+        self.phase = Phase::Unanswered;
+        self.may_start_late = true;
+        self.is_rejected = true;
+    }
+
     /// Returns whether the run is to be stopped.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/engine/tests/restarted_endpoints.rs
+++ b/crates/engine/tests/restarted_endpoints.rs
@@ -50,6 +50,22 @@
     fleet
 }
 
+/// Starts a task with an order that is repeated, crashes its endpoint once it lists the run, starts it
+/// again under its id, and adds another one.
+fn fleet_with_repeated_start() -> Fleet {
+    let mut fleet = fleet_with_ends();
+    fleet.endpoints[0].loses_answers = true;
+    fleet.submit(2, 1);
+    fleet.advance(500);
+    fleet.endpoints[0].loses_answers = false;
+    fleet.advance(1_500);
+    assert_eq!(fleet.running_cores(|_| true), 1);
+    fleet.crash(0);
+    fleet.restart_with_id(0);
+    fleet.list_endpoint("i-1", 16_000);
+    fleet
+}
+
 /// Returns the calls with an order for a task since the last call of this function, as words.
 fn orders(fleet: &mut Fleet, of: TaskRef) -> Vec<&'static str> {
     let orders = std::mem::take(&mut fleet.orders);
@@ -141,6 +157,81 @@
     assert_eq!(fleet.running_cores(|_| true), 1);
 }
 
+/// Guards against starting a task elsewhere while a delayed try of its confirmed start may still reach
+/// the next incarnation.
+#[test]
+fn repeated_start_is_stopped_at_the_next_incarnation() {
+    let mut fleet = fleet_with_repeated_start();
+    fleet.orders.clear();
+    fleet.list_again(0);
+    fleet.advance(1_000);
+    assert_eq!(orders(&mut fleet, task(2)), ["stop", "start"]);
+    assert_eq!(fleet.running_cores(|_| true), 1);
+}
+
+/// Guards against taking a stop that the earlier incarnation has executed for one that keeps the next
+/// one from starting the run.
+#[test]
+fn executed_stop_is_repeated_at_the_next_incarnation() {
+    let mut fleet = fleet_with_repeated_start();
+    let replaced = key(&fleet);
+    fleet.collects_calls = true;
+    fleet.handle(Event::Cancel {
+        job: job_id(2),
+        account: "".into(),
+        token: 9,
+    });
+    fleet.settle();
+    let clock_ms = fleet.clock_ms();
+    fleet.handle(Event::Stopped {
+        endpoint: replaced,
+        task: task(2),
+        run: 1,
+        outcome: CallOutcome::Done(clock_ms),
+    });
+    fleet.collects_calls = false;
+    fleet.orders.clear();
+    fleet.list_again(0);
+    fleet.advance(1_000);
+    assert_eq!(orders(&mut fleet, task(2)), ["stop"]);
+}
+
+/// Guards against a start elsewhere as the next incarnation omits a run that the earlier one has
+/// confirmed, although a delayed try of its start may still reach it.
+#[test]
+fn confirmed_start_that_is_omitted_is_stopped() {
+    let mut fleet = fleet_with_unanswered_start();
+    let replaced = key(&fleet);
+    fleet.list_endpoint("i-1", 16_000);
+    let clock_ms = fleet.clock_ms();
+    fleet.handle(Event::Started {
+        endpoint: replaced,
+        task: task(2),
+        run: 1,
+        outcome: CallOutcome::Done(clock_ms),
+    });
+    fleet.orders.clear();
+    fleet.list_again(0);
+    fleet.advance(1_000);
+    assert_eq!(orders(&mut fleet, task(2)), ["stop", "start"]);
+    assert_eq!(fleet.running_cores(|_| true), 1);
+}
+
+/// Guards against holding up a task whose start cannot reach the next incarnation.
+#[test]
+fn answered_start_holds_up_no_task() {
+    let mut fleet = fleet_with_ends();
+    fleet.submit(2, 1);
+    fleet.advance(1_500);
+    fleet.crash(0);
+    fleet.restart_with_id(0);
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.orders.clear();
+    fleet.list_again(0);
+    fleet.settle();
+    assert_eq!(orders(&mut fleet, task(2)), ["start"]);
+}
+
 /// Guards against a late report of the earlier incarnation ending the next one, which would get no more
 /// work.
 #[test]
