Stop delayed starts of ended runs at the next incarnation

What callers saw: a task that had ended as done started again on the same endpoint (TWICE), a cancelled task was active again (UNASKED), or a task had two runs. A try of the start had got no answer; it was delayed on its way and reached the endpoint after it had crashed and come back under its id.

Cause: the earlier incarnation refuses a run that has ended or was stopped there, the next one knows nothing of it. The engine forgot such a start with its run, and does not renew an idle endpoint, so that nobody noticed the run either.

Change: starts of removed runs, a try of which got no answer, are kept for 15 s. When another incarnation with the id has responded, it is told to stop them: one that has not arrived is refused from then on.

Tests: repeated_start_of_an_ended_run_is_stopped_at_the_next_incarnation and repeated_start_of_an_ended_run_is_stopped_after_a_proved_end failed before; repeated_start_is_not_stopped_after_a_long_time guards the limit.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -2,12 +2,14 @@
 
 use {
     crate::{
+        endpoints::LateStart,
         engine::{Engine, ORDER_RETRY_MS},
         event::{CallOutcome, Effect, EndpointKey, Now, Refusal, StartOrder},
         job::{JobState, TaskRef},
         listed_runs::STOP_LIMIT_MS,
         log_event::{LogEvent, RefusedOrder, RunEnd, RunOrder},
         reports::{EndKind, EndedTask},
+        restarts::LATE_CALL_MS,
         state::{Attempt, Job, Phase, StopPhase},
     },
     compact_str::CompactString,
@@ -77,6 +79,14 @@
         }
         let endpoint = self.endpoints.get_mut(attempt.endpoint);
         endpoint.remove_run(task, run, now.steady_ms);
+        if attempt.may_start_late {
+            let start = LateStart {
+                task: *task,
+                run,
+                until_ms: now.steady_ms + LATE_CALL_MS,
+            };
+            endpoint.add_late_start(start, now);
+        }
         self.log_events.push(LogEvent::RunEnded {
             task: *task,
             run,
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -110,6 +110,17 @@
     pub(crate) added_at_renewal: u64,
 }
 
+/// A start of a run that has been removed, a try of which got no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct LateStart {
+    /// Task.
+    pub(crate) task: TaskRef,
+    /// Run number.
+    pub(crate) run: u32,
+    /// Until when the try may be executed, on the monotonic clock.
+    pub(crate) until_ms: u64,
+}
+
 /// One incarnation of an endpoint.
 #[derive(Clone, Debug)]
 #[expect(
@@ -204,6 +215,8 @@
     pub empty_since_ms: u64,
     /// Runs that this owner does not know, until a report omits them.
     pub(crate) unknown_runs: Vec<UnknownRun>,
+    /// Starts that another incarnation with the same id may execute; this one refuses them.
+    pub(crate) late_starts: Vec<LateStart>,
     clock: Option<ClockReading>,
     lease_end_clock_ms: u64,
     leases_end_at_ms: Option<u64>,
@@ -256,6 +269,7 @@
             listed_ends: None,
             empty_since_ms: now_ms,
             unknown_runs: Vec::new(),
+            late_starts: Vec::new(),
             clock: None,
             lease_end_clock_ms: 0,
             leases_end_at_ms: None,
@@ -485,6 +499,14 @@
         }
     }
 
+    /// Adds a start that another incarnation with the same id may execute, and forgets those that none
+    /// executes any more.
+    pub(crate) fn add_late_start(&mut self, start: LateStart, now: Now) {
+        self.late_starts
+            .retain(|known| known.until_ms > now.steady_ms);
+        self.late_starts.push(start);
+    }
+
     /// Adds a task whose run was removed when the lease expired.
     pub(crate) fn add_lost_task(&mut self, task: TaskRef) {
         if let Err(index) = self.lost_tasks.binary_search(&task) {
--- a/crates/engine/src/restarts.rs
+++ b/crates/engine/src/restarts.rs
@@ -2,18 +2,22 @@
 //!
 //! Calls name only the id of an endpoint, so an order for the earlier incarnation may be executed by
 //! the next one. Its runs are therefore divided by the report of the next one: those that it lists,
-//! and those that it may still start, continue there, and the others have ended.
+//! and those that it may still start, continue there, and the others have ended. Starts of runs that
+//! ended before are stopped there if a try of them may still be on its way.
 
 use crate::{
     endpoints::PlacedRun,
     engine::Engine,
-    event::{EndpointKey, Now},
+    event::{Effect, EndpointKey, Now},
     job::TaskRef,
     log_event::LogEvent,
     reports::EndpointReport,
     state::Phase,
 };
 
+/// Time after which a call without an answer is no longer executed, in milliseconds.
+pub(crate) const LATE_CALL_MS: u64 = 15_000;
+
 /// What becomes of a run when another incarnation with the same id has responded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Fate {
@@ -66,7 +70,9 @@
         }
         while let Some(predecessor) = earlier {
             earlier = self.endpoints.get_mut(predecessor).predecessor.take();
-            if !self.endpoints.get(predecessor).is_end_proved() {
+            if self.endpoints.get(predecessor).is_end_proved() {
+                self.stop_late_starts(predecessor, key, now);
+            } else {
                 self.replace_incarnation(predecessor, key, report, now);
             }
         }
@@ -109,6 +115,22 @@
             self.recent_crashes.record(from, pool, now);
         }
         self.end_incarnation(from, charged, now);
+        self.stop_late_starts(from, to, now);
+    }
+
+    /// Stops runs that have ended and that the next incarnation may start.
+    fn stop_late_starts(&mut self, from: EndpointKey, to: EndpointKey, now: Now) {
+        let late_starts = std::mem::take(&mut self.endpoints.get_mut(from).late_starts);
+        for start in late_starts {
+            if start.until_ms > now.steady_ms {
+                self.immediate_effects.push(Effect::Stop {
+                    endpoint: to,
+                    task: start.task,
+                    run: start.run,
+                });
+                self.endpoints.get_mut(to).add_late_start(start, now);
+            }
+        }
     }
 
     fn fate(&self, placed: &PlacedRun, is_listed: bool) -> Fate {
--- a/crates/engine/tests/restarted_endpoints.rs
+++ b/crates/engine/tests/restarted_endpoints.rs
@@ -50,9 +50,8 @@
     fleet
 }
 
-/// Starts a task with an order that is repeated, crashes its endpoint once it lists the run, starts it
-/// again under its id, and adds another one.
-fn fleet_with_repeated_start() -> Fleet {
+/// Starts a task with an order that is repeated.
+fn fleet_with_confirmed_repeated_start() -> Fleet {
     let mut fleet = fleet_with_ends();
     fleet.endpoints[0].loses_answers = true;
     fleet.submit(2, 1);
@@ -60,6 +59,23 @@
     fleet.endpoints[0].loses_answers = false;
     fleet.advance(1_500);
     assert_eq!(fleet.running_cores(|_| true), 1);
+    fleet
+}
+
+/// Starts a task with an order that is repeated, and ends it as done.
+fn fleet_with_ended_repeated_start() -> Fleet {
+    let mut fleet = fleet_with_confirmed_repeated_start();
+    fleet.end_all_done();
+    fleet.advance(500);
+    assert_eq!(fleet.job_state(2), Some(JobState::Completed));
+    fleet.orders.clear();
+    fleet
+}
+
+/// Starts a task with an order that is repeated, crashes its endpoint once it lists the run, starts it
+/// again under its id, and adds another one.
+fn fleet_with_repeated_start() -> Fleet {
+    let mut fleet = fleet_with_confirmed_repeated_start();
     fleet.crash(0);
     fleet.restart_with_id(0);
     fleet.list_endpoint("i-1", 16_000);
@@ -217,6 +233,45 @@
     assert_eq!(fleet.running_cores(|_| true), 1);
 }
 
+/// Guards against a run that has ended and starts again, by a delayed try of its start that reaches the
+/// next incarnation.
+#[test]
+fn repeated_start_of_an_ended_run_is_stopped_at_the_next_incarnation() {
+    let mut fleet = fleet_with_ended_repeated_start();
+    fleet.crash(0);
+    fleet.restart_with_id(0);
+    fleet.list_again(0);
+    fleet.settle();
+    assert_eq!(orders(&mut fleet, task(2)), ["stop"]);
+    assert_eq!(starts(&fleet, 2), 1);
+}
+
+/// Guards against forgetting such a run if the endpoint was known to have ended before it came back.
+#[test]
+fn repeated_start_of_an_ended_run_is_stopped_after_a_proved_end() {
+    let mut fleet = fleet_with_ended_repeated_start();
+    fleet.handle(Event::Renewed {
+        endpoint: key(&fleet),
+        outcome: CallOutcome::OtherLife,
+    });
+    fleet.restart_with_id(0);
+    fleet.list_again(0);
+    fleet.settle();
+    assert_eq!(orders(&mut fleet, task(2)), ["stop"]);
+}
+
+/// Guards against stops of starts that are no longer under way.
+#[test]
+fn repeated_start_is_not_stopped_after_a_long_time() {
+    let mut fleet = fleet_with_ended_repeated_start();
+    fleet.advance(20_000);
+    fleet.crash(0);
+    fleet.restart_with_id(0);
+    fleet.list_again(0);
+    fleet.settle();
+    assert_eq!(orders(&mut fleet, task(2)), Vec::<&str>::new());
+}
+
 /// Guards against holding up a task whose start cannot reach the next incarnation.
 #[test]
 fn answered_start_holds_up_no_task() {
