Repeat the stop of a delayed start until it is executed

What callers saw: a task of a cancelled job was active (UNASKED). Its start was delayed until another incarnation had the id; the stop that was to rule it out had been refused by the unhealthy endpoint and was not repeated.

Cause: such a stop was sent once. Other stops are repeated until they are executed.

Change: the stop is repeated at the interval of other orders until the endpoint has executed it or the start is no longer under way.

Test: refused_stop_of_an_ended_run_is_repeated failed before.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -84,6 +84,7 @@
                 task: *task,
                 run,
                 until_ms: now.steady_ms + LATE_CALL_MS,
+                stop_at_ms: None,
             };
             endpoint.add_late_start(start, now);
         }
@@ -298,6 +299,11 @@
         let endpoint = self.endpoints.get_mut(key);
         endpoint.renew_at_ms = endpoint.renew_at_ms.min(now.steady_ms);
         let renewals = endpoint.renewals;
+        for start in &mut endpoint.late_starts {
+            if start.task == *task && start.run <= run {
+                start.stop_at_ms = None;
+            }
+        }
         if let Some(attempt) = self.attempt_mut(task, run)
             && attempt.endpoint == key
         {
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -119,6 +119,16 @@
     pub(crate) run: u32,
     /// Until when the try may be executed, on the monotonic clock.
     pub(crate) until_ms: u64,
+    /// When a stop is sent next, on the monotonic clock; `None` if this incarnation refuses the start.
+    pub(crate) stop_at_ms: Option<u64>,
+}
+
+impl LateStart {
+    /// Returns whether a stop is to be sent now.
+    pub(crate) fn is_stop_due(&self, now: Now) -> bool {
+        let is_due = self.stop_at_ms.is_some_and(|at_ms| now.steady_ms >= at_ms);
+        is_due && self.until_ms > now.steady_ms
+    }
 }
 
 /// One incarnation of an endpoint.
@@ -215,7 +225,7 @@
     pub empty_since_ms: u64,
     /// Runs that this owner does not know, until a report omits them.
     pub(crate) unknown_runs: Vec<UnknownRun>,
-    /// Starts that another incarnation with the same id may execute; this one refuses them.
+    /// Starts that another incarnation with the same id may execute.
     pub(crate) late_starts: Vec<LateStart>,
     clock: Option<ClockReading>,
     lease_end_clock_ms: u64,
@@ -507,6 +517,13 @@
         self.late_starts.push(start);
     }
 
+    /// Returns whether a stop of a start that this incarnation may execute is to be sent now.
+    pub(crate) fn has_late_stop_due(&self, now: Now) -> bool {
+        self.is_reachable()
+            && self.failed_calls < SUSPECT_AFTER_FAILED_CALLS
+            && self.late_starts.iter().any(|start| start.is_stop_due(now))
+    }
+
     /// Adds a task whose run was removed when the lease expired.
     pub(crate) fn add_lost_task(&mut self, task: TaskRef) {
         if let Err(index) = self.lost_tasks.binary_search(&task) {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -548,6 +548,7 @@
         self.begin_occurrences(now);
         self.expire_leases(now);
         self.retry_orders(now);
+        self.stop_late_starts(now);
         self.renew_leases(now);
         self.remove_expired_jobs(now);
         self.remove_expired_early_cancels(now);
--- a/crates/engine/src/restarts.rs
+++ b/crates/engine/src/restarts.rs
@@ -8,7 +8,7 @@
 use crate::{
     endpoints::PlacedRun,
     engine::Engine,
-    event::{Effect, EndpointKey, Now},
+    event::{EndpointKey, Now},
     job::TaskRef,
     log_event::LogEvent,
     reports::EndpointReport,
@@ -71,7 +71,7 @@
         while let Some(predecessor) = earlier {
             earlier = self.endpoints.get_mut(predecessor).predecessor.take();
             if self.endpoints.get(predecessor).is_end_proved() {
-                self.stop_late_starts(predecessor, key, now);
+                self.pass_on_late_starts(predecessor, key, now);
             } else {
                 self.replace_incarnation(predecessor, key, report, now);
             }
@@ -115,22 +115,17 @@
             self.recent_crashes.record(from, pool, now);
         }
         self.end_incarnation(from, charged, now);
-        self.stop_late_starts(from, to, now);
+        self.pass_on_late_starts(from, to, now);
     }
 
     /// Stops runs that have ended and that the next incarnation may start.
-    fn stop_late_starts(&mut self, from: EndpointKey, to: EndpointKey, now: Now) {
+    fn pass_on_late_starts(&mut self, from: EndpointKey, to: EndpointKey, now: Now) {
         let late_starts = std::mem::take(&mut self.endpoints.get_mut(from).late_starts);
-        for start in late_starts {
-            if start.until_ms > now.steady_ms {
-                self.immediate_effects.push(Effect::Stop {
-                    endpoint: to,
-                    task: start.task,
-                    run: start.run,
-                });
-                self.endpoints.get_mut(to).add_late_start(start, now);
-            }
+        for mut start in late_starts {
+            start.stop_at_ms = Some(now.steady_ms);
+            self.endpoints.get_mut(to).add_late_start(start, now);
         }
+        self.send_late_stops(to, now);
     }
 
     fn fate(&self, placed: &PlacedRun, is_listed: bool) -> Fate {
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -37,6 +37,29 @@
         }
     }
 
+    /// Sends stops of starts that the next incarnation of an endpoint may execute, until one is executed.
+    pub(crate) fn stop_late_starts(&mut self, now: Now) {
+        let due = self.endpoints.iter();
+        let due = due.filter(|(_, endpoint)| endpoint.has_late_stop_due(now));
+        let due: Vec<EndpointKey> = due.map(|(key, _)| key).collect();
+        for key in due {
+            self.send_late_stops(key, now);
+        }
+    }
+
+    pub(crate) fn send_late_stops(&mut self, key: EndpointKey, now: Now) {
+        for start in &mut self.endpoints.get_mut(key).late_starts {
+            if start.is_stop_due(now) {
+                start.stop_at_ms = Some(now.steady_ms + ORDER_RETRY_MS);
+                self.immediate_effects.push(Effect::Stop {
+                    endpoint: key,
+                    task: start.task,
+                    run: start.run,
+                });
+            }
+        }
+    }
+
     /// Adds a run whose order may have to be retried.
     pub(crate) fn track_unanswered(&mut self, task: &TaskRef, run: u32) {
         if let Err(index) = self.unanswered_runs.binary_search(&(*task, run)) {
--- a/crates/engine/tests/restarted_endpoints.rs
+++ b/crates/engine/tests/restarted_endpoints.rs
@@ -6,7 +6,7 @@
     common::{Fleet, job_id, listed},
     lynxwheel_engine::{
         CallOutcome, Effect, EndpointKey, EndpointReport, Event, Job, JobState, LogEvent,
-        MissingRun, TaskRef,
+        MissingRun, Refusal, TaskRef,
     },
 };
 
@@ -260,6 +260,22 @@
     assert_eq!(orders(&mut fleet, task(2)), ["stop"]);
 }
 
+/// Guards against a stop of such a run that is refused and never repeated.
+#[test]
+fn refused_stop_of_an_ended_run_is_repeated() {
+    let mut fleet = fleet_with_ended_repeated_start();
+    fleet.crash(0);
+    fleet.restart_with_id(0);
+    fleet.endpoints[0].refuses =
+        Some(|call| matches!(call, Effect::Stop { .. }).then_some(Refusal::Unhealthy));
+    fleet.list_again(0);
+    fleet.settle();
+    assert_eq!(orders(&mut fleet, task(2)), ["stop"]);
+    fleet.endpoints[0].refuses = None;
+    fleet.advance(1_000);
+    assert_eq!(orders(&mut fleet, task(2)), ["stop"]);
+}
+
 /// Guards against stops of starts that are no longer under way.
 #[test]
 fn repeated_start_is_not_stopped_after_a_long_time() {
