Stop starts that are on their way when the end of an endpoint is found

What callers saw: a task had two runs. Its start was on its way when the end of the endpoint was found, by another id or by its shutdown; the task started elsewhere, and the endpoint came back under its id and executed the start.

Cause: only starts whose answer was known to be missing were stopped at the next incarnation. This one had no outcome yet.

Change: a start that was sent and has no outcome counts as one that may be late, too.

Test: start_on_its_way_is_stopped_at_the_next_incarnation failed before.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -79,7 +79,8 @@
         }
         let endpoint = self.endpoints.get_mut(attempt.endpoint);
         endpoint.remove_run(task, run, now.steady_ms);
-        if attempt.may_start_late {
+        let is_on_its_way = attempt.phase == Phase::Ordered && end != RunEnd::Refused;
+        if attempt.may_start_late || is_on_its_way {
             let start = LateStart {
                 task: *task,
                 run,
--- a/crates/engine/tests/restarted_endpoints.rs
+++ b/crates/engine/tests/restarted_endpoints.rs
@@ -276,6 +276,25 @@
     assert_eq!(orders(&mut fleet, task(2)), ["stop"]);
 }
 
+/// Guards against forgetting a start that is on its way when the end of its endpoint is found.
+#[test]
+fn start_on_its_way_is_stopped_at_the_next_incarnation() {
+    let mut fleet = fleet_with_ends();
+    fleet.collects_calls = true;
+    fleet.submit(2, 1);
+    fleet.settle();
+    assert_eq!(orders(&mut fleet, task(2)), ["start"]);
+    fleet.handle(Event::Renewed {
+        endpoint: key(&fleet),
+        outcome: CallOutcome::OtherLife,
+    });
+    fleet.collects_calls = false;
+    fleet.restart_with_id(0);
+    fleet.list_again(0);
+    fleet.settle();
+    assert_eq!(orders(&mut fleet, task(2))[0], "stop");
+}
+
 /// Guards against stops of starts that are no longer under way.
 #[test]
 fn repeated_start_is_not_stopped_after_a_long_time() {
