Order the pace of a run anew at the next incarnation

What callers saw: a serving task over its target beside a filler at full speed (HARM), after their endpoint had crashed and come back under its id with both runs (delayed tries of their starts).

Cause: the pace that was known or ordered at the earlier incarnation counted for the next one, where each run starts at full speed. The answer to an order under way names the earlier one and was passed over, so that the order stayed open and was never repeated.

Change: a run that moves to another incarnation has an unknown pace, as one of a previous owner.

Found by reading. The histories do not check paces.

Test: filler_is_paced_at_the_next_incarnation failed before (100 instead of 0).

--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -123,6 +123,8 @@
         self.active_since_clock_ms = None;
         self.active_ms = 0;
         self.progress_clock_ms = None;
+        // It starts at full speed, and orders under way may reach either incarnation.
+        self.pace = RunPace::unknown();
         // That one has executed no stop yet.
         self.stop = self.stop.min(StopPhase::Stored);
         self.may_start_again = self.may_start_late;
--- a/crates/engine/tests/pacing.rs
+++ b/crates/engine/tests/pacing.rs
@@ -298,3 +298,25 @@
         .filter_map(|percent| pace.next_order(Some(percent), NOW));
     assert_eq!(orders.collect::<Vec<_>>(), [50, 0]);
 }
+
+/// Guards against a filler at full speed beside a slow serving task, as the answer to an order for the
+/// earlier incarnation of its endpoint is awaited from the next one.
+#[test]
+fn filler_is_paced_at_the_next_incarnation() {
+    let mut fleet = fleet();
+    fleet.entries[0].born_ms = Some(fleet.now.wall_ms);
+    fleet.endpoints[0].born_ms = fleet.entries[0].born_ms;
+    fleet.list_again(0);
+    fleet.advance(500);
+    let runs = fleet.endpoints[0].running.clone();
+    set_latency(&mut fleet, OVER_TARGET_MS);
+    fleet.collects_calls = true;
+    fleet.advance(1_000);
+    assert_eq!(orders(&fleet), [0]);
+    fleet.collects_calls = false;
+    fleet.restart_with_id(0);
+    fleet.endpoints[0].running = runs;
+    fleet.list_again(0);
+    observe(&mut fleet, OVER_TARGET_MS);
+    assert_eq!(pace(&fleet), 0);
+}
