Soak: endpoints that start again under the ids that they had

Cause: the stand-in gave each start of an endpoint a new id, and one listener served all its incarnations, so that a connection outlived a crash. State keyed by an id that comes back, and calls that reach the wrong process, were out of its sight.

Change: `--kept-ids` (SoakPlan::with_kept_ids). Each incarnation is a process: when it ends, its listener and connections close, responses in flight and delayed orders are lost, and connections are refused until the next one listens. The proxy in front follows the process, and closes the connections of an ended one only once it refuses others, as a caller tells a process that has ended by that. The expiry of an entry leaves that of the next incarnation.

Checker: observations name incarnations by names that never return, so its tables hold. Ends carry their number, acknowledgements the acknowledged one, and stops are observed: a start after an acknowledged end is reported with both runs, their incarnations, the numbers, and whether the later run was told to stop. Each later start is reported, not one for all. No check is dropped.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -45,6 +45,9 @@
     /// Gives configurations so much time that nodes poll the store seldom.
     #[arg(long)]
     long_polls: bool,
+    /// Makes endpoints start again under the ids that they had, and more often.
+    #[arg(long)]
+    kept_ids: bool,
     /// Duration of the traffic and the faults, in milliseconds.
     #[arg(long, default_value_t = 10_000)]
     length_ms: u64,
@@ -64,6 +67,7 @@
         refused_orders,
         overload,
         long_polls,
+        kept_ids,
         length_ms,
     } = Arguments::parse();
     let plan = |seed| {
@@ -74,6 +78,7 @@
             .with_refused_orders(refused_orders)
             .with_overload(overload)
             .with_long_polls(long_polls)
+            .with_kept_ids(kept_ids)
     };
     let run = |seed| {
         let plan = plan(seed);
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -12,6 +12,7 @@
     lynxwheel_platform_standin::{LONGEST_RUN_MS, Observation, ObservedEnd},
     lynxwheel_transport::ClientResponse,
     std::{
+        fmt,
         sync::Mutex,
         time::{Duration, Instant},
     },
@@ -92,15 +93,82 @@
     since: Instant,
 }
 
+/// Run of a task on an incarnation of an endpoint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct RunOn {
+    incarnation: CompactString,
+    run: u32,
+}
+
+impl fmt::Display for RunOn {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "run {} on {}", self.run, self.incarnation)
+    }
+}
+
+/// Completed run whose end can still be acknowledged.
+#[derive(Clone, Debug)]
+struct DoneRun {
+    run: RunOn,
+    /// Number under which its endpoint lists the end.
+    number: Option<u64>,
+    /// Later starts of the task.
+    later: Vec<RunOn>,
+}
+
+/// Completed run whose end was acknowledged.
+#[derive(Clone, Debug)]
+struct AcknowledgedRun {
+    run: RunOn,
+    number: Option<u64>,
+    /// Number up to which ends were acknowledged.
+    acknowledged: u64,
+}
+
+impl fmt::Display for AcknowledgedRun {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            run, acknowledged, ..
+        } = self;
+        let number = self.number.map(|number| number.to_string());
+        let number = number.as_deref().unwrap_or("unknown");
+        write!(
+            formatter,
+            "{run} was done (end {number}, acknowledged up to {acknowledged})"
+        )
+    }
+}
+
+/// Violated invariant.
+#[derive(Clone, Debug)]
+struct Violation {
+    text: String,
+    /// Start that violates it, which may be told to stop later.
+    start: Option<(TaskRef, RunOn)>,
+}
+
+impl Violation {
+    fn of_run(text: String, task: TaskRef, run: RunOn) -> Self {
+        let start = Some((task, run));
+        Self { text, start }
+    }
+}
+
+impl From<String> for Violation {
+    fn from(text: String) -> Self {
+        Self { text, start: None }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct TaskRecord {
     /// Incarnation of the endpoint and run number of each run in progress.
     running: Vec<(CompactString, u32)>,
-    /// Incarnation of the endpoint, run number and later starts of the task, for each completed run
-    /// whose end can still be acknowledged.
-    done: Vec<(CompactString, u32, u32)>,
+    done: Vec<DoneRun>,
     has_completed: bool,
-    is_done_acknowledged: bool,
+    acknowledged: Option<AcknowledgedRun>,
+    /// Stops that incarnations have received, each of which also applies to earlier runs.
+    stops: Vec<RunOn>,
     has_started: bool,
     failures: u32,
     failures_acknowledged: u32,
@@ -112,6 +180,18 @@
     starts_after_crashes: u32,
 }
 
+impl TaskRecord {
+    fn record_start(&mut self, incarnation: &CompactString, run: u32) {
+        self.has_started = true;
+        for done in &mut self.done {
+            done.later.push(RunOn {
+                incarnation: incarnation.clone(),
+                run,
+            });
+        }
+    }
+}
+
 /// Capacities that the registry entry of an incarnation has shown, and since when.
 #[derive(Clone, Debug)]
 struct ShownCapacities {
@@ -165,6 +245,13 @@
         tasks.all(|(_, record)| record.has_completed)
     }
 
+    /// Returns whether an incarnation was told to stop a run of a task.
+    fn is_told_to_stop(&self, task: &TaskRef, run: &RunOn) -> bool {
+        let index = self.tasks.binary_search_by_key(task, |known| known.0);
+        let mut stops = index.iter().flat_map(|&index| &self.tasks[index].1.stops);
+        stops.any(|stop| stop.incarnation == run.incarnation && stop.run >= run.run)
+    }
+
     fn cpu_millis(&self, task: &TaskRef) -> u64 {
         let step = self.spec.steps.get(usize::from(task.step));
         step.map_or(0, |step| step.resources.cpu_millis)
@@ -186,7 +273,7 @@
     shown_since: Option<Instant>,
     /// VM, its highest fencing token and the holder of that token.
     orders: Vec<(CompactString, u64, CompactString)>,
-    violations: Vec<String>,
+    violations: Vec<Violation>,
     are_quotas_lifted: bool,
     flood: Option<Flood>,
     /// Starts and ends of the outages after owners were killed.
@@ -265,7 +352,19 @@
     }
 
     fn record_violation(&mut self, text: String) {
-        self.violations.push(text);
+        self.violations.push(text.into());
+    }
+
+    /// Returns the text of a violation.
+    fn describe(&self, violation: &Violation) -> String {
+        let Violation { text, start } = violation;
+        let Some((task, run)) = start else {
+            return text.clone();
+        };
+        let index = self.jobs.binary_search_by_key(&task.job, |job| job.id);
+        let is_told = index.is_ok_and(|index| self.jobs[index].is_told_to_stop(task, run));
+        let told = if is_told { "told" } else { "not told" };
+        format!("{text}; run {} was {told} to stop", run.run)
     }
 
     fn record_start(&mut self, now: Instant) {
@@ -329,7 +428,11 @@
     /// Returns the violations, each with the seconds since the start of the run.
     #[must_use]
     pub fn violations(&self) -> Vec<String> {
-        lock(&self.state).violations.clone()
+        let state = lock(&self.state);
+        let violations = state.violations.iter();
+        violations
+            .map(|violation| state.describe(violation))
+            .collect()
     }
 
     /// Returns the number of task runs that have started.
@@ -410,9 +513,10 @@
             let overdue = runs.filter(|_| elapsed > CANCEL_LIMIT);
             violations.extend(overdue.map(|name| {
                 let elapsed_s = elapsed.as_secs_f64();
-                self.timestamped(&format!(
+                let text = self.timestamped(&format!(
                     "{name}: runs {elapsed_s:.3} s after the cancellation of its job"
-                ))
+                ));
+                Violation::from(text)
             }));
         }
         state.violations.append(&mut violations);
@@ -694,17 +798,39 @@
                 task,
                 run,
                 payload,
-            } => self.check_start(&mut state, &incarnation, &pool, task, run, &payload),
+            } => {
+                let texts = self.check_start(&mut state, &incarnation, &pool, task, run, &payload);
+                let started = RunOn { incarnation, run };
+                let violation = |text| Violation::of_run(text, task, started.clone());
+                texts.into_iter().map(violation).collect()
+            }
             Observation::Ended {
                 incarnation,
                 task,
                 run,
                 end,
+                number,
             } => {
-                record_end(&mut state, &incarnation, &task, run, end);
+                record_end(&mut state, &incarnation, &task, run, end, number);
+                Vec::new()
+            }
+            Observation::Acknowledged {
+                task,
+                run,
+                end,
+                acknowledged,
+            } => check_ack(&mut state, &task, run, end, acknowledged),
+            Observation::StopOrdered {
+                incarnation,
+                task,
+                run,
+            } => {
+                let job = state.job(task.job);
+                if let Some(known) = job.and_then(|job| job.task(&task)) {
+                    known.stops.push(RunOn { incarnation, run });
+                }
                 Vec::new()
             }
-            Observation::Acknowledged { task, run, end } => check_ack(&mut state, &task, run, end),
             Observation::EndsExpired { incarnation } => {
                 forget_unacknowledged(&mut state, &incarnation);
                 Vec::new()
@@ -720,21 +846,24 @@
                 vm,
                 holder,
                 fencing_token,
-            } => check_vm_order(&mut state, vm, holder, fencing_token),
+            } => {
+                let texts = check_vm_order(&mut state, vm, holder, fencing_token);
+                texts.into_iter().map(Violation::from).collect()
+            }
             Observation::MaintenanceStarted {
                 vm,
                 wave,
                 others_down,
             } if others_down >= self.max_down => {
-                vec![format!(
+                vec![Violation::from(format!(
                     "{vm}: maintenance of wave {wave} while {others_down} other VMs are down"
-                )]
+                ))]
             }
             Observation::MaintenanceStarted { .. } => Vec::new(),
         };
         for violation in violations {
-            let text = self.timestamped(&violation);
-            state.record_violation(text);
+            let text = self.timestamped(&violation.text);
+            state.violations.push(Violation { text, ..violation });
         }
     }
 
@@ -793,15 +922,12 @@
                 "{name}: run {other_run} is still in progress on {other}"
             ));
         }
-        if known.is_done_acknowledged {
+        if let Some(earlier) = &known.acknowledged {
             violations.push(format!(
-                "{name}: started after its completion was acknowledged"
+                "{name}: started after its completion was acknowledged: {earlier}"
             ));
         }
-        known.has_started = true;
-        for (_, _, starts) in &mut known.done {
-            *starts += 1;
-        }
+        known.record_start(incarnation, run);
         if !is_long_running && known.failures_acknowledged >= max_attempts {
             violations.push(format!(
                 "{name}: started after its last allowed failure was acknowledged"
@@ -861,6 +987,7 @@
     task: &TaskRef,
     run: u32,
     end: ObservedEnd,
+    number: Option<u64>,
 ) {
     let Some(job) = state.job(task.job) else {
         return;
@@ -872,7 +999,14 @@
             .retain(|(at, known_run)| at != incarnation || *known_run != run);
         match end {
             ObservedEnd::Done => {
-                known.done.push((incarnation.clone(), run, 0));
+                known.done.push(DoneRun {
+                    run: RunOn {
+                        incarnation: incarnation.clone(),
+                        run,
+                    },
+                    number,
+                    later: Vec::new(),
+                });
                 known.has_completed = true;
             }
             ObservedEnd::Failed => known.failures += 1,
@@ -890,11 +1024,19 @@
 /// Forgets the completed runs of an incarnation whose ends can no longer be acknowledged.
 fn forget_unacknowledged(state: &mut State, incarnation: &CompactString) {
     for (_, known) in state.jobs.iter_mut().flat_map(|job| &mut job.tasks) {
-        known.done.retain(|(at, ..)| at != incarnation);
+        known
+            .done
+            .retain(|done| done.run.incarnation != *incarnation);
     }
 }
 
-fn check_ack(state: &mut State, task: &TaskRef, run: u32, end: ObservedEnd) -> Vec<String> {
+fn check_ack(
+    state: &mut State,
+    task: &TaskRef,
+    run: u32,
+    end: ObservedEnd,
+    acknowledged: u64,
+) -> Vec<Violation> {
     let Some(job) = state.job(task.job) else {
         return Vec::new();
     };
@@ -903,18 +1045,24 @@
         return Vec::new();
     };
     let mut violations = Vec::new();
-    if let Some((_, _, starts)) = known.done.iter().find(|(_, done, _)| *done == run) {
-        known.is_done_acknowledged = true;
-        if *starts > 0 {
-            violations.push(format!("{task}: started again after run {run} was done"));
+    if let Some(done) = known.done.iter().find(|done| done.run.run == run) {
+        let earlier = AcknowledgedRun {
+            run: done.run.clone(),
+            number: done.number,
+            acknowledged,
+        };
+        for later in &done.later {
+            let text = format!("{task} {later}: started again after {earlier}");
+            violations.push(Violation::of_run(text, *task, later.clone()));
         }
+        known.acknowledged = Some(earlier);
     }
     if end == ObservedEnd::Failed {
         known.failures_acknowledged += 1;
         if known.failures_acknowledged >= max_attempts && known.starts_after_last_failure > 0 {
-            violations.push(format!(
+            violations.push(Violation::from(format!(
                 "{task}: started again after its last allowed failure"
-            ));
+            )));
         }
     }
     violations
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -136,10 +136,15 @@
                 vm: format!("vm{number}").into(),
                 pool: POOLS[number / VMS_PER_POOL].into(),
                 cpu_millis: ENDPOINT_CPU_MILLIS,
+                keeps_id: plan.has_kept_ids,
             };
             let endpoint =
                 EndpointStandIn::start(spec, store.clone(), Arc::clone(&observer)).await?;
-            let link = Proxy::start(endpoint.address()).await?;
+            let link = if plan.has_kept_ids {
+                Proxy::start_following(endpoint.address(), endpoint.running_incarnation())?
+            } else {
+                Proxy::start(endpoint.address()).await?
+            };
             endpoint.advertise(link.address());
             endpoint.start_incarnation();
             endpoints.push(endpoint);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -42,6 +42,14 @@
 const FIRST_OWNER_KILLS_MS: std::ops::Range<u64> = 1_000..3_000;
 const OWNER_KILL_PAUSES_MS: std::ops::Range<u64> = 6_000..9_000;
 
+/// Time between the starts of two restarts of endpoints, and the time for which an endpoint is gone,
+/// in milliseconds: from less than a call to longer than a registry entry lasts.
+const RESTART_PAUSES_MS: std::ops::Range<u64> = 100..700;
+const RESTART_DURATIONS_MS: std::ops::Range<u64> = 10..1_200;
+
+/// Random stream of the restarts of endpoints that keep their ids.
+const RESTARTS_STREAM: u64 = 3;
+
 /// Random stream of the faults that kill owners.
 const OWNER_KILLS_STREAM: u64 = 2;
 
@@ -216,6 +224,25 @@
     planned
 }
 
+/// Returns the restarts of endpoints that keep their ids, in the order of their starts.
+#[must_use]
+pub fn plan_restarts(seed: u64, traffic_ms: u64, endpoints: usize) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(RESTARTS_STREAM);
+    let mut planned = Vec::new();
+    let mut start_ms = FIRST_FAULT_MS;
+    while start_ms < traffic_ms {
+        let endpoint = random.random_range(0..endpoints);
+        planned.push(PlannedFault {
+            start_ms,
+            duration_ms: random.random_range(RESTART_DURATIONS_MS),
+            fault: Fault::EndIncarnation(endpoint),
+        });
+        start_ms += random.random_range(RESTART_PAUSES_MS);
+    }
+    planned
+}
+
 /// Returns the overloads of endpoints, in the order of their starts.
 #[must_use]
 pub fn plan_overloads(seed: u64, traffic_ms: u64, endpoints: usize) -> Vec<PlannedFault> {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,7 +27,10 @@
 
 pub use {
     checker::{Checker, RefusalCounts},
-    faults::{Fault, LinkId, PlannedFault, plan_capacity_changes, plan_faults, plan_owner_kills},
+    faults::{
+        Fault, LinkId, PlannedFault, plan_capacity_changes, plan_faults, plan_owner_kills,
+        plan_restarts,
+    },
     key_propagation::count_nodes_with_latest_keys,
     proxy::{LinkFault, Proxy},
     run::{SoakPlan, SoakReport, run_soak},
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback TCP proxy with fault injection.
 
 use {
+    lynxwheel_platform_standin::ReservedPort,
     std::{io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -66,7 +67,34 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let fault = watch::Sender::new(LinkFault::None);
-        tokio::spawn(accept(listener, target, fault.subscribe()));
+        let link = Link {
+            target,
+            fault: fault.subscribe(),
+            listening: None,
+        };
+        tokio::spawn(link.accept(listener));
+        Ok(Self { address, fault })
+    }
+
+    /// Starts a proxy for the processes of `target`, of which `running` has the number of the running
+    /// one. It refuses connections while none runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub fn start_following(
+        target: SocketAddr,
+        running: watch::Receiver<Option<u64>>,
+    ) -> io::Result<Self> {
+        let port = ReservedPort::new()?;
+        let address = port.address();
+        let fault = watch::Sender::new(LinkFault::None);
+        tokio::spawn(accept_while_running(
+            port,
+            target,
+            running,
+            fault.subscribe(),
+        ));
         Ok(Self { address, fault })
     }
 
@@ -82,38 +110,98 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, fault: watch::Receiver<LinkFault>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        if *fault.borrow() != LinkFault::Reset {
-            tokio::spawn(forward_connection(stream, target, fault.clone()));
+/// What the connections of a proxy share.
+#[derive(Clone, Debug)]
+struct Link {
+    target: SocketAddr,
+    fault: watch::Receiver<LinkFault>,
+    /// State of the listener and of the process that it follows, if it follows one.
+    listening: Option<Listening>,
+}
+
+#[derive(Clone, Debug)]
+struct Listening {
+    is_listening: watch::Receiver<bool>,
+    running: watch::Receiver<Option<u64>>,
+}
+
+impl Listening {
+    /// Waits until connections are refused, if the process has ended: a caller that sees its
+    /// connection closed must not be able to open another one.
+    async fn await_refusals(mut self) {
+        if self.running.borrow().is_none() {
+            // Also ends when the proxy does.
+            drop(self.is_listening.wait_for(|listens| !listens).await);
         }
     }
 }
 
-/// Forwards a connection until one end closes it or it is reset.
-async fn forward_connection(
-    stream: TcpStream,
+async fn accept_while_running(
+    port: ReservedPort,
     target: SocketAddr,
-    mut fault: watch::Receiver<LinkFault>,
+    mut running: watch::Receiver<Option<u64>>,
+    fault: watch::Receiver<LinkFault>,
 ) {
-    let Ok(other) = TcpStream::connect(target).await else {
-        return;
+    let is_listening = watch::Sender::new(false);
+    let link = Link {
+        target,
+        fault,
+        listening: Some(Listening {
+            is_listening: is_listening.subscribe(),
+            running: running.clone(),
+        }),
     };
-    // Avoids delays of small messages; an error changes only the timing.
-    drop((stream.set_nodelay(true), other.set_nodelay(true)));
-    let (from_caller, to_caller) = stream.into_split();
-    let (from_target, to_target) = other.into_split();
-    let forward = copy(from_caller, to_target, Direction::Forward, fault.clone());
-    let back = copy(from_target, to_caller, Direction::Back, fault.clone());
-    tokio::select! {
-        () = forward => {}
-        () = back => {}
-        // Also ends when the proxy is dropped.
-        _ = fault.wait_for(|fault| *fault == LinkFault::Reset) => {}
+    while running.wait_for(Option::is_some).await.is_ok() {
+        let listener = port.listen().await;
+        is_listening.send_replace(true);
+        tokio::select! {
+            () = link.clone().accept(listener) => {}
+            _ = running.wait_for(Option::is_none) => {}
+        }
+        is_listening.send_replace(false);
+    }
+}
+
+impl Link {
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            if *self.fault.borrow() != LinkFault::Reset {
+                tokio::spawn(self.clone().forward_connection(stream));
+            }
+        }
+    }
+
+    /// Forwards a connection until one end closes it or it is reset.
+    async fn forward_connection(self, stream: TcpStream) {
+        let Self {
+            target,
+            mut fault,
+            listening,
+        } = self;
+        let Ok(other) = TcpStream::connect(target).await else {
+            return;
+        };
+        // Avoids delays of small messages; an error changes only the timing.
+        drop((stream.set_nodelay(true), other.set_nodelay(true)));
+        let (from_caller, to_caller) = stream.into_split();
+        let (from_target, to_target) = other.into_split();
+        let forward = copy(from_caller, to_target, Direction::Forward, fault.clone());
+        let back = copy(from_target, to_caller, Direction::Back, fault.clone());
+        tokio::pin!(forward, back);
+        // Both halves stay open until the end.
+        let _halves = tokio::select! {
+            halves = &mut forward => Some(halves),
+            halves = &mut back => Some(halves),
+            // Also ends when the proxy is dropped.
+            _ = fault.wait_for(|fault| *fault == LinkFault::Reset) => None,
+        };
+        if let Some(listening) = listening {
+            listening.await_refusals().await;
+        }
     }
 }
 
@@ -122,12 +210,12 @@
     mut to: tcp::OwnedWriteHalf,
     direction: Direction,
     fault: watch::Receiver<LinkFault>,
-) {
+) -> (tcp::OwnedReadHalf, tcp::OwnedWriteHalf) {
     let mut chunk = vec![0; CHUNK_BYTES];
     let mut is_dropping = false;
     loop {
         let Ok(length) = from.read(&mut chunk).await else {
-            return;
+            return (from, to);
         };
         let now = *fault.borrow();
         is_dropping |= direction.is_dropped_by(now);
@@ -136,7 +224,7 @@
                 // Keeps the other end open, as a network that drops packets does.
                 std::future::pending::<()>().await;
             }
-            return;
+            return (from, to);
         }
         if is_dropping {
             continue;
@@ -145,7 +233,7 @@
             sleep(Duration::from_millis(ms)).await;
         }
         if to.write_all(&chunk[..length]).await.is_err() {
-            return;
+            return (from, to);
         }
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
         cluster::{Cluster, ENDPOINT_CPU_MILLIS, QUEUES_CPU_MILLIS, SHUTDOWN_MS, TOTAL_CPU_MILLIS},
         faults::{
             PlannedFault, plan_capacity_changes, plan_faults, plan_late_appends, plan_overloads,
-            plan_owner_kills,
+            plan_owner_kills, plan_restarts,
         },
         flood::FloodPlan,
         harness::{Harness, STARTUP_MS},
@@ -64,6 +64,8 @@
     pub has_overload: bool,
     /// Whether configurations have so much time that nodes poll the store seldom.
     pub has_long_polls: bool,
+    /// Whether endpoints start again under the ids that they had, and more often.
+    pub has_kept_ids: bool,
     /// Directory for settings and logs of the nodes, kept when an invariant is violated.
     pub directory: PathBuf,
 }
@@ -84,6 +86,7 @@
             has_refused_orders: false,
             has_overload: false,
             has_long_polls: false,
+            has_kept_ids: false,
             directory: std::env::temp_dir().join(name),
         }
     }
@@ -142,6 +145,15 @@
         }
     }
 
+    /// Sets whether endpoints start again under the ids that they had, and more often.
+    #[must_use]
+    pub fn with_kept_ids(self, has_kept_ids: bool) -> Self {
+        Self {
+            has_kept_ids,
+            ..self
+        }
+    }
+
     /// Returns the floods of a run under overload.
     fn flood_plan(&self) -> Option<FloodPlan> {
         let flood = || FloodPlan::new(self.seed, self.traffic_ms, TOTAL_CPU_MILLIS);
@@ -211,6 +223,9 @@
     if plan.has_refused_orders {
         faults.extend(plan_overloads(plan.seed, refusals_ms, endpoints));
     }
+    if plan.has_kept_ids {
+        faults.extend(plan_restarts(plan.seed, traffic_ms, endpoints));
+    }
     fault_count += faults.len();
     start_faults(&cluster, faults, &mut tasks);
     while tasks.join_next().await.is_some() {}
