Seed with endpoints that keep their ids among the checks

Callers: done tasks started again after an endpoint had restarted under its id, and the short soak of the checks passed.

Cause: none of its seeds had endpoints that keep their ids.

--- a/crates/lynxwheel/tests/soak.rs
+++ b/crates/lynxwheel/tests/soak.rs
@@ -53,6 +53,10 @@
     /// Guards against nodes that read the store seldom and miss a change of the owner, of the
     /// configuration or of their access to the store.
     long_polls_violate_no_guarantee: 9, 4_000, |plan| plan.with_long_polls(true);
+
+    /// Guards against done tasks that start again when the ends of an endpoint's incarnation are
+    /// taken for those of an earlier one with its id.
+    kept_ids_violate_no_guarantee: 23, 4_000, |plan| plan.with_kept_ids(true);
 }
 
 macro_rules! isolated_nodes {
