--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -2148,4 +2148,6 @@
     delayed_start_of_a_cancelled_job: [28, 524];
     /// Guards against such a run of a task that runs elsewhere.
     delayed_start_of_an_unwanted_run: [1_232];
+    /// Guards against a start beyond a capacity that is reduced just after a restart.
+    capacity_reduced_after_a_restart: [6_438, 19_147];
 }
