Histories with delayed calls: entries of an id arrive in order

An endpoint that has started again writes an entry at once, and its capacity is reduced just after; the histories delivered the first entry, with the larger capacity, after the second. The registry is a log, which delivers the entries of an id in the order of their writes.

Change: in the histories with delayed calls an entry arrives no earlier than the one before it. The other kinds keep the stricter delivery, under which they pass.

--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -911,12 +911,30 @@
                 endpoint.heartbeat_ms = now_ms + HEARTBEAT_MS;
                 let entry = endpoint.entry(slot);
                 let at_ms = now_ms + self.pick(0..300);
+                // The registry is a log, which delivers the entries of an id in order.
+                let at_ms = if self.delays_calls() {
+                    at_ms.max(self.last_entry_ms(&entry.id))
+                } else {
+                    at_ms
+                };
                 let change = RegistryChange::Written(Box::new(entry));
                 self.registry.push((at_ms, change));
             }
         }
     }
 
+    /// Returns when the last entry of an id that is on its way arrives; 0 for none.
+    fn last_entry_ms(&self, id: &str) -> u64 {
+        let entries = self
+            .registry
+            .iter()
+            .filter_map(|(at_ms, change)| match change {
+                RegistryChange::Written(entry) if entry.id == id => Some(*at_ms),
+                _ => None,
+            });
+        entries.max().unwrap_or_default()
+    }
+
     fn deliver_registry(&mut self) {
         let now_ms = self.now_ms();
         let registry = std::mem::take(&mut self.registry);
