Hold up no task by a try of its start that is too old to be under way

Callers: a task whose first start had got no answer, and which has run for long, does not start again at once when its endpoint restarts under its id, and not at all while the endpoint refuses stops.

Cause: whether a try of a start may be under way had no limit of time for runs that are active, only for those that have ended.

Test: old_repeated_start_holds_up_no_task failed before (a stop, no start).

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -80,7 +80,7 @@
         let endpoint = self.endpoints.get_mut(attempt.endpoint);
         endpoint.remove_run(task, run, now.steady_ms);
         let is_on_its_way = attempt.phase == Phase::Ordered && end != RunEnd::Refused;
-        if attempt.may_start_late || is_on_its_way {
+        if attempt.has_late_try(now) || is_on_its_way {
             let start = LateStart {
                 task: *task,
                 run,
@@ -175,6 +175,7 @@
                 self.call_failed(key, now);
                 if let Some(attempt) = self.attempt_mut(task, run) {
                     attempt.may_start_late = true;
+                    attempt.unanswered_at_ms = now.steady_ms;
                     if attempt.phase == Phase::Ordered {
                         attempt.phase = Phase::Unanswered;
                         attempt.retry_at_ms = now.steady_ms + ORDER_RETRY_MS;
--- a/crates/engine/src/restarts.rs
+++ b/crates/engine/src/restarts.rs
@@ -94,7 +94,7 @@
         });
         let mut moved_runs = 0;
         for placed in &placed_runs {
-            let fate = self.fate(placed, is_listed(placed));
+            let fate = self.fate(placed, is_listed(placed), now);
             if fate != Fate::Over {
                 self.move_run(placed, from, to, now);
                 moved_runs += 1;
@@ -128,7 +128,7 @@
         self.send_late_stops(to, now);
     }
 
-    fn fate(&self, placed: &PlacedRun, is_listed: bool) -> Fate {
+    fn fate(&self, placed: &PlacedRun, is_listed: bool, now: Now) -> Fate {
         let Some(attempt) = self.attempt(&placed.task, placed.run) else {
             return Fate::Over;
         };
@@ -138,7 +138,7 @@
             _ if is_listed => Fate::Continues,
             Phase::Placed => Fate::Over,
             Phase::Ordered | Phase::Unanswered => Fate::MayStart,
-            Phase::Confirmed | Phase::Inherited if attempt.may_start_late => {
+            Phase::Confirmed | Phase::Inherited if attempt.has_late_try(now) => {
                 if was_listed || attempt.is_stopping() {
                     Fate::MayStart
                 } else {
@@ -156,7 +156,7 @@
         let Some(attempt) = self.attempt_mut(task, run) else {
             return;
         };
-        attempt.await_stop();
+        attempt.await_stop(now);
         if attempt.is_stop_stored() {
             attempt.retry_at_ms = now.steady_ms;
             self.track_unanswered(task, run);
@@ -177,7 +177,7 @@
         let renewals = endpoint.renewals;
         self.jobs[index].is_dirty = true;
         if let Some(attempt) = self.attempt_mut(&placed.task, placed.run) {
-            attempt.move_to(to, renewals);
+            attempt.move_to(to, renewals, now);
         }
     }
 }
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -8,6 +8,7 @@
         job::{JobId, JobSpec, JobState, MAX_OPEN_TASKS, StepSpec, TaskRef},
         pacing::RunPace,
         quota::AccountNumber,
+        restarts::LATE_CALL_MS,
     },
     compact_str::CompactString,
     std::net::SocketAddr,
@@ -57,6 +58,8 @@
     /// Whether a try of the start got no answer, so that it may have taken effect or may still do so
     /// until the run is confirmed or its stop is executed.
     pub may_start_late: bool,
+    /// When the last try of the start without an answer was given up, on the monotonic clock.
+    pub unanswered_at_ms: u64,
     /// Whether a try of the start may still take effect although the run was confirmed, as it was moved
     /// to another incarnation since, which need not know it.
     pub may_start_again: bool,
@@ -96,6 +99,7 @@
             phase: Phase::Placed,
             confirmed_at_renewal: 0,
             may_start_late: false,
+            unanswered_at_ms: 0,
             may_start_again: false,
             is_rejected: false,
             stop: StopPhase::None,
@@ -117,7 +121,7 @@
     }
 
     /// Moves the run to another incarnation of its endpoint, whose reports decide on it from now on.
-    pub(crate) fn move_to(&mut self, endpoint: EndpointKey, renewals: u64) {
+    pub(crate) fn move_to(&mut self, endpoint: EndpointKey, renewals: u64, now: Now) {
         self.endpoint = endpoint;
         self.confirmed_at_renewal = renewals;
         self.active_since_clock_ms = None;
@@ -127,14 +131,22 @@
         self.pace = RunPace::unknown();
         // That one has executed no stop yet.
         self.stop = self.stop.min(StopPhase::Stored);
-        self.may_start_again = self.may_start_late;
+        self.may_start_again = self.has_late_try(now);
         if matches!(self.phase, Phase::Ordered | Phase::Unanswered) {
-            self.await_stop();
+            self.await_stop(now);
         }
     }
 
+    /// Returns whether a try of the start may still be on its way to the endpoint.
+    pub(crate) fn has_late_try(&self, now: Now) -> bool {
+        self.may_start_late && now.steady_ms < self.unanswered_at_ms + LATE_CALL_MS
+    }
+
     /// Marks the run as one that may still start, unless a stop rules that out.
-    pub(crate) fn await_stop(&mut self) {
+    pub(crate) fn await_stop(&mut self, now: Now) {
+        if !self.may_start_late {
+            self.unanswered_at_ms = now.steady_ms;
+        }
         self.phase = Phase::Unanswered;
         self.may_start_late = true;
         self.is_rejected = true;
--- a/crates/engine/tests/restarted_endpoints.rs
+++ b/crates/engine/tests/restarted_endpoints.rs
@@ -307,6 +307,23 @@
     assert_eq!(orders(&mut fleet, task(2)), Vec::<&str>::new());
 }
 
+/// Guards against holding up a task by a try of its start that is too old to be under way, also if the next
+/// incarnation executes no stop.
+#[test]
+fn old_repeated_start_holds_up_no_task() {
+    let mut fleet = fleet_with_confirmed_repeated_start();
+    fleet.advance(20_000);
+    fleet.crash(0);
+    fleet.restart_with_id(0);
+    fleet.endpoints[0].refuses =
+        Some(|call| matches!(call, Effect::Stop { .. }).then_some(Refusal::Unhealthy));
+    fleet.list_endpoint("i-1", 16_000);
+    fleet.orders.clear();
+    fleet.list_again(0);
+    fleet.settle();
+    assert_eq!(orders(&mut fleet, task(2)), ["start"]);
+}
+
 /// Guards against holding up a task whose start cannot reach the next incarnation.
 #[test]
 fn answered_start_holds_up_no_task() {
