--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -2168,4 +2168,6 @@
     delayed_start_of_an_unwanted_run: [1_232];
     /// Guards against a start beyond a capacity that is reduced just after a restart.
     capacity_reduced_after_a_restart: [6_438, 19_147];
+    /// Guards against a late start beyond a capacity that was raised and reduced since it was sent.
+    capacity_changed_before_a_late_start: [22_192];
 }
