--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -675,13 +675,6 @@
         }
     }
 
-    /// Returns whether a client for an address exists.
-    #[must_use]
-    pub fn contains(&self, peer: SocketAddr) -> bool {
-        let clients = lock(&self.clients);
-        clients.binary_search_by_key(&peer, Client::peer).is_ok()
-    }
-
     /// Closes connections that were idle for too long to be reused, and removes clients that are
     /// left without connections and are not used elsewhere.
     pub fn prune(&self) {
