Soak: report ends that are acknowledged before any report lists them

Callers: a task starts again if its end is discarded unread. The checker told only of tasks that did start again while the play lasted.

Cause: an acknowledgement that reaches another incarnation than the one whose ends it names discards ends that nobody has read; whether a start follows depends on the rest of the play.

An end that a report had listed before would point to an end that was passed over instead.

Change: an acknowledgement states whether a report has listed the end, and one that was not listed is a violation, with and without kept ids.

Test: ended_runs.rs, end_that_no_report_listed_is_reported.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -819,7 +819,17 @@
                 run,
                 end,
                 acknowledged,
-            } => check_ack(&mut state, &task, run, end, acknowledged),
+                is_listed,
+            } => {
+                let mut violations = check_ack(&mut state, &task, run, end, acknowledged);
+                if !is_listed {
+                    violations.push(Violation::from(format!(
+                        "{task} run {run}: its end as {end:?} is acknowledged up to {acknowledged} \
+                         before a report has listed it"
+                    )));
+                }
+                violations
+            }
             Observation::StopOrdered {
                 incarnation,
                 task,
--- a/crates/soak/tests/ended_runs.rs
+++ b/crates/soak/tests/ended_runs.rs
@@ -55,6 +55,17 @@
         run,
         end: ObservedEnd::Done,
         acknowledged,
+        is_listed: true,
+    }
+}
+
+fn acknowledged_unread(run: u32, acknowledged: u64) -> Observation {
+    Observation::Acknowledged {
+        task: task(),
+        run,
+        end: ObservedEnd::Done,
+        acknowledged,
+        is_listed: false,
     }
 }
 
@@ -122,6 +133,11 @@
     ] => ["run 2 on vm0-life2: started again after run 1 on vm0-life1 was done (end 3, \
            acknowledged up to 3); run 2 was not told to stop"];
 
+    /// Guards against an end that is discarded unread, whether or not its task starts again.
+    end_that_no_report_listed_is_reported: [
+        started("vm0-life2", 1), done("vm0-life2", 1, 1), acknowledged_unread(1, 10)
+    ] => ["run 1: its end as Done is acknowledged up to 10 before a report has listed it"];
+
     /// Guards against a report about an end that no owner could learn of.
     start_after_an_end_that_was_lost_passes: [
         started("vm0-life1", 1), done("vm0-life1", 1, 3), ends_expired("vm0-life1"),
