Execute no renewal that a newer one has overtaken on its way to a delegate

Cause: a delegate's client knows which ends it has listed, not which of them the owner has received. Of two renewals of one owner the earlier one, with an acknowledgement, may be delivered last. The newer one has then listed ends of the next incarnation on the connection, and they were acknowledged with the number of the earlier incarnation.

In the order of their sending the second renewal acknowledges nothing, as the owner gave up the first.

Change: a delegate executes a renewal of an endpoint only if it has accepted no newer one of the session; the outcome of the other is unknown, as for a lost call.

--- a/crates/controller/src/delegate_worker.rs
+++ b/crates/controller/src/delegate_worker.rs
@@ -12,6 +12,7 @@
             CallNumber, DELEGATE_RESULTS_PATH, DelegateReply, DelegateRequest, DelegateResults,
             DelegatedCall, PAYLOAD_PATH,
         },
+        newest_renewals::NewestRenewals,
         node::Node,
     },
     compact_str::CompactString,
@@ -62,6 +63,7 @@
     owner: SocketAddr,
     client: EndpointClient,
     in_flight: AtomicUsize,
+    newest_renewals: Mutex<NewestRenewals>,
     results: Mutex<Vec<(CallNumber, CallResult)>>,
     has_results: Notify,
     is_over: AtomicBool,
@@ -74,6 +76,7 @@
             owner,
             client: EndpointClient::new(epoch),
             in_flight: AtomicUsize::new(0),
+            newest_renewals: Mutex::default(),
             results: Mutex::default(),
             has_results: Notify::new(),
             is_over: AtomicBool::new(false),
@@ -85,6 +88,16 @@
         self.has_results.notify_one();
     }
 
+    /// Returns whether a call may be executed: a renewal may not if a newer one was accepted.
+    fn may_execute(&self, call: &DelegatedCall) -> bool {
+        let newest = self.newest_renewals.lock();
+        let mut newest = newest.unwrap_or_else(PoisonError::into_inner);
+        match call.call {
+            EndpointCall::Renew { .. } => newest.record(call.to.address, call.number),
+            _ => true,
+        }
+    }
+
     fn add_result(&self, number: CallNumber, result: CallResult) {
         self.in_flight.fetch_sub(1, Ordering::Relaxed);
         let mut results = self.results.lock().unwrap_or_else(PoisonError::into_inner);
@@ -126,6 +139,10 @@
             return DelegateReply::Refused;
         }
         for call in request.calls {
+            if !session.may_execute(&call) {
+                session.add_result(call.number, CallResult::Renewed(CallOutcome::Unknown));
+                continue;
+            }
             let node = Arc::clone(node);
             let session = Arc::clone(&session);
             tokio::spawn(async move { execute_call(&node, &session, call, accepted_ms).await });
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -37,6 +37,7 @@
 mod load;
 mod log_events;
 mod members;
+mod newest_renewals;
 mod node;
 mod owner;
 mod owner_lease;
@@ -65,6 +66,7 @@
     },
     in_flight::{InFlightBatches, MAX_IN_FLIGHT_BATCHES, PIPELINE_DELAY_MS, STORE_UNAVAILABLE_MS},
     members::{MEMBER_TIMEOUT_MS, Member, Members},
+    newest_renewals::NewestRenewals,
     node::{MetricsHandle, run},
     owner_lease::OwnerLease,
     ownership::{
