--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -245,7 +245,7 @@
     );
 }
 
-/// Logs that an endpoint lists a run that should not be active.
+/// Logs that an endpoint omits a run whose end it has not listed.
 fn log_missing_run(epoch: u64, missing: &MissingRun) {
     let listed = missing.listed_ends;
     info!(
@@ -258,6 +258,7 @@
     );
 }
 
+/// Logs that an endpoint lists a run that should not be active.
 fn log_unwanted_run(epoch: u64, unwanted: &UnwantedRun) {
     let UnwantedRun {
         task,
