Log which leases count as expired, and what a takeover has read

The users' record of tasks that ran twice does not tell whether the successor of an owner missed the record of the first start, or knew the run and took the endpoint's leases for expired. No line told either: run_over with LeaseOver does not say whether the endpoint had ever responded to this owner.

- leases_expired, before the run_over lines: runs, failed calls, and the time since the endpoint's last response to this owner, absent if it never responded
- ownership_taken: end offset of what was read (fence_sent has that of the fence) and inherited runs
- owner_load: time since the last stored renewal of the ownership was sent, so that the log of an owner that is cut off from the store tells for how long it went on

No change of behaviour; the actor now keeps its lease in place of the handle that holds it.

--- a/crates/controller/src/load.rs
+++ b/crates/controller/src/load.rs
@@ -42,11 +42,12 @@
     /// has.
     ///
     /// `delegated_counts` are the numbers of endpoints called by delegates, and of delegates in
-    /// use.
+    /// use; `renewed_ago_ms` is the time since the last stored renewal of the ownership was sent.
     pub fn log_if_due(
         &mut self,
         epoch: u64,
         delegated_counts: (usize, usize),
+        renewed_ago_ms: Option<u64>,
         now_ms: u64,
     ) -> bool {
         if now_ms < self.since_ms + LOG_INTERVAL_MS {
@@ -58,7 +59,8 @@
         info!(
             event = "owner_load", epoch = epoch, messages = self.messages, batches = self.batches,
             stored_bytes = self.stored_bytes, busy_us = busy_us, behind_ms = self.max_delay_ms,
-            carried_endpoints = delegated_counts.0, carriers = delegated_counts.1;
+            carried_endpoints = delegated_counts.0, carriers = delegated_counts.1,
+            renewed_ago_ms = renewed_ago_ms;
             "owner load"
         );
         *self = Self {
--- a/crates/controller/src/log_events.rs
+++ b/crates/controller/src/log_events.rs
@@ -3,8 +3,8 @@
 use {
     log::info,
     lynxwheel_engine::{
-        EndKind, JobRefusal, LogEvent, MissingRun, PoolPlan, QuotaWait, RefusalReason,
-        RefusedOrder, RunEnd, RunOrder, UnwantedRun,
+        EndKind, ExpiredLeases, JobRefusal, LogEvent, MissingRun, PoolPlan, QuotaWait,
+        RefusalReason, RefusedOrder, RunEnd, RunOrder, TaskRef, UnwantedRun,
     },
     metrics::{counter, gauge, histogram},
     std::time::Duration,
@@ -66,6 +66,7 @@
                     "run ended"
                 );
             }
+            LogEvent::LeasesExpired(expired) => log_expired_leases(epoch, expired),
             LogEvent::OrderRefused(refused) => log_refused_order(epoch, refused),
             LogEvent::RunMissing(missing) => log_missing_run(epoch, missing),
             LogEvent::UnwantedRunListed(unwanted) => log_unwanted_run(epoch, unwanted),
@@ -103,11 +104,7 @@
                     "endpoint crashed under a task"
                 );
             }
-            LogEvent::JobGivenUp { task, crashes } => info!(
-                event = "job_given_up", epoch = epoch, job = task.job.as_str(), task:% = task,
-                crashes = crashes;
-                "job fails because endpoints crash under its task"
-            ),
+            LogEvent::JobGivenUp { task, crashes } => log_job_given_up(epoch, task, *crashes),
             LogEvent::ShareReached(wait) => {
                 counter!("lynxwheel_share_waits_total").increment(1);
                 info!(
@@ -142,6 +139,30 @@
     }
 }
 
+/// Logs that a job fails because of crashes under a task.
+fn log_job_given_up(epoch: u64, task: &TaskRef, crashes: u32) {
+    info!(
+        event = "job_given_up", epoch = epoch, job = task.job.as_str(), task:% = task,
+        crashes = crashes;
+        "job fails because endpoints crash under its task"
+    );
+}
+
+/// Logs that the leases of an endpoint count as expired.
+fn log_expired_leases(epoch: u64, expired: &ExpiredLeases) {
+    let ExpiredLeases {
+        endpoint,
+        runs,
+        silent_ms,
+        failed_calls,
+    } = expired;
+    info!(
+        event = "leases_expired", epoch = epoch, endpoint = endpoint.as_str(), runs = runs,
+        silent_ms = silent_ms, failed_calls = failed_calls;
+        "leases of an unresponsive endpoint count as expired"
+    );
+}
+
 /// Logs the start times of an incarnation and of the one before it, and how many runs may continue.
 fn log_endpoint_restarted(
     epoch: u64,
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -165,6 +165,7 @@
 pub struct OwnerActor {
     node: Arc<Node>,
     epoch: u64,
+    lease: Arc<OwnerLease>,
     engine: Engine,
     writer: Writer,
     dispatcher: Dispatcher,
@@ -245,6 +246,7 @@
     pub(crate) fn new(
         node: Arc<Node>,
         epoch: u64,
+        lease: Arc<OwnerLease>,
         engine: Engine,
         writer: Writer,
         dispatcher: Dispatcher,
@@ -252,6 +254,7 @@
         Self {
             node,
             epoch,
+            lease,
             engine,
             writer,
             dispatcher,
@@ -329,10 +332,12 @@
         let events = delegates.tick(&members, is_called, now.steady_ms);
         self.handle_events(events, now);
         let delegated_counts = self.dispatcher.delegates.delegated_counts();
-        if self
-            .load
-            .log_if_due(self.epoch, delegated_counts, now.steady_ms)
-        {
+        if self.load.log_if_due(
+            self.epoch,
+            delegated_counts,
+            self.lease.renewed_ago_ms(now.steady_ms),
+            now.steady_ms,
+        ) {
             self.dispatcher.prune_connections();
         }
     }
@@ -416,10 +421,8 @@
 
     /// Returns whether the last renewal is recent enough to rule out another owner.
     fn is_recently_renewed(&self, now: Now) -> bool {
-        let owner = self.node.owner.load();
-        owner
-            .as_ref()
-            .is_some_and(|owner| owner.is_renewed_within(now.steady_ms, FRESH_RENEWAL_MS))
+        self.lease
+            .is_renewed_within(now.steady_ms, FRESH_RENEWAL_MS)
     }
 
     fn add_pending_reply(&mut self, reply: oneshot::Sender<OwnerResponse>) -> ReplyToken {
--- a/crates/controller/src/owner_lease.rs
+++ b/crates/controller/src/owner_lease.rs
@@ -67,6 +67,14 @@
         SendCondition::new(move || may_send(&lease, clock::steady_ms()))
     }
 
+    /// Returns the time since the last stored renewal was sent, in milliseconds; `None` if there is
+    /// none.
+    #[must_use]
+    pub fn renewed_ago_ms(&self, now_ms: u64) -> Option<u64> {
+        let renewed_ms = self.renewed_ms.load(Ordering::SeqCst);
+        (renewed_ms > 0).then(|| now_ms.saturating_sub(renewed_ms))
+    }
+
     /// Returns whether the last stored renewal is younger than `age_ms`.
     #[must_use]
     pub fn is_renewed_within(&self, now_ms: u64, age_ms: u64) -> bool {
--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -58,6 +58,8 @@
     /// Engine with the restored state.
     pub engine: Engine,
     stored: JoinedRecords,
+    /// Offset at which the topic ended when the first page was read.
+    end_offset: u64,
 }
 
 impl LoadedState {
@@ -73,7 +75,7 @@
     ) -> Result<Self, PlatformError> {
         let mut reads = 0;
         loop {
-            let (stored, _) = store.latest_records(STATE_TOPIC).await?;
+            let (stored, end) = store.latest_records(STATE_TOPIC).await?;
             reads += 1;
             let stored = JoinedRecords::new(stored);
             let mut engine = Engine::new(settings).with_epoch(epoch);
@@ -88,7 +90,11 @@
                 continue;
             }
             log_unread(epoch, &unread, &stored);
-            return Ok(Self { engine, stored });
+            return Ok(Self {
+                engine,
+                stored,
+                end_offset: end.end,
+            });
         }
     }
 }
@@ -159,7 +165,11 @@
     lease: Arc<OwnerLease>,
 ) -> Arc<OwnerHandle> {
     let now = clock::now();
-    let LoadedState { mut engine, stored } = loaded;
+    let LoadedState {
+        mut engine,
+        stored,
+        end_offset,
+    } = loaded;
     let parts = RecordParts::new(node.settings.max_record_bytes).with_stored(&stored);
     let writer = writer.with_parts(parts);
     limit_vm_cooldowns(node, &mut engine, &stored.records, &stored.offsets);
@@ -173,6 +183,8 @@
     }
     drop(waves);
     let jobs = engine.jobs().count();
+    let endpoints = engine.endpoints().iter();
+    let inherited_runs: usize = endpoints.map(|(_, known)| known.placed_runs.len()).sum();
     // The calls need a reference to the actor, so it is prepared first and spawned below.
     let prepared = OwnerActor::prepare_with_mailbox(mailbox::bounded(MAILBOX_CAPACITY));
     let actor = prepared.actor_ref().clone();
@@ -200,7 +212,14 @@
     );
     let publisher = StatusPublisher::start(node.store.clone(), epoch);
     let dispatcher = Dispatcher::new(delegates, calls, publisher);
-    let owner = OwnerActor::new(Arc::clone(node), epoch, engine, writer, dispatcher);
+    let owner = OwnerActor::new(
+        Arc::clone(node),
+        epoch,
+        Arc::clone(&lease),
+        engine,
+        writer,
+        dispatcher,
+    );
     let handle = Arc::new(OwnerHandle::new(epoch, actor, lease));
     node.last_owned_epoch.store(epoch, Ordering::Relaxed);
     node.owner.store(Some(Arc::clone(&handle)));
@@ -211,7 +230,7 @@
     histogram!("lynxwheel_take_over_seconds").record(Duration::from_millis(took_ms));
     info!(
         event = "ownership_taken", epoch = epoch, jobs = jobs, records = stored.records.len(),
-        took_ms = took_ms;
+        end_offset = end_offset, inherited_runs = inherited_runs, took_ms = took_ms;
         "takeover completed"
     );
     handle.add_task(tokio::spawn(feeds::follow_registry(
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -439,6 +439,12 @@
             .is_some_and(|reading| now.steady_ms <= reading.at_ms + ms)
     }
 
+    /// Returns the time since the last response, in milliseconds; `None` if there was none.
+    pub(crate) fn silent_ms(&self, now: Now) -> Option<u64> {
+        let reading = self.clock?;
+        Some(now.steady_ms.saturating_sub(reading.at_ms))
+    }
+
     /// Grants a lease that begins now, and returns its end on the endpoint's clock.
     #[must_use]
     pub fn grant_lease(&mut self, now: Now, lease_ms: u64) -> Option<u64> {
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -6,7 +6,7 @@
     engine::Engine,
     event::{CallOutcome, Effect, EndpointKey, Now},
     job::TaskRef,
-    log_event::{LogEvent, MissingRun, RunEnd},
+    log_event::{ExpiredLeases, LogEvent, MissingRun, RunEnd},
     reports::{EndpointEntry, EndpointReport},
     state::Phase,
 };
@@ -229,7 +229,14 @@
             .map(|(key, _)| key)
             .collect();
         for key in expired {
-            self.endpoints.get_mut(key).is_reconciled = false;
+            let endpoint = self.endpoints.get_mut(key);
+            endpoint.is_reconciled = false;
+            self.log_events.push(LogEvent::LeasesExpired(ExpiredLeases {
+                endpoint: endpoint.id.clone(),
+                runs: endpoint.placed_runs.len(),
+                silent_ms: endpoint.silent_ms(now),
+                failed_calls: endpoint.failed_calls,
+            }));
             self.record_lost_tasks(key);
             self.remove_runs(key, RunEnd::LeaseOver, now);
         }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -92,8 +92,8 @@
     handover::{ReleaseCandidate, choose_vacating},
     job::{JobId, JobSpec, JobState, ParseNameError, Resources, StepSpec, TaskRef},
     log_event::{
-        JobRefusal, LogEvent, MissingRun, PoolPlan, QuotaWait, RefusedOrder, RunEnd, RunOrder,
-        ShareWait, UnwantedRun,
+        ExpiredLeases, JobRefusal, LogEvent, MissingRun, PoolPlan, QuotaWait, RefusedOrder, RunEnd,
+        RunOrder, ShareWait, UnwantedRun,
     },
     pacing::{RunPace, next_pace},
     quota::{AccountNumber, QuotaTracker, RemainingQuotas},
--- a/crates/engine/src/log_event.rs
+++ b/crates/engine/src/log_event.rs
@@ -175,9 +175,25 @@
     pub listed_ends: Option<(u64, u64)>,
 }
 
+/// Leases of an unresponsive endpoint that count as expired, so that its runs may start elsewhere.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExpiredLeases {
+    /// Endpoint.
+    pub endpoint: CompactString,
+    /// Number of runs that are removed.
+    pub runs: usize,
+    /// Time since its last response to this owner, in milliseconds; `None` if it has never responded,
+    /// so that only previous owners can have granted the leases.
+    pub silent_ms: Option<u64>,
+    /// Consecutive failed calls.
+    pub failed_calls: u32,
+}
+
 /// Event for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
+    /// The leases of an unresponsive endpoint count as expired.
+    LeasesExpired(ExpiredLeases),
     /// An endpoint refused an order for a run.
     OrderRefused(RefusedOrder),
     /// An endpoint lists a run that should not be active there.
