Extend leases only while the store proves the ownership

Callers saw tasks that may run once run twice: a second run at the same time, or after the first had ended as done and the end was acknowledged, ordered by the successor of the owner that had ordered the first, with all first runs of a case on one endpoint.

Cause: a successor takes the leases of an endpoint that it cannot reach for expired one lease and 1.2 s after its takeover. It expected that the former owner is shut out by the first endpoint that both reach, within a second. An owner that is cut off from the store together with some endpoints meets no such endpoint, and it extended their leases for as long as the cut lasted: a renewal of the ownership without a response counted as good enough (the fleet's work would otherwise end with its leases).

Change: an owner extends leases only for 1.2 s after the sending of the last renewal or batch that the store has taken. Both precede the fence of any successor, so its count from its own takeover covers every extension. Afterwards the owner asks for reports without a deadline, its starts carry the lease that is already granted, and nothing is placed. The price: work outlasts a store that is away for 6.2 s at least, where it had no limit.

The log lines leases_not_extended and leases_extended tell when an owner stops and goes on.

--- a/crates/controller/src/load.rs
+++ b/crates/controller/src/load.rs
@@ -42,12 +42,12 @@
     /// has.
     ///
     /// `delegated_counts` are the numbers of endpoints called by delegates, and of delegates in
-    /// use; `renewed_ago_ms` is the time since the last stored renewal of the ownership was sent.
+    /// use; `proof_age_ms` is the age of the proof of the ownership.
     pub fn log_if_due(
         &mut self,
         epoch: u64,
         delegated_counts: (usize, usize),
-        renewed_ago_ms: Option<u64>,
+        proof_age_ms: Option<u64>,
         now_ms: u64,
     ) -> bool {
         if now_ms < self.since_ms + LOG_INTERVAL_MS {
@@ -60,7 +60,7 @@
             event = "owner_load", epoch = epoch, messages = self.messages, batches = self.batches,
             stored_bytes = self.stored_bytes, busy_us = busy_us, behind_ms = self.max_delay_ms,
             carried_endpoints = delegated_counts.0, carriers = delegated_counts.1,
-            renewed_ago_ms = renewed_ago_ms;
+            proof_age_ms = proof_age_ms;
             "owner load"
         );
         *self = Self {
--- a/crates/controller/src/owner.rs
+++ b/crates/controller/src/owner.rs
@@ -171,6 +171,7 @@
     dispatcher: Dispatcher,
     in_flight: InFlightBatches,
     load: OwnerLoad,
+    may_extend_leases: bool,
     is_store_unavailable: bool,
     /// Callers waiting for a response, sorted by token.
     pending_replies: Vec<(ReplyToken, oneshot::Sender<OwnerResponse>)>,
@@ -183,8 +184,7 @@
     async fn handle(&mut self, message: OwnerMessage, context: &mut Context<Self, ()>) {
         let started = Instant::now();
         let now = clock::now();
-        // Only while no other node can hold the ownership.
-        self.engine.allow_vm_orders(self.is_recently_renewed(now));
+        self.update_permissions(now);
         match message {
             OwnerMessage::Event(event) => self.engine.handle(*event, now),
             OwnerMessage::Tick(sent_ms) => {
@@ -260,12 +260,34 @@
             dispatcher,
             in_flight: InFlightBatches::default(),
             load: OwnerLoad::default(),
+            may_extend_leases: true,
             is_store_unavailable: false,
             pending_replies: Vec::new(),
             last_token: 0,
         }
     }
 
+    /// Informs the engine of what the proof of the ownership allows, and logs changes.
+    fn update_permissions(&mut self, now: Now) {
+        // Only while no other node can hold the ownership.
+        self.engine.allow_vm_orders(self.is_recently_renewed(now));
+        let may_extend_leases = self.lease.may_extend_leases(now.steady_ms);
+        if may_extend_leases != self.may_extend_leases {
+            self.may_extend_leases = may_extend_leases;
+            let event = if may_extend_leases {
+                "leases_extended"
+            } else {
+                "leases_not_extended"
+            };
+            warn!(
+                event = event, epoch = self.epoch,
+                proof_age_ms = self.lease.proof_age_ms(now.steady_ms);
+                "extension of endpoint leases changed"
+            );
+        }
+        self.engine.allow_lease_extensions(may_extend_leases);
+    }
+
     /// Passes the active configuration to the engine if its event was lost or preceded this actor.
     fn refresh_config(&mut self, now: Now) {
         let config = self.node.config.load();
@@ -335,7 +357,7 @@
         if self.load.log_if_due(
             self.epoch,
             delegated_counts,
-            self.lease.renewed_ago_ms(now.steady_ms),
+            self.lease.proof_age_ms(now.steady_ms),
             now.steady_ms,
         ) {
             self.dispatcher.prune_connections();
@@ -501,8 +523,11 @@
     fn spawn_commit(&self, commit: Commit, number: u64, context: &Context<Self, ()>) {
         let store = self.node.store.clone();
         let actor = context.actor_ref().clone();
+        let lease = Arc::clone(&self.lease);
         tokio::spawn(async move {
+            let sent_ms = clock::steady_ms();
             let message = if commit.store(&store).await {
+                lease.record_commit(sent_ms);
                 OwnerMessage::BatchStored(number)
             } else {
                 OwnerMessage::Deposed
--- a/crates/controller/src/owner_lease.rs
+++ b/crates/controller/src/owner_lease.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{clock, ownership::FRESH_RENEWAL_MS, suspension::Suspension},
+    lynxwheel_engine::MAX_PROOF_AGE_MS,
     lynxwheel_transport::SendCondition,
     std::sync::{
         Arc,
@@ -17,6 +18,8 @@
     taken_ms: u64,
     /// When the last stored renewal was sent, on the monotonic clock; 0 for none.
     renewed_ms: AtomicU64,
+    /// When the last renewal or commit was sent that was stored, on the monotonic clock; 0 for none.
+    proven_ms: AtomicU64,
     /// When the last renewal without a response was sent, on the monotonic clock; 0 for none.
     unanswered_ms: AtomicU64,
     is_over: AtomicBool,
@@ -32,6 +35,7 @@
             suspension,
             taken_ms,
             renewed_ms: AtomicU64::new(0),
+            proven_ms: AtomicU64::new(0),
             unanswered_ms: AtomicU64::new(0),
             is_over: AtomicBool::new(false),
             is_deposed: AtomicBool::new(false),
@@ -41,6 +45,12 @@
     /// Records that a renewal is stored.
     pub fn record_renewal(&self, sent_ms: u64) {
         self.renewed_ms.fetch_max(sent_ms, Ordering::SeqCst);
+        self.record_commit(sent_ms);
+    }
+
+    /// Records that a commit is stored, so that no successor had fenced this owner when it was sent.
+    pub fn record_commit(&self, sent_ms: u64) {
+        self.proven_ms.fetch_max(sent_ms, Ordering::SeqCst);
     }
 
     /// Records that a renewal got no response.
@@ -67,12 +77,12 @@
         SendCondition::new(move || may_send(&lease, clock::steady_ms()))
     }
 
-    /// Returns the time since the last stored renewal was sent, in milliseconds; `None` if there is
-    /// none.
+    /// Returns the time since the last renewal or commit was sent that was stored, in milliseconds;
+    /// `None` if there is none.
     #[must_use]
-    pub fn renewed_ago_ms(&self, now_ms: u64) -> Option<u64> {
-        let renewed_ms = self.renewed_ms.load(Ordering::SeqCst);
-        (renewed_ms > 0).then(|| now_ms.saturating_sub(renewed_ms))
+    pub fn proof_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let proven_ms = self.proven_ms.load(Ordering::SeqCst);
+        (proven_ms > 0).then(|| now_ms.saturating_sub(proven_ms))
     }
 
     /// Returns whether the last stored renewal is younger than `age_ms`.
@@ -98,8 +108,16 @@
         self.is_proven_since_resumed(now_ms, self.renewed_ms.load(Ordering::SeqCst))
     }
 
-    /// Returns whether leases of endpoints may be renewed: like orders, and also if the store has not
-    /// responded since. The work of the whole fleet would end with its leases otherwise.
+    /// Returns whether leases of endpoints may be extended, on which a successor counts.
+    #[must_use]
+    pub fn may_extend_leases(&self, now_ms: u64) -> bool {
+        let proof_age_ms = self.proof_age_ms(now_ms);
+        proof_age_ms.is_some_and(|age_ms| age_ms <= MAX_PROOF_AGE_MS)
+            && !self.is_deposed.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether renewals may be sent to endpoints: like orders, and also if the store has not
+    /// responded since. They report which runs have ended, also when they extend no lease.
     #[must_use]
     pub fn may_renew_leases(&self, now_ms: u64) -> bool {
         let renewed_ms = self.renewed_ms.load(Ordering::SeqCst);
--- a/crates/controller/tests/owner_lease.rs
+++ b/crates/controller/tests/owner_lease.rs
@@ -2,6 +2,7 @@
 
 use {
     lynxwheel_controller::{FRESH_RENEWAL_MS, OwnerLease, SUSPICION_TIMEOUT_MS, Suspension},
+    lynxwheel_engine::MAX_PROOF_AGE_MS,
     std::sync::Arc,
 };
 
@@ -113,6 +114,53 @@
     assert!(!lease.may_order_vms(TAKEN_MS + 10_000 + FRESH_RENEWAL_MS));
 }
 
+/// Returns whether leases may be extended a time after the last renewal was sent, after `change`.
+fn may_extend_after(ago_ms: u64, change: impl Fn(&OwnerLease)) -> bool {
+    let suspension = Arc::new(Suspension::new(TAKEN_MS));
+    let lease = OwnerLease::new(suspension, TAKEN_MS);
+    lease.record_renewal(TAKEN_MS);
+    change(&lease);
+    lease.may_extend_leases(TAKEN_MS + ago_ms)
+}
+
+macro_rules! extensions {
+    ($($(#[$doc:meta])* $name:ident: $ago_ms:expr, $change:expr => $is_allowed:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            assert_eq!(may_extend_after($ago_ms, $change), $is_allowed);
+        })*
+    };
+}
+
+extensions! {
+    /// Guards against leases that end because the store does not respond for a short time.
+    recent_renewal_allows_extensions: MAX_PROOF_AGE_MS, |_| {} => true;
+
+    /// Guards against a former owner that extends the leases of endpoints that only it can reach.
+    old_renewal_allows_no_extensions: MAX_PROOF_AGE_MS + 1, |_| {} => false;
+
+    /// Guards against a renewal without a response that counts as a proof of the ownership.
+    unanswered_renewal_allows_no_extensions:
+        MAX_PROOF_AGE_MS + 1,
+        |lease| lease.record_unanswered_renewal(TAKEN_MS + MAX_PROOF_AGE_MS) => false;
+
+    /// Guards against leases that end because renewals are slow while batches are stored.
+    stored_commit_allows_extensions:
+        MAX_PROOF_AGE_MS + 1, |lease| lease.record_commit(TAKEN_MS + 1) => true;
+
+    /// Guards against leases that end while an owner that stops is still needed.
+    released_owner_extends_leases: MAX_PROOF_AGE_MS, OwnerLease::end => true;
+
+    /// Guards against a former owner that extends leases although it knows its successor.
+    deposed_owner_extends_no_leases: 0, OwnerLease::depose => false;
+}
+
+/// Guards against an owner that extends leases before it has renewed the ownership.
+#[test]
+fn claim_allows_no_extensions() {
+    let lease = OwnerLease::new(Arc::new(Suspension::new(TAKEN_MS)), TAKEN_MS);
+    assert!(!lease.may_extend_leases(TAKEN_MS));
+}
+
 /// Guards against taking a pause of the process that no other node can notice for a suspension, and
 /// against an earlier time on the clock.
 #[test]
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -85,6 +85,10 @@
 
 /// State of the fleet as held by its owner.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent permissions and pending work"
+)]
 pub struct Engine {
     pub(crate) settings: EngineSettings,
     /// Epoch of the owner.
@@ -148,6 +152,8 @@
     incarnations_pruned_ms: u64,
     pub(crate) is_schedule_due: bool,
     pub(crate) may_order_vms: bool,
+    /// Whether leases of endpoints may be extended.
+    pub(crate) may_extend_leases: bool,
     is_store_unavailable: bool,
 }
 
@@ -194,6 +200,7 @@
             incarnations_pruned_ms: 0,
             is_schedule_due: false,
             may_order_vms: false,
+            may_extend_leases: true,
             is_store_unavailable: false,
         }
     }
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -42,11 +42,15 @@
 /// milliseconds. Registry entries of endpoints that are cut off expire later.
 const MAX_SHUTDOWN_SILENCE_MS: u64 = 2_000;
 
-/// Time for which a previous owner may keep granting leases after a takeover, in milliseconds. It
-/// calls each endpoint once a second, and the first one that both owners reach rejects it.
-const PREVIOUS_OWNER_MS: u64 = 1_200;
-
-/// Longest duration of a lease on an endpoint whose clock is 2 % slow, in percent.
+/// Maximum age of the proof of the ownership at which an owner extends leases, in milliseconds, counted
+/// from the sending of the last renewal or commit that was stored.
+///
+/// A successor counts on it, since an owner may be cut off together with endpoints that nobody else
+/// reaches. Leases outlast a store that is unavailable for this time and most of a lease.
+pub const MAX_PROOF_AGE_MS: u64 = 1_200;
+
+/// Longest duration of a time that a slow clock measures, in percent: 2 % slower, and 1 % for rounding
+/// and delays.
 const SLOW_CLOCK_PERCENT: u64 = 103;
 
 impl Engine {
@@ -242,6 +246,17 @@
         }
     }
 
+    /// Allows or forbids to extend the leases of endpoints. They may be extended while the proof of the
+    /// ownership is not older than [`MAX_PROOF_AGE_MS`].
+    pub fn allow_lease_extensions(&mut self, is_allowed: bool) {
+        self.may_extend_leases = is_allowed;
+    }
+
+    /// Returns the duration of new leases, in milliseconds; `None` if leases may not be extended.
+    pub(crate) fn lease_extension_ms(&self) -> Option<u64> {
+        self.may_extend_leases.then_some(self.settings.lease_ms)
+    }
+
     /// Sends the renewals that are due.
     pub(crate) fn renew_leases(&mut self, now: Now) {
         for key in self.due_renewals(now) {
@@ -262,13 +277,14 @@
             return;
         }
         let has_starting_suspect = self.has_starting_suspect(key);
+        let extension_ms = self.lease_extension_ms();
         let endpoint = self.endpoints.get_mut(key);
         endpoint.is_renewing = true;
         endpoint.renewals += 1;
         let is_trusted =
             endpoint.failed_calls < SUSPECT_AFTER_FAILED_CALLS && endpoint.is_reconciled;
         let deadline_ms = if is_trusted {
-            endpoint.grant_lease(now, self.settings.lease_ms)
+            endpoint.grant_lease(now, extension_ms)
         } else {
             None
         };
@@ -460,8 +476,8 @@
         }
         unanswered.sort_unstable();
         self.unanswered_runs = unanswered;
-        let lease_ms = self.settings.lease_ms * SLOW_CLOCK_PERCENT / 100;
-        let bound_ms = now.steady_ms + lease_ms + PREVIOUS_OWNER_MS;
+        let granted_ms = (MAX_PROOF_AGE_MS + self.settings.lease_ms) * SLOW_CLOCK_PERCENT / 100;
+        let bound_ms = now.steady_ms + granted_ms;
         for key in self.endpoints.keys().to_vec() {
             self.endpoints.get_mut(key).bound_unknown_leases(bound_ms);
         }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -91,6 +91,7 @@
     fair_share::{AccountDemand, fair_level},
     handover::{ReleaseCandidate, choose_vacating},
     job::{JobId, JobSpec, JobState, ParseNameError, Resources, StepSpec, TaskRef},
+    leases::MAX_PROOF_AGE_MS,
     log_event::{
         ExpiredLeases, JobRefusal, LogEvent, MissingRun, PoolPlan, QuotaWait, RefusedOrder, RunEnd,
         RunOrder, ShareWait, UnwantedRun,
