Start nothing while the store does not prove the ownership

A start that is released by a batch stored after an outage is placed again once a renewal of the ownership is stored.

--- a/crates/engine/src/batch.rs
+++ b/crates/engine/src/batch.rs
@@ -126,10 +126,9 @@
     ///
     /// A start whose run was stopped in the meantime is never sent. A start of an account whose
     /// quota was reduced in the meantime, or on an endpoint whose capacity was or that is draining
-    /// by now, is dropped here, and so is one without a lease.
+    /// by now, is dropped here, and so is any while leases may not be extended.
     fn release_start(&mut self, mut order: StartOrder, now: Now) -> Option<Effect> {
         let index = self.search(order.task.job).ok()?;
-        let extension_ms = self.lease_extension_ms();
         let account = self.jobs[index].account_number;
         let task = self.jobs.get_mut_untracked(index).task_mut(&order.task)?;
         let attempt = task
@@ -141,13 +140,12 @@
             return None;
         }
         let has_room = endpoint.has_room_for(&order.task, order.run);
-        let is_allowed = has_room && !endpoint.is_draining && !self.quotas.is_exceeded(account);
-        let lease = is_allowed.then(|| endpoint.grant_lease(now, extension_ms));
-        let Some(deadline_ms) = lease.flatten() else {
+        let is_allowed = self.may_extend_leases && has_room && !endpoint.is_draining;
+        if !is_allowed || self.quotas.is_exceeded(account) {
             self.remove_attempt(&order.task, order.run, RunEnd::NeverOrdered, now);
             return None;
-        };
-        order.deadline_ms = deadline_ms;
+        }
+        order.deadline_ms = endpoint.grant_lease(now, self.settings.lease_ms)?;
         attempt.phase = Phase::Ordered;
         order.ticket = self.ticket_for(&order.task, order.endpoint, now);
         Some(Effect::Start(Box::new(order)))
--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -228,9 +228,6 @@
     /// Starts that another incarnation with the same id may execute.
     pub(crate) late_starts: Vec<LateStart>,
     clock: Option<ClockReading>,
-    /// Latest end of a lease that this owner has granted.
-    granted_clock_ms: u64,
-    /// Latest end of a lease that any owner may have granted.
     lease_end_clock_ms: u64,
     leases_end_at_ms: Option<u64>,
     /// Whether it was borrowed mutably since changes were last taken.
@@ -284,7 +281,6 @@
             unknown_runs: Vec::new(),
             late_starts: Vec::new(),
             clock: None,
-            granted_clock_ms: 0,
             lease_end_clock_ms: 0,
             leases_end_at_ms: None,
             is_changed: false,
@@ -449,17 +445,12 @@
         Some(now.steady_ms.saturating_sub(reading.at_ms))
     }
 
-    /// Grants a lease that begins now, and returns its end on the endpoint's clock. Without an
-    /// extension that is the end of the lease that was granted before; `None` if there is none.
+    /// Grants a lease that begins now, and returns its end on the endpoint's clock.
     #[must_use]
-    pub fn grant_lease(&mut self, now: Now, extension_ms: Option<u64>) -> Option<u64> {
+    pub fn grant_lease(&mut self, now: Now, lease_ms: u64) -> Option<u64> {
         let reading = self.clock?;
-        let clock_ms = reading.clock_ms + now.steady_ms.saturating_sub(reading.at_ms);
-        let Some(extension_ms) = extension_ms else {
-            return (self.granted_clock_ms > clock_ms).then_some(self.granted_clock_ms);
-        };
-        let deadline_ms = clock_ms + extension_ms;
-        self.granted_clock_ms = self.granted_clock_ms.max(deadline_ms);
+        let passed_ms = now.steady_ms.saturating_sub(reading.at_ms);
+        let deadline_ms = reading.clock_ms + passed_ms + lease_ms;
         self.lease_end_clock_ms = self.lease_end_clock_ms.max(deadline_ms);
         Some(deadline_ms)
     }
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -246,17 +246,12 @@
         }
     }
 
-    /// Allows or forbids to extend the leases of endpoints. They may be extended while the proof of the
-    /// ownership is not older than [`MAX_PROOF_AGE_MS`].
+    /// Allows or forbids to extend the leases of endpoints, and to start anything there. Both are
+    /// allowed while the proof of the ownership is not older than [`MAX_PROOF_AGE_MS`].
     pub fn allow_lease_extensions(&mut self, is_allowed: bool) {
         self.may_extend_leases = is_allowed;
     }
 
-    /// Returns the duration of new leases, in milliseconds; `None` if leases may not be extended.
-    pub(crate) fn lease_extension_ms(&self) -> Option<u64> {
-        self.may_extend_leases.then_some(self.settings.lease_ms)
-    }
-
     /// Sends the renewals that are due.
     pub(crate) fn renew_leases(&mut self, now: Now) {
         for key in self.due_renewals(now) {
@@ -277,14 +272,13 @@
             return;
         }
         let has_starting_suspect = self.has_starting_suspect(key);
-        let extension_ms = self.lease_extension_ms();
         let endpoint = self.endpoints.get_mut(key);
         endpoint.is_renewing = true;
         endpoint.renewals += 1;
         let is_trusted =
             endpoint.failed_calls < SUSPECT_AFTER_FAILED_CALLS && endpoint.is_reconciled;
-        let deadline_ms = if is_trusted {
-            endpoint.grant_lease(now, extension_ms)
+        let deadline_ms = if is_trusted && self.may_extend_leases {
+            endpoint.grant_lease(now, self.settings.lease_ms)
         } else {
             None
         };
--- a/crates/engine/src/retries.rs
+++ b/crates/engine/src/retries.rs
@@ -15,7 +15,6 @@
     /// draining are stopped. Stops beyond the budget of their step wait: a previous owner may have
     /// decided on them before other tasks of the step were lost.
     pub(crate) fn retry_orders(&mut self, now: Now) {
-        let extension_ms = self.lease_extension_ms();
         for (task, run, key, is_stop) in self.due_retries(now) {
             let endpoint = self.endpoints.get_mut(key);
             if endpoint.failed_calls >= SUSPECT_AFTER_FAILED_CALLS || !endpoint.is_reachable() {
@@ -28,8 +27,9 @@
             } else if endpoint.is_draining || !endpoint.has_room_for(&task, run) {
                 self.stop_run(&task, run, now);
             } else if let Ok(index) = self.jobs.search(task.job)
+                && self.may_extend_leases
                 && !self.quotas.is_exceeded(self.jobs[index].account_number)
-                && let Some(deadline_ms) = endpoint.grant_lease(now, extension_ms)
+                && let Some(deadline_ms) = endpoint.grant_lease(now, self.settings.lease_ms)
             {
                 let mut order = start_order(&self.jobs[index], key, &task, run, deadline_ms);
                 order.ticket = self.ticket_for(&task, key, now);
