Grant no lease by an old reading of a slow clock

Found by the review of the proof of ownership: an idle endpoint is not called, and the lease of its first start ends by the last reading of its clock, extrapolated at full speed. On a clock that is 2 % slow the lease is longer by 2 % of the idle time, and a successor that cannot reach the endpoint starts the task elsewhere before the lease is over.

Grants now count with a clock that is 3 % slow, and a registered endpoint is asked for a report if the reading is 30 s old, so that no lease is shorter by more than 0.9 s.

task_on_an_idle_endpoint_cut_off_with_its_owner_runs_once failed before: two runs at once 7.9 s after the partition (idle for 150 s, takeover after 0.4 s).

--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -15,6 +15,10 @@
 /// delays.
 const CLOCK_SLACK_PERCENT: u64 = 3;
 
+/// Age of the reading of an endpoint's clock at which another one is requested, in milliseconds. Leases
+/// are shorter by the allowance for the time since the reading.
+const MAX_READING_AGE_MS: u64 = 30_000;
+
 /// Time after the end of a lease until it counts as expired, in milliseconds. Endpoints stop their
 /// runs shortly after the deadline.
 const LEASE_MARGIN_MS: u64 = 150;
@@ -349,7 +353,8 @@
         let is_needed = !self.placed_runs.is_empty()
             || may_have_runs
             || self.acknowledgeable_end() > 0
-            || (self.is_registered && (!self.is_reconciled || self.failed_calls > 0));
+            || (self.is_registered
+                && (!self.is_reconciled || self.failed_calls > 0 || self.is_reading_old(now)));
         is_needed && !self.is_renewing && now.steady_ms >= self.renew_at_ms && self.is_reachable()
     }
 
@@ -439,17 +444,24 @@
             .is_some_and(|reading| now.steady_ms <= reading.at_ms + ms)
     }
 
+    /// Returns whether the last reading of the clock is too old to grant leases by it.
+    fn is_reading_old(&self, now: Now) -> bool {
+        self.silent_ms(now)
+            .is_some_and(|age_ms| age_ms >= MAX_READING_AGE_MS)
+    }
+
     /// Returns the time since the last response, in milliseconds; `None` if there was none.
     pub(crate) fn silent_ms(&self, now: Now) -> Option<u64> {
         let reading = self.clock?;
         Some(now.steady_ms.saturating_sub(reading.at_ms))
     }
 
-    /// Grants a lease that begins now, and returns its end on the endpoint's clock.
+    /// Grants a lease that begins now, and returns its end on the endpoint's clock, which may be slow.
     #[must_use]
     pub fn grant_lease(&mut self, now: Now, lease_ms: u64) -> Option<u64> {
         let reading = self.clock?;
         let passed_ms = now.steady_ms.saturating_sub(reading.at_ms);
+        let passed_ms = passed_ms * (100 - CLOCK_SLACK_PERCENT) / 100;
         let deadline_ms = reading.clock_ms + passed_ms + lease_ms;
         self.lease_end_clock_ms = self.lease_end_clock_ms.max(deadline_ms);
         Some(deadline_ms)
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -14,9 +14,10 @@
 /// Name of the only pool with work.
 pub const POOL: &str = "maps";
 
-/// Returns the monotonic clock of every endpoint.
-fn clock_ms(now: Now) -> u64 {
-    now.steady_ms - START_MS / 2
+/// Returns the monotonic clock of every endpoint, which is slow by some percent.
+fn clock_ms(now: Now, slow_percent: u64) -> u64 {
+    let passed_ms = now.steady_ms - START_MS;
+    START_MS / 2 + passed_ms * (100 - slow_percent) / 100
 }
 
 /// Returns the id of the job with a number.
@@ -154,6 +155,8 @@
     pub orders: Vec<Effect>,
     pub now: Now,
     pub is_store_down: bool,
+    /// By how much the clocks of endpoints are slow, in percent.
+    pub slow_clock_percent: u64,
     pub version: u64,
     pub accounts: Vec<ClientAccount>,
     pub pools: Vec<Pool>,
@@ -179,6 +182,7 @@
             orders: Vec::new(),
             now,
             is_store_down: false,
+            slow_clock_percent: 0,
             version: 1,
             accounts: Vec::new(),
             pools: vec![pool(POOL, false), pool("spare", true)],
@@ -216,7 +220,7 @@
 
     /// Returns the reading of every endpoint's monotonic clock.
     pub fn clock_ms(&self) -> u64 {
-        clock_ms(self.now)
+        clock_ms(self.now, self.slow_clock_percent)
     }
 
     pub fn handle(&mut self, event: Event) {
@@ -395,7 +399,7 @@
         for _ in 0..ms / 100 {
             self.now.steady_ms += 100;
             self.now.wall_ms += 100;
-            let clock_ms = clock_ms(self.now);
+            let clock_ms = self.clock_ms();
             for endpoint in &mut self.endpoints {
                 endpoint.lapse(clock_ms);
             }
@@ -490,7 +494,7 @@
         if endpoint.loses_answers {
             return CallOutcome::Unknown;
         }
-        CallOutcome::Done(clock_ms(self.now))
+        CallOutcome::Done(self.clock_ms())
     }
 
     /// Returns why an endpoint refuses a call, if it does.
@@ -603,7 +607,7 @@
 
     /// Answers renewals that are due, and those whose endpoint has an ended run to report.
     fn answer_renewals(&mut self) {
-        let clock_ms = clock_ms(self.now);
+        let clock_ms = self.clock_ms();
         for (due_ms, key, acknowledged) in std::mem::take(&mut self.waiting) {
             let now_ms = self.now.steady_ms;
             if self.has_ended(key) {
--- a/crates/engine/tests/former_owners.rs
+++ b/crates/engine/tests/former_owners.rs
@@ -19,6 +19,20 @@
 const CUT_OFF: usize = 0;
 const REACHABLE: usize = 1;
 
+/// Time without work after which a task starts, in milliseconds.
+const IDLE_MS: u64 = 150_000;
+
+/// What precedes a partition.
+#[derive(Clone, Copy, Debug, Default)]
+struct Scenario {
+    /// Time from the partition until the takeover, in milliseconds.
+    takeover_ms: u64,
+    /// Time without work before the task starts, in milliseconds.
+    idle_ms: u64,
+    slow_clock_percent: u64,
+    long_running: bool,
+}
+
 /// An owner that is cut off, and its successor.
 struct Partition {
     former: Fleet,
@@ -33,15 +47,16 @@
 }
 
 impl Partition {
-    /// Cuts off an owner whose endpoint runs a task, and has it succeeded after a time.
-    fn new(takeover_ms: u64, long_running: bool) -> Self {
+    /// Cuts off an owner whose endpoint has just started a task, and has it succeeded after a time.
+    fn new(scenario: Scenario) -> Self {
         let mut former = Fleet::new();
+        former.slow_clock_percent = scenario.slow_clock_percent;
         former.list_endpoint("i-1", 1_000);
         former.list_endpoint("i-2", 1_000);
         former.endpoints[REACHABLE].is_unresponsive = true;
-        former.advance(1_000);
+        former.advance(1_000 + scenario.idle_ms);
         let step = StepSpec {
-            long_running,
+            long_running: scenario.long_running,
             ..step(1)
         };
         former.submit_spec(
@@ -51,7 +66,7 @@
                 ..JobSpec::default()
             },
         );
-        former.advance(2_000);
+        former.settle();
         assert_eq!(former.endpoints[CUT_OFF].running.len(), 1);
         former.is_store_down = true;
         let mut partition = Self {
@@ -59,12 +74,13 @@
             former,
             since_ms: 0,
         };
-        while partition.since_ms < takeover_ms {
+        while partition.since_ms < scenario.takeover_ms {
             partition.advance_former();
         }
         let successor = &mut partition.successor;
         successor.stored.clone_from(&partition.former.stored);
         successor.now = partition.former.now;
+        successor.slow_clock_percent = scenario.slow_clock_percent;
         for entry in partition.former.entries.clone() {
             successor.list_endpoint(&entry.id, entry.capacity.cpu_millis);
         }
@@ -92,8 +108,8 @@
 }
 
 /// Returns when the task runs on the side of the successor, in milliseconds since the takeover.
-fn moved_ms(takeover_ms: u64, long_running: bool) -> Option<u64> {
-    let mut partition = Partition::new(takeover_ms, long_running);
+fn moved_ms(scenario: Scenario) -> Option<u64> {
+    let mut partition = Partition::new(scenario);
     let mut moved_ms = None;
     while partition.since_ms < PARTITION_MS {
         partition.advance();
@@ -103,16 +119,16 @@
             partition.since_ms
         );
         if moved_ms.is_none() && !partition.successor.endpoints[REACHABLE].running.is_empty() {
-            moved_ms = Some(partition.since_ms - takeover_ms);
+            moved_ms = Some(partition.since_ms - scenario.takeover_ms);
         }
     }
     moved_ms
 }
 
 macro_rules! partitions {
-    ($($(#[$doc:meta])* $name:ident: $takeover_ms:expr, $long_running:expr;)*) => {
+    ($($(#[$doc:meta])* $name:ident: $scenario:expr;)*) => {
         $($(#[$doc])* #[test] fn $name() {
-            let moved_ms = moved_ms($takeover_ms, $long_running);
+            let moved_ms = moved_ms($scenario);
             assert!(moved_ms.is_some_and(|ms| ms <= MOVED_WITHIN_MS), "{moved_ms:?}");
         })*
     };
@@ -121,13 +137,28 @@
 partitions! {
     /// Guards against a task that runs twice because its owner extends leases that the successor counts
     /// as expired.
-    task_cut_off_with_its_owner_runs_once: 1_300, false;
+    task_cut_off_with_its_owner_runs_once:
+        Scenario { takeover_ms: 1_300, ..Scenario::default() };
 
     /// Guards against the same after the earliest takeover.
-    task_cut_off_with_its_owner_runs_once_after_an_early_takeover: 400, false;
+    task_cut_off_with_its_owner_runs_once_after_an_early_takeover:
+        Scenario { takeover_ms: 400, ..Scenario::default() };
 
     /// Guards against the same for a task that lasts.
-    long_running_task_cut_off_with_its_owner_runs_once: 1_300, true;
+    long_running_task_cut_off_with_its_owner_runs_once:
+        Scenario { takeover_ms: 1_300, long_running: true, ..Scenario::default() };
+
+    /// Guards against the same where endpoints measure leases on a slow clock.
+    task_cut_off_with_its_owner_runs_once_on_a_slow_clock:
+        Scenario { takeover_ms: 400, slow_clock_percent: 2, ..Scenario::default() };
+
+    /// Guards against a lease that is too long because the slow clock was last read long before.
+    task_on_an_idle_endpoint_cut_off_with_its_owner_runs_once: Scenario {
+        takeover_ms: 400,
+        idle_ms: IDLE_MS,
+        slow_clock_percent: 2,
+        ..Scenario::default()
+    };
 }
 
 /// Guards against work that ends because the store is unavailable for a few seconds.
