Count the interval of renewals from their sending

It is 800 ms if the interval counts from the sending. The fence of a takeover is a proof, too, and is recorded. By calculation only; no test shows it.

--- a/crates/controller/src/takeover.rs
+++ b/crates/controller/src/takeover.rs
@@ -121,7 +121,7 @@
         writer.stored_end(),
     ));
     node.takeover_epoch.store(epoch, Ordering::Relaxed);
-    let prepared = fence_and_load(node, epoch, &writer).await;
+    let prepared = fence_and_load(node, epoch, &writer, &lease).await;
     match prepared {
         Ok(loaded) => {
             let handle = start_owner(node, epoch, started_ms, writer, loaded, lease);
@@ -139,11 +139,20 @@
 }
 
 /// Fences earlier owners and loads the stored state.
-async fn fence_and_load(node: &Node, epoch: u64, writer: &Writer) -> Result<LoadedState, String> {
+async fn fence_and_load(
+    node: &Node,
+    epoch: u64,
+    writer: &Writer,
+    lease: &OwnerLease,
+) -> Result<LoadedState, String> {
     let mut retries = 0;
     loop {
+        let sent_ms = clock::steady_ms();
         match writer.fence(&node.store).await {
-            Some(true) => break,
+            Some(true) => {
+                lease.record_commit(sent_ms);
+                break;
+            }
             Some(false) => return Err("the epoch is fenced or already in use".into()),
             None if retries < MAX_FENCE_RETRIES => {
                 retries += 1;
--- a/crates/controller/src/watcher.rs
+++ b/crates/controller/src/watcher.rs
@@ -417,7 +417,8 @@
             AppendOutcome::Stored { end, .. } => {
                 previous_end = end;
                 lease.record_renewal(sent_ms);
-                RENEWAL_INTERVAL_MS
+                // A slow store would otherwise let the proof of the ownership grow too old.
+                RENEWAL_INTERVAL_MS.saturating_sub(clock::steady_ms().saturating_sub(sent_ms))
             }
             AppendOutcome::NothingDone | AppendOutcome::Unknown => {
                 lease.record_unanswered_renewal(sent_ms);
