Histories of owners that are cut off from the store; they fail

The histories assumed that a former owner acts for at most 1,000 ms after its successor has taken over, which nothing enforces. In the new kind, a partition of 3 to 15 s puts the owner and a random subset of the endpoints on one side and the store, the successor and the other endpoints on the other. The former owner goes on until an endpoint or the store rejects it. There are also outages of the store of up to 6 s for everybody, in which no work may lapse at an endpoint that is called throughout.

Seed 40 is two runs at once: a successor that has never reached an endpoint counts its leases as over 7,380 ms after the takeover and starts the task elsewhere, while the former owner's renewals go on.

The existing histories draw the same random numbers as before.

--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -446,6 +446,13 @@
         self.in_flight = Some(batch);
     }
 
+    /// Stores the batch in flight, of which the owner does not learn.
+    pub fn store_in_flight(&mut self) {
+        if let Some(batch) = self.in_flight.take() {
+            self.store(&batch);
+        }
+    }
+
     fn store(&mut self, batch: &Batch) {
         for record in &batch.records {
             self.stored.retain(|known| known.key != record.key);
--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -3,11 +3,13 @@
 //! Calls to endpoints are refused, lost, executed late or answered late, and answers overtake each
 //! other. Endpoints crash, in some histories start again under the id that they had, also with calls
 //! on their way to them, drain, are cut off, and their registry entries expire while they live.
-//! Owners are replaced while their calls are under way, and callers cancel jobs before they submit
-//! them. In all cases endpoints stay within their capacity, no task runs twice, cancelled jobs end
+//! Owners are replaced while their calls are under way, in some histories across a partition in which
+//! they go on, and callers cancel jobs before they submit them. In all cases endpoints stay within their capacity, no task runs twice, cancelled jobs end
 //! in time, and at the end each endpoint runs exactly what is wanted of it.
 
 mod common;
+#[path = "run_histories/partitions.rs"]
+mod partitions;
 
 use {
     common::{Fleet, POOL, job_id, listed, step},
@@ -16,6 +18,7 @@
         EndpointKey, EndpointReport, Engine, EngineSettings, Event, JobSpec, JobState, LogEvent,
         Refusal, Resources, RunEnd, RunningTask, StartOrder, StepSpec, TaskRef,
     },
+    partitions::OwnerFaults,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::ops::Range,
@@ -75,7 +78,8 @@
 /// alive, in milliseconds.
 const CALLED_WITHIN_MS: u64 = 1_500;
 
-/// Longest time for which an owner acts after its successor has taken over, in milliseconds.
+/// Longest time for which an owner that is not cut off acts after its successor has taken over, in
+/// milliseconds.
 const FORMER_OWNER_MS: u64 = 1_000;
 
 /// Time after which callers repeat requests without an answer, in milliseconds.
@@ -162,6 +166,8 @@
     has_seemed_closed: bool,
     /// Since when the owner should know that it is alive, although it took it for ended.
     shown_ms: Option<u64>,
+    /// When a call to it last went wrong or was not sent.
+    missed_ms: u64,
 }
 
 /// How endpoints start again after a crash or an exit.
@@ -280,6 +286,8 @@
     epoch: u64,
     /// Previous owner and until when it acts.
     former: Option<(Engine, u64)>,
+    /// Faults that cut owners off from the store; `None` if there are none.
+    owner_faults: Option<OwnerFaults>,
     endpoints: Vec<SimEndpoint>,
     incarnations: usize,
     restarts: Restarts,
@@ -317,6 +325,7 @@
             fleet,
             epoch: 1,
             former: None,
+            owner_faults: None,
             endpoints: Vec::new(),
             incarnations: 0,
             restarts,
@@ -417,6 +426,7 @@
                 if self.fault_percent > 0 {
                     self.apply_fault();
                 }
+                self.begin_owner_fault();
             }
             self.pass_step();
         }
@@ -452,9 +462,11 @@
         self.write_entries();
         if self.now_ms() < self.suspended_until_ms {
             self.record_fault();
+            self.record_missed(|_| true);
             self.check_copies();
             return;
         }
+        self.advance_ownership();
         self.answer_calls();
         self.deliver_registry();
         self.send_caller_requests();
@@ -687,6 +699,7 @@
                 self.endpoints[slot].unhealthy_until_ms = self.now_ms() + self.pick(200..1_500);
             }
             12 => self.crash(slot),
+            13..17 if self.has_owner_fault() => {}
             30.. if self.delays_calls() => self.crash(slot),
             13..15 => self.take_over(),
             15 => self.store_down_until_ms = self.now_ms() + self.pick(200..1_500),
@@ -825,17 +838,27 @@
 
     /// Replaces the owner; the previous one goes on for a while, and its calls still take effect.
     fn take_over(&mut self) {
-        self.record_fault();
-        self.epoch += 1;
         if self.happens(50) {
             // The last changes are stored, but the previous owner does not learn it.
             self.fleet.settle_without_cleaning();
         }
+        self.replace_owner(self.now_ms() + FORMER_OWNER_MS);
+        let slot = self.random.random_range(0..SLOTS);
+        if self.happens(40) {
+            self.cut_off_owner(slot);
+        }
+    }
+
+    /// Replaces the owner by one that restores the stored records; the previous one goes on.
+    fn replace_owner(&mut self, former_until_ms: u64) {
+        self.record_fault();
+        self.record_missed(|_| true);
+        self.epoch += 1;
         let former = std::mem::replace(
             &mut self.fleet.engine,
             Engine::new(EngineSettings::default()),
         );
-        self.former = Some((former, self.now_ms() + FORMER_OWNER_MS));
+        self.former = Some((former, former_until_ms));
         self.fleet.is_store_down = false;
         self.store_down_until_ms = 0;
         let steady_ms = self.fleet.now.steady_ms;
@@ -846,10 +869,6 @@
         for slot in 0..SLOTS {
             self.note(slot, None, format!("owner {epoch} takes over"));
         }
-        let slot = self.random.random_range(0..SLOTS);
-        if self.happens(40) {
-            self.cut_off_owner(slot);
-        }
     }
 
     /// Lets the previous owner retry and renew; nothing that it decides is stored.
@@ -880,7 +899,7 @@
         for slot in 0..SLOTS {
             let endpoint = &self.endpoints[slot];
             if endpoint.is_up
-                && (endpoint.is_cut(self.epoch, now_ms) || now_ms < endpoint.unlisted_until_ms)
+                && (self.is_cut(slot, self.epoch) || now_ms < endpoint.unlisted_until_ms)
             {
                 self.record_fault();
             }
@@ -903,8 +922,10 @@
     fn write_entries(&mut self) {
         let now_ms = self.now_ms();
         for slot in 0..SLOTS {
+            let is_stored = !self.is_off_store(slot);
             let endpoint = &mut self.endpoints[slot];
             if endpoint.is_up
+                && is_stored
                 && endpoint.heartbeat_ms <= now_ms
                 && endpoint.unlisted_until_ms <= now_ms
             {
@@ -937,6 +958,9 @@
 
     fn deliver_registry(&mut self) {
         let now_ms = self.now_ms();
+        if self.owner_faults.is_some() && now_ms < self.store_down_until_ms {
+            return;
+        }
         let registry = std::mem::take(&mut self.registry);
         for (at_ms, change) in registry {
             if at_ms > now_ms {
@@ -1027,6 +1051,7 @@
         }
         if fate != Fate::Answered {
             self.record_fault();
+            self.endpoints[slot].missed_ms = now_ms;
         }
         let timeout_ms = now_ms + wait_ms + CALL_TIMEOUT_MS;
         let effective_ms = match fate {
@@ -1097,6 +1122,9 @@
         let now_ms = self.now_ms();
         let endpoint = &self.endpoints[slot];
         let is_unhealthy = now_ms < endpoint.unhealthy_until_ms;
+        if self.is_parted(slot, epoch) {
+            return self.parted_fate(effect);
+        }
         if endpoint.is_cut(epoch, now_ms) {
             return if self.happens(50) {
                 Fate::Unsent
@@ -1161,7 +1189,7 @@
     /// Executes a call; returns the answer unless the endpoint holds it.
     fn execute(&mut self, at: usize, call: &Call) -> Option<Answer> {
         let endpoint = &self.endpoints[call.slot];
-        if endpoint.is_cut(call.epoch, self.now_ms()) && call.fate != Fate::Unsent {
+        if self.is_cut(call.slot, call.epoch) && call.fate != Fate::Unsent {
             self.note_call(call, "is lost on its way");
             return None;
         }
@@ -1249,7 +1277,7 @@
             fate, slot, epoch, ..
         } = self.calls[at];
         let is_lost = fate == Fate::AnswerLost || fate.is_late();
-        if is_lost || self.endpoints[slot].is_cut(epoch, self.now_ms()) {
+        if is_lost || self.is_cut(slot, epoch) {
             return;
         }
         let delay_ms = if self.fault_percent > 0 && self.happens(15) {
@@ -1535,6 +1563,7 @@
     }
 
     fn lapse(&mut self, slot: usize) {
+        self.check_lapse(slot);
         for active in self.endpoints[slot].runs.clone() {
             self.end_run(slot, &active, EndKind::Lapsed);
         }
@@ -2106,18 +2135,18 @@
 }
 
 macro_rules! histories {
-    ($restarts:expr; $($(#[$line:meta])* $name:ident: $seeds:expr;)*) => {
+    ($new:expr; $($(#[$line:meta])* $name:ident: $seeds:expr;)*) => {
         $($(#[$line])* #[test] fn $name() {
             for seed in $seeds {
                 println!("seed {seed}");
-                History::new(seed, $restarts).run();
+                $new(seed).run();
             }
         })*
     };
 }
 
 histories! {
-    Restarts::NewId;
+    |seed| History::new(seed, Restarts::NewId);
     first_seeds: 0..16;
     further_seeds: 1_000..1_012;
     /// Guards against a run of a cancelled job that goes on after its stop was refused.
@@ -2148,14 +2177,14 @@
 }
 
 histories! {
-    Restarts::SameId;
+    |seed| History::new(seed, Restarts::SameId);
     /// Guards against taking an endpoint that has started again under its id for the incarnation that
     /// it was.
     endpoints_that_keep_their_ids: 0..16;
 }
 
 histories! {
-    Restarts::SameIdDelayedCalls;
+    |seed| History::new(seed, Restarts::SameIdDelayedCalls);
     /// Guards against calls for an earlier incarnation that the next one executes.
     delayed_calls: 0..16;
     /// Guards against a second run of a task by a delayed try of its start.
@@ -2171,3 +2200,16 @@
     /// Guards against a late start beyond a capacity that was raised and reduced since it was sent.
     capacity_changed_before_a_late_start: [22_192];
 }
+
+histories! {
+    History::with_partitions;
+    /// Guards against leases that a former owner extends beside its successor, for as long as it is cut
+    /// off with an endpoint.
+    partitions_and_outages: 0..40;
+    /// Guards against a second run beside one whose lease such an owner extends.
+    second_run_across_a_partition: [40, 47];
+    /// Guards against a run after a done end that such an owner has kept from expiring.
+    run_after_a_done_end_across_a_partition: [69, 154];
+    /// Guards against a start of a cancelled job by such an owner, long after the cancel.
+    start_across_a_partition_after_a_cancel: [875];
+}
