Histories of partitions: registry entries in order, and no partition just after an outage

A partition that begins the moment an outage ends is no outage that has ended, and lapses in it say nothing.

--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -933,7 +933,7 @@
                 let entry = endpoint.entry(slot);
                 let at_ms = now_ms + self.pick(0..300);
                 // The registry is a log, which delivers the entries of an id in order.
-                let at_ms = if self.delays_calls() {
+                let at_ms = if self.delays_calls() || self.owner_faults.is_some() {
                     at_ms.max(self.last_entry_ms(&entry.id))
                 } else {
                     at_ms
--- a/crates/engine/tests/run_histories/partitions.rs
+++ b/crates/engine/tests/run_histories/partitions.rs
@@ -179,7 +179,7 @@
         }
         self.store_down_until_ms = until_ms;
         if let Some(faults) = &mut self.owner_faults {
-            faults.until_ms = until_ms;
+            faults.until_ms = until_ms + EXTENDED_AGAIN_MS;
             faults.outage_ms = from_ms..until_ms;
         }
     }
