--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -154,6 +154,8 @@
     pub orders: Vec<Effect>,
     pub now: Now,
     pub is_store_down: bool,
+    /// Number of batches with records that were stored.
+    pub stored_batches: usize,
     pub version: u64,
     pub accounts: Vec<ClientAccount>,
     pub pools: Vec<Pool>,
@@ -179,6 +181,7 @@
             orders: Vec::new(),
             now,
             is_store_down: false,
+            stored_batches: 0,
             version: 1,
             accounts: Vec::new(),
             pools: vec![pool(POOL, false), pool("spare", true)],
@@ -427,6 +430,7 @@
                 None => self.engine.take_batch(self.now),
             };
             let has_records = !batch.records.is_empty();
+            self.stored_batches += usize::from(has_records);
             self.store(&batch);
             effects.extend(self.engine.committed(batch, self.now));
             effects.extend(self.engine.take_immediate_effects());
--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -474,7 +474,7 @@
         if self.now_ms().is_multiple_of(TICK_MS) {
             self.fleet.handle(Event::Tick);
         }
-        self.fleet.settle();
+        self.settle();
         self.record_expired();
         self.send_calls();
         self.let_former_owner_act();
--- a/crates/engine/tests/run_histories/partitions.rs
+++ b/crates/engine/tests/run_histories/partitions.rs
@@ -3,7 +3,9 @@
 //! store.
 
 use {
-    super::{Effect, Fate, HISTORY_MS, History, RegistryChange, Restarts, SLOTS, SimEndpoint},
+    super::{
+        Effect, Fate, HISTORY_MS, History, RegistryChange, Restarts, SLOTS, STEP_MS, SimEndpoint,
+    },
     lynxwheel_engine::MAX_PROOF_AGE_MS,
     rand::RngExt,
     std::ops::Range,
@@ -52,9 +54,9 @@
     partition: Option<Partition>,
     /// When the last outage of the store begins and ends.
     outage_ms: Range<u64>,
-    /// When the last stored renewals of the owner and of the former one were sent.
-    renewed_ms: Option<u64>,
-    former_renewed_ms: Option<u64>,
+    /// When the last stored renewals or commits of the owner and of the former one were sent.
+    proven_ms: Option<u64>,
+    former_proven_ms: Option<u64>,
     /// When the last renewal was sent, and when its response arrives.
     sent_ms: u64,
     response_ms: Option<u64>,
@@ -214,13 +216,13 @@
                 self.fleet.store_in_flight();
             }
             self.replace_owner(partition.deposed_ms);
-            faults.former_renewed_ms = faults.renewed_ms.take();
+            faults.former_proven_ms = faults.proven_ms.take();
             faults.response_ms = None;
         }
         if faults.response_ms.is_some_and(|ms| ms <= now_ms) {
             faults.response_ms = None;
             if now_ms >= self.store_down_until_ms {
-                faults.renewed_ms = Some(faults.sent_ms);
+                faults.proven_ms = faults.proven_ms.max(Some(faults.sent_ms));
             }
         }
         if faults.response_ms.is_none() && now_ms >= faults.sent_ms + RENEWAL_INTERVAL_MS {
@@ -230,9 +232,9 @@
         let is_proven =
             |sent_ms: Option<u64>| sent_ms.is_some_and(|ms| now_ms <= ms + MAX_PROOF_AGE_MS);
         let engine = &mut self.fleet.engine;
-        engine.allow_lease_extensions(is_proven(faults.renewed_ms));
+        engine.allow_lease_extensions(is_proven(faults.proven_ms));
         if let Some((engine, _)) = &mut self.former {
-            engine.allow_lease_extensions(is_proven(faults.former_renewed_ms));
+            engine.allow_lease_extensions(is_proven(faults.former_proven_ms));
         }
         self.owner_faults = Some(faults);
         let is_cut: [bool; SLOTS] = std::array::from_fn(|slot| self.is_cut(slot, self.epoch));
@@ -242,6 +244,21 @@
         }
     }
 
+    /// Stores batches and releases their effects; one that is sent and stored proves the ownership.
+    pub(super) fn settle(&mut self) {
+        // The first one after an outage was sent before it.
+        let is_back = self.now_ms() < self.store_down_until_ms + STEP_MS;
+        let stored_batches = self.fleet.stored_batches;
+        self.fleet.settle();
+        let now_ms = self.now_ms();
+        if let Some(faults) = &mut self.owner_faults
+            && self.fleet.stored_batches > stored_batches
+            && !is_back
+        {
+            faults.proven_ms = Some(now_ms);
+        }
+    }
+
     /// Work does not lapse during an outage of the store at an endpoint that is called throughout.
     pub(super) fn check_lapse(&self, slot: usize) {
         let Some(faults) = &self.owner_faults else {
