--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -157,6 +157,8 @@
     pub is_store_down: bool,
     /// By how much the clocks of endpoints are slow, in percent.
     pub slow_clock_percent: u64,
+    /// Number of batches with records that were stored.
+    pub stored_batches: usize,
     pub version: u64,
     pub accounts: Vec<ClientAccount>,
     pub pools: Vec<Pool>,
@@ -183,6 +185,7 @@
             now,
             is_store_down: false,
             slow_clock_percent: 0,
+            stored_batches: 0,
             version: 1,
             accounts: Vec::new(),
             pools: vec![pool(POOL, false), pool("spare", true)],
@@ -431,6 +434,7 @@
                 None => self.engine.take_batch(self.now),
             };
             let has_records = !batch.records.is_empty();
+            self.stored_batches += usize::from(has_records);
             self.store(&batch);
             effects.extend(self.engine.committed(batch, self.now));
             effects.extend(self.engine.take_immediate_effects());
@@ -450,6 +454,13 @@
         self.in_flight = Some(batch);
     }
 
+    /// Stores the batch in flight, of which the owner does not learn.
+    pub fn store_in_flight(&mut self) {
+        if let Some(batch) = self.in_flight.take() {
+            self.store(&batch);
+        }
+    }
+
     fn store(&mut self, batch: &Batch) {
         for record in &batch.records {
             self.stored.retain(|known| known.key != record.key);
