Test of endpoints that only some owners reach

One that learns of the next owner while only the former one reaches it would end a partition that a test has set up, and pass where a real one shows a fault.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -48,6 +48,10 @@
     /// Makes endpoints start again under the ids that they had, and more often.
     #[arg(long)]
     kept_ids: bool,
+    /// Cuts owners off from the store and the other nodes, together with some endpoints, for longer
+    /// than leases last. The other faults follow.
+    #[arg(long)]
+    partitions: bool,
     /// Duration of the traffic and the faults, in milliseconds.
     #[arg(long, default_value_t = 10_000)]
     length_ms: u64,
@@ -68,6 +72,7 @@
         overload,
         long_polls,
         kept_ids,
+        partitions,
         length_ms,
     } = Arguments::parse();
     let plan = |seed| {
@@ -79,6 +84,7 @@
             .with_overload(overload)
             .with_long_polls(long_polls)
             .with_kept_ids(kept_ids)
+            .with_partitions(partitions)
     };
     let run = |seed| {
         let plan = plan(seed);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -9,8 +9,8 @@
     http::{Method, StatusCode},
     lynxwheel_engine::{JobId, JobSpec, Resources, StepSpec},
     lynxwheel_platform_standin::{
-        CRASHING_PAYLOAD, LONG_RUNNING_PAYLOAD, QueueSpec, SLOW_PAYLOAD, api_key_header,
-        decode_job_state, encode_job, is_count, timeout_header,
+        CRASHING_PAYLOAD, LONG_RUNNING_PAYLOAD, PROLONGED_PAYLOAD, QueueSpec, SLOW_PAYLOAD,
+        api_key_header, decode_job_state, encode_job, is_count, timeout_header,
     },
     lynxwheel_transport::{ClientPool, ClientRequest, ClientResponse},
     rand::{RngExt, SeedableRng},
@@ -46,6 +46,15 @@
 /// Time between the submission of a job that takes long and its cancellation, in milliseconds.
 const CANCEL_DELAYS_MS: std::ops::Range<u64> = 100..1_500;
 
+/// Pause between two jobs whose tasks take some seconds, in milliseconds.
+const PROLONGED_PAUSES_MS: std::ops::Range<u64> = 300..900;
+
+/// Estimated duration of these tasks, in milliseconds.
+const PROLONGED_ESTIMATE_MS: u64 = 9_000;
+
+/// Random stream of the caller that submits these jobs.
+const PROLONGED_STREAM: u64 = 5;
+
 /// Random stream of the callers that cancel these jobs.
 const CANCELLING_STREAM: u64 = 2;
 
@@ -186,6 +195,20 @@
         }
     }
 
+    /// Submits jobs whose tasks take some seconds until `until`.
+    pub async fn run_prolonged(self, seed: u64, until: Instant) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(PROLONGED_STREAM);
+        while Instant::now() < until {
+            let queue = random.random_range(0..self.queues.len());
+            let account = random.random_range(0..ACCOUNT_COUNT);
+            let spec = draw_prolonged_job(&mut random);
+            self.submit_spec(&mut random, queue, account, &spec).await;
+            let pause_ms = random.random_range(PROLONGED_PAUSES_MS);
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
     /// Submits jobs that take long, and cancels each of them, until `until`.
     pub async fn run_cancelling(self, seed: u64, until: Instant) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -494,6 +517,19 @@
     draw_simple_job(random, SLOW_PAYLOAD, count, cpu_millis, SLOW_ESTIMATE_MS)
 }
 
+/// Returns a job with a few tasks that take some seconds.
+fn draw_prolonged_job(random: &mut ChaCha8Rng) -> JobSpec {
+    let count = random.random_range(1..5);
+    let cpu_millis = random.random_range(SIMPLE_CPU_MILLIS);
+    draw_simple_job(
+        random,
+        PROLONGED_PAYLOAD,
+        count,
+        cpu_millis,
+        PROLONGED_ESTIMATE_MS,
+    )
+}
+
 /// Returns a job with one step.
 pub fn draw_simple_job(
     random: &mut ChaCha8Rng,
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -14,7 +14,7 @@
     std::{
         fmt,
         sync::Mutex,
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -274,6 +274,8 @@
     /// VM, its highest fencing token and the holder of that token.
     orders: Vec<(CompactString, u64, CompactString)>,
     violations: Vec<Violation>,
+    /// Observations and faults with their times in Unix milliseconds.
+    trace: Vec<(u64, String)>,
     are_quotas_lifted: bool,
     flood: Option<Flood>,
     /// Starts and ends of the outages after owners were killed.
@@ -435,6 +437,22 @@
             .collect()
     }
 
+    /// Adds a line to the trace.
+    pub fn trace(&self, text: &str) {
+        lock(&self.state).trace.push((unix_ms(), text.into()));
+    }
+
+    /// Returns the observations and faults, a line each, which begins with the time in Unix
+    /// milliseconds.
+    #[must_use]
+    pub fn trace_text(&self) -> String {
+        let state = lock(&self.state);
+        let lines = state.trace.iter();
+        lines
+            .map(|(at_ms, text)| format!("{at_ms} {text}\n"))
+            .collect()
+    }
+
     /// Returns the number of task runs that have started.
     #[must_use]
     pub fn started_runs(&self) -> usize {
@@ -455,6 +473,7 @@
     /// Records that a fault begins.
     pub fn begin_fault(&self, fault: Fault) {
         let mut state = lock(&self.state);
+        state.trace.push((unix_ms(), format!("begin {fault:?}")));
         state.active_faults += 1;
         if fault == Fault::KillOwner {
             let now = Instant::now();
@@ -466,6 +485,7 @@
     /// Records that a fault has ended.
     pub fn end_fault(&self, fault: Fault) {
         let mut state = lock(&self.state);
+        state.trace.push((unix_ms(), format!("end {fault:?}")));
         state.active_faults = state.active_faults.saturating_sub(1);
         state.quiet_since = state
             .quiet_since
@@ -791,6 +811,7 @@
     /// Checks an observation of a stand-in.
     pub fn observe(&self, observation: Observation) {
         let mut state = lock(&self.state);
+        state.trace.push((unix_ms(), format!("{observation:?}")));
         let violations = match observation {
             Observation::Started {
                 incarnation,
@@ -841,6 +862,7 @@
                 }
                 Vec::new()
             }
+            Observation::Renewed { .. } => Vec::new(),
             Observation::EndsExpired { incarnation } => {
                 forget_unacknowledged(&mut state, &incarnation);
                 Vec::new()
@@ -984,6 +1006,12 @@
     }
 }
 
+/// Returns the time in Unix milliseconds, as in the logs of nodes.
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(elapsed.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the value of a `Retry-After` header if it is a whole number of seconds of at least 1.
 fn parse_retry_after(value: &str) -> Option<u64> {
     let is_number = value.bytes().all(|byte| byte.is_ascii_digit());
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -12,7 +12,7 @@
     lynxwheel_controller::{OWNERSHIP_TOPIC, OwnershipRecord},
     lynxwheel_platform_standin::{
         AccountSpec, EndpointFault, EndpointSpec, EndpointStandIn, NodeSettings, Observer,
-        QueueSpec, StoreFault, StoreStandIn, VmServiceStandIn, put_config, put_wave,
+        QueueSpec, Reach, StoreFault, StoreStandIn, VmServiceStandIn, put_config, put_wave,
         trim_operator_topics,
     },
     nix::sys::signal::Signal,
@@ -249,6 +249,7 @@
             Fault::KillNode(node) => self.nodes[node].signal(Signal::SIGKILL),
             Fault::KillAll => self.nodes.iter().for_each(|n| n.signal(Signal::SIGKILL)),
             Fault::KillOwner => self.kill_owner(),
+            Fault::CutOffOwner(endpoints) => self.cut_off_owner(endpoints),
             Fault::PauseNode(node) => self.nodes[node].signal(Signal::SIGSTOP),
             Fault::StopNode(node) => self.nodes[node].signal(Signal::SIGTERM),
             Fault::ReloadSettings(node) => self.nodes[node].signal(Signal::SIGHUP),
@@ -278,6 +279,7 @@
             Fault::KillAll | Fault::KillOwner => {
                 (0..self.nodes.len()).for_each(|node| self.restart(node));
             }
+            Fault::CutOffOwner(_) => self.end_partition(),
             Fault::PauseNode(node) => self.nodes[node].signal(Signal::SIGCONT),
             Fault::StopNode(node) => {
                 sleep(Duration::from_millis(SHUTDOWN_MS)).await;
@@ -305,18 +307,49 @@
         self.checker.end_fault(fault);
     }
 
-    /// Kills the node that wrote the last ownership record.
-    fn kill_owner(&self) {
+    /// Returns the number and the epoch of the node that wrote the last ownership record.
+    fn owner(&self) -> Option<(usize, u64)> {
         let record = self.store.last_record(OWNERSHIP_TOPIC);
-        let owner = record.and_then(|record| OwnershipRecord::decode(&record));
-        let mut nodes = self.node_ips.iter().zip(&self.nodes);
-        let node = owner.and_then(|owner| nodes.find(|(ip, _)| **ip == owner.address.ip()));
-        match node {
-            Some((_, node)) => node.signal(Signal::SIGKILL),
+        let owner = record.and_then(|record| OwnershipRecord::decode(&record))?;
+        let mut ips = self.node_ips.iter();
+        let node = ips.position(|ip| *ip == owner.address.ip())?;
+        Some((node, owner.epoch))
+    }
+
+    fn kill_owner(&self) {
+        match self.owner() {
+            Some((node, _)) => self.nodes[node].signal(Signal::SIGKILL),
             None => self.checker.record_violation("no node owns the fleet"),
         }
     }
 
+    /// Cuts off the owner with the endpoints of a bit mask.
+    fn cut_off_owner(&self, endpoints: u32) {
+        let Some((node, epoch)) = self.owner() else {
+            return self.checker.record_violation("no node owns the fleet");
+        };
+        self.checker
+            .trace(&format!("node{node} with epoch {epoch} is cut off"));
+        self.store_links[node].set_fault(LinkFault::DropBoth);
+        for (number, endpoint) in self.endpoints.iter().enumerate() {
+            endpoint.set_reach(if endpoints >> number & 1 == 1 {
+                Reach::Only(epoch)
+            } else {
+                Reach::AllBut(epoch)
+            });
+        }
+    }
+
+    /// Connects everything that a partition cut off.
+    fn end_partition(&self) {
+        for link in &self.store_links {
+            link.set_fault(LinkFault::None);
+        }
+        for endpoint in &self.endpoints {
+            endpoint.set_reach(Reach::All);
+        }
+    }
+
     fn restart(&self, node: usize) {
         // The final checks detect a node that does not start by jobs that do not end.
         if let Err(error) = self.nodes[node].start() {
@@ -334,6 +367,7 @@
         for endpoint in &self.endpoints {
             endpoint.set_fault(EndpointFault::None);
             endpoint.set_overload(None);
+            endpoint.set_reach(Reach::All);
             endpoint.set_cpu_millis(ENDPOINT_CPU_MILLIS);
             endpoint.start_incarnation();
         }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -47,6 +47,19 @@
 const RESTART_PAUSES_MS: std::ops::Range<u64> = 100..700;
 const RESTART_DURATIONS_MS: std::ops::Range<u64> = 10..1_200;
 
+/// Number of partitions in a run.
+const PARTITIONS: usize = 2;
+
+/// Duration of a partition, in milliseconds: around the time after which the next owner may count
+/// the leases of its predecessor as over.
+const PARTITION_DURATIONS_MS: std::ops::Range<u64> = 8_000..14_000;
+
+/// Time before the first partition and between two, in milliseconds: runs are active everywhere.
+const PARTITION_PAUSES_MS: std::ops::Range<u64> = 3_000..6_000;
+
+/// Random stream of the partitions.
+const PARTITIONS_STREAM: u64 = 4;
+
 /// Random stream of the restarts of endpoints that keep their ids.
 const RESTARTS_STREAM: u64 = 3;
 
@@ -77,6 +90,9 @@
     KillAll,
     /// Kills the node that owns the fleet, and restarts it at the end.
     KillOwner,
+    /// Cuts the owner off from the store and the other nodes, together with the endpoints of a bit
+    /// mask, which no other owner reaches meanwhile. It reaches no others.
+    CutOffOwner(u32),
     /// Pauses a node.
     PauseNode(usize),
     /// Stops a node with SIGTERM, and restarts it after it has exited.
@@ -112,7 +128,10 @@
     pub fn hides_capacities(self) -> bool {
         matches!(
             self,
-            Self::PauseNode(_) | Self::Store(_) | Self::Link(LinkId::Store(_), _)
+            Self::PauseNode(_)
+                | Self::CutOffOwner(_)
+                | Self::Store(_)
+                | Self::Link(LinkId::Store(_), _)
         )
     }
 
@@ -224,6 +243,26 @@
     planned
 }
 
+/// Returns the partitions of a run, in the order of their starts; each ends before the next one.
+#[must_use]
+pub fn plan_partitions(seed: u64, endpoints: usize) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(PARTITIONS_STREAM);
+    let mut planned = Vec::new();
+    let mut start_ms = 0;
+    for _ in 0..PARTITIONS {
+        start_ms += random.random_range(PARTITION_PAUSES_MS);
+        let duration_ms = random.random_range(PARTITION_DURATIONS_MS);
+        planned.push(PlannedFault {
+            start_ms,
+            duration_ms,
+            fault: Fault::CutOffOwner(random.random_range(1..(1 << endpoints) - 1)),
+        });
+        start_ms += duration_ms;
+    }
+    planned
+}
+
 /// Returns the restarts of endpoints that keep their ids, in the order of their starts.
 #[must_use]
 pub fn plan_restarts(seed: u64, traffic_ms: u64, endpoints: usize) -> Vec<PlannedFault> {
--- a/crates/soak/src/harness.rs
+++ b/crates/soak/src/harness.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Starts a caller that submits jobs whose tasks take some seconds, for `traffic_ms`.
+    pub fn start_prolonged_caller(&self, seed: u64, traffic_ms: u64, tasks: &mut JoinSet<()>) {
+        let until = Instant::now() + Duration::from_millis(traffic_ms);
+        tasks.spawn(self.callers.clone().run_prolonged(seed, until));
+    }
+
     /// Starts a caller that submits jobs whose tasks crash their endpoints, for `traffic_ms`.
     pub fn start_crashing_caller(&self, seed: u64, traffic_ms: u64, tasks: &mut JoinSet<()>) {
         let until = Instant::now() + Duration::from_millis(traffic_ms);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -29,7 +29,7 @@
     checker::{Checker, RefusalCounts},
     faults::{
         Fault, LinkId, PlannedFault, plan_capacity_changes, plan_faults, plan_owner_kills,
-        plan_restarts,
+        plan_partitions, plan_restarts,
     },
     key_propagation::count_nodes_with_latest_keys,
     proxy::{LinkFault, Proxy},
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
         cluster::{Cluster, ENDPOINT_CPU_MILLIS, QUEUES_CPU_MILLIS, SHUTDOWN_MS, TOTAL_CPU_MILLIS},
         faults::{
             PlannedFault, plan_capacity_changes, plan_faults, plan_late_appends, plan_overloads,
-            plan_owner_kills, plan_restarts,
+            plan_owner_kills, plan_partitions, plan_restarts,
         },
         flood::FloodPlan,
         harness::{Harness, STARTUP_MS},
@@ -39,6 +39,12 @@
 /// with a backlog.
 const FAULTS_AFTER_FLOODS_MS: u64 = 4_000;
 
+/// Time after the last partition until the other faults begin, in milliseconds.
+const AFTER_PARTITIONS_MS: u64 = 3_000;
+
+/// Name of the file with observations and faults in the directory of a run.
+const TRACE_FILE: &str = "trace.log";
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 #[expect(clippy::struct_excessive_bools, reason = "the options are independent")]
@@ -66,6 +72,9 @@
     pub has_long_polls: bool,
     /// Whether endpoints start again under the ids that they had, and more often.
     pub has_kept_ids: bool,
+    /// Whether owners are cut off from the store and the other nodes, together with some endpoints,
+    /// for longer than leases last. The other faults and traffic follow.
+    pub has_partitions: bool,
     /// Directory for settings and logs of the nodes, kept when an invariant is violated.
     pub directory: PathBuf,
 }
@@ -87,6 +96,7 @@
             has_overload: false,
             has_long_polls: false,
             has_kept_ids: false,
+            has_partitions: false,
             directory: std::env::temp_dir().join(name),
         }
     }
@@ -154,6 +164,15 @@
         }
     }
 
+    /// Sets whether owners are cut off together with some endpoints.
+    #[must_use]
+    pub fn with_partitions(self, has_partitions: bool) -> Self {
+        Self {
+            has_partitions,
+            ..self
+        }
+    }
+
     /// Returns the floods of a run under overload.
     fn flood_plan(&self) -> Option<FloodPlan> {
         let flood = || FloodPlan::new(self.seed, self.traffic_ms, TOTAL_CPU_MILLIS);
@@ -194,6 +213,16 @@
         start_faults(&harness.cluster, kills, &mut tasks);
         sleep(Duration::from_millis(plan.traffic_ms)).await;
     }
+    if plan.has_partitions {
+        let partitions = plan_partitions(plan.seed, harness.cluster.endpoints.len());
+        let last = partitions.last();
+        let length_ms = last.map_or(0, |last| last.start_ms + last.duration_ms);
+        let length_ms = length_ms + AFTER_PARTITIONS_MS;
+        fault_count += partitions.len();
+        harness.start_prolonged_caller(plan.seed, length_ms, &mut tasks);
+        start_faults(&harness.cluster, partitions, &mut tasks);
+        sleep(Duration::from_millis(length_ms)).await;
+    }
     harness.start_callers(plan.seed, traffic_ms, &mut tasks);
     if plan.has_unstable_endpoints {
         harness.start_crashing_caller(plan.seed, traffic_ms, &mut tasks);
@@ -254,6 +283,8 @@
     drop(cluster);
     if report.violations.is_empty() {
         fs::remove_dir_all(&plan.directory)?;
+    } else {
+        fs::write(plan.directory.join(TRACE_FILE), checker.trace_text())?;
     }
     Ok(report)
 }
