Soak: an owner that is cut off from the store together with some endpoints

Reproduces hypothesis 4 of docs/incidents/two-owners-of-one-run.md. Some endpoints are reached by it alone meanwhile, the others by all owners but it. Partitions have a random stream of their own and come before the other faults, which would restart the cut-off owner in most cases.

After a violation the directory of a run has a trace of what was observed and injected, with the times of the nodes' logs.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -48,8 +48,8 @@
     /// Makes endpoints start again under the ids that they had, and more often.
     #[arg(long)]
     kept_ids: bool,
-    /// Cuts owners off from the store and the other nodes, together with some endpoints, for longer
-    /// than leases last. The other faults follow.
+    /// Cuts owners off from the store, together with some endpoints, for longer than leases last. The
+    /// other faults follow.
     #[arg(long)]
     partitions: bool,
     /// Duration of the traffic and the faults, in milliseconds.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -307,32 +307,36 @@
         self.checker.end_fault(fault);
     }
 
-    /// Returns the number and the epoch of the node that wrote the last ownership record.
-    fn owner(&self) -> Option<(usize, u64)> {
-        let record = self.store.last_record(OWNERSHIP_TOPIC);
-        let owner = record.and_then(|record| OwnershipRecord::decode(&record))?;
-        let mut ips = self.node_ips.iter();
-        let node = ips.position(|ip| *ip == owner.address.ip())?;
-        Some((node, owner.epoch))
-    }
-
+    /// Kills the node that wrote the last ownership record.
     fn kill_owner(&self) {
-        match self.owner() {
-            Some((node, _)) => self.nodes[node].signal(Signal::SIGKILL),
+        let record = self.store.last_record(OWNERSHIP_TOPIC);
+        let owner = record.and_then(|record| OwnershipRecord::decode(&record));
+        match owner.and_then(|owner| self.node_of(&owner)) {
+            Some(node) => self.nodes[node].signal(Signal::SIGKILL),
             None => self.checker.record_violation("no node owns the fleet"),
         }
     }
 
+    /// Returns the number of the node that wrote an ownership record.
+    fn node_of(&self, record: &OwnershipRecord) -> Option<usize> {
+        let mut ips = self.node_ips.iter();
+        ips.position(|ip| *ip == record.address.ip())
+    }
+
     /// Cuts off the owner with the endpoints of a bit mask.
     fn cut_off_owner(&self, endpoints: u32) {
-        let Some((node, epoch)) = self.owner() else {
+        // Claims have no epoch yet.
+        let find = |record: &[u8]| OwnershipRecord::decode(record).filter(|it| it.epoch > 0);
+        let owner = self.store.find_last(OWNERSHIP_TOPIC, find);
+        let node = owner.as_ref().and_then(|owner| self.node_of(owner));
+        let Some((node, OwnershipRecord { epoch, .. })) = node.zip(owner) else {
             return self.checker.record_violation("no node owns the fleet");
         };
         self.checker
             .trace(&format!("node{node} with epoch {epoch} is cut off"));
         self.store_links[node].set_fault(LinkFault::DropBoth);
         for (number, endpoint) in self.endpoints.iter().enumerate() {
-            endpoint.set_reach(if endpoints >> number & 1 == 1 {
+            endpoint.set_reach(if (endpoints >> number) & 1 == 1 {
                 Reach::Only(epoch)
             } else {
                 Reach::AllBut(epoch)
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -47,9 +47,6 @@
 const RESTART_PAUSES_MS: std::ops::Range<u64> = 100..700;
 const RESTART_DURATIONS_MS: std::ops::Range<u64> = 10..1_200;
 
-/// Number of partitions in a run.
-const PARTITIONS: usize = 2;
-
 /// Duration of a partition, in milliseconds: around the time after which the next owner may count
 /// the leases of its predecessor as over.
 const PARTITION_DURATIONS_MS: std::ops::Range<u64> = 8_000..14_000;
@@ -90,8 +87,8 @@
     KillAll,
     /// Kills the node that owns the fleet, and restarts it at the end.
     KillOwner,
-    /// Cuts the owner off from the store and the other nodes, together with the endpoints of a bit
-    /// mask, which no other owner reaches meanwhile. It reaches no others.
+    /// Cuts the owner off from the store, together with the endpoints of a bit mask, which no other
+    /// owner reaches meanwhile. It reaches no other endpoints.
     CutOffOwner(u32),
     /// Pauses a node.
     PauseNode(usize),
@@ -243,22 +240,22 @@
     planned
 }
 
-/// Returns the partitions of a run, in the order of their starts; each ends before the next one.
+/// Returns the partitions of a run, one after the other: a first one, and others that start within
+/// `traffic_ms`.
 #[must_use]
-pub fn plan_partitions(seed: u64, endpoints: usize) -> Vec<PlannedFault> {
+pub fn plan_partitions(seed: u64, traffic_ms: u64, endpoints: usize) -> Vec<PlannedFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     random.set_stream(PARTITIONS_STREAM);
     let mut planned = Vec::new();
-    let mut start_ms = 0;
-    for _ in 0..PARTITIONS {
-        start_ms += random.random_range(PARTITION_PAUSES_MS);
+    let mut start_ms = random.random_range(PARTITION_PAUSES_MS);
+    while planned.is_empty() || start_ms < traffic_ms {
         let duration_ms = random.random_range(PARTITION_DURATIONS_MS);
         planned.push(PlannedFault {
             start_ms,
             duration_ms,
             fault: Fault::CutOffOwner(random.random_range(1..(1 << endpoints) - 1)),
         });
-        start_ms += duration_ms;
+        start_ms += duration_ms + random.random_range(PARTITION_PAUSES_MS);
     }
     planned
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -72,8 +72,8 @@
     pub has_long_polls: bool,
     /// Whether endpoints start again under the ids that they had, and more often.
     pub has_kept_ids: bool,
-    /// Whether owners are cut off from the store and the other nodes, together with some endpoints,
-    /// for longer than leases last. The other faults and traffic follow.
+    /// Whether owners are cut off from the store, together with some endpoints, for longer than
+    /// leases last. The other faults and traffic follow.
     pub has_partitions: bool,
     /// Directory for settings and logs of the nodes, kept when an invariant is violated.
     pub directory: PathBuf,
@@ -214,10 +214,9 @@
         sleep(Duration::from_millis(plan.traffic_ms)).await;
     }
     if plan.has_partitions {
-        let partitions = plan_partitions(plan.seed, harness.cluster.endpoints.len());
-        let last = partitions.last();
-        let length_ms = last.map_or(0, |last| last.start_ms + last.duration_ms);
-        let length_ms = length_ms + AFTER_PARTITIONS_MS;
+        let partitions = plan_partitions(plan.seed, traffic_ms, harness.cluster.endpoints.len());
+        let ends_ms = partitions.iter().map(|it| it.start_ms + it.duration_ms);
+        let length_ms = ends_ms.max().unwrap_or_default() + AFTER_PARTITIONS_MS;
         fault_count += partitions.len();
         harness.start_prolonged_caller(plan.seed, length_ms, &mut tasks);
         start_faults(&harness.cluster, partitions, &mut tasks);
