Soak case of endpoints that are cut off with their owner, known red

It fails until a successor knows when the former owner's leases end.

All second runs follow run_over, LeaseOver, which the successor wrote of the first run, on an endpoint that only the former owner reached.

--- a/crates/lynxwheel/tests/soak.rs
+++ b/crates/lynxwheel/tests/soak.rs
@@ -58,6 +58,10 @@
     /// taken for those of an earlier one with its id.
     kept_ids_violate_no_guarantee: 23, 4_000, |plan| plan.with_kept_ids(true);
 
+    /// Guards against runs that are taken for over while a former owner, cut off with their endpoints,
+    /// extends their leases.
+    endpoints_cut_off_with_their_owner: 11, 0, |plan| plan.with_partitions(true);
+
     /// Guards against crashes between two owners that are not charged to the tasks that cause them, as the
     /// endpoint is back under its id.
     crashes_under_kept_ids_are_charged: 1_108, 10_000,
