--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -445,11 +445,11 @@
     /// Returns the observations and faults, a line each, which begins with the time in Unix
     /// milliseconds.
     #[must_use]
-    pub fn trace_text(&self) -> String {
+    pub fn trace_lines(&self) -> Vec<String> {
         let state = lock(&self.state);
         let lines = state.trace.iter();
         lines
-            .map(|(at_ms, text)| format!("{at_ms} {text}\n"))
+            .map(|(at_ms, text)| format!("{at_ms} {text}"))
             .collect()
     }
 
@@ -862,7 +862,6 @@
                 }
                 Vec::new()
             }
-            Observation::Renewed { .. } => Vec::new(),
             Observation::EndsExpired { incarnation } => {
                 forget_unacknowledged(&mut state, &incarnation);
                 Vec::new()
@@ -891,7 +890,7 @@
                     "{vm}: maintenance of wave {wave} while {others_down} other VMs are down"
                 ))]
             }
-            Observation::MaintenanceStarted { .. } => Vec::new(),
+            Observation::Renewed { .. } | Observation::MaintenanceStarted { .. } => Vec::new(),
         };
         for violation in violations {
             let text = self.timestamped(&violation.text);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -283,7 +283,8 @@
     if report.violations.is_empty() {
         fs::remove_dir_all(&plan.directory)?;
     } else {
-        fs::write(plan.directory.join(TRACE_FILE), checker.trace_text())?;
+        let trace = checker.trace_lines().join("\n");
+        fs::write(plan.directory.join(TRACE_FILE), trace)?;
     }
     Ok(report)
 }
