Count the time in which endpoints end their runs into unknown leases

Found by two reviews: the count for an endpoint that has never responded to the successor left 94 ms at a clock that is 2 % slow, without the 150 ms in which an endpoint ends its runs after the lease that are counted where its clock is known. By calculation only; no test or history shows a second run without it.

--- a/crates/engine/src/endpoints.rs
+++ b/crates/engine/src/endpoints.rs
@@ -21,7 +21,7 @@
 
 /// Time after the end of a lease until it counts as expired, in milliseconds. Endpoints stop their
 /// runs shortly after the deadline.
-const LEASE_MARGIN_MS: u64 = 150;
+pub(crate) const LEASE_MARGIN_MS: u64 = 150;
 
 /// Consecutive failed calls after which an endpoint gets no new leases or runs.
 pub const SUSPECT_AFTER_FAILED_CALLS: u32 = 2;
--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     crashes::{ChargedTask, Suspicion},
-    endpoints::{PlacedRun, SUSPECT_AFTER_FAILED_CALLS},
+    endpoints::{LEASE_MARGIN_MS, PlacedRun, SUSPECT_AFTER_FAILED_CALLS},
     engine::Engine,
     event::{CallOutcome, Effect, EndpointKey, Now},
     job::TaskRef,
@@ -471,7 +471,7 @@
         unanswered.sort_unstable();
         self.unanswered_runs = unanswered;
         let granted_ms = (MAX_PROOF_AGE_MS + self.settings.lease_ms) * SLOW_CLOCK_PERCENT / 100;
-        let bound_ms = now.steady_ms + granted_ms;
+        let bound_ms = now.steady_ms + granted_ms + LEASE_MARGIN_MS;
         for key in self.endpoints.keys().to_vec() {
             self.endpoints.get_mut(key).bound_unknown_leases(bound_ms);
         }
