--- a/crates/engine/tests/run_histories.rs
+++ b/crates/engine/tests/run_histories.rs
@@ -4,7 +4,8 @@
 //! other. Endpoints crash, in some histories start again under the id that they had, also with calls
 //! on their way to them, drain, are cut off, and their registry entries expire while they live.
 //! Owners are replaced while their calls are under way, in some histories across a partition in which
-//! they go on, and callers cancel jobs before they submit them. In all cases endpoints stay within their capacity, no task runs twice, cancelled jobs end
+//! they go on, and callers cancel jobs before they submit them. In all cases endpoints stay within
+//! their capacity, no task runs twice, cancelled jobs end
 //! in time, and at the end each endpoint runs exactly what is wanted of it.
 
 mod common;
