--- a/crates/engine/src/leases.rs
+++ b/crates/engine/src/leases.rs
@@ -45,7 +45,7 @@
 /// Maximum age of the proof of the ownership at which an owner extends leases, in milliseconds, counted
 /// from the sending of the last renewal or commit that was stored.
 ///
-/// A successor counts on it, since an owner may be cut off together with endpoints that nobody else
+/// A successor counts on it, since an owner may be cut off together with endpoints that no other node
 /// reaches. Leases outlast a store that is unavailable for this time and most of a lease.
 pub const MAX_PROOF_AGE_MS: u64 = 1_200;
 
--- a/crates/engine/tests/former_owners.rs
+++ b/crates/engine/tests/former_owners.rs
@@ -41,7 +41,8 @@
     since_ms: u64,
 }
 
-fn step_ms(fleet: &mut Fleet, is_proven: bool) {
+/// Lets an owner act for 100 ms.
+fn advance_owner(fleet: &mut Fleet, is_proven: bool) {
     fleet.engine.allow_lease_extensions(is_proven);
     fleet.advance(100);
 }
@@ -91,13 +92,13 @@
 
     /// Lets the former owner act for 100 ms; its last stored renewal was sent just before the partition.
     fn advance_former(&mut self) {
-        step_ms(&mut self.former, self.since_ms <= MAX_PROOF_AGE_MS);
+        advance_owner(&mut self.former, self.since_ms <= MAX_PROOF_AGE_MS);
         self.since_ms += 100;
     }
 
     fn advance(&mut self) {
         self.advance_former();
-        step_ms(&mut self.successor, true);
+        advance_owner(&mut self.successor, true);
     }
 
     fn is_running_twice(&self) -> bool {
@@ -171,11 +172,11 @@
     fleet.advance(1_000);
     fleet.is_store_down = true;
     for since_ms in (0..6_000).step_by(100) {
-        step_ms(&mut fleet, since_ms <= MAX_PROOF_AGE_MS);
+        advance_owner(&mut fleet, since_ms <= MAX_PROOF_AGE_MS);
     }
     fleet.is_store_down = false;
     for _ in 0..100 {
-        step_ms(&mut fleet, true);
+        advance_owner(&mut fleet, true);
     }
     assert_eq!(fleet.endpoints[0].running.len(), 1);
     assert_eq!(fleet.endpoints[0].started.len(), 1);
--- a/crates/engine/tests/run_histories/partitions.rs
+++ b/crates/engine/tests/run_histories/partitions.rs
@@ -1,6 +1,6 @@
 //! Owners that are cut off from the store: in a partition, the owner goes on with some endpoints
-//! beside a successor with the others, for much longer than a lease; in an outage, nobody reaches the
-//! store.
+//! beside a successor with the others, for much longer than a lease; in an outage, no node reaches
+//! the store.
 
 use {
     super::{
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Cuts everybody off from the store, half of the time without other faults.
+    /// Cuts all nodes off from the store, half of the time without other faults.
     fn begin_outage(&mut self) {
         let from_ms = self.now_ms();
         let until_ms = from_ms + OUTAGES_MS[self.random.random_range(0..OUTAGES_MS.len())];
