--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -82,6 +82,8 @@
     pub state: &'static str,
     /// Fence number of callers whose calls do not arrive.
     pub unreached_by: u64,
+    /// Whether it belongs to another installation that shares the store.
+    pub is_foreign: bool,
 }
 
 #[derive(Default)]
@@ -94,6 +96,8 @@
     pub failed: BTreeMap<String, u64>,
     /// When a member of a gang ended early.
     broken: BTreeMap<(String, u64), Instant>,
+    /// Calls that executors of another installation got.
+    pub foreign_calls: Vec<String>,
 }
 
 #[derive(Clone)]
@@ -186,6 +190,7 @@
             expiring: Vec::new(),
             state: "down",
             unreached_by: 0,
+            is_foreign: false,
         });
         let index = world.machines.len() - 1;
         drop(world);
@@ -251,6 +256,19 @@
         })
     }
 
+    pub fn is_job_running(&self, job: &str) -> bool {
+        let world = self.lock();
+        let up = world.machines.iter().filter(|machine| machine.is_up());
+        up.flat_map(|machine| &machine.runs).any(|run| run.task.starts_with(job))
+    }
+
+    /// Returns how many tasks of a job have ended `done`.
+    pub fn done_tasks(&self, job: &str) -> usize {
+        let world = self.lock();
+        let done = world.done.iter().filter(|(task, ..)| task.starts_with(job));
+        done.map(|(task, ..)| task).collect::<std::collections::BTreeSet<_>>().len()
+    }
+
     fn tick(&self, passed_ms: u64) {
         let mut world = self.lock();
         let world = &mut *world;
@@ -345,9 +363,32 @@
         self.store.put("keyed.servers", &machine.id, &object(entry).to_text());
     }
 
+    /// Adds an executor of another installation, which has started a task of its own there.
+    pub fn add_foreign(&self, name: &str, service: &str, fence: u64) {
+        self.add(name, service, &["a", "r1-9"], true);
+        let mut world = self.lock();
+        let machine = world.machines.last_mut().expect("the machine added above");
+        machine.is_foreign = true;
+        machine.fence = fence;
+        machine.lease_end = u64::MAX / 2;
+        machine.runs.push(Run {
+            task: "0123456789abcdef.0.0.0".into(),
+            run: 1,
+            spec: "lasts".into(),
+            work_ms: None,
+            gang: 0,
+            saves: false,
+            done_ms: 0,
+            resumed_ms: 0,
+            saved: String::new(),
+            since: Instant::now(),
+        });
+    }
+
     pub fn machine_list(&self) -> Json {
         let world = self.lock();
-        let machines = world.machines.iter().map(|machine| {
+        let own = world.machines.iter().filter(|machine| !machine.is_foreign);
+        let machines = own.map(|machine| {
             let labels = machine.labels.iter().map(|label| text(label.as_str())).collect();
             let id = machine.is_up().then(|| text(machine.id.as_str()));
             object(vec![
@@ -379,6 +420,12 @@
         if request.header("Lynxwheel-Expect-Instance").is_some_and(|id| id != machine.id) {
             return empty_response(421);
         }
+        if machine.is_foreign {
+            let call = format!("{} {}", request.path, String::from_utf8_lossy(&request.body));
+            self.record.line(&format!("executor {} gets {call}", machine.id));
+            world.foreign_calls.push(call);
+        }
+        let machine = &mut world.machines[index];
         if fence < machine.fence {
             return refused(machine, "fence");
         }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 
 mod cloud;
 mod fleet;
+mod foreign;
 mod gang;
 mod given_up;
 mod http;
@@ -40,6 +41,7 @@
     };
     let verdict = match name.as_str() {
         "gang" => gang::run(&case),
+        "foreign" => foreign::run(&case),
         "given-up" => given_up::run(&case),
         "stale-order" => stale_order::run(&case),
         _ => Verdict::NotRun(format!("no case {name}")),
