--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -11,9 +11,9 @@
     },
     lynxwheel_controller::{OWNERSHIP_TOPIC, OwnershipRecord},
     lynxwheel_platform_standin::{
-        AccountSpec, EndpointFault, EndpointSpec, EndpointStandIn, NodeSettings, Observer,
-        QueueSpec, Reach, StoreFault, StoreStandIn, VmServiceStandIn, put_config, put_wave,
-        trim_operator_topics,
+        AccountSpec, EndpointFault, EndpointSpec, EndpointStandIn, NodeLimits, NodeSettings,
+        Observer, QueueSpec, Reach, StoreFault, StoreStandIn, VmServiceStandIn, put_config,
+        put_wave, trim_operator_topics,
     },
     nix::sys::signal::Signal,
     std::{
@@ -196,6 +196,7 @@
             cpu_share: cpu_share(plan, number),
             config_apply_ms,
             contact_ms,
+            limits: NodeLimits::default(),
         };
         let node = NodeProcess::new(&plan.program, &plan.directory, &settings)?;
         node.start()?;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -32,6 +32,7 @@
         plan_partitions, plan_restarts,
     },
     key_propagation::count_nodes_with_latest_keys,
+    nodes::NodeProcess,
     proxy::{LinkFault, Proxy},
     run::{SoakPlan, SoakReport, run_soak},
     seeds::run_seeds,
--- a/crates/soak/src/nodes.rs
+++ b/crates/soak/src/nodes.rs
@@ -89,7 +89,14 @@
         }
     }
 
+    /// Returns the id of the process, or `None` if it was never started.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        lock(&self.process).as_ref().map(Child::id)
+    }
+
     /// Returns the exit status of the process, or `None` while it is running.
+    #[must_use]
     pub fn exit_status(&self) -> Option<ExitStatus> {
         let mut process = lock(&self.process);
         process.as_mut()?.try_wait().ok().flatten()
