Collect bodies in one buffer

What callers saw: a process that ran out of memory under chunked bodies in very small chunks, of which the bytes themselves were few.

Cause: bodies were collected as a list of the HTTP library's frames. Each chunk became an entry of 32 bytes in a list that doubles as it grows, and kept the read buffer alive that held it, with the framing of six bytes around a chunk of one. A body of 60,000 chunks of one byte took some 2.4 MB.

Change: server and client copy the data of each frame into one buffer and drop the frame. All readers of bodies go through the same function, also those of the responses of endpoints, peers and the store.

--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -67,6 +67,31 @@
     match error {}
 }
 
+/// Reads a body of at most `limit_bytes` into one buffer.
+///
+/// Copies the data, because the frames of the HTTP library refer to its read buffer, with the
+/// framing around them, and take more memory than the data of small chunks.
+///
+/// # Errors
+///
+/// Fails when the body is incomplete or exceeds the limit.
+pub(crate) async fn read_body<B>(mut body: B, limit_bytes: usize) -> Result<Bytes, BodyError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+    BodyError: From<B::Error>,
+{
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            if read.len() + data.len() > limit_bytes {
+                return Err(BodyError::TooLarge);
+            }
+            read.extend_from_slice(&data);
+        }
+    }
+    Ok(read.freeze())
+}
+
 /// Result of reading a body into memory up to a limit.
 #[derive(Debug)]
 pub enum BufferedBody {
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        body::{Body, BodyError, full_body},
+        body::{Body, BodyError, full_body, read_body},
         counted::CountedStream,
         error::{Step, TransportError},
         send_guard::{SendCondition, SendGuard, checked_body},
@@ -341,14 +341,14 @@
             .send_guarded(built, preferred, prepare, deadline, &guard)
             .await?;
         let (parts, body) = response.into_parts();
-        let collected = timeout_at(deadline, Limited::new(body, MAX_MESSAGE_BYTES).collect())
+        let body = timeout_at(deadline, read_body(body, MAX_MESSAGE_BYTES))
             .await
             .map_err(|_| TransportError::sent(Step::ReadBody, peer, "timeout"))?
             .map_err(|error| TransportError::sent(Step::ReadBody, peer, error.to_string()))?;
         Ok(ClientResponse {
             status: parts.status,
             headers: parts.headers,
-            body: collected.to_bytes(),
+            body,
         })
     }
 
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -2,13 +2,12 @@
 
 use {
     crate::{
-        body::{Body, full_body},
+        body::{Body, BodyError, full_body, read_body},
         counted::CountedStream,
         stall::StallGuard,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode, header},
-    http_body_util::{BodyExt, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     lynxwheel_protocol::encode_message,
@@ -258,17 +257,13 @@
 ///
 /// Returns the response to send when the body is too large or incomplete.
 pub async fn collect_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Response<Body>> {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(error_response(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too large",
-        )),
-        Err(_) => Err(error_response(
-            StatusCode::BAD_REQUEST,
-            "the body broke off",
-        )),
-    }
+    read_body(body, limit_bytes).await.map_err(|error| {
+        let status = match error {
+            BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::Broken { .. } | BodyError::Stalled => StatusCode::BAD_REQUEST,
+        };
+        error_response(status, &error.to_string())
+    })
 }
 
 /// Returns a response with a JSON body.
