Scan request heads line by line

What callers could do: hide a second framing header from the node by two empty lines before the request line. The HTTP library skips them; the scan took them for the end of the head, and a request with both a Content-Length and chunks was served (200) where it must be refused.

Cause: the scan kept the whole head, as much as 64 KiB for each connection beside the library's own buffer, and searched it for the first empty line.

Change: it keeps the beginning of the current line, of 18 bytes, and ends at the first empty line after another one, also if lines end without a carriage return.

Result: ambiguous_after_empty_lines (400) failed before with 200.

--- a/crates/gateway/tests/malformed.rs
+++ b/crates/gateway/tests/malformed.rs
@@ -51,6 +51,9 @@
         smuggled_request() => 400;
     chunked_and_content_length: format!("{HEAD}Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n"),
         smuggled_request() => 400;
+    /// Empty lines before a request are skipped, so they must not hide its framing.
+    ambiguous_after_empty_lines: format!("\r\n\r\n{HEAD}content-length: 99\r\ntransfer-encoding: chunked\r\n\r\n"),
+        smuggled_request() => 400;
     two_content_lengths: format!("{HEAD}content-length: 5\r\ncontent-length: 99\r\n\r\n"), "hello" => 400;
     two_content_lengths_in_one_header: format!("{HEAD}content-length: 5, 99\r\n\r\n"), "hello" => 400;
     content_length_with_sign: format!("{HEAD}content-length: +5\r\n\r\n"), "hello" => 400;
--- a/crates/transport/src/head_scan.rs
+++ b/crates/transport/src/head_scan.rs
@@ -1,7 +1,8 @@
 //! Detection of ambiguous framing in the first request head of a connection.
 
-/// Empty line that ends a request head.
-const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Header names that must not both be present.
+const LENGTH: &[u8] = b"content-length:";
+const ENCODING: &[u8] = b"transfer-encoding:";
 
 /// Bytes scanned; above the server's own limit for a request head.
 const MAX_BYTES: usize = 64 * 1024;
@@ -14,9 +15,14 @@
 /// library closes the connection after the response.
 #[derive(Debug, Default)]
 pub(crate) struct HeadScan {
-    head: Vec<u8>,
+    /// Beginning of the current line, as long as the longer name.
+    line_start: Vec<u8>,
+    scanned_bytes: usize,
+    /// Lines that are not empty.
+    lines: usize,
+    has_length: bool,
+    has_encoding: bool,
     is_done: bool,
-    is_ambiguous: bool,
 }
 
 impl HeadScan {
@@ -27,32 +33,37 @@
 
     /// Returns whether the head has two framings.
     pub(crate) fn is_ambiguous(&self) -> bool {
-        self.is_ambiguous
+        self.is_done && self.has_length && self.has_encoding
     }
 
     /// Scans the next bytes of the connection.
     pub(crate) fn feed(&mut self, bytes: &[u8]) {
-        let from = self.head.len().saturating_sub(HEAD_END.len());
-        self.head.extend_from_slice(bytes);
-        let end = self.head[from..]
-            .windows(HEAD_END.len())
-            .position(|window| window == HEAD_END);
-        self.is_done = end.is_some() || self.head.len() > MAX_BYTES;
-        if let Some(end) = end {
-            let head = &self.head[..from + end];
-            self.is_ambiguous =
-                has_header(head, b"content-length") && has_header(head, b"transfer-encoding");
-        }
-        if self.is_done {
-            self.head = Vec::new();
+        for &byte in bytes {
+            if self.is_done {
+                return;
+            }
+            self.scanned_bytes += 1;
+            if byte == b'\n' {
+                self.end_line();
+            } else if self.line_start.len() < ENCODING.len() {
+                self.line_start.push(byte);
+            }
+            self.is_done |= self.scanned_bytes > MAX_BYTES;
         }
     }
+
+    fn end_line(&mut self) {
+        let line = &self.line_start;
+        let is_empty = matches!(line.as_slice(), [] | [b'\r']);
+        self.has_length |= starts_with_name(line, LENGTH);
+        self.has_encoding |= starts_with_name(line, ENCODING);
+        // Empty lines before the request line are not the end of the head.
+        self.is_done |= is_empty && self.lines > 0;
+        self.lines += usize::from(!is_empty);
+        self.line_start.clear();
+    }
 }
 
-fn has_header(head: &[u8], name: &[u8]) -> bool {
-    head.split(|byte| *byte == b'\n').any(|line| {
-        line.len() > name.len()
-            && line[..name.len()].eq_ignore_ascii_case(name)
-            && line[name.len()] == b':'
-    })
+fn starts_with_name(line: &[u8], name: &[u8]) -> bool {
+    line.len() >= name.len() && line[..name.len()].eq_ignore_ascii_case(name)
 }
