--- a/crates/engine/src/job.rs
+++ b/crates/engine/src/job.rs
@@ -214,6 +214,24 @@
 }
 
 impl StepSpec {
+    /// Returns why the number of tasks is invalid, or `None` if it is valid; `job_tasks` is the
+    /// number of tasks of the job up to this step.
+    #[must_use]
+    pub fn count_error(&self, job_tasks: usize) -> Option<&'static str> {
+        if self.count == 0 {
+            return Some("count: a step needs one task or more");
+        }
+        (job_tasks > MAX_OPEN_TASKS)
+            .then_some("count: the steps of a job have at most 100000 tasks")
+    }
+
+    /// Returns the memory of the step, in bytes.
+    fn memory_bytes(&self) -> usize {
+        let texts = [&self.required_label, &self.data_rack, &self.image];
+        let text_bytes: usize = texts.iter().map(|text| text.len()).sum();
+        size_of::<Self>() + size_of_val(self.depends_on.as_slice()) + text_bytes
+    }
+
     /// Returns the resources that a task reserves on its endpoint.
     #[must_use]
     pub fn reserved_resources(&self) -> Resources {
@@ -265,6 +283,13 @@
         self.first_due_ms + u64::from(occurrence) * self.interval_ms
     }
 
+    /// Returns the memory of the job, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(StepSpec::memory_bytes);
+        size_of::<Self>() + self.payload.len() + steps.sum::<usize>()
+    }
+
     /// Returns the number of tasks of one occurrence.
     #[must_use]
     pub fn task_count(&self) -> usize {
@@ -296,12 +321,10 @@
         if u16::try_from(self.steps.len()).is_err() {
             return Some("steps: a job has at most 65535");
         }
-        if self.task_count() > MAX_OPEN_TASKS {
-            return Some("count: the steps of a job have at most 100000 tasks");
-        }
+        let task_count = self.task_count();
         for (index, step) in self.steps.iter().enumerate() {
-            if step.count == 0 {
-                return Some("count: a step needs one task or more");
+            if let Some(error) = step.count_error(task_count) {
+                return Some(error);
             }
             if step
                 .depends_on
