--- a/crates/api/src/handler.rs
+++ b/crates/api/src/handler.rs
@@ -12,7 +12,6 @@
         write,
     },
     http::{Request, Response, StatusCode},
-    hyper::body::Incoming,
     log::info,
     lynxwheel_coordination::Node,
     lynxwheel_decisions::explain,
@@ -21,7 +20,7 @@
         ProblemReason, ResourceRef,
     },
     lynxwheel_state::FleetState,
-    lynxwheel_transport::{Body, Shutdown, json_response},
+    lynxwheel_transport::{Body, RequestBody, Shutdown, json_response},
     std::sync::Arc,
     tokio::sync::Semaphore,
 };
@@ -64,7 +63,7 @@
     }
 
     /// Handles a request.
-    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle(self, request: Request<RequestBody>) -> Response<Body> {
         let response = match self.authorize(&request) {
             Ok((action, target)) => self.dispatch(action, target, request).await,
             Err(problem) => Err(problem),
@@ -73,7 +72,7 @@
         add_node_headers(response, self.node.is_current(), self.node.state().offset())
     }
 
-    fn authorize(&self, request: &Request<Incoming>) -> Result<(Action, Target), Problem> {
+    fn authorize(&self, request: &Request<RequestBody>) -> Result<(Action, Target), Problem> {
         let (method, path) = (request.method(), request.uri().path());
         let (action, target) = match match_route(method, path) {
             RouteMatch::Found(action, target) => (action, target),
@@ -100,7 +99,7 @@
         &self,
         action: Action,
         target: Target,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
     ) -> Result<Response<Body>, Problem> {
         let query = request.uri().query();
         match (action, target) {
--- a/crates/api/src/responses.rs
+++ b/crates/api/src/responses.rs
@@ -55,9 +55,10 @@
         ProblemReason::RevisionConflict => StatusCode::PRECONDITION_FAILED,
         ProblemReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         ProblemReason::Invalid => StatusCode::UNPROCESSABLE_ENTITY,
-        ProblemReason::Behind | ProblemReason::LogUnavailable | ProblemReason::TooManyWatches => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        ProblemReason::Behind
+        | ProblemReason::LogUnavailable
+        | ProblemReason::NoMemory
+        | ProblemReason::TooManyWatches => StatusCode::SERVICE_UNAVAILABLE,
         ProblemReason::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
     }
 }
--- a/crates/api/src/write.rs
+++ b/crates/api/src/write.rs
@@ -6,14 +6,13 @@
         responses::{delete_problem, invalid_fields, put_problem},
     },
     http::{HeaderMap, Request, Response, StatusCode, header},
-    hyper::body::Incoming,
     lynxwheel_coordination::{Node, ProposalOutcome, ProposeError},
     lynxwheel_protocol::{
         OperationId, Problem, ProblemReason, RecordBody, Resource, ResourceRef, WriteResponse,
         parse_resource,
     },
     lynxwheel_state::{FleetState, Verdict},
-    lynxwheel_transport::{Body, collect_body, json_response},
+    lynxwheel_transport::{Body, RequestBody, collect_body, json_response},
     std::time::Duration,
     tokio::time::timeout,
 };
@@ -24,11 +23,14 @@
 /// Timeout for reading the body of a declaration.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Retry delay when no memory is left, in milliseconds.
+const NO_MEMORY_RETRY_MS: u32 = 1_000;
+
 /// Declares a resource.
 pub(crate) async fn put(
     node: &Node,
     reference: &ResourceRef,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<Body>, Problem> {
     let query = WriteQuery::parse(request.uri().query())?;
     let if_revision = expected_revision(request.headers())?;
@@ -55,7 +57,7 @@
 pub(crate) async fn delete(
     node: &Node,
     reference: &ResourceRef,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<Body>, Problem> {
     let query = WriteQuery::parse(request.uri().query())?;
     let if_revision = expected_revision(request.headers())?;
@@ -102,7 +104,7 @@
 
 async fn read_resource(
     reference: &ResourceRef,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Resource, Problem> {
     let body = collect_body(request.into_body(), MAX_BODY_BYTES);
     let bytes = timeout(BODY_TIMEOUT, body)
@@ -124,6 +126,18 @@
         let detail = format!("a declaration has at most {MAX_BODY_BYTES} bytes");
         return Problem::new(ProblemReason::TooLarge, detail);
     }
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let detail = "the node has no memory left for the body";
+        let mut problem = Problem::new(ProblemReason::NoMemory, detail);
+        problem.retry_after_ms = Some(NO_MEMORY_RETRY_MS);
+        return problem;
+    }
+    if status == StatusCode::REQUEST_TIMEOUT {
+        return Problem::new(
+            ProblemReason::BodyTimeout,
+            "the body did not arrive in time",
+        );
+    }
     Problem::new(ProblemReason::BadRequest, "the body broke off")
 }
 
--- a/crates/controller/src/ingress.rs
+++ b/crates/controller/src/ingress.rs
@@ -9,13 +9,14 @@
         peer_server::handle_locally,
     },
     http::{HeaderValue, Method, Request, Response, StatusCode, header},
-    hyper::body::Incoming,
     log::info,
     lynxwheel_engine::JobId,
     lynxwheel_platform::{
         caller_key, caller_timeout_ms, decode_job, encode_job_state, encode_pending_count,
     },
-    lynxwheel_transport::{Body, Server, collect_body, error_response, full_body},
+    lynxwheel_transport::{
+        Body, ListenerShare, RequestBody, Server, collect_body, error_response, full_body,
+    },
     metrics::{counter, histogram},
     std::{io, sync::Arc, time::Duration},
     tokio::time::{Instant, sleep, timeout},
@@ -48,6 +49,9 @@
 
 const MILLIS_PER_S: u64 = 1_000;
 
+/// Copies of a job that exist while its submission is forwarded.
+const JOB_COPIES: usize = 2;
+
 /// Maximum number of bytes of a denied request's path in the log.
 const MAX_LOGGED_PATH_BYTES: usize = 80;
 
@@ -57,7 +61,11 @@
 ///
 /// Fails when the address cannot be bound.
 pub async fn bind(node: &Node) -> io::Result<Server> {
-    Server::bind(node.settings.caller_address).await
+    let limits = node
+        .settings
+        .process_limits
+        .server_limits(&ListenerShare::CALLERS);
+    Server::bind_with_limits("callers", node.settings.caller_address, limits).await
 }
 
 /// Serves callers until the node closes.
@@ -67,7 +75,7 @@
     server.serve_with(shutdown, node, handler).await;
 }
 
-async fn handle_request(node: &Node, request: Request<Incoming>) -> Response<Body> {
+async fn handle_request(node: &Node, request: Request<RequestBody>) -> Response<Body> {
     let credentials = credentials(&request);
     let access = match authorize_request(node, &credentials).await {
         Ok(access) => access,
@@ -100,7 +108,7 @@
     timeout: Duration,
 }
 
-fn credentials(request: &Request<Incoming>) -> Credentials {
+fn credentials(request: &Request<RequestBody>) -> Credentials {
     Credentials {
         host: request_host(request),
         path: request.uri().path().to_string(),
@@ -146,7 +154,7 @@
     error_response(status, &reason)
 }
 
-fn request_host(request: &Request<Incoming>) -> String {
+fn request_host(request: &Request<RequestBody>) -> String {
     let host = request
         .headers()
         .get(header::HOST)
@@ -157,7 +165,7 @@
     name.to_ascii_lowercase()
 }
 
-fn response_timeout(request: &Request<Incoming>) -> Duration {
+fn response_timeout(request: &Request<RequestBody>) -> Duration {
     let timeout_ms = caller_timeout_ms(request.headers()).unwrap_or(DEFAULT_TIMEOUT_MS);
     Duration::from_millis(timeout_ms.saturating_sub(RESPONSE_MARGIN_MS))
 }
@@ -166,7 +174,7 @@
     node: &Node,
     job: JobId,
     authorized: AuthorizedRequest,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body> {
     let max_body_bytes = node.config.load().limits.max_body_bytes;
     let body = match collect_body(request.into_body(), max_body_bytes).await {
@@ -177,6 +185,12 @@
         Ok(spec) => Box::new(spec),
         Err(error) => return error_response(StatusCode::BAD_REQUEST, &error),
     };
+    // The decoded job and the copy that is sent to the owner; held until the response.
+    let job_bytes = JOB_COPIES * spec.memory_bytes();
+    let mut held = body.into_held();
+    if let Err(response) = held.grow(job_bytes).await {
+        return response;
+    }
     // Cached before the owner is asked, since a delegate may fetch the payload before the owner
     // responds.
     node.payloads.insert(job, &spec.payload);
--- a/crates/controller/src/peer.rs
+++ b/crates/controller/src/peer.rs
@@ -74,6 +74,17 @@
     },
 }
 
+impl CallerRequest {
+    /// Returns the memory of the submitted job, in bytes; 0 for other requests.
+    #[must_use]
+    pub fn job_bytes(&self) -> usize {
+        match self {
+            Self::Submit { spec, .. } => spec.memory_bytes(),
+            Self::Cancel { .. } | Self::State { .. } | Self::Pending { .. } => 0,
+        }
+    }
+}
+
 /// Response of the owner to a caller's request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum OwnerResponse {
--- a/crates/controller/src/peer_server.rs
+++ b/crates/controller/src/peer_server.rs
@@ -16,11 +16,11 @@
         },
     },
     http::{Request, Response, StatusCode},
-    hyper::body::Incoming,
     lynxwheel_engine::FleetConfig,
     lynxwheel_protocol::{MAX_MESSAGE_BYTES, decode_message},
     lynxwheel_transport::{
-        Body, Server, collect_body, error_response, full_body, message_response,
+        Body, HeldMemory, ListenerShare, RequestBody, Server, collect_body, error_response,
+        full_body, message_response,
     },
     serde::de::DeserializeOwned,
     std::{
@@ -39,7 +39,11 @@
 ///
 /// Fails when the address cannot be bound.
 pub async fn bind(node: &Node) -> io::Result<Server> {
-    Server::bind(node.peer_address).await
+    let limits = node
+        .settings
+        .process_limits
+        .server_limits(&ListenerShare::PEERS);
+    Server::bind_with_limits("peers", node.peer_address, limits).await
 }
 
 /// Serves peers until the node closes.
@@ -49,11 +53,15 @@
     server.serve_with(shutdown, node, handler).await;
 }
 
-async fn handle_request(node: &Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+async fn handle_request(node: &Arc<Node>, request: Request<RequestBody>) -> Response<Body> {
     match request.uri().path() {
         METRICS_PATH => error_response(StatusCode::OK, &node.metrics.render()),
         OWNER_PATH => match read_message::<OwnerRequest>(request).await {
-            Ok(mut request) => {
+            Ok((mut request, mut held)) => {
+                let job_bytes = request.caller_request.job_bytes();
+                if held.grow(job_bytes).await.is_err() {
+                    return message_response(&OwnerResponse::Refused);
+                }
                 if let Some(sender) = request.sender.take() {
                     fetch_newer_config(node, &request, sender.address).await;
                     node.record_member(sender);
@@ -63,19 +71,19 @@
             Err(response) => response,
         },
         CONFIG_PATH => match read_message::<ConfigRequest>(request).await {
-            Ok(request) => message_response(&config_newer_than(node, request.version)),
+            Ok((request, _held)) => message_response(&config_newer_than(node, request.version)),
             Err(response) => response,
         },
         OWNERSHIP_PATH => match read_message(request).await {
-            Ok(request) => message_response(&handle_ownership_request(node, &request)),
+            Ok((request, _held)) => message_response(&handle_ownership_request(node, &request)),
             Err(response) => response,
         },
         DELEGATE_CALLS_PATH => match read_message(request).await {
-            Ok(request) => message_response(&node.delegate_worker.accept(node, request)),
+            Ok((request, _held)) => message_response(&node.delegate_worker.accept(node, request)),
             Err(response) => response,
         },
         DELEGATE_RESULTS_PATH => match read_message(request).await {
-            Ok(request) => message_response(&accept_delegate_results(node, request).await),
+            Ok((request, _held)) => message_response(&accept_delegate_results(node, request).await),
             Err(response) => response,
         },
         path => match path.strip_prefix(PAYLOAD_PATH) {
@@ -85,13 +93,15 @@
     }
 }
 
-/// Decodes the message in a request's body; fails with the response to send.
+/// Decodes the message in a request's body, and returns it with the memory held for it; fails with
+/// the response to send.
 async fn read_message<T: DeserializeOwned>(
-    request: Request<Incoming>,
-) -> Result<T, Response<Body>> {
-    let bytes = collect_body(request.into_body(), MAX_MESSAGE_BYTES).await?;
-    decode_message(&bytes)
-        .map_err(|error| error_response(StatusCode::BAD_REQUEST, &error.to_string()))
+    request: Request<RequestBody>,
+) -> Result<(T, HeldMemory), Response<Body>> {
+    let body = collect_body(request.into_body(), MAX_MESSAGE_BYTES).await?;
+    let message = decode_message(&body)
+        .map_err(|error| error_response(StatusCode::BAD_REQUEST, &error.to_string()))?;
+    Ok((message, body.into_held()))
 }
 
 /// Returns the local owner handle, unless the sender knows a later epoch.
--- a/crates/controller/src/ready.rs
+++ b/crates/controller/src/ready.rs
@@ -3,7 +3,7 @@
 use {
     crate::node::Node,
     http::StatusCode,
-    lynxwheel_transport::{Server, error_response},
+    lynxwheel_transport::{ListenerShare, Server, error_response},
     std::{io, sync::Arc},
 };
 
@@ -13,7 +13,11 @@
 ///
 /// Fails when the address cannot be bound.
 pub async fn bind(node: &Node) -> io::Result<Server> {
-    Server::bind(node.settings.readiness_address).await
+    let limits = node
+        .settings
+        .process_limits
+        .server_limits(&ListenerShare::READINESS);
+    Server::bind_with_limits("readiness", node.settings.readiness_address, limits).await
 }
 
 /// Serves readiness checks until the node closes.
--- a/crates/coordination/src/peer_server.rs
+++ b/crates/coordination/src/peer_server.rs
@@ -3,11 +3,10 @@
 use {
     crate::node::Node,
     http::{Method, Request, Response, StatusCode},
-    hyper::body::Incoming,
     log::warn,
     lynxwheel_protocol::{FOLD_VERSION, PeerEntries, PeerHello, PeerSnapshot, decode_message},
     lynxwheel_state::encode_snapshot,
-    lynxwheel_transport::{Body, collect_body, error_response, message_response},
+    lynxwheel_transport::{Body, RequestBody, collect_body, error_response, message_response},
 };
 
 /// Path for hellos.
@@ -24,7 +23,7 @@
 
 impl Node {
     /// Handles a peer's hello or its request for entries or a snapshot.
-    pub async fn handle_peer_request(&self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle_peer_request(&self, request: Request<RequestBody>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
             (&Method::POST, HELLO_PATH) => self.handle_hello(request).await,
             (&Method::GET, ENTRIES_PATH) => self.handle_entries(&request),
@@ -62,7 +61,7 @@
         self.peers().update(hello, self.clock().now_ms());
     }
 
-    async fn handle_hello(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle_hello(&self, request: Request<RequestBody>) -> Response<Body> {
         let bytes = match collect_body(request.into_body(), MAX_HELLO_BYTES).await {
             Ok(bytes) => bytes,
             Err(response) => return response,
@@ -76,7 +75,7 @@
         }
     }
 
-    fn handle_entries(&self, request: &Request<Incoming>) -> Response<Body> {
+    fn handle_entries(&self, request: &Request<RequestBody>) -> Response<Body> {
         let query = request.uri().query().unwrap_or_default();
         let from = query
             .strip_prefix("from=")
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,12 +12,11 @@
         routing_table::RoutingTables,
     },
     http::{Request, Response, Uri, uri::PathAndQuery},
-    hyper::body::Incoming,
     log::info,
     lynxwheel_coordination::Node,
     lynxwheel_decisions::{RoutePolicy, least_loaded_in_share},
     lynxwheel_protocol::{EndpointLoad, ServiceSpec},
-    lynxwheel_transport::Body,
+    lynxwheel_transport::{Body, RequestBody},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -54,7 +53,7 @@
     }
 
     /// Handles a request of a caller.
-    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle(self, request: Request<RequestBody>) -> Response<Body> {
         let (parts, incoming) = request.into_parts();
         match CallerRequest::from_parts(parts) {
             Ok(request) => self.respond(&request, incoming).await,
@@ -64,7 +63,7 @@
 
     /// Handles a request forwarded by a peer; mounted on the peer listener under
     /// [`PEER_RUN_PATH`].
-    pub async fn handle_peer_run(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle_peer_run(self, request: Request<RequestBody>) -> Response<Body> {
         let (mut parts, incoming) = request.into_parts();
         let path = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
         let path = format!("/{}", path.strip_prefix(PEER_RUN_PATH).unwrap_or_default());
@@ -81,7 +80,7 @@
         }
     }
 
-    async fn respond(&self, request: &CallerRequest, incoming: Incoming) -> Response<Body> {
+    async fn respond(&self, request: &CallerRequest, incoming: RequestBody) -> Response<Body> {
         match self.run(request, incoming).await {
             Ok(response) => response,
             Err(refusal) => {
@@ -104,7 +103,7 @@
 
     /// Handles a peer's request for the response of a key; mounted on the peer listener under
     /// [`crate::PEER_ANSWER_PATH`].
-    pub async fn handle_peer_answer(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle_peer_answer(self, request: Request<RequestBody>) -> Response<Body> {
         self.keyed.handle_peer_answer(request).await
     }
 
@@ -123,7 +122,7 @@
     async fn run(
         &self,
         request: &CallerRequest,
-        incoming: Incoming,
+        incoming: RequestBody,
     ) -> Result<Response<Body>, Refusal> {
         let arrived_at = Instant::now();
         let table = self.routing_tables.load();
@@ -142,13 +141,14 @@
             .take(&spec.name, &request.team, spec.team_rate_per_s, now_ms)?;
         match &request.key {
             Some(key) if !request.is_idempotent() => {
-                match Payload::read(incoming, MAX_KEYED_BYTES, deadline).await? {
-                    Payload::Buffered(body) => self.keyed.run(request, key, body, deadline).await,
-                    Payload::Streamed(_) => Err(Refusal::not_run(
+                let payload = Payload::read(incoming, MAX_KEYED_BYTES, deadline).await?;
+                let buffered = payload.into_buffered().ok_or_else(|| {
+                    Refusal::not_run(
                         RefusalReason::BodyTooLarge,
                         "a body with an idempotency key may have 1 MiB",
-                    )),
-                }
+                    )
+                })?;
+                self.keyed.run(request, key, buffered, deadline).await
             }
             _ => {
                 let mut payload = Payload::read(incoming, MAX_BUFFERED_BYTES, deadline).await?;
--- a/crates/gateway/src/keyed_requests.rs
+++ b/crates/gateway/src/keyed_requests.rs
@@ -20,11 +20,10 @@
     },
     bytes::Bytes,
     http::{Request, Response},
-    hyper::body::Incoming,
     lynxwheel_coordination::Node,
     lynxwheel_protocol::{KeyOutcome, RequestKey},
     lynxwheel_state::{KeyEntry, KeyState},
-    lynxwheel_transport::{Body, BufferedBody, ClientPool, buffer_body},
+    lynxwheel_transport::{Body, BufferedBody, ClientPool, HeldMemory, RequestBody, buffer_body},
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::{oneshot, watch},
@@ -51,6 +50,7 @@
     key: RequestKey,
     request_digest: u64,
     body: Bytes,
+    _held: HeldMemory,
     deadline: Instant,
 }
 
@@ -78,7 +78,7 @@
     }
 
     /// Answers a peer's request for the response of a key.
-    pub(crate) async fn handle_peer_answer(&self, request: Request<Incoming>) -> Response<Body> {
+    pub(crate) async fn handle_peer_answer(&self, request: Request<RequestBody>) -> Response<Body> {
         answer_peer_request(&self.attempts, self.node.incarnation(), request).await
     }
 
@@ -92,7 +92,7 @@
         &self,
         request: &CallerRequest,
         key: &str,
-        body: Bytes,
+        (body, held): (Bytes, HeldMemory),
         deadline: Instant,
     ) -> Outcome {
         self.check_age(request)?;
@@ -122,6 +122,7 @@
                 key,
                 request_digest,
                 body,
+                _held: held,
                 deadline,
             };
             return self.spawn(run).await;
@@ -200,7 +201,7 @@
     /// Dispatches a request whose intent was accepted and records its outcome.
     async fn dispatch(&self, run: &KeyedRun, reply: oneshot::Sender<Outcome>) {
         let result = if Instant::now() < run.deadline {
-            let mut payload = Payload::Buffered(run.body.clone());
+            let mut payload = Payload::with_bytes(run.body.clone(), HeldMemory::default());
             self.dispatcher
                 .run(&run.request, &mut payload, run.deadline)
                 .await
--- a/crates/gateway/src/peer_answers.rs
+++ b/crates/gateway/src/peer_answers.rs
@@ -6,9 +6,8 @@
         refusal::Refusal,
     },
     http::{Request, Response, StatusCode},
-    hyper::body::Incoming,
     lynxwheel_protocol::{RequestKey, decode_message},
-    lynxwheel_transport::{Body, collect_body, error_response, message_response},
+    lynxwheel_transport::{Body, RequestBody, collect_body, error_response, message_response},
     serde::{Deserialize, Serialize},
     std::time::Duration,
     tokio::time::Instant,
@@ -55,7 +54,7 @@
 pub(crate) async fn answer_peer_request(
     attempts: &Attempts,
     incarnation: u64,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body> {
     let bytes = match collect_body(request.into_body(), MAX_REQUEST_BYTES).await {
         Ok(bytes) => bytes,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -43,6 +43,8 @@
     OutcomeUnknown,
     /// The endpoint did not respond in time.
     Timeout,
+    /// The node has no memory left for the body.
+    NoMemory,
 }
 
 impl RefusalReason {
@@ -55,9 +57,11 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
             Self::UnknownService => StatusCode::NOT_FOUND,
-            Self::NoEndpoint | Self::NoFreeSlot | Self::LogUnavailable | Self::KeysFull => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoEndpoint
+            | Self::NoFreeSlot
+            | Self::LogUnavailable
+            | Self::KeysFull
+            | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::KeyPending | Self::KeyEnded | Self::KeyTooOld => StatusCode::CONFLICT,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
@@ -69,7 +73,10 @@
 impl RefusalReason {
     /// Returns whether the connection must be closed, as the next request may start anywhere in it.
     fn must_close_connection(self) -> bool {
-        matches!(self, Self::BadRequest | Self::SlowBody | Self::BodyTooLarge)
+        matches!(
+            self,
+            Self::BadRequest | Self::SlowBody | Self::BodyTooLarge | Self::NoMemory
+        )
     }
 }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -4,7 +4,6 @@
 
 use {
     http::{Method, Request, Response, StatusCode},
-    hyper::body::Incoming,
     lynxwheel_coordination::{BackgroundThreads, Node, NodeIdentity, NodeSettings, PeerAddress},
     lynxwheel_decisions::{RoutePolicy, least_loaded_in_share},
     lynxwheel_gateway::{
@@ -15,7 +14,7 @@
     },
     lynxwheel_standin::{PlatformServer, RunEntry, VmTemplate},
     lynxwheel_transport::{
-        Body, Client, ClientRequest, ClientResponse, Server, Shutdown, TransportError,
+        Body, Client, ClientRequest, ClientResponse, RequestBody, Server, Shutdown, TransportError,
     },
     std::{
         net::SocketAddr,
@@ -138,7 +137,7 @@
     }
 }
 
-async fn serve_peer(node: Node, gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
+async fn serve_peer(node: Node, gateway: Gateway, request: Request<RequestBody>) -> Response<Body> {
     match request.uri().path() {
         PEER_ANSWER_PATH => gateway.handle_peer_answer(request).await,
         path if path.starts_with(PEER_RUN_PATH) => gateway.handle_peer_run(request).await,
--- a/crates/lynxctl/src/error.rs
+++ b/crates/lynxctl/src/error.rs
@@ -80,6 +80,7 @@
                 ProblemReason::RevisionConflict => 6,
                 ProblemReason::Behind
                 | ProblemReason::LogUnavailable
+                | ProblemReason::NoMemory
                 | ProblemReason::TooManyWatches => 4,
                 ProblemReason::OutcomeUnknown => 5,
                 _ => 1,
--- a/crates/lynxwheel/src/config.rs
+++ b/crates/lynxwheel/src/config.rs
@@ -4,6 +4,7 @@
     ini::{Ini, ParseOption},
     lynxwheel_api::{AccessControl, AccessToken, Role},
     lynxwheel_coordination::{NodeIdentity, NodeSettings, PeerAddress},
+    lynxwheel_transport::ProcessLimits,
     std::{
         error, fmt, fs,
         net::SocketAddr,
@@ -13,7 +14,7 @@
 };
 
 /// Sections and their allowed keys.
-pub const KNOWN_KEYS: [(&str, &[&str]); 8] = [
+pub const KNOWN_KEYS: [(&str, &[&str]); 9] = [
     ("node", &["name", "zone"]),
     ("listen", &["callers", "operators", "peers"]),
     ("platform", &["address", "stream", "appends_per_s"]),
@@ -29,6 +30,7 @@
             "drain_ms",
         ],
     ),
+    ("limits", &["memory_mb", "max_descriptors", "body_stall_ms"]),
     ("snapshots", &["records", "period_ms"]),
     ("log", &["level", "file"]),
 ];
@@ -123,6 +125,10 @@
     /// `[platform] appends_per_s`: maximum appends per second of all nodes together; 360 by
     /// default.
     pub max_appends_per_s: u32,
+    /// `[limits]`: `memory_mb` and `max_descriptors` that the process may use, 256 and 4096 by
+    /// default, and `body_stall_ms`, the time without data after which a body is given up, 10000 by
+    /// default.
+    pub process_limits: ProcessLimits,
     /// `[snapshots] records`: records after which a snapshot is due; 20000 by default.
     pub snapshot_interval_records: u64,
     /// `[snapshots] period_ms`: time after which a snapshot is due; 600000 by default.
@@ -192,6 +198,7 @@
             action_timeout_ms: reader.number("timing", "action_timeout_ms", 600_000),
             drain_delay_ms: reader.number("timing", "drain_ms", 1_000),
             max_appends_per_s: reader.number_u32("platform", "appends_per_s", 360),
+            process_limits: reader.process_limits(),
             snapshot_interval_records: reader.number("snapshots", "records", 20_000),
             snapshot_interval_ms: reader.number("snapshots", "period_ms", 600_000),
             log_level: reader.log_level(),
@@ -314,6 +321,19 @@
         }
     }
 
+    fn process_limits(&mut self) -> ProcessLimits {
+        let default = ProcessLimits::default();
+        ProcessLimits {
+            memory_mb: self.number_u32("limits", "memory_mb", default.memory_mb),
+            max_descriptors: self.number_u32("limits", "max_descriptors", default.max_descriptors),
+            body_stall_timeout_ms: self.number_u32(
+                "limits",
+                "body_stall_ms",
+                default.body_stall_timeout_ms,
+            ),
+        }
+    }
+
     fn peers(&mut self) -> Vec<PeerAddress> {
         let Some(section) = self.ini.section(Some("peers")) else {
             return Vec::new();
--- a/crates/lynxwheel/src/daemon.rs
+++ b/crates/lynxwheel/src/daemon.rs
@@ -3,12 +3,14 @@
 use {
     crate::config::Config,
     http::{HeaderValue, Method, Request, Response, StatusCode, header},
-    hyper::body::Incoming,
     log::{error, info, warn},
     lynxwheel_api::Api,
     lynxwheel_coordination::{BackgroundThreads, Node},
     lynxwheel_gateway::{Gateway, PEER_ANSWER_PATH, PEER_RUN_PATH},
-    lynxwheel_transport::{Body, Server, Shutdown, error_response, json_response},
+    lynxwheel_transport::{
+        Body, ListenerShare, RequestBody, Server, ServerLimits, Shutdown, error_response,
+        json_response,
+    },
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     serde_json::json,
     std::{error::Error, fmt, io, net::SocketAddr, time::Duration},
@@ -87,9 +89,25 @@
     ///
     /// Fails when a listener cannot be bound.
     pub async fn start(config: &Config) -> Result<Self, DaemonError> {
-        let callers = bind("callers", config.caller_address).await?;
-        let operators = bind("operators", config.operator_address).await?;
-        let peers = bind("peers", config.peer_listen_address).await?;
+        let limits = |share| config.process_limits.server_limits(share);
+        let callers = bind(
+            "callers",
+            config.caller_address,
+            limits(&ListenerShare::CALLERS),
+        )
+        .await?;
+        let operators = bind(
+            "operators",
+            config.operator_address,
+            limits(&ListenerShare::OPERATORS),
+        )
+        .await?;
+        let peers = bind(
+            "peers",
+            config.peer_listen_address,
+            limits(&ListenerShare::PEERS),
+        )
+        .await?;
         let metrics = install_metrics_recorder();
         let not_ready = Shutdown::new();
         let listener_shutdown = Shutdown::new();
@@ -217,8 +235,12 @@
     Ok(())
 }
 
-async fn bind(listener: &'static str, address: SocketAddr) -> Result<Server, DaemonError> {
-    Server::bind(address)
+async fn bind(
+    listener: &'static str,
+    address: SocketAddr,
+    limits: ServerLimits,
+) -> Result<Server, DaemonError> {
+    Server::bind_with_limits(listener, address, limits)
         .await
         .map_err(|source| DaemonError::Listen {
             listener,
@@ -270,7 +292,7 @@
 async fn serve_caller(
     gateway: Gateway,
     health: Health,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body> {
     let mut response = match (request.method(), request.uri().path()) {
         (&Method::GET, "/livez") => json_response(StatusCode::OK, &true),
@@ -286,7 +308,7 @@
     response
 }
 
-async fn serve_peer(node: Node, gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
+async fn serve_peer(node: Node, gateway: Gateway, request: Request<RequestBody>) -> Response<Body> {
     match request.uri().path() {
         PEER_ANSWER_PATH => gateway.handle_peer_answer(request).await,
         path if path.starts_with(PEER_RUN_PATH) => gateway.handle_peer_run(request).await,
@@ -297,7 +319,7 @@
 async fn serve_operator(
     api: Api,
     metrics: Option<PrometheusHandle>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<Body> {
     if request.uri().path() == "/metrics" {
         let text = metrics.map(|handle| handle.render()).unwrap_or_default();
--- a/crates/lynxwheel/src/embedded.rs
+++ b/crates/lynxwheel/src/embedded.rs
@@ -7,7 +7,7 @@
     lynxwheel_protocol::{LogEntry, Resource},
     lynxwheel_standin::{PlatformServer, VmTemplate},
     lynxwheel_state::FleetState,
-    lynxwheel_transport::{Client, ClientRequest},
+    lynxwheel_transport::{Client, ClientRequest, ProcessLimits},
     std::{
         io,
         net::{Ipv4Addr, SocketAddr, TcpListener},
@@ -158,6 +158,7 @@
         action_timeout_ms: 60_000,
         drain_delay_ms: 100,
         max_appends_per_s: 360,
+        process_limits: ProcessLimits::default(),
         snapshot_interval_records: 20_000,
         snapshot_interval_ms: 600_000,
         log_level: "error".into(),
--- a/crates/lynxwheel/tests/crowds/crowd.rs
+++ b/crates/lynxwheel/tests/crowds/crowd.rs
@@ -35,6 +35,9 @@
     InPieces,
 }
 
+/// Digits in the start of a request that stand for the number of its client.
+const CLIENT_DIGITS: &str = "00000000000000aa";
+
 /// Request that each client of a crowd sends.
 #[derive(Clone, Debug)]
 pub struct UnfinishedRequest {
@@ -67,6 +70,17 @@
         }
     }
 
+    /// Creates a request with a complete body, which is followed by silence.
+    pub fn complete(start: &str, body: &[u8]) -> Self {
+        let length = body.len();
+        let mut bytes = format!("{start}content-length: {length}\r\n\r\n").into_bytes();
+        bytes.extend(body);
+        Self {
+            bytes,
+            pace: Pace::AtOnce,
+        }
+    }
+
     /// Creates a request that ends within its head.
     pub fn within_head(start: &str) -> Self {
         Self {
@@ -81,14 +95,34 @@
         self
     }
 
+    /// Returns the request with the number of a client in it.
+    fn bytes_of(&self, client: usize) -> Vec<u8> {
+        let mut bytes = self.bytes.clone();
+        let digits = CLIENT_DIGITS.len();
+        let found = bytes
+            .windows(digits)
+            .position(|window| window == CLIENT_DIGITS.as_bytes());
+        if let Some(at) = found {
+            let number = format!("{client:0digits$x}");
+            bytes[at..at + digits].copy_from_slice(number.as_bytes());
+        }
+        bytes
+    }
+
     /// Sends the request until the server closes the connection, and returns the connection.
-    async fn send(&self, address: SocketAddr, sent_bytes: &AtomicU64) -> Option<TcpStream> {
+    async fn send(
+        &self,
+        address: SocketAddr,
+        client: usize,
+        sent_bytes: &AtomicU64,
+    ) -> Option<TcpStream> {
         let mut stream = TcpStream::connect(address).await.ok()?;
+        let bytes = self.bytes_of(client);
         let piece_bytes = match self.pace {
-            Pace::AtOnce => self.bytes.len(),
+            Pace::AtOnce => bytes.len(),
             Pace::InPieces => PIECE_BYTES,
         };
-        for piece in self.bytes.chunks(piece_bytes.max(1)) {
+        for piece in bytes.chunks(piece_bytes.max(1)) {
             let mut remaining = piece;
             while !remaining.is_empty() {
                 let count = stream.write(remaining).await.ok()?;
@@ -114,9 +148,9 @@
         let sent_bytes = Arc::new(AtomicU64::new(0));
         let request = Arc::new(request.clone());
         let mut clients = JoinSet::new();
-        for _ in 0..size {
+        for client in 0..size {
             let (request, sent_bytes) = (Arc::clone(&request), Arc::clone(&sent_bytes));
-            clients.spawn(async move { request.send(address, &sent_bytes).await });
+            clients.spawn(async move { request.send(address, client, &sent_bytes).await });
         }
         Self {
             clients,
--- a/crates/lynxwheel/tests/crowds/serve.rs
+++ b/crates/lynxwheel/tests/crowds/serve.rs
@@ -25,7 +25,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -33,6 +33,19 @@
 const LIMITS: NodeLimits = NodeLimits {
     memory_mb: 64,
     max_descriptors: 4_100,
+    body_stall_ms: 10_000,
+};
+
+/// Limits in the settings of a node that gives up bodies early.
+const SHORT_STALL: NodeLimits = NodeLimits {
+    body_stall_ms: 500,
+    ..LIMITS
+};
+
+/// Limits in the settings of a node that takes jobs of the largest size.
+const LARGE_JOBS: NodeLimits = NodeLimits {
+    memory_mb: 160,
+    ..LIMITS
 };
 
 /// Limits in the settings of a node with few descriptors.
@@ -209,6 +222,23 @@
     }
 }
 
+/// Returns the body of a job of the largest size with as many steps as it may have.
+fn largest_job() -> Vec<u8> {
+    let mut spec = job();
+    let mut body = encode_job(&spec);
+    let step_bytes = encode_job(&JobSpec {
+        steps: vec![spec.steps[0].clone(); 2],
+        ..spec.clone()
+    })
+    .len()
+        - body.len();
+    let steps = 1 + (MAX_JOB_BYTES - body.len()) / step_bytes;
+    spec.steps = vec![spec.steps[0].clone(); steps];
+    body = encode_job(&spec);
+    body.resize(MAX_JOB_BYTES, b' ');
+    body
+}
+
 macro_rules! crowds {
     ($($(#[$doc:meta])* $name:ident: $limits:expr, $listener:ident, $size:literal, $request:expr;)*) => {
         $($(#[$doc])* #[test] fn $name() {
@@ -246,6 +276,11 @@
     peer_messages_in_small_chunks: LIMITS, peers, 40,
         UnfinishedRequest::with_chunks(ASK_OWNER, 60_000, 1);
 
+    /// Guards against complete jobs of the largest size, decoded to many times their size, that
+    /// exhaust the memory of the node while they wait.
+    complete_jobs_of_the_largest_size: LARGE_JOBS, callers, 200,
+        UnfinishedRequest::complete(SUBMIT_JOB, &largest_job());
+
     /// Guards against unfinished bodies that take all descriptors of the node.
     small_job_bodies: FEW_DESCRIPTORS, callers, 450,
         UnfinishedRequest::with_length(SUBMIT_JOB, 100);
@@ -267,6 +302,23 @@
         UnfinishedRequest::within_head("");
 }
 
+/// Guards against stalled clients that keep a connection of the node for ever.
+#[test]
+fn stalled_body_is_given_up() {
+    run_alone(async {
+        let fleet = Fleet::start("stalled_body", SHORT_STALL).await;
+        let mut stream = TcpStream::connect(fleet.callers).await.expect("connect");
+        let request = format!("{SUBMIT_JOB}content-length: 100\r\n\r\n ");
+        stream.write_all(request.as_bytes()).await.expect("send");
+        let mut response = String::new();
+        timeout(WAIT_TIMEOUT, stream.read_to_string(&mut response))
+            .await
+            .expect("a closed connection")
+            .expect("read");
+        assert!(response.starts_with("HTTP/1.1 408"), "{response}");
+    });
+}
+
 /// Guards against limits that refuse the largest job that a caller may submit.
 #[test]
 fn slow_job_of_the_largest_size_is_accepted() {
--- a/crates/protocol/src/api.rs
+++ b/crates/protocol/src/api.rs
@@ -232,6 +232,8 @@
     TooLarge,
     /// The body did not arrive in time.
     BodyTimeout,
+    /// The node has no memory left for the body; nothing was applied.
+    NoMemory,
     /// The log is unavailable; nothing was applied.
     LogUnavailable,
     /// The write may or may not take effect; look up the operation.
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -8,10 +8,10 @@
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
     lynxwheel_protocol::VmName,
     lynxwheel_transport::{
-        Body, BodyError, Server, ServerLimits, Shutdown, error_response, full_body, json_response,
+        Body, BodyError, RequestBody, Server, ServerLimits, Shutdown, error_response, full_body,
+        json_response,
     },
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
@@ -60,7 +60,7 @@
 }
 
 async fn handle(
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     shared: Arc<Shared>,
     vm: VmName,
     slots: u32,
@@ -150,7 +150,7 @@
     }
 }
 
-fn record_run(shared: &Shared, vm: &VmName, request: &Request<Incoming>) -> usize {
+fn record_run(shared: &Shared, vm: &VmName, request: &Request<RequestBody>) -> usize {
     let in_progress = shared
         .platform()
         .machine(vm.as_str())
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -8,10 +8,10 @@
     },
     http::{Method, Request, Response, StatusCode},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
     lynxwheel_protocol::{ActionRequest, AppendRequest, AppendResponse, TaskStart, decode_message},
     lynxwheel_transport::{
-        Body, Server, Shutdown, collect_body, error_response, json_response, message_response,
+        Body, RequestBody, Server, Shutdown, collect_body, error_response, json_response,
+        message_response,
     },
     std::{
         io,
@@ -178,7 +178,7 @@
     }
 }
 
-async fn handle(request: Request<Incoming>, shared: Arc<Shared>) -> Response<Body> {
+async fn handle(request: Request<RequestBody>, shared: Arc<Shared>) -> Response<Body> {
     let path = request.uri().path().to_owned();
     let query = request.uri().query().unwrap_or_default().to_owned();
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
@@ -245,7 +245,7 @@
     is_down.then(|| error_response(StatusCode::SERVICE_UNAVAILABLE, "the log service is down"))
 }
 
-async fn append(shared: &Arc<Shared>, name: &str, request: Request<Incoming>) -> Response<Body> {
+async fn append(shared: &Arc<Shared>, name: &str, request: Request<RequestBody>) -> Response<Body> {
     if let Some(response) = injected_fault(shared).await {
         return response;
     }
@@ -295,7 +295,11 @@
     shared.entries_appended.notify_waiters();
 }
 
-async fn perform_action(shared: &Shared, name: &str, request: Request<Incoming>) -> Response<Body> {
+async fn perform_action(
+    shared: &Shared,
+    name: &str,
+    request: Request<RequestBody>,
+) -> Response<Body> {
     let action: ActionRequest = match decode_body(request).await {
         Ok(action) => action,
         Err(response) => return response,
@@ -311,7 +315,7 @@
     }
 }
 
-async fn start_task(shared: &Shared, name: &str, request: Request<Incoming>) -> Response<Body> {
+async fn start_task(shared: &Shared, name: &str, request: Request<RequestBody>) -> Response<Body> {
     let start: TaskStart = match decode_body(request).await {
         Ok(start) => start,
         Err(response) => return response,
@@ -367,7 +371,7 @@
     }
 }
 
-async fn set_faults(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+async fn set_faults(shared: &Shared, request: Request<RequestBody>) -> Response<Body> {
     let bytes = match collect_body(request.into_body(), MAX_BODY_BYTES).await {
         Ok(bytes) => bytes,
         Err(response) => return response,
@@ -382,7 +386,7 @@
 }
 
 async fn decode_body<T: serde::de::DeserializeOwned>(
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<T, Response<Body>> {
     let bytes = match request.into_body().collect().await {
         Ok(body) => body.to_bytes(),
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -24,6 +24,8 @@
     Stalled,
     /// The body exceeds its size limit.
     TooLarge,
+    /// The memory for requests is used up.
+    NoRoom,
 }
 
 impl fmt::Display for BodyError {
@@ -32,6 +34,7 @@
             Self::Broken { reason } => write!(formatter, "the body broke off: {reason}"),
             Self::Stalled => write!(formatter, "the body stalled"),
             Self::TooLarge => write!(formatter, "the body is too large"),
+            Self::NoRoom => write!(formatter, "the memory for requests is used up"),
         }
     }
 }
@@ -116,20 +119,26 @@
             read.extend_from_slice(&data);
         }
     }
-    let prefixed = PrefixedBody {
-        prefix: Some(read.freeze()),
-        rest: body,
-    };
+    let prefixed = PrefixedBody::new(read.freeze(), body);
     Ok(BufferedBody::Exceeded(prefixed.boxed_unsync()))
 }
 
 /// Bytes already read from a body, followed by the rest of it.
 #[derive(Debug)]
-struct PrefixedBody {
+pub(crate) struct PrefixedBody {
     prefix: Option<Bytes>,
     rest: Body,
 }
 
+impl PrefixedBody {
+    pub(crate) fn new(prefix: Bytes, rest: Body) -> Self {
+        Self {
+            prefix: Some(prefix),
+            rest,
+        }
+    }
+}
+
 impl HttpBody for PrefixedBody {
     type Data = Bytes;
     type Error = BodyError;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -16,9 +16,14 @@
 mod body;
 mod body_wrappers;
 mod client;
+mod connection_table;
+mod connections;
 mod counted;
 mod error;
 mod head_scan;
+mod line_limit;
+mod process_limits;
+mod request_body;
 mod send_guard;
 mod server;
 mod stall;
@@ -26,8 +31,9 @@
 pub use body::{Body, BodyError, BufferedBody, buffer_body, empty_body, full_body};
 pub use body_wrappers::{guarded_body, limited_body};
 pub use client::{BodyChoice, Client, ClientPool, ClientRequest, ClientResponse, ConnectionId};
+pub use connection_table::{ConnectionNumber, ConnectionTable, Opening, Phase, Reserving};
 pub use error::{Step, TransportError};
+pub use process_limits::{ListenerShare, ProcessLimits};
+pub use request_body::{CollectedBody, HeldMemory, RequestBody, collect_body};
 pub use send_guard::{SendCondition, SendGuard, SendRecord};
-pub use server::{
-    Server, ServerLimits, Shutdown, collect_body, error_response, json_response, message_response,
-};
+pub use server::{Server, ServerLimits, Shutdown, error_response, json_response, message_response};
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -2,13 +2,20 @@
 
 use {
     crate::{
-        body::{Body, BodyError, full_body, read_body},
+        body::{Body, full_body},
+        body_wrappers::guarded_body,
+        connection_table::Phase,
+        connections::{Connections, Reservation, Slot},
         counted::CountedStream,
+        request_body::{RequestBody, no_room_response},
         stall::StallGuard,
     },
-    bytes::Bytes,
     http::{Request, Response, StatusCode, header},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        body::{Body as HttpBody, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     lynxwheel_protocol::encode_message,
     serde::Serialize,
@@ -17,13 +24,15 @@
         future::{Future, poll_fn},
         io,
         net::SocketAddr,
+        pin::{Pin, pin},
         sync::Arc,
+        task::{Context, Poll},
         time::Duration,
     },
     tokio::{
         io::AsyncWriteExt,
-        net::{TcpListener, TcpStream},
-        sync::{Semaphore, watch},
+        net::{TcpListener, TcpSocket, TcpStream},
+        sync::watch,
     },
 };
 
@@ -38,11 +47,26 @@
 const AMBIGUOUS_FRAMING_RESPONSE: &[u8] =
     b"HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// Response to a connection for which there is no room.
+const NO_ROOM_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Limits and timeouts of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
-    /// Maximum number of open connections; others wait in the backlog.
+    /// Maximum number of open connections. Beyond it, the connection that has made no progress for
+    /// the longest time is closed, or the new one if all run requests.
     pub max_connections: usize,
+    /// Memory for the bodies of all requests and responses, in bytes. Beyond it, the oldest
+    /// incomplete bodies are refused, or the new one if the others are complete.
+    pub body_memory_bytes: usize,
+    /// Receive buffer of a connection in the kernel, in bytes; `None` for the system's default.
+    pub receive_buffer_bytes: Option<u32>,
+    /// Timeout for reading a body that makes no progress, in milliseconds.
+    pub body_stall_timeout_ms: u64,
     /// Timeout for reading a request head, in milliseconds.
     pub header_read_timeout_ms: u64,
     /// Maximum size of a request head in bytes.
@@ -55,6 +79,9 @@
     fn default() -> Self {
         Self {
             max_connections: 4_096,
+            body_memory_bytes: 256 * 1024 * 1024,
+            receive_buffer_bytes: None,
+            body_stall_timeout_ms: 10_000,
             header_read_timeout_ms: 5_000,
             max_header_bytes: 16 * 1024,
             write_stall_timeout_ms: 10_000,
@@ -105,25 +132,50 @@
 /// HTTP server that listens on one address.
 #[derive(Debug)]
 pub struct Server {
+    name: &'static str,
     listener: TcpListener,
     limits: ServerLimits,
 }
 
 impl Server {
-    /// Binds to `address`; port 0 selects a free port.
+    /// Binds to `address` with the default limits; port 0 selects a free port.
     ///
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        Self::bind_with_limits("server", address, ServerLimits::default()).await
+    }
+
+    /// Binds to `address`; `name` stands for the listener in logs and metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    #[expect(clippy::unused_async, reason = "requires a runtime")]
+    pub async fn bind_with_limits(
+        name: &'static str,
+        address: SocketAddr,
+        limits: ServerLimits,
+    ) -> io::Result<Self> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        if let Some(bytes) = limits.receive_buffer_bytes {
+            // Connections inherit it. Bytes that are not read yet count as memory of the process.
+            socket.set_recv_buffer_size(bytes)?;
+        }
+        socket.bind(address)?;
         Ok(Self {
-            listener,
-            limits: ServerLimits::default(),
+            name,
+            listener: socket.listen(BACKLOG)?,
+            limits,
         })
     }
 
-    /// Sets limits and timeouts.
+    /// Sets limits and timeouts, except for the receive buffer, which is set by binding.
     #[must_use]
     pub fn with_limits(mut self, limits: ServerLimits) -> Self {
         self.limits = limits;
@@ -143,7 +195,7 @@
     pub async fn serve_with<S, H, F>(self, shutdown: Shutdown, state: S, handler: H)
     where
         S: Clone + Send + 'static,
-        H: Clone + Fn(S, Request<Incoming>) -> F + Send + 'static,
+        H: Clone + Fn(S, Request<RequestBody>) -> F + Send + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         self.serve(shutdown, move |request| handler(state.clone(), request))
@@ -153,27 +205,36 @@
     /// Serves until `shutdown` is signalled and all requests in flight are answered.
     pub async fn serve<H, F>(self, shutdown: Shutdown, handler: H)
     where
-        H: Clone + Fn(Request<Incoming>) -> F + Send + 'static,
+        H: Clone + Fn(Request<RequestBody>) -> F + Send + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
-        let permits = Arc::new(Semaphore::new(self.limits.max_connections));
+        let limits = self.limits;
+        let connections =
+            Connections::new(self.name, limits.max_connections, limits.body_memory_bytes);
         let open_connections = watch::Sender::new(());
         loop {
             let accepted = tokio::select! {
                 biased;
                 () = shutdown.wait() => break,
-                accepted = accept(&self.listener, &permits) => accepted,
+                accepted = accept(&self.listener, &connections) => accepted,
             };
-            let Ok((stream, permit)) = accepted else {
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
+            let (stream, slot) = match accepted {
+                Ok((stream, Some(slot))) => (stream, slot),
+                Ok((stream, None)) => {
+                    refuse(&stream);
+                    continue;
+                }
+                Err(_) => {
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                }
             };
             let guard = open_connections.subscribe();
             let connection =
-                serve_connection(stream, self.limits, shutdown.clone(), handler.clone());
+                serve_connection(stream, slot, limits, shutdown.clone(), handler.clone());
             tokio::spawn(async move {
                 connection.await;
-                drop((guard, permit));
+                drop(guard);
             });
         }
         drop(self.listener);
@@ -181,33 +242,47 @@
     }
 }
 
+/// Accepts a connection; there is no slot if all others run requests.
 async fn accept(
     listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> io::Result<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-    let permit = Arc::clone(permits)
-        .acquire_owned()
-        .await
-        .map_err(io::Error::other)?;
+    connections: &Connections,
+) -> io::Result<(TcpStream, Option<Slot>)> {
     let (stream, _) = listener.accept().await?;
     stream.set_nodelay(true)?;
-    Ok((stream, permit))
+    Ok((stream, connections.open().await))
+}
+
+/// Refuses a connection whose request was not read.
+fn refuse(stream: &TcpStream) {
+    // Does not wait: the response fits the empty send buffer, unless the caller has left already.
+    drop(stream.try_write(NO_ROOM_RESPONSE));
 }
 
 async fn serve_connection<H, F>(
     stream: TcpStream,
+    slot: Slot,
     limits: ServerLimits,
     shutdown: Shutdown,
     handler: H,
 ) where
-    H: Clone + Fn(Request<Incoming>) -> F + Send + 'static,
+    H: Clone + Fn(Request<RequestBody>) -> F + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     // Boxed so that the connection is `Unpin`: it is polled by reference and split at its end.
     let handler = Box::new(handler);
-    let service = service_fn(move |request| {
-        let response = handler(request);
-        Box::pin(async move { Ok::<_, Infallible>(response.await) })
+    let request_slot = slot.clone();
+    let stall_timeout = Duration::from_millis(limits.body_stall_timeout_ms);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let slot = request_slot.clone();
+        let request = request.map(|body| RequestBody::new(body, slot.clone(), stall_timeout));
+        let response = slot.set_phase(Phase::Handling).map(|()| handler(request));
+        Box::pin(async move {
+            let response = match response {
+                Ok(response) => response.await,
+                Err(_) => no_room_response(),
+            };
+            Ok::<_, Infallible>(track_response(response, slot))
+        })
     });
     let stream = CountedStream::new(stream, "server");
     let stream = StallGuard::new(stream, Duration::from_millis(limits.write_stall_timeout_ms));
@@ -217,13 +292,26 @@
         .max_buf_size(limits.max_header_bytes)
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
-    // Errors are not reported: they affect only the caller of this connection, who sees them too.
-    let result = tokio::select! {
-        result = poll_fn(|context| connection.poll_without_shutdown(context)) => result,
-        () = shutdown.wait() => {
+    let mut close_requested = pin!(slot.close_requested());
+    let mut must_close = false;
+    let mut poll_connection = |context: &mut Context<'_>, is_stopping: bool| {
+        if is_stopping {
             Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
+        must_close = must_close || close_requested.as_mut().poll(context).is_ready();
+        let polled = connection.poll_without_shutdown(context).map(Some);
+        if polled.is_pending() && must_close && slot.must_close() {
+            return Poll::Ready(None);
+        }
+        polled
+    };
+    // Errors are not reported: they affect only the caller of this connection, who sees them too.
+    let result = tokio::select! {
+        result = poll_fn(|context| poll_connection(context, false)) => result,
+        () = shutdown.wait() => poll_fn(|context| poll_connection(context, true)).await,
+    };
+    let Some(result) = result else {
+        return;
     };
     let is_timeout = result.as_ref().is_err_and(hyper::Error::is_timeout);
     let parts = connection.into_parts();
@@ -239,6 +327,38 @@
     close(stream, response).await;
 }
 
+/// Response that is being sent.
+#[derive(Debug)]
+struct SentResponse {
+    slot: Slot,
+    _reservation: Reservation,
+}
+
+impl Drop for SentResponse {
+    fn drop(&mut self) {
+        // A connection that is being closed is closed in this phase, too.
+        let _ = self.slot.set_phase(Phase::Waiting);
+    }
+}
+
+/// Holds the memory of a response until it is sent, and records when that is.
+fn track_response(response: Response<Body>, slot: Slot) -> Response<Body> {
+    // As in `SentResponse`.
+    let _ = slot.set_phase(Phase::Sending);
+    let size_bytes = response.body().size_hint().lower();
+    let sent = SentResponse {
+        _reservation: slot.reserve_response(usize::try_from(size_bytes).unwrap_or(usize::MAX)),
+        slot,
+    };
+    response.map(|body| {
+        if body.is_end_stream() {
+            body
+        } else {
+            guarded_body(body, sent)
+        }
+    })
+}
+
 /// Sends `response`, if any, and closes the connection.
 async fn close(mut stream: StallGuard<CountedStream>, response: Option<&[u8]>) {
     let closing = async {
@@ -251,21 +371,6 @@
     drop(closing.await);
 }
 
-/// Reads a complete body of at most `limit_bytes`.
-///
-/// # Errors
-///
-/// Returns the response to send when the body is too large or incomplete.
-pub async fn collect_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Response<Body>> {
-    read_body(body, limit_bytes).await.map_err(|error| {
-        let status = match error {
-            BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            BodyError::Broken { .. } | BodyError::Stalled => StatusCode::BAD_REQUEST,
-        };
-        error_response(status, &error.to_string())
-    })
-}
-
 /// Returns a response with a JSON body.
 #[must_use]
 pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
--- /dev/null
+++ b/crates/transport/tests/crowded_server.rs
@@ -0,0 +1,173 @@
+//! A server without room for all of its clients.
+
+use {
+    http::{Request, Response, StatusCode},
+    lynxwheel_transport::{
+        Body, Client, ClientRequest, RequestBody, Server, ServerLimits, Shutdown, collect_body,
+        error_response,
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        sync::Semaphore,
+        time::timeout,
+    },
+};
+
+const MAX_BODY_BYTES: usize = 100_000;
+
+/// Limit of what must not hang.
+const TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Semaphores by which a test observes and ends the requests to `/wait`.
+struct Gate {
+    started: Semaphore,
+    ended: Semaphore,
+}
+
+struct TestServer {
+    address: SocketAddr,
+    gate: Arc<Gate>,
+}
+
+impl TestServer {
+    async fn start(max_connections: usize) -> Self {
+        let limits = ServerLimits {
+            max_connections,
+            body_memory_bytes: 2 * MAX_BODY_BYTES,
+            ..ServerLimits::default()
+        };
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind_with_limits("test", any_port, limits)
+            .await
+            .expect("bind");
+        let address = server.local_addr().expect("address");
+        let gate = Arc::new(Gate {
+            started: Semaphore::new(0),
+            ended: Semaphore::new(0),
+        });
+        tokio::spawn(server.serve_with(Shutdown::new(), Arc::clone(&gate), respond));
+        Self { address, gate }
+    }
+
+    /// Sends `text` on a new connection.
+    async fn send(&self, text: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).await.expect("connect");
+        stream.write_all(text.as_bytes()).await.expect("send");
+        stream
+    }
+
+    /// Sends a request and waits for its status.
+    async fn call(&self, request: &ClientRequest) -> StatusCode {
+        let client = Client::new(self.address, 1);
+        let response = client.call(request, TIMEOUT).await;
+        response.expect("a response").status
+    }
+
+    /// Sends all but the last byte of a body of the maximum size.
+    async fn send_unfinished_body(&self) -> TcpStream {
+        let body = " ".repeat(MAX_BODY_BYTES - 1);
+        let head = format!("POST / HTTP/1.1\r\ncontent-length: {MAX_BODY_BYTES}\r\n\r\n");
+        self.send(&format!("{head}{body}")).await
+    }
+}
+
+async fn respond(gate: Arc<Gate>, request: Request<RequestBody>) -> Response<Body> {
+    let must_wait = request.uri().path() == "/wait";
+    let body = match collect_body(request.into_body(), MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    if must_wait {
+        gate.started.add_permits(1);
+        gate.ended.acquire().await.expect("open").forget();
+    }
+    error_response(StatusCode::OK, &body.len().to_string())
+}
+
+/// Reads until the connection is closed.
+async fn read_all(mut stream: TcpStream) -> String {
+    let mut text = Vec::new();
+    // A reset ends the text, too.
+    drop(
+        timeout(TIMEOUT, stream.read_to_end(&mut text))
+            .await
+            .expect("an end"),
+    );
+    String::from_utf8(text).expect("text")
+}
+
+/// Guards against idle connections that take all slots.
+#[tokio::test]
+async fn idle_connection_gives_way() {
+    let server = TestServer::start(2).await;
+    let first = server.send("").await;
+    let _second = server.send("").await;
+    assert_eq!(
+        server
+            .call(&ClientRequest::new(http::Method::GET, "/"))
+            .await,
+        StatusCode::OK
+    );
+    assert_eq!(read_all(first).await, "");
+}
+
+/// Guards against requests that are cut off to make room, and against new connections that wait
+/// without an answer.
+#[tokio::test]
+async fn running_request_is_answered_and_another_connection_refused() {
+    let server = TestServer::start(1).await;
+    let mut running = server.send("GET /wait HTTP/1.1\r\n\r\n").await;
+    let started = timeout(TIMEOUT, server.gate.started.acquire()).await;
+    started.expect("a request").expect("open").forget();
+    let refused = read_all(server.send("").await).await;
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(refused.contains("retry-after: 1"), "{refused}");
+    server.gate.ended.add_permits(1);
+    let mut head = [0; 15];
+    let read = timeout(TIMEOUT, running.read_exact(&mut head)).await;
+    read.expect("an answer").expect("read");
+    assert_eq!(&head, b"HTTP/1.1 200 OK");
+}
+
+/// Guards against stalled bodies that take all the memory, and refusals without a time to return.
+#[tokio::test]
+async fn oldest_unfinished_body_is_refused() {
+    let server = TestServer::start(10).await;
+    let mut stalled = Vec::new();
+    for _ in 0..4 {
+        stalled.push(server.send_unfinished_body().await);
+    }
+    let body = vec![b' '; MAX_BODY_BYTES];
+    let request = ClientRequest::new(http::Method::POST, "/").with_body(body);
+    assert_eq!(server.call(&request).await, StatusCode::OK);
+    let refusal = read_all(stalled.remove(0)).await;
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert!(refusal.contains("retry-after: 1"), "{refusal}");
+}
+
+/// Guards against memory and slots that are lost when clients leave in the middle of a body.
+#[tokio::test]
+async fn room_of_clients_that_left_is_free_again() {
+    let server = TestServer::start(3).await;
+    for _ in 0..20 {
+        drop(server.send_unfinished_body().await);
+    }
+    let body = vec![b' '; MAX_BODY_BYTES];
+    let request = ClientRequest::new(http::Method::POST, "/").with_body(body);
+    assert_eq!(server.call(&request).await, StatusCode::OK);
+    assert_eq!(server.call(&request).await, StatusCode::OK);
+}
+
+/// Guards against bodies that are read although they are known to be too large.
+#[tokio::test]
+async fn declared_size_is_checked_first() {
+    let server = TestServer::start(1).await;
+    let head = format!(
+        "POST / HTTP/1.1\r\ncontent-length: {}\r\n\r\n",
+        MAX_BODY_BYTES + 1
+    );
+    let refusal = read_all(server.send(&head).await).await;
+    assert!(refusal.starts_with("HTTP/1.1 413"), "{refusal}");
+}
