Count responses until they are written

What callers could do: ask for large responses and not read them. Their memory counted until the HTTP library had taken the body, which it does at once, and the connection counted as waiting for a request while its response was still queued: it could be closed with an answer in it.

Change: the data of a response keeps its memory until it is written to the connection, and the connection is in the phase of sending until then. Responses do not give way to bodies; instead, while the memory is used up, requests are refused with 503 before they run. A request that is the only one gets the memory that it needs, so that a job of legal size is taken by a node of any size.

--- a/crates/transport/src/connection_table.rs
+++ b/crates/transport/src/connection_table.rs
@@ -65,9 +65,10 @@
 
 /// Open connections of a server and the memory of their requests.
 ///
-/// When there is no room left, connections are closed that make no progress: first those without a
+/// When a new connection finds no room, one is closed that makes no progress: first those without a
 /// request, then those whose body has been incomplete for the longest time, then those whose
-/// response is not read. An ordinary request spends little time in each of these phases, whereas a
+/// response is not read. When there is no memory, the bodies give way that have been incomplete for
+/// the longest time. An ordinary request spends little time in each of these phases, whereas a
 /// stalled client stays in one. Requests that run are never cut off.
 #[derive(Debug)]
 pub struct ConnectionTable {
@@ -167,41 +168,39 @@
         connection.is_closing.then_some(connection.phase)
     }
 
+    /// Begins the request of a connection. Returns `false` if it must not run, because the
+    /// connection is being closed or the memory is used up.
+    pub fn begin_request(&mut self, number: ConnectionNumber) -> bool {
+        self.set_phase(number, Phase::Handling) && self.held_bytes <= self.memory_bytes
+    }
+
     /// Reserves memory for the request of a connection, or selects connections to close for it.
     ///
-    /// Bodies that are older than the request's own give way, and responses that are not read.
+    /// Bodies that are older than the request's own give way. A request that is the only one gets
+    /// any amount, so that what is larger than the memory for all requests is served at times
+    /// without others.
     pub fn reserve(&mut self, number: ConnectionNumber, bytes: usize) -> Reserving {
-        let own = self.index_of(number);
-        if own.is_some_and(|own| self.connections[own].is_closing) {
+        let own = self.index_of(number).map(|index| &self.connections[index]);
+        if own.is_some_and(|own| own.is_closing) {
             return Reserving::Refused;
         }
+        let own_bytes = own.map_or(0, |own| own.held_bytes);
+        let before = own.map_or(u64::MAX, |own| own.since);
         let missing_bytes = (self.held_bytes + bytes).saturating_sub(self.memory_bytes);
-        if missing_bytes == 0 {
-            self.hold(own, bytes);
+        let is_only_one = own_bytes == self.held_bytes;
+        if missing_bytes == 0 || is_only_one {
+            self.hold(number, bytes);
             return Reserving::Reserved;
         }
-        let before = own.map_or(u64::MAX, |own| self.connections[own].since);
         match self.close_for(missing_bytes, before) {
             Some(closed) => Reserving::Pending(closed),
             None => Reserving::Refused,
         }
     }
 
-    /// Reserves memory for a response, which is sent in any case, and returns the connections to
-    /// close for it.
-    pub fn reserve_response(
-        &mut self,
-        number: ConnectionNumber,
-        bytes: usize,
-    ) -> Vec<ConnectionNumber> {
-        let own = self.index_of(number);
-        let since = own.map_or(0, |own| self.connections[own].since);
-        self.hold(own, bytes);
-        let missing_bytes = self.held_bytes.saturating_sub(self.memory_bytes);
-        if missing_bytes == 0 {
-            return Vec::new();
-        }
-        self.close_for(missing_bytes, since).unwrap_or_default()
+    /// Reserves memory for a response, which is sent in any case.
+    pub fn reserve_response(&mut self, number: ConnectionNumber, bytes: usize) {
+        self.hold(number, bytes);
     }
 
     /// Releases memory of the request of a connection.
@@ -212,16 +211,16 @@
         }
     }
 
-    fn hold(&mut self, index: Option<usize>, bytes: usize) {
+    fn hold(&mut self, number: ConnectionNumber, bytes: usize) {
         self.held_bytes += bytes;
-        if let Some(index) = index {
+        if let Some(index) = self.index_of(number) {
             self.connections[index].held_bytes += bytes;
         }
     }
 
-    /// Marks connections as closing that hold at least `missing_bytes` together with those already
-    /// closing, and whose last change of phase was before `before`. Marks none and returns `None`
-    /// if there are too few.
+    /// Marks connections as closing that read bodies since before `before` and hold at least
+    /// `missing_bytes` together with those already closing. Marks none and returns `None` if there
+    /// are too few.
     fn close_for(&mut self, missing_bytes: usize, before: u64) -> Option<Vec<ConnectionNumber>> {
         let closing_bytes: usize = self
             .connections
@@ -235,13 +234,10 @@
                 !connection.is_closing
                     && connection.held_bytes > 0
                     && connection.since < before
-                    && matches!(connection.phase, Phase::Reading | Phase::Sending)
+                    && connection.phase == Phase::Reading
             })
             .collect();
-        candidates.sort_unstable_by_key(|&index| {
-            let connection = &self.connections[index];
-            (connection.phase == Phase::Sending, connection.since)
-        });
+        candidates.sort_unstable_by_key(|&index| self.connections[index].since);
         let mut freed_bytes = closing_bytes;
         let mut chosen = Vec::new();
         for index in candidates {
--- a/crates/transport/src/connections.rs
+++ b/crates/transport/src/connections.rs
@@ -248,18 +248,32 @@
         &self.inner.connections
     }
 
+    /// Begins a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is being closed or the memory is used up.
+    pub(crate) fn begin_request(&self) -> Result<(), NoRoom> {
+        let begun = self.shared().lock().table.begin_request(self.inner.number);
+        if !begun {
+            self.connections().record_refused_body("memory");
+            return Err(NoRoom);
+        }
+        Ok(())
+    }
+
     /// Changes the phase.
     ///
     /// # Errors
     ///
-    /// Fails if the connection is being closed; a request that has not started must not.
+    /// Fails if the connection is being closed.
     pub(crate) fn set_phase(&self, phase: Phase) -> Result<(), NoRoom> {
-        let is_open = self
-            .shared()
-            .lock()
-            .table
-            .set_phase(self.inner.number, phase);
-        if is_open { Ok(()) } else { Err(NoRoom) }
+        let mut state = self.shared().lock();
+        if state.table.set_phase(self.inner.number, phase) {
+            Ok(())
+        } else {
+            Err(NoRoom)
+        }
     }
 
     /// Returns whether the connection is to be closed and no request would be cut off.
@@ -291,8 +305,7 @@
         let number = self.inner.number;
         let shared = self.shared();
         let mut state = shared.lock();
-        let closed = state.table.reserve_response(number, bytes);
-        shared.close(&mut state, &closed, "memory");
+        state.table.reserve_response(number, bytes);
         shared.record_usage(&state);
         drop(state);
         Reservation {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -25,6 +25,7 @@
 mod process_limits;
 mod request_body;
 mod send_guard;
+mod sent_body;
 mod server;
 mod stall;
 
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -3,19 +3,14 @@
 use {
     crate::{
         body::{Body, full_body},
-        body_wrappers::guarded_body,
-        connection_table::Phase,
-        connections::{Connections, Reservation, Slot},
+        connections::{Connections, Slot},
         counted::CountedStream,
         request_body::{RequestBody, no_room_response},
+        sent_body::track_response,
         stall::StallGuard,
     },
     http::{Request, Response, StatusCode, header},
-    hyper::{
-        body::{Body as HttpBody, Incoming},
-        server::conn::http1,
-        service::service_fn,
-    },
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     lynxwheel_protocol::encode_message,
     serde::Serialize,
@@ -24,7 +19,7 @@
         future::{Future, poll_fn},
         io,
         net::SocketAddr,
-        pin::{Pin, pin},
+        pin::Pin,
         sync::Arc,
         task::{Context, Poll},
         time::Duration,
@@ -275,7 +270,7 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let slot = request_slot.clone();
         let request = request.map(|body| RequestBody::new(body, slot.clone(), stall_timeout));
-        let response = slot.set_phase(Phase::Handling).map(|()| handler(request));
+        let response = slot.begin_request().map(|()| handler(request));
         Box::pin(async move {
             let response = match response {
                 Ok(response) => response.await,
@@ -292,23 +287,19 @@
         .max_buf_size(limits.max_header_bytes)
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
-    let mut close_requested = pin!(slot.close_requested());
-    let mut must_close = false;
-    let mut poll_connection = |context: &mut Context<'_>, is_stopping: bool| {
-        if is_stopping {
-            Pin::new(&mut connection).graceful_shutdown();
-        }
-        must_close = must_close || close_requested.as_mut().poll(context).is_ready();
-        let polled = connection.poll_without_shutdown(context).map(Some);
-        if polled.is_pending() && must_close && slot.must_close() {
-            return Poll::Ready(None);
-        }
-        polled
-    };
+    let mut close_request = CloseRequest::new(&slot);
     // Errors are not reported: they affect only the caller of this connection, who sees them too.
     let result = tokio::select! {
-        result = poll_fn(|context| poll_connection(context, false)) => result,
-        () = shutdown.wait() => poll_fn(|context| poll_connection(context, true)).await,
+        result = poll_fn(|context| {
+            close_request.poll_after(context, |context| connection.poll_without_shutdown(context))
+        }) => result,
+        () = shutdown.wait() => {
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|context| {
+                close_request.poll_after(context, |context| connection.poll_without_shutdown(context))
+            })
+            .await
+        }
     };
     let Some(result) = result else {
         return;
@@ -327,36 +318,40 @@
     close(stream, response).await;
 }
 
-/// Response that is being sent.
-#[derive(Debug)]
-struct SentResponse {
-    slot: Slot,
-    _reservation: Reservation,
+/// Request to close a connection, which is granted once no request would be cut off.
+struct CloseRequest<'a> {
+    slot: &'a Slot,
+    requested: Pin<Box<dyn Future<Output = ()> + Send>>,
+    is_requested: bool,
 }
 
-impl Drop for SentResponse {
-    fn drop(&mut self) {
-        // A connection that is being closed is closed in this phase, too.
-        let _ = self.slot.set_phase(Phase::Waiting);
+impl<'a> CloseRequest<'a> {
+    fn new(slot: &'a Slot) -> Self {
+        Self {
+            slot,
+            requested: Box::pin(slot.close_requested()),
+            is_requested: false,
+        }
     }
-}
 
-/// Holds the memory of a response until it is sent, and records when that is.
-fn track_response(response: Response<Body>, slot: Slot) -> Response<Body> {
-    // As in `SentResponse`.
-    let _ = slot.set_phase(Phase::Sending);
-    let size_bytes = response.body().size_hint().lower();
-    let sent = SentResponse {
-        _reservation: slot.reserve_response(usize::try_from(size_bytes).unwrap_or(usize::MAX)),
-        slot,
-    };
-    response.map(|body| {
-        if body.is_end_stream() {
-            body
-        } else {
-            guarded_body(body, sent)
+    /// Polls a connection, and returns `None` if it is to be dropped.
+    fn poll_after<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        poll_connection: impl FnOnce(&mut Context<'_>) -> Poll<T>,
+    ) -> Poll<Option<T>> {
+        let Self {
+            requested,
+            is_requested,
+            ..
+        } = self;
+        *is_requested = *is_requested || requested.as_mut().poll(context).is_ready();
+        match poll_connection(context) {
+            Poll::Ready(result) => Poll::Ready(Some(result)),
+            Poll::Pending if *is_requested && self.slot.must_close() => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
         }
-    })
+    }
 }
 
 /// Sends `response`, if any, and closes the connection.
--- a/crates/transport/tests/crowded_server.rs
+++ b/crates/transport/tests/crowded_server.rs
@@ -11,12 +11,16 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
         sync::Semaphore,
+        task::yield_now,
         time::timeout,
     },
 };
 
 const MAX_BODY_BYTES: usize = 100_000;
 
+/// Size of a response that the buffers of a connection do not hold, in bytes.
+const LARGE_RESPONSE_BYTES: usize = 32 * 1_024 * 1_024;
+
 /// Limit of what must not hang.
 const TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -74,6 +78,10 @@
 }
 
 async fn respond(gate: Arc<Gate>, request: Request<RequestBody>) -> Response<Body> {
+    if request.uri().path() == "/large" {
+        gate.started.add_permits(1);
+        return error_response(StatusCode::OK, &" ".repeat(LARGE_RESPONSE_BYTES));
+    }
     let must_wait = request.uri().path() == "/wait";
     let body = match collect_body(request.into_body(), MAX_BODY_BYTES).await {
         Ok(body) => body,
@@ -147,6 +155,21 @@
     assert!(refusal.contains("retry-after: 1"), "{refusal}");
 }
 
+/// Guards against responses that clients don't read and that add up to more than the memory.
+#[tokio::test]
+async fn unread_response_keeps_its_memory() {
+    let server = TestServer::start(10).await;
+    let unread = server.send("GET /large HTTP/1.1\r\n\r\n").await;
+    let started = timeout(TIMEOUT, server.gate.started.acquire()).await;
+    started.expect("a request").expect("open").forget();
+    let request = ClientRequest::new(http::Method::GET, "/");
+    assert_eq!(server.call(&request).await, StatusCode::SERVICE_UNAVAILABLE);
+    drop(unread);
+    while server.call(&request).await != StatusCode::OK {
+        yield_now().await;
+    }
+}
+
 /// Guards against memory and slots that are lost when clients leave in the middle of a body.
 #[tokio::test]
 async fn room_of_clients_that_left_is_free_again() {
