Test of bytes behind requests that wait

Bytes that the kernel has received and the process has not read count as its memory, and none of the crowds held many of them. 480 clients send a small job each and 262,144 bytes behind it while the store does not answer.

--- a/crates/lynxwheel/tests/crowds/crowd.rs
+++ b/crates/lynxwheel/tests/crowds/crowd.rs
@@ -72,7 +72,11 @@
 
     /// Creates a request with a complete body, which is followed by silence.
     pub fn complete(start: &str, body: &[u8]) -> Self {
-        let length = body.len();
+        Self::followed_by_bytes(start, body, body.len())
+    }
+
+    /// Creates a request with a body of `length`, which is followed by the rest of `body`.
+    pub fn followed_by_bytes(start: &str, body: &[u8], length: usize) -> Self {
         let mut bytes = format!("{start}content-length: {length}\r\n\r\n").into_bytes();
         bytes.extend(body);
         Self {
--- a/crates/lynxwheel/tests/crowds/serve.rs
+++ b/crates/lynxwheel/tests/crowds/serve.rs
@@ -10,8 +10,8 @@
     http::{Method, StatusCode},
     lynxwheel_engine::{JobSpec, Resources, StepSpec},
     lynxwheel_platform_standin::{
-        EndpointSpec, EndpointStandIn, NodeLimits, NodeSettings, Observer, QueueSpec, StoreStandIn,
-        VmServiceStandIn, encode_job, put_config, timeout_header,
+        EndpointSpec, EndpointStandIn, NodeLimits, NodeSettings, Observer, QueueSpec, StoreFault,
+        StoreStandIn, VmServiceStandIn, encode_job, put_config, timeout_header,
     },
     lynxwheel_soak::NodeProcess,
     lynxwheel_transport::{Client, ClientRequest},
@@ -42,6 +42,12 @@
     ..LIMITS
 };
 
+/// Limits in the settings of a node with less memory than others.
+const LITTLE_MEMORY: NodeLimits = NodeLimits {
+    memory_mb: 40,
+    ..LIMITS
+};
+
 /// Limits in the settings of a node that takes jobs of the largest size.
 const LARGE_JOBS: NodeLimits = NodeLimits {
     memory_mb: 160,
@@ -79,6 +85,7 @@
     peers: SocketAddr,
     limits: NodeLimits,
     node: NodeProcess,
+    store: StoreStandIn,
     _endpoint: EndpointStandIn,
 }
 
@@ -128,6 +135,7 @@
             peers: SocketAddr::new(ip, ports[2]),
             limits,
             node,
+            store,
             _endpoint: endpoint,
         };
         fleet.submit_job("0000000000000001").await;
@@ -186,11 +194,20 @@
         }
     }
 
-    /// Asserts that the node bears a crowd and serves an ordinary caller beside it.
-    async fn assert_bears(&self, address: SocketAddr, size: usize, request: &UnfinishedRequest) {
+    /// Asserts that the node bears a crowd and serves an ordinary caller beside it; `fault` is that
+    /// of the store until all requests are sent.
+    async fn assert_bears(
+        &self,
+        address: SocketAddr,
+        size: usize,
+        request: &UnfinishedRequest,
+        fault: StoreFault,
+    ) {
         let sampler = self.sampler();
+        self.store.set_fault(fault);
         let mut crowd = Crowd::start(address, size, request);
         crowd.settle(|| unread_bytes(&self.listeners())).await;
+        self.store.set_fault(StoreFault::None);
         assert_eq!(self.node.exit_status(), None, "the node has ended");
         self.submit_job("0000000000000002").await;
         self.wait_until_ready().await;
@@ -244,7 +261,9 @@
         $($(#[$doc])* #[test] fn $name() {
             run_alone(async {
                 let fleet = Fleet::start(stringify!($name), $limits).await;
-                fleet.assert_bears(fleet.$listener, $size, &$request).await;
+                fleet
+                    .assert_bears(fleet.$listener, $size, &$request, StoreFault::None)
+                    .await;
             });
         })*
     };
@@ -302,6 +321,22 @@
         UnfinishedRequest::within_head("");
 }
 
+/// Guards against bytes that arrive behind requests that wait for the store, and that are not read.
+#[test]
+fn bytes_behind_waiting_requests() {
+    run_alone(async {
+        let fleet = Fleet::start("bytes_behind", LITTLE_MEMORY).await;
+        let mut body = encode_job(&job());
+        let length = body.len();
+        body.resize(length + MAX_JOB_BYTES, b' ');
+        let request = UnfinishedRequest::followed_by_bytes(SUBMIT_JOB, &body, length);
+        let fault = StoreFault::Unresponsive;
+        fleet
+            .assert_bears(fleet.callers, 480, &request, fault)
+            .await;
+    });
+}
+
 /// Guards against stalled clients that keep a connection of the node for ever.
 #[test]
 fn stalled_body_is_given_up() {
