Count the data of a response instead of its declared size

What callers would have seen: while a large response of an endpoint passes through, all other requests are refused with 503.

Cause: the memory of a response was reserved by its declared size, also if it is streamed and only some frames of it are in memory.

Change: each frame is counted from when it is produced until it is written.

Result: declared_size_of_a_streamed_response_takes_no_memory fails before with 503; unread_response_keeps_its_memory passes as before.

--- a/crates/transport/src/sent_body.rs
+++ b/crates/transport/src/sent_body.rs
@@ -21,7 +21,6 @@
 #[derive(Debug)]
 struct SentResponse {
     slot: Slot,
-    _reservation: Reservation,
 }
 
 impl Drop for SentResponse {
@@ -35,11 +34,7 @@
 pub(crate) fn track_response(response: Response<Body>, slot: Slot) -> Response<Body> {
     // As in `SentResponse`.
     let _ = slot.set_phase(Phase::Sending);
-    let size_bytes = response.body().size_hint().lower();
-    let sent = SentResponse {
-        _reservation: slot.reserve_response(usize::try_from(size_bytes).unwrap_or(usize::MAX)),
-        slot,
-    };
+    let sent = SentResponse { slot };
     response.map(|inner| {
         if inner.is_end_stream() {
             return inner;
@@ -57,6 +52,7 @@
 /// Data that the HTTP library keeps until it is written.
 struct SentData {
     data: Bytes,
+    _reservation: Reservation,
     _sent: Arc<SentResponse>,
 }
 
@@ -76,8 +72,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
         let sent = &self.sent;
-        let track = |data| {
+        let track = |data: Bytes| {
             Bytes::from_owner(SentData {
+                _reservation: sent.slot.reserve_response(data.len()),
                 data,
                 _sent: Arc::clone(sent),
             })
--- a/crates/transport/tests/crowded_server.rs
+++ b/crates/transport/tests/crowded_server.rs
@@ -1,12 +1,21 @@
 //! A server without room for all of its clients.
 
 use {
+    bytes::Bytes,
     http::{Request, Response, StatusCode},
+    http_body_util::BodyExt,
+    hyper::body::{Body as HttpBody, Frame, SizeHint},
     lynxwheel_transport::{
-        Body, Client, ClientRequest, RequestBody, Server, ServerLimits, Shutdown, collect_body,
-        error_response,
+        Body, BodyError, Client, ClientRequest, RequestBody, Server, ServerLimits, Shutdown,
+        collect_body, error_response,
+    },
+    std::{
+        net::SocketAddr,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+        time::Duration,
     },
-    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -82,6 +91,10 @@
         gate.started.add_permits(1);
         return error_response(StatusCode::OK, &" ".repeat(LARGE_RESPONSE_BYTES));
     }
+    if request.uri().path() == "/stream" {
+        gate.started.add_permits(1);
+        return Response::new(EndlessBody.boxed_unsync());
+    }
     let must_wait = request.uri().path() == "/wait";
     let body = match collect_body(request.into_body(), MAX_BODY_BYTES).await {
         Ok(body) => body,
@@ -94,6 +107,25 @@
     error_response(StatusCode::OK, &body.len().to_string())
 }
 
+/// Body of a large declared size of which nothing arrives.
+struct EndlessBody;
+
+impl HttpBody for EndlessBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Poll::Pending
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(LARGE_RESPONSE_BYTES as u64)
+    }
+}
+
 /// Reads until the connection is closed.
 async fn read_all(mut stream: TcpStream) -> String {
     let mut text = Vec::new();
@@ -170,6 +202,17 @@
     }
 }
 
+/// Guards against large responses that pass through and are taken for memory in use.
+#[tokio::test]
+async fn declared_size_of_a_streamed_response_takes_no_memory() {
+    let server = TestServer::start(10).await;
+    let _streaming = server.send("GET /stream HTTP/1.1\r\n\r\n").await;
+    let started = timeout(TIMEOUT, server.gate.started.acquire()).await;
+    started.expect("a request").expect("open").forget();
+    let request = ClientRequest::new(http::Method::GET, "/");
+    assert_eq!(server.call(&request).await, StatusCode::OK);
+}
+
 /// Guards against memory and slots that are lost when clients leave in the middle of a body.
 #[tokio::test]
 async fn room_of_clients_that_left_is_free_again() {
