Ordinary jobs of crowds with ids of their own

The ids of the clients of a crowd are their numbers, two of which were those of the ordinary jobs: a job that a client of the crowd had submitted would have been taken for the ordinary one.

--- a/crates/lynxwheel/tests/crowds/serve.rs
+++ b/crates/lynxwheel/tests/crowds/serve.rs
@@ -138,7 +138,7 @@
             store,
             _endpoint: endpoint,
         };
-        fleet.submit_job("0000000000000001").await;
+        fleet.submit_job("feed000000000001").await;
         fleet
     }
 
@@ -209,7 +209,7 @@
         crowd.settle(|| unread_bytes(&self.listeners())).await;
         self.store.set_fault(StoreFault::None);
         assert_eq!(self.node.exit_status(), None, "the node has ended");
-        self.submit_job("0000000000000002").await;
+        self.submit_job("feed000000000002").await;
         self.wait_until_ready().await;
         let peak = sampler.stop();
         assert_eq!(self.node.exit_status(), None, "the node has ended");
