Leave the receive buffers of peers to the system

None of the new limits acted: no connection was closed or refused, and no body.

Cause, only suspected: with 32 KiB, messages between nodes wait longer at their sender on such a link, after they were checked, and reach another owner's time.

--- a/crates/transport/src/process_limits.rs
+++ b/crates/transport/src/process_limits.rs
@@ -12,6 +12,9 @@
 /// Factor by which the kernel's bookkeeping exceeds the size of a receive buffer.
 const RECEIVE_BUFFER_FACTOR: u64 = 2;
 
+/// Receive buffer that is assumed for connections with the system's default, in bytes.
+const ASSUMED_RECEIVE_BUFFER_BYTES: u32 = 32 * 1_024;
+
 const BYTES_PER_MB: u64 = 1_024 * 1_024;
 
 /// Resources that a process may use.
@@ -40,7 +43,10 @@
     #[must_use]
     pub fn server_limits(&self, share: &ListenerShare) -> ServerLimits {
         let memory_bytes = u64::from(self.memory_mb) * BYTES_PER_MB;
-        let receive_bytes = u64::from(share.receive_buffer_bytes) * RECEIVE_BUFFER_FACTOR;
+        let buffer_bytes = share
+            .receive_buffer_bytes
+            .unwrap_or(ASSUMED_RECEIVE_BUFFER_BYTES);
+        let receive_bytes = u64::from(buffer_bytes) * RECEIVE_BUFFER_FACTOR;
         let by_memory =
             percent(memory_bytes, share.connections_percent) / (CONNECTION_BYTES + receive_bytes);
         let sockets = self.max_descriptors.saturating_sub(FILE_DESCRIPTORS);
@@ -48,7 +54,7 @@
         ServerLimits {
             max_connections: to_usize(by_memory.min(by_descriptors).max(1)),
             body_memory_bytes: to_usize(percent(memory_bytes, share.bodies_percent)),
-            receive_buffer_bytes: Some(share.receive_buffer_bytes),
+            receive_buffer_bytes: share.receive_buffer_bytes,
             body_stall_timeout_ms: self.body_stall_timeout_ms.into(),
             ..ServerLimits::default()
         }
@@ -64,8 +70,8 @@
     pub bodies_percent: u64,
     /// Part of the descriptors for sockets.
     pub sockets_percent: u64,
-    /// Receive buffer of a connection in the kernel, in bytes.
-    pub receive_buffer_bytes: u32,
+    /// Receive buffer of a connection in the kernel, in bytes; `None` for the system's default.
+    pub receive_buffer_bytes: Option<u32>,
 }
 
 impl ListenerShare {
@@ -74,28 +80,29 @@
         connections_percent: 12,
         bodies_percent: 12,
         sockets_percent: 25,
-        receive_buffer_bytes: 16 * 1_024,
+        receive_buffer_bytes: Some(16 * 1_024),
     };
     /// Share of the listener for other nodes.
     pub const PEERS: Self = Self {
         connections_percent: 18,
         bodies_percent: 12,
         sockets_percent: 40,
-        receive_buffer_bytes: 32 * 1_024,
+        // A smaller one delays messages between nodes on narrow links.
+        receive_buffer_bytes: None,
     };
     /// Share of the listener for operators and metrics.
     pub const OPERATORS: Self = Self {
         connections_percent: 8,
         bodies_percent: 6,
         sockets_percent: 10,
-        receive_buffer_bytes: 16 * 1_024,
+        receive_buffer_bytes: Some(16 * 1_024),
     };
     /// Share of the listener for readiness checks.
     pub const READINESS: Self = Self {
         connections_percent: 1,
         bodies_percent: 1,
         sockets_percent: 5,
-        receive_buffer_bytes: 4 * 1_024,
+        receive_buffer_bytes: Some(4 * 1_024),
     };
 }
 
