Read a body that is too large before it is refused

The connection was then closed while the caller was still sending, which resets it, and the refusal was lost.

--- a/crates/transport/src/request_body.rs
+++ b/crates/transport/src/request_body.rs
@@ -91,6 +91,7 @@
     async fn collect_up_to(mut self, limit_bytes: usize) -> Result<CollectedBody, BodyError> {
         let read = async {
             if self.incoming.size_hint().lower() > limit_bytes as u64 {
+                self.discard(limit_bytes).await?;
                 return Err(BodyError::TooLarge);
             }
             let mut buffer = Buffer::new(&self);
@@ -107,6 +108,20 @@
         })
     }
 
+    /// Reads more than `limit_bytes` without keeping them.
+    ///
+    /// If the connection were closed while the caller still sends, the refusal would be lost.
+    async fn discard(&mut self, limit_bytes: usize) -> Result<(), BodyError> {
+        let mut read_bytes = 0;
+        while read_bytes <= limit_bytes {
+            let Some(frame) = self.frame().await else {
+                return Ok(());
+            };
+            read_bytes += frame?.data_ref().map_or(0, Bytes::len);
+        }
+        Ok(())
+    }
+
     /// Reads until the body ends, and returns `false` if it exceeds `limit_bytes`.
     ///
     /// Copies the data, because the frames of the HTTP library refer to its read buffer, with the
