Let bodies that are too large give way like others

What callers would have seen: 503 for all, while clients announce bodies above the limit and send them byte by byte. Each kept its connection for as long as it went on, and none of them could be closed for another.

Cause: what is read before a 413 is dropped, and that was done in the phase of a request that runs.

Change: it is read as other bodies are, in the same function, only without a buffer.

Result: unfinished_body_that_is_too_large_gives_way fails before with 503.

--- a/crates/transport/src/process_limits.rs
+++ b/crates/transport/src/process_limits.rs
@@ -87,7 +87,6 @@
         connections_percent: 18,
         bodies_percent: 12,
         sockets_percent: 40,
-        // A smaller one delays messages between nodes on narrow links.
         receive_buffer_bytes: None,
     };
     /// Share of the listener for operators and metrics.
--- a/crates/transport/src/request_body.rs
+++ b/crates/transport/src/request_body.rs
@@ -75,7 +75,7 @@
         limit_bytes: usize,
     ) -> Result<(BufferedBody, HeldMemory), BodyError> {
         let mut buffer = Buffer::new(&self);
-        let is_complete = self.read_into(&mut buffer, limit_bytes).await;
+        let is_complete = self.read_into(Some(&mut buffer), limit_bytes).await;
         let is_complete = is_complete.inspect_err(|error| self.record_refused(error))?;
         let Buffer { bytes, held } = buffer;
         let body = if is_complete {
@@ -91,11 +91,13 @@
     async fn collect_up_to(mut self, limit_bytes: usize) -> Result<CollectedBody, BodyError> {
         let read = async {
             if self.incoming.size_hint().lower() > limit_bytes as u64 {
-                self.discard(limit_bytes).await?;
+                // If the connection were closed while the caller still sends, the refusal would be
+                // lost.
+                self.read_into(None, limit_bytes).await?;
                 return Err(BodyError::TooLarge);
             }
             let mut buffer = Buffer::new(&self);
-            if self.read_into(&mut buffer, limit_bytes).await? {
+            if self.read_into(Some(&mut buffer), limit_bytes).await? {
                 Ok(buffer)
             } else {
                 Err(BodyError::TooLarge)
@@ -108,27 +110,14 @@
         })
     }
 
-    /// Reads more than `limit_bytes` without keeping them.
-    ///
-    /// If the connection were closed while the caller still sends, the refusal would be lost.
-    async fn discard(&mut self, limit_bytes: usize) -> Result<(), BodyError> {
-        let mut read_bytes = 0;
-        while read_bytes <= limit_bytes {
-            let Some(frame) = self.frame().await else {
-                return Ok(());
-            };
-            read_bytes += frame?.data_ref().map_or(0, Bytes::len);
-        }
-        Ok(())
-    }
-
-    /// Reads until the body ends, and returns `false` if it exceeds `limit_bytes`.
+    /// Reads until the body ends, and returns `false` if it exceeds `limit_bytes`. Without a buffer,
+    /// the data is dropped.
     ///
     /// Copies the data, because the frames of the HTTP library refer to its read buffer, with the
     /// framing around them, and take more memory than the data of small chunks.
     async fn read_into(
         &mut self,
-        buffer: &mut Buffer,
+        buffer: Option<&mut Buffer>,
         limit_bytes: usize,
     ) -> Result<bool, BodyError> {
         let slot = self.guard.as_ref().map(|guard| guard.slot.clone());
@@ -154,17 +143,21 @@
 
     async fn read_frames(
         &mut self,
-        buffer: &mut Buffer,
+        mut buffer: Option<&mut Buffer>,
         limit_bytes: usize,
     ) -> Result<bool, BodyError> {
         let declared_bytes = self.incoming.size_hint().exact();
         let declared_bytes = declared_bytes.and_then(|bytes| usize::try_from(bytes).ok());
-        while buffer.bytes.len() <= limit_bytes {
+        let mut read_bytes = 0;
+        while read_bytes <= limit_bytes {
             let Some(frame) = self.frame().await else {
                 return Ok(true);
             };
             if let Ok(data) = frame?.into_data() {
-                buffer.append(&data, declared_bytes).await?;
+                read_bytes += data.len();
+                if let Some(buffer) = &mut buffer {
+                    buffer.append(&data, declared_bytes).await?;
+                }
             }
         }
         Ok(false)
--- a/crates/transport/tests/crowded_server.rs
+++ b/crates/transport/tests/crowded_server.rs
@@ -236,3 +236,20 @@
         assert_eq!(server.call(&request).await, StatusCode::PAYLOAD_TOO_LARGE);
     }
 }
+
+/// Guards against bodies that are too large, arrive slowly and keep their connections for good.
+#[tokio::test]
+async fn unfinished_body_that_is_too_large_gives_way() {
+    let server = TestServer::start(1).await;
+    let head = format!(
+        "POST / HTTP/1.1\r\ncontent-length: {}\r\n\r\n",
+        MAX_BODY_BYTES + 1
+    );
+    let mut unfinished = server.send(&head).await;
+    for _ in 0..10 {
+        unfinished.write_all(b" ").await.expect("send");
+        yield_now().await;
+    }
+    let request = ClientRequest::new(http::Method::GET, "/");
+    assert_eq!(server.call(&request).await, StatusCode::OK);
+}
